--- /dev/null
+++ b/adapters/noderpc/server.go
@@ -0,0 +1,95 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package noderpc
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+)
+
+// Method answers one method; it gets the parameters as they came.
+type Method func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server takes the calls of other nodes; its fields are set before Listen.
+type Server struct {
+	Methods map[string]Method
+	Logger  log.Logger
+	Wrap    func(net.Conn) net.Conn
+
+	listener net.Listener
+}
+
+// Handle returns a method whose parameters are of a type.
+func Handle[P any](do func(ctx context.Context, params P) (any, error)) Method {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, errkind.New(errkind.BadRequest, "parameters: %v", err)
+		}
+		return do(ctx, params)
+	}
+}
+
+// Listen opens the address and returns the one it got.
+func (s *Server) Listen(address string) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Annotate(err, "address for nodes")
+	}
+	s.listener = l
+	return l.Addr().String(), nil
+}
+
+// Run takes connections until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	for {
+		raw, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go session{s, raw}.run(ctx)
+	}
+}
+
+// session is one connection of another node.
+type session struct {
+	s   *Server
+	raw net.Conn
+}
+
+// run serves the connection until it or the context ends.
+func (c session) run(ctx context.Context) {
+	conn := c.raw
+	if c.s.Wrap != nil {
+		conn = c.s.Wrap(conn)
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(&c.s.Logger))
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+		_ = rpc.Close()
+	}
+}
+
+// handle answers one call.
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	method := s.Methods[r.Method]
+	if method == nil || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}
+	result, err := method(ctx, *r.Params)
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	return result, nil
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -43,6 +43,7 @@
 	return []command{
 		{"standalone", "run the stand-in and three entries in one process", runStandalone},
 		{"serve", "run an entry", runServe},
+		{"node", "run a node on the users' platform", runNode},
 		{"standin", "run the stand-in of the platform", runStandin},
 		{"validate", "check declarative files or settings", runValidate},
 		{"plan", "show what a file would change and move", runPlan},
--- /dev/null
+++ b/models/config/config.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package config
+
+import (
+	"net"
+	"strings"
+	"time"
+)
+
+// Config is one version of the operators' configuration; it never changes.
+type Config struct {
+	Version uint64
+	Queues  []Queue
+	Pools   []Pool
+	Limits  Limits
+	byHost  map[string][]*Queue
+	byKey   map[string]*Queue
+}
+
+// Queue takes the jobs of a host and path prefix to the workers of a pool.
+type Queue struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Pool       string
+	Priority   int           // 0 comes first and may preempt others
+	Attempts   int           // failed runs of a task that fail its job, 0 for no limit
+	Stretch    float64       // of a job's longest chain of work, for its objective
+	Target     time.Duration // added to that
+	Advice     *Advice       // nil where every worker may run a step
+}
+
+// Key names the queue as long as its host and prefix stand.
+func (q *Queue) Key() string { return q.Host + q.PathPrefix }
+
+// Advice says what the advice service takes for a queue that it must be asked
+// for.
+type Advice struct {
+	Decide time.Duration // for one call
+	Each   time.Duration // for each worker asked about
+	Valid  time.Duration // how long a ticket holds
+}
+
+// Pool is a group of instances that run the tasks of queues.
+type Pool struct {
+	Name     string
+	Guards   bool // its workers reject what does not fit; others take whatever they are told
+	Headroom bool // its instances are off and cost nothing
+}
+
+// Limits bound what a customer may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// New returns a configuration with its indexes.
+func New(version uint64, queues []Queue, pools []Pool, limits Limits) *Config {
+	c := &Config{
+		Version: version, Queues: queues, Pools: pools, Limits: limits,
+		byHost: make(map[string][]*Queue, len(queues)),
+		byKey:  make(map[string]*Queue, len(queues)),
+	}
+	for i := range queues {
+		q := &queues[i]
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+		c.byKey[q.Key()] = q
+	}
+	return c
+}
+
+// Route returns the queue whose prefix is the longest with which the path
+// begins, nil for none.
+func (c *Config) Route(host, path string) *Queue {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	var best *Queue
+	for _, q := range c.byHost[host] {
+		if strings.HasPrefix(path, q.PathPrefix) && (best == nil || len(q.PathPrefix) > len(best.PathPrefix)) {
+			best = q
+		}
+	}
+	return best
+}
+
+// Queue returns the queue with the key, nil for none.
+func (c *Config) Queue(key string) *Queue { return c.byKey[key] }
+
+// Pool returns the pool with the name, nil for none.
+func (c *Config) Pool(name string) *Pool {
+	for i := range c.Pools {
+		if c.Pools[i].Name == name {
+			return &c.Pools[i]
+		}
+	}
+	return nil
+}
+
+// Headroom returns the name of the pool whose instances are off, "" for none.
+func (c *Config) Headroom() string {
+	for i := range c.Pools {
+		if c.Pools[i].Headroom {
+			return c.Pools[i].Name
+		}
+	}
+	return ""
+}
+
+// Serves reports whether a queue takes jobs to the pool.
+func (c *Config) Serves(pool string) bool {
+	for i := range c.Queues {
+		if c.Queues[i].Pool == pool {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/models/config/doc.go
@@ -0,0 +1,5 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package config holds the operators' newest configuration of queues and pools.
+package config
--- /dev/null
+++ b/models/job/check.go
@@ -0,0 +1,101 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package job
+
+import (
+	"fmt"
+	"time"
+)
+
+// The bounds of a submission. Those of sizes only keep sums from overflowing;
+// the longest text is the platform's.
+const (
+	idDigits    = 16
+	maxSpec     = 4000 // bytes
+	maxSteps    = 1000
+	maxCount    = 100_000   // tasks of a step
+	maxTasks    = 1_000_000 // of all times together
+	maxCPU      = 1 << 30   // thousandths of a core
+	maxMemory   = 1 << 30   // MiB
+	maxGPU      = 1 << 20
+	maxTimes    = 100_000
+	maxEstimate = 10 * 365 * 24 * time.Hour
+)
+
+// CheckID returns what is wrong with the name of a job, nil for nothing.
+func CheckID(id string) error {
+	if len(id) != idDigits {
+		return fmt.Errorf("the job's name %q must have %d hex digits", id, idDigits)
+	}
+	for _, c := range id {
+		if c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' {
+			continue
+		}
+		return fmt.Errorf("the job's name %q must have hex digits only", id)
+	}
+	return nil
+}
+
+// Check returns the first thing that is wrong with a submission, nil for none.
+func (s *Submission) Check() error {
+	if err := CheckID(string(s.ID)); err != nil {
+		return err
+	}
+	if len(s.Spec) > maxSpec {
+		return fmt.Errorf("the specification has %d bytes; %d are allowed", len(s.Spec), maxSpec)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return fmt.Errorf("%d steps; 1 to %d are allowed", len(s.Steps), maxSteps)
+	}
+	if s.Times < 0 || s.Times > maxTimes {
+		return fmt.Errorf("%d times; 0 to %d are allowed", s.Times, maxTimes)
+	}
+	if s.Interval < 0 {
+		return fmt.Errorf("the interval %s is negative", s.Interval)
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		tasks += s.Steps[i].Count * s.Rounds()
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("%d tasks in all; %d are allowed", tasks, maxTasks)
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	ranges := []struct {
+		name  string
+		value int
+		least int
+		most  int
+	}{
+		{"count", s.Count, 1, maxCount},
+		{"processors", s.Size.CPU, 0, maxCPU},
+		{"memory", s.Size.MemoryMB, 0, maxMemory},
+		{"accelerators", s.Size.Accelerators, 0, maxGPU},
+		{"tasks on one worker", s.PerWorker, 0, maxCount},
+		{"tasks that may be away", s.MayMiss, 0, maxCount},
+	}
+	for _, r := range ranges {
+		if r.value < r.least || r.value > r.most {
+			return fmt.Errorf("%s is %d; %d to %d are allowed", r.name, r.value, r.least, r.most)
+		}
+	}
+	if s.Estimate < 0 || s.Estimate > maxEstimate {
+		return fmt.Errorf("the estimate %s is out of range", s.Estimate)
+	}
+	if s.Target < 0 {
+		return fmt.Errorf("the latency target %s is negative", s.Target)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= number {
+			return fmt.Errorf("it follows step %d; only earlier steps are allowed", a)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/models/job/job.go
@@ -0,0 +1,112 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package job
+
+import (
+	"time"
+)
+
+// ID names a job; its customer chooses it.
+type ID string
+
+// State is what a customer is told of a job.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether a job in the state never runs again.
+func (s State) Final() bool {
+	return s == Completed || s == Failed || s == Cancelled
+}
+
+// Size is the room that a task takes on a worker, or that a worker has.
+type Size struct {
+	CPU          int `cbor:"1,keyasint,omitempty" json:"cpu,omitempty"`          // thousandths of a core
+	MemoryMB     int `cbor:"2,keyasint,omitempty" json:"memory_mb,omitempty"`    // MiB
+	Accelerators int `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty"` // whole ones
+}
+
+// Plus returns the sum of two sizes.
+func (s Size) Plus(o Size) Size {
+	return Size{s.CPU + o.CPU, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Minus returns what is left of a size without another.
+func (s Size) Minus(o Size) Size {
+	return Size{s.CPU - o.CPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether the size has room in the other.
+func (s Size) Fits(room Size) bool {
+	return s.CPU <= room.CPU && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
+}
+
+// Step is a number of like tasks of a job.
+type Step struct {
+	Count       int           `cbor:"1,keyasint"`
+	Size        Size          `cbor:"2,keyasint"`            // of each task
+	Estimate    time.Duration `cbor:"3,keyasint,omitempty"`  // of a task's run time, by the customer; often far off
+	After       []int         `cbor:"4,keyasint,omitempty"`  // earlier steps that must be done
+	Checkpoints bool          `cbor:"5,keyasint,omitempty"`  // a later run can go on from what an earlier one saved
+	Gang        bool          `cbor:"6,keyasint,omitempty"`  // the tasks run and end together
+	SameRack    bool          `cbor:"7,keyasint,omitempty"`  // slow when spread over racks
+	Label       string        `cbor:"8,keyasint,omitempty"`  // that a worker must have, "" for none
+	Rack        string        `cbor:"9,keyasint,omitempty"`  // where the data lies, "" for anywhere
+	PerWorker   int           `cbor:"10,keyasint,omitempty"` // tasks of one time on one worker, 0 for no limit
+	Duplicates  bool          `cbor:"11,keyasint,omitempty"` // copies of a task may run side by side
+	Lasting     bool          `cbor:"12,keyasint,omitempty"` // the tasks run until the job is cancelled
+	Image       string        `cbor:"13,keyasint,omitempty"` // what is run; tasks of one image behave alike
+	Target      time.Duration `cbor:"14,keyasint,omitempty"` // for the tail latency of what the task serves, 0 for none
+	Filling     bool          `cbor:"15,keyasint,omitempty"` // takes only the processors that others leave unused
+	MayMiss     int           `cbor:"16,keyasint,omitempty"` // tasks that may be away at once by our doing, 0 where not stated
+}
+
+// Room returns what a task of the step takes from a worker's room: a filling
+// one takes no processors of its own.
+func (s *Step) Room() Size {
+	room := s.Size
+	if s.Filling {
+		room.CPU = 0
+	}
+	return room
+}
+
+// Submission is a job as its customer describes it.
+type Submission struct {
+	ID       ID            `cbor:"1,keyasint"`
+	Queue    string        `cbor:"2,keyasint"`           // key of the queue it came on
+	Spec     string        `cbor:"3,keyasint,omitempty"` // handed to each task as it is
+	Steps    []Step        `cbor:"4,keyasint"`
+	Times    int           `cbor:"5,keyasint,omitempty"` // how many times the steps run, 0 for once and at once
+	First    time.Time     `cbor:"6,keyasint,omitempty"` // when the first time is due
+	Interval time.Duration `cbor:"7,keyasint,omitempty"` // from one time to the next
+}
+
+// Rounds returns how many times the steps run.
+func (s *Submission) Rounds() int { return max(s.Times, 1) }
+
+// Due returns when a time is due; a job without times is always due.
+func (s *Submission) Due(round int) time.Time {
+	if s.Times == 0 {
+		return time.Time{}
+	}
+	return s.First.Add(time.Duration(round) * s.Interval)
+}
+
+// Lasts reports whether a step of the job runs until the job is cancelled.
+func (s *Submission) Lasts() bool {
+	for i := range s.Steps {
+		if s.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/models/job/task.go
@@ -0,0 +1,53 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// StepRef names a step of one time of a job.
+type StepRef struct {
+	Job   ID
+	Round int // 0 for a job without times
+	Step  int
+}
+
+// String returns the name that workers and the advice service know.
+func (r StepRef) String() string {
+	return string(r.Job) + "." + strconv.Itoa(r.Round) + "." + strconv.Itoa(r.Step)
+}
+
+// TaskRef names a task.
+type TaskRef struct {
+	StepRef
+	Index int
+}
+
+// String returns the name that workers know.
+func (r TaskRef) String() string {
+	return r.StepRef.String() + "." + strconv.Itoa(r.Index)
+}
+
+// taskParts is how many parts the name of a task has.
+const taskParts = 4
+
+// ParseTask reads the name of a task.
+func ParseTask(name string) (TaskRef, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != taskParts {
+		return TaskRef{}, fmt.Errorf("%q is no name of a task", name)
+	}
+	var numbers [taskParts - 1]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskRef{}, fmt.Errorf("%q is no name of a task", name)
+		}
+		numbers[i] = n
+	}
+	return TaskRef{StepRef{ID(parts[0]), numbers[0], numbers[1]}, numbers[2]}, nil
+}
--- /dev/null
+++ b/models/worker/worker.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package worker
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+)
+
+// ID names a worker: one life of an instance. A restart, a move to another pool
+// and a crash end a life; the next one has another name.
+type ID string
+
+// Worker is what a worker says of itself in the platform's list.
+type Worker struct {
+	ID         ID
+	Instance   string // the instance that this is a life of
+	Pool       string
+	Address    string // IP and port
+	DataCenter string
+	Labels     []string // its kind and its rack
+	Capacity   job.Size
+	Draining   bool
+	Remaining  time.Duration // at least until it leaves, while it drains
+	Cold       time.Duration // during which it is still slow from its start
+	Revision   uint64        // of the list's record that said so
+}
+
+// Has reports whether the worker carries a label.
+func (w *Worker) Has(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Rack returns the label of the worker's rack, which is its last one.
+func (w *Worker) Rack() string {
+	if len(w.Labels) == 0 {
+		return ""
+	}
+	return w.Labels[len(w.Labels)-1]
+}
--- a/modules/errkind/errkind.go
+++ b/modules/errkind/errkind.go
@@ -37,6 +37,9 @@
 	Infeasible
 	TooManyConnections
 	SlowRequest
+	Fenced
+	Gone
+	BadMethod
 	kindCount
 )
 
@@ -79,6 +82,9 @@
 	Infeasible:         {"infeasible", http.StatusUnprocessableEntity, NotRun, 0},
 	TooManyConnections: {"too-many-connections", http.StatusServiceUnavailable, NotRun, time.Second},
 	SlowRequest:        {"slow-request", http.StatusRequestTimeout, NotRun, 0},
+	Fenced:             {"fenced", http.StatusServiceUnavailable, NotRun, time.Second},
+	Gone:               {"gone", http.StatusGone, NotRun, 0},
+	BadMethod:          {"bad-method", http.StatusMethodNotAllowed, NotRun, 0},
 }
 
 // Kinds returns every kind of the closed list in order.
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,217 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/yardbridge/yardbridge/adapters/noderpc"
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/setting"
+	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/follow"
+	"github.com/yardbridge/yardbridge/services/gateway"
+	"github.com/yardbridge/yardbridge/services/monitor"
+	"github.com/yardbridge/yardbridge/services/owner"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+	"github.com/yardbridge/yardbridge/services/steward"
+)
+
+// Ports are the outside systems that a node uses.
+type Ports struct {
+	Store     port.Store
+	Feeds     port.Feeds
+	Workers   port.Workers
+	Instances port.Instances
+	Advisor   port.Advisor
+}
+
+// Node is one node; New makes it and Run brings it to life.
+type Node struct {
+	Setting   setting.Node
+	Ports     Ports
+	Clock     clock.Clock
+	Logger    log.Logger
+	Directory *directory.Directory
+	Gateway   *gateway.Gateway
+	Steward   *steward.Steward
+
+	monitor *monitor.Monitor
+	client  *noderpc.Client
+	server  *noderpc.Server
+
+	mu      sync.Mutex
+	workers map[worker.ID]worker.Worker
+	stop    bool
+}
+
+// New puts a node together; it opens its address for other nodes, but does
+// nothing else yet.
+func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
+	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker)}
+	n.client = &noderpc.Client{Logger: logger}
+	n.server = &noderpc.Server{Logger: logger, Methods: n.methods()}
+	if _, err := n.server.Listen(s.Peers()); err != nil {
+		return nil, err
+	}
+	n.Directory = &directory.Directory{
+		Store: ports.Store, Clock: c, Logger: logger,
+		Self: directory.Node{
+			Name: s.Node.Name, Address: s.Peers(), Life: uint64(c.Now().UnixNano()),
+			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter,
+		},
+	}
+	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote}
+	n.Steward = &steward.Steward{
+		Directory: n.Directory, Clock: c, Logger: logger,
+		Config: n.Gateway.Config, Open: n.open, Began: n.began, Take: n.take,
+	}
+	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, Ask: n.ask}
+	return n, nil
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	for _, run := range []func(context.Context){
+		n.server.Run, n.Directory.Run, n.monitor.Run, n.Steward.Run, n.followOperators, n.followWorkers,
+	} {
+		tasks.Go(func() { run(ctx) })
+	}
+	tasks.Wait()
+	n.client.Close()
+}
+
+// Ready reports whether customers may be sent here.
+func (n *Node) Ready() bool {
+	v, _ := n.Directory.View()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stop && v != nil && n.Gateway.Config() != nil
+}
+
+// HandOver gives the node's pools to others and makes it not ready.
+func (n *Node) HandOver(ctx context.Context) {
+	n.mu.Lock()
+	n.stop = true
+	n.mu.Unlock()
+	n.Steward.HandOver(ctx)
+	if err := n.Directory.Leave(ctx); err != nil {
+		n.Logger.Warn().Str("event", "stop").Err(err).Msg("this node's entry could not be taken away")
+	}
+}
+
+// partition returns where the pool of a slot is kept.
+func (n *Node) partition(slot int) port.Partition {
+	parts := n.Setting.Platform.Partitions
+	return port.Partition{Topic: fmt.Sprintf("keyed.pools%d", slot/parts), Part: slot % parts}
+}
+
+// open returns an owner of a pool.
+func (n *Node) open(pool string, slot int) *owner.Owner {
+	b := n.Setting.Bounds
+	return &owner.Owner{
+		Pool: pool, Partition: n.partition(slot), Store: n.Ports.Store, Workers: n.Ports.Workers,
+		Limits: scheduler.Limits{
+			Lease: min(lease, b.LeaseMost.Std()), StopTime: b.StopTime.Std(), Keep: b.StatusKept.Std(), FarTimes: b.FarTimes,
+		},
+		Clock: n.Clock, Logger: n.Logger.With().Str("pool", pool).Logger(),
+	}
+}
+
+// began gives an owner what the node knows.
+func (n *Node) began(ctx context.Context, o *owner.Owner) {
+	if c := n.Gateway.Config(); c != nil {
+		o.Configure(c)
+	}
+	n.mu.Lock()
+	list := make([]worker.Worker, 0, len(n.workers))
+	for _, w := range n.workers {
+		list = append(list, w)
+	}
+	n.mu.Unlock()
+	o.See(ctx, list, true)
+}
+
+// followOperators follows the operators' configuration.
+func (n *Node) followOperators(ctx context.Context) {
+	f := follow.Follower{
+		Store: n.Ports.Store, Partition: n.Ports.Feeds.Operators, Clock: n.Clock, Logger: n.Logger,
+		Wait: operatorsWait, Apply: n.operators,
+	}
+	f.Run(ctx)
+}
+
+// operators takes records of the operators.
+func (n *Node) operators(records []port.Record, _ bool) {
+	for _, r := range records {
+		c, err := n.Ports.Feeds.DecodeConfig(r)
+		if err != nil {
+			n.Logger.Error().Str("event", "config").Uint64("offset", r.Offset).Err(err).Msg("a configuration can't be read and is passed over")
+			continue
+		}
+		if c != nil {
+			n.configure(c)
+		}
+	}
+}
+
+func (n *Node) configure(c *config.Config) {
+	if !n.Gateway.Configure(c) {
+		return
+	}
+	n.Logger.Info().Str("event", "config").Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).
+		Str("outcome", "in force").Msg("a configuration is taken over")
+	for _, o := range n.Steward.Owners() {
+		o.Configure(c)
+	}
+}
+
+// followWorkers follows the platform's list of workers.
+func (n *Node) followWorkers(ctx context.Context) {
+	f := follow.Follower{
+		Store: n.Ports.Store, Partition: n.Ports.Feeds.Workers, Clock: n.Clock, Logger: n.Logger,
+		Gap:   workersGap,
+		Apply: func(records []port.Record, whole bool) { n.list(ctx, records, whole) },
+	}
+	f.Run(ctx)
+}
+
+// list takes records of the platform's list of workers.
+func (n *Node) list(ctx context.Context, records []port.Record, whole bool) {
+	var seen []worker.Worker
+	var gone []worker.ID
+	n.mu.Lock()
+	if whole {
+		clear(n.workers)
+	}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(n.workers, worker.ID(r.Key))
+			gone = append(gone, worker.ID(r.Key))
+			continue
+		}
+		w, err := n.Ports.Feeds.DecodeWorker(r)
+		if err != nil {
+			n.Logger.Error().Str("event", "worker").Err(err).Msg("a worker's record can't be read and is passed over")
+			continue
+		}
+		w.Revision = r.Offset
+		n.workers[w.ID] = w
+		seen = append(seen, w)
+	}
+	n.mu.Unlock()
+	for _, o := range n.Steward.Owners() {
+		o.See(ctx, seen, whole)
+		if !whole && len(gone) > 0 {
+			o.Miss(gone)
+		}
+	}
+}
--- /dev/null
+++ b/node/rpc.go
@@ -0,0 +1,167 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"context"
+
+	"github.com/yardbridge/yardbridge/adapters/noderpc"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/gateway"
+	"github.com/yardbridge/yardbridge/services/owner"
+)
+
+// The methods between nodes.
+const (
+	methodSubmit  = "job.submit"
+	methodState   = "job.state"
+	methodCancel  = "job.cancel"
+	methodPending = "queue.pending"
+	methodProbe   = "node.probe"
+	methodHelp    = "node.help"
+	methodTake    = "pool.take"
+)
+
+// onPool names a pool, and what of it a call is about.
+type onPool struct {
+	Pool  string `json:"pool"`
+	Job   job.ID `json:"job,omitempty"`
+	Queue string `json:"queue,omitempty"`
+	Data  []byte `json:"data,omitempty"` // a submission, encoded
+}
+
+// empty is what a call answers that only succeeds or fails.
+type empty struct{}
+
+// methods returns what this node answers to others.
+func (n *Node) methods() map[string]noderpc.Method {
+	return map[string]noderpc.Method{
+		methodSubmit:  noderpc.Handle(n.onSubmit),
+		methodState:   noderpc.Handle(n.onState),
+		methodCancel:  noderpc.Handle(n.onCancel),
+		methodPending: noderpc.Handle(n.onPending),
+		methodProbe:   noderpc.Handle(n.onProbe),
+		methodHelp:    noderpc.Handle(n.onHelp),
+		methodTake:    noderpc.Handle(n.onTake),
+	}
+}
+
+// owned returns the owner of a pool on this node.
+func (n *Node) owned(pool string) (*owner.Owner, error) {
+	o := n.Steward.Owner(pool)
+	if o == nil {
+		return nil, errkind.New(errkind.Fenced, "node %s does not own pool %s", n.Setting.Node.Name, pool)
+	}
+	return o, nil
+}
+
+func (n *Node) onSubmit(ctx context.Context, a onPool) (any, error) {
+	o, err := n.owned(a.Pool)
+	if err != nil {
+		return nil, err
+	}
+	var s job.Submission
+	if err := codec.Unmarshal(a.Data, &s); err != nil {
+		return nil, errkind.New(errkind.BadRequest, "submission: %v", err)
+	}
+	return empty{}, o.Submit(ctx, s)
+}
+
+func (n *Node) onState(_ context.Context, a onPool) (any, error) {
+	o, err := n.owned(a.Pool)
+	if err != nil {
+		return nil, err
+	}
+	return o.State(a.Job)
+}
+
+func (n *Node) onCancel(ctx context.Context, a onPool) (any, error) {
+	o, err := n.owned(a.Pool)
+	if err != nil {
+		return nil, err
+	}
+	return empty{}, o.Cancel(ctx, a.Job)
+}
+
+func (n *Node) onPending(_ context.Context, a onPool) (any, error) {
+	o, err := n.owned(a.Pool)
+	if err != nil {
+		return nil, err
+	}
+	return o.Pending(a.Queue)
+}
+
+func (n *Node) onProbe(context.Context, empty) (any, error) { return n.Directory.Self.Life, nil }
+
+func (n *Node) onHelp(ctx context.Context, o directory.Node) (any, error) {
+	life, err := n.probe(ctx, o)
+	if err == nil && life != o.Life {
+		err = errkind.New(errkind.NotFound, "node %s has another life", o.Name)
+	}
+	return empty{}, err
+}
+
+func (n *Node) onTake(ctx context.Context, a onPool) (any, error) {
+	return empty{}, n.Steward.Assume(ctx, a.Pool)
+}
+
+// local returns the desk of a pool that this node owns, nil for none.
+func (n *Node) local(pool string) *gateway.Desk {
+	o := n.Steward.Owner(pool)
+	if o == nil {
+		return nil
+	}
+	return &gateway.Desk{
+		Submit:  o.Submit,
+		State:   func(_ context.Context, id job.ID) (job.State, error) { return o.State(id) },
+		Cancel:  o.Cancel,
+		Pending: func(_ context.Context, queue string) (int, error) { return o.Pending(queue) },
+	}
+}
+
+// remote returns the desk of a pool at another node.
+func (n *Node) remote(at directory.Node, pool string) *gateway.Desk {
+	call := func(ctx context.Context, method string, params onPool, result any) error {
+		return n.client.Call(ctx, at.Address, method, params, result)
+	}
+	return &gateway.Desk{
+		Submit: func(ctx context.Context, s job.Submission) error {
+			data, err := codec.Marshal(s)
+			if err != nil {
+				return err
+			}
+			return call(ctx, methodSubmit, onPool{Pool: pool, Data: data}, &empty{})
+		},
+		State: func(ctx context.Context, id job.ID) (job.State, error) {
+			var state job.State
+			err := call(ctx, methodState, onPool{Pool: pool, Job: id}, &state)
+			return state, err
+		},
+		Cancel: func(ctx context.Context, id job.ID) error {
+			return call(ctx, methodCancel, onPool{Pool: pool, Job: id}, &empty{})
+		},
+		Pending: func(ctx context.Context, queue string) (int, error) {
+			var count int
+			err := call(ctx, methodPending, onPool{Pool: pool, Queue: queue}, &count)
+			return count, err
+		},
+	}
+}
+
+func (n *Node) probe(ctx context.Context, o directory.Node) (uint64, error) {
+	var life uint64
+	err := n.client.Call(ctx, o.Address, methodProbe, empty{}, &life)
+	return life, err
+}
+
+func (n *Node) ask(ctx context.Context, helper, o directory.Node) error {
+	return n.client.Call(ctx, helper.Address, methodHelp, o, &empty{})
+}
+
+func (n *Node) take(ctx context.Context, o directory.Node, pool string) error {
+	return n.client.Call(ctx, o.Address, methodTake, onPool{Pool: pool}, &empty{})
+}
--- /dev/null
+++ b/services/directory/directory.go
@@ -0,0 +1,290 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/follow"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Partition is where the directory lies.
+var Partition = port.Partition{Topic: "keyed.nodes"}
+
+// The keys of the directory begin with these.
+const (
+	keyNode = "n/"
+	keyPool = "o/"
+)
+
+// Node is one process of yardbridge.
+type Node struct {
+	Name       string  `cbor:"1,keyasint"`
+	Address    string  `cbor:"2,keyasint"` // for other nodes
+	Life       uint64  `cbor:"3,keyasint"` // of the process; a later one of the name has a higher one
+	Cores      float64 `cbor:"4,keyasint"`
+	DataCenter string  `cbor:"5,keyasint"`
+}
+
+// Ownership says which node owns a pool, and in which slot the pool's partition
+// lies.
+type Ownership struct {
+	Pool  string `cbor:"1,keyasint"`
+	Slot  int    `cbor:"2,keyasint"`
+	Epoch uint64 `cbor:"3,keyasint"`
+	Node  string `cbor:"4,keyasint"` // "" for none yet
+	Life  uint64 `cbor:"5,keyasint"` // of the node's process
+}
+
+// View is the directory at one time; it never changes.
+type View struct {
+	Nodes map[string]Node
+	Pools map[string]Ownership
+	End   uint64 // of the partition, as far as it was read
+}
+
+// Owner returns the node that owns a pool, and false while no node that is
+// present does.
+func (v *View) Owner(pool string) (Node, Ownership, bool) {
+	o, known := v.Pools[pool]
+	n, present := v.Nodes[o.Node]
+	return n, o, known && present && n.Life == o.Life
+}
+
+// Directory is one node's view of the directory, and its entry there; its fields
+// are set before Run.
+type Directory struct {
+	Store  port.Store
+	Clock  clock.Clock
+	Logger log.Logger
+	Self   Node
+
+	mu      sync.Mutex
+	view    *View
+	changed chan struct{} // closed with the next change
+	leaving bool
+}
+
+// followWait is how long a reading of the directory waits for news.
+const followWait = 10 * time.Second
+
+// Run follows the directory until the context ends, and keeps this node's entry
+// there.
+func (d *Directory) Run(ctx context.Context) {
+	f := follow.Follower{
+		Store: d.Store, Partition: Partition, Clock: d.Clock, Logger: d.Logger, Wait: followWait,
+		Apply: d.apply,
+	}
+	go d.run(ctx)
+	f.Run(ctx)
+}
+
+// View returns the newest view, nil before the first, and a channel that is
+// closed with the next change.
+func (d *Directory) View() (*View, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	return d.view, d.changed
+}
+
+// apply takes records into a new view.
+func (d *Directory) apply(records []port.Record, whole bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := &View{Nodes: make(map[string]Node), Pools: make(map[string]Ownership)}
+	if d.view != nil {
+		if !whole {
+			for k, n := range d.view.Nodes {
+				next.Nodes[k] = n
+			}
+		}
+		for k, o := range d.view.Pools {
+			next.Pools[k] = o
+		}
+		next.End = d.view.End
+	}
+	for _, r := range records {
+		next.End = max(next.End, r.Offset+1)
+		if err := next.take(r); err != nil {
+			d.Logger.Warn().Str("event", "directory").Str("key", r.Key).Err(err).Msg("a record can't be read and is passed over")
+		}
+	}
+	d.set(next)
+}
+
+// set makes a view the newest. The lock is held.
+func (d *Directory) set(v *View) {
+	d.view = v
+	if d.changed != nil {
+		close(d.changed)
+	}
+	d.changed = make(chan struct{})
+}
+
+// take takes one record into a view that is being made.
+func (v *View) take(r port.Record) error {
+	if name, isNode := strings.CutPrefix(r.Key, keyNode); isNode {
+		if len(r.Value) == 0 {
+			delete(v.Nodes, name)
+			return nil
+		}
+		var n Node
+		if err := codec.Unmarshal(r.Value, &n); err != nil {
+			return err
+		}
+		if n.Life >= v.Nodes[name].Life {
+			v.Nodes[name] = n
+		}
+		return nil
+	}
+	if _, isPool := strings.CutPrefix(r.Key, keyPool); !isPool || len(r.Value) == 0 {
+		return nil
+	}
+	var o Ownership
+	if err := codec.Unmarshal(r.Value, &o); err != nil {
+		return err
+	}
+	v.learn(o)
+	return nil
+}
+
+// learn takes an ownership unless a newer one is known: a record may have been
+// written late.
+func (v *View) learn(o Ownership) bool {
+	known, has := v.Pools[o.Pool]
+	if has && o.Epoch < known.Epoch {
+		return false
+	}
+	v.Pools[o.Pool] = o
+	return true
+}
+
+// Learn takes an ownership that was heard of elsewhere.
+func (d *Directory) Learn(o Ownership) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.view == nil {
+		return
+	}
+	if known, has := d.view.Pools[o.Pool]; has && o.Epoch <= known.Epoch {
+		return
+	}
+	next := *d.view
+	next.Pools = make(map[string]Ownership, len(d.view.Pools)+1)
+	for k, p := range d.view.Pools {
+		next.Pools[k] = p
+	}
+	next.learn(o)
+	d.set(&next)
+}
+
+// run enters this node and does so again where its entry is gone.
+func (d *Directory) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		v, changed := d.View()
+		if v != nil && !d.isLeaving() && v.Nodes[d.Self.Name].Life != d.Self.Life {
+			if err := d.enter(ctx); err != nil {
+				d.Logger.Warn().Str("event", "directory").Err(err).Msg("this node could not be entered")
+				changed = nil
+			}
+		}
+		var again <-chan time.Time
+		if changed == nil {
+			again = d.Clock.After(enterRetry)
+		}
+		select {
+		case <-changed:
+		case <-again:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// enterRetry is the pause before this node is entered again after a failure.
+const enterRetry = 200 * time.Millisecond
+
+func (d *Directory) enter(ctx context.Context) error {
+	value, err := codec.Marshal(d.Self)
+	if err != nil {
+		return err
+	}
+	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyNode + d.Self.Name, Value: value}})
+}
+
+func (d *Directory) isLeaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving
+}
+
+// Leave takes this node's entry away.
+func (d *Directory) Leave(ctx context.Context) error {
+	d.mu.Lock()
+	d.leaving = true
+	d.mu.Unlock()
+	return d.Remove(ctx, d.Self.Name)
+}
+
+// Remove takes a node's entry away; a node that is present enters itself again.
+func (d *Directory) Remove(ctx context.Context, name string) error {
+	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyNode + name}})
+}
+
+// Publish tells all nodes of an ownership.
+func (d *Directory) Publish(ctx context.Context, o Ownership) error {
+	d.Learn(o)
+	value, err := codec.Marshal(o)
+	if err != nil {
+		return err
+	}
+	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyPool + o.Pool, Value: value}})
+}
+
+// Slot returns the slot of a pool's partition, and takes the lowest free one
+// where the pool has none. A slot is never given twice: it is taken under the
+// condition that nothing has come since the view was read.
+func (d *Directory) Slot(ctx context.Context, pool string) (int, error) {
+	v, _ := d.View()
+	if v == nil {
+		return 0, errkind.New(errkind.LogUnavailable, "the directory has not been read")
+	}
+	if o, known := v.Pools[pool]; known {
+		return o.Slot, nil
+	}
+	o := Ownership{Pool: pool, Slot: v.freeSlot()}
+	value, err := codec.Marshal(o)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := d.Store.AppendAt(ctx, Partition, v.End, []port.Record{{Key: keyPool + pool, Value: value}}); err != nil {
+		return 0, err
+	}
+	return o.Slot, nil
+}
+
+func (v *View) freeSlot() int {
+	var taken []int
+	for _, o := range v.Pools {
+		taken = append(taken, o.Slot)
+	}
+	slices.Sort(taken)
+	for i, s := range taken {
+		if s != i {
+			return i
+		}
+	}
+	return len(taken)
+}
--- /dev/null
+++ b/services/owner/commit.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// The pace of appends. The store's calls are priced and limited for all nodes
+// together; what comes within the gap goes into one append.
+const (
+	commitGap   = 20 * time.Millisecond
+	commitRetry = 50 * time.Millisecond
+)
+
+// commits plans and keeps changes, one append at a time, until the pool is not
+// owned any more.
+func (o *Owner) commits(ctx context.Context) error {
+	for {
+		began := o.Clock.Now()
+		wake, err := o.commit(ctx)
+		if err != nil {
+			return err
+		}
+		if err := o.pause(ctx, commitGap-o.Clock.Now().Sub(began)); err != nil {
+			return err
+		}
+		if err := o.idle(ctx, wake); err != nil {
+			return err
+		}
+	}
+}
+
+// pause waits for a time.
+func (o *Owner) pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-o.Clock.After(d):
+		return nil
+	case <-ctx.Done():
+		return errStopped
+	}
+}
+
+// idle waits until something has changed or a time has come; the zero time
+// never does.
+func (o *Owner) idle(ctx context.Context, wake time.Time) error {
+	var timer <-chan time.Time
+	if !wake.IsZero() {
+		timer = o.Clock.After(wake.Sub(o.Clock.Now()))
+	}
+	select {
+	case <-o.changed:
+	case <-timer:
+	case <-ctx.Done():
+		return errStopped
+	}
+	return nil
+}
+
+// commit plans, and keeps what has changed. It returns when to do so again.
+func (o *Owner) commit(ctx context.Context) (time.Time, error) {
+	o.mu.Lock()
+	now := o.Clock.Now()
+	wake := o.pool.Plan(now)
+	batch, err := o.pool.Collect(now)
+	o.attend()
+	o.dropLinks()
+	o.mu.Unlock()
+	if err != nil || batch == nil {
+		return wake, err
+	}
+	if err := o.keep(ctx, batch); err != nil {
+		return wake, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pool.Committed(batch)
+	o.kept = batch.Number
+	for n, waiting := range o.waiting {
+		if n > o.kept {
+			continue
+		}
+		for _, c := range waiting {
+			close(c)
+		}
+		delete(o.waiting, n)
+	}
+	o.attend()
+	return wake, nil
+}
+
+// keep appends a batch until it is known to be kept.
+func (o *Owner) keep(ctx context.Context, b *scheduler.Batch) error {
+	if len(b.Records) == 0 {
+		return nil
+	}
+	o.writer.Sequence++
+	for try := 1; ; try++ {
+		err := o.Store.Append(ctx, o.Partition, o.writer, b.Records)
+		if err == nil {
+			return nil
+		}
+		o.Logger.Warn().Str("event", "append").Str("pool", o.Pool).Uint64("batch", b.Number).Int("records", len(b.Records)).
+			Int("try", try).Err(err).Msg("a batch is not known to be kept")
+		if errkind.Is(err, errkind.Fenced) || errkind.Is(err, errkind.Conflict) {
+			return err
+		}
+		if err := o.pause(ctx, commitRetry); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/services/owner/link.go
@@ -0,0 +1,165 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// link carries orders and looks to one worker, each over a channel of its own.
+type link struct {
+	owner  *Owner
+	id     worker.ID
+	port   *port.Link
+	looks  *port.Link
+	orders chan struct{}
+	look   chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// wake has the link look for orders and for a look that is due.
+func (l *link) wake() {
+	select {
+	case l.orders <- struct{}{}:
+	default:
+	}
+	select {
+	case l.look <- struct{}{}:
+	default:
+	}
+}
+
+// close ends the link.
+func (l *link) close() {
+	l.cancel()
+	l.port.Close()
+	l.looks.Close()
+}
+
+// runOrders gives orders one after another.
+func (l *link) runOrders() {
+	defer l.owner.tasks.Done()
+	for {
+		for l.give() {
+		}
+		select {
+		case <-l.orders:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// give gives one order and returns whether there was one.
+func (l *link) give() bool {
+	o := l.owner
+	o.mu.Lock()
+	order, has := o.pool.NextOrder(l.id)
+	if !has || l.ctx.Err() != nil {
+		o.mu.Unlock()
+		return false
+	}
+	send := l.prepare(order)
+	o.mu.Unlock()
+	answer := send()
+	o.mu.Lock()
+	now := o.Clock.Now()
+	if o.pool.Answered(order, answer, now) {
+		o.pool.Again(order, now)
+	}
+	o.attend()
+	o.mu.Unlock()
+	if answer.Verdict != port.Taken {
+		o.poke()
+	}
+	l.wakeLook()
+	return true
+}
+
+// prepare returns the sending of an order. The lock is held.
+func (l *link) prepare(order scheduler.Order) func() port.Answer {
+	p := l.owner.pool
+	switch {
+	case order.Stop:
+		stop := p.StopOrder(order)
+		return func() port.Answer { return l.port.Stop(l.ctx, stop) }
+	case order.Pace:
+		pace := p.PaceOrder(order)
+		return func() port.Answer { return l.port.Pace(l.ctx, pace) }
+	}
+	start := p.Start(order, l.owner.Clock.Now())
+	return func() port.Answer { return l.port.Start(l.ctx, start) }
+}
+
+func (l *link) wakeLook() {
+	select {
+	case l.look <- struct{}{}:
+	default:
+	}
+}
+
+// runLooks looks at the worker whenever that is due.
+func (l *link) runLooks() {
+	defer l.owner.tasks.Done()
+	for {
+		at, wait, has := l.next()
+		if has {
+			if d := at.Sub(l.owner.Clock.Now()); d > 0 {
+				if !l.sleep(d) {
+					return
+				}
+				continue
+			}
+			l.lookNow(wait)
+			continue
+		}
+		select {
+		case <-l.look:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// next returns when the next look is due, false for none.
+func (l *link) next() (time.Time, time.Duration, bool) {
+	l.owner.mu.Lock()
+	defer l.owner.mu.Unlock()
+	return l.owner.pool.NextLook(l.id)
+}
+
+// sleep waits for a time; it returns false once the link is closed.
+func (l *link) sleep(d time.Duration) bool {
+	select {
+	case <-l.owner.Clock.After(d):
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// lookNow looks at the worker once.
+func (l *link) lookNow(wait time.Duration) {
+	o := l.owner
+	o.mu.Lock()
+	look, ask, known := o.pool.BeginLook(l.id, wait, o.Clock.Now())
+	o.mu.Unlock()
+	if !known {
+		l.close()
+		return
+	}
+	listing, answer := l.looks.Look(l.ctx, ask)
+	o.mu.Lock()
+	o.pool.EndLook(look, listing, answer, o.Clock.Now())
+	o.attend()
+	o.mu.Unlock()
+	l.wake()
+	o.poke()
+}
--- /dev/null
+++ b/services/owner/owner.go
@@ -0,0 +1,275 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// Owner owns one pool from Claim until it is fenced or stopped. Its fields are
+// set before that. Lock order: mu is the only lock, and nothing that waits is
+// called under it.
+type Owner struct {
+	Pool      string
+	Partition port.Partition
+	Store     port.Store
+	Workers   port.Workers
+	Limits    scheduler.Limits
+	Clock     clock.Clock
+	Logger    log.Logger
+
+	writer  port.Writer
+	changed chan struct{} // there may be something to plan or to keep
+	done    chan struct{} // closed once the pool is not owned any more
+	tasks   sync.WaitGroup
+
+	mu      sync.Mutex
+	pool    *scheduler.Pool
+	links   map[worker.ID]*link
+	kept    uint64                     // newest batch that is kept
+	waiting map[uint64][]chan struct{} // by the batch that is waited for
+	over    error                      // why the pool is not owned any more
+	cancel  context.CancelFunc
+}
+
+// Run serves the pool until the context ends or a higher epoch is seen, and
+// returns why it has ended. Claim must have succeeded.
+func (o *Owner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	o.mu.Lock()
+	o.cancel = cancel
+	o.mu.Unlock()
+	defer cancel()
+	o.adopt(ctx)
+	err := o.commits(ctx)
+	o.end(err)
+	cancel()
+	o.tasks.Wait()
+	return err
+}
+
+// end lets go of all who wait.
+func (o *Owner) end(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.over = err
+	close(o.done)
+	for _, l := range o.links {
+		l.port.Close()
+	}
+}
+
+// Done is closed once the pool is not owned any more.
+func (o *Owner) Done() <-chan struct{} { return o.done }
+
+// Epoch returns the epoch under which the pool is owned.
+func (o *Owner) Epoch() uint64 { return o.writer.Epoch }
+
+// poke has the pool planned and its changes kept.
+func (o *Owner) poke() {
+	select {
+	case o.changed <- struct{}{}:
+	default:
+	}
+}
+
+// change calls a function on the pool under the lock, and acts on what it has
+// brought.
+func (o *Owner) change(do func(p *scheduler.Pool, now time.Time)) {
+	o.mu.Lock()
+	do(o.pool, o.Clock.Now())
+	o.attend()
+	o.mu.Unlock()
+	o.poke()
+}
+
+// attend wakes the links of workers that there are orders for. The lock is held.
+func (o *Owner) attend() {
+	for _, id := range o.pool.Attention() {
+		if l := o.links[id]; l != nil {
+			l.wake()
+		}
+	}
+}
+
+// Configure hands the pool a newer configuration.
+func (o *Owner) Configure(c *config.Config) {
+	o.change(func(p *scheduler.Pool, _ time.Time) { p.Configure(c) })
+}
+
+// See hands the pool what the platform's list says of its workers: those that
+// changed, and whether they are all that there are.
+func (o *Owner) See(ctx context.Context, listed []worker.Worker, whole bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	present := make(map[worker.ID]bool, len(listed))
+	for _, w := range listed {
+		if w.Pool != o.Pool {
+			continue
+		}
+		present[w.ID] = true
+		o.pool.See(w, now)
+		o.link(ctx, w.ID)
+	}
+	if whole {
+		for _, id := range o.pool.Workers() {
+			if !present[id] {
+				o.pool.Miss(id, now)
+			}
+		}
+	}
+	o.dropLinks()
+	o.attend()
+	o.poke()
+}
+
+// Miss hands the pool the news that workers are listed no longer.
+func (o *Owner) Miss(ids []worker.ID) {
+	o.change(func(p *scheduler.Pool, now time.Time) {
+		for _, id := range ids {
+			p.Miss(id, now)
+		}
+	})
+}
+
+// link opens the link to a worker that has none. The lock is held.
+func (o *Owner) link(ctx context.Context, id worker.ID) {
+	w, known := o.pool.Worker(id)
+	if !known || o.links[id] != nil || ctx.Err() != nil {
+		return
+	}
+	l := &link{owner: o, id: id, port: o.Workers.Open(w), looks: o.Workers.Open(w), orders: make(chan struct{}, 1), look: make(chan struct{}, 1)}
+	o.links[id] = l
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	o.tasks.Add(2)
+	go l.runOrders()
+	go l.runLooks()
+}
+
+// dropLinks ends the links of workers that are not known any more. The lock is
+// held.
+func (o *Owner) dropLinks() {
+	for id, l := range o.links {
+		if _, known := o.pool.Worker(id); !known {
+			l.close()
+			delete(o.links, id)
+		}
+	}
+}
+
+// adopt opens links to the workers that an earlier owner has used.
+func (o *Owner) adopt(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, id := range o.pool.Workers() {
+		o.link(ctx, id)
+	}
+}
+
+// await waits until a batch is kept.
+func (o *Owner) await(ctx context.Context, batch uint64) error {
+	o.mu.Lock()
+	if batch <= o.kept {
+		o.mu.Unlock()
+		return nil
+	}
+	kept := make(chan struct{})
+	o.waiting[batch] = append(o.waiting[batch], kept)
+	o.mu.Unlock()
+	select {
+	case <-kept:
+		return nil
+	case <-o.done:
+		return errkind.New(errkind.OutcomeUnknown, "the pool's owner changes")
+	case <-ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "the store has not answered in time")
+	}
+}
+
+// live returns an error once the pool is not owned any more. The lock is held.
+func (o *Owner) live() error {
+	if o.over != nil {
+		return errkind.New(errkind.Fenced, "pool %s has another owner", o.Pool)
+	}
+	return nil
+}
+
+// Submit takes a job and returns once it is kept.
+func (o *Owner) Submit(ctx context.Context, s job.Submission) error {
+	o.mu.Lock()
+	if err := o.live(); err != nil {
+		o.mu.Unlock()
+		return err
+	}
+	batch := o.pool.Submit(s, o.Clock.Now())
+	o.mu.Unlock()
+	o.poke()
+	return o.await(ctx, batch)
+}
+
+// Cancel ends a job and returns once that is kept.
+func (o *Owner) Cancel(ctx context.Context, id job.ID) error {
+	o.mu.Lock()
+	if err := o.live(); err != nil {
+		o.mu.Unlock()
+		return err
+	}
+	batch, err := o.pool.Cancel(id, o.Clock.Now())
+	o.attend()
+	o.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	o.poke()
+	return o.await(ctx, batch)
+}
+
+// State returns what a customer is told of a job.
+func (o *Owner) State(id job.ID) (job.State, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.live(); err != nil {
+		return "", err
+	}
+	state, known := o.pool.State(id)
+	if !known {
+		return "", errkind.New(errkind.Gone, "no job %s", id)
+	}
+	return state, nil
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (o *Owner) Pending(queue string) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.live(); err != nil {
+		return 0, err
+	}
+	return o.pool.Pending(queue), nil
+}
+
+// Stop ends the ownership: what was taken is kept, nothing new is.
+func (o *Owner) Stop() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.cancel != nil {
+		o.cancel()
+	}
+}
+
+var errStopped = errors.New("stopped")
--- /dev/null
+++ b/services/scheduler/look.go
@@ -0,0 +1,166 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Look is a look at a worker that is under way.
+type Look struct {
+	worker *workerState
+	stamp  uint64
+	ask    port.Look
+}
+
+// BeginLook returns the look to send to a worker, and false where the worker is
+// not known any more.
+func (p *Pool) BeginLook(id worker.ID, wait time.Duration, now time.Time) (Look, port.Look, bool) {
+	w := p.workers[id]
+	if w == nil {
+		return Look{}, port.Look{}, false
+	}
+	p.stamp++
+	w.wantLook = false
+	ask := port.Look{Token: p.Token, Seen: w.kept, Wait: wait}
+	if w.met && len(w.runs) > 0 {
+		ask.Deadline = w.extend(now, p.Limits.Lease)
+	}
+	if ask.Seen < w.seen {
+		ask.Wait = 0 // it would answer at once with ends that are known
+	}
+	return Look{w, p.stamp, ask}, ask, true
+}
+
+// EndLook takes the answer to a look.
+func (p *Pool) EndLook(k Look, listing worker.Listing, a port.Answer, now time.Time) {
+	w := k.worker
+	if p.workers[w.info.ID] != w {
+		return
+	}
+	p.heard(w, a, now)
+	w.looked = now
+	switch a.Verdict {
+	case port.Taken:
+	case port.OtherLife:
+		p.lifeOver(w, now, "another life answers")
+		return
+	default:
+		p.missed(w, a, now)
+		return
+	}
+	if !w.silent.IsZero() {
+		p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Dur("silent", now.Sub(w.silent)).
+			Msg("a worker answers again")
+		w.silent = time.Time{}
+		p.moved = true
+	}
+	if !w.met {
+		w.met = true
+		p.moved = true
+	}
+	w.told = max(w.told, k.ask.Seen)
+	p.list(w, k, listing, now)
+}
+
+// missed notes that a worker did not answer.
+func (p *Pool) missed(w *workerState, a port.Answer, now time.Time) {
+	if !w.silent.IsZero() {
+		return
+	}
+	w.silent = now
+	e := p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).
+		Time("lapses", w.lapses()).Str("outcome", string(a.Verdict))
+	if a.Err != nil {
+		e = e.Str("err", a.Err.Error())
+	}
+	e.Msg("a worker does not answer")
+}
+
+// list takes what a worker runs and what has ended there.
+func (p *Pool) list(w *workerState, k Look, listing worker.Listing, now time.Time) {
+	for _, e := range listing.Ends {
+		if e.Sequence <= w.seen {
+			continue
+		}
+		w.seen = e.Sequence
+		if u := w.runs[e.Task]; u != nil && u.number == e.Number {
+			p.end(u, e, now)
+		}
+	}
+	listed := make(map[string]bool, len(listing.Runs))
+	for _, r := range listing.Runs {
+		listed[r.Task] = true
+		p.runs(w, r, now)
+	}
+	for name, u := range w.runs {
+		if !listed[name] && p.vanished(u, k) {
+			p.lose(u, now, "its worker does not list it")
+		}
+	}
+}
+
+// runs takes one row of what a worker runs.
+func (p *Pool) runs(w *workerState, r worker.Run, now time.Time) {
+	u := w.runs[r.Task]
+	if u == nil || u.number != r.Number {
+		p.stray(w, r)
+		return
+	}
+	if u.phase != running {
+		u.phase = running
+		u.unsure = false
+		u.ack = p.stamp
+		if u.began.IsZero() {
+			u.began = now
+		}
+		p.began(u, now)
+	}
+	if r.Percent != u.percent {
+		u.moved = now
+	}
+	u.percent, u.load = r.Percent, r.Load
+	if r.Checkpoint != "" {
+		u.saved = r.Checkpoint
+	}
+}
+
+// vanished reports whether a run that a look did not list has ended: its worker
+// has said that it runs, or cannot begin it any more, before the look was sent.
+func (p *Pool) vanished(u *run, k Look) bool {
+	switch {
+	case u.phase == planned:
+		return false
+	case u.restored && u.phase == ordered:
+		return true // orders of the earlier owner are refused since this look
+	case u.stopped:
+		return k.stamp > u.ack
+	}
+	return u.phase == running && !u.unsure && k.stamp > u.ack
+}
+
+// stray stops a run that is not known, which an earlier owner or a late order
+// has begun.
+func (p *Pool) stray(w *workerState, r worker.Run) {
+	ref, err := job.ParseTask(r.Task)
+	if err != nil {
+		p.Logger.Warn().Str("event", "stray").Str("worker", string(w.info.ID)).Err(err).Msg("a run with no name of a task")
+		return
+	}
+	for _, o := range w.out {
+		if o.Stop && o.Run.name == r.Task {
+			return
+		}
+	}
+	u := &run{
+		job: &jobState{sub: job.Submission{ID: ref.Job}}, ref: ref, name: r.Task, number: r.Number, at: w, phase: ordered, stopping: true, stray: true,
+	}
+	p.Logger.Info().Str("event", "stray").Str("task", r.Task).Int("run", r.Number).Str("worker", string(w.info.ID)).
+		Msg("a run that is not ours to keep is stopped")
+	p.order(w, Order{Run: u, Stop: true})
+}
--- /dev/null
+++ b/services/scheduler/orders.go
@@ -0,0 +1,127 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/worker"
+)
+
+// order queues an order to a worker.
+func (p *Pool) order(w *workerState, o Order) {
+	w.out = append(w.out, o)
+	if !w.waiting {
+		w.waiting = true
+		p.out = append(p.out, w.info.ID)
+	}
+}
+
+// Attention returns the workers that orders were queued for, or that are to be
+// looked at, since it was last asked for.
+func (p *Pool) Attention() []worker.ID {
+	ids := p.out
+	p.out = nil
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			w.waiting = false
+		}
+	}
+	return ids
+}
+
+// Workers returns the names of all workers that are known.
+func (p *Pool) Workers() []worker.ID {
+	ids := make([]worker.ID, 0, len(p.workers))
+	for id := range p.workers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Worker returns what is known of a worker, and false for none.
+func (p *Pool) Worker(id worker.ID) (worker.Worker, bool) {
+	w := p.workers[id]
+	if w == nil {
+		return worker.Worker{}, false
+	}
+	return w.info, true
+}
+
+// NextOrder takes the next order to a worker off its queue. A worker that does
+// not answer gets none.
+func (p *Pool) NextOrder(id worker.ID) (Order, bool) {
+	w := p.workers[id]
+	if w == nil || !w.silent.IsZero() {
+		return Order{}, false
+	}
+	for len(w.out) > 0 {
+		o := w.out[0]
+		w.out = w.out[1:]
+		if o.Valid() {
+			return o, true
+		}
+	}
+	w.out = nil
+	return Order{}, false
+}
+
+// Again queues an order once more that got no answer; the worker is looked at
+// first.
+func (p *Pool) Again(o Order, now time.Time) {
+	w := o.Run.at
+	if p.workers[w.info.ID] != w {
+		return
+	}
+	if w.silent.IsZero() {
+		w.silent = now
+	}
+	w.wantLook = true
+	p.order(w, o)
+}
+
+// The times between looks at a worker. A look is priced, and an end is heard of
+// at the next look at the latest.
+const (
+	lookGap    = 60 * time.Millisecond  // from an answer to the next look, so that ends come together
+	lookRetry  = 150 * time.Millisecond // at a worker that does not answer
+	tellAfter  = 300 * time.Millisecond // until a worker with no runs is told which ends are kept
+	leaseParts = 3                      // a look waits for this part of a lease at most
+	waitShort  = 500 * time.Millisecond // the longest wait while a task runs that will end by itself
+	waitLong   = time.Second            // the longest wait while only tasks run that last
+)
+
+// NextLook returns when to look at a worker next and how long that look waits
+// for an end; false where there is nothing to look for.
+func (p *Pool) NextLook(id worker.ID) (time.Time, time.Duration, bool) {
+	w := p.workers[id]
+	switch {
+	case w == nil:
+		return time.Time{}, 0, false
+	case !w.silent.IsZero():
+		if len(w.runs) == 0 && !w.listed {
+			return time.Time{}, 0, false
+		}
+		return w.looked.Add(lookRetry), 0, true
+	case !w.met, w.wantLook:
+		return time.Time{}, 0, true
+	case len(w.runs) > 0:
+		return w.looked.Add(lookGap), p.lookWait(w), true
+	case w.told < w.kept:
+		return w.looked.Add(tellAfter), 0, true
+	}
+	return time.Time{}, 0, false
+}
+
+// lookWait returns how long a look at a worker waits for an end.
+func (p *Pool) lookWait(w *workerState) time.Duration {
+	wait := waitLong
+	for _, u := range w.runs {
+		if !u.step().spec.Lasting {
+			wait = waitShort
+			break
+		}
+	}
+	return min(wait, p.Limits.Lease/leaseParts)
+}
--- /dev/null
+++ b/services/scheduler/plan.go
@@ -0,0 +1,251 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+)
+
+// urgency orders what waits: the lower comes first.
+type urgency uint8
+
+// The urgencies of steps of one priority.
+const (
+	lasting urgency = iota // serves users as long as it runs
+	timely                 // can still end within its objective
+	late                   // can still earn a little
+	overdue                // earns nothing more, but is owed its end
+)
+
+// candidate is a step with tasks that wait.
+type candidate struct {
+	job     *jobState
+	step    *stepState
+	urgency urgency
+}
+
+// Plan begins runs of tasks that wait, as far as there is room. It returns when
+// to plan again though nothing changes, the zero time for never.
+func (p *Pool) Plan(now time.Time) time.Time {
+	p.Lapse(now)
+	p.forget(now)
+	if !p.moved && (p.wake.IsZero() || now.Before(p.wake)) {
+		return p.wake
+	}
+	p.moved, p.wake = false, time.Time{}
+	p.sweep()
+	for _, c := range p.candidates(now) {
+		p.place(c, now)
+	}
+	for _, w := range p.workers {
+		p.wakeAt(w.rested, now)
+	}
+	return p.wake
+}
+
+// wakeAt has the pool planned again at a time that is yet to come.
+func (p *Pool) wakeAt(t, now time.Time) {
+	if t.After(now) && (p.wake.IsZero() || t.Before(p.wake)) {
+		p.wake = t
+	}
+}
+
+// candidates returns the steps that may run now, the most urgent first.
+func (p *Pool) candidates(now time.Time) []candidate {
+	var list []candidate
+	for _, j := range p.active {
+		list = p.stepsOf(j, now, list)
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+			cmp.Compare(a.urgency, b.urgency),
+			a.job.latest.Compare(b.job.latest),
+		)
+	})
+	return list
+}
+
+// stepsOf adds a job's steps that may run now.
+func (p *Pool) stepsOf(j *jobState, now time.Time, list []candidate) []candidate {
+	for n := range j.rounds {
+		if j.sub.Times > 0 && now.Before(j.sub.Due(n)) {
+			p.wakeAt(j.sub.Due(n), now)
+			break
+		}
+		r := j.openRound(n)
+		if r.left == 0 {
+			continue
+		}
+		for i := range r.steps {
+			s := &r.steps[i]
+			if s.waiting > 0 && r.ready(i) {
+				list = append(list, candidate{j, s, j.urgency(s, now)})
+			}
+		}
+	}
+	return list
+}
+
+// urgency returns how urgent a step is.
+func (j *jobState) urgency(s *stepState, now time.Time) urgency {
+	if s.spec.Lasting {
+		return lasting
+	}
+	wait := now.Sub(j.latest)
+	switch {
+	case wait <= 0:
+		return timely
+	case wait <= (lateTimes-1)*j.aim:
+		return late
+	}
+	return overdue
+}
+
+// place begins runs of a step's waiting tasks on the workers that suit them
+// best.
+func (p *Pool) place(c candidate, now time.Time) {
+	if c.step.spec.Gang {
+		p.placeGang(c, now)
+		return
+	}
+	for i := range c.step.tasks {
+		t := &c.step.tasks[i]
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		if now.Before(t.notBefore) {
+			p.wakeAt(t.notBefore, now)
+			continue
+		}
+		w := p.choose(c, now, nil)
+		if w == nil {
+			return
+		}
+		u := p.plan(c.job, c.step, i, w, now)
+		p.logPlaced(c, u, now)
+	}
+}
+
+func (p *Pool) logPlaced(c candidate, u *run, now time.Time) {
+	room := u.at.room()
+	p.Logger.Info().Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
+		Uint64("batch", p.batch).Uint8("urgency", uint8(c.urgency)).Dur("slack", c.job.latest.Sub(now)).
+		Int("free_cpu", room.CPU).Int("free_memory_mb", room.MemoryMB).Dur("heard", now.Sub(u.at.clockAt)).Msg("a task is placed")
+}
+
+// choose returns the worker that suits a task of a step best, nil where none
+// has room. Workers for which skip returns true are passed over.
+func (p *Pool) choose(c candidate, now time.Time, skip func(*workerState) bool) *workerState {
+	var best *workerState
+	var bestScore float64
+	for _, w := range p.workers {
+		if !p.suits(c.step, w, now) || skip != nil && skip(w) {
+			continue
+		}
+		score := p.score(c.step, w)
+		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// suits reports whether a task of a step may run on a worker now.
+func (p *Pool) suits(s *stepState, w *workerState, now time.Time) bool {
+	switch {
+	case !w.open(now), !s.spec.Room().Fits(w.room()):
+		return false
+	case s.spec.Label != "" && !w.info.Has(s.spec.Label):
+		return false
+	case s.spec.PerWorker > 0 && s.perHost[w] >= s.spec.PerWorker:
+		return false
+	}
+	return true
+}
+
+// nearData is what being near its data counts for a task, against the share of
+// a worker that is free, which is 1 at most.
+const nearData = 2
+
+// score says how well a worker suits a task; the higher the better.
+func (p *Pool) score(s *stepState, w *workerState) float64 {
+	free := float64(w.room().CPU) / float64(max(w.info.Capacity.CPU, 1))
+	if s.spec.Rack != "" && w.info.Has(s.spec.Rack) {
+		free += nearData
+	}
+	return free
+}
+
+// placeGang begins all tasks of a gang or none: on one rack where they are slow
+// otherwise and one has the room, else wherever there is room.
+func (p *Pool) placeGang(c candidate, now time.Time) {
+	if c.step.waiting < len(c.step.tasks) {
+		return
+	}
+	for i := range c.step.tasks {
+		if now.Before(c.step.tasks[i].notBefore) {
+			return
+		}
+	}
+	var chosen []*workerState
+	if c.step.spec.SameRack {
+		for _, rack := range p.racks() {
+			if chosen = p.seats(c, now, rack); chosen != nil {
+				break
+			}
+		}
+	}
+	if chosen == nil {
+		chosen = p.seats(c, now, "")
+	}
+	if chosen == nil {
+		return
+	}
+	number := 0
+	for i := range c.step.tasks {
+		number = max(number, c.step.tasks[i].number)
+	}
+	for i, w := range chosen {
+		c.step.tasks[i].number = number // the members of a gang share the number
+		p.logPlaced(c, p.plan(c.job, c.step, i, w, now), now)
+	}
+}
+
+// racks returns the racks of the workers, in order.
+func (p *Pool) racks() []string {
+	var racks []string
+	for _, w := range p.workers {
+		racks = append(racks, w.info.Rack())
+	}
+	slices.Sort(racks)
+	return slices.Compact(racks)
+}
+
+// seats returns a worker for each task of a gang, on a rack unless that is "",
+// nil where they do not all fit.
+func (p *Pool) seats(c candidate, now time.Time, rack string) []*workerState {
+	taken := make(map[*workerState]job.Size)
+	count := make(map[*workerState]int)
+	chosen := make([]*workerState, 0, len(c.step.tasks))
+	room := c.step.spec.Room()
+	for range c.step.tasks {
+		w := p.choose(c, now, func(w *workerState) bool {
+			most := c.step.spec.PerWorker
+			return rack != "" && !w.info.Has(rack) || most > 0 && c.step.perHost[w]+count[w] >= most ||
+				!room.Plus(taken[w]).Fits(w.room())
+		})
+		if w == nil {
+			return nil
+		}
+		taken[w] = taken[w].Plus(room)
+		count[w]++
+		chosen = append(chosen, w)
+	}
+	return chosen
+}
--- /dev/null
+++ b/services/scheduler/worker.go
@@ -0,0 +1,219 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// workerState is one worker, what runs there and what is known of it.
+type workerState struct {
+	info worker.Worker
+	runs map[string]*run // by the task's name
+	used job.Size
+	out  []Order // to be given, oldest first
+
+	met      bool          // it has answered, so its clock is known and no lower token counts
+	listed   bool          // it stands in the platform's list
+	clock    time.Duration // of the worker, as it answered last
+	clockAt  time.Time     // when that answer came
+	deadline time.Duration // the latest on the worker's clock that was sent
+	silent   time.Time     // since when it has not answered, zero while it does
+	surely   time.Time     // when all that an earlier owner began there is over, unless it has answered
+	waiting  bool          // it is among the workers with new orders
+	wantLook bool          // somebody waits for a look
+	looked   time.Time     // when the last look ended
+	seen     int           // newest end that was taken in
+	kept     int           // newest end that is kept for good
+	told     int           // newest end that the worker was told to forget
+	strikes  int           // failures of different jobs since the last success
+	rested   time.Time     // until when nothing is placed there
+	tickets  map[job.StepRef]string
+}
+
+// clockSlack is by how much a worker's clock may be slow.
+const clockSlack = 0.02
+
+// lapseSlack is added to the time at which a lease has surely run out.
+const lapseSlack = 50 * time.Millisecond
+
+// now returns what the worker's clock shows at least.
+func (w *workerState) now(now time.Time) time.Duration {
+	return w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-clockSlack))
+}
+
+// extend returns the deadline for a lease from now on, and notes that it is
+// sent.
+func (w *workerState) extend(now time.Time, lease time.Duration) time.Duration {
+	w.deadline = max(w.deadline, w.now(now)+lease)
+	return w.deadline
+}
+
+// lapses returns when all that runs there has surely been ended by its lease,
+// unless it is extended.
+func (w *workerState) lapses() time.Time {
+	if !w.met {
+		return w.surely
+	}
+	left := float64(w.deadline-w.clock) / (1 - clockSlack)
+	return w.clockAt.Add(time.Duration(left) + lapseSlack)
+}
+
+// room returns what is free.
+func (w *workerState) room() job.Size { return w.info.Capacity.Minus(w.used) }
+
+// open reports whether tasks may be placed there.
+func (w *workerState) open(now time.Time) bool {
+	return w.met && w.listed && w.silent.IsZero() && !w.info.Draining && !now.Before(w.rested)
+}
+
+// forgetTicket drops a ticket that was not accepted.
+func (w *workerState) forgetTicket(s job.StepRef) { delete(w.tickets, s) }
+
+// heard takes what an answer tells of its worker.
+func (p *Pool) heard(w *workerState, a port.Answer, now time.Time) {
+	if a.Verdict == port.Unknown || a.Verdict == port.Unreached {
+		return
+	}
+	if a.Clock > 0 {
+		w.clock, w.clockAt = a.Clock, now
+	}
+}
+
+// Known reports whether the worker is one of the pool's.
+func (p *Pool) Known(id worker.ID) bool { return p.workers[id] != nil }
+
+// See takes what the platform's list says of a worker of the pool. It returns
+// whether the worker is new.
+func (p *Pool) See(info worker.Worker, now time.Time) bool {
+	w := p.workers[info.ID]
+	if w == nil {
+		w = p.addWorker(info)
+		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Str("instance", info.Instance).
+			Str("address", info.Address).Strs("labels", info.Labels).Uint64("revision", info.Revision).Msg("a worker has come")
+		p.replaced(info, now)
+		w.listed = true
+		return true
+	}
+	if info.Draining && !w.info.Draining {
+		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Dur("remaining", info.Remaining).
+			Uint64("revision", info.Revision).Msg("a worker drains")
+		p.moved = true
+	}
+	w.info = info
+	w.listed = true
+	return false
+}
+
+// sortJobs sorts jobs by when they came.
+func sortJobs(jobs []*jobState) {
+	slices.SortFunc(jobs, func(a, b *jobState) int {
+		return cmp.Or(a.accepted.Compare(b.accepted), cmp.Compare(a.sub.ID, b.sub.ID))
+	})
+}
+
+func (p *Pool) addWorker(info worker.Worker) *workerState {
+	w := &workerState{info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]string)}
+	p.workers[info.ID] = w
+	return w
+}
+
+// replaced ends the earlier lives of an instance that has a new one.
+func (p *Pool) replaced(info worker.Worker, now time.Time) {
+	if info.Instance == "" {
+		return
+	}
+	for id, w := range p.workers {
+		if id != info.ID && w.info.Instance == info.Instance && w.info.Revision < info.Revision {
+			p.lifeOver(w, now, "its instance has a new life")
+		}
+	}
+}
+
+// Miss takes the news that a worker stands in the platform's list no longer: it
+// has left, crashed or been silent. What ran there may run on until its lease
+// has lapsed.
+func (p *Pool) Miss(id worker.ID, now time.Time) {
+	w := p.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	p.Logger.Info().Str("event", "worker").Str("worker", string(id)).Int("runs", len(w.runs)).Msg("a worker is listed no longer")
+	if len(w.runs) == 0 {
+		delete(p.workers, id)
+		return
+	}
+	if w.silent.IsZero() {
+		w.wantLook = true
+	}
+}
+
+// lifeOver ends all that a worker ran: its life is over.
+func (p *Pool) lifeOver(w *workerState, now time.Time, why string) {
+	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Str("why", why).
+		Msg("a worker's life is over")
+	for _, u := range w.runs {
+		p.lose(u, now, why)
+	}
+	w.out = nil
+	delete(p.workers, w.info.ID)
+	p.moved = true
+}
+
+// lose ends a run that never ends by itself; its task waits again.
+func (p *Pool) lose(u *run, now time.Time, why string) {
+	p.Logger.Info().Str("event", "lost").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
+		Dur("age", now.Sub(u.began)).Str("why", why).Msg("a run is lost")
+	if u.saved != "" && u.step().spec.Checkpoints {
+		u.task().checkpoint = u.saved
+	}
+	p.release(u)
+}
+
+// Lapse ends the runs of workers that have been silent until their leases were
+// over.
+func (p *Pool) Lapse(now time.Time) {
+	for _, w := range p.workers {
+		if w.silent.IsZero() || now.Before(w.lapses()) {
+			continue
+		}
+		for _, u := range w.runs {
+			p.lose(u, now, "its lease has lapsed on a silent worker")
+		}
+		w.out = nil
+		if !w.listed {
+			delete(p.workers, w.info.ID)
+		}
+	}
+}
+
+// The bounds of what is held against a worker.
+const (
+	strikesToRest = 2               // failures of different jobs in a row
+	rest          = 4 * time.Second // before it is tried again with one task
+)
+
+// suspect notes a failure on a worker.
+func (p *Pool) suspect(w *workerState, u *run, v port.Verdict, now time.Time) {
+	w.strikes++
+	if w.strikes < strikesToRest {
+		return
+	}
+	w.rested = now.Add(rest)
+	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("strikes", w.strikes).Str("task", u.name).
+		Str("verdict", string(v)).Msg("a worker is set aside")
+}
+
+// praise forgets failures.
+func (w *workerState) praise() {
+	w.strikes = 0
+	w.rested = time.Time{}
+}
--- /dev/null
+++ b/services/steward/steward.go
@@ -0,0 +1,339 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package steward
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/rendezvous"
+	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/owner"
+)
+
+// Steward claims pools that have no owner; its fields are set before Run. Lock
+// order: mu is the only lock, and nothing that waits is called under it.
+type Steward struct {
+	Directory *directory.Directory
+	Clock     clock.Clock
+	Logger    log.Logger
+	// Config returns the newest configuration, nil before the first.
+	Config func() *config.Config
+	// Open returns an owner of a pool whose partition lies in a slot, not yet
+	// claimed.
+	Open func(pool string, slot int) *owner.Owner
+	// Began is called with each owner that has claimed its pool.
+	Began func(ctx context.Context, o *owner.Owner)
+	// Take asks another node to take a pool over.
+	Take func(ctx context.Context, n directory.Node, pool string) error
+
+	mu       sync.Mutex
+	owned    map[string]*owner.Owner
+	claiming map[string]bool
+	orphaned map[string]time.Time // since when a pool has no owner that is present
+	leaving  bool
+	tasks    sync.WaitGroup
+}
+
+// The pace of the steward.
+const (
+	lookPeriod = 250 * time.Millisecond // at the directory, though it has not changed
+	settle     = 700 * time.Millisecond // after this node's start until it claims a pool that never had an owner: all nodes start within 0.3 s
+	heirTurn   = time.Second            // until the next of a pool's heirs tries
+)
+
+// Run claims pools until the context ends.
+func (s *Steward) Run(ctx context.Context) {
+	began := s.Clock.Now()
+	for ctx.Err() == nil {
+		v, changed := s.Directory.View()
+		if v != nil && v.Nodes[s.Directory.Self.Name].Life == s.Directory.Self.Life {
+			s.look(ctx, v, s.Clock.Now().Sub(began) > settle)
+		}
+		select {
+		case <-changed:
+		case <-s.Clock.After(lookPeriod):
+		case <-ctx.Done():
+		}
+	}
+	s.tasks.Wait()
+}
+
+// Owner returns the owner of a pool on this node, nil for none.
+func (s *Steward) Owner(pool string) *owner.Owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owned[pool]
+}
+
+// Owners returns the owners on this node.
+func (s *Steward) Owners() []*owner.Owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owners := make([]*owner.Owner, 0, len(s.owned))
+	for _, o := range s.owned {
+		owners = append(owners, o)
+	}
+	return owners
+}
+
+// look claims the pools without an owner that this node is the heir of.
+func (s *Steward) look(ctx context.Context, v *directory.View, settled bool) {
+	c := s.Config()
+	if c == nil {
+		return
+	}
+	orphans := s.orphans(c, v)
+	heirs := inherit(v, orphans)
+	for _, pool := range orphans {
+		_, known := v.Pools[pool]
+		if !known && !settled {
+			continue
+		}
+		turn := slices.Index(heirs[pool], s.Directory.Self.Name)
+		if turn >= 0 && s.since(pool) >= time.Duration(turn)*heirTurn {
+			s.claim(ctx, pool)
+		}
+	}
+}
+
+// orphans returns the pools without an owner that is present, in order.
+func (s *Steward) orphans(c *config.Config, v *directory.View) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.orphaned == nil {
+		s.orphaned = make(map[string]time.Time)
+	}
+	var list []string
+	for _, p := range c.Pools {
+		_, _, present := v.Owner(p.Name)
+		switch {
+		case p.Headroom:
+		case present:
+			delete(s.orphaned, p.Name)
+		default:
+			list = append(list, p.Name)
+			if s.orphaned[p.Name].IsZero() {
+				s.orphaned[p.Name] = s.Clock.Now()
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (s *Steward) since(pool string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock.Now().Sub(s.orphaned[pool])
+}
+
+// inherit returns for each orphan the nodes that may own it, the best first:
+// those that own the fewest pools for their processors. All nodes work out the
+// same from the same view.
+func inherit(v *directory.View, orphans []string) map[string][]string {
+	owns := make(map[string]int)
+	for pool := range v.Pools {
+		if n, _, present := v.Owner(pool); present {
+			owns[n.Name]++
+		}
+	}
+	names := make([]string, 0, len(v.Nodes))
+	for name := range v.Nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	heirs := make(map[string][]string, len(orphans))
+	for _, pool := range orphans {
+		ranked := slices.Clone(names)
+		first := rendezvous.Owner(pool, names)
+		slices.SortStableFunc(ranked, func(a, b string) int {
+			return cmp.Or(
+				cmp.Compare(load(v.Nodes[a], owns[a]), load(v.Nodes[b], owns[b])),
+				cmp.Compare(btoi(a != first), btoi(b != first)),
+			)
+		})
+		heirs[pool] = ranked
+		if len(ranked) > 0 {
+			owns[ranked[0]]++
+		}
+	}
+	return heirs
+}
+
+// load is what one more pool makes a node carry for its processors.
+func load(n directory.Node, owns int) float64 {
+	return float64(owns+1) / max(n.Cores, minCores)
+}
+
+// minCores stands for the processors of a node that does not state them.
+const minCores = 0.01
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// claim begins to claim a pool unless that is under way.
+func (s *Steward) claim(ctx context.Context, pool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.owned[pool] != nil || s.claiming[pool] {
+		return
+	}
+	if s.claiming == nil {
+		s.claiming = make(map[string]bool)
+		s.owned = make(map[string]*owner.Owner)
+	}
+	s.claiming[pool] = true
+	s.tasks.Add(1)
+	go tenure{s, pool}.run(ctx)
+}
+
+// tenure is the ownership of one pool by this node, from the claim to the end.
+type tenure struct {
+	s    *Steward
+	pool string
+}
+
+// run claims the pool and serves it until it is not owned any more.
+func (t tenure) run(ctx context.Context) {
+	defer t.s.tasks.Done()
+	o, err := t.claim(ctx)
+	t.s.mu.Lock()
+	delete(t.s.claiming, t.pool)
+	if err == nil {
+		t.s.owned[t.pool] = o
+	}
+	t.s.mu.Unlock()
+	if err != nil {
+		t.s.Logger.Info().Str("event", "claim").Str("pool", t.pool).Err(err).Str("outcome", "not owner").Msg("a pool was not claimed")
+		return
+	}
+	t.s.Began(ctx, o)
+	err = o.Run(ctx)
+	t.s.mu.Lock()
+	delete(t.s.owned, t.pool)
+	t.s.mu.Unlock()
+	t.s.Logger.Info().Str("event", "ownership-end").Str("pool", t.pool).Uint64("epoch", o.Epoch()).AnErr("why", err).
+		Msg("a pool is not owned any more")
+}
+
+// claim claims the pool and tells all nodes.
+func (t tenure) claim(ctx context.Context) (*owner.Owner, error) {
+	self := t.s.Directory.Self
+	slot, err := t.s.Directory.Slot(ctx, t.pool)
+	if err != nil {
+		return nil, err
+	}
+	o := t.s.Open(t.pool, slot)
+	if err := o.Claim(ctx, self.Name); err != nil {
+		return nil, err
+	}
+	go telling{t.s, directory.Ownership{Pool: t.pool, Slot: slot, Epoch: o.Epoch(), Node: self.Name, Life: self.Life}, o}.run(ctx)
+	return o, nil
+}
+
+// telling publishes an ownership until that has succeeded.
+type telling struct {
+	s         *Steward
+	ownership directory.Ownership
+	owner     *owner.Owner
+}
+
+// run publishes the ownership.
+func (t telling) run(ctx context.Context) {
+	for {
+		err := t.s.Directory.Publish(ctx, t.ownership)
+		if err == nil {
+			return
+		}
+		t.s.Logger.Warn().Str("event", "publish").Str("pool", t.ownership.Pool).Err(err).Msg("an ownership could not be told")
+		select {
+		case <-t.s.Clock.After(lookPeriod):
+		case <-t.owner.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Assume claims a pool at the wish of its owner, and returns once it is owned
+// here.
+func (s *Steward) Assume(ctx context.Context, pool string) error {
+	s.claim(context.WithoutCancel(ctx), pool)
+	for {
+		s.mu.Lock()
+		owned, claiming := s.owned[pool] != nil, s.claiming[pool]
+		s.mu.Unlock()
+		if owned {
+			return nil
+		}
+		if !claiming {
+			return errkind.New(errkind.Fenced, "pool %s was not claimed", pool)
+		}
+		select {
+		case <-s.Clock.After(assumePoll):
+		case <-ctx.Done():
+			return errkind.New(errkind.OutcomeUnknown, "pool %s is being claimed", pool)
+		}
+	}
+}
+
+// assumePoll is how often a node that was asked to take a pool over looks
+// whether it has.
+const assumePoll = 5 * time.Millisecond
+
+// HandOver gives every pool of this node to another, and claims none any more.
+func (s *Steward) HandOver(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	v, _ := s.Directory.View()
+	if v == nil {
+		return
+	}
+	rest := *v
+	rest.Nodes = make(map[string]directory.Node, len(v.Nodes))
+	for name, n := range v.Nodes {
+		if name != s.Directory.Self.Name {
+			rest.Nodes[name] = n
+		}
+	}
+	var pools []string
+	for _, o := range s.Owners() {
+		pools = append(pools, o.Pool)
+	}
+	slices.Sort(pools)
+	heirs := inherit(&rest, pools)
+	for _, pool := range pools {
+		s.give(ctx, &rest, pool, heirs[pool])
+	}
+}
+
+// giveTimeout bounds the wish that one node takes a pool over.
+const giveTimeout = time.Second
+
+// give asks one node after the other to take a pool over.
+func (s *Steward) give(ctx context.Context, v *directory.View, pool string, heirs []string) {
+	for _, name := range heirs {
+		bounded, cancel := context.WithTimeout(ctx, giveTimeout)
+		err := s.Take(bounded, v.Nodes[name], pool)
+		cancel()
+		s.Logger.Info().Str("event", "hand-over").Str("pool", pool).Str("to", name).AnErr("err", err).Msg("a pool is handed over")
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
