--- a/models/job/job.go
+++ b/models/job/job.go
@@ -44,6 +44,14 @@
 	return Size{s.CPU - o.CPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Times returns the size n times.
+func (s Size) Times(n int) Size { return Size{s.CPU * n, s.MemoryMB * n, s.Accelerators * n} }
+
+// Max returns the larger of two sizes in each part.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.CPU, o.CPU), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether the size has room in the other.
 func (s Size) Fits(room Size) bool {
 	return s.CPU <= room.CPU && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
--- a/node/limits.go
+++ b/node/limits.go
@@ -13,5 +13,5 @@
 // The pace of readings of the store.
 const (
 	operatorsWait = 10 * time.Second       // a reading waits for news so long
-	workersGap    = 500 * time.Millisecond // workers write every 1.5 s; what they write is read together
+	workersGap    = 250 * time.Millisecond // workers write every 1.5 s; what they write is read together
 )
--- a/node/node.go
+++ b/node/node.go
@@ -6,17 +6,22 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/fleet"
 	"github.com/yardbridge/yardbridge/services/follow"
 	"github.com/yardbridge/yardbridge/services/gateway"
+	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/services/monitor"
 	"github.com/yardbridge/yardbridge/services/owner"
 	"github.com/yardbridge/yardbridge/services/port"
@@ -49,13 +54,15 @@
 
 	mu      sync.Mutex
 	workers map[worker.ID]worker.Worker
+	owners  map[string]*owner.Owner // of pools, by name
+	waves   []wave.Wave
 	stop    bool
 }
 
 // New puts a node together; it opens its address for other nodes, but does
 // nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
-	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker)}
+	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner)}
 	n.client = &noderpc.Client{Logger: logger}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods()}
 	if _, err := n.server.Listen(s.Peers()); err != nil {
@@ -71,7 +78,7 @@
 	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote}
 	n.Steward = &steward.Steward{
 		Directory: n.Directory, Clock: c, Logger: logger,
-		Config: n.Gateway.Config, Open: n.open, Began: n.began, Take: n.take,
+		Config: n.Gateway.Config, Duties: duties, Open: n.open, Take: n.take,
 	}
 	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, Ask: n.ask}
 	return n, nil
@@ -114,32 +121,117 @@
 	return port.Partition{Topic: fmt.Sprintf("keyed.pools%d", slot/parts), Part: slot % parts}
 }
 
-// open returns an owner of a pool.
-func (n *Node) open(pool string, slot int) *owner.Owner {
+// fleetDuty is the duty for the instances of all pools; a pool has another name.
+const fleetDuty = "!fleet"
+
+// duties returns the pools that run tasks, and the duty for instances.
+func duties(c *config.Config) []string {
+	list := []string{fleetDuty}
+	for _, p := range c.Pools {
+		if !p.Headroom {
+			list = append(list, p.Name)
+		}
+	}
+	return list
+}
+
+// open returns a tenant for a duty.
+func (n *Node) open(duty string, slot int) *steward.Tenant {
+	logger := n.Logger.With().Str("pool", duty).Logger()
+	j := &journal.Journal{Partition: n.partition(slot), Store: n.Ports.Store, Clock: n.Clock, Logger: logger}
+	if duty == fleetDuty {
+		return n.openFleet(j, logger)
+	}
+	return n.openPool(duty, j, logger)
+}
+
+// openPool returns the tenant that runs a pool.
+func (n *Node) openPool(pool string, j *journal.Journal, logger log.Logger) *steward.Tenant {
 	b := n.Setting.Bounds
-	return &owner.Owner{
-		Pool: pool, Partition: n.partition(slot), Store: n.Ports.Store, Workers: n.Ports.Workers,
+	o := &owner.Owner{
+		Pool: pool, Journal: j, Workers: n.Ports.Workers,
 		Limits: scheduler.Limits{
 			Lease: min(lease, b.LeaseMost.Std()), StopTime: b.StopTime.Std(), Keep: b.StatusKept.Std(), FarTimes: b.FarTimes,
 		},
-		Clock: n.Clock, Logger: n.Logger.With().Str("pool", pool).Logger(),
+		Clock: n.Clock, Logger: logger,
+	}
+	run := func(ctx context.Context) error {
+		n.setOwner(pool, o)
+		defer n.setOwner(pool, nil)
+		n.inform(ctx, o)
+		return o.Run(ctx)
+	}
+	return &steward.Tenant{Claim: o.Claim, Run: run, Epoch: o.Epoch, Done: o.Done}
+}
+
+// openFleet returns the tenant that decides on instances.
+func (n *Node) openFleet(j *journal.Journal, logger log.Logger) *steward.Tenant {
+	b := n.Setting.Bounds
+	m := &fleet.Manager{
+		Journal: j, Instances: n.Ports.Instances, Clock: n.Clock, Logger: logger,
+		Limits: fleet.Limits{Repair: b.RepairTime.Std(), HolderLease: b.HolderLease.Std()},
+		Config: n.Gateway.Config, Waves: n.waveList, Report: n.report,
+		Tell: func(ctx context.Context, wave int, done bool) error {
+			return n.Ports.Feeds.TellWave(ctx, n.Ports.Store, wave, done)
+		},
 	}
+	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Epoch: m.Epoch, Done: m.Done}
 }
 
-// began gives an owner what the node knows.
-func (n *Node) began(ctx context.Context, o *owner.Owner) {
+// owner returns the owner of a pool on this node, nil for none.
+func (n *Node) owner(pool string) *owner.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owners[pool]
+}
+
+func (n *Node) setOwner(pool string, o *owner.Owner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o == nil {
+		delete(n.owners, pool)
+		return
+	}
+	n.owners[pool] = o
+}
+
+// ownerList returns the owners of pools on this node.
+func (n *Node) ownerList() []*owner.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Values(n.owners))
+}
+
+// inform gives an owner what the node knows.
+func (n *Node) inform(ctx context.Context, o *owner.Owner) {
 	if c := n.Gateway.Config(); c != nil {
 		o.Configure(c)
 	}
 	n.mu.Lock()
-	list := make([]worker.Worker, 0, len(n.workers))
-	for _, w := range n.workers {
-		list = append(list, w)
-	}
+	list := slices.Collect(maps.Values(n.workers))
 	n.mu.Unlock()
 	o.See(ctx, list, true)
 }
 
+// waveList returns the waves that the operators have asked for.
+func (n *Node) waveList() []wave.Wave {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.waves)
+}
+
+// takeWave takes a wave of the operators.
+func (n *Node) takeWave(w wave.Wave) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at := slices.IndexFunc(n.waves, func(o wave.Wave) bool { return o.Number == w.Number })
+	if at >= 0 {
+		n.waves[at] = w
+		return
+	}
+	n.waves = append(n.waves, w)
+}
+
 // followOperators follows the operators' configuration.
 func (n *Node) followOperators(ctx context.Context) {
 	f := follow.Follower{
@@ -160,6 +252,14 @@
 		if c != nil {
 			n.configure(c)
 		}
+		w, isWave, err := n.Ports.Feeds.DecodeWave(r)
+		if err != nil {
+			n.Logger.Error().Str("event", "wave").Uint64("offset", r.Offset).Err(err).Msg("a wave can't be read and is passed over")
+			continue
+		}
+		if isWave {
+			n.takeWave(w)
+		}
 	}
 }
 
@@ -169,7 +269,7 @@
 	}
 	n.Logger.Info().Str("event", "config").Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).
 		Str("outcome", "in force").Msg("a configuration is taken over")
-	for _, o := range n.Steward.Owners() {
+	for _, o := range n.ownerList() {
 		o.Configure(c)
 	}
 }
@@ -208,7 +308,7 @@
 		seen = append(seen, w)
 	}
 	n.mu.Unlock()
-	for _, o := range n.Steward.Owners() {
+	for _, o := range n.ownerList() {
 		o.See(ctx, seen, whole)
 		if !whole && len(gone) > 0 {
 			o.Miss(gone)
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -8,11 +8,13 @@
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/directory"
 	"github.com/yardbridge/yardbridge/services/gateway"
 	"github.com/yardbridge/yardbridge/services/owner"
+	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
 // The methods between nodes.
@@ -24,6 +26,7 @@
 	methodProbe   = "node.probe"
 	methodHelp    = "node.help"
 	methodTake    = "pool.take"
+	methodReport  = "pool.report"
 )
 
 // onPool names a pool, and what of it a call is about.
@@ -34,6 +37,13 @@
 	Data  []byte `json:"data,omitempty"` // a submission, encoded
 }
 
+// reportAsk asks for the report of a pool, and to cordon just the workers named.
+type reportAsk struct {
+	Pool   string      `json:"pool"`
+	Cordon []worker.ID `json:"cordon,omitempty"`
+	Over   []worker.ID `json:"over,omitempty"` // workers whose lives were ended
+}
+
 // empty is what a call answers that only succeeds or fails.
 type empty struct{}
 
@@ -47,12 +57,13 @@
 		methodProbe:   noderpc.Handle(n.onProbe),
 		methodHelp:    noderpc.Handle(n.onHelp),
 		methodTake:    noderpc.Handle(n.onTake),
+		methodReport:  noderpc.Handle(n.onReport),
 	}
 }
 
 // owned returns the owner of a pool on this node.
 func (n *Node) owned(pool string) (*owner.Owner, error) {
-	o := n.Steward.Owner(pool)
+	o := n.owner(pool)
 	if o == nil {
 		return nil, errkind.New(errkind.Fenced, "node %s does not own pool %s", n.Setting.Node.Name, pool)
 	}
@@ -111,7 +122,7 @@
 
 // local returns the desk of a pool that this node owns, nil for none.
 func (n *Node) local(pool string) *gateway.Desk {
-	o := n.Steward.Owner(pool)
+	o := n.owner(pool)
 	if o == nil {
 		return nil
 	}
@@ -165,3 +176,29 @@
 func (n *Node) take(ctx context.Context, o directory.Node, pool string) error {
 	return n.client.Call(ctx, o.Address, methodTake, onPool{Pool: pool}, &empty{})
 }
+
+func (n *Node) onReport(_ context.Context, a reportAsk) (any, error) {
+	o, err := n.owned(a.Pool)
+	if err != nil {
+		return nil, err
+	}
+	return o.Report(a.Cordon, a.Over)
+}
+
+// report asks the owner of a pool for its report, on this node or another.
+func (n *Node) report(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error) {
+	if o := n.owner(pool); o != nil {
+		return o.Report(cordon, over)
+	}
+	v, _ := n.Directory.View()
+	if v == nil {
+		return scheduler.Report{}, errkind.New(errkind.NoTarget, "the directory has not been read")
+	}
+	at, _, present := v.Owner(pool)
+	if !present {
+		return scheduler.Report{}, errkind.New(errkind.NoTarget, "pool %s has no owner", pool)
+	}
+	var r scheduler.Report
+	err := n.client.Call(ctx, at.Address, methodReport, reportAsk{pool, cordon, over}, &r)
+	return r, err
+}
--- /dev/null
+++ b/services/fleet/manager.go
@@ -0,0 +1,452 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/wave"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/journal"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// Manager decides on all instances while this node has that duty; its fields are
+// set before Claim.
+type Manager struct {
+	Journal   *journal.Journal
+	Instances port.Instances
+	Clock     clock.Clock
+	Logger    log.Logger
+	Node      string
+	Limits    Limits
+	// Config returns the newest configuration, nil before the first.
+	Config func() *config.Config
+	// Waves returns the waves that the operators have asked for.
+	Waves func() []wave.Wave
+	// Tell tells the operators that a wave runs or is done.
+	Tell func(ctx context.Context, wave int, done bool) error
+	// Report asks a pool's owner for its report, and to cordon just the workers
+	// named; the lives of others have been ended by an order.
+	Report func(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error)
+
+	done chan struct{}
+	view view
+	past map[string]intent // newest order to each instance
+	mu   sync.Mutex
+}
+
+// Limits are the bounds of orders to instances.
+type Limits struct {
+	Repair      time.Duration // that a maintenance takes
+	HolderLease time.Duration // between the orders of two holders to one instance
+}
+
+// The keys of the manager's journal begin with these.
+const (
+	keyIntent = "i/" // with the instance's name
+	keyWave   = "w/" // with the wave's number
+	keyDone   = "d/" // with the wave's number and the instance's name
+)
+
+// intent is the record of an order that is about to be given.
+type intent struct {
+	Instance string    `cbor:"1,keyasint"`
+	Worker   worker.ID `cbor:"2,keyasint"`
+	To       string    `cbor:"3,keyasint"`
+	Wave     int       `cbor:"4,keyasint"`
+	At       int64     `cbor:"5,keyasint"` // milliseconds since 1970
+	Known    bool      `cbor:"6,keyasint"` // its outcome is
+	From     string    `cbor:"7,keyasint"`
+}
+
+// The pace of the manager.
+const (
+	period        = 250 * time.Millisecond // from one plan to the next
+	listTimeout   = time.Second
+	reportTimeout = 400 * time.Millisecond
+	// unsettled is for how long an order of an earlier holder whose outcome is
+	// not known may be carried out yet.
+	unsettled = 8 * time.Second
+	// clocks is by how much the clocks of two nodes may differ.
+	clocks = 500 * time.Millisecond
+	// settleTime is how long a done order may take to show in the list.
+	settleTime = 15 * time.Second
+)
+
+// Claim gives this node the duty, unless another claims it at the same time, and
+// takes over what earlier holders have kept.
+func (m *Manager) Claim(ctx context.Context, node string) error {
+	records, err := m.Journal.Claim(ctx, node)
+	if err != nil {
+		return err
+	}
+	m.Node = node
+	m.done = make(chan struct{})
+	m.past = make(map[string]intent)
+	m.view = view{
+		pools: make(map[string]*poolState), actions: make(map[string]*action), repair: m.Limits.Repair,
+	}
+	if err := m.restore(records); err != nil {
+		return err
+	}
+	m.Logger.Info().Str("event", "claim").Uint64("epoch", m.Epoch()).Int("records", len(records)).Str("outcome", "holder").
+		Msg("the duty for instances is held")
+	return nil
+}
+
+// Epoch returns the token of orders.
+func (m *Manager) Epoch() uint64 { return m.Journal.Epoch() }
+
+// Done is closed once the duty is not held any more.
+func (m *Manager) Done() <-chan struct{} { return m.done }
+
+// restore takes over the journal of earlier holders.
+func (m *Manager) restore(records []port.Record) error {
+	done := make(map[int][]string)
+	seen := make(map[int]time.Time)
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		if _, isIntent := strings.CutPrefix(r.Key, keyIntent); isIntent {
+			var i intent
+			if err := codec.Unmarshal(r.Value, &i); err != nil {
+				return err
+			}
+			m.past[i.Instance] = i
+		}
+		if name, isWave := strings.CutPrefix(r.Key, keyWave); isWave {
+			var at int64
+			if err := codec.Unmarshal(r.Value, &at); err != nil {
+				return err
+			}
+			if n, err := strconv.Atoi(name); err == nil {
+				seen[n] = time.UnixMilli(at)
+			}
+		}
+		if name, isDone := strings.CutPrefix(r.Key, keyDone); isDone {
+			number, instance, _ := strings.Cut(name, "/")
+			if n, err := strconv.Atoi(number); err == nil {
+				done[n] = append(done[n], instance)
+			}
+		}
+	}
+	for n, at := range seen {
+		w := &waveState{Wave: wave.Wave{Number: n}, seen: at, done: make(map[string]bool)}
+		for _, instance := range done[n] {
+			w.done[instance] = true
+		}
+		m.view.waves = append(m.view.waves, w)
+	}
+	for name, i := range m.past {
+		if !i.Known {
+			m.view.actions[name] = &action{
+				instance: name, worker: i.Worker, from: i.From, to: i.To, wave: i.Wave, stage: ordered,
+				began: time.UnixMilli(i.At), sent: time.UnixMilli(i.At),
+			}
+		}
+	}
+	return nil
+}
+
+// Run does the duty until the context ends or another node holds it.
+func (m *Manager) Run(ctx context.Context) error {
+	defer close(m.done)
+	for {
+		if err := m.step(ctx); err != nil {
+			return err
+		}
+		select {
+		case <-m.Clock.After(period):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// step looks at everything once and acts. An error ends the duty.
+func (m *Manager) step(ctx context.Context) error {
+	c := m.Config()
+	if c == nil {
+		return nil
+	}
+	if err := m.takeWaves(ctx); err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	list, err := m.Instances.List(bounded)
+	cancel()
+	if err != nil {
+		m.Logger.Warn().Str("event", "instances").Err(err).Msg("the list of instances can't be read")
+		return nil
+	}
+	m.view.instances = make(map[string]port.Instance, len(list))
+	for _, i := range list {
+		m.view.instances[i.Name] = i
+	}
+	m.view.now = m.Clock.Now()
+	m.view.headroom = c.Headroom()
+	m.settle()
+	m.reports(ctx, c)
+	for _, a := range m.view.plan() {
+		m.view.actions[a.instance] = a
+		m.Logger.Info().Str("event", "action").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
+			Str("to", a.to).Int("wave", a.wave).Int("level", m.view.level(a.to)).Int("supply", m.view.supply(a.to)).
+			Msg("something is to be done to an instance")
+	}
+	if err := m.act(ctx); err != nil {
+		return err
+	}
+	return m.tellWaves(ctx)
+}
+
+// takeWaves takes the operators' waves, and keeps when each was seen first.
+func (m *Manager) takeWaves(ctx context.Context) error {
+	for _, o := range m.Waves() {
+		at := slices.IndexFunc(m.view.waves, func(w *waveState) bool { return w.Number == o.Number })
+		if at >= 0 {
+			m.view.waves[at].Wave = o
+			continue
+		}
+		now := m.Clock.Now()
+		value, err := codec.Marshal(now.UnixMilli())
+		if err != nil {
+			return err
+		}
+		if err := m.Journal.Append(ctx, []port.Record{{Key: keyWave + strconv.Itoa(o.Number), Value: value}}); err != nil {
+			return err
+		}
+		m.view.waves = append(m.view.waves, &waveState{Wave: o, seen: now, done: make(map[string]bool)})
+		m.Logger.Info().Str("event", "wave").Int("wave", o.Number).Int("instances", len(o.Instances)).Int("at_once", o.AtOnce).
+			Dur("within", o.Within).Str("outcome", "begun").Msg("a wave of maintenance has come")
+		m.tell(ctx, o.Number, false)
+	}
+	return nil
+}
+
+// settle ends the actions that the list shows to have taken effect, and those
+// whose instance has changed otherwise.
+func (m *Manager) settle() {
+	for name, a := range m.view.actions {
+		i, there := m.view.instances[name]
+		switch {
+		case !there:
+		case a.over(i):
+		case a.stage == settling && m.view.now.Sub(a.sent) > settleTime:
+		case a.stage == emptying && (i.Worker != a.worker || i.Pool != a.from || i.Condition != port.Up):
+		default:
+			continue
+		}
+		delete(m.view.actions, name)
+	}
+}
+
+// reports asks the owners of all pools at once for their reports.
+func (m *Manager) reports(ctx context.Context, c *config.Config) {
+	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var asks sync.WaitGroup
+	for _, p := range c.Pools {
+		if p.Headroom {
+			continue
+		}
+		cordon, over := m.cordons(p.Name)
+		asks.Go(func() { m.ask(bounded, p.Name, cordon, over) })
+	}
+	asks.Wait()
+}
+
+// ask takes the report of one pool.
+func (m *Manager) ask(ctx context.Context, pool string, cordon, over []worker.ID) {
+	r, err := m.Report(ctx, pool, cordon, over)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.Logger.Debug().Str("event", "report").Str("pool", pool).Err(err).Msg("a pool's owner does not report")
+		return
+	}
+	p := m.view.pools[pool]
+	if p == nil {
+		p = &poolState{}
+		m.view.pools[pool] = p
+	}
+	p.report, p.at = r, m.Clock.Now()
+}
+
+// cordons returns the workers of a pool that nothing may be placed on, and those
+// whose lives have been ended.
+func (m *Manager) cordons(pool string) (cordon, over []worker.ID) {
+	for _, a := range m.view.actions {
+		switch {
+		case a.from != pool || a.worker == "":
+		case a.stage == settling:
+			over = append(over, a.worker)
+		default:
+			cordon = append(cordon, a.worker)
+		}
+	}
+	slices.Sort(cordon)
+	return cordon, over
+}
+
+// fresh is how old a report may be that says that a worker is empty.
+const fresh = period
+
+// granted reports whether an action's order may be given: its instance has no
+// worker, or its pool's owner has just said that the worker is empty.
+func (m *Manager) granted(a *action) bool {
+	if a.worker == "" {
+		return true
+	}
+	p := m.view.pools[a.from]
+	if p == nil || m.Clock.Now().Sub(p.at) > fresh {
+		return false
+	}
+	for _, w := range p.report.Workers {
+		if w.ID == a.worker {
+			return w.Empty
+		}
+	}
+	return false
+}
+
+// wait returns how long the order to an instance must wait, since an earlier
+// holder has given it one.
+func (m *Manager) wait(name string) time.Duration {
+	i, has := m.past[name]
+	if !has {
+		return 0
+	}
+	least := m.Limits.HolderLease + clocks
+	if !i.Known {
+		least = max(least, unsettled)
+	}
+	return least - m.Clock.Now().Sub(time.UnixMilli(i.At))
+}
+
+// act gives the orders that may be given, after their intents are kept.
+func (m *Manager) act(ctx context.Context) error {
+	var due []*action
+	var records []port.Record
+	for _, name := range slices.Sorted(maps.Keys(m.view.actions)) {
+		a := m.view.actions[name]
+		if a.stage == settling || !m.granted(a) || m.wait(name) > 0 {
+			continue
+		}
+		if i := m.view.instances[name]; i.Condition != port.Up {
+			continue
+		}
+		r, err := m.intent(a, false)
+		if err != nil {
+			return err
+		}
+		due = append(due, a)
+		records = append(records, r)
+	}
+	if len(due) == 0 {
+		return nil
+	}
+	if err := m.Journal.Append(ctx, records); err != nil {
+		return err
+	}
+	var orders sync.WaitGroup
+	for _, a := range due {
+		a.stage, a.sent = ordered, m.Clock.Now()
+		orders.Go(func() { m.give(ctx, a) })
+	}
+	orders.Wait()
+	return m.keepDone(ctx, due)
+}
+
+func (m *Manager) intent(a *action, known bool) (port.Record, error) {
+	value, err := codec.Marshal(intent{
+		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Now().UnixMilli(), Known: known, From: a.from,
+	})
+	return port.Record{Key: keyIntent + a.instance, Value: value}, err
+}
+
+// give gives one order.
+func (m *Manager) give(ctx context.Context, a *action) {
+	permit := port.Permit{Holder: m.Node, Token: m.Epoch()}
+	var err error
+	if a.to != "" {
+		err = m.Instances.Move(ctx, permit, a.instance, a.to)
+	} else {
+		err = m.Instances.Maintain(ctx, permit, a.instance, a.wave)
+	}
+	m.Logger.Info().Str("event", "order").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
+		Str("to", a.to).Int("wave", a.wave).Uint64("token", permit.Token).AnErr("err", err).
+		Dur("after", m.Clock.Now().Sub(a.began)).Msg("an order to an instance was answered")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil:
+		a.stage = settling
+	case errkind.Is(err, errkind.OutcomeUnknown), errkind.Is(err, errkind.Overloaded):
+		// It is given again with the next plan; one that is done already is
+		// answered as done.
+	default:
+		delete(m.view.actions, a.instance)
+		a.stage = emptying
+	}
+}
+
+// keepDone keeps which orders have been done, and what of waves.
+func (m *Manager) keepDone(ctx context.Context, due []*action) error {
+	var records []port.Record
+	for _, a := range due {
+		if a.stage == ordered {
+			continue
+		}
+		r, err := m.intent(a, true)
+		if err != nil {
+			return err
+		}
+		records = append(records, r)
+		if a.stage != settling || a.to != "" {
+			continue
+		}
+		records = append(records, port.Record{Key: keyDone + strconv.Itoa(a.wave) + "/" + a.instance, Value: []byte{1}})
+		for _, w := range m.view.waves {
+			if w.Number == a.wave {
+				w.done[a.instance] = true
+			}
+		}
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return m.Journal.Append(ctx, records)
+}
+
+// tellWaves tells the operators of the waves that are done.
+func (m *Manager) tellWaves(ctx context.Context) error {
+	for _, w := range m.view.waves {
+		if w.told || len(w.Instances) == 0 || len(w.left(m.view.instances)) > 0 {
+			continue
+		}
+		w.told = m.tell(ctx, w.Number, true)
+	}
+	return nil
+}
+
+// tell tells the operators of a wave and returns whether that is kept.
+func (m *Manager) tell(ctx context.Context, number int, done bool) bool {
+	err := m.Tell(ctx, number, done)
+	m.Logger.Info().Str("event", "wave").Int("wave", number).Bool("completed", done).AnErr("err", err).Msg("a wave's state is told")
+	return err == nil
+}
--- /dev/null
+++ b/services/fleet/plan.go
@@ -0,0 +1,426 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/wave"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// waveState is a wave and how far it is.
+type waveState struct {
+	wave.Wave
+	seen time.Time
+	done map[string]bool // instances that have begun their maintenance
+	told bool            // that it is completed
+}
+
+// left returns the instances of a wave that are there and have not begun their
+// maintenance.
+func (w *waveState) left(instances map[string]port.Instance) []string {
+	var names []string
+	for _, n := range w.Instances {
+		if _, there := instances[n]; there && !w.done[n] {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// poolState is what is known of one pool.
+type poolState struct {
+	report scheduler.Report
+	at     time.Time // when it was told
+	need   int       // instances that are needed now
+	level  int       // the same, held for a while after a peak
+	peak   time.Time // when it last needed as many
+}
+
+// view is what a plan is made from.
+type view struct {
+	now       time.Time
+	instances map[string]port.Instance
+	pools     map[string]*poolState
+	headroom  string // the pool whose instances are off, "" for none
+	waves     []*waveState
+	actions   map[string]*action // by instance
+	repair    time.Duration      // that a maintenance takes
+}
+
+// The numbers of instances that are held for a pool.
+const (
+	spareShare = 1.1             // of the room that is in use or waited for
+	spare      = 2               // instances beyond that, so that what comes finds room at once
+	holdLevel  = 3 * time.Second // after a peak; a move there and back takes as long
+)
+
+// need returns how many instances of a size a pool needs.
+func need(r scheduler.Report, size job.Size) int {
+	used := r.Lasting.Plus(r.Running).Plus(r.Waiting)
+	share := 0.0
+	for _, d := range []struct{ used, size int }{
+		{used.CPU, size.CPU}, {used.MemoryMB, size.MemoryMB}, {used.Accelerators, size.Accelerators},
+	} {
+		if d.size > 0 {
+			share = max(share, float64(d.used)/float64(d.size))
+		}
+	}
+	return int(math.Ceil(share*spareShare)) + spare
+}
+
+// follow takes a need into the level of a pool.
+func (p *poolState) follow(n int, now time.Time) {
+	p.need = n
+	if n >= p.level {
+		p.level, p.peak = n, now
+		return
+	}
+	if now.Sub(p.peak) > holdLevel {
+		p.level, p.peak = n, now
+	}
+}
+
+// plan returns the actions to begin now.
+func (v *view) plan() []*action {
+	size := v.usual()
+	for _, p := range v.pools {
+		p.follow(need(p.report, size), v.now)
+	}
+	began := v.maintain()
+	for _, a := range began {
+		v.actions[a.instance] = a
+	}
+	return append(began, v.move()...)
+}
+
+// usual returns the size of the smallest instance.
+func (v *view) usual() job.Size {
+	var size job.Size
+	for _, i := range v.instances {
+		if size == (job.Size{}) || i.Capacity.CPU < size.CPU {
+			size = i.Capacity
+		}
+	}
+	return size
+}
+
+// supply returns how many instances serve a pool or are about to.
+func (v *view) supply(pool string) int {
+	n := 0
+	for name, i := range v.instances {
+		a := v.actions[name]
+		switch {
+		case a != nil && a.to != "":
+			if a.to == pool {
+				n++
+			}
+		case a != nil && a.stage == emptying:
+		case i.Pool == pool && (i.Condition != port.Down || a != nil):
+			n++
+		}
+	}
+	return n
+}
+
+// worker returns what a pool's owner says of an instance's worker, false for
+// nothing.
+func (v *view) worker(i port.Instance) (scheduler.WorkerReport, bool) {
+	p := v.pools[i.Pool]
+	if p == nil {
+		return scheduler.WorkerReport{}, false
+	}
+	for _, w := range p.report.Workers {
+		if w.Instance == i.Name && w.ID == i.Worker {
+			return w, true
+		}
+	}
+	return scheduler.WorkerReport{}, false
+}
+
+// free returns the instances of a pool that nothing is done to and that may be
+// taken, those with the least to move first.
+func (v *view) free(pool string) []port.Instance {
+	var list []port.Instance
+	runs := make(map[string]scheduler.WorkerReport)
+	for name, i := range v.instances {
+		if i.Pool != pool || i.Condition != port.Up || v.actions[name] != nil {
+			continue
+		}
+		if i.Worker != "" {
+			w, known := v.worker(i)
+			if !known {
+				continue
+			}
+			runs[name] = w
+		}
+		list = append(list, i)
+	}
+	slices.SortFunc(list, func(a, b port.Instance) int {
+		x, y := runs[a.Name], runs[b.Name]
+		return cmp.Or(cmp.Compare(x.Lasting, y.Lasting), cmp.Compare(x.Runs, y.Runs), cmp.Compare(x.Used.CPU, y.Used.CPU),
+			cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// begin returns a new action on an instance.
+func (v *view) begin(i port.Instance, to string, number int) *action {
+	return &action{instance: i.Name, worker: i.Worker, from: i.Pool, to: to, wave: number, began: v.now}
+}
+
+// The times that a wave is paced by.
+const (
+	emptyTime = 4 * time.Second // that emptying a worker takes at most as a rule
+	waveSlack = 3 * time.Second // that a wave is to be done early
+)
+
+// maintain begins the maintenance of instances of waves: first of those that
+// are off, then of those that their pool can spare, and where the time runs
+// short of any.
+func (v *view) maintain() []*action {
+	var began []*action
+	for _, w := range v.waves {
+		left := w.left(v.instances)
+		slots := v.slots(w)
+		if len(left) == 0 || slots <= 0 {
+			continue
+		}
+		due := make(map[string]bool, len(left))
+		for _, n := range left {
+			due[n] = v.actions[n] == nil
+		}
+		short := v.short(w, len(left))
+		for _, pool := range v.poolsOf(left) {
+			for _, i := range v.free(pool) {
+				if slots == 0 || !due[i.Name] {
+					continue
+				}
+				if pool != v.headroom && !short && v.supply(pool) <= v.needs(pool) {
+					break
+				}
+				a := v.begin(i, "", w.Number)
+				v.actions[i.Name] = a
+				began = append(began, a)
+				slots--
+			}
+		}
+	}
+	return began
+}
+
+// poolsOf returns the pools of instances, the one that is off first.
+func (v *view) poolsOf(names []string) []string {
+	var pools []string
+	for _, n := range names {
+		pools = append(pools, v.instances[n].Pool)
+	}
+	slices.SortFunc(pools, func(a, b string) int {
+		return cmp.Or(-cmp.Compare(btoi(a == v.headroom), btoi(b == v.headroom)), cmp.Compare(a, b))
+	})
+	return slices.Compact(pools)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// level returns how many instances a pool needs.
+func (v *view) level(pool string) int {
+	if p := v.pools[pool]; p != nil {
+		return p.level
+	}
+	return 0
+}
+
+// needs returns how many instances a pool needs now.
+func (v *view) needs(pool string) int {
+	if p := v.pools[pool]; p != nil {
+		return p.need
+	}
+	return 0
+}
+
+// slots returns how many more instances of a wave may be emptied or down.
+func (v *view) slots(w *waveState) int {
+	if w.AtOnce <= 0 {
+		return len(w.Instances)
+	}
+	slots := w.AtOnce
+	for _, a := range v.actions {
+		if a.to == "" && a.wave == w.Number {
+			slots--
+		}
+	}
+	return slots
+}
+
+// short reports whether a wave must go on though pools need its instances.
+func (v *view) short(w *waveState, left int) bool {
+	rounds := 1
+	if w.AtOnce > 0 {
+		rounds = (left + w.AtOnce - 1) / w.AtOnce
+	}
+	takes := time.Duration(rounds)*(v.repair+emptyTime) + waveSlack
+	return v.now.Sub(w.seen)+takes > w.Within
+}
+
+// move begins moves of instances to pools that need them and, where none does,
+// to the pool whose instances are off.
+func (v *view) move() []*action {
+	var began []*action
+	for {
+		pool, lack := v.neediest()
+		if lack <= 0 {
+			break
+		}
+		i, has := v.donor(pool)
+		if !has {
+			break
+		}
+		a := v.begin(i, pool, 0)
+		v.actions[i.Name] = a
+		began = append(began, a)
+	}
+	if v.headroom == "" {
+		return began
+	}
+	for pool, p := range v.pools {
+		for _, i := range v.free(pool) {
+			if v.supply(pool) <= p.level+v.swaps(pool) {
+				break
+			}
+			a := v.begin(i, v.headroom, 0)
+			v.actions[i.Name] = a
+			began = append(began, a)
+		}
+	}
+	return began
+}
+
+// neediest returns the pool that lacks the most instances, and how many.
+func (v *view) neediest() (string, int) {
+	best, most := "", 0
+	for pool, p := range v.pools {
+		lack := p.need + v.swaps(pool) - v.supply(pool)
+		if lack > most || lack == most && lack > 0 && pool < best {
+			best, most = pool, lack
+		}
+	}
+	return best, most
+}
+
+// swaps returns how many instances more than it needs a pool is to have: one
+// while a wave asks for one of its own, which may then go.
+func (v *view) swaps(pool string) int {
+	for name, i := range v.instances {
+		if i.Pool == pool && i.Condition == port.Up && v.due(name) {
+			return 1
+		}
+	}
+	return 0
+}
+
+// donor returns the instance that a pool is to get: one that is off, else one
+// that another pool does not need now.
+func (v *view) donor(pool string) (port.Instance, bool) {
+	var best port.Instance
+	has := false
+	for _, i := range v.free(v.headroom) {
+		if v.headroom == "" || !v.alike(i, pool) {
+			continue
+		}
+		if !has || v.better(pool, i, best) {
+			best, has = i, true
+		}
+	}
+	if has {
+		return best, true
+	}
+	from, most := "", 0
+	for other, p := range v.pools {
+		more := v.supply(other) - p.need
+		if other != pool && (more > most || more == most && more > 0 && other < from) {
+			from, most = other, more
+		}
+	}
+	for _, i := range v.free(from) {
+		if v.alike(i, pool) {
+			return i, true
+		}
+	}
+	return port.Instance{}, false
+}
+
+// alike reports whether an instance is of the kind that a pool has.
+func (v *view) alike(i port.Instance, pool string) bool {
+	for _, o := range v.instances {
+		if o.Pool == pool && len(o.Labels) > 0 && len(i.Labels) > 0 {
+			if o.Labels[0] == i.Labels[0] {
+				return true
+			}
+		}
+	}
+	return !slices.ContainsFunc(v.all(), func(o port.Instance) bool { return o.Pool == pool })
+}
+
+func (v *view) all() []port.Instance {
+	list := make([]port.Instance, 0, len(v.instances))
+	for _, i := range v.instances {
+		list = append(list, i)
+	}
+	return list
+}
+
+// better reports whether one instance suits a pool better than another: first
+// one that is in no wave's way, then one in a rack with fewer of the pool.
+func (v *view) better(pool string, a, b port.Instance) bool {
+	if x, y := v.due(a.Name), v.due(b.Name); x != y {
+		return !x
+	}
+	if x, y := v.inRack(pool, a), v.inRack(pool, b); x != y {
+		return x < y
+	}
+	return a.Name < b.Name
+}
+
+// due reports whether a wave asks for an instance's maintenance yet.
+func (v *view) due(name string) bool {
+	for _, w := range v.waves {
+		if !w.done[name] && slices.Contains(w.Instances, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// inRack returns how many instances a pool has in the rack of an instance.
+func (v *view) inRack(pool string, i port.Instance) int {
+	n := 0
+	for name, o := range v.instances {
+		in := o.Pool
+		if a := v.actions[name]; a != nil && a.to != "" {
+			in = a.to
+		}
+		if in == pool && rack(o) == rack(i) {
+			n++
+		}
+	}
+	return n
+}
+
+func rack(i port.Instance) string {
+	w := worker.Worker{Labels: i.Labels}
+	return w.Rack()
+}
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -6,17 +6,11 @@
 import (
 	"context"
 	"time"
-
-	"github.com/yardbridge/yardbridge/modules/errkind"
-	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
-// The pace of appends. The store's calls are priced and limited for all nodes
+// commitGap is the least time between appends. The store's calls are priced and limited for all nodes
 // together; what comes within the gap goes into one append.
-const (
-	commitGap   = 20 * time.Millisecond
-	commitRetry = 50 * time.Millisecond
-)
+const commitGap = 20 * time.Millisecond
 
 // commits plans and keeps changes, one append at a time, until the pool is not
 // owned any more.
@@ -77,8 +71,10 @@
 	if err != nil || batch == nil {
 		return wake, err
 	}
-	if err := o.keep(ctx, batch); err != nil {
-		return wake, err
+	if len(batch.Records) > 0 {
+		if err := o.Journal.Append(ctx, batch.Records); err != nil {
+			return wake, err
+		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -96,25 +92,3 @@
 	o.attend()
 	return wake, nil
 }
-
-// keep appends a batch until it is known to be kept.
-func (o *Owner) keep(ctx context.Context, b *scheduler.Batch) error {
-	if len(b.Records) == 0 {
-		return nil
-	}
-	o.writer.Sequence++
-	for try := 1; ; try++ {
-		err := o.Store.Append(ctx, o.Partition, o.writer, b.Records)
-		if err == nil {
-			return nil
-		}
-		o.Logger.Warn().Str("event", "append").Str("pool", o.Pool).Uint64("batch", b.Number).Int("records", len(b.Records)).
-			Int("try", try).Err(err).Msg("a batch is not known to be kept")
-		if errkind.Is(err, errkind.Fenced) || errkind.Is(err, errkind.Conflict) {
-			return err
-		}
-		if err := o.pause(ctx, commitRetry); err != nil {
-			return err
-		}
-	}
-}
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -152,8 +152,7 @@
 	look, ask, known := o.pool.BeginLook(l.id, wait, o.Clock.Now())
 	o.mu.Unlock()
 	if !known {
-		l.close()
-		return
+		return // the owner is about to end the link
 	}
 	listing, answer := l.looks.Look(l.ctx, ask)
 	o.mu.Lock()
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/services/scheduler"
 )
@@ -24,15 +25,13 @@
 // set before that. Lock order: mu is the only lock, and nothing that waits is
 // called under it.
 type Owner struct {
-	Pool      string
-	Partition port.Partition
-	Store     port.Store
-	Workers   port.Workers
-	Limits    scheduler.Limits
-	Clock     clock.Clock
-	Logger    log.Logger
+	Pool    string
+	Journal *journal.Journal
+	Workers port.Workers
+	Limits  scheduler.Limits
+	Clock   clock.Clock
+	Logger  log.Logger
 
-	writer  port.Writer
 	changed chan struct{} // there may be something to plan or to keep
 	done    chan struct{} // closed once the pool is not owned any more
 	tasks   sync.WaitGroup
@@ -77,7 +76,7 @@
 func (o *Owner) Done() <-chan struct{} { return o.done }
 
 // Epoch returns the epoch under which the pool is owned.
-func (o *Owner) Epoch() uint64 { return o.writer.Epoch }
+func (o *Owner) Epoch() uint64 { return o.Journal.Epoch() }
 
 // poke has the pool planned and its changes kept.
 func (o *Owner) poke() {
@@ -263,6 +262,23 @@
 	return o.pool.Pending(queue), nil
 }
 
+// Report returns what the pool tells of itself, after it has cordoned just the
+// workers named, and has given up on those whose lives were ended.
+func (o *Owner) Report(cordon, over []worker.ID) (scheduler.Report, error) {
+	o.mu.Lock()
+	if err := o.live(); err != nil {
+		o.mu.Unlock()
+		return scheduler.Report{}, err
+	}
+	o.pool.Over(over, o.Clock.Now())
+	o.pool.Cordon(cordon)
+	r := o.pool.Report(o.Clock.Now())
+	o.attend()
+	o.mu.Unlock()
+	o.poke()
+	return r, nil
+}
+
 // Stop ends the ownership: what was taken is kept, nothing new is.
 func (o *Owner) Stop() {
 	o.mu.Lock()
--- /dev/null
+++ b/services/scheduler/cordon.go
@@ -0,0 +1,181 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Cordon makes the workers named the only ones that nothing is placed on: what
+// runs there ends or moves, so that their instances can be maintained or moved.
+func (p *Pool) Cordon(ids []worker.ID) {
+	wanted := make(map[worker.ID]bool, len(ids))
+	for _, id := range ids {
+		if p.workers[id] == nil {
+			continue
+		}
+		wanted[id] = true
+		if !p.cordons[id] {
+			p.setCordon(id, true)
+		}
+	}
+	for id := range p.cordons {
+		if !wanted[id] {
+			p.setCordon(id, false)
+		}
+	}
+}
+
+func (p *Pool) setCordon(id worker.ID, cordoned bool) {
+	p.Logger.Info().Str("event", "cordon").Str("worker", string(id)).Bool("cordoned", cordoned).Uint64("batch", p.batch).
+		Msg("a worker's cordon has changed")
+	if cordoned {
+		p.cordons[id] = true
+	} else {
+		delete(p.cordons, id)
+	}
+	p.recordons = append(p.recordons, id)
+	if w := p.workers[id]; w != nil {
+		w.cordoned = cordoned
+		w.cordonIn = p.batch
+	}
+	p.moved = true
+}
+
+func cordonRecord(id worker.ID, cordoned bool) port.Record {
+	r := port.Record{Key: keyCordon + string(id)}
+	if cordoned {
+		r.Value = []byte{1}
+	}
+	return r
+}
+
+// Report is what a pool tells of its workers and of the room it needs.
+type Report struct {
+	Epoch   uint64         `json:"epoch"`
+	Workers []WorkerReport `json:"workers"`
+	Lasting job.Size       `json:"lasting"` // of the tasks that last, under way or waiting
+	Running job.Size       `json:"running"` // of the other runs
+	Waiting job.Size       `json:"waiting"` // of the other tasks that may run and have no room
+	Widest  job.Size       `json:"widest"`  // the largest in each part of the tasks that wait
+}
+
+// WorkerReport is what a pool tells of one worker.
+type WorkerReport struct {
+	ID       worker.ID `json:"id"`
+	Instance string    `json:"instance"`
+	Open     bool      `json:"open"`    // tasks may be placed there
+	Empty    bool      `json:"empty"`   // cordoned for good, and nothing runs or begins there
+	Lasting  int       `json:"lasting"` // runs of tasks that last
+	Runs     int       `json:"runs"`    // all runs
+	Used     job.Size  `json:"used"`
+}
+
+// Report returns what the pool tells of itself.
+func (p *Pool) Report(now time.Time) Report {
+	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers))}
+	for id, w := range p.workers {
+		o := WorkerReport{
+			ID: id, Instance: w.info.Instance, Open: w.open(now), Runs: len(w.runs), Used: w.used,
+			Empty: w.cordoned && w.cordonIn <= p.committed && len(w.runs) == 0,
+		}
+		for _, u := range w.runs {
+			switch {
+			case u.stray:
+			case u.step().spec.Lasting:
+				o.Lasting++
+			default:
+				r.Running = r.Running.Plus(u.room)
+			}
+		}
+		r.Workers = append(r.Workers, o)
+	}
+	for _, j := range p.active {
+		p.needs(j, now, &r)
+	}
+	return r
+}
+
+// needs adds what a job's open tasks need.
+func (p *Pool) needs(j *jobState, now time.Time, r *Report) {
+	for n := range j.rounds {
+		if j.rounds[n] == nil || j.rounds[n].left == 0 || j.sub.Times > 0 && now.Before(j.sub.Due(n)) {
+			continue
+		}
+		for i := range j.rounds[n].steps {
+			s := &j.rounds[n].steps[i]
+			room := s.spec.Room()
+			switch {
+			case s.spec.Lasting:
+				r.Lasting = r.Lasting.Plus(room.Times(len(s.tasks)))
+			case s.waiting > 0 && j.rounds[n].ready(i):
+				r.Waiting = r.Waiting.Plus(room.Times(s.waiting))
+				r.Widest = r.Widest.Max(room)
+			}
+		}
+	}
+}
+
+// leave moves what runs on workers that it has to go from: tasks that last are
+// stopped one at a time, so that no more than allowed of a step are away, and go
+// on elsewhere; those with checkpoints are stopped where they would run for
+// longer than a move takes.
+func (p *Pool) leave(now time.Time) {
+	for _, w := range p.workers {
+		if !w.leaves() || !w.silent.IsZero() {
+			continue
+		}
+		for _, u := range w.runs {
+			p.leaveRun(w, u, now)
+		}
+	}
+}
+
+// moveWorth is how much longer than its stop a run with checkpoints must have
+// left for a move to be worth it.
+const moveWorth = 1500 * time.Millisecond
+
+func (p *Pool) leaveRun(w *workerState, u *run, now time.Time) {
+	if u.phase != running || u.stopping || u.stray {
+		return
+	}
+	s := u.step()
+	switch {
+	case s.spec.Lasting:
+		if w.info.Draining && !w.cordoned || p.mayMiss(s) {
+			p.stop(u, now, "its worker is to be left")
+		}
+	case s.spec.Checkpoints && !s.spec.Gang:
+		left := p.expect(s.spec) - now.Sub(u.began)
+		if left > p.Limits.StopTime+moveWorth {
+			p.stop(u, now, "its worker is to be left, and it can go on elsewhere")
+		}
+	}
+}
+
+// mayMiss reports whether one more task of a step that lasts may be away by our
+// doing.
+func (p *Pool) mayMiss(s *stepState) bool {
+	away := 0
+	for i := range s.tasks {
+		if !s.tasks[i].serves() {
+			away++
+		}
+	}
+	return away < max(s.spec.MayMiss, 1)
+}
+
+// serves reports whether a task that lasts is at work.
+func (t *taskState) serves() bool {
+	for _, u := range t.runs {
+		if u.phase == running && !u.stopping && u.percent >= fullPace {
+			return true
+		}
+	}
+	return false
+}
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -16,6 +16,7 @@
 	worker *workerState
 	stamp  uint64
 	ask    port.Look
+	before time.Duration // the worker's latest deadline without it
 }
 
 // BeginLook returns the look to send to a worker, and false where the worker is
@@ -28,13 +29,14 @@
 	p.stamp++
 	w.wantLook = false
 	ask := port.Look{Token: p.Token, Seen: w.kept, Wait: wait}
-	if w.met && len(w.runs) > 0 {
+	before := w.deadline
+	if w.met && w.silent.IsZero() && len(w.runs) > 0 {
 		ask.Deadline = w.extend(now, p.Limits.Lease)
 	}
 	if ask.Seen < w.seen {
 		ask.Wait = 0 // it would answer at once with ends that are known
 	}
-	return Look{w, p.stamp, ask}, ask, true
+	return Look{w, p.stamp, ask, before}, ask, true
 }
 
 // EndLook takes the answer to a look.
@@ -50,6 +52,12 @@
 	case port.OtherLife:
 		p.lifeOver(w, now, "another life answers")
 		return
+	case port.Unreached:
+		if w.deadline == k.ask.Deadline {
+			w.deadline = k.before // it was not sent
+		}
+		p.missed(w, a, now)
+		return
 	default:
 		p.missed(w, a, now)
 		return
@@ -68,7 +76,9 @@
 	p.list(w, k, listing, now)
 }
 
-// missed notes that a worker did not answer.
+// missed notes that a worker did not answer. What was not sent there yet goes
+// elsewhere; what was is kept alive no longer, and has surely ended once its
+// lease has lapsed.
 func (p *Pool) missed(w *workerState, a port.Answer, now time.Time) {
 	if !w.silent.IsZero() {
 		return
@@ -80,6 +90,12 @@
 		e = e.Str("err", a.Err.Error())
 	}
 	e.Msg("a worker does not answer")
+	for _, u := range w.runs {
+		if !u.sent && !u.restored {
+			p.release(u)
+		}
+	}
+	p.wakeAt(w.lapses(), now)
 }
 
 // list takes what a worker runs and what has ended there.
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -34,10 +34,12 @@
 func (p *Pool) Plan(now time.Time) time.Time {
 	p.Lapse(now)
 	p.forget(now)
+	p.leave(now)
 	if !p.moved && (p.wake.IsZero() || now.Before(p.wake)) {
 		return p.wake
 	}
 	p.moved, p.wake = false, time.Time{}
+	p.Lapse(now)
 	p.sweep()
 	for _, c := range p.candidates(now) {
 		p.place(c, now)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -28,12 +28,14 @@
 	Limits Limits
 	Logger log.Logger
 
-	config  *config.Config
-	jobs    map[job.ID]*jobState
-	active  []*jobState // those that have not ended, in the order they came
-	workers map[worker.ID]*workerState
-	images  map[string]*timing
-	ratio   timing // of run time to estimate, over all images
+	config    *config.Config
+	jobs      map[job.ID]*jobState
+	active    []*jobState // those that have not ended, in the order they came
+	workers   map[worker.ID]*workerState
+	cordons   map[worker.ID]bool // that are kept or in the batch that is being filled
+	recordons []worker.ID        // whose cordon has changed since the last batch
+	images    map[string]*timing
+	ratio     timing // of run time to estimate, over all images
 
 	dirty     []*jobState
 	ended     []endedJob  // oldest first, to be forgotten
@@ -58,6 +60,7 @@
 		Name: name, Token: token, Limits: limits, Logger: logger,
 		jobs:    make(map[job.ID]*jobState),
 		workers: make(map[worker.ID]*workerState),
+		cordons: make(map[worker.ID]bool),
 		images:  make(map[string]*timing),
 		batch:   1,
 	}
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -16,10 +16,11 @@
 )
 
 // What is kept of a job lies under two keys: its submission, written once, and
-// its progress, written with each change.
+// its progress, written with each change. Cordoned workers have a key each.
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
+	keyCordon     = "c/" // with the worker's name
 )
 
 // progress is what is kept of how far a job is.
@@ -79,6 +80,10 @@
 			return nil, err
 		}
 	}
+	for _, id := range p.recordons {
+		b.Records = append(b.Records, cordonRecord(id, p.cordons[id]))
+	}
+	p.recordons = nil
 	for _, w := range p.workers {
 		if w.seen > w.kept {
 			b.seen = append(b.seen, seenEnd{w, w.seen})
@@ -194,6 +199,11 @@
 		}
 		submissions[job.ID(id)] = s
 	}
+	for _, r := range records {
+		if id, isCordon := strings.CutPrefix(r.Key, keyCordon); isCordon && len(r.Value) > 0 {
+			p.cordons[worker.ID(id)] = true
+		}
+	}
 	for _, r := range records {
 		id, isProgress := strings.CutPrefix(r.Key, keyProgress)
 		if !isProgress || len(r.Value) == 0 {
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -33,6 +33,7 @@
 	phase  phase
 	batch  uint64 // that carries it
 
+	sent     bool   // an order for it was sent
 	unsure   bool   // an order for it got no answer: it may begin yet
 	stray    bool   // listed by its worker and not known
 	restored bool   // taken over from an earlier owner
@@ -145,10 +146,11 @@
 	Pace bool
 }
 
-// Start returns the order to begin the run, with a deadline on the worker's
+// Start notes that the order to begin the run is sent, and returns it to begin the run, with a deadline on the worker's
 // clock.
 func (p *Pool) Start(o Order, now time.Time) port.Start {
 	u := o.Run
+	u.sent = true
 	return port.Start{
 		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket,
 		Deadline: u.at.extend(now, p.Limits.Lease), Token: p.Token,
@@ -228,6 +230,11 @@
 		p.lifeOver(u.at, now, "another life answers")
 		return false
 	}
+	if a.Verdict == port.Unreached {
+		u.sent = u.unsure
+		p.missed(u.at, a, now)
+		return u.unsure
+	}
 	// Nothing was done by this order; an earlier one for the same run that got
 	// no answer may be carried out yet, which a stop prevents.
 	p.suspect(u.at, u, a.Verdict, now)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -28,6 +28,8 @@
 	silent   time.Time     // since when it has not answered, zero while it does
 	surely   time.Time     // when all that an earlier owner began there is over, unless it has answered
 	waiting  bool          // it is among the workers with new orders
+	cordoned bool          // nothing is placed there, and what can be moved is
+	cordonIn uint64        // batch that carries the newest change of that
 	wantLook bool          // somebody waits for a look
 	looked   time.Time     // when the last look ended
 	seen     int           // newest end that was taken in
@@ -71,9 +73,12 @@
 
 // open reports whether tasks may be placed there.
 func (w *workerState) open(now time.Time) bool {
-	return w.met && w.listed && w.silent.IsZero() && !w.info.Draining && !now.Before(w.rested)
+	return w.met && w.listed && w.silent.IsZero() && !w.leaves() && !now.Before(w.rested)
 }
 
+// leaves reports whether what runs there has to go elsewhere.
+func (w *workerState) leaves() bool { return w.info.Draining || w.cordoned }
+
 // forgetTicket drops a ticket that was not accepted.
 func (w *workerState) forgetTicket(s job.StepRef) { delete(w.tickets, s) }
 
@@ -121,6 +126,7 @@
 
 func (p *Pool) addWorker(info worker.Worker) *workerState {
 	w := &workerState{info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]string)}
+	w.cordoned = p.cordons[info.ID]
 	p.workers[info.ID] = w
 	return w
 }
@@ -168,6 +174,16 @@
 	p.moved = true
 }
 
+// Over takes the news that workers' lives were ended by an order to their
+// instances.
+func (p *Pool) Over(ids []worker.ID, now time.Time) {
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			p.lifeOver(w, now, "its instance was moved or maintained")
+		}
+	}
+}
+
 // lose ends a run that never ends by itself; its task waits again.
 func (p *Pool) lose(u *run, now time.Time, why string) {
 	p.Logger.Info().Str("event", "lost").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
@@ -182,7 +198,11 @@
 // over.
 func (p *Pool) Lapse(now time.Time) {
 	for _, w := range p.workers {
-		if w.silent.IsZero() || now.Before(w.lapses()) {
+		if w.silent.IsZero() {
+			continue
+		}
+		if now.Before(w.lapses()) {
+			p.wakeAt(w.lapses(), now)
 			continue
 		}
 		for _, u := range w.runs {
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,9 +17,16 @@
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/rendezvous"
 	"github.com/yardbridge/yardbridge/services/directory"
-	"github.com/yardbridge/yardbridge/services/owner"
 )
 
+// Tenant is what does a duty while this node owns it.
+type Tenant struct {
+	Claim func(ctx context.Context, node string) error // makes this node the owner
+	Run   func(ctx context.Context) error              // until it is the owner no longer
+	Epoch func() uint64
+	Done  func() <-chan struct{} // closed once it is the owner no longer
+}
+
 // Steward claims pools that have no owner; its fields are set before Run. Lock
 // order: mu is the only lock, and nothing that waits is called under it.
 type Steward struct {
@@ -27,16 +35,17 @@
 	Logger    log.Logger
 	// Config returns the newest configuration, nil before the first.
 	Config func() *config.Config
-	// Open returns an owner of a pool whose partition lies in a slot, not yet
+	// Duties returns what must have an owner by a configuration: its pools, and
+	// what is done for all of them.
+	Duties func(c *config.Config) []string
+	// Open returns a tenant for a duty whose partition lies in a slot, not yet
 	// claimed.
-	Open func(pool string, slot int) *owner.Owner
-	// Began is called with each owner that has claimed its pool.
-	Began func(ctx context.Context, o *owner.Owner)
+	Open func(duty string, slot int) *Tenant
 	// Take asks another node to take a pool over.
 	Take func(ctx context.Context, n directory.Node, pool string) error
 
 	mu       sync.Mutex
-	owned    map[string]*owner.Owner
+	owned    map[string]*Tenant
 	claiming map[string]bool
 	orphaned map[string]time.Time // since when a pool has no owner that is present
 	leaving  bool
@@ -67,22 +76,11 @@
 	s.tasks.Wait()
 }
 
-// Owner returns the owner of a pool on this node, nil for none.
-func (s *Steward) Owner(pool string) *owner.Owner {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.owned[pool]
-}
-
-// Owners returns the owners on this node.
-func (s *Steward) Owners() []*owner.Owner {
+// Owned returns the duties that this node owns, in order.
+func (s *Steward) Owned() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owners := make([]*owner.Owner, 0, len(s.owned))
-	for _, o := range s.owned {
-		owners = append(owners, o)
-	}
-	return owners
+	return slices.Sorted(maps.Keys(s.owned))
 }
 
 // look claims the pools without an owner that this node is the heir of.
@@ -113,17 +111,14 @@
 		s.orphaned = make(map[string]time.Time)
 	}
 	var list []string
-	for _, p := range c.Pools {
-		_, _, present := v.Owner(p.Name)
-		switch {
-		case p.Headroom:
-		case present:
-			delete(s.orphaned, p.Name)
-		default:
-			list = append(list, p.Name)
-			if s.orphaned[p.Name].IsZero() {
-				s.orphaned[p.Name] = s.Clock.Now()
-			}
+	for _, d := range s.Duties(c) {
+		if _, _, present := v.Owner(d); present {
+			delete(s.orphaned, d)
+			continue
+		}
+		list = append(list, d)
+		if s.orphaned[d].IsZero() {
+			s.orphaned[d] = s.Clock.Now()
 		}
 	}
 	slices.Sort(list)
@@ -193,7 +188,7 @@
 	}
 	if s.claiming == nil {
 		s.claiming = make(map[string]bool)
-		s.owned = make(map[string]*owner.Owner)
+		s.owned = make(map[string]*Tenant)
 	}
 	s.claiming[pool] = true
 	s.tasks.Add(1)
@@ -220,7 +215,6 @@
 		t.s.Logger.Info().Str("event", "claim").Str("pool", t.pool).Err(err).Str("outcome", "not owner").Msg("a pool was not claimed")
 		return
 	}
-	t.s.Began(ctx, o)
 	err = o.Run(ctx)
 	t.s.mu.Lock()
 	delete(t.s.owned, t.pool)
@@ -230,7 +224,7 @@
 }
 
 // claim claims the pool and tells all nodes.
-func (t tenure) claim(ctx context.Context) (*owner.Owner, error) {
+func (t tenure) claim(ctx context.Context) (*Tenant, error) {
 	self := t.s.Directory.Self
 	slot, err := t.s.Directory.Slot(ctx, t.pool)
 	if err != nil {
@@ -248,7 +242,7 @@
 type telling struct {
 	s         *Steward
 	ownership directory.Ownership
-	owner     *owner.Owner
+	tenant    *Tenant
 }
 
 // run publishes the ownership.
@@ -261,7 +255,7 @@
 		t.s.Logger.Warn().Str("event", "publish").Str("pool", t.ownership.Pool).Err(err).Msg("an ownership could not be told")
 		select {
 		case <-t.s.Clock.After(lookPeriod):
-		case <-t.owner.Done():
+		case <-t.tenant.Done():
 			return
 		case <-ctx.Done():
 			return
@@ -311,11 +305,7 @@
 			rest.Nodes[name] = n
 		}
 	}
-	var pools []string
-	for _, o := range s.Owners() {
-		pools = append(pools, o.Pool)
-	}
-	slices.Sort(pools)
+	pools := s.Owned()
 	heirs := inherit(&rest, pools)
 	for _, pool := range pools {
 		s.give(ctx, &rest, pool, heirs[pool])
