Workers are filled one after the other; spare instances go where they are needed at once

Cause: a pool past its peak held its instances, since its tasks were spread over all of them and none was empty (running 100 cores of 27 instances on the way).

--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -202,7 +202,9 @@
 	m.view.headroom = c.Headroom()
 	m.settle()
 	m.reports(ctx, c)
-	for _, a := range m.view.plan() {
+	began := m.view.plan()
+	m.logCapacity()
+	for _, a := range began {
 		m.view.actions[a.instance] = a
 		m.Logger.Info().Str("event", "action").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
 			Str("to", a.to).Int("wave", a.wave).Int("level", m.view.level(a.to)).Int("supply", m.view.supply(a.to)).
@@ -214,6 +216,21 @@
 	return m.tellWaves(ctx)
 }
 
+// logCapacity logs what pools need and have where that has changed.
+func (m *Manager) logCapacity() {
+	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
+		p := m.view.pools[name]
+		supply := m.view.supply(name)
+		if p.logged == [2]int{p.need, supply} {
+			continue
+		}
+		p.logged = [2]int{p.need, supply}
+		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("supply", supply).
+			Int("lasting_cpu", p.report.Lasting.CPU).Int("running_cpu", p.report.Running.CPU).Int("waiting_cpu", p.report.Waiting.CPU).
+			Dur("age", m.Clock.Now().Sub(p.at)).Msg("what a pool needs or has is another")
+	}
+}
+
 // takeWaves takes the operators' waves, and keeps when each was seen first.
 func (m *Manager) takeWaves(ctx context.Context) error {
 	for _, o := range m.Waves() {
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -40,9 +40,11 @@
 type poolState struct {
 	report scheduler.Report
 	at     time.Time // when it was told
-	need   int       // instances that are needed now
+	hard   int       // instances that what is there needs now
+	need   int       // the same and the spare ones
 	level  int       // the same, held for a while after a peak
 	peak   time.Time // when it last needed as many
+	logged [2]int    // need and supply, as logged last
 }
 
 // view is what a plan is made from.
@@ -60,11 +62,12 @@
 const (
 	spareShare = 1.1             // of the room that is in use or waited for
 	spare      = 2               // instances beyond that, so that what comes finds room at once
+	keepFrom   = 1               // instances that a pool keeps beyond its need when others take from it
 	holdLevel  = 3 * time.Second // after a peak; a move there and back takes as long
 )
 
-// need returns how many instances of a size a pool needs.
-func need(r scheduler.Report, size job.Size) int {
+// hardNeed returns how many instances of a size what a pool has needs.
+func hardNeed(r scheduler.Report, size job.Size) int {
 	used := r.Lasting.Plus(r.Running).Plus(r.Waiting)
 	share := 0.0
 	for _, d := range []struct{ used, size int }{
@@ -74,11 +77,13 @@
 			share = max(share, float64(d.used)/float64(d.size))
 		}
 	}
-	return int(math.Ceil(share*spareShare)) + spare
+	return int(math.Ceil(share * spareShare))
 }
 
 // follow takes a need into the level of a pool.
-func (p *poolState) follow(n int, now time.Time) {
+func (p *poolState) follow(hard int, now time.Time) {
+	p.hard = hard
+	n := hard + spare
 	p.need = n
 	if n >= p.level {
 		p.level, p.peak = n, now
@@ -93,7 +98,7 @@
 func (v *view) plan() []*action {
 	size := v.usual()
 	for _, p := range v.pools {
-		p.follow(need(p.report, size), v.now)
+		p.follow(hardNeed(p.report, size), v.now)
 	}
 	began := v.maintain()
 	for _, a := range began {
@@ -280,18 +285,8 @@
 // to the pool whose instances are off.
 func (v *view) move() []*action {
 	var began []*action
-	for {
-		pool, lack := v.neediest()
-		if lack <= 0 {
-			break
-		}
-		i, has := v.donor(pool)
-		if !has {
-			break
-		}
-		a := v.begin(i, pool, 0)
-		v.actions[i.Name] = a
-		began = append(began, a)
+	for _, of := range []func(*poolState) int{(*poolState).hardNeed, (*poolState).softNeed} {
+		began = append(began, v.fill(of)...)
 	}
 	if v.headroom == "" {
 		return began
@@ -309,11 +304,33 @@
 	return began
 }
 
+func (p *poolState) hardNeed() int { return p.hard }
+func (p *poolState) softNeed() int { return p.need }
+
+// fill begins moves to the pools that lack instances by a need, from the pool
+// whose instances are off and from those that have more than that need.
+func (v *view) fill(need func(*poolState) int) []*action {
+	var began []*action
+	for {
+		pool, lack := v.neediest(need)
+		if lack <= 0 {
+			return began
+		}
+		i, has := v.donor(pool, need)
+		if !has {
+			return began
+		}
+		a := v.begin(i, pool, 0)
+		v.actions[i.Name] = a
+		began = append(began, a)
+	}
+}
+
 // neediest returns the pool that lacks the most instances, and how many.
-func (v *view) neediest() (string, int) {
+func (v *view) neediest(need func(*poolState) int) (string, int) {
 	best, most := "", 0
 	for pool, p := range v.pools {
-		lack := p.need + v.swaps(pool) - v.supply(pool)
+		lack := need(p) + v.swaps(pool) - v.supply(pool)
 		if lack > most || lack == most && lack > 0 && pool < best {
 			best, most = pool, lack
 		}
@@ -334,7 +351,7 @@
 
 // donor returns the instance that a pool is to get: one that is off, else one
 // that another pool does not need now.
-func (v *view) donor(pool string) (port.Instance, bool) {
+func (v *view) donor(pool string, need func(*poolState) int) (port.Instance, bool) {
 	var best port.Instance
 	has := false
 	for _, i := range v.free(v.headroom) {
@@ -350,7 +367,7 @@
 	}
 	from, most := "", 0
 	for other, p := range v.pools {
-		more := v.supply(other) - p.need
+		more := v.supply(other) - need(p) - keepFrom
 		if other != pool && (more > most || more == most && more > 0 && other < from) {
 			from, most = other, more
 		}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -171,17 +171,25 @@
 	return true
 }
 
-// nearData is what being near its data counts for a task, against the share of
-// a worker that is free, which is 1 at most.
-const nearData = 2
+// What counts for a worker, against the share of it that is in use, which is 1
+// at most.
+const (
+	nearData     = 4 // being near the task's data
+	lastingThere = 2 // for a task that lasts, that others run there that do
+)
 
-// score says how well a worker suits a task; the higher the better.
+// score says how well a worker suits a task; the higher the better. Workers are
+// filled one after the other, so that others are empty and can be maintained or
+// serve another pool.
 func (p *Pool) score(s *stepState, w *workerState) float64 {
-	free := float64(w.room().CPU) / float64(max(w.info.Capacity.CPU, 1))
+	score := float64(w.used.CPU) / float64(max(w.info.Capacity.CPU, 1))
 	if s.spec.Rack != "" && w.info.Has(s.spec.Rack) {
-		free += nearData
+		score += nearData
+	}
+	if s.spec.Lasting && w.lasting > 0 {
+		score += lastingThere
 	}
-	return free
+	return score
 }
 
 // placeGang begins all tasks of a gang or none: on one rack where they are slow
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -92,6 +92,9 @@
 	}
 	u.at.runs[u.name] = u
 	u.at.used = u.at.used.Plus(u.room)
+	if s.spec.Lasting {
+		u.at.lasting++
+	}
 }
 
 // release frees a run's room; the task waits again unless it is done or another
@@ -120,6 +123,9 @@
 	}
 	delete(u.at.runs, u.name)
 	u.at.used = u.at.used.Minus(u.room)
+	if s.spec.Lasting {
+		u.at.lasting--
+	}
 	p.moved = true
 	p.touch(u.job)
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -15,10 +15,11 @@
 
 // workerState is one worker, what runs there and what is known of it.
 type workerState struct {
-	info worker.Worker
-	runs map[string]*run // by the task's name
-	used job.Size
-	out  []Order // to be given, oldest first
+	info    worker.Worker
+	runs    map[string]*run // by the task's name
+	used    job.Size
+	lasting int     // runs of tasks that last
+	out     []Order // to be given, oldest first
 
 	met      bool          // it has answered, so its clock is known and no lower token counts
 	listed   bool          // it stands in the platform's list
