Run times are learned as a line through estimates; late jobs that would soon be of no use come first

Cause: estimates are off by a factor (log error 0.9), so arrivals were taken for twice what they were and the objective was misjudged; and jobs that had become late waited behind every timely one until they earned nothing.

--- a/models/job/job.go
+++ b/models/job/job.go
@@ -47,6 +47,11 @@
 // Times returns the size n times.
 func (s Size) Times(n int) Size { return Size{s.CPU * n, s.MemoryMB * n, s.Accelerators * n} }
 
+// Scale returns the size times a part.
+func (s Size) Scale(part float64) Size {
+	return Size{int(float64(s.CPU) * part), int(float64(s.MemoryMB) * part), int(float64(s.Accelerators) * part)}
+}
+
 // Max returns the larger of two sizes in each part.
 func (s Size) Max(o Size) Size {
 	return Size{max(s.CPU, o.CPU), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -227,6 +227,7 @@
 		p.logged = [2]int{p.need, supply}
 		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("supply", supply).
 			Int("lasting_cpu", p.report.Lasting.CPU).Int("running_cpu", p.report.Running.CPU).Int("waiting_cpu", p.report.Waiting.CPU).
+			Int("arrives_cpu", p.report.Arrives.CPU).Int("presses_cpu", p.report.Presses.CPU).
 			Dur("age", m.Clock.Now().Sub(p.at)).Msg("what a pool needs or has is another")
 	}
 }
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -68,7 +68,7 @@
 
 // hardNeed returns how many instances of a size what a pool has needs.
 func hardNeed(r scheduler.Report, size job.Size) int {
-	used := r.Lasting.Plus(r.Running).Plus(r.Waiting)
+	used := r.Lasting.Plus(r.Running.Max(r.Arrives)).Plus(r.Presses)
 	share := 0.0
 	for _, d := range []struct{ used, size int }{
 		{used.CPU, size.CPU}, {used.MemoryMB, size.MemoryMB}, {used.Accelerators, size.Accelerators},
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -61,8 +61,9 @@
 	Workers []WorkerReport `json:"workers"`
 	Lasting job.Size       `json:"lasting"` // of the tasks that last, under way or waiting
 	Running job.Size       `json:"running"` // of the other runs
+	Arrives job.Size       `json:"arrives"` // that the jobs of the last moments would keep busy if they went on coming
 	Waiting job.Size       `json:"waiting"` // of the other tasks that may run and have no room
-	Widest  job.Size       `json:"widest"`  // the largest in each part of the tasks that wait
+	Presses job.Size       `json:"presses"` // the part of it that is needed for all of them to be in time
 }
 
 // WorkerReport is what a pool tells of one worker.
@@ -78,7 +79,7 @@
 
 // Report returns what the pool tells of itself.
 func (p *Pool) Report(now time.Time) Report {
-	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers))}
+	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now)}
 	for id, w := range p.workers {
 		o := WorkerReport{
 			ID: id, Instance: w.info.Instance, Open: w.open(now), Runs: len(w.runs), Used: w.used,
@@ -101,6 +102,14 @@
 	return r
 }
 
+// pressure returns which part of the room that a waiting task of a job takes is
+// needed for it to be in time, when others may use the room before it.
+func (p *Pool) pressure(j *jobState, s *stepState, now time.Time) float64 {
+	takes := max(p.expectStep(j, s), time.Millisecond)
+	slack := max(j.slack(now), 0)
+	return float64(takes) / float64(takes+slack)
+}
+
 // needs adds what a job's open tasks need.
 func (p *Pool) needs(j *jobState, now time.Time, r *Report) {
 	for n := range j.rounds {
@@ -114,8 +123,9 @@
 			case s.spec.Lasting:
 				r.Lasting = r.Lasting.Plus(room.Times(len(s.tasks)))
 			case s.waiting > 0 && j.rounds[n].ready(i):
-				r.Waiting = r.Waiting.Plus(room.Times(s.waiting))
-				r.Widest = r.Widest.Max(room)
+				waiting := room.Times(s.waiting)
+				r.Waiting = r.Waiting.Plus(waiting)
+				r.Presses = r.Presses.Plus(waiting.Scale(p.pressure(j, s, now)))
 			}
 		}
 	}
@@ -151,7 +161,7 @@
 			p.stop(u, now, "its worker is to be left")
 		}
 	case s.spec.Checkpoints && !s.spec.Gang:
-		left := p.expect(s.spec) - now.Sub(u.began)
+		left := p.expectStep(u.job, s) - now.Sub(u.began)
 		if left > p.Limits.StopTime+moveWorth {
 			p.stop(u, now, "its worker is to be left, and it can go on elsewhere")
 		}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -43,6 +43,7 @@
 	tasks   []taskState
 	waiting int // tasks that are not done and have no run
 	done    int
+	took    mean                 // run times in seconds of its tasks that are done
 	perHost map[*workerState]int // live runs by worker, where their number is limited
 }
 
@@ -110,6 +111,7 @@
 	p.jobs[s.ID] = j
 	p.active = append(p.active, j)
 	p.weigh(j)
+	p.arrive(j, now)
 	p.touch(j)
 	p.moved = true
 	p.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Str("queue", s.Queue).Int("steps", len(s.Steps)).
@@ -272,7 +274,10 @@
 		if s.Lasting {
 			continue
 		}
-		each := p.expect(s)
+		each := p.expect(j.sub.Queue, s)
+		if round != nil {
+			each = p.expectStep(j, &round.steps[i])
+		}
 		for _, a := range s.After {
 			wholes[i] = max(wholes[i], wholes[a])
 			lefts[i] = max(lefts[i], lefts[a])
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -17,9 +17,10 @@
 // The urgencies of steps of one priority.
 const (
 	lasting urgency = iota // serves users as long as it runs
+	last                   // is late, and would soon be of no use any more
 	timely                 // can still end within its objective
-	late                   // can still earn a little
-	overdue                // earns nothing more, but is owed its end
+	late                   // is late and can wait
+	overdue                // is of no use any more, but is owed its end
 )
 
 // candidate is a step with tasks that wait.
@@ -99,16 +100,35 @@
 	if s.spec.Lasting {
 		return lasting
 	}
-	wait := now.Sub(j.latest)
-	switch {
-	case wait <= 0:
+	switch left := j.lastChance().Sub(now); {
+	case !now.After(j.latest):
 		return timely
-	case wait <= (lateTimes-1)*j.aim:
+	case left > lastMoment:
 		return late
+	case left >= 0:
+		return last
 	}
 	return overdue
 }
 
+// lastMoment is how long before its last chance a late job comes before those
+// that are in time: what it waits for may take a second to come.
+const lastMoment = 1200 * time.Millisecond
+
+// lastChance returns when a job must go on at the latest to be of use though it
+// is late.
+func (j *jobState) lastChance() time.Time { return j.latest.Add((lateTimes - 1) * j.aim) }
+
+// slack returns how long a job can wait and still end within its objective, or
+// where that is over, and earn a little.
+func (j *jobState) slack(now time.Time) time.Duration {
+	slack := j.latest.Sub(now)
+	if slack < 0 {
+		slack += (lateTimes - 1) * j.aim
+	}
+	return slack
+}
+
 // place begins runs of a step's waiting tasks on the workers that suit them
 // best.
 func (p *Pool) place(c candidate, now time.Time) {
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -4,7 +4,6 @@
 package scheduler
 
 import (
-	"math"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
@@ -34,8 +33,10 @@
 	workers   map[worker.ID]*workerState
 	cordons   map[worker.ID]bool // that are kept or in the batch that is being filled
 	recordons []worker.ID        // whose cordon has changed since the last batch
-	images    map[string]*timing
-	ratio     timing // of run time to estimate, over all images
+	times     map[string]*trend  // what run times are to estimates, by queue
+	images    map[string]*mean   // run times in seconds, by image
+
+	arrivals arrivals
 
 	dirty     []*jobState
 	ended     []endedJob  // oldest first, to be forgotten
@@ -61,7 +62,8 @@
 		jobs:    make(map[job.ID]*jobState),
 		workers: make(map[worker.ID]*workerState),
 		cordons: make(map[worker.ID]bool),
-		images:  make(map[string]*timing),
+		times:   make(map[string]*trend),
+		images:  make(map[string]*mean),
 		batch:   1,
 	}
 }
@@ -98,47 +100,3 @@
 		p.dirty = append(p.dirty, j)
 	}
 }
-
-// timing is what is known of how long something takes.
-type timing struct {
-	mean  float64 // seconds, or a ratio
-	count int
-}
-
-// timingWeight is the least weight of a new value in a mean: high enough to
-// follow a change within a handful of runs.
-const timingWeight = 0.15
-
-// add takes one more value into the mean.
-func (t *timing) add(v float64) {
-	t.count++
-	t.mean += (v - t.mean) * math.Max(1/float64(t.count), timingWeight)
-}
-
-// expect returns how long a task of the step is expected to run, restoring
-// aside: by its image where that is known, else by the customer's estimate and
-// how far estimates have been off.
-func (p *Pool) expect(s *job.Step) time.Duration {
-	if t := p.images[s.Image]; t != nil && s.Image != "" && t.count > 0 {
-		return time.Duration(t.mean * float64(time.Second))
-	}
-	if p.ratio.count > 0 {
-		return time.Duration(float64(s.Estimate) * p.ratio.mean)
-	}
-	return s.Estimate
-}
-
-// learn takes the run time of a task that has ended as done.
-func (p *Pool) learn(s *job.Step, took time.Duration) {
-	if s.Image != "" {
-		t := p.images[s.Image]
-		if t == nil {
-			t = &timing{}
-			p.images[s.Image] = t
-		}
-		t.add(took.Seconds())
-	}
-	if s.Estimate > 0 {
-		p.ratio.add(took.Seconds() / s.Estimate.Seconds())
-	}
-}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -320,7 +320,7 @@
 	s.done++
 	u.at.praise()
 	if !u.restored && u.number == 1 && !u.began.IsZero() {
-		p.learn(s.spec, now.Sub(u.began))
+		p.learn(u.job, s, now.Sub(u.began))
 	}
 	for _, o := range t.runs {
 		if o != u {
