Two owners of one pool: the later one is found out, and readings of the store wait a second at most

Cause: at the start a record of the directory reached no node for 9 s: a reading that begins while the record is appended is answered with the next record only. A second heir then claimed the pool, and the first, which appended nothing, went on as owner on its own node for 34 s; jobs handed in there were lost with 504. Also: need counts all that waits in time, workers are cordoned at once, plans every 120 ms.

--- a/node/limits.go
+++ b/node/limits.go
@@ -12,6 +12,6 @@
 
 // The pace of readings of the store.
 const (
-	operatorsWait = 10 * time.Second       // a reading waits for news so long
+	operatorsWait = 700 * time.Millisecond // a reading waits for news so long; see the directory's
 	workersGap    = 250 * time.Millisecond // workers write every 1.5 s; what they write is read together
 )
--- a/node/node.go
+++ b/node/node.go
@@ -161,7 +161,7 @@
 		n.inform(ctx, o)
 		return o.Run(ctx)
 	}
-	return &steward.Tenant{Claim: o.Claim, Run: run, Epoch: o.Epoch, Done: o.Done}
+	return &steward.Tenant{Claim: o.Claim, Run: run, Stop: o.Stop, Epoch: o.Epoch, Done: o.Done}
 }
 
 // openFleet returns the tenant that decides on instances.
@@ -175,7 +175,7 @@
 			return n.Ports.Feeds.TellWave(ctx, n.Ports.Store, wave, done)
 		},
 	}
-	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Epoch: m.Epoch, Done: m.Done}
+	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Stop: m.Stop, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -177,18 +177,18 @@
 	return n.client.Call(ctx, o.Address, methodTake, onPool{Pool: pool}, &empty{})
 }
 
-func (n *Node) onReport(_ context.Context, a reportAsk) (any, error) {
+func (n *Node) onReport(ctx context.Context, a reportAsk) (any, error) {
 	o, err := n.owned(a.Pool)
 	if err != nil {
 		return nil, err
 	}
-	return o.Report(a.Cordon, a.Over)
+	return o.Report(ctx, a.Cordon, a.Over)
 }
 
 // report asks the owner of a pool for its report, on this node or another.
 func (n *Node) report(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error) {
 	if o := n.owner(pool); o != nil {
-		return o.Report(cordon, over)
+		return o.Report(ctx, cordon, over)
 	}
 	v, _ := n.Directory.View()
 	if v == nil {
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -75,8 +74,9 @@
 	leaving bool
 }
 
-// followWait is how long a reading of the directory waits for news.
-const followWait = 10 * time.Second
+// followWait is how long a reading of the directory waits for news. A record that
+// comes while a reading begins was seen to be told only with the next reading.
+const followWait = time.Second
 
 // Run follows the directory until the context ends, and keeps this node's entry
 // there.
@@ -127,6 +127,7 @@
 
 // set makes a view the newest. The lock is held.
 func (d *Directory) set(v *View) {
+	d.logChanges(v)
 	d.view = v
 	if d.changed != nil {
 		close(d.changed)
@@ -134,6 +135,32 @@
 	d.changed = make(chan struct{})
 }
 
+// logChanges logs what a view says that the one before did not. The lock is held.
+func (d *Directory) logChanges(next *View) {
+	var last View
+	if d.view != nil {
+		last = *d.view
+	}
+	for name, n := range next.Nodes {
+		if last.Nodes[name] != n {
+			d.Logger.Info().Str("event", "directory").Str("node", name).Str("address", n.Address).Uint64("life", n.Life).
+				Uint64("end", next.End).Str("outcome", "present").Msg("a node is known")
+		}
+	}
+	for name, n := range last.Nodes {
+		if _, there := next.Nodes[name]; !there {
+			d.Logger.Info().Str("event", "directory").Str("node", name).Uint64("life", n.Life).
+				Uint64("end", next.End).Str("outcome", "absent").Msg("a node is known no longer")
+		}
+	}
+	for pool, o := range next.Pools {
+		if last.Pools[pool] != o {
+			d.Logger.Info().Str("event", "directory").Str("of", pool).Int("slot", o.Slot).Uint64("epoch", o.Epoch).
+				Str("node", o.Node).Uint64("end", next.End).Str("outcome", "owned").Msg("a pool's owner is known")
+		}
+	}
+}
+
 // take takes one record into a view that is being made.
 func (v *View) take(r port.Record) error {
 	if name, isNode := strings.CutPrefix(r.Key, keyNode); isNode {
@@ -253,10 +280,10 @@
 	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyPool + o.Pool, Value: value}})
 }
 
-// Slot returns the slot of a pool's partition, and takes the lowest free one
-// where the pool has none. A slot is never given twice: it is taken under the
-// condition that nothing has come since the view was read.
-func (d *Directory) Slot(ctx context.Context, pool string) (int, error) {
+// Slot returns the slot of a pool's partition, and gives the lowest free ones to
+// all of the named pools that have none. A slot is never given twice: it is given
+// under the condition that nothing has come since the view was read.
+func (d *Directory) Slot(ctx context.Context, pool string, all []string) (int, error) {
 	v, _ := d.View()
 	if v == nil {
 		return 0, errkind.New(errkind.LogUnavailable, "the directory has not been read")
@@ -264,27 +291,39 @@
 	if o, known := v.Pools[pool]; known {
 		return o.Slot, nil
 	}
-	o := Ownership{Pool: pool, Slot: v.freeSlot()}
-	value, err := codec.Marshal(o)
-	if err != nil {
-		return 0, err
-	}
-	if _, err := d.Store.AppendAt(ctx, Partition, v.End, []port.Record{{Key: keyPool + pool, Value: value}}); err != nil {
-		return 0, err
+	free := v.freeSlots()
+	var records []port.Record
+	slot := 0
+	for _, name := range all {
+		if _, known := v.Pools[name]; known {
+			continue
+		}
+		o := Ownership{Pool: name, Slot: free()}
+		if name == pool {
+			slot = o.Slot
+		}
+		value, err := codec.Marshal(o)
+		if err != nil {
+			return 0, err
+		}
+		records = append(records, port.Record{Key: keyPool + name, Value: value})
 	}
-	return o.Slot, nil
+	_, err := d.Store.AppendAt(ctx, Partition, v.End, records)
+	return slot, err
 }
 
-func (v *View) freeSlot() int {
-	var taken []int
+// freeSlots returns what yields the free slots, the lowest first.
+func (v *View) freeSlots() func() int {
+	taken := make(map[int]bool)
 	for _, o := range v.Pools {
-		taken = append(taken, o.Slot)
+		taken[o.Slot] = true
 	}
-	slices.Sort(taken)
-	for i, s := range taken {
-		if s != i {
-			return i
+	next := 0
+	return func() int {
+		for taken[next] {
+			next++
 		}
+		next++
+		return next - 1
 	}
-	return len(taken)
 }
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -44,6 +44,8 @@
 	Report func(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error)
 
 	done chan struct{}
+	stop chan struct{} // asks Run to end
+	once sync.Once
 	view view
 	past map[string]intent // newest order to each instance
 	mu   sync.Mutex
@@ -75,7 +77,7 @@
 
 // The pace of the manager.
 const (
-	period        = 250 * time.Millisecond // from one plan to the next
+	period        = 120 * time.Millisecond // from one plan to the next
 	listTimeout   = time.Second
 	reportTimeout = 400 * time.Millisecond
 	// unsettled is for how long an order of an earlier holder whose outcome is
@@ -96,6 +98,7 @@
 	}
 	m.Node = node
 	m.done = make(chan struct{})
+	m.stop = make(chan struct{})
 	m.past = make(map[string]intent)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), repair: m.Limits.Repair,
@@ -114,6 +117,9 @@
 // Done is closed once the duty is not held any more.
 func (m *Manager) Done() <-chan struct{} { return m.done }
 
+// Stop ends the duty.
+func (m *Manager) Stop() { m.once.Do(func() { close(m.stop) }) }
+
 // restore takes over the journal of earlier holders.
 func (m *Manager) restore(records []port.Record) error {
 	done := make(map[int][]string)
@@ -172,6 +178,8 @@
 		}
 		select {
 		case <-m.Clock.After(period):
+		case <-m.stop:
+			return nil
 		case <-ctx.Done():
 			return nil
 		}
@@ -205,11 +213,11 @@
 	began := m.view.plan()
 	m.logCapacity()
 	for _, a := range began {
-		m.view.actions[a.instance] = a
 		m.Logger.Info().Str("event", "action").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
 			Str("to", a.to).Int("wave", a.wave).Int("level", m.view.level(a.to)).Int("supply", m.view.supply(a.to)).
 			Msg("something is to be done to an instance")
 	}
+	m.cordon(ctx, began)
 	if err := m.act(ctx); err != nil {
 		return err
 	}
@@ -288,6 +296,24 @@
 	asks.Wait()
 }
 
+// cordon has the workers of new actions cordoned at once, so that those that are
+// empty need not wait for the next plan.
+func (m *Manager) cordon(ctx context.Context, began []*action) {
+	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	asked := make(map[string]bool)
+	var asks sync.WaitGroup
+	for _, a := range began {
+		if a.worker == "" || asked[a.from] {
+			continue
+		}
+		asked[a.from] = true
+		cordon, over := m.cordons(a.from)
+		asks.Go(func() { m.ask(bounded, a.from, cordon, over) })
+	}
+	asks.Wait()
+}
+
 // ask takes the report of one pool.
 func (m *Manager) ask(ctx context.Context, pool string, cordon, over []worker.ID) {
 	r, err := m.Report(ctx, pool, cordon, over)
--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -101,12 +101,11 @@
 	if !errkind.Is(err, errkind.Gone) {
 		return answer, err
 	}
-	v, _ := g.Directory.View()
-	for pool := range v.Pools {
-		if pool == q.Pool {
+	for _, p := range g.Config().Pools {
+		if p.Name == q.Pool || p.Headroom {
 			continue
 		}
-		elsewhere, other := call(ctx, g, pool, do)
+		elsewhere, other := call(ctx, g, p.Name, do)
 		if !errkind.Is(other, errkind.Gone) {
 			return elsewhere, other
 		}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -43,6 +43,7 @@
 	waiting map[uint64][]chan struct{} // by the batch that is waited for
 	over    error                      // why the pool is not owned any more
 	cancel  context.CancelFunc
+	stopped bool
 }
 
 // Run serves the pool until the context ends or a higher epoch is seen, and
@@ -51,6 +52,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	o.mu.Lock()
 	o.cancel = cancel
+	if o.stopped {
+		cancel()
+	}
 	o.mu.Unlock()
 	defer cancel()
 	o.adopt(ctx)
@@ -65,10 +69,13 @@
 func (o *Owner) end(err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err == nil {
+		err = errStopped
+	}
 	o.over = err
 	close(o.done)
 	for _, l := range o.links {
-		l.port.Close()
+		l.close()
 	}
 }
 
@@ -149,7 +156,7 @@
 // link opens the link to a worker that has none. The lock is held.
 func (o *Owner) link(ctx context.Context, id worker.ID) {
 	w, known := o.pool.Worker(id)
-	if !known || o.links[id] != nil || ctx.Err() != nil {
+	if !known || o.links[id] != nil || ctx.Err() != nil || o.over != nil {
 		return
 	}
 	l := &link{owner: o, id: id, port: o.Workers.Open(w), looks: o.Workers.Open(w), orders: make(chan struct{}, 1), look: make(chan struct{}, 1)}
@@ -263,26 +270,32 @@
 }
 
 // Report returns what the pool tells of itself, after it has cordoned just the
-// workers named, and has given up on those whose lives were ended.
-func (o *Owner) Report(cordon, over []worker.ID) (scheduler.Report, error) {
+// workers named, and has given up on those whose lives were ended. It returns
+// once the cordons are kept.
+func (o *Owner) Report(ctx context.Context, cordon, over []worker.ID) (scheduler.Report, error) {
 	o.mu.Lock()
 	if err := o.live(); err != nil {
 		o.mu.Unlock()
 		return scheduler.Report{}, err
 	}
 	o.pool.Over(over, o.Clock.Now())
-	o.pool.Cordon(cordon)
-	r := o.pool.Report(o.Clock.Now())
+	batch := o.pool.Cordon(cordon)
 	o.attend()
 	o.mu.Unlock()
 	o.poke()
-	return r, nil
+	if err := o.await(ctx, batch); err != nil {
+		return scheduler.Report{}, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pool.Report(o.Clock.Now()), nil
 }
 
 // Stop ends the ownership: what was taken is kept, nothing new is.
 func (o *Owner) Stop() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.stopped = true
 	if o.cancel != nil {
 		o.cancel()
 	}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -13,7 +13,9 @@
 
 // Cordon makes the workers named the only ones that nothing is placed on: what
 // runs there ends or moves, so that their instances can be maintained or moved.
-func (p *Pool) Cordon(ids []worker.ID) {
+// It returns the batch that carries the newest of these cordons.
+func (p *Pool) Cordon(ids []worker.ID) uint64 {
+	newest := uint64(0)
 	wanted := make(map[worker.ID]bool, len(ids))
 	for _, id := range ids {
 		if p.workers[id] == nil {
@@ -23,12 +25,14 @@
 		if !p.cordons[id] {
 			p.setCordon(id, true)
 		}
+		newest = max(newest, p.workers[id].cordonIn)
 	}
 	for id := range p.cordons {
 		if !wanted[id] {
 			p.setCordon(id, false)
 		}
 	}
+	return newest
 }
 
 func (p *Pool) setCordon(id worker.ID, cordoned bool) {
@@ -103,8 +107,13 @@
 }
 
 // pressure returns which part of the room that a waiting task of a job takes is
-// needed for it to be in time, when others may use the room before it.
+// needed: all of it while the job can be in time, since what others leave free
+// comes too late for most; of a late one the part that is needed for it to be of
+// use yet, when others may use the room before it.
 func (p *Pool) pressure(j *jobState, s *stepState, now time.Time) float64 {
+	if now.Before(j.latest) {
+		return 1
+	}
 	takes := max(p.expectStep(j, s), time.Millisecond)
 	slack := max(j.slack(now), 0)
 	return float64(takes) / float64(takes+slack)
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -23,6 +23,7 @@
 type Tenant struct {
 	Claim func(ctx context.Context, node string) error // makes this node the owner
 	Run   func(ctx context.Context) error              // until it is the owner no longer
+	Stop  func()                                       // ends Run
 	Epoch func() uint64
 	Done  func() <-chan struct{} // closed once it is the owner no longer
 }
@@ -54,9 +55,9 @@
 
 // The pace of the steward.
 const (
-	lookPeriod = 250 * time.Millisecond // at the directory, though it has not changed
-	settle     = 700 * time.Millisecond // after this node's start until it claims a pool that never had an owner: all nodes start within 0.3 s
-	heirTurn   = time.Second            // until the next of a pool's heirs tries
+	lookPeriod = 250 * time.Millisecond  // at the directory, though it has not changed
+	settle     = 700 * time.Millisecond  // after this node's start until it claims a pool that never had an owner: all nodes start within 0.3 s
+	heirTurn   = 1500 * time.Millisecond // until the next of a pool's heirs tries
 )
 
 // Run claims pools until the context ends.
@@ -89,6 +90,7 @@
 	if c == nil {
 		return
 	}
+	s.yield(v)
 	orphans := s.orphans(c, v)
 	heirs := inherit(v, orphans)
 	for _, pool := range orphans {
@@ -103,6 +105,20 @@
 	}
 }
 
+// yield ends the tenancies that another node has taken over, which their epoch in
+// the directory tells: one that appends nothing would not learn it otherwise.
+func (s *Steward) yield(v *directory.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for duty, t := range s.owned {
+		if o := v.Pools[duty]; o.Epoch > t.Epoch() {
+			s.Logger.Info().Str("event", "yield").Str("pool", duty).Uint64("epoch", t.Epoch()).Uint64("newer", o.Epoch).
+				Str("to", o.Node).Msg("another node has taken a pool over")
+			t.Stop()
+		}
+	}
+}
+
 // orphans returns the pools without an owner that is present, in order.
 func (s *Steward) orphans(c *config.Config, v *directory.View) []string {
 	s.mu.Lock()
@@ -226,7 +242,7 @@
 // claim claims the pool and tells all nodes.
 func (t tenure) claim(ctx context.Context) (*Tenant, error) {
 	self := t.s.Directory.Self
-	slot, err := t.s.Directory.Slot(ctx, t.pool)
+	slot, err := t.s.Directory.Slot(ctx, t.pool, t.s.Duties(t.s.Config()))
 	if err != nil {
 		return nil, err
 	}
