A node that the store turns away gives its pools to others

Found on the way: a peer that takes nothing any more held up every call to it, since the library writes under a lock; a duty whose owner had ended on a node that lives on was never claimed again; an empty append takes no sequence number.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -74,7 +74,7 @@
 	if c.Wrap != nil {
 		raw = c.Wrap(raw)
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(boundedConn{raw}, jsonrpc2.VarintObjectCodec{})
 	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(&c.Logger))
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -85,6 +85,25 @@
 	return fresh, nil
 }
 
+// writeTimeout bounds a write. A peer that has gone without a word takes nothing
+// any more, and the library holds its lock while it writes: without a bound every
+// other call to that peer would wait, whatever its own time limit.
+const writeTimeout = 400 * time.Millisecond
+
+// boundedConn is a connection whose writes end in time.
+type boundedConn struct{ net.Conn }
+
+// Write writes within the bound; a connection that does not take it is closed.
+func (c boundedConn) Write(p []byte) (int, error) {
+	// A connection that takes no deadline fails the write as well.
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		_ = c.Close()
+	}
+	return n, err
+}
+
 // forget closes a connection on which a call has failed. Calls of others on it
 // that wait would wait for nothing as well.
 func (c *Client) forget(address string, conn *jsonrpc2.Conn) {
--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -72,7 +72,7 @@
 	if c.s.Wrap != nil {
 		conn = c.s.Wrap(conn)
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(boundedConn{conn}, jsonrpc2.VarintObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(&c.s.Logger))
 	select {
 	case <-rpc.DisconnectNotify():
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
@@ -50,9 +51,14 @@
 
 	monitor *monitor.Monitor
 	client  *noderpc.Client
+	probes  *noderpc.Client // of its own, so that no call holds up a probe
 	server  *noderpc.Server
 
+	operatorFeed follow.Follower
+	catching     atomic.Bool // another node is being asked for news
+
 	mu      sync.Mutex
+	said    map[string]port.Record // what the operators said last, by key
 	workers map[worker.ID]worker.Worker
 	owners  map[string]*owner.Owner // of pools, by name
 	waves   []wave.Wave
@@ -62,8 +68,9 @@
 // New puts a node together; it opens its address for other nodes, but does
 // nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
-	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner)}
+	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record)}
 	n.client = &noderpc.Client{Logger: logger}
+	n.probes = &noderpc.Client{Logger: logger}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods()}
 	if _, err := n.server.Listen(s.Peers()); err != nil {
 		return nil, err
@@ -94,6 +101,7 @@
 	}
 	tasks.Wait()
 	n.client.Close()
+	n.probes.Close()
 }
 
 // Ready reports whether customers may be sent here.
@@ -161,7 +169,7 @@
 		n.inform(ctx, o)
 		return o.Run(ctx)
 	}
-	return &steward.Tenant{Claim: o.Claim, Run: run, Stop: o.Stop, Epoch: o.Epoch, Done: o.Done}
+	return &steward.Tenant{Claim: o.Claim, Run: run, Stuck: j.Stuck, Epoch: o.Epoch, Done: o.Done}
 }
 
 // openFleet returns the tenant that decides on instances.
@@ -175,7 +183,7 @@
 			return n.Ports.Feeds.TellWave(ctx, n.Ports.Store, wave, done)
 		},
 	}
-	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Stop: m.Stop, Epoch: m.Epoch, Done: m.Done}
+	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Stuck: j.Stuck, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
@@ -234,16 +242,16 @@
 
 // followOperators follows the operators' configuration.
 func (n *Node) followOperators(ctx context.Context) {
-	f := follow.Follower{
-		Store: n.Ports.Store, Partition: n.Ports.Feeds.Operators, Clock: n.Clock, Logger: n.Logger,
-		Wait: operatorsWait, Apply: n.operators,
-	}
+	f := &n.operatorFeed
+	f.Store, f.Partition, f.Clock, f.Logger = n.Ports.Store, n.Ports.Feeds.Operators, n.Clock, n.Logger
+	f.Wait, f.Apply = operatorsWait, n.operators
 	f.Run(ctx)
 }
 
 // operators takes records of the operators.
 func (n *Node) operators(records []port.Record, _ bool) {
 	for _, r := range records {
+		n.keep(r)
 		c, err := n.Ports.Feeds.DecodeConfig(r)
 		if err != nil {
 			n.Logger.Error().Str("event", "config").Uint64("offset", r.Offset).Err(err).Msg("a configuration can't be read and is passed over")
@@ -263,6 +271,15 @@
 	}
 }
 
+// keep keeps a record of the operators for nodes that can't read it themselves.
+func (n *Node) keep(r port.Record) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.Offset >= n.said[r.Key].Offset {
+		n.said[r.Key] = r
+	}
+}
+
 func (n *Node) configure(c *config.Config) {
 	if !n.Gateway.Configure(c) {
 		return
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -27,6 +27,7 @@
 	methodHelp    = "node.help"
 	methodTake    = "pool.take"
 	methodReport  = "pool.report"
+	methodNews    = "node.news"
 )
 
 // onPool names a pool, and what of it a call is about.
@@ -58,6 +59,7 @@
 		methodHelp:    noderpc.Handle(n.onHelp),
 		methodTake:    noderpc.Handle(n.onTake),
 		methodReport:  noderpc.Handle(n.onReport),
+		methodNews:    noderpc.Handle(n.onNews),
 	}
 }
 
@@ -106,8 +108,6 @@
 	return o.Pending(a.Queue)
 }
 
-func (n *Node) onProbe(context.Context, empty) (any, error) { return n.Directory.Self.Life, nil }
-
 func (n *Node) onHelp(ctx context.Context, o directory.Node) (any, error) {
 	life, err := n.probe(ctx, o)
 	if err == nil && life != o.Life {
@@ -117,7 +117,7 @@
 }
 
 func (n *Node) onTake(ctx context.Context, a onPool) (any, error) {
-	return empty{}, n.Steward.Assume(ctx, a.Pool)
+	return n.Steward.Assume(ctx, a.Pool)
 }
 
 // local returns the desk of a pool that this node owns, nil for none.
@@ -163,18 +163,14 @@
 	}
 }
 
-func (n *Node) probe(ctx context.Context, o directory.Node) (uint64, error) {
-	var life uint64
-	err := n.client.Call(ctx, o.Address, methodProbe, empty{}, &life)
-	return life, err
-}
-
 func (n *Node) ask(ctx context.Context, helper, o directory.Node) error {
-	return n.client.Call(ctx, helper.Address, methodHelp, o, &empty{})
+	return n.probes.Call(ctx, helper.Address, methodHelp, o, &empty{})
 }
 
-func (n *Node) take(ctx context.Context, o directory.Node, pool string) error {
-	return n.client.Call(ctx, o.Address, methodTake, onPool{Pool: pool}, &empty{})
+func (n *Node) take(ctx context.Context, o directory.Node, pool string) (directory.Ownership, error) {
+	var taken directory.Ownership
+	err := n.client.Call(ctx, o.Address, methodTake, onPool{Pool: pool}, &taken)
+	return taken, err
 }
 
 func (n *Node) onReport(ctx context.Context, a reportAsk) (any, error) {
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -72,6 +72,8 @@
 	view    *View
 	changed chan struct{} // closed with the next change
 	leaving bool
+
+	follower follow.Follower
 }
 
 // followWait is how long a reading of the directory waits for news. A record that
@@ -81,14 +83,33 @@
 // Run follows the directory until the context ends, and keeps this node's entry
 // there.
 func (d *Directory) Run(ctx context.Context) {
-	f := follow.Follower{
-		Store: d.Store, Partition: Partition, Clock: d.Clock, Logger: d.Logger, Wait: followWait,
-		Apply: d.apply,
-	}
+	f := &d.follower
+	f.Store, f.Partition, f.Clock, f.Logger = d.Store, Partition, d.Clock, d.Logger
+	f.Wait, f.Apply = followWait, d.apply
 	go d.run(ctx)
 	f.Run(ctx)
 }
 
+// Age returns how long ago the directory was read in the store.
+func (d *Directory) Age() time.Duration { return d.follower.Age() }
+
+// Adopt takes over what another node knows of the directory, where that has read
+// more of it.
+func (d *Directory) Adopt(v *View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.view == nil || v.End <= d.view.End {
+		return
+	}
+	next := &View{Nodes: v.Nodes, Pools: make(map[string]Ownership, len(v.Pools)), End: v.End}
+	for _, pools := range []map[string]Ownership{d.view.Pools, v.Pools} {
+		for _, o := range pools {
+			next.learn(o)
+		}
+	}
+	d.set(next)
+}
+
 // View returns the newest view, nil before the first, and a channel that is
 // closed with the next change.
 func (d *Directory) View() (*View, <-chan struct{}) {
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -44,8 +44,6 @@
 	Report func(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error)
 
 	done chan struct{}
-	stop chan struct{} // asks Run to end
-	once sync.Once
 	view view
 	past map[string]intent // newest order to each instance
 	mu   sync.Mutex
@@ -79,6 +77,7 @@
 const (
 	period        = 120 * time.Millisecond // from one plan to the next
 	listTimeout   = time.Second
+	confirmAfter  = time.Second // without an append, until the store is asked whether the duty is still held
 	reportTimeout = 400 * time.Millisecond
 	// unsettled is for how long an order of an earlier holder whose outcome is
 	// not known may be carried out yet.
@@ -98,7 +97,6 @@
 	}
 	m.Node = node
 	m.done = make(chan struct{})
-	m.stop = make(chan struct{})
 	m.past = make(map[string]intent)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), repair: m.Limits.Repair,
@@ -117,9 +115,6 @@
 // Done is closed once the duty is not held any more.
 func (m *Manager) Done() <-chan struct{} { return m.done }
 
-// Stop ends the duty.
-func (m *Manager) Stop() { m.once.Do(func() { close(m.stop) }) }
-
 // restore takes over the journal of earlier holders.
 func (m *Manager) restore(records []port.Record) error {
 	done := make(map[int][]string)
@@ -176,10 +171,13 @@
 		if err := m.step(ctx); err != nil {
 			return err
 		}
+		if m.Clock.Now().Sub(m.Journal.Confirmed()) > confirmAfter {
+			if err := m.Journal.Confirm(ctx); err != nil {
+				return err
+			}
+		}
 		select {
 		case <-m.Clock.After(period):
-		case <-m.stop:
-			return nil
 		case <-ctx.Done():
 			return nil
 		}
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -263,8 +263,9 @@
 		return len(w.Instances)
 	}
 	slots := w.AtOnce
-	for _, a := range v.actions {
-		if a.to == "" && a.wave == w.Number {
+	for _, name := range w.Instances {
+		a := v.actions[name]
+		if a != nil && a.to == "" || v.instances[name].Condition == port.Maintenance {
 			slots--
 		}
 	}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
@@ -31,7 +32,13 @@
 	// they are the newest of all keys, and other keys are no longer there.
 	Apply func(records []port.Record, whole bool)
 
-	lost time.Time // since when readings fail
+	lost time.Time    // since when readings fail
+	read atomic.Int64 // when a reading succeeded last, in nanoseconds since 1970
+}
+
+// Age returns how long ago a reading succeeded.
+func (f *Follower) Age() time.Duration {
+	return f.Clock.Now().Sub(time.Unix(0, f.read.Load()))
 }
 
 // Run follows the partition until the context ends.
@@ -109,6 +116,7 @@
 }
 
 func (f *Follower) regained() {
+	f.read.Store(f.Clock.Now().UnixNano())
 	if f.lost.IsZero() {
 		return
 	}
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -27,6 +27,7 @@
 	mu        sync.Mutex
 	writer    port.Writer
 	confirmed time.Time // when the last append that succeeded was sent
+	stuck     time.Time // since when an append is under way, zero for none
 }
 
 // keyClaim is the key of the claim of the partition's writer; it sorts before
@@ -98,6 +99,20 @@
 	return errkind.Is(err, errkind.Fenced) || errkind.Is(err, errkind.Conflict)
 }
 
+// Confirm makes sure that this process still is the writer; it keeps nothing, and
+// takes no sequence number, as the store counts only appends with records.
+func (j *Journal) Confirm(ctx context.Context) error { return j.append(ctx, nil) }
+
+// Stuck returns for how long an append has been under way, 0 for none.
+func (j *Journal) Stuck() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.stuck.IsZero() {
+		return 0
+	}
+	return j.Clock.Now().Sub(j.stuck)
+}
+
 // Append keeps records, all or none, and returns once they are kept, or with an
 // error of the kind Fenced or Conflict once another process writes. One call is
 // made at a time. While the store does not answer it goes on until the context
@@ -106,7 +121,19 @@
 	j.mu.Lock()
 	j.writer.Sequence++
 	j.mu.Unlock()
-	return j.send(ctx, records, appendRetry, false)
+	return j.append(ctx, records)
+}
+
+// append sends records and notes since when that is under way.
+func (j *Journal) append(ctx context.Context, records []port.Record) error {
+	j.mu.Lock()
+	j.stuck = j.Clock.Now()
+	j.mu.Unlock()
+	err := j.send(ctx, records, appendRetry, false)
+	j.mu.Lock()
+	j.stuck = time.Time{}
+	j.mu.Unlock()
+	return err
 }
 
 // send appends until the outcome is known. Where it may give up it does so with
@@ -117,6 +144,9 @@
 		j.mu.Lock()
 		w := j.writer
 		j.mu.Unlock()
+		if len(records) == 0 {
+			w.Sequence++
+		}
 		sent := j.Clock.Now()
 		err := j.Store.Append(ctx, j.Partition, w, records)
 		if err == nil {
--- a/services/monitor/monitor.go
+++ b/services/monitor/monitor.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/directory"
 )
@@ -71,11 +72,14 @@
 
 // check probes a node and takes it out of the directory where it has gone.
 func (m *Monitor) check(ctx context.Context, v *directory.View, n directory.Node, failed map[string]int) {
-	if m.there(ctx, n) {
+	err := m.there(ctx, n)
+	if err == nil {
 		delete(failed, n.Name)
 		return
 	}
 	failed[n.Name]++
+	m.Logger.Info().Str("event", "node").Str("node", n.Name).Uint64("life", n.Life).Int("misses", failed[n.Name]).Err(err).
+		Str("outcome", "missed").Msg("a node does not answer a probe")
 	if failed[n.Name] < misses || ctx.Err() != nil {
 		return
 	}
@@ -83,17 +87,20 @@
 	if m.reached(ctx, v, n) || ctx.Err() != nil {
 		return
 	}
-	err := m.Directory.Remove(ctx, n.Name)
+	err = m.Directory.Remove(ctx, n.Name)
 	m.Logger.Info().Str("event", "node").Str("node", n.Name).Uint64("life", n.Life).AnErr("err", err).Str("outcome", "gone").
 		Msg("a node is not reached by any that was asked and is taken out")
 }
 
-// there reports whether a node answers and is the life that is known.
-func (m *Monitor) there(ctx context.Context, n directory.Node) bool {
+// there returns nil where a node answers and is the life that is known.
+func (m *Monitor) there(ctx context.Context, n directory.Node) error {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	life, err := m.Probe(bounded, n)
-	return err == nil && life == n.Life
+	if err == nil && life != n.Life {
+		err = errkind.New(errkind.Gone, "another life of the node answers: %d", life)
+	}
+	return err
 }
 
 // reached reports whether one of some other nodes reaches a node.
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -12,6 +12,10 @@
 // together; what comes within the gap goes into one append.
 const commitGap = 20 * time.Millisecond
 
+// confirmAfter is how long an owner that keeps nothing goes on without asking the
+// store whether it still is the owner.
+const confirmAfter = time.Second
+
 // commits plans and keeps changes, one append at a time, until the pool is not
 // owned any more.
 func (o *Owner) commits(ctx context.Context) error {
@@ -27,6 +31,11 @@
 		if err := o.idle(ctx, wake); err != nil {
 			return err
 		}
+		if o.Clock.Now().Sub(o.Journal.Confirmed()) > confirmAfter {
+			if err := o.Journal.Confirm(ctx); err != nil {
+				return err
+			}
+		}
 	}
 }
 
@@ -46,13 +55,13 @@
 // idle waits until something has changed or a time has come; the zero time
 // never does.
 func (o *Owner) idle(ctx context.Context, wake time.Time) error {
-	var timer <-chan time.Time
+	d := confirmAfter
 	if !wake.IsZero() {
-		timer = o.Clock.After(wake.Sub(o.Clock.Now()))
+		d = min(d, wake.Sub(o.Clock.Now()))
 	}
 	select {
 	case <-o.changed:
-	case <-timer:
+	case <-o.Clock.After(d):
 	case <-ctx.Done():
 		return errStopped
 	}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -42,20 +42,12 @@
 	kept    uint64                     // newest batch that is kept
 	waiting map[uint64][]chan struct{} // by the batch that is waited for
 	over    error                      // why the pool is not owned any more
-	cancel  context.CancelFunc
-	stopped bool
 }
 
 // Run serves the pool until the context ends or a higher epoch is seen, and
 // returns why it has ended. Claim must have succeeded.
 func (o *Owner) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	o.mu.Lock()
-	o.cancel = cancel
-	if o.stopped {
-		cancel()
-	}
-	o.mu.Unlock()
 	defer cancel()
 	o.adopt(ctx)
 	err := o.commits(ctx)
@@ -291,14 +283,4 @@
 	return o.pool.Report(o.Clock.Now()), nil
 }
 
-// Stop ends the ownership: what was taken is kept, nothing new is.
-func (o *Owner) Stop() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.stopped = true
-	if o.cancel != nil {
-		o.cancel()
-	}
-}
-
 var errStopped = errors.New("stopped")
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -23,9 +23,11 @@
 type Tenant struct {
 	Claim func(ctx context.Context, node string) error // makes this node the owner
 	Run   func(ctx context.Context) error              // until it is the owner no longer
-	Stop  func()                                       // ends Run
+	Stuck func() time.Duration                         // for how long an append has been under way
 	Epoch func() uint64
 	Done  func() <-chan struct{} // closed once it is the owner no longer
+
+	cancel context.CancelFunc // ends Run
 }
 
 // Steward claims pools that have no owner; its fields are set before Run. Lock
@@ -43,14 +45,15 @@
 	// claimed.
 	Open func(duty string, slot int) *Tenant
 	// Take asks another node to take a pool over.
-	Take func(ctx context.Context, n directory.Node, pool string) error
-
-	mu       sync.Mutex
-	owned    map[string]*Tenant
-	claiming map[string]bool
-	orphaned map[string]time.Time // since when a pool has no owner that is present
-	leaving  bool
-	tasks    sync.WaitGroup
+	Take func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
+
+	mu        sync.Mutex
+	owned     map[string]*Tenant
+	claiming  map[string]bool
+	orphaned  map[string]time.Time // since when a pool has no owner that is present
+	leaving   bool
+	relieving bool // a wish that another node takes over is under way
+	tasks     sync.WaitGroup
 }
 
 // The pace of the steward.
@@ -91,6 +94,7 @@
 		return
 	}
 	s.yield(v)
+	s.relieve(ctx, v)
 	orphans := s.orphans(c, v)
 	heirs := inherit(v, orphans)
 	for _, pool := range orphans {
@@ -114,11 +118,50 @@
 		if o := v.Pools[duty]; o.Epoch > t.Epoch() {
 			s.Logger.Info().Str("event", "yield").Str("pool", duty).Uint64("epoch", t.Epoch()).Uint64("newer", o.Epoch).
 				Str("to", o.Node).Msg("another node has taken a pool over")
-			t.Stop()
+			t.cancel()
 		}
 	}
 }
 
+// relieveAfter is how long an append may be under way before another node is
+// asked to take over: the store may turn away this node and serve the others. It
+// answers in 4 ms, and 60 times as long on its slow days.
+const relieveAfter = 700 * time.Millisecond
+
+// relieve gives the duties whose appends the store does not answer to other
+// nodes, one at a time.
+func (s *Steward) relieve(ctx context.Context, v *directory.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relieving {
+		return
+	}
+	for _, duty := range slices.Sorted(maps.Keys(s.owned)) {
+		if s.owned[duty].Stuck() > relieveAfter {
+			s.relieving = true
+			s.tasks.Add(1)
+			go relief{s, v, duty}.run(ctx)
+			return
+		}
+	}
+}
+
+// relief is one wish that another node takes a duty over.
+type relief struct {
+	s    *Steward
+	v    *directory.View
+	duty string
+}
+
+// run asks the other nodes, in an order of their own for each time.
+func (r relief) run(ctx context.Context) {
+	defer r.s.tasks.Done()
+	r.s.giveAway(ctx, r.v, []string{r.duty})
+	r.s.mu.Lock()
+	r.s.relieving = false
+	r.s.mu.Unlock()
+}
+
 // orphans returns the pools without an owner that is present, in order.
 func (s *Steward) orphans(c *config.Config, v *directory.View) []string {
 	s.mu.Lock()
@@ -128,7 +171,8 @@
 	}
 	var list []string
 	for _, d := range s.Duties(c) {
-		if _, _, present := v.Owner(d); present {
+		n, _, present := v.Owner(d)
+		if present && (n.Name != s.Directory.Self.Name || s.owned[d] != nil || s.claiming[d]) {
 			delete(s.orphaned, d)
 			continue
 		}
@@ -220,10 +264,13 @@
 // run claims the pool and serves it until it is not owned any more.
 func (t tenure) run(ctx context.Context) {
 	defer t.s.tasks.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	o, err := t.claim(ctx)
 	t.s.mu.Lock()
 	delete(t.s.claiming, t.pool)
 	if err == nil {
+		o.cancel = cancel
 		t.s.owned[t.pool] = o
 	}
 	t.s.mu.Unlock()
@@ -279,28 +326,38 @@
 	}
 }
 
-// Assume claims a pool at the wish of its owner, and returns once it is owned
-// here.
-func (s *Steward) Assume(ctx context.Context, pool string) error {
+// Assume claims a pool at the wish of its owner, and returns the ownership once
+// it is owned here.
+func (s *Steward) Assume(ctx context.Context, pool string) (directory.Ownership, error) {
 	s.claim(context.WithoutCancel(ctx), pool)
 	for {
 		s.mu.Lock()
-		owned, claiming := s.owned[pool] != nil, s.claiming[pool]
+		t, claiming := s.owned[pool], s.claiming[pool]
 		s.mu.Unlock()
-		if owned {
-			return nil
+		if t != nil {
+			return s.ownership(pool, t), nil
 		}
 		if !claiming {
-			return errkind.New(errkind.Fenced, "pool %s was not claimed", pool)
+			return directory.Ownership{}, errkind.New(errkind.Fenced, "pool %s was not claimed", pool)
 		}
 		select {
 		case <-s.Clock.After(assumePoll):
 		case <-ctx.Done():
-			return errkind.New(errkind.OutcomeUnknown, "pool %s is being claimed", pool)
+			return directory.Ownership{}, errkind.New(errkind.OutcomeUnknown, "pool %s is being claimed", pool)
 		}
 	}
 }
 
+// ownership returns what the directory is to say of a duty that this node owns.
+func (s *Steward) ownership(duty string, t *Tenant) directory.Ownership {
+	self := s.Directory.Self
+	o := directory.Ownership{Pool: duty, Epoch: t.Epoch(), Node: self.Name, Life: self.Life}
+	if v, _ := s.Directory.View(); v != nil {
+		o.Slot = v.Pools[duty].Slot
+	}
+	return o
+}
+
 // assumePoll is how often a node that was asked to take a pool over looks
 // whether it has.
 const assumePoll = 5 * time.Millisecond
@@ -310,10 +367,13 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	v, _ := s.Directory.View()
-	if v == nil {
-		return
+	if v, _ := s.Directory.View(); v != nil {
+		s.giveAway(ctx, v, s.Owned())
 	}
+}
+
+// giveAway asks other nodes to take duties over.
+func (s *Steward) giveAway(ctx context.Context, v *directory.View, pools []string) {
 	rest := *v
 	rest.Nodes = make(map[string]directory.Node, len(v.Nodes))
 	for name, n := range v.Nodes {
@@ -321,13 +381,20 @@
 			rest.Nodes[name] = n
 		}
 	}
-	pools := s.Owned()
 	heirs := inherit(&rest, pools)
 	for _, pool := range pools {
 		s.give(ctx, &rest, pool, heirs[pool])
 	}
 }
 
+// settled reports whether a duty is not owned here any more, or goes on.
+func (s *Steward) settled(duty string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.owned[duty]
+	return t == nil || !s.leaving && t.Stuck() < relieveAfter
+}
+
 // giveTimeout bounds the wish that one node takes a pool over.
 const giveTimeout = time.Second
 
@@ -335,10 +402,13 @@
 func (s *Steward) give(ctx context.Context, v *directory.View, pool string, heirs []string) {
 	for _, name := range heirs {
 		bounded, cancel := context.WithTimeout(ctx, giveTimeout)
-		err := s.Take(bounded, v.Nodes[name], pool)
+		o, err := s.Take(bounded, v.Nodes[name], pool)
 		cancel()
+		if err == nil {
+			s.Directory.Learn(o)
+		}
 		s.Logger.Info().Str("event", "hand-over").Str("pool", pool).Str("to", name).AnErr("err", err).Msg("a pool is handed over")
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || s.settled(pool) {
 			return
 		}
 	}
