--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
@@ -173,7 +174,7 @@
 		}
 		for i := range r.steps {
 			for t := range r.steps[i].tasks {
-				for _, u := range r.steps[i].tasks[t].runs {
+				for _, u := range slices.Clone(r.steps[i].tasks[t].runs) {
 					p.stop(u, now, "job "+string(state))
 				}
 			}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -40,6 +40,7 @@
 
 	dirty     []*jobState
 	ended     []endedJob  // oldest first, to be forgotten
+	stops     []*run      // whose stops are not kept yet
 	planned   []*run      // since the last batch was collected
 	batch     uint64      // number of the batch that is being filled
 	committed uint64      // newest batch that is kept for good
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -62,6 +62,7 @@
 	Number  uint64
 	Records []port.Record
 	runs    []*run
+	stops   []*run
 	seen    []seenEnd
 	stored  []*jobState
 }
@@ -74,7 +75,7 @@
 
 // Collect returns what has changed since the last batch, nil for nothing.
 func (p *Pool) Collect(now time.Time) (*Batch, error) {
-	b := &Batch{Number: p.batch, runs: p.planned}
+	b := &Batch{Number: p.batch, runs: p.planned, stops: p.stops}
 	for _, j := range p.dirty {
 		if err := b.add(j, now); err != nil {
 			return nil, err
@@ -89,7 +90,7 @@
 			b.seen = append(b.seen, seenEnd{w, w.seen})
 		}
 	}
-	if len(b.Records) == 0 && len(b.seen) == 0 && len(b.runs) == 0 {
+	if len(b.Records) == 0 && len(b.seen) == 0 && len(b.runs) == 0 && len(b.stops) == 0 {
 		return nil, nil
 	}
 	for _, j := range p.dirty {
@@ -97,7 +98,7 @@
 	}
 	clear(p.dirty)
 	p.dirty = p.dirty[:0]
-	p.planned = nil
+	p.planned, p.stops = nil, nil
 	p.batch++
 	return b, nil
 }
@@ -178,6 +179,9 @@
 			p.order(u.at, Order{Run: u})
 		}
 	}
+	for _, u := range b.stops {
+		p.order(u.at, Order{Run: u, Stop: true})
+	}
 	for _, s := range b.seen {
 		s.at.kept = max(s.at.kept, s.sequence)
 	}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
@@ -130,7 +131,9 @@
 	p.touch(u.job)
 }
 
-// stop has a run stopped; one whose order has not gone out never begins.
+// stop has a run stopped; one whose order has not gone out never begins. The
+// order goes out once it is kept that the run is to be stopped: another owner must
+// not take it for one that goes on.
 func (p *Pool) stop(u *run, now time.Time, why string) {
 	if u.stopping || u.phase == over {
 		return
@@ -142,7 +145,8 @@
 		return
 	}
 	u.stopping = true
-	p.order(u.at, Order{Run: u, Stop: true})
+	p.stops = append(p.stops, u)
+	p.touch(u.job)
 }
 
 // Order is an order to a worker about a run.
@@ -322,7 +326,7 @@
 	if !u.restored && u.number == 1 && !u.began.IsZero() {
 		p.learn(u.job, s, now.Sub(u.began))
 	}
-	for _, o := range t.runs {
+	for _, o := range slices.Clone(t.runs) {
 		if o != u {
 			p.stop(o, now, "a copy is done")
 		}
