--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -189,10 +189,11 @@
 	return away < max(s.spec.MayMiss, 1)
 }
 
-// serves reports whether a task that lasts is at work.
+// serves reports whether a task that lasts is known to be at work: one on a worker
+// that does not answer is not.
 func (t *taskState) serves() bool {
 	for _, u := range t.runs {
-		if u.phase == running && !u.stopping && u.percent >= fullPace {
+		if u.phase == running && !u.stopping && u.percent >= fullPace && u.at.silent.IsZero() {
 			return true
 		}
 	}
