--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
@@ -22,8 +23,8 @@
 // Client calls other nodes; it keeps one connection to each.
 type Client struct {
 	Logger log.Logger
-	// Wrap returns the connection to use in place of a fresh one; nil keeps it.
-	Wrap func(net.Conn) net.Conn
+	// Dial opens a connection; nil does over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn // by address
@@ -66,14 +67,10 @@
 			return known, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	if c.Wrap != nil {
-		raw = c.Wrap(raw)
-	}
 	stream := jsonrpc2.NewBufferedStream(boundedConn{raw}, jsonrpc2.VarintObjectCodec{})
 	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(&c.Logger))
 	c.mu.Lock()
@@ -85,6 +82,17 @@
 	return fresh, nil
 }
 
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if c.Dial != nil {
+		return c.Dial(bounded, address)
+	}
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(bounded, "tcp", address)
+	return raw, errors.Trace(err)
+}
+
 // writeTimeout bounds a write. A peer that has gone without a word takes nothing
 // any more, and the library holds its lock while it writes: without a bound every
 // other call to that peer would wait, whatever its own time limit.
--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -22,7 +22,8 @@
 type Server struct {
 	Methods map[string]Method
 	Logger  log.Logger
-	Wrap    func(net.Conn) net.Conn
+	// Open opens the address; nil does over TCP.
+	Open func(address string) (net.Listener, error)
 
 	listener net.Listener
 }
@@ -40,7 +41,11 @@
 
 // Listen opens the address and returns the one it got.
 func (s *Server) Listen(address string) (string, error) {
-	l, err := net.Listen("tcp", address)
+	open := s.Open
+	if open == nil {
+		open = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	l, err := open(address)
 	if err != nil {
 		return "", errors.Annotate(err, "address for nodes")
 	}
@@ -68,11 +73,7 @@
 
 // run serves the connection until it or the context ends.
 func (c session) run(ctx context.Context) {
-	conn := c.raw
-	if c.s.Wrap != nil {
-		conn = c.s.Wrap(conn)
-	}
-	stream := jsonrpc2.NewBufferedStream(boundedConn{conn}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(boundedConn{c.raw}, jsonrpc2.VarintObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(&c.s.Logger))
 	select {
 	case <-rpc.DisconnectNotify():
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,9 @@
 	Workers   port.Workers
 	Instances port.Instances
 	Advisor   port.Advisor
+	// Listen and Dial connect nodes; nil does over TCP.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Node is one node; New makes it and Run brings it to life.
@@ -69,9 +73,9 @@
 // nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
 	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record)}
-	n.client = &noderpc.Client{Logger: logger}
-	n.probes = &noderpc.Client{Logger: logger}
-	n.server = &noderpc.Server{Logger: logger, Methods: n.methods()}
+	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial}
+	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial}
+	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), Open: ports.Listen}
 	if _, err := n.server.Listen(s.Peers()); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/node/random_test.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/tomlfile"
+)
+
+// randomSeeds is how many random days are played; YARDBRIDGE_TEST_SEEDS names
+// another number, and YARDBRIDGE_TEST_SEED one seed.
+const randomSeeds = 40
+
+// failedSeeds are seeds of random days that have failed once; they are played
+// first.
+var failedSeeds = []uint64{
+	22, // a node was asked to take a pool over before it had a configuration
+}
+
+// TestRandomDays plays days with faults drawn from a seed. All faults are over
+// after healed, and by the end everything must be done that was asked for.
+func TestRandomDays(t *testing.T) {
+	if text := os.Getenv("YARDBRIDGE_TEST_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		play(t, randomDay(seed))
+		return
+	}
+	count := randomSeeds
+	if text := os.Getenv("YARDBRIDGE_TEST_SEEDS"); text != "" {
+		n, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		count = n
+	}
+	seeds := failedSeeds
+	for n := range count {
+		seeds = append(seeds, uint64(n+1))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, randomDay(seed)) })
+	}
+}
+
+// The times of a random day.
+const (
+	firstFault = 5 * time.Second
+	healed     = 26 * time.Second
+	dayEnd     = 70 * time.Second
+)
+
+// randomDay draws a day.
+func randomDay(seed uint64) script {
+	r := rand.New(rand.NewPCG(seed, 2))
+	s := script{
+		Seed: seed, Nodes: 3 + r.IntN(3), Off: 4 + r.IntN(3), Until: tomlfile.Duration(dayEnd), AtWork: true, Complete: []int{1},
+		Pools: []scriptPool{{"alpha", 4 + r.IntN(3), 2}, {"beta", 3 + r.IntN(3), 2}},
+	}
+	for _, p := range s.Pools {
+		s.Jobs = append(s.Jobs,
+			scriptJob{At: seconds(2), Pool: p.Name, Steps: []scriptStep{
+				{Count: 3 + r.IntN(3), CPU: 1500, MemoryMB: 1000, Lasting: true, MayMiss: 1, PerWorker: 2},
+			}},
+			scriptJob{At: seconds(3), Pool: p.Name, Count: 20 + r.IntN(40), Gap: tomlfile.Duration(time.Duration(200+r.IntN(400)) * time.Millisecond), Steps: []scriptStep{
+				{Count: 1 + r.IntN(6), CPU: 500 + r.IntN(2000), MemoryMB: 500, Takes: tomlfile.Duration(time.Duration(300+r.IntN(1500)) * time.Millisecond)},
+				{Count: 1 + r.IntN(6), CPU: 500 + r.IntN(2000), MemoryMB: 500, Takes: tomlfile.Duration(time.Duration(300+r.IntN(900)) * time.Millisecond), After: []int{0}},
+			}},
+			scriptJob{At: seconds(4), Pool: p.Name, Count: 3, Gap: seconds(4), Spec: "poison", Steps: []scriptStep{{Count: 2, CPU: 500, MemoryMB: 100, Takes: tomlfile.Duration(300 * time.Millisecond)}}},
+			scriptJob{At: seconds(4), Pool: p.Name, Count: 5, Gap: seconds(3), Steps: []scriptStep{{Count: 2 + r.IntN(3), CPU: 1000, MemoryMB: 100, Takes: tomlfile.Duration(500 * time.Millisecond), Gang: true}}},
+		)
+	}
+	s.Events = append(s.Events, scriptEvent{At: seconds(6), Kind: "wave", Share: 0.5, AtOnce: 2 + r.IntN(2), Within: seconds(25)})
+	for range 4 + r.IntN(6) {
+		s.Events = append(s.Events, randomEvent(r, s.Nodes))
+	}
+	return s
+}
+
+func seconds(n int) tomlfile.Duration { return tomlfile.Duration(time.Duration(n) * time.Second) }
+
+// randomEvent draws a fault that is over when all must be healed.
+func randomEvent(r *rand.Rand, nodes int) scriptEvent {
+	kinds := []string{
+		"kill", "kill", "stop", "cut", "store-silent", "store-refuses", "store-lost", "workers-cut", "crash", "crash", "silent", "late",
+		"hangs", "fails", "drain", "history",
+	}
+	at := firstFault + time.Duration(r.Int64N(int64(healed-firstFault)))
+	e := scriptEvent{
+		At: tomlfile.Duration(at), Kind: kinds[r.IntN(len(kinds))], Node: 1 + r.IntN(nodes), Worker: r.IntN(4),
+		Pool: []string{"alpha", "beta"}[r.IntN(2)], Share: 0.35,
+		For: tomlfile.Duration(min(time.Duration(500+r.IntN(8000))*time.Millisecond, healed-at)),
+	}
+	if r.IntN(4) == 0 {
+		e.Node = 0 // all nodes
+	}
+	return e
+}
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -84,12 +84,12 @@
 	return empty{}, o.Submit(ctx, s)
 }
 
-func (n *Node) onState(_ context.Context, a onPool) (any, error) {
+func (n *Node) onState(ctx context.Context, a onPool) (any, error) {
 	o, err := n.owned(a.Pool)
 	if err != nil {
 		return nil, err
 	}
-	return o.State(a.Job)
+	return o.State(ctx, a.Job)
 }
 
 func (n *Node) onCancel(ctx context.Context, a onPool) (any, error) {
@@ -128,7 +128,7 @@
 	}
 	return &gateway.Desk{
 		Submit:  o.Submit,
-		State:   func(_ context.Context, id job.ID) (job.State, error) { return o.State(id) },
+		State:   o.State,
 		Cancel:  o.Cancel,
 		Pending: func(_ context.Context, queue string) (int, error) { return o.Pending(queue) },
 	}
--- /dev/null
+++ b/node/script_test.go
@@ -0,0 +1,514 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/wave"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/setting"
+	"github.com/yardbridge/yardbridge/modules/tomlfile"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+// script is a scripted test of whole nodes: what there is, what happens when, and
+// what must hold at the end.
+type script struct {
+	Seed     uint64            `toml:"seed"`
+	Nodes    int               `toml:"nodes"`
+	Off      int               `toml:"off"`   // instances that are off
+	Waves    bool              `toml:"-"`     // a wave was asked for
+	Until    tomlfile.Duration `toml:"until"` // when all must be done
+	Pools    []scriptPool      `toml:"pool"`
+	Jobs     []scriptJob       `toml:"job"`
+	Events   []scriptEvent     `toml:"event"`
+	AtWork   bool              `toml:"at_work"`  // all tasks that last must be at work at the end
+	MayStay  bool              `toml:"may_stay"` // jobs need not be done
+	Complete []int             `toml:"complete"` // waves that must be
+}
+
+type scriptPool struct {
+	Name    string `toml:"name"`
+	Workers int    `toml:"workers"`
+	Racks   int    `toml:"racks"`
+}
+
+type scriptJob struct {
+	At    tomlfile.Duration `toml:"at"`
+	Pool  string            `toml:"pool"`
+	Count int               `toml:"count"` // of like jobs
+	Gap   tomlfile.Duration `toml:"gap"`   // between them
+	Spec  string            `toml:"spec"`
+	Steps []scriptStep      `toml:"step"`
+}
+
+type scriptStep struct {
+	Count     int               `toml:"count"`
+	CPU       int               `toml:"cpu"`
+	MemoryMB  int               `toml:"memory_mb"`
+	Takes     tomlfile.Duration `toml:"takes"`
+	After     []int             `toml:"after"`
+	Lasting   bool              `toml:"lasting"`
+	MayMiss   int               `toml:"may_miss"`
+	PerWorker int               `toml:"per_worker"`
+	Gang      bool              `toml:"gang"`
+}
+
+// scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
+// store-refuses, store-lost (for one node, or all where none is named), crash,
+// silent, late, hangs, fails, drain (of a worker, by its place among those of the
+// pool), wave, history, cancel (of the jobs of a pool).
+type scriptEvent struct {
+	At     tomlfile.Duration `toml:"at"`
+	Kind   string            `toml:"kind"`
+	Node   int               `toml:"node"` // from 1, 0 for all
+	Pool   string            `toml:"pool"`
+	Worker int               `toml:"worker"`
+	For    tomlfile.Duration `toml:"for"`
+	Share  float64           `toml:"share"`
+	AtOnce int               `toml:"at_once"`
+	Within tomlfile.Duration `toml:"within"`
+}
+
+// stage is a script that is being played.
+type stage struct {
+	t      *testing.T
+	script script
+	world  *world.World
+	nodes  []*stagedNode
+	jobs   sync.WaitGroup
+	began  time.Time
+	random *rand.Rand
+
+	mu      sync.Mutex
+	lasting []job.StepRef
+	open    map[string][]job.ID // jobs by pool
+	failed  []string
+}
+
+// stagedNode is one node of a stage; it is replaced when it is killed.
+type stagedNode struct {
+	name   string
+	mu     sync.Mutex
+	node   *Node
+	cancel context.CancelFunc
+	gone   chan struct{}
+	busy   bool // it is being stopped and started
+}
+
+var testCapacity = job.Size{CPU: 16000, MemoryMB: 32768}
+
+// TestScripts plays every script of testdata.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.toml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".toml"), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			assert.NilError(t, err)
+			var s script
+			meta, err := toml.Decode(string(data), &s)
+			assert.NilError(t, err)
+			assert.Equal(t, len(meta.Undecoded()), 0, "%v", meta.Undecoded())
+			play(t, s)
+		})
+	}
+}
+
+// play plays a script in a bubble with a clock of its own.
+func play(t *testing.T, s script) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &stage{
+			t: t, script: s, world: world.New(s.Seed), began: time.Now(), open: make(map[string][]job.ID),
+			random: rand.New(rand.NewPCG(s.Seed, 1)),
+		}
+		st.build()
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, j := range s.Jobs {
+			st.jobs.Go(func() { st.submit(ctx, j) })
+		}
+		for _, e := range s.Events {
+			time.AfterFunc(e.At.Std(), func() { st.happen(e) })
+		}
+		time.Sleep(s.Until.Std())
+		st.judge()
+		cancel()
+		for _, n := range st.nodes {
+			n.stop()
+		}
+		st.jobs.Wait()
+	})
+}
+
+// build brings up the platform and the nodes.
+func (st *stage) build() {
+	var queues []config.Queue
+	pools := []config.Pool{{Name: world.Headroom, Headroom: true}}
+	for _, p := range st.script.Pools {
+		pools = append(pools, config.Pool{Name: p.Name})
+		queues = append(queues, config.Queue{
+			Name: p.Name, Host: "h", PathPrefix: "/" + p.Name + "/", Pool: p.Name, Attempts: world.Attempts, Stretch: 1.6, Target: 600 * time.Millisecond,
+		})
+		for i := range p.Workers {
+			rack := fmt.Sprintf("r-%d", i%max(p.Racks, 1))
+			st.world.AddWorker(fmt.Sprintf("m-%s-%d", p.Name, i), p.Name, rack, testCapacity)
+		}
+	}
+	for i := range st.script.Off {
+		st.world.AddInstance(fmt.Sprintf("m-off-%d", i), world.Headroom, fmt.Sprintf("r-%d", i%2), testCapacity)
+	}
+	st.world.Configure(1, queues, pools)
+	for i := range st.script.Nodes {
+		n := &stagedNode{name: fmt.Sprintf("n%d", i+1)}
+		st.nodes = append(st.nodes, n)
+		st.start(n)
+	}
+}
+
+// start brings a node up.
+func (st *stage) start(n *stagedNode) {
+	s := setting.Node{}
+	s.Node.Name, s.Node.Address, s.Node.Cores = n.name, n.name, 1
+	s.Listen.NodePort, s.Platform.Partitions = 1, 8
+	s.Bounds.LeaseMost = tomlfile.Duration(10 * time.Second)
+	s.Bounds.StopTime = tomlfile.Duration(400 * time.Millisecond)
+	s.Bounds.StatusKept = tomlfile.Duration(120 * time.Second)
+	s.Bounds.RepairTime = tomlfile.Duration(2 * time.Second)
+	s.Bounds.HolderLease = tomlfile.Duration(3 * time.Second)
+	w := st.world
+	ports := Ports{
+		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(n.name),
+		Listen: w.Listen, Dial: w.Dial(n.name),
+	}
+	logger := log.Nop()
+	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
+		logger, _ = log.New(os.Stderr, "info", n.name)
+	}
+	fresh, err := New(s, ports, clock.Clock{}, logger)
+	assert.NilError(st.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.node, n.cancel, n.gone = fresh, cancel, make(chan struct{})
+	go n.run(ctx)
+}
+
+// run runs the node until it is killed.
+func (n *stagedNode) run(ctx context.Context) {
+	n.mu.Lock()
+	node, gone := n.node, n.gone
+	n.mu.Unlock()
+	node.Run(ctx)
+	close(gone)
+}
+
+// stop ends the node at once.
+func (n *stagedNode) stop() {
+	n.mu.Lock()
+	cancel, gone := n.cancel, n.gone
+	n.node = nil
+	n.mu.Unlock()
+	cancel()
+	<-gone
+}
+
+// live returns a node that is up and ready, nil for none.
+func (st *stage) live() *Node {
+	st.mu.Lock()
+	order := st.random.Perm(len(st.nodes))
+	st.mu.Unlock()
+	for _, i := range order {
+		n := st.nodes[i]
+		n.mu.Lock()
+		node := n.node
+		n.mu.Unlock()
+		if node != nil && node.Ready() {
+			return node
+		}
+	}
+	return nil
+}
+
+// submit hands in the jobs of one entry, and waits for each to end.
+func (st *stage) submit(ctx context.Context, j scriptJob) {
+	time.Sleep(j.At.Std())
+	for range max(j.Count, 1) {
+		st.jobs.Go(func() { st.one(ctx, j) })
+		time.Sleep(j.Gap.Std())
+	}
+}
+
+func (st *stage) one(ctx context.Context, j scriptJob) {
+	s := st.submission(j)
+	st.world.Submitted(s)
+	st.mu.Lock()
+	st.open[j.Pool] = append(st.open[j.Pool], s.ID)
+	if s.Lasts() {
+		st.lasting = append(st.lasting, job.StepRef{Job: s.ID})
+	}
+	st.mu.Unlock()
+	if !st.until(ctx, func(ctx context.Context, n *Node) bool {
+		return n.Gateway.Submit(ctx, n.Gateway.Config().Queue(s.Queue), s) == nil
+	}) {
+		return
+	}
+	if s.Lasts() || st.script.MayStay {
+		return
+	}
+	want := job.Completed
+	if strings.Contains(j.Spec, "poison") {
+		want = job.Failed
+	}
+	var last job.State
+	if !st.until(ctx, func(ctx context.Context, n *Node) bool {
+		state, err := n.Gateway.State(ctx, n.Gateway.Config().Queue(s.Queue), s.ID)
+		if errkind.Is(err, errkind.Gone) {
+			st.fail("LOST: job %s of %s is not known any more", s.ID, j.Pool)
+			return true
+		}
+		if err == nil {
+			last = state
+		}
+		return err == nil && (state.Final() || state == want)
+	}) || last != want {
+		if last != job.Cancelled {
+			st.fail("job %s of %s is %q, not %q", s.ID, j.Pool, last, want)
+		}
+	}
+}
+
+func (st *stage) fail(format string, args ...any) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.failed = append(st.failed, fmt.Sprintf(format, args...))
+}
+
+// callLimit and callPause bound the calls of customers.
+const (
+	callLimit = 3 * time.Second
+	callPause = 100 * time.Millisecond
+)
+
+// until makes a call at one node after another until it succeeds; it returns false
+// where the script ends first.
+func (st *stage) until(ctx context.Context, do func(ctx context.Context, n *Node) bool) bool {
+	for ctx.Err() == nil {
+		if n := st.live(); n != nil {
+			bounded, cancel := context.WithTimeout(ctx, callLimit)
+			done := do(bounded, n)
+			cancel()
+			if done {
+				return true
+			}
+		}
+		time.Sleep(callPause)
+	}
+	return false
+}
+
+func (st *stage) submission(j scriptJob) job.Submission {
+	st.mu.Lock()
+	id := job.ID(fmt.Sprintf("%016x", st.random.Uint64()))
+	st.mu.Unlock()
+	s := job.Submission{ID: id, Queue: "h/" + j.Pool + "/", Spec: j.Spec}
+	for _, o := range j.Steps {
+		spec := job.Step{
+			Count: o.Count, Size: job.Size{CPU: o.CPU, MemoryMB: o.MemoryMB}, Estimate: o.Takes.Std(), After: o.After,
+			Lasting: o.Lasting, MayMiss: o.MayMiss, PerWorker: o.PerWorker, Gang: o.Gang,
+		}
+		s.Steps = append(s.Steps, spec)
+		if o.Lasting {
+			s.Spec = "lasts"
+		}
+	}
+	return s
+}
+
+// happen carries out an event.
+func (st *stage) happen(e scriptEvent) {
+	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
+		fmt.Fprintf(os.Stderr, "{\"event\":\"HAPPENS\",\"what\":\"%+v\",\"time\":%q}\n", e, time.Now().Format(time.RFC3339))
+	}
+	switch e.Kind {
+	case "kill", "stop":
+		for i, n := range st.nodes {
+			if e.Node == 0 || e.Node == i+1 {
+				go st.down(n, e)
+			}
+		}
+	case "cut", "store-silent", "store-refuses", "store-lost", "workers-cut":
+		for i, n := range st.nodes {
+			if e.Node == 0 || e.Node == i+1 {
+				st.world.Set(n.name, func(f *world.Faults) { fault(f, e, true) })
+				time.AfterFunc(e.For.Std(), func() { st.world.Set(n.name, func(f *world.Faults) { fault(f, e, false) }) })
+			}
+		}
+	case "wave":
+		st.wave(e)
+	case "history":
+		st.world.DropHistory()
+	case "cancel":
+		st.mu.Lock()
+		ids := slices.Clone(st.open[e.Pool])
+		st.mu.Unlock()
+		for _, id := range ids {
+			st.jobs.Go(func() { st.cancelJob(e.Pool, id) })
+		}
+	default:
+		st.trouble(e)
+	}
+}
+
+func fault(f *world.Faults, e scriptEvent, on bool) {
+	switch e.Kind {
+	case "cut":
+		f.Cut = on
+	case "store-silent":
+		f.StoreSilent = on
+	case "store-refuses":
+		f.StoreRefuses = on
+	case "workers-cut":
+		f.WorkersCut = on
+	case "store-lost":
+		f.StoreLost = 0
+		if on {
+			f.StoreLost = e.Share
+		}
+	}
+}
+
+// down ends a node, after it has handed over where it is stopped, and brings it
+// back after a while.
+func (st *stage) down(n *stagedNode, e scriptEvent) {
+	n.mu.Lock()
+	node := n.node
+	busy := n.busy
+	n.busy = true
+	n.mu.Unlock()
+	if node == nil || busy {
+		return
+	}
+	if e.Kind == "stop" {
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		node.HandOver(ctx)
+		cancel()
+	}
+	n.stop()
+	time.Sleep(e.For.Std())
+	st.start(n)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.busy = false
+}
+
+// wave asks for the maintenance of a share of all instances.
+func (st *stage) wave(e scriptEvent) {
+	list, _ := st.world.Instances("").List(context.Background())
+	v := wave.Wave{Number: 1, Within: e.Within.Std(), AtOnce: e.AtOnce}
+	for i, o := range list {
+		if float64(i) < e.Share*float64(len(list)) {
+			v.Instances = append(v.Instances, o.Name)
+		}
+	}
+	st.world.AskWave(v)
+}
+
+func (st *stage) cancelJob(pool string, id job.ID) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*callLimit)
+	defer cancel()
+	if st.until(ctx, func(ctx context.Context, n *Node) bool {
+		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id) == nil
+	}) {
+		st.world.Cancelled(id)
+	}
+}
+
+// trouble has something happen to a worker.
+func (st *stage) trouble(e scriptEvent) {
+	list, _ := st.world.Instances("").List(context.Background())
+	var ids []worker.ID
+	for _, i := range list {
+		if i.Pool == e.Pool && i.Worker != "" {
+			ids = append(ids, i.Worker)
+		}
+	}
+	if e.Worker >= len(ids) {
+		return
+	}
+	id := ids[e.Worker]
+	set := func(on bool) func(o *world.Worker) {
+		return func(o *world.Worker) {
+			switch e.Kind {
+			case "silent":
+				o.Silent = on
+			case "hangs":
+				o.Hangs = on
+			case "fails":
+				o.Fails = on
+			case "late":
+				o.Late = 0
+				if on {
+					o.Late = 2 * time.Second
+				}
+			}
+		}
+	}
+	switch e.Kind {
+	case "crash":
+		st.world.Crash(id, e.For.Std())
+	case "drain":
+		st.world.Drain(id, e.For.Std())
+	default:
+		st.world.Touch(id, set(true))
+		time.AfterFunc(e.For.Std(), func() { st.world.Touch(id, set(false)) })
+	}
+}
+
+// judge looks whether all is as it must be.
+func (st *stage) judge() {
+	st.t.Helper()
+	for _, v := range st.world.Violations() {
+		st.t.Error(v)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, f := range st.failed {
+		st.t.Error(f)
+	}
+	if st.script.AtWork {
+		for _, ref := range st.lasting {
+			if n := st.world.AtWork(ref); n < st.want(ref) {
+				st.t.Errorf("of step %s %d tasks are at work, not %d", ref, n, st.want(ref))
+			}
+		}
+	}
+	for _, number := range st.script.Complete {
+		if !st.world.Told(number) {
+			st.t.Errorf("wave %d is not told as completed; begun: %v", number, st.world.Begun(number))
+		}
+	}
+}
+
+// want returns how many tasks of a step there are.
+func (st *stage) want(ref job.StepRef) int { return st.world.Count(ref) }
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -239,11 +239,12 @@
 	d.set(&next)
 }
 
-// run enters this node and does so again where its entry is gone.
+// run enters this node and does so again where its entry is gone. Where a later
+// life of the node is entered, this one has been replaced.
 func (d *Directory) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		v, changed := d.View()
-		if v != nil && !d.isLeaving() && v.Nodes[d.Self.Name].Life != d.Self.Life {
+		if v != nil && !d.isLeaving() && v.Nodes[d.Self.Name].Life < d.Self.Life {
 			if err := d.enter(ctx); err != nil {
 				d.Logger.Warn().Str("event", "directory").Err(err).Msg("this node could not be entered")
 				changed = nil
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -82,6 +82,9 @@
 	// unsettled is for how long an order of an earlier holder whose outcome is
 	// not known may be carried out yet.
 	unsettled = 8 * time.Second
+	// intentAge is how old an intent may be when its order is given: another
+	// holder counts from the intent's time until it may order the instance.
+	intentAge = 500 * time.Millisecond
 	// clocks is by how much the clocks of two nodes may differ.
 	clocks = 500 * time.Millisecond
 	// settleTime is how long a done order may take to show in the list.
@@ -373,7 +376,7 @@
 	if !has {
 		return 0
 	}
-	least := m.Limits.HolderLease + clocks
+	least := m.Limits.HolderLease + clocks + intentAge
 	if !i.Known {
 		least = max(least, unsettled)
 	}
@@ -402,9 +405,15 @@
 	if len(due) == 0 {
 		return nil
 	}
+	written := m.Clock.Now()
 	if err := m.Journal.Append(ctx, records); err != nil {
 		return err
 	}
+	if age := m.Clock.Now().Sub(written); age > intentAge {
+		m.Logger.Info().Str("event", "order").Int("instances", len(due)).Dur("age", age).Str("outcome", "put off").
+			Msg("intents took too long to be kept and are made anew")
+		return nil
+	}
 	var orders sync.WaitGroup
 	for _, a := range due {
 		a.stage, a.sent = ordered, m.Clock.Now()
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -77,7 +77,7 @@
 			share = max(share, float64(d.used)/float64(d.size))
 		}
 	}
-	return int(math.Ceil(share * spareShare))
+	return max(int(math.Ceil(share*spareShare)), r.Apart)
 }
 
 // follow takes a need into the level of a pool.
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -24,6 +24,8 @@
 	Clock     clock.Clock
 	Logger    log.Logger
 
+	calls chan struct{} // holds a token while an append is under way; taken before mu
+
 	mu        sync.Mutex
 	writer    port.Writer
 	confirmed time.Time // when the last append that succeeded was sent
@@ -51,6 +53,7 @@
 // Claim makes this process the writer, unless another claims the partition at
 // the same time, and returns the newest records of all keys.
 func (j *Journal) Claim(ctx context.Context, node string) ([]port.Record, error) {
+	j.calls = make(chan struct{}, 1)
 	page, err := j.Store.Newest(ctx, j.Partition, "")
 	if err != nil {
 		return nil, err
@@ -101,7 +104,11 @@
 
 // Confirm makes sure that this process still is the writer; it keeps nothing, and
 // takes no sequence number, as the store counts only appends with records.
-func (j *Journal) Confirm(ctx context.Context) error { return j.append(ctx, nil) }
+func (j *Journal) Confirm(ctx context.Context) error {
+	j.calls <- struct{}{}
+	defer func() { <-j.calls }()
+	return j.append(ctx, nil)
+}
 
 // Stuck returns for how long an append has been under way, 0 for none.
 func (j *Journal) Stuck() time.Duration {
@@ -114,10 +121,11 @@
 }
 
 // Append keeps records, all or none, and returns once they are kept, or with an
-// error of the kind Fenced or Conflict once another process writes. One call is
-// made at a time. While the store does not answer it goes on until the context
-// ends.
+// error of the kind Fenced or Conflict once another process writes. While the
+// store does not answer it goes on until the context ends.
 func (j *Journal) Append(ctx context.Context, records []port.Record) error {
+	j.calls <- struct{}{}
+	defer func() { <-j.calls }()
 	j.mu.Lock()
 	j.writer.Sequence++
 	j.mu.Unlock()
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -222,23 +222,35 @@
 
 // Cancel ends a job and returns once that is kept.
 func (o *Owner) Cancel(ctx context.Context, id job.ID) error {
-	o.mu.Lock()
-	if err := o.live(); err != nil {
-		o.mu.Unlock()
-		return err
-	}
-	batch, err := o.pool.Cancel(id, o.Clock.Now())
-	o.attend()
-	o.mu.Unlock()
+	batch, err := o.cancel(id)
 	if err != nil {
-		return err
+		return o.sure(ctx, err)
 	}
 	o.poke()
 	return o.await(ctx, batch)
 }
 
+// cancel ends a job and returns the batch that carries that.
+func (o *Owner) cancel(id job.ID) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.live(); err != nil {
+		return 0, err
+	}
+	defer o.attend()
+	return o.pool.Cancel(id, o.Clock.Now())
+}
+
 // State returns what a customer is told of a job.
-func (o *Owner) State(id job.ID) (job.State, error) {
+func (o *Owner) State(ctx context.Context, id job.ID) (job.State, error) {
+	state, err := o.state(id)
+	if err != nil {
+		return "", o.sure(ctx, err)
+	}
+	return state, nil
+}
+
+func (o *Owner) state(id job.ID) (job.State, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.live(); err != nil {
@@ -251,6 +263,19 @@
 	return state, nil
 }
 
+// sure returns the error that a job is not known only if the pool was owned here
+// after it was asked for: an owner that has been replaced does not know what came
+// since, and must not say that it is not there.
+func (o *Owner) sure(ctx context.Context, err error) error {
+	if !errkind.Is(err, errkind.Gone) {
+		return err
+	}
+	if refused := o.Journal.Confirm(ctx); refused != nil {
+		return errkind.New(errkind.Fenced, "whether pool %s is owned here is not known: %v", o.Pool, refused)
+	}
+	return err
+}
+
 // Pending returns how many jobs of a queue have not begun.
 func (o *Owner) Pending(queue string) (int, error) {
 	o.mu.Lock()
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -68,6 +68,7 @@
 	Arrives job.Size       `json:"arrives"` // that the jobs of the last moments would keep busy if they went on coming
 	Waiting job.Size       `json:"waiting"` // of the other tasks that may run and have no room
 	Presses job.Size       `json:"presses"` // the part of it that is needed for all of them to be in time
+	Apart   int            `json:"apart"`   // workers that a step needs since few of its tasks may be on one
 }
 
 // WorkerReport is what a pool tells of one worker.
@@ -128,6 +129,9 @@
 		for i := range j.rounds[n].steps {
 			s := &j.rounds[n].steps[i]
 			room := s.spec.Room()
+			if s.spec.PerWorker > 0 && (s.spec.Lasting || s.waiting > 0) {
+				r.Apart = max(r.Apart, (len(s.tasks)-s.done+s.spec.PerWorker-1)/s.spec.PerWorker)
+			}
 			switch {
 			case s.spec.Lasting:
 				r.Lasting = r.Lasting.Plus(room.Times(len(s.tasks)))
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 )
 
@@ -25,10 +26,11 @@
 	aim      time.Duration // its objective
 	work     float64       // core-seconds that are left
 
-	live    int // runs under way
-	dirty   bool
-	stored  bool   // its submission is kept for good or is in the batch under way
-	changed uint64 // batch that carries its newest change
+	failedOn map[worker.ID]bool // workers on which its tasks have failed
+	live     int                // runs under way
+	dirty    bool
+	stored   bool   // its submission is kept for good or is in the batch under way
+	changed  uint64 // batch that carries its newest change
 }
 
 // roundState is one time of a job's steps; nil until it is due.
@@ -56,6 +58,7 @@
 	checkpoint string
 	runs       []*run // under way
 	notBefore  time.Time
+	failedOn   []worker.ID // workers on which it has failed
 }
 
 // ready reports whether the steps that a step follows are done.
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -46,7 +46,7 @@
 		p.place(c, now)
 	}
 	for _, w := range p.workers {
-		p.wakeAt(w.rested, now)
+		p.wakeAt(w.trust.until, now)
 	}
 	return p.wake
 }
@@ -145,10 +145,13 @@
 			p.wakeAt(t.notBefore, now)
 			continue
 		}
-		w := p.choose(c, now, nil)
-		if w == nil {
+		w := p.choose(c, t, now, nil)
+		if w == nil && t.fails == 0 {
 			return
 		}
+		if w == nil {
+			continue
+		}
 		u := p.plan(c.job, c.step, i, w, now)
 		p.logPlaced(c, u, now)
 	}
@@ -163,14 +166,14 @@
 
 // choose returns the worker that suits a task of a step best, nil where none
 // has room. Workers for which skip returns true are passed over.
-func (p *Pool) choose(c candidate, now time.Time, skip func(*workerState) bool) *workerState {
+func (p *Pool) choose(c candidate, t *taskState, now time.Time, skip func(*workerState) bool) *workerState {
 	var best *workerState
 	var bestScore float64
 	for _, w := range p.workers {
-		if !p.suits(c.step, w, now) || skip != nil && skip(w) {
+		if !p.suits(c.step, w, now) || skip != nil && skip(w) || w.trust.onTrial && t.risky(c.job) {
 			continue
 		}
-		score := p.score(c.step, w)
+		score := p.score(c.step, w) - t.mistrust(w)
 		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
@@ -264,8 +267,8 @@
 	count := make(map[*workerState]int)
 	chosen := make([]*workerState, 0, len(c.step.tasks))
 	room := c.step.spec.Room()
-	for range c.step.tasks {
-		w := p.choose(c, now, func(w *workerState) bool {
+	for i := range c.step.tasks {
+		w := p.choose(c, &c.step.tasks[i], now, func(w *workerState) bool {
 			most := c.step.spec.PerWorker
 			return rack != "" && !w.info.Has(rack) || most > 0 && c.step.perHost[w]+count[w] >= most ||
 				!room.Plus(taken[w]).Fits(w.room())
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -247,7 +247,7 @@
 	}
 	// Nothing was done by this order; an earlier one for the same run that got
 	// no answer may be carried out yet, which a stop prevents.
-	p.suspect(u.at, u, a.Verdict, now)
+	p.refusedBy(u, a.Verdict, now)
 	if u.unsure {
 		p.stop(u, now, "refused, and an earlier order may be under way")
 		return false
@@ -322,7 +322,7 @@
 	t.done = true
 	t.checkpoint = ""
 	s.done++
-	u.at.praise()
+	u.at.succeededOn()
 	if !u.restored && u.number == 1 && !u.began.IsZero() {
 		p.learn(u.job, s, now.Sub(u.began))
 	}
@@ -335,12 +335,12 @@
 
 func (p *Pool) taskFailed(u *run, now time.Time) {
 	t, s := u.task(), u.step()
-	p.suspect(u.at, u, "", now)
 	if s.spec.Lasting {
 		t.notBefore = now.Add(lastingPause)
 		return
 	}
 	t.fails++
+	p.failedOn(u, now)
 	most := u.job.queue.Attempts
 	if most > 0 && t.fails >= most && !u.job.state.Final() {
 		p.finish(u.job, job.Failed, now, "task "+u.name+" has failed as often as is allowed")
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -36,8 +36,7 @@
 	seen     int           // newest end that was taken in
 	kept     int           // newest end that is kept for good
 	told     int           // newest end that the worker was told to forget
-	strikes  int           // failures of different jobs since the last success
-	rested   time.Time     // until when nothing is placed there
+	trust    trust
 	tickets  map[job.StepRef]string
 }
 
@@ -74,7 +73,7 @@
 
 // open reports whether tasks may be placed there.
 func (w *workerState) open(now time.Time) bool {
-	return w.met && w.listed && w.silent.IsZero() && !w.leaves() && !now.Before(w.rested)
+	return w.met && w.listed && w.silent.IsZero() && !w.leaves() && !w.rests(now)
 }
 
 // leaves reports whether what runs there has to go elsewhere.
@@ -215,26 +214,3 @@
 		}
 	}
 }
-
-// The bounds of what is held against a worker.
-const (
-	strikesToRest = 2               // failures of different jobs in a row
-	rest          = 4 * time.Second // before it is tried again with one task
-)
-
-// suspect notes a failure on a worker.
-func (p *Pool) suspect(w *workerState, u *run, v port.Verdict, now time.Time) {
-	w.strikes++
-	if w.strikes < strikesToRest {
-		return
-	}
-	w.rested = now.Add(rest)
-	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("strikes", w.strikes).Str("task", u.name).
-		Str("verdict", string(v)).Msg("a worker is set aside")
-}
-
-// praise forgets failures.
-func (w *workerState) praise() {
-	w.strikes = 0
-	w.rested = time.Time{}
-}
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -48,6 +48,7 @@
 	Take func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
 
 	mu        sync.Mutex
+	running   context.Context // of Run; a duty that another node has asked to take over ends with it
 	owned     map[string]*Tenant
 	claiming  map[string]bool
 	orphaned  map[string]time.Time // since when a pool has no owner that is present
@@ -66,6 +67,9 @@
 // Run claims pools until the context ends.
 func (s *Steward) Run(ctx context.Context) {
 	began := s.Clock.Now()
+	s.mu.Lock()
+	s.running = ctx
+	s.mu.Unlock()
 	for ctx.Err() == nil {
 		v, changed := s.Directory.View()
 		if v != nil && v.Nodes[s.Directory.Self.Name].Life == s.Directory.Self.Life {
@@ -104,7 +108,7 @@
 		}
 		turn := slices.Index(heirs[pool], s.Directory.Self.Name)
 		if turn >= 0 && s.since(pool) >= time.Duration(turn)*heirTurn {
-			s.claim(ctx, pool)
+			s.claim(pool)
 		}
 	}
 }
@@ -240,10 +244,10 @@
 }
 
 // claim begins to claim a pool unless that is under way.
-func (s *Steward) claim(ctx context.Context, pool string) {
+func (s *Steward) claim(pool string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving || s.owned[pool] != nil || s.claiming[pool] {
+	if s.leaving || s.running == nil || s.running.Err() != nil || s.Config() == nil || s.owned[pool] != nil || s.claiming[pool] {
 		return
 	}
 	if s.claiming == nil {
@@ -252,7 +256,7 @@
 	}
 	s.claiming[pool] = true
 	s.tasks.Add(1)
-	go tenure{s, pool}.run(ctx)
+	go tenure{s, pool}.run(s.running)
 }
 
 // tenure is the ownership of one pool by this node, from the claim to the end.
@@ -329,7 +333,7 @@
 // Assume claims a pool at the wish of its owner, and returns the ownership once
 // it is owned here.
 func (s *Steward) Assume(ctx context.Context, pool string) (directory.Ownership, error) {
-	s.claim(context.WithoutCancel(ctx), pool)
+	s.claim(pool)
 	for {
 		s.mu.Lock()
 		t, claiming := s.owned[pool], s.claiming[pool]
--- /dev/null
+++ b/standin/world/check.go
@@ -0,0 +1,221 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// submitted is a job that was handed in, and what the world saw of it.
+type submitted struct {
+	sub       job.Submission
+	cancelled time.Time
+	done      map[string]bool      // tasks that have ended as done
+	noted     map[string]bool      // of them, those taken note of
+	fails     map[string]int       // failed ends taken note of
+	away      map[string]time.Time // since when a task that lasts is not at work
+	ordered   map[string]bool      // such a task was ended by an order
+}
+
+// cancelTime is how long after a cancel's acknowledgement a task may begin.
+const cancelTime = 3 * time.Second
+
+// Submitted tells the world of a job before it is handed in.
+func (w *World) Submitted(s job.Submission) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[s.ID] = &submitted{
+		sub: s, done: make(map[string]bool), noted: make(map[string]bool), fails: make(map[string]int), away: make(map[string]time.Time),
+		ordered: make(map[string]bool),
+	}
+}
+
+// Cancelled tells the world that a job's cancelling was acknowledged.
+func (w *World) Cancelled(id job.ID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[id].cancelled = time.Now()
+}
+
+// started checks a start, and returns the task's step and room. The lock is held.
+func (w *World) started(node string, o *Worker, s port.Start) (*job.Step, job.Size) {
+	ref, err := job.ParseTask(s.Task)
+	j := w.jobs[ref.Job]
+	if err != nil || j == nil {
+		w.broken("UNASKED: %s starts %s", node, s.Task)
+		return &job.Step{Estimate: time.Second}, job.Size{}
+	}
+	step := &j.sub.Steps[ref.Step]
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelTime {
+		w.broken("UNASKED: %s starts %s of a cancelled job", node, s.Task)
+	}
+	if s.Spec != j.sub.Spec {
+		w.broken("UNASKED: %s starts %s with another specification", node, s.Task)
+	}
+	w.checkTwice(node, j, step, s)
+	w.checkOrder(node, j, ref, step, s)
+	used := step.Room()
+	onWorker := 0
+	for name, r := range o.runs {
+		used = used.Plus(r.room)
+		if other, _ := job.ParseTask(name); other.StepRef == ref.StepRef {
+			onWorker++
+		}
+	}
+	if !used.Fits(o.info.Capacity) {
+		w.broken("LIMIT: %s starts %s on %s, which then holds %v", node, s.Task, o.info.ID, used)
+	}
+	if step.PerWorker > 0 && onWorker >= step.PerWorker {
+		w.broken("ROUTE: %s starts %s beside %d of its step", node, s.Task, onWorker)
+	}
+	if step.Label != "" && !o.info.Has(step.Label) {
+		w.broken("ROUTE: %s starts %s on %s, which lacks %s", node, s.Task, o.info.ID, step.Label)
+	}
+	return step, step.Room()
+}
+
+// checkTwice checks that no other run of a task is under way and none has ended
+// as done. The lock is held.
+func (w *World) checkTwice(node string, j *submitted, step *job.Step, s port.Start) {
+	if j.noted[s.Task] {
+		w.broken("TWICE: %s starts %s, which is done", node, s.Task)
+	}
+	if step.Duplicates {
+		return
+	}
+	for _, other := range w.workers {
+		if r := other.runs[s.Task]; r != nil && !other.over {
+			w.broken("TWICE: %s starts %s run %d beside run %d on %s", node, s.Task, s.Number, r.number, other.info.ID)
+		}
+	}
+}
+
+// checkOrder checks that a step's turn has come and that the task may be tried
+// again. The lock is held.
+func (w *World) checkOrder(node string, j *submitted, ref job.TaskRef, step *job.Step, s port.Start) {
+	for _, a := range step.After {
+		for i := range j.sub.Steps[a].Count {
+			before := job.TaskRef{StepRef: job.StepRef{Job: ref.Job, Round: ref.Round, Step: a}, Index: i}
+			if !j.done[before.String()] {
+				w.broken("ORDER: %s starts %s before %s is done", node, s.Task, before)
+			}
+		}
+	}
+	if most := w.attempts(); !step.Lasting && most > 0 && j.fails[s.Task] >= most {
+		w.broken("BUDGET: %s starts %s after %d failures", node, s.Task, j.fails[s.Task])
+	}
+}
+
+// Attempts is how often a task may fail in the model's queues.
+const Attempts = 3
+
+func (w *World) attempts() int { return Attempts }
+
+// ran notes a run's end. The lock is held.
+func (w *World) ran(_ *Worker, r *running, how worker.How) {
+	w.left(r)
+	ref, _ := job.ParseTask(r.task)
+	if j := w.jobs[ref.Job]; j != nil && how == worker.Done {
+		j.done[r.task] = true
+	}
+}
+
+// noted takes that an end may be forgotten. The lock is held.
+func (w *World) noted(e worker.End) {
+	ref, _ := job.ParseTask(e.Task)
+	j := w.jobs[ref.Job]
+	if j == nil {
+		return
+	}
+	switch e.How {
+	case worker.Done:
+		j.noted[e.Task] = true
+	case worker.Failed:
+		j.fails[e.Task]++
+	}
+}
+
+// stopped checks that a task that lasts may be taken away by an order. The lock
+// is held.
+func (w *World) stopped(node string, o *Worker, r *running) {
+	ref, _ := job.ParseTask(r.task)
+	j := w.jobs[ref.Job]
+	if j == nil || !j.cancelled.IsZero() || o.info.Draining {
+		return
+	}
+	step := &j.sub.Steps[ref.Step]
+	if !step.Lasting || step.MayMiss == 0 || o.percent(r) < whole {
+		return
+	}
+	away := 0
+	for i := range step.Count {
+		other := job.TaskRef{StepRef: ref.StepRef, Index: i}
+		if other != ref && w.isAway(j, other.String()) {
+			away++
+		}
+	}
+	if away >= step.MayMiss {
+		w.broken("AVAIL: %s ends %s while %d others of its step are away", node, r.task, away)
+	}
+	j.ordered[r.task] = true
+}
+
+// noticeTime is how long a task must not be at work to be away, unless an order
+// has ended it.
+const noticeTime = 4500 * time.Millisecond
+
+// isAway reports whether a task that lasts counts as away. The lock is held.
+func (w *World) isAway(j *submitted, task string) bool {
+	if w.atWork(task) {
+		delete(j.ordered, task)
+		delete(j.away, task)
+		return false
+	}
+	since, known := j.away[task]
+	return j.ordered[task] || known && time.Since(since) >= noticeTime
+}
+
+// left notes that a run is gone. The lock is held.
+func (w *World) left(r *running) {
+	ref, _ := job.ParseTask(r.task)
+	if j := w.jobs[ref.Job]; j != nil {
+		if _, known := j.away[r.task]; !known {
+			j.away[r.task] = time.Now()
+		}
+	}
+}
+
+// atWork reports whether a task that lasts is at work. The lock is held.
+func (w *World) atWork(task string) bool {
+	for _, o := range w.workers {
+		if r := o.runs[task]; r != nil && !o.over && !r.stopping && o.percent(r) >= whole {
+			return true
+		}
+	}
+	return false
+}
+
+// AtWork returns how many tasks of a step that lasts are at work.
+func (w *World) AtWork(ref job.StepRef) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for i := range w.jobs[ref.Job].sub.Steps[ref.Step].Count {
+		if w.atWork(job.TaskRef{StepRef: ref, Index: i}.String()) {
+			n++
+		}
+	}
+	return n
+}
+
+// Count returns how many tasks a step has.
+func (w *World) Count(ref job.StepRef) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.jobs[ref.Job].sub.Steps[ref.Step].Count
+}
--- /dev/null
+++ b/standin/world/instance.go
@@ -0,0 +1,190 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// instance is one instance in the model.
+type instance struct {
+	name      string
+	pool      string
+	condition port.Condition
+	labels    []string
+	capacity  job.Size
+	life      worker.ID // "" while it is off or down
+	wave      int       // that it is down for
+	token     uint64    // highest seen
+	holder    string
+	ordered   time.Time
+}
+
+// waveWork is what was done for a wave.
+type waveWork struct {
+	atOnce int
+	asked  []string
+	begun  map[string]bool
+}
+
+// The times of orders to instances.
+const (
+	instanceTime = 5 * time.Millisecond
+	moveTime     = 1500 * time.Millisecond
+	repairTime   = 2 * time.Second
+	holderLease  = 3 * time.Second
+)
+
+func newInstance(name, rack string, capacity job.Size) *instance {
+	return &instance{name: name, labels: []string{"a", rack}, capacity: capacity}
+}
+
+// AddInstance adds an instance that is off, in the pool of those.
+func (w *World) AddInstance(name, pool, rack string, capacity job.Size) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := newInstance(name, rack, capacity)
+	i.pool, i.condition = pool, port.Up
+	w.instances[name] = i
+}
+
+// Begun returns the instances whose maintenance for a wave has begun.
+func (w *World) Begun(number int) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.waves[number].begun))
+}
+
+// Instances returns the control of instances as a node reaches it.
+func (w *World) Instances(node string) port.Instances {
+	return port.Instances{
+		List: func(context.Context) ([]port.Instance, error) {
+			time.Sleep(instanceTime)
+			return w.listInstances(), nil
+		},
+		Move: func(_ context.Context, p port.Permit, name, pool string) error {
+			time.Sleep(instanceTime)
+			return w.moveInstance(p, name, pool)
+		},
+		Maintain: func(_ context.Context, p port.Permit, name string, wave int) error {
+			time.Sleep(instanceTime)
+			return w.maintainInstance(p, name, wave)
+		},
+	}
+}
+
+func (w *World) listInstances() []port.Instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []port.Instance
+	for _, n := range slices.Sorted(maps.Keys(w.instances)) {
+		i := w.instances[n]
+		list = append(list, port.Instance{
+			Name: i.name, Pool: i.pool, Condition: i.condition, Labels: i.labels, Capacity: i.capacity, Worker: i.life,
+		})
+	}
+	return list
+}
+
+// permitted checks who gives an order to an instance. The lock is held.
+func (w *World) permitted(i *instance, p port.Permit) {
+	if p.Token < i.token {
+		w.broken("ONE: a token %d after %d for %s", p.Token, i.token, i.name)
+	}
+	if i.holder != "" && i.holder != p.Holder && time.Since(i.ordered) < holderLease {
+		w.broken("ONE: %s orders %s %s after %s", p.Holder, i.name, time.Since(i.ordered), i.holder)
+	}
+	i.token, i.holder, i.ordered = max(i.token, p.Token), p.Holder, time.Now()
+}
+
+func (w *World) moveInstance(p port.Permit, name, pool string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.instances[name]
+	if i == nil {
+		return errkind.New(errkind.NotFound, "no instance %s", name)
+	}
+	w.permitted(i, p)
+	if i.pool == pool {
+		return nil
+	}
+	if i.condition != port.Up || w.draining(i) {
+		return errkind.New(errkind.Conflict, "busy")
+	}
+	w.takeDown(i, port.Moving)
+	i.pool = pool
+	time.AfterFunc(moveTime, func() { w.back(i) })
+	return nil
+}
+
+func (w *World) maintainInstance(p port.Permit, name string, number int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i, work := w.instances[name], w.waves[number]
+	if i == nil || work == nil {
+		return errkind.New(errkind.NotFound, "no instance %s or wave %d", name, number)
+	}
+	w.permitted(i, p)
+	if work.begun[name] {
+		return nil
+	}
+	if i.condition != port.Up || w.draining(i) {
+		return errkind.New(errkind.Conflict, "busy")
+	}
+	down := 0
+	for _, o := range w.instances {
+		if o.condition == port.Maintenance && o.wave == number {
+			down++
+		}
+	}
+	if down >= work.atOnce {
+		w.broken("LIMIT: %s is taken down beside %d others", name, down)
+	}
+	work.begun[name] = true
+	i.wave = number
+	w.takeDown(i, port.Maintenance)
+	time.AfterFunc(repairTime, func() { w.back(i) })
+	return nil
+}
+
+// draining reports whether an instance is about to leave. The lock is held.
+func (w *World) draining(i *instance) bool {
+	o := w.workers[i.life]
+	return o != nil && o.info.Draining
+}
+
+// takeDown ends the life of an instance by an order. The lock is held.
+func (w *World) takeDown(i *instance, c port.Condition) {
+	if o := w.workers[i.life]; o != nil {
+		for _, r := range o.runs {
+			w.stopped("", o, r)
+		}
+		o.end()
+		id := i.life
+		time.AfterFunc(repairTime, func() { w.unlist(id) })
+	}
+	i.condition, i.life = c, ""
+}
+
+// Headroom is the name of the pool whose instances are off.
+const Headroom = "headroom"
+
+// back brings an instance up again.
+func (w *World) back(i *instance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if i.pool == Headroom {
+		i.condition = port.Up
+		return
+	}
+	w.bringUp(i, i.pool)
+}
--- /dev/null
+++ b/standin/world/store.go
@@ -0,0 +1,228 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// partition is one partition under keys.
+type partition struct {
+	log      []port.Record
+	newest   map[string]port.Record
+	first    uint64 // oldest offset that is kept
+	epoch    uint64
+	sequence uint64
+	changed  chan struct{}
+}
+
+// storeTime is how long an append takes.
+const storeTime = 4 * time.Millisecond
+
+// Store returns the store as a node reaches it.
+func (w *World) Store(node string) port.Store {
+	s := &nodeStore{w, node}
+	return port.Store{Append: s.append, Put: s.put, AppendAt: s.appendAt, Newest: s.newest, Read: s.read}
+}
+
+// nodeStore is the store as one node reaches it.
+type nodeStore struct {
+	w    *World
+	node string
+}
+
+// reach waits as long as a call takes to get there, and fails where it does not.
+func (s *nodeStore) reach(ctx context.Context) error {
+	s.w.mu.Lock()
+	f := *s.w.fault(s.node)
+	s.w.mu.Unlock()
+	if f.StoreSilent {
+		return silence(ctx, callTimeout)
+	}
+	if f.StoreRefuses {
+		return errkind.New(errkind.LogUnavailable, "turned away")
+	}
+	select {
+	case <-time.After(storeTime + f.StoreSlow):
+		return nil
+	case <-ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "the caller has left")
+	}
+}
+
+// lost reports whether the answer to an append is lost.
+func (s *nodeStore) lost() bool {
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	return s.w.random.Float64() < s.w.fault(s.node).StoreLost
+}
+
+// answer returns an append's outcome unless its answer is lost.
+func (s *nodeStore) answer(ctx context.Context, err error) error {
+	if s.lost() {
+		return silence(ctx, callTimeout)
+	}
+	return err
+}
+
+func (w *World) partition(p port.Partition) *partition {
+	if w.partitions[p] == nil {
+		w.partitions[p] = &partition{newest: make(map[string]port.Record), changed: make(chan struct{})}
+	}
+	return w.partitions[p]
+}
+
+// add appends records. The world's lock is held.
+func (p *partition) add(records []port.Record) {
+	for _, r := range records {
+		r.Offset = p.first + uint64(len(p.log))
+		p.log = append(p.log, r)
+		if len(r.Value) == 0 {
+			delete(p.newest, r.Key)
+		} else {
+			p.newest[r.Key] = r
+		}
+	}
+	if len(records) > 0 {
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+}
+
+func (p *partition) end() uint64 { return p.first + uint64(len(p.log)) }
+
+// Write appends records as the platform or an operator does.
+func (w *World) Write(p port.Partition, records ...port.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partition(p).add(records)
+}
+
+// DropHistory drops all records but the newest of each key.
+func (w *World) DropHistory() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.partitions {
+		p.first, p.log = p.end(), nil
+	}
+}
+
+// repeats is how many of the last sequence numbers get their first answer again.
+const repeats = 5
+
+func (s *nodeStore) append(ctx context.Context, at port.Partition, wr port.Writer, records []port.Record) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	return s.answer(ctx, s.w.fencedAppend(at, wr, records))
+}
+
+func (w *World) fencedAppend(at port.Partition, wr port.Writer, records []port.Record) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.partition(at)
+	switch {
+	case wr.Epoch < p.epoch:
+		return errkind.New(errkind.Fenced, "a higher epoch has been seen")
+	case wr.Epoch > p.epoch:
+		p.epoch = wr.Epoch
+	case wr.Sequence <= p.sequence && wr.Sequence+repeats > p.sequence && len(records) > 0:
+		return nil
+	case wr.Sequence != p.sequence+1:
+		return errkind.New(errkind.Conflict, "the append does not follow")
+	}
+	if len(records) > 0 {
+		p.sequence = wr.Sequence
+	}
+	p.add(records)
+	return nil
+}
+
+func (s *nodeStore) put(ctx context.Context, at port.Partition, records []port.Record) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	s.w.Write(at, records...)
+	return s.answer(ctx, nil)
+}
+
+func (s *nodeStore) appendAt(ctx context.Context, at port.Partition, end uint64, records []port.Record) (uint64, error) {
+	if err := s.reach(ctx); err != nil {
+		return 0, err
+	}
+	s.w.mu.Lock()
+	p := s.w.partition(at)
+	if p.end() != end {
+		defer s.w.mu.Unlock()
+		return p.end(), errkind.New(errkind.Conflict, "the partition ends at %d", p.end())
+	}
+	p.add(records)
+	end = p.end()
+	s.w.mu.Unlock()
+	return end, s.answer(ctx, nil)
+}
+
+// pageRecords is the size of a page of newest records.
+const pageRecords = 500
+
+func (s *nodeStore) newest(ctx context.Context, at port.Partition, after string) (port.Page, error) {
+	if err := s.reach(ctx); err != nil {
+		return port.Page{}, err
+	}
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	p := s.w.partition(at)
+	page := port.Page{End: p.end()}
+	for _, k := range slices.Sorted(maps.Keys(p.newest)) {
+		if k <= after && after != "" {
+			continue
+		}
+		if len(page.Records) == pageRecords {
+			page.More = true
+			break
+		}
+		page.Records = append(page.Records, p.newest[k])
+	}
+	return page, nil
+}
+
+func (s *nodeStore) read(ctx context.Context, at port.Partition, from uint64, wait time.Duration) (port.Tail, error) {
+	if err := s.reach(ctx); err != nil {
+		return port.Tail{}, err
+	}
+	until := time.After(wait)
+	for {
+		s.w.mu.Lock()
+		p := s.w.partition(at)
+		tail, changed, err := p.tail(from), p.changed, error(nil)
+		if from < p.first {
+			err = errkind.New(errkind.Gone, "the records begin at %d", p.first)
+		}
+		s.w.mu.Unlock()
+		if err != nil || len(tail.Records) > 0 || wait == 0 {
+			return tail, err
+		}
+		select {
+		case <-changed:
+		case <-until:
+			return tail, nil
+		case <-ctx.Done():
+			return tail, errkind.New(errkind.OutcomeUnknown, "the caller has left")
+		}
+	}
+}
+
+func (p *partition) tail(from uint64) port.Tail {
+	t := port.Tail{End: p.end()}
+	if from >= p.first && from < p.end() {
+		t.Records = slices.Clone(p.log[from-p.first:])
+	}
+	return t
+}
--- /dev/null
+++ b/standin/world/worker.go
@@ -0,0 +1,427 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Worker is one life of an instance in the model. Its exported fields are faults
+// and are changed through World.Touch.
+type Worker struct {
+	Silent bool          // answers nothing, and runs on
+	Late   time.Duration // orders get no answer and are carried out after this
+	Hangs  bool          // what runs makes no progress
+	Slow   float64       // how many times as long work takes, 0 for once
+	Fails  bool          // all that begins fails
+
+	w       *World
+	info    worker.Worker
+	over    bool // the life has ended
+	began   time.Time
+	token   uint64
+	lease   time.Duration // on the worker's clock
+	runs    map[string]*running
+	ended   map[string]int // the newest run that is over, by task
+	ends    []worker.End
+	next    int
+	seen    int
+	void    int // ends up to this one do not count
+	changed chan struct{}
+}
+
+// running is a run under way.
+type running struct {
+	task     string
+	number   int
+	spec     string
+	room     job.Size
+	began    time.Time
+	left     time.Duration // of its work, when it was counted last
+	counted  time.Time
+	takes    time.Duration
+	stopping bool
+	timer    *time.Timer
+}
+
+// The times of a worker.
+const (
+	orderTime   = 2 * time.Millisecond
+	stopTime    = 200 * time.Millisecond
+	lastingTime = 300 * time.Millisecond // until a task that lasts is at work
+	clockStart  = 100 * time.Second
+	whole       = 100 // percent
+)
+
+// AddWorker brings a worker of an instance up in a pool and lists it.
+func (w *World) AddWorker(instance, pool, rack string, capacity job.Size) worker.ID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.instances[instance] == nil {
+		w.instances[instance] = newInstance(instance, rack, capacity)
+	}
+	return w.bringUp(w.instances[instance], pool)
+}
+
+// bringUp begins a life of an instance. The lock is held.
+func (w *World) bringUp(i *instance, pool string) worker.ID {
+	w.lives++
+	id := worker.ID(fmt.Sprintf("i-%04d", w.lives))
+	o := &Worker{
+		w: w, began: time.Now(), runs: make(map[string]*running), ended: make(map[string]int), changed: make(chan struct{}),
+		info: worker.Worker{
+			ID: id, Instance: i.name, Pool: pool, Address: "worker-" + string(id), Labels: i.labels, Capacity: i.capacity,
+		},
+	}
+	i.pool, i.condition, i.life = pool, port.Up, id
+	w.workers[id] = o
+	w.list(o)
+	return id
+}
+
+// workersAt is where workers are listed.
+var workersAt = port.Partition{Topic: "model.workers"}
+
+// list writes what a worker says of itself. The lock is held.
+func (w *World) list(o *Worker) {
+	w.partition(workersAt).add([]port.Record{{Key: string(o.info.ID), Value: encodeWorker(o.info)}})
+}
+
+// listedAfter is how long a worker stays listed that has crashed.
+const listedAfter = 4 * time.Second
+
+// Crash ends a worker's life without a word; its instance comes back after a while.
+func (w *World) Crash(id worker.ID, down time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	if o.over {
+		return
+	}
+	o.end()
+	i := w.instances[o.info.Instance]
+	i.condition, i.life = port.Down, ""
+	time.AfterFunc(listedAfter, func() { w.unlist(id) })
+	time.AfterFunc(down, func() { w.back(i) })
+}
+
+func (w *World) unlist(id worker.ID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partition(workersAt).add([]port.Record{{Key: string(id)}})
+}
+
+// Drain has a worker say that it leaves; it ends after the time.
+func (w *World) Drain(id worker.ID, after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	o.info.Draining, o.info.Remaining = true, after
+	w.list(o)
+	time.AfterFunc(after, func() { w.leave(id) })
+}
+
+// leave takes a worker and its instance away for good.
+func (w *World) leave(id worker.ID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	if o.over {
+		return
+	}
+	o.end()
+	delete(w.instances, o.info.Instance)
+	w.partition(workersAt).add([]port.Record{{Key: string(id)}})
+}
+
+// Touch changes a worker's faults.
+func (w *World) Touch(id worker.ID, change func(o *Worker)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	if o == nil {
+		return
+	}
+	for _, r := range o.runs {
+		o.count(r)
+	}
+	change(o)
+	for _, r := range o.runs {
+		o.schedule(r)
+	}
+}
+
+// end ends the worker's life. The lock is held.
+func (o *Worker) end() {
+	o.over = true
+	for _, r := range o.runs {
+		r.timer.Stop()
+		o.w.left(r)
+	}
+	clear(o.runs)
+}
+
+func (o *Worker) clock() time.Duration { return clockStart + time.Since(o.began) }
+
+// speed is how much work is done in a second. The lock is held.
+func (o *Worker) speed() float64 {
+	switch {
+	case o.Hangs:
+		return 0
+	case o.Slow > 0:
+		return 1 / o.Slow
+	}
+	return 1
+}
+
+// count takes what a run has done at the speed of now. The lock is held.
+func (o *Worker) count(r *running) {
+	done := time.Duration(float64(time.Since(r.counted)) * o.speed())
+	r.left, r.counted = max(r.left-done, 0), time.Now()
+}
+
+// schedule has a run end when its work is done at the speed of now. The lock is
+// held.
+func (o *Worker) schedule(r *running) {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	o.count(r)
+	if r.stopping || o.speed() == 0 {
+		return
+	}
+	how := worker.Done
+	if o.Fails || strings.Contains(r.spec, "poison") {
+		how = worker.Failed
+	}
+	if strings.Contains(r.spec, "lasts") {
+		return
+	}
+	r.timer = time.AfterFunc(time.Duration(float64(r.left)/o.speed()), func() { o.finish(r, how) })
+}
+
+// finish ends a run.
+func (o *Worker) finish(r *running, how worker.How) {
+	o.w.mu.Lock()
+	defer o.w.mu.Unlock()
+	o.finishLocked(r, how)
+}
+
+func (o *Worker) finishLocked(r *running, how worker.How) {
+	if o.over || o.runs[r.task] != r {
+		return
+	}
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	delete(o.runs, r.task)
+	o.ended[r.task] = r.number
+	o.next++
+	o.ends = append(o.ends, worker.End{Sequence: o.next, Task: r.task, Number: r.number, How: how})
+	close(o.changed)
+	o.changed = make(chan struct{})
+	o.w.ran(o, r, how)
+}
+
+// lapse ends all once the lease is over; ends that were not taken note of by then
+// never are. The lock is held.
+func (o *Worker) lapse() {
+	if o.lease == 0 || o.clock() < o.lease {
+		return
+	}
+	o.void = o.next
+	for _, r := range o.runs {
+		o.finishLocked(r, worker.Lapsed)
+	}
+}
+
+// Workers returns the workers as a node reaches them.
+func (w *World) Workers(node string) port.Workers {
+	return port.Workers{Open: func(info worker.Worker) *port.Link {
+		l := &nodeLink{w, node, info.ID}
+		return &port.Link{Start: l.start, Stop: l.stop, Pace: l.pace, Look: l.look, Close: func() {}}
+	}}
+}
+
+// nodeLink is a worker as one node reaches it.
+type nodeLink struct {
+	w    *World
+	node string
+	id   worker.ID
+}
+
+// order carries an order out and returns its answer.
+func (l *nodeLink) order(ctx context.Context, token uint64, do func(o *Worker) port.Verdict) port.Answer {
+	select {
+	case <-time.After(orderTime):
+	case <-ctx.Done():
+	}
+	l.w.mu.Lock()
+	o := l.w.workers[l.id]
+	cut := l.w.fault(l.node).WorkersCut || o.Silent
+	if o.over && !cut {
+		defer l.w.mu.Unlock()
+		return port.Answer{Verdict: port.Unreached}
+	}
+	if cut || o.Late > 0 {
+		if !cut {
+			time.AfterFunc(o.Late, func() { l.w.carryOut(o, token, do) })
+		}
+		l.w.mu.Unlock()
+		_ = silence(ctx, callTimeout)
+		return port.Answer{Verdict: port.Unknown}
+	}
+	defer l.w.mu.Unlock()
+	return o.take(token, do)
+}
+
+// carryOut carries a late order out.
+func (w *World) carryOut(o *Worker, token uint64, do func(o *Worker) port.Verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !o.over {
+		o.take(token, do)
+	}
+}
+
+// take carries an order out unless a higher token was seen. The lock is held.
+func (o *Worker) take(token uint64, do func(o *Worker) port.Verdict) port.Answer {
+	o.lapse()
+	if token < o.token {
+		return port.Answer{Verdict: port.TooLow, Clock: o.clock()}
+	}
+	o.token = token
+	return port.Answer{Verdict: do(o), Clock: o.clock()}
+}
+
+func (l *nodeLink) start(ctx context.Context, s port.Start) port.Answer {
+	return l.order(ctx, s.Token, func(o *Worker) port.Verdict { return o.startRun(l.node, s) })
+}
+
+// startRun begins a run. The lock is held.
+func (o *Worker) startRun(node string, s port.Start) port.Verdict {
+	if s.Deadline <= o.clock() {
+		return port.Late
+	}
+	o.extend(s.Deadline)
+	r := o.runs[s.Task]
+	switch {
+	case r != nil && r.number == s.Number:
+		return port.Taken
+	case r != nil, s.Number <= o.ended[s.Task]:
+		return port.Outdated
+	}
+	step, room := o.w.started(node, o, s)
+	takes := step.Estimate
+	if step.Lasting {
+		takes = lastingTime
+	}
+	r = &running{task: s.Task, number: s.Number, spec: s.Spec, room: room, began: time.Now(), left: takes, takes: takes, counted: time.Now()}
+	o.runs[s.Task] = r
+	r.timer = time.AfterFunc(time.Hour, func() {})
+	o.schedule(r)
+	return port.Taken
+}
+
+// extend adopts a deadline, and has what runs end once it is over. The lock is
+// held.
+func (o *Worker) extend(deadline time.Duration) {
+	if deadline <= o.lease {
+		return
+	}
+	o.lease = deadline
+	time.AfterFunc(deadline-o.clock()+time.Millisecond, func() {
+		o.w.mu.Lock()
+		defer o.w.mu.Unlock()
+		if !o.over {
+			o.lapse()
+		}
+	})
+}
+
+func (l *nodeLink) stop(ctx context.Context, s port.Stop) port.Answer {
+	return l.order(ctx, s.Token, func(o *Worker) port.Verdict {
+		r := o.runs[s.Task]
+		if r == nil || r.number != s.Number {
+			o.ended[s.Task] = max(o.ended[s.Task], s.Number)
+			return port.Taken
+		}
+		if !r.stopping {
+			r.stopping = true
+			o.w.stopped(l.node, o, r)
+			time.AfterFunc(stopTime, func() { o.finish(r, worker.Stopped) })
+		}
+		return port.Taken
+	})
+}
+
+func (l *nodeLink) pace(ctx context.Context, p port.Pace) port.Answer {
+	return l.order(ctx, p.Token, func(*Worker) port.Verdict { return port.Taken })
+}
+
+func (l *nodeLink) look(ctx context.Context, k port.Look) (worker.Listing, port.Answer) {
+	var listing worker.Listing
+	a := l.order(ctx, k.Token, func(o *Worker) port.Verdict {
+		o.extend(k.Deadline)
+		o.forget(k.Seen)
+		listing = o.listing()
+		return port.Taken
+	})
+	if a.Verdict != port.Taken || len(listing.Ends) > 0 || k.Wait == 0 {
+		listing.Clock = a.Clock
+		return listing, a
+	}
+	l.w.mu.Lock()
+	o := l.w.workers[l.id]
+	changed := o.changed
+	l.w.mu.Unlock()
+	select {
+	case <-changed:
+	case <-time.After(k.Wait):
+	case <-ctx.Done():
+	}
+	a = l.order(ctx, k.Token, func(o *Worker) port.Verdict {
+		listing = o.listing()
+		return port.Taken
+	})
+	listing.Clock = a.Clock
+	return listing, a
+}
+
+// forget drops ends that were taken note of. The lock is held.
+func (o *Worker) forget(seen int) {
+	o.seen = max(o.seen, seen)
+	for len(o.ends) > 0 && o.ends[0].Sequence <= o.seen {
+		if o.ends[0].Sequence > o.void {
+			o.w.noted(o.ends[0])
+		}
+		o.ends = o.ends[1:]
+	}
+}
+
+// listing returns what runs and what has ended. The lock is held.
+func (o *Worker) listing() worker.Listing {
+	var l worker.Listing
+	for _, r := range o.runs {
+		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r)})
+	}
+	l.Ends = append(l.Ends, o.ends...)
+	return l
+}
+
+// percent returns how much of a run's work is done. The lock is held.
+func (o *Worker) percent(r *running) int {
+	left := r.left - time.Duration(float64(time.Since(r.counted))*o.speed())
+	if left <= 0 || r.takes <= 0 {
+		return whole
+	}
+	return whole - int(whole*left/r.takes)
+}
--- /dev/null
+++ b/standin/world/world.go
@@ -0,0 +1,94 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// World is the model; New makes it. Lock order: mu is the only lock.
+type World struct {
+	mu         sync.Mutex
+	random     *rand.Rand
+	partitions map[port.Partition]*partition
+	workers    map[worker.ID]*Worker
+	instances  map[string]*instance
+	waves      map[int]*waveWork
+	jobs       map[job.ID]*submitted
+	faults     map[string]*Faults // by node
+	lives      int
+	violations []string
+	networks   network
+}
+
+// Faults are what is wrong for one node; the zero value is nothing.
+type Faults struct {
+	StoreSilent  bool          // calls to the store get no answer and do nothing
+	StoreRefuses bool          // calls to the store are refused
+	StoreLost    float64       // share of appends that are done and not answered
+	StoreSlow    time.Duration // added to each answer
+	Cut          bool          // nothing passes between this node and others
+	WorkersCut   bool          // nothing passes between this node and workers
+}
+
+// New returns an empty world whose luck is drawn from a seed.
+func New(seed uint64) *World {
+	return &World{
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		partitions: make(map[port.Partition]*partition),
+		workers:    make(map[worker.ID]*Worker),
+		instances:  make(map[string]*instance),
+		waves:      make(map[int]*waveWork),
+		jobs:       make(map[job.ID]*submitted),
+		faults:     make(map[string]*Faults),
+	}
+}
+
+// Set changes what is wrong for a node.
+func (w *World) Set(node string, change func(f *Faults)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w.fault(node))
+}
+
+// fault returns what is wrong for a node. The lock is held.
+func (w *World) fault(node string) *Faults {
+	if w.faults[node] == nil {
+		w.faults[node] = &Faults{}
+	}
+	return w.faults[node]
+}
+
+// broken notes something that must not happen. The lock is held.
+func (w *World) broken(format string, args ...any) {
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+// Violations returns what has happened that must not.
+func (w *World) Violations() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.violations...)
+}
+
+// callTimeout is how long a call waits for an answer that does not come.
+const callTimeout = 400 * time.Millisecond
+
+// silence waits as a call does that gets no answer.
+func silence(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+	return errkind.New(errkind.OutcomeUnknown, "no answer")
+}
