--- a/node/script_test.go
+++ b/node/script_test.go
@@ -198,7 +198,7 @@
 	s.Bounds.HolderLease = tomlfile.Duration(3 * time.Second)
 	w := st.world
 	ports := Ports{
-		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(n.name),
+		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(),
 		Listen: w.Listen, Dial: w.Dial(n.name),
 	}
 	logger := log.Nop()
@@ -424,7 +424,7 @@
 
 // wave asks for the maintenance of a share of all instances.
 func (st *stage) wave(e scriptEvent) {
-	list, _ := st.world.Instances("").List(context.Background())
+	list, _ := st.world.Instances().List(context.Background())
 	v := wave.Wave{Number: 1, Within: e.Within.Std(), AtOnce: e.AtOnce}
 	for i, o := range list {
 		if float64(i) < e.Share*float64(len(list)) {
@@ -446,7 +446,7 @@
 
 // trouble has something happen to a worker.
 func (st *stage) trouble(e scriptEvent) {
-	list, _ := st.world.Instances("").List(context.Background())
+	list, _ := st.world.Instances().List(context.Background())
 	var ids []worker.ID
 	for _, i := range list {
 		if i.Pool == e.Pool && i.Worker != "" {
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -127,7 +127,7 @@
 	if whole {
 		for _, id := range o.pool.Workers() {
 			if !present[id] {
-				o.pool.Miss(id, now)
+				o.pool.Miss(id)
 			}
 		}
 	}
@@ -138,9 +138,9 @@
 
 // Miss hands the pool the news that workers are listed no longer.
 func (o *Owner) Miss(ids []worker.ID) {
-	o.change(func(p *scheduler.Pool, now time.Time) {
+	o.change(func(p *scheduler.Pool, _ time.Time) {
 		for _, id := range ids {
-			p.Miss(id, now)
+			p.Miss(id)
 		}
 	})
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -146,7 +146,7 @@
 // Miss takes the news that a worker stands in the platform's list no longer: it
 // has left, crashed or been silent. What ran there may run on until its lease
 // has lapsed.
-func (p *Pool) Miss(id worker.ID, now time.Time) {
+func (p *Pool) Miss(id worker.ID) {
 	w := p.workers[id]
 	if w == nil || !w.listed {
 		return
--- a/standin/world/instance.go
+++ b/standin/world/instance.go
@@ -64,8 +64,8 @@
 	return slices.Sorted(maps.Keys(w.waves[number].begun))
 }
 
-// Instances returns the control of instances as a node reaches it.
-func (w *World) Instances(node string) port.Instances {
+// Instances returns the control of instances.
+func (w *World) Instances() port.Instances {
 	return port.Instances{
 		List: func(context.Context) ([]port.Instance, error) {
 			time.Sleep(instanceTime)
