--- a/models/job/job.go
+++ b/models/job/job.go
@@ -4,6 +4,8 @@
 package job
 
 import (
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -114,6 +116,31 @@
 	return s.First.Add(time.Duration(round) * s.Interval)
 }
 
+// Kinds names what is special about the job's steps, for logs.
+func (s *Submission) Kinds() string {
+	var kinds []string
+	note := func(has bool, kind string) {
+		if has && !slices.Contains(kinds, kind) {
+			kinds = append(kinds, kind)
+		}
+	}
+	note(s.Times > 0, "times")
+	for i := range s.Steps {
+		o := &s.Steps[i]
+		note(o.Lasting, "lasting")
+		note(o.Filling, "filling")
+		note(o.Target > 0, "target")
+		note(o.Gang, "gang")
+		note(o.SameRack, "same-rack")
+		note(o.Label != "", "label:"+o.Label)
+		note(o.Rack != "", "data")
+		note(o.PerWorker > 0, "apart")
+		note(o.Duplicates, "copies")
+		note(o.Checkpoints, "checkpoints")
+	}
+	return strings.Join(kinds, " ")
+}
+
 // Lasts reports whether a step of the job runs until the job is cancelled.
 func (s *Submission) Lasts() bool {
 	for i := range s.Steps {
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -102,7 +102,7 @@
 	m.done = make(chan struct{})
 	m.past = make(map[string]intent)
 	m.view = view{
-		pools: make(map[string]*poolState), actions: make(map[string]*action), repair: m.Limits.Repair,
+		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[bar]bool), repair: m.Limits.Repair,
 	}
 	if err := m.restore(records); err != nil {
 		return err
@@ -239,6 +239,22 @@
 			Int("arrives_cpu", p.report.Arrives.CPU).Int("presses_cpu", p.report.Presses.CPU).
 			Dur("age", m.Clock.Now().Sub(p.at)).Msg("what a pool needs or has is another")
 	}
+	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
+		m.logLabels(name, m.view.pools[name])
+	}
+}
+
+// logLabels logs what a pool needs and has by label where that has changed.
+func (m *Manager) logLabels(name string, p *poolState) {
+	lacks := make(map[string]int, len(p.report.Labels))
+	for label := range p.report.Labels {
+		lacks[label] = m.view.lackLabel(name, label)
+	}
+	if maps.Equal(lacks, p.lacked) {
+		return
+	}
+	p.lacked = lacks
+	m.Logger.Info().Str("event", "capacity").Str("of", name).Interface("lacks", lacks).Msg("what a pool lacks by label is another")
 }
 
 // takeWaves takes the operators' waves, and keeps when each was seen first.
@@ -451,6 +467,9 @@
 		// It is given again with the next plan; one that is done already is
 		// answered as done.
 	default:
+		if errkind.Is(err, errkind.NotFound) && a.to != "" {
+			m.view.barred[bar{kind(m.view.instances[a.instance]), a.to}] = true
+		}
 		delete(m.view.actions, a.instance)
 		a.stage = emptying
 	}
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -39,12 +39,13 @@
 // poolState is what is known of one pool.
 type poolState struct {
 	report scheduler.Report
-	at     time.Time // when it was told
-	hard   int       // instances that what is there needs now
-	need   int       // the same and the spare ones
-	level  int       // the same, held for a while after a peak
-	peak   time.Time // when it last needed as many
-	logged [2]int    // need and supply, as logged last
+	at     time.Time      // when it was told
+	hard   int            // instances that what is there needs now
+	need   int            // the same and the spare ones
+	level  int            // the same, held for a while after a peak
+	peak   time.Time      // when it last needed as many
+	logged [2]int         // need and supply, as logged last
+	lacked map[string]int // instances lacked by label, as logged last
 }
 
 // view is what a plan is made from.
@@ -56,6 +57,18 @@
 	waves     []*waveState
 	actions   map[string]*action // by instance
 	repair    time.Duration      // that a maintenance takes
+	barred    map[bar]bool       // moves that the platform does not make
+}
+
+// bar is a move that the platform does not make: of instances of a kind to a pool.
+type bar struct{ kind, pool string }
+
+// kind returns the label of an instance's kind, which is its first one.
+func kind(i port.Instance) string {
+	if len(i.Labels) == 0 {
+		return ""
+	}
+	return i.Labels[0]
 }
 
 // The numbers of instances that are held for a pool.
@@ -66,9 +79,15 @@
 	holdLevel  = 3 * time.Second // after a peak; a move there and back takes as long
 )
 
-// hardNeed returns how many instances of a size what a pool has needs.
+// hardNeed returns how many instances of a size what a pool has needs, those with
+// labels aside.
 func hardNeed(r scheduler.Report, size job.Size) int {
 	used := r.Lasting.Plus(r.Running.Max(r.Arrives)).Plus(r.Presses)
+	return max(instances(used, size), r.Apart)
+}
+
+// instances returns how many instances of a size room takes, with some to spare.
+func instances(used, size job.Size) int {
 	share := 0.0
 	for _, d := range []struct{ used, size int }{
 		{used.CPU, size.CPU}, {used.MemoryMB, size.MemoryMB}, {used.Accelerators, size.Accelerators},
@@ -77,7 +96,7 @@
 			share = max(share, float64(d.used)/float64(d.size))
 		}
 	}
-	return max(int(math.Ceil(share*spareShare)), r.Apart)
+	return int(math.Ceil(share * spareShare))
 }
 
 // follow takes a need into the level of a pool.
@@ -120,8 +139,16 @@
 
 // supply returns how many instances serve a pool or are about to.
 func (v *view) supply(pool string) int {
+	return v.supplyOf(pool, func(port.Instance) bool { return true })
+}
+
+// supplyOf returns how many such instances are of a sort.
+func (v *view) supplyOf(pool string, sort func(port.Instance) bool) int {
 	n := 0
 	for name, i := range v.instances {
+		if !sort(i) {
+			continue
+		}
 		a := v.actions[name]
 		switch {
 		case a != nil && a.to != "":
@@ -286,6 +313,7 @@
 // to the pool whose instances are off.
 func (v *view) move() []*action {
 	var began []*action
+	began = append(began, v.fillLabels()...)
 	for _, of := range []func(*poolState) int{(*poolState).hardNeed, (*poolState).softNeed} {
 		began = append(began, v.fill(of)...)
 	}
@@ -297,6 +325,9 @@
 			if v.supply(pool) <= p.level+v.swaps(pool) {
 				break
 			}
+			if !v.spared(pool, i) {
+				continue
+			}
 			a := v.begin(i, v.headroom, 0)
 			v.actions[i.Name] = a
 			began = append(began, a)
@@ -317,8 +348,8 @@
 		if lack <= 0 {
 			return began
 		}
-		i, has := v.donor(pool, need)
-		if !has {
+		i, found := v.donor(pool, "", need)
+		if !found {
 			return began
 		}
 		a := v.begin(i, pool, 0)
@@ -327,6 +358,51 @@
 	}
 }
 
+// fillLabels begins moves of instances with labels to the pools whose tasks need
+// them.
+func (v *view) fillLabels() []*action {
+	var began []*action
+	for pool, p := range v.pools {
+		for label := range p.report.Labels {
+			for range v.lackLabel(pool, label) {
+				i, found := v.donor(pool, label, (*poolState).hardNeed)
+				if !found {
+					break
+				}
+				a := v.begin(i, pool, 0)
+				v.actions[i.Name] = a
+				began = append(began, a)
+			}
+		}
+	}
+	return began
+}
+
+// lackLabel returns how many more instances with a label a pool needs.
+func (v *view) lackLabel(pool, label string) int {
+	p := v.pools[pool]
+	if p == nil {
+		return 0
+	}
+	room, needed := p.report.Labels[label]
+	if !needed {
+		return 0
+	}
+	return max(instances(room, v.usual()), 1) - v.supplyOf(pool, func(i port.Instance) bool { return has(i, label) })
+}
+
+// spared reports whether a pool can do without an instance as far as labels go.
+func (v *view) spared(pool string, i port.Instance) bool {
+	for _, label := range i.Labels {
+		if p := v.pools[pool]; p != nil {
+			if _, needed := p.report.Labels[label]; needed && v.lackLabel(pool, label) >= 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // neediest returns the pool that lacks the most instances, and how many.
 func (v *view) neediest(need func(*poolState) int) (string, int) {
 	best, most := "", 0
@@ -350,20 +426,23 @@
 	return 0
 }
 
-// donor returns the instance that a pool is to get: one that is off, else one
-// that another pool does not need now.
-func (v *view) donor(pool string, need func(*poolState) int) (port.Instance, bool) {
+// has reports whether an instance carries a label.
+func has(i port.Instance, label string) bool { return slices.Contains(i.Labels, label) }
+
+// donor returns the instance that a pool is to get, with a label unless that is
+// "": one that is off, else one that another pool does not need now.
+func (v *view) donor(pool, label string, need func(*poolState) int) (port.Instance, bool) {
 	var best port.Instance
-	has := false
+	found := false
 	for _, i := range v.free(v.headroom) {
-		if v.headroom == "" || !v.alike(i, pool) {
+		if v.headroom == "" || !v.allowed(i, pool) || label != "" && !has(i, label) {
 			continue
 		}
-		if !has || v.better(pool, i, best) {
-			best, has = i, true
+		if !found || v.better(pool, i, best) {
+			best, found = i, true
 		}
 	}
-	if has {
+	if found {
 		return best, true
 	}
 	from, most := "", 0
@@ -374,32 +453,15 @@
 		}
 	}
 	for _, i := range v.free(from) {
-		if v.alike(i, pool) {
+		if v.allowed(i, pool) && v.spared(from, i) && (label == "" || has(i, label)) {
 			return i, true
 		}
 	}
 	return port.Instance{}, false
 }
 
-// alike reports whether an instance is of the kind that a pool has.
-func (v *view) alike(i port.Instance, pool string) bool {
-	for _, o := range v.instances {
-		if o.Pool == pool && len(o.Labels) > 0 && len(i.Labels) > 0 {
-			if o.Labels[0] == i.Labels[0] {
-				return true
-			}
-		}
-	}
-	return !slices.ContainsFunc(v.all(), func(o port.Instance) bool { return o.Pool == pool })
-}
-
-func (v *view) all() []port.Instance {
-	list := make([]port.Instance, 0, len(v.instances))
-	for _, i := range v.instances {
-		list = append(list, i)
-	}
-	return list
-}
+// allowed reports whether an instance may be moved to a pool, as far as is known.
+func (v *view) allowed(i port.Instance, pool string) bool { return !v.barred[bar{kind(i), pool}] }
 
 // better reports whether one instance suits a pool better than another: first
 // one that is in no wave's way, then one in a rack with fewer of the pool.
--- a/services/scheduler/arrival.go
+++ b/services/scheduler/arrival.go
@@ -56,7 +56,7 @@
 	p.arrivals.fade(now)
 	for i := range j.sub.Steps {
 		s := &j.sub.Steps[i]
-		if !s.Lasting {
+		if !s.Lasting && s.Label == "" {
 			p.arrivals.add(s.Room().Times(s.Count), p.expect(j.sub.Queue, s).Seconds())
 		}
 	}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -61,14 +61,15 @@
 
 // Report is what a pool tells of its workers and of the room it needs.
 type Report struct {
-	Epoch   uint64         `json:"epoch"`
-	Workers []WorkerReport `json:"workers"`
-	Lasting job.Size       `json:"lasting"` // of the tasks that last, under way or waiting
-	Running job.Size       `json:"running"` // of the other runs
-	Arrives job.Size       `json:"arrives"` // that the jobs of the last moments would keep busy if they went on coming
-	Waiting job.Size       `json:"waiting"` // of the other tasks that may run and have no room
-	Presses job.Size       `json:"presses"` // the part of it that is needed for all of them to be in time
-	Apart   int            `json:"apart"`   // workers that a step needs since few of its tasks may be on one
+	Epoch   uint64              `json:"epoch"`
+	Workers []WorkerReport      `json:"workers"`
+	Lasting job.Size            `json:"lasting"`          // of the tasks that last, under way or waiting
+	Running job.Size            `json:"running"`          // of the other runs
+	Arrives job.Size            `json:"arrives"`          // that the jobs of the last moments would keep busy if they went on coming
+	Waiting job.Size            `json:"waiting"`          // of the other tasks that may run and have no room
+	Presses job.Size            `json:"presses"`          // the part of it that is needed for all of them to be in time
+	Apart   int                 `json:"apart"`            // workers that a step needs since few of its tasks may be on one
+	Labels  map[string]job.Size `json:"labels,omitempty"` // of the tasks that need a label, by it; they count here only
 }
 
 // WorkerReport is what a pool tells of one worker.
@@ -93,11 +94,15 @@
 		for _, u := range w.runs {
 			switch {
 			case u.stray:
+				continue
 			case u.step().spec.Lasting:
 				o.Lasting++
-			default:
+			case u.step().spec.Label == "":
 				r.Running = r.Running.Plus(u.room)
 			}
+			if label := u.step().spec.Label; label != "" {
+				r.label(label, u.room)
+			}
 		}
 		r.Workers = append(r.Workers, o)
 	}
@@ -107,6 +112,14 @@
 	return r
 }
 
+// label adds room that is needed on workers with a label.
+func (r *Report) label(label string, room job.Size) {
+	if r.Labels == nil {
+		r.Labels = make(map[string]job.Size)
+	}
+	r.Labels[label] = r.Labels[label].Plus(room)
+}
+
 // pressure returns which part of the room that a waiting task of a job takes is
 // needed: all of it while the job can be in time, since what others leave free
 // comes too late for most; of a late one the part that is needed for it to be of
@@ -133,6 +146,10 @@
 				r.Apart = max(r.Apart, (len(s.tasks)-s.done+s.spec.PerWorker-1)/s.spec.PerWorker)
 			}
 			switch {
+			case s.spec.Label != "":
+				if s.waiting > 0 && j.rounds[n].ready(i) {
+					r.label(s.spec.Label, room.Times(s.waiting).Scale(p.pressure(j, s, now)))
+				}
 			case s.spec.Lasting:
 				r.Lasting = r.Lasting.Plus(room.Times(len(s.tasks)))
 			case s.waiting > 0 && j.rounds[n].ready(i):
@@ -170,7 +187,7 @@
 	s := u.step()
 	switch {
 	case s.spec.Lasting:
-		if w.info.Draining && !w.cordoned || p.mayMiss(s) {
+		if w.info.Draining && !w.cordoned || p.mayMiss(s) && p.elsewhere(s, now) {
 			p.stop(u, now, "its worker is to be left")
 		}
 	case s.spec.Checkpoints && !s.spec.Gang:
@@ -181,6 +198,16 @@
 	}
 }
 
+// elsewhere reports whether a task of a step has room on an open worker.
+func (p *Pool) elsewhere(s *stepState, now time.Time) bool {
+	for _, w := range p.workers {
+		if p.suits(s, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayMiss reports whether one more task of a step that lasts may be away by our
 // doing.
 func (p *Pool) mayMiss(s *stepState) bool {
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -119,7 +119,7 @@
 	p.touch(j)
 	p.moved = true
 	p.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Str("queue", s.Queue).Int("steps", len(s.Steps)).
-		Uint64("config", p.version()).Uint64("batch", p.batch).Dur("aim", j.aim).Str("outcome", "taken").Msg("a job was taken")
+		Str("kinds", s.Kinds()).Uint64("config", p.version()).Uint64("batch", p.batch).Dur("aim", j.aim).Str("outcome", "taken").Msg("a job was taken")
 	return p.batch
 }
 
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +41,7 @@
 		return p.wake
 	}
 	p.moved, p.wake = false, time.Time{}
+	p.reserved, p.reservedFor = nil, nil
 	p.Lapse(now)
 	p.sweep()
 	for _, c := range p.candidates(now) {
@@ -186,6 +188,8 @@
 	switch {
 	case !w.open(now), !s.spec.Room().Fits(w.room()):
 		return false
+	case p.reserved[w] && p.reservedFor != s && !s.spec.Lasting:
+		return false
 	case s.spec.Label != "" && !w.info.Has(s.spec.Label):
 		return false
 	case s.spec.PerWorker > 0 && s.perHost[w] >= s.spec.PerWorker:
@@ -238,6 +242,7 @@
 		chosen = p.seats(c, now, "")
 	}
 	if chosen == nil {
+		p.reserve(c, now)
 		return
 	}
 	number := 0
@@ -250,6 +255,61 @@
 	}
 }
 
+// reserve keeps workers free for a gang that waits, so that room for all of it
+// comes together: nothing else is placed there in this plan. One gang at a time
+// has that right, the most urgent one.
+func (p *Pool) reserve(c candidate, now time.Time) {
+	if p.reservedFor != nil || c.urgency == timely && now.Sub(c.job.accepted) < gangPatience {
+		return
+	}
+	p.reservedFor = c.step
+	p.reserved = make(map[*workerState]bool)
+	room := c.step.spec.Room()
+	left := len(c.step.tasks)
+	for _, w := range p.byRoom() {
+		if left <= 0 {
+			return
+		}
+		fits := p.wouldFit(c.step, w, room, now)
+		if fits > 0 {
+			p.reserved[w] = true
+			left -= fits
+		}
+	}
+}
+
+// gangPatience is how long a gang that can be in time waits for room before
+// workers are kept free for it.
+const gangPatience = time.Second
+
+// byRoom returns the workers, those with the most room first.
+func (p *Pool) byRoom() []*workerState {
+	list := slices.Collect(maps.Values(p.workers))
+	slices.SortFunc(list, func(a, b *workerState) int {
+		return cmp.Or(cmp.Compare(b.room().CPU, a.room().CPU), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	return list
+}
+
+// wouldFit returns how many tasks of a step a worker takes once nothing but tasks
+// that last runs there.
+func (p *Pool) wouldFit(s *stepState, w *workerState, room job.Size, now time.Time) int {
+	if !w.open(now) || s.spec.Label != "" && !w.info.Has(s.spec.Label) {
+		return 0
+	}
+	free := w.info.Capacity
+	for _, u := range w.runs {
+		if !u.stray && u.step().spec.Lasting {
+			free = free.Minus(u.room)
+		}
+	}
+	fits := 0
+	for room.Times(fits+1).Fits(free) && (s.spec.PerWorker == 0 || fits < s.spec.PerWorker) && fits < len(s.tasks) {
+		fits++
+	}
+	return fits
+}
+
 // racks returns the racks of the workers, in order.
 func (p *Pool) racks() []string {
 	var racks []string
