--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -207,19 +207,55 @@
 	return nil
 }
 
-// Submit takes a job and returns once it is kept.
+// The patience with a store that does not answer. It answers in 4 ms, and 60 times
+// as long on its slow days.
+const (
+	stuckRefuse = 400 * time.Millisecond // an append under way for so long: what comes is refused
+	stuckTake   = 600 * time.Millisecond // a job that has waited so long and is in no append is refused
+)
+
+// Submit takes a job and returns once it is kept. While the store does not answer,
+// a job that is in no append is refused at once, which is true: it was not kept.
 func (o *Owner) Submit(ctx context.Context, s job.Submission) error {
-	o.mu.Lock()
-	if err := o.live(); err != nil {
-		o.mu.Unlock()
+	batch, err := o.submit(s)
+	if err != nil {
 		return err
 	}
-	batch := o.pool.Submit(s, o.Clock.Now())
-	o.mu.Unlock()
 	o.poke()
+	bounded, cancel := context.WithTimeout(ctx, stuckTake)
+	err = o.await(bounded, batch)
+	cancel()
+	if err == nil || !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
+		return err
+	}
+	if o.withdraw(s.ID) {
+		return errkind.New(errkind.LogUnavailable, "the store has not answered for %s; the job was not kept", stuckTake)
+	}
 	return o.await(ctx, batch)
 }
 
+// submit takes a job and returns the batch that carries it.
+func (o *Owner) submit(s job.Submission) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.live(); err != nil {
+		return 0, err
+	}
+	if stuck := o.Journal.Stuck(); stuck > stuckRefuse && !o.pool.Has(s.ID) {
+		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("stuck", stuck).Str("outcome", "refused").
+			Msg("a job is refused since the store does not answer")
+		return 0, errkind.New(errkind.LogUnavailable, "the store has not answered for %s", stuck.Round(time.Millisecond))
+	}
+	return o.pool.Submit(s, o.Clock.Now()), nil
+}
+
+// withdraw takes a job back that is in no append yet.
+func (o *Owner) withdraw(id job.ID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.over == nil && o.pool.Withdraw(id)
+}
+
 // Cancel ends a job and returns once that is kept.
 func (o *Owner) Cancel(ctx context.Context, id job.ID) error {
 	batch, err := o.cancel(id)
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -26,11 +26,12 @@
 	aim      time.Duration // its objective
 	work     float64       // core-seconds that are left
 
-	failedOn map[worker.ID]bool // workers on which its tasks have failed
-	live     int                // runs under way
-	dirty    bool
-	stored   bool   // its submission is kept for good or is in the batch under way
-	changed  uint64 // batch that carries its newest change
+	failedOn  map[worker.ID]bool // workers on which its tasks have failed
+	live      int                // runs under way
+	dirty     bool
+	stored    bool   // its submission is kept for good or is in the batch under way
+	collected bool   // a batch carries it
+	changed   uint64 // batch that carries its newest change
 }
 
 // roundState is one time of a job's steps; nil until it is due.
@@ -123,6 +124,34 @@
 	return p.batch
 }
 
+// Has reports whether a job is known.
+func (p *Pool) Has(id job.ID) bool { return p.jobs[id] != nil }
+
+// Withdraw takes a job back that no batch carries yet, and reports whether it did.
+func (p *Pool) Withdraw(id job.ID) bool {
+	j := p.jobs[id]
+	if j == nil || j.collected {
+		return false
+	}
+	for _, r := range j.rounds {
+		if r == nil {
+			continue
+		}
+		for i := range r.steps {
+			for t := range r.steps[i].tasks {
+				for _, u := range slices.Clone(r.steps[i].tasks[t].runs) {
+					p.release(u) // its order has not gone out, since no batch carries it
+				}
+			}
+		}
+	}
+	p.dirty = slices.DeleteFunc(p.dirty, func(o *jobState) bool { return o == j })
+	p.active = slices.DeleteFunc(p.active, func(o *jobState) bool { return o == j })
+	delete(p.jobs, id)
+	p.Logger.Info().Str("event", "submit").Str("job", string(id)).Str("outcome", "withdrawn").Msg("a job that was not kept is given back")
+	return true
+}
+
 func (p *Pool) version() uint64 {
 	if p.config == nil {
 		return 0
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -95,6 +95,7 @@
 	}
 	for _, j := range p.dirty {
 		j.dirty = false
+		j.collected = true
 	}
 	clear(p.dirty)
 	p.dirty = p.dirty[:0]
@@ -239,7 +240,7 @@
 
 func (p *Pool) restoreJob(s job.Submission, d progress, now time.Time, surely time.Duration) {
 	j := p.newJob(s, time.UnixMilli(d.Accepted))
-	j.state, j.began, j.stored = d.State, d.Began, true
+	j.state, j.began, j.stored, j.collected = d.State, d.Began, true, true
 	p.jobs[s.ID] = j
 	if d.State.Final() {
 		j.endedAt = time.UnixMilli(d.Ended)
