--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -73,21 +73,41 @@
 
 // The numbers of instances that are held for a pool.
 const (
-	spareShare = 1.1             // of the room that is in use or waited for
-	spare      = 2               // instances beyond that, so that what comes finds room at once
-	keepFrom   = 1               // instances that a pool keeps beyond its need when others take from it
-	holdLevel  = 3 * time.Second // after a peak; a move there and back takes as long
+	spareShare   = 1.1                     // of the room that is in use or waited for
+	mostSpare    = 5.0                     // instances that a pool whose jobs can't wait has free
+	leastSpare   = 1.0                     // the same for one whose jobs can
+	hastySlack   = 1500 * time.Millisecond // of jobs that can't wait: an instance takes longer to come
+	patientSlack = 3 * time.Second         // of jobs that can
+	keepFrom     = 1                       // instances that a pool keeps beyond its need when others take from it
+	holdLevel    = 3 * time.Second         // after a peak; a move there and back takes as long
 )
 
-// hardNeed returns how many instances of a size what a pool has needs, those with
-// labels aside.
-func hardNeed(r scheduler.Report, size job.Size) int {
+// needs returns how many instances of a size a pool needs for what it has, those
+// with labels aside, and how many with the spare ones. What must be apart leaves
+// most of its instances free, which are as good as spare ones.
+func needs(r scheduler.Report, size job.Size) (hard, soft int) {
 	used := r.Lasting.Plus(r.Running.Max(r.Arrives)).Plus(r.Presses)
-	return max(instances(used, size), r.Apart)
+	share := shareOf(used, size) * spareShare
+	return max(int(math.Ceil(share)), r.Apart), max(int(math.Ceil(share+spareFor(r.Slack))), r.Apart)
+}
+
+// spareFor returns how many instances a pool is to have free, so that a rush of
+// jobs with a slack finds room until more instances have come.
+func spareFor(slack time.Duration) float64 {
+	if slack == 0 {
+		return mostSpare
+	}
+	part := float64(patientSlack-slack) / float64(patientSlack-hastySlack)
+	return leastSpare + (mostSpare-leastSpare)*min(max(part, 0), 1)
 }
 
 // instances returns how many instances of a size room takes, with some to spare.
 func instances(used, size job.Size) int {
+	return int(math.Ceil(shareOf(used, size) * spareShare))
+}
+
+// shareOf returns how many instances of a size room fills.
+func shareOf(used, size job.Size) float64 {
 	share := 0.0
 	for _, d := range []struct{ used, size int }{
 		{used.CPU, size.CPU}, {used.MemoryMB, size.MemoryMB}, {used.Accelerators, size.Accelerators},
@@ -96,14 +116,12 @@
 			share = max(share, float64(d.used)/float64(d.size))
 		}
 	}
-	return int(math.Ceil(share * spareShare))
+	return share
 }
 
 // follow takes a need into the level of a pool.
-func (p *poolState) follow(hard int, now time.Time) {
-	p.hard = hard
-	n := hard + spare
-	p.need = n
+func (p *poolState) follow(hard, n int, now time.Time) {
+	p.hard, p.need = hard, n
 	if n >= p.level {
 		p.level, p.peak = n, now
 		return
@@ -117,7 +135,8 @@
 func (v *view) plan() []*action {
 	size := v.usual()
 	for _, p := range v.pools {
-		p.follow(hardNeed(p.report, size), v.now)
+		hard, soft := needs(p.report, size)
+		p.follow(hard, soft, v.now)
 	}
 	began := v.maintain()
 	for _, a := range began {
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -69,6 +69,7 @@
 	Waiting job.Size            `json:"waiting"`          // of the other tasks that may run and have no room
 	Presses job.Size            `json:"presses"`          // the part of it that is needed for all of them to be in time
 	Apart   int                 `json:"apart"`            // workers that a step needs since few of its tasks may be on one
+	Slack   time.Duration       `json:"slack"`            // that jobs have when they come, on the mean; 0 where none has come
 	Labels  map[string]job.Size `json:"labels,omitempty"` // of the tasks that need a label, by it; they count here only
 }
 
@@ -85,7 +86,7 @@
 
 // Report returns what the pool tells of itself.
 func (p *Pool) Report(now time.Time) Report {
-	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now)}
+	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Slack: seconds(p.slack.value)}
 	for id, w := range p.workers {
 		o := WorkerReport{
 			ID: id, Instance: w.info.Instance, Open: w.open(now), Runs: len(w.runs), Used: w.used,
@@ -120,17 +121,20 @@
 	r.Labels[label] = r.Labels[label].Plus(room)
 }
 
+// addTime is how long it takes an instance to come to a pool: the move, and until
+// its worker is known.
+const addTime = 1700 * time.Millisecond
+
 // pressure returns which part of the room that a waiting task of a job takes is
-// needed: all of it while the job can be in time, since what others leave free
-// comes too late for most; of a late one the part that is needed for it to be of
-// use yet, when others may use the room before it.
+// needed: all of it where the job can't wait much longer than an instance takes to
+// come, else the part with which it is in time when others use the room before it.
 func (p *Pool) pressure(j *jobState, s *stepState, now time.Time) float64 {
+	takes := max(p.expectStep(j, s), time.Millisecond)
+	slack := j.slack(now)
 	if now.Before(j.latest) {
-		return 1
+		slack -= addTime
 	}
-	takes := max(p.expectStep(j, s), time.Millisecond)
-	slack := max(j.slack(now), 0)
-	return float64(takes) / float64(takes+slack)
+	return float64(takes) / float64(takes+max(slack, 0))
 }
 
 // needs adds what a job's open tasks need.
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -117,6 +117,9 @@
 	p.active = append(p.active, j)
 	p.weigh(j)
 	p.arrive(j, now)
+	if !s.Lasts() && s.Times == 0 {
+		p.slack.add(j.latest.Sub(now).Seconds())
+	}
 	p.touch(j)
 	p.moved = true
 	p.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Str("queue", s.Queue).Int("steps", len(s.Steps)).
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -37,6 +37,7 @@
 	images    map[string]*mean   // run times in seconds, by image
 
 	arrivals arrivals
+	slack    mean // seconds that jobs have when they come
 
 	dirty       []*jobState
 	ended       []endedJob            // oldest first, to be forgotten
