Advice with tickets; a task that lasts and has no other place is stopped for its instance's maintenance in the end

Cause: a queue may carry a policy; starts without a ticket are rejected. Change: the owner asks ahead, one question at a time, for workers most likely to be used; it asks for places of tasks that must leave; a pool whose tasks that last have no place asks for one more instance. After 5 s tasks that last are stopped together where they may all be away.

--- a/node/node.go
+++ b/node/node.go
@@ -161,7 +161,7 @@
 func (n *Node) openPool(pool string, j *journal.Journal, logger log.Logger) *steward.Tenant {
 	b := n.Setting.Bounds
 	o := &owner.Owner{
-		Pool: pool, Journal: j, Workers: n.Ports.Workers,
+		Pool: pool, Journal: j, Workers: n.Ports.Workers, Advisor: n.Ports.Advisor,
 		Limits: scheduler.Limits{
 			Lease: min(lease, b.LeaseMost.Std()), StopTime: b.StopTime.Std(), Keep: b.StatusKept.Std(), FarTimes: b.FarTimes,
 		},
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -62,7 +62,7 @@
 	r := rand.New(rand.NewPCG(seed, 2))
 	s := script{
 		Seed: seed, Nodes: 3 + r.IntN(3), Off: 4 + r.IntN(3), Until: tomlfile.Duration(dayEnd), AtWork: true, Complete: []int{1},
-		Pools: []scriptPool{{"alpha", 4 + r.IntN(3), 2}, {"beta", 3 + r.IntN(3), 2}},
+		Pools: []scriptPool{{"alpha", 4 + r.IntN(3), 2, false}, {"beta", 3 + r.IntN(3), 2, r.IntN(3) == 0}},
 	}
 	for _, p := range s.Pools {
 		s.Jobs = append(s.Jobs,
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -40,9 +40,9 @@
 
 // reportAsk asks for the report of a pool, and to cordon just the workers named.
 type reportAsk struct {
-	Pool   string      `json:"pool"`
-	Cordon []worker.ID `json:"cordon,omitempty"`
-	Over   []worker.ID `json:"over,omitempty"` // workers whose lives were ended
+	Pool   string               `json:"pool"`
+	Cordon []scheduler.Cordoned `json:"cordon,omitempty"`
+	Over   []worker.ID          `json:"over,omitempty"` // workers whose lives were ended
 }
 
 // empty is what a call answers that only succeeds or fails.
@@ -182,7 +182,7 @@
 }
 
 // report asks the owner of a pool for its report, on this node or another.
-func (n *Node) report(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error) {
+func (n *Node) report(ctx context.Context, pool string, cordon []scheduler.Cordoned, over []worker.ID) (scheduler.Report, error) {
 	if o := n.owner(pool); o != nil {
 		return o.Report(ctx, cordon, over)
 	}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -51,6 +51,7 @@
 	Name    string `toml:"name"`
 	Workers int    `toml:"workers"`
 	Racks   int    `toml:"racks"`
+	Policy  bool   `toml:"policy"` // its tasks need tickets
 }
 
 type scriptJob struct {
@@ -167,9 +168,14 @@
 	pools := []config.Pool{{Name: world.Headroom, Headroom: true}}
 	for _, p := range st.script.Pools {
 		pools = append(pools, config.Pool{Name: p.Name})
-		queues = append(queues, config.Queue{
+		q := config.Queue{
 			Name: p.Name, Host: "h", PathPrefix: "/" + p.Name + "/", Pool: p.Name, Attempts: world.Attempts, Stretch: 1.6, Target: 600 * time.Millisecond,
-		})
+		}
+		if p.Policy {
+			q.Advice = &config.Advice{Decide: 20 * time.Millisecond, Each: time.Millisecond, Valid: ticketTime}
+			st.world.Policy(p.Name, ticketTime)
+		}
+		queues = append(queues, q)
 		for i := range p.Workers {
 			rack := fmt.Sprintf("r-%d", i%max(p.Racks, 1))
 			st.world.AddWorker(fmt.Sprintf("m-%s-%d", p.Name, i), p.Name, rack, testCapacity)
@@ -186,6 +192,9 @@
 	}
 }
 
+// ticketTime is how long a ticket holds.
+const ticketTime = 3 * time.Second
+
 // start brings a node up.
 func (st *stage) start(n *stagedNode) {
 	s := setting.Node{}
@@ -198,7 +207,7 @@
 	s.Bounds.HolderLease = tomlfile.Duration(3 * time.Second)
 	w := st.world
 	ports := Ports{
-		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(),
+		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(), Advisor: w.Advisor(),
 		Listen: w.Listen, Dial: w.Dial(n.name),
 	}
 	logger := log.Nop()
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -41,7 +42,7 @@
 	Tell func(ctx context.Context, wave int, done bool) error
 	// Report asks a pool's owner for its report, and to cordon just the workers
 	// named; the lives of others have been ended by an order.
-	Report func(ctx context.Context, pool string, cordon, over []worker.ID) (scheduler.Report, error)
+	Report func(ctx context.Context, pool string, cordon []scheduler.Cordoned, over []worker.ID) (scheduler.Report, error)
 
 	done chan struct{}
 	view view
@@ -332,7 +333,7 @@
 }
 
 // ask takes the report of one pool.
-func (m *Manager) ask(ctx context.Context, pool string, cordon, over []worker.ID) {
+func (m *Manager) ask(ctx context.Context, pool string, cordon []scheduler.Cordoned, over []worker.ID) {
 	r, err := m.Report(ctx, pool, cordon, over)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -350,17 +351,17 @@
 
 // cordons returns the workers of a pool that nothing may be placed on, and those
 // whose lives have been ended.
-func (m *Manager) cordons(pool string) (cordon, over []worker.ID) {
+func (m *Manager) cordons(pool string) (cordon []scheduler.Cordoned, over []worker.ID) {
 	for _, a := range m.view.actions {
 		switch {
 		case a.from != pool || a.worker == "":
 		case a.stage == settling:
 			over = append(over, a.worker)
 		default:
-			cordon = append(cordon, a.worker)
+			cordon = append(cordon, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
 		}
 	}
-	slices.Sort(cordon)
+	slices.SortFunc(cordon, func(a, b scheduler.Cordoned) int { return cmp.Compare(a.ID, b.ID) })
 	return cordon, over
 }
 
--- a/services/owner/claim.go
+++ b/services/owner/claim.go
@@ -25,6 +25,7 @@
 	}
 	o.changed = make(chan struct{}, 1)
 	o.done = make(chan struct{})
+	o.questions = make(chan struct{}, 1)
 	o.links = make(map[worker.ID]*link)
 	o.waiting = make(map[uint64][]chan struct{})
 	o.pool = scheduler.New(o.Pool, o.Epoch(), o.Limits, o.Logger)
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -73,6 +73,7 @@
 	o.mu.Lock()
 	now := o.Clock.Now()
 	wake := o.pool.Plan(now)
+	o.askAdvice()
 	batch, err := o.pool.Collect(now)
 	o.attend()
 	o.dropLinks()
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -28,13 +28,15 @@
 	Pool    string
 	Journal *journal.Journal
 	Workers port.Workers
+	Advisor port.Advisor
 	Limits  scheduler.Limits
 	Clock   clock.Clock
 	Logger  log.Logger
 
-	changed chan struct{} // there may be something to plan or to keep
-	done    chan struct{} // closed once the pool is not owned any more
-	tasks   sync.WaitGroup
+	changed   chan struct{} // there may be something to plan or to keep
+	questions chan struct{} // there may be something to ask the advice service
+	done      chan struct{} // closed once the pool is not owned any more
+	tasks     sync.WaitGroup
 
 	mu      sync.Mutex
 	pool    *scheduler.Pool
@@ -50,6 +52,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o.adopt(ctx)
+	o.tasks.Go(func() { o.runAdvice(ctx) })
 	err := o.commits(ctx)
 	o.end(err)
 	cancel()
@@ -325,14 +328,14 @@
 // Report returns what the pool tells of itself, after it has cordoned just the
 // workers named, and has given up on those whose lives were ended. It returns
 // once the cordons are kept.
-func (o *Owner) Report(ctx context.Context, cordon, over []worker.ID) (scheduler.Report, error) {
+func (o *Owner) Report(ctx context.Context, cordon []scheduler.Cordoned, over []worker.ID) (scheduler.Report, error) {
 	o.mu.Lock()
 	if err := o.live(); err != nil {
 		o.mu.Unlock()
 		return scheduler.Report{}, err
 	}
 	o.pool.Over(over, o.Clock.Now())
-	batch := o.pool.Cordon(cordon)
+	batch := o.pool.Cordon(cordon, o.Clock.Now())
 	o.attend()
 	o.mu.Unlock()
 	o.poke()
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -11,21 +11,34 @@
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
+// Cordoned is a worker that nothing may be placed on.
+type Cordoned struct {
+	ID worker.ID `json:"id"`
+	// Must says that its instance must be maintained: tasks that last are stopped
+	// there in the end, though they have no other place, as it comes back soon.
+	Must bool `json:"must,omitempty"`
+}
+
 // Cordon makes the workers named the only ones that nothing is placed on: what
 // runs there ends or moves, so that their instances can be maintained or moved.
 // It returns the batch that carries the newest of these cordons.
-func (p *Pool) Cordon(ids []worker.ID) uint64 {
+func (p *Pool) Cordon(asked []Cordoned, now time.Time) uint64 {
 	newest := uint64(0)
-	wanted := make(map[worker.ID]bool, len(ids))
-	for _, id := range ids {
-		if p.workers[id] == nil {
+	wanted := make(map[worker.ID]bool, len(asked))
+	for _, c := range asked {
+		id := c.ID
+		w := p.workers[id]
+		if w == nil {
 			continue
 		}
+		if c.Must && w.must.IsZero() {
+			w.must = now
+		}
 		wanted[id] = true
 		if !p.cordons[id] {
 			p.setCordon(id, true)
 		}
-		newest = max(newest, p.workers[id].cordonIn)
+		newest = max(newest, w.cordonIn)
 	}
 	for id := range p.cordons {
 		if !wanted[id] {
@@ -46,6 +59,7 @@
 	p.recordons = append(p.recordons, id)
 	if w := p.workers[id]; w != nil {
 		w.cordoned = cordoned
+		w.must = time.Time{}
 		w.cordonIn = p.batch
 	}
 	p.moved = true
@@ -113,6 +127,17 @@
 	return r
 }
 
+// openWorkers returns on how many workers tasks may be placed.
+func (p *Pool) openWorkers(now time.Time) int {
+	n := 0
+	for _, w := range p.workers {
+		if w.open(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // label adds room that is needed on workers with a label.
 func (r *Report) label(label string, room job.Size) {
 	if r.Labels == nil {
@@ -146,6 +171,9 @@
 		for i := range j.rounds[n].steps {
 			s := &j.rounds[n].steps[i]
 			room := s.spec.Room()
+			if s.spec.Lasting && s.waiting > 0 && s.spec.Label == "" && !p.elsewhere(s, now) {
+				r.Apart = max(r.Apart, p.openWorkers(now)+1) // another may suit it
+			}
 			if s.spec.PerWorker > 0 && (s.spec.Lasting || s.waiting > 0) {
 				r.Apart = max(r.Apart, (len(s.tasks)-s.done+s.spec.PerWorker-1)/s.spec.PerWorker)
 			}
@@ -177,6 +205,40 @@
 		for _, u := range w.runs {
 			p.leaveRun(w, u, now)
 		}
+		if !w.must.IsZero() && now.Sub(w.must) > mustPatience && w.lasting > 0 {
+			p.leaveAll(w, now)
+		}
+	}
+}
+
+// mustPatience is how long tasks that last may look for another place before they
+// are stopped for their instance's maintenance.
+const mustPatience = 5 * time.Second
+
+// leaveAll stops the tasks that last on a worker together, where that is allowed
+// for all of them: one that stayed would keep the instance from its maintenance
+// and the others from their place.
+func (p *Pool) leaveAll(w *workerState, now time.Time) {
+	here := make(map[*stepState]int)
+	for _, u := range w.runs {
+		if u.stray || u.stopping || !u.step().spec.Lasting || u.phase != running {
+			return
+		}
+		here[u.step()]++
+	}
+	for s, n := range here {
+		away := 0
+		for i := range s.tasks {
+			if !s.tasks[i].serves() {
+				away++
+			}
+		}
+		if away+n > max(s.spec.MayMiss, 1) {
+			return
+		}
+	}
+	for _, u := range w.runs {
+		p.stop(u, now, "its instance must be maintained, and it has no other place")
 	}
 }
 
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -42,13 +42,17 @@
 
 // stepState is a step of one time.
 type stepState struct {
-	ref     job.StepRef
-	spec    *job.Step
-	tasks   []taskState
-	waiting int // tasks that are not done and have no run
-	done    int
-	took    mean                 // run times in seconds of its tasks that are done
-	perHost map[*workerState]int // live runs by worker, where their number is limited
+	job      *jobState
+	ref      job.StepRef
+	spec     *job.Step
+	tasks    []taskState
+	waiting  int // tasks that are not done and have no run
+	done     int
+	took     mean                 // run times in seconds of its tasks that are done
+	perHost  map[*workerState]int // live runs by worker, where their number is limited
+	asking   bool                 // a question to the advice service is under way
+	askAfter time.Time            // when to ask again
+	barred   map[worker.ID]bool   // workers that the advice service has not named, by life; nil before it was asked
 }
 
 // taskState is one task.
@@ -81,6 +85,7 @@
 	for i := range j.sub.Steps {
 		spec := &j.sub.Steps[i]
 		r.steps[i] = stepState{
+			job:     j,
 			ref:     job.StepRef{Job: j.sub.ID, Round: n, Step: i},
 			spec:    spec,
 			tasks:   make([]taskState, spec.Count),
@@ -256,6 +261,7 @@
 	r.left--
 	p.moved = true
 	p.weigh(j)
+	p.dropTickets(s)
 	if r.left > 0 {
 		return
 	}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -50,6 +50,7 @@
 	for _, w := range p.workers {
 		p.wakeAt(w.trust.until, now)
 	}
+	p.wakeForAdvice(now)
 	return p.wake
 }
 
@@ -188,6 +189,8 @@
 	switch {
 	case !w.open(now), !s.spec.Room().Fits(w.room()):
 		return false
+	case !s.admits(w, now):
+		return false
 	case p.reserved[w] && p.reservedFor != s && !s.spec.Lasting:
 		return false
 	case s.spec.Label != "" && !w.info.Has(s.spec.Label):
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -69,7 +69,7 @@
 	ref := job.TaskRef{StepRef: s.ref, Index: index}
 	u := &run{
 		job: j, ref: ref, name: ref.String(), number: t.number, at: w, room: s.spec.Room(),
-		batch: p.batch, pace: fullPace, moved: now,
+		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref].text,
 	}
 	p.attach(u)
 	p.planned = append(p.planned, u)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -31,13 +31,14 @@
 	waiting  bool          // it is among the workers with new orders
 	cordoned bool          // nothing is placed there, and what can be moved is
 	cordonIn uint64        // batch that carries the newest change of that
+	must     time.Time     // since when its instance must be maintained, zero where it need not
 	wantLook bool          // somebody waits for a look
 	looked   time.Time     // when the last look ended
 	seen     int           // newest end that was taken in
 	kept     int           // newest end that is kept for good
 	told     int           // newest end that the worker was told to forget
 	trust    trust
-	tickets  map[job.StepRef]string
+	tickets  map[job.StepRef]ticket
 }
 
 // clockSlack is by how much a worker's clock may be slow.
@@ -125,7 +126,7 @@
 }
 
 func (p *Pool) addWorker(info worker.Worker) *workerState {
-	w := &workerState{info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]string)}
+	w := &workerState{info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]ticket)}
 	w.cordoned = p.cordons[info.ID]
 	p.workers[info.ID] = w
 	return w
--- /dev/null
+++ b/standin/world/advice.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Policy has the workers of a pool run only steps for which they get a ticket,
+// which the advice service gives for about half of them.
+func (w *World) Policy(pool string, valid time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.policies[pool] = valid
+}
+
+// The times of the advice service.
+const (
+	adviceTime = 20 * time.Millisecond
+	adviceEach = time.Millisecond
+)
+
+// allowed reports whether a worker may run a step.
+func allowed(step string, id worker.ID) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(step + "/" + string(id))) // a hash never fails to take bytes
+	return h.Sum32()%2 == 0
+}
+
+// Advisor returns the advice service.
+func (w *World) Advisor() port.Advisor {
+	busy := make(chan struct{}, 1)
+	return port.Advisor{Ask: func(ctx context.Context, step string, ids []worker.ID) ([]port.Ticket, error) {
+		select {
+		case busy <- struct{}{}:
+		case <-ctx.Done():
+			return nil, errkind.New(errkind.OutcomeUnknown, "the caller has left")
+		}
+		defer func() { <-busy }()
+		time.Sleep(adviceTime + time.Duration(len(ids))*adviceEach)
+		var tickets []port.Ticket
+		for _, id := range ids {
+			if allowed(step, id) {
+				tickets = append(tickets, port.Ticket{Worker: id, Text: fmt.Sprintf("%s/%s/%d", step, id, time.Now().UnixNano())})
+			}
+		}
+		return tickets, nil
+	}}
+}
+
+// admitted reports whether a start on a worker brings a ticket that holds. The
+// lock is held.
+func (w *World) admitted(o *Worker, s port.Start) bool {
+	valid, has := w.policies[o.info.Pool]
+	if !has {
+		return true
+	}
+	ref, err := job.ParseTask(s.Task)
+	if err != nil {
+		return false
+	}
+	parts := strings.Split(s.Ticket, "/")
+	if len(parts) != 3 || parts[0] != ref.StepRef.String() || parts[1] != string(o.info.ID) {
+		return false
+	}
+	at, err := strconv.ParseInt(parts[2], 10, 64)
+	return err == nil && time.Since(time.Unix(0, at)) < valid
+}
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -319,6 +319,9 @@
 	case r != nil, s.Number <= o.ended[s.Task]:
 		return port.Outdated
 	}
+	if !o.w.admitted(o, s) {
+		return port.BadTicket
+	}
 	step, room := o.w.started(node, o, s)
 	takes := step.Estimate
 	if step.Lasting {
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -25,7 +25,8 @@
 	instances  map[string]*instance
 	waves      map[int]*waveWork
 	jobs       map[job.ID]*submitted
-	faults     map[string]*Faults // by node
+	faults     map[string]*Faults       // by node
+	policies   map[string]time.Duration // how long a ticket holds, by pool
 	lives      int
 	violations []string
 	networks   network
@@ -51,6 +52,7 @@
 		waves:      make(map[int]*waveWork),
 		jobs:       make(map[job.ID]*submitted),
 		faults:     make(map[string]*Faults),
+		policies:   make(map[string]time.Duration),
 	}
 }
 
