What fills is slowed down where a serving task beside it is over its target

Change: a pace for each worker, halved at each look that is over a target, raised by a tenth after 1.5 s that all are well below; serving and filling tasks are spread. Proved on the model: without the halving it notes HARM (script sharing), with it none, also through two killed owners.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -73,6 +73,8 @@
 	MayMiss   int               `toml:"may_miss"`
 	PerWorker int               `toml:"per_worker"`
 	Gang      bool              `toml:"gang"`
+	Target    tomlfile.Duration `toml:"target"`
+	Filling   bool              `toml:"filling"`
 }
 
 // scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
@@ -345,6 +347,7 @@
 		spec := job.Step{
 			Count: o.Count, Size: job.Size{CPU: o.CPU, MemoryMB: o.MemoryMB}, Estimate: o.Takes.Std(), After: o.After,
 			Lasting: o.Lasting, MayMiss: o.MayMiss, PerWorker: o.PerWorker, Gang: o.Gang,
+			Target: o.Target.Std(), Filling: o.Filling,
 		}
 		s.Steps = append(s.Steps, spec)
 		if o.Lasting {
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -291,6 +291,12 @@
 		case !there:
 		case a.over(i):
 		case a.stage == settling && m.view.now.Sub(a.sent) > settleTime:
+		case a.stage == ordered && i.Condition == port.Up && i.Worker != a.worker && a.to == "":
+			// The order may have been carried out, or the instance has crashed. It is
+			// given again for the new life; a maintenance that is done is told as such.
+			a.worker, a.from, a.stage = i.Worker, i.Pool, emptying
+			continue
+		case a.stage == ordered && i.Condition == port.Up && i.Worker != a.worker:
 		case a.stage == emptying && (i.Worker != a.worker || i.Pool != a.from || i.Condition != port.Up):
 		default:
 			continue
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -119,6 +119,7 @@
 			p.lose(u, now, "its worker does not list it")
 		}
 	}
+	p.share(w, now)
 }
 
 // runs takes one row of what a worker runs.
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -118,7 +118,7 @@
 func (p *Pool) lookWait(w *workerState) time.Duration {
 	wait := waitLong
 	for _, u := range w.runs {
-		if !u.step().spec.Lasting {
+		if s := u.step().spec; !s.Lasting || s.Target > 0 {
 			wait = waitShort
 			break
 		}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -212,11 +212,11 @@
 // filled one after the other, so that others are empty and can be maintained or
 // serve another pool.
 func (p *Pool) score(s *stepState, w *workerState) float64 {
-	score := float64(w.used.CPU) / float64(max(w.info.Capacity.CPU, 1))
+	score := float64(w.used.CPU)/float64(max(w.info.Capacity.CPU, 1)) + s.shareScore(w)
 	if s.spec.Rack != "" && w.info.Has(s.spec.Rack) {
 		score += nearData
 	}
-	if s.spec.Lasting && w.lasting > 0 {
+	if s.spec.Lasting && w.lasting > 0 && !servesUsers(s.spec) {
 		score += lastingThere
 	}
 	return score
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -203,7 +203,7 @@
 	case o.Stop:
 		return p.stopAnswered(o.Run, a, now)
 	case o.Pace:
-		return false
+		return a.Verdict == port.Unknown || a.Verdict == port.Unreached
 	}
 	return p.startAnswered(o.Run, a, now)
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -38,6 +38,7 @@
 	kept     int           // newest end that is kept for good
 	told     int           // newest end that the worker was told to forget
 	trust    trust
+	sharing  sharing
 	tickets  map[job.StepRef]ticket
 }
 
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -34,7 +34,8 @@
 	ends    []worker.End
 	next    int
 	seen    int
-	void    int // ends up to this one do not count
+	void    int       // ends up to this one do not count
+	harmed  time.Time // since when what fills keeps a serving task over its target
 	changed chan struct{}
 }
 
@@ -49,6 +50,8 @@
 	counted  time.Time
 	takes    time.Duration
 	stopping bool
+	step     *job.Step
+	pace     int // percent
 	timer    *time.Timer
 }
 
@@ -327,7 +330,7 @@
 	if step.Lasting {
 		takes = lastingTime
 	}
-	r = &running{task: s.Task, number: s.Number, spec: s.Spec, room: room, began: time.Now(), left: takes, takes: takes, counted: time.Now()}
+	r = &running{task: s.Task, number: s.Number, spec: s.Spec, room: room, began: time.Now(), left: takes, takes: takes, counted: time.Now(), step: step, pace: whole}
 	o.runs[s.Task] = r
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	o.schedule(r)
@@ -367,7 +370,14 @@
 }
 
 func (l *nodeLink) pace(ctx context.Context, p port.Pace) port.Answer {
-	return l.order(ctx, p.Token, func(*Worker) port.Verdict { return port.Taken })
+	return l.order(ctx, p.Token, func(o *Worker) port.Verdict {
+		if r := o.runs[p.Task]; r != nil && r.number == p.Number {
+			r.pace = p.Percent
+			o.checkHarm()
+			return port.Taken
+		}
+		return port.Outdated
+	})
 }
 
 func (l *nodeLink) look(ctx context.Context, k port.Look) (worker.Listing, port.Answer) {
@@ -414,8 +424,9 @@
 func (o *Worker) listing() worker.Listing {
 	var l worker.Listing
 	for _, r := range o.runs {
-		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r)})
+		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r), Load: int(o.tail(r).Milliseconds())})
 	}
+	o.checkHarm()
 	l.Ends = append(l.Ends, o.ends...)
 	return l
 }
@@ -428,3 +439,43 @@
 	}
 	return whole - int(whole*left/r.takes)
 }
+
+// The model of tasks that share a worker: each that fills adds to the tail of those
+// that serve, by its pace.
+const (
+	restTail = 0.6 // of the target, with nothing beside
+	fillTail = 0.3 // of the target, that one that fills adds at full pace
+	harmTime = 4 * time.Second
+)
+
+// tail returns the tail of the answers of a serving task. The lock is held.
+func (o *Worker) tail(r *running) time.Duration {
+	if r.step.Target == 0 {
+		return 0
+	}
+	share := restTail
+	for _, u := range o.runs {
+		if u.step.Filling {
+			share += fillTail * float64(u.pace) / whole
+		}
+	}
+	return time.Duration(share * float64(r.step.Target))
+}
+
+// checkHarm notes for how long what fills keeps a serving task over its target. The
+// lock is held.
+func (o *Worker) checkHarm() {
+	over := false
+	for _, r := range o.runs {
+		over = over || r.step.Target > 0 && o.tail(r) > r.step.Target
+	}
+	switch {
+	case !over:
+		o.harmed = time.Time{}
+	case o.harmed.IsZero():
+		o.harmed = time.Now()
+	case time.Since(o.harmed) > harmTime:
+		o.w.broken("HARM: what fills on %s keeps a task over its target for %s", o.info.ID, time.Since(o.harmed))
+		o.harmed = time.Now()
+	}
+}
