Settings are taken up anew on SIGHUP and when the file changes; figures on an address of their own

Cause: SIGHUP was not caught, which ends a Go process; figures were not told anywhere, so that an incident showed logs only.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"net/http"
 	"os/signal"
@@ -21,6 +22,7 @@
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/node"
 	"github.com/yardbridge/yardbridge/platform"
+	"github.com/yardbridge/yardbridge/services/measure"
 )
 
 // memoryShare is the part of a node's memory that the runtime is told to stay
@@ -57,7 +59,9 @@
 	if err != nil {
 		return err
 	}
+	p.meter.Gauge("log.dropped", lines.Dropped)
 	logger.Info().Str("event", "start").Str("customers", s.Listen.Customers).Str("store", s.Platform.Store).Msg("the node starts")
+	p.watchSettings(ctx, *path)
 	p.run(ctx)
 	logger.Info().Str("event", "stop").Msg("the node has stopped")
 	return nil
@@ -68,34 +72,61 @@
 	node      *node.Node
 	setting   setting.Node
 	logger    log.Logger
+	meter     *measure.Meter
 	customers *http.Server
 	ready     *http.Server
+	metrics   *http.Server // nil for none
 }
 
 func openNode(s setting.Node, logger log.Logger) (*nodeProcess, error) {
 	store := &platform.Store{Client: &httpconn.Client{Address: s.Platform.Store, MaxIdle: storeChannels}}
+	meter := measure.New()
 	n, err := node.New(s, node.Ports{
-		Store:     store.Port(),
+		Store:     meter.Store(store.Port()),
 		Feeds:     platform.Feeds(),
-		Workers:   (&platform.Workers{}).Port(),
-		Instances: (&platform.Instances{Client: &httpconn.Client{Address: s.Platform.Instances}}).Port(),
-		Advisor:   (&platform.Advisor{Client: &httpconn.Client{Address: s.Platform.Advice}}).Port(),
+		Workers:   meter.Workers((&platform.Workers{}).Port()),
+		Instances: meter.Instances((&platform.Instances{Client: &httpconn.Client{Address: s.Platform.Instances}}).Port()),
+		Advisor:   meter.Advisor((&platform.Advisor{Client: &httpconn.Client{Address: s.Platform.Advice}}).Port()),
 	}, clock.Clock{}, logger)
 	if err != nil {
 		return nil, err
 	}
-	p := &nodeProcess{node: n, setting: s, logger: logger}
+	meter.Gauge("pools.owned", n.Owned)
+	meter.Gauge("config.version", n.Version)
+	p := &nodeProcess{node: n, setting: s, logger: logger, meter: meter}
 	p.customers = &http.Server{
 		Addr:              s.Listen.Customers,
-		Handler:           &platform.Customers{Gateway: n.Gateway, Logger: logger},
+		Handler:           &platform.Customers{Gateway: n.Gateway, Logger: logger, Meter: meter},
 		ReadHeaderTimeout: readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
 	}
 	p.ready = &http.Server{Addr: s.Listen.Ready, Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: readTimeout}
+	if s.Listen.Metrics > 0 {
+		p.metrics = &http.Server{Addr: s.Figures(), Handler: p.figures(), ReadHeaderTimeout: readTimeout}
+	}
 	return p, nil
 }
 
-// readTimeout bounds how long the head of a request may take to come.
-const readTimeout = 5 * time.Second
+// The bounds of customers' connections, each far above what a customer needs.
+const (
+	readTimeout = 5 * time.Second // for the head of a request to come
+	idleTimeout = 2 * time.Minute // between the requests of a connection
+	headerBytes = 16 << 10        // of the head of a request
+)
+
+// figures answers with the counters and histograms, and with what the node
+// believes.
+func (p *nodeProcess) figures() http.Handler {
+	paths := http.NewServeMux()
+	paths.Handle("GET /metrics", p.meter)
+	paths.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An answer that can't be written has nobody who waits for it.
+		_ = json.NewEncoder(w).Encode(p.node.Dump())
+	})
+	return paths
+}
 
 func (p *nodeProcess) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !p.node.Ready() {
@@ -114,6 +145,9 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { p.serve(p.customers) })
 	tasks.Go(func() { p.serve(p.ready) })
+	if p.metrics != nil {
+		tasks.Go(func() { p.serve(p.metrics) })
+	}
 	tasks.Go(func() { p.node.Run(running) })
 	<-ctx.Done()
 	p.logger.Info().Str("event", "stop").Msg("the node is asked to stop")
@@ -125,6 +159,9 @@
 	}
 	// Nobody waits for an answer about readiness any more.
 	_ = p.ready.Close()
+	if p.metrics != nil {
+		_ = p.metrics.Close()
+	}
 	cancel()
 	tasks.Wait()
 }
--- /dev/null
+++ b/cmd/node_settings.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/setting"
+)
+
+// settingsPeriod is how often the settings file is read anew, for a change that
+// no signal tells of: reading it takes some microseconds.
+const settingsPeriod = 2 * time.Second
+
+// settingsWatch takes up changes of a settings file.
+type settingsWatch struct {
+	path   string
+	logger log.Logger
+	clock  clock.Clock
+	hangup <-chan os.Signal
+	apply  func(setting.Node)
+	known  []byte // the file as it was read last
+}
+
+// watchSettings follows the settings file until the context ends.
+func (p *nodeProcess) watchSettings(ctx context.Context, path string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	w := &settingsWatch{path: path, logger: p.logger, hangup: hangup, apply: p.node.Reload}
+	w.changed() // as it was read at the start
+	go w.run(ctx)
+}
+
+// run reads the file at each signal and now and then.
+func (w *settingsWatch) run(ctx context.Context) {
+	for {
+		select {
+		case <-w.hangup:
+			w.logger.Info().Str("event", "reload").Str("why", "hangup signal").Msg("the settings are read anew")
+			w.changed()
+			w.load()
+		case <-w.clock.After(settingsPeriod):
+			if w.changed() {
+				w.load()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// changed reads the file and reports whether it is another than before.
+func (w *settingsWatch) changed() bool {
+	data, err := os.ReadFile(w.path)
+	if err != nil {
+		w.logger.Warn().Str("event", "reload").Err(err).Msg("the settings file can't be read; the known settings stay in force")
+		return false
+	}
+	changed := !bytes.Equal(data, w.known)
+	w.known = data
+	return changed
+}
+
+// load puts the settings of the file in force, unless something is wrong with
+// them.
+func (w *settingsWatch) load() {
+	s, err := setting.LoadNode(w.path)
+	if err != nil {
+		w.logger.Error().Str("event", "reload").Str("outcome", "kept").Err(err).Msg("wrong settings; those known stay in force")
+		return
+	}
+	w.apply(s)
+}
--- /dev/null
+++ b/cmd/node_settings_test.go
@@ -0,0 +1,83 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/setting"
+)
+
+// nodeSettings is a whole settings file of a node.
+const nodeSettings = `[node]
+name = "n1"
+data_center = "a"
+address = "127.0.0.1"
+cores = 1.0
+memory_mb = 200
+
+[listen]
+customers = "127.0.0.1:7001"
+ready = "127.0.0.1:7002"
+node_port = 7003
+
+[platform]
+store = "127.0.0.1:7004"
+instances = "127.0.0.1:7005"
+partitions = 8
+
+[bounds]
+lease_most = "10s"
+grace = "6s"
+`
+
+// TestSettingsAreReadAnew has a settings file changed without a signal, changed
+// to a wrong one, and signalled.
+func TestSettingsAreReadAnew(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(nodeSettings)
+	var lines bytes.Buffer
+	logger, err := log.New(&lines, "info", "n1")
+	assert.NilError(t, err)
+	hangup, tick := make(chan os.Signal), make(chan time.Time)
+	taken := make(chan setting.Node, 1)
+	w := &settingsWatch{
+		path: path, logger: logger, hangup: hangup, apply: func(s setting.Node) { taken <- s },
+		clock: clock.Clock{AfterFunc: func(time.Duration) <-chan time.Time { return tick }},
+	}
+	w.changed()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.run(ctx)
+	}()
+
+	tick <- time.Time{} // nothing has changed
+	write(strings.Replace(nodeSettings, `grace = "6s"`, `grace = "9s"`, 1))
+	tick <- time.Time{}
+	assert.Equal(t, (<-taken).Bounds.Grace.Std(), 9*time.Second)
+
+	write(strings.Replace(nodeSettings, `grace = "6s"`, `grace = "soon"`, 1))
+	tick <- time.Time{} // nothing is taken over
+	write(nodeSettings)
+	hangup <- syscall.SIGHUP
+	assert.Equal(t, (<-taken).Bounds.Grace.Std(), 6*time.Second)
+	cancel()
+	<-ended
+	assert.Assert(t, strings.Contains(lines.String(), "wrong settings"), lines.String())
+	assert.Assert(t, strings.Contains(lines.String(), "hangup signal"), lines.String())
+}
--- a/modules/log/queue.go
+++ b/modules/log/queue.go
@@ -21,7 +21,8 @@
 	mu      sync.Mutex
 	waiting []byte
 	spare   []byte
-	dropped int
+	dropped int   // since the last line that told of them
+	lost    int64 // in all
 	writing bool
 	idle    *sync.Cond
 }
@@ -32,6 +33,7 @@
 	defer q.mu.Unlock()
 	if len(q.waiting)+len(line) > queueBytes {
 		q.dropped++
+		q.lost++
 		return len(line), nil
 	}
 	q.waiting = append(q.waiting, line...)
@@ -68,6 +70,13 @@
 	}
 }
 
+// Dropped returns how many lines were dropped since the start.
+func (q *Queue) Dropped() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lost
+}
+
 // Flush waits until everything that came is written.
 func (q *Queue) Flush() {
 	q.mu.Lock()
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -116,3 +116,8 @@
 func (n *Node) Peers() string {
 	return net.JoinHostPort(n.Node.Address, strconv.Itoa(n.Listen.NodePort))
 }
+
+// Figures returns the IP and port at which the node tells its figures.
+func (n *Node) Figures() string {
+	return net.JoinHostPort(n.Node.Address, strconv.Itoa(n.Listen.Metrics))
+}
--- /dev/null
+++ b/node/dump.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import "github.com/yardbridge/yardbridge/services/scheduler"
+
+// Dump is what a node believes, for a person who looks for a cause.
+type Dump struct {
+	Node    string                      `json:"node"`
+	Ready   bool                        `json:"ready"`
+	Version int64                       `json:"config_version"` // 0 before the first
+	Owners  map[string]string           `json:"owners"`         // node by pool
+	Owned   map[string]scheduler.Report `json:"owned"`          // of this node's pools, by name
+	Workers int                         `json:"workers"`        // listed by the platform
+	Waves   int                         `json:"waves"`
+}
+
+// Dump returns what the node believes.
+func (n *Node) Dump() Dump {
+	d := Dump{
+		Node: n.Setting.Node.Name, Ready: n.Ready(), Version: n.Version(),
+		Owners: make(map[string]string), Owned: make(map[string]scheduler.Report),
+	}
+	if v, _ := n.Directory.View(); v != nil {
+		for pool, o := range v.Pools {
+			d.Owners[pool] = o.Node
+		}
+	}
+	for _, o := range n.ownerList() {
+		d.Owned[o.Pool] = o.Peek()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d.Workers, d.Waves = len(n.workers), len(n.waves)
+	return d
+}
+
+// Owned returns how many pools the node owns.
+func (n *Node) Owned() int64 { return int64(len(n.ownerList())) }
+
+// Version returns the version of the configuration in force, 0 before the first.
+func (n *Node) Version() int64 {
+	c := n.Gateway.Config()
+	if c == nil {
+		return 0
+	}
+	return int64(c.Version)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -45,7 +45,7 @@
 
 // Node is one node; New makes it and Run brings it to life.
 type Node struct {
-	Setting   setting.Node
+	Setting   setting.Node // as at the start
 	Ports     Ports
 	Clock     clock.Clock
 	Logger    log.Logger
@@ -62,6 +62,7 @@
 	catching     atomic.Bool // another node is being asked for news
 
 	mu      sync.Mutex
+	newer   *setting.NodeBounds    // the bounds of newer settings, nil for none
 	said    map[string]port.Record // what the operators said last, by key
 	workers map[worker.ID]worker.Worker
 	owners  map[string]*owner.Owner // of pools, by name
@@ -159,7 +160,7 @@
 
 // openPool returns the tenant that runs a pool.
 func (n *Node) openPool(pool string, j *journal.Journal, logger log.Logger) *steward.Tenant {
-	b := n.Setting.Bounds
+	b := n.bounds()
 	o := &owner.Owner{
 		Pool: pool, Journal: j, Workers: n.Ports.Workers, Advisor: n.Ports.Advisor,
 		Limits: scheduler.Limits{
@@ -178,7 +179,7 @@
 
 // openFleet returns the tenant that decides on instances.
 func (n *Node) openFleet(j *journal.Journal, logger log.Logger) *steward.Tenant {
-	b := n.Setting.Bounds
+	b := n.bounds()
 	m := &fleet.Manager{
 		Journal: j, Instances: n.Ports.Instances, Clock: n.Clock, Logger: logger,
 		Limits: fleet.Limits{Repair: b.RepairTime.Std(), HolderLease: b.HolderLease.Std()},
--- /dev/null
+++ b/services/measure/ports.go
@@ -0,0 +1,116 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Store returns the store with its calls counted. Readings wait for records, so
+// that only their outcomes tell something.
+func (m *Meter) Store(s port.Store) port.Store {
+	counted := s
+	counted.Append = func(ctx context.Context, p port.Partition, w port.Writer, records []port.Record) error {
+		began := time.Now()
+		err := s.Append(ctx, p, w, records)
+		m.Call("store.append", time.Since(began), err)
+		return err
+	}
+	counted.Put = func(ctx context.Context, p port.Partition, records []port.Record) error {
+		began := time.Now()
+		err := s.Put(ctx, p, records)
+		m.Call("store.put", time.Since(began), err)
+		return err
+	}
+	counted.AppendAt = func(ctx context.Context, p port.Partition, at uint64, records []port.Record) (uint64, error) {
+		began := time.Now()
+		end, err := s.AppendAt(ctx, p, at, records)
+		m.Call("store.append_at", time.Since(began), err)
+		return end, err
+	}
+	counted.Newest = func(ctx context.Context, p port.Partition, after string) (port.Page, error) {
+		began := time.Now()
+		page, err := s.Newest(ctx, p, after)
+		m.Call("store.newest", time.Since(began), err)
+		return page, err
+	}
+	counted.Read = func(ctx context.Context, p port.Partition, from uint64, wait time.Duration) (port.Tail, error) {
+		tail, err := s.Read(ctx, p, from, wait)
+		m.Count("store.read." + outcome(err))
+		return tail, err
+	}
+	return counted
+}
+
+// Workers returns the workers with the calls to them counted by verdict. Looks
+// wait for ends, so that only their verdicts tell something.
+func (m *Meter) Workers(w port.Workers) port.Workers {
+	return port.Workers{Open: func(o worker.Worker) *port.Link { return m.link(w.Open(o)) }}
+}
+
+func (m *Meter) link(l *port.Link) *port.Link {
+	counted := *l
+	counted.Start = func(ctx context.Context, s port.Start) port.Answer {
+		began := time.Now()
+		a := l.Start(ctx, s)
+		m.Time("worker.start", time.Since(began), string(a.Verdict))
+		return a
+	}
+	counted.Stop = func(ctx context.Context, s port.Stop) port.Answer {
+		began := time.Now()
+		a := l.Stop(ctx, s)
+		m.Time("worker.stop", time.Since(began), string(a.Verdict))
+		return a
+	}
+	counted.Pace = func(ctx context.Context, p port.Pace) port.Answer {
+		began := time.Now()
+		a := l.Pace(ctx, p)
+		m.Time("worker.pace", time.Since(began), string(a.Verdict))
+		return a
+	}
+	counted.Look = func(ctx context.Context, k port.Look) (worker.Listing, port.Answer) {
+		listing, a := l.Look(ctx, k)
+		m.Count("worker.look." + string(a.Verdict))
+		return listing, a
+	}
+	return &counted
+}
+
+// Instances returns the control of instances with its calls counted.
+func (m *Meter) Instances(i port.Instances) port.Instances {
+	counted := i
+	counted.List = func(ctx context.Context) ([]port.Instance, error) {
+		began := time.Now()
+		list, err := i.List(ctx)
+		m.Call("instances.list", time.Since(began), err)
+		return list, err
+	}
+	counted.Move = func(ctx context.Context, p port.Permit, instance, pool string) error {
+		began := time.Now()
+		err := i.Move(ctx, p, instance, pool)
+		m.Call("instances.move", time.Since(began), err)
+		return err
+	}
+	counted.Maintain = func(ctx context.Context, p port.Permit, instance string, wave int) error {
+		began := time.Now()
+		err := i.Maintain(ctx, p, instance, wave)
+		m.Call("instances.maintain", time.Since(began), err)
+		return err
+	}
+	return counted
+}
+
+// Advisor returns the advice service with its calls counted.
+func (m *Meter) Advisor(a port.Advisor) port.Advisor {
+	return port.Advisor{Ask: func(ctx context.Context, step string, workers []worker.ID) ([]port.Ticket, error) {
+		began := time.Now()
+		tickets, err := a.Ask(ctx, step, workers)
+		m.Call("advice.ask", time.Since(began), err)
+		return tickets, err
+	}}
+}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -347,4 +347,11 @@
 	return o.pool.Report(o.Clock.Now()), nil
 }
 
+// Peek returns what the pool tells of itself, and changes nothing.
+func (o *Owner) Peek() scheduler.Report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pool.Report(o.Clock.Now())
+}
+
 var errStopped = errors.New("stopped")
