An answered order to an instance ends a life only where the list shows it; a lease sent before a takeover counts

A maintenance whose order got no answer is ordered again for the instance's new life, and is answered as done; for 15 s the holder then told the pool's owner that the new life was over, so that its runs were begun a second time. Ruled out: two owners of one epoch (sequence numbers in the logs all differ), reading before a fence, withdrawn jobs. Change: a life counts as over once the list shows it so, and stays cordoned until then; an instance seen in the same life 3 s after its order is let go. Found by reading on the way, each with a test that failed first: a new owner that heard a worker once and then found no way there took the lease as lapsed; a look that was not sent took back an order's deadline; of two calls that submit one job while the store is silent, the second was told that a job is kept which the first had withdrawn.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -70,7 +70,7 @@
 	Takes     tomlfile.Duration `toml:"takes"`
 	After     []int             `toml:"after"`
 	Lasting   bool              `toml:"lasting"`
-	MayMiss   int               `toml:"may_miss"`
+	MayMiss   int               `toml:"away_most"`
 	PerWorker int               `toml:"per_worker"`
 	Gang      bool              `toml:"gang"`
 	Target    tomlfile.Duration `toml:"target"`
@@ -80,7 +80,8 @@
 // scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
 // store-refuses, store-lost (for one node, or all where none is named), crash,
 // silent, late, hangs, fails, drain (of a worker, by its place among those of the
-// pool), wave, history, cancel (of the jobs of a pool).
+// pool), wave, orders-lost (of the answers of the control of instances), history,
+// cancel (of the jobs of a pool).
 type scriptEvent struct {
 	At     tomlfile.Duration `toml:"at"`
 	Kind   string            `toml:"kind"`
@@ -284,6 +285,7 @@
 	}) {
 		return
 	}
+	st.jobs.Go(func() { st.again(ctx, s) })
 	if s.Lasts() || st.script.MayStay {
 		return
 	}
@@ -309,6 +311,27 @@
 	}
 }
 
+// again submits a job once more some time after it was accepted, as customers do
+// now and then.
+func (st *stage) again(ctx context.Context, s job.Submission) {
+	st.mu.Lock()
+	pause, repeat := time.Duration(st.random.Int64N(int64(repeatWithin))), st.random.IntN(repeatOneIn) == 0
+	st.mu.Unlock()
+	if !repeat {
+		return
+	}
+	time.Sleep(pause)
+	st.until(ctx, func(ctx context.Context, n *Node) bool {
+		return n.Gateway.Submit(ctx, n.Gateway.Config().Queue(s.Queue), s) == nil
+	})
+}
+
+// One in four jobs is submitted again within five seconds.
+const (
+	repeatOneIn  = 4
+	repeatWithin = 5 * time.Second
+)
+
 func (st *stage) fail(format string, args ...any) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -376,6 +399,9 @@
 				time.AfterFunc(e.For.Std(), func() { st.world.Set(n.name, func(f *world.Faults) { fault(f, e, false) }) })
 			}
 		}
+	case "orders-lost":
+		st.world.LoseOrders(e.Share)
+		time.AfterFunc(e.For.Std(), func() { st.world.LoseOrders(0) })
 	case "wave":
 		st.wave(e)
 	case "history":
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -90,6 +90,10 @@
 	clocks = 500 * time.Millisecond
 	// settleTime is how long a done order may take to show in the list.
 	settleTime = 15 * time.Second
+	// doneBefore is after which time an instance that the list shows in the same
+	// life was not taken down by an order: it had been done before. A repair and
+	// a move take longer, and the list may be as old as a slow answer.
+	doneBefore = 3 * time.Second
 )
 
 // Claim gives this node the duty, unless another claims it at the same time, and
@@ -291,6 +295,7 @@
 		case !there:
 		case a.over(i):
 		case a.stage == settling && m.view.now.Sub(a.sent) > settleTime:
+		case a.stage == settling && !m.ended(a) && m.view.now.Sub(a.sent) > doneBefore:
 		case a.stage == ordered && i.Condition == port.Up && i.Worker != a.worker && a.to == "":
 			// The order may have been carried out, or the instance has crashed. It is
 			// given again for the new life; a maintenance that is done is told as such.
@@ -361,7 +366,7 @@
 	for _, a := range m.view.actions {
 		switch {
 		case a.from != pool || a.worker == "":
-		case a.stage == settling:
+		case a.stage == settling && m.ended(a):
 			over = append(over, a.worker)
 		default:
 			cordon = append(cordon, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
@@ -371,6 +376,14 @@
 	return cordon, over
 }
 
+// ended reports whether the list shows that the life which an order was given for
+// is over. The answer does not tell: an order that was done before, when the
+// instance had another life, is answered as done too.
+func (m *Manager) ended(a *action) bool {
+	i, there := m.view.instances[a.instance]
+	return there && (i.Condition != port.Up || i.Worker != a.worker)
+}
+
 // fresh is how old a report may be that says that a worker is empty.
 const fresh = period
 
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -228,13 +228,30 @@
 	bounded, cancel := context.WithTimeout(ctx, stuckTake)
 	err = o.await(bounded, batch)
 	cancel()
-	if err == nil || !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
+	if err == nil {
+		return o.taken(s.ID)
+	}
+	if !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
 		return err
 	}
 	if o.withdraw(s.ID) {
 		return errkind.New(errkind.LogUnavailable, "the store has not answered for %s; the job was not kept", stuckTake)
 	}
-	return o.await(ctx, batch)
+	if err := o.await(ctx, batch); err != nil {
+		return err
+	}
+	return o.taken(s.ID)
+}
+
+// taken returns an error where a job was withdrawn while two calls had submitted
+// it: the batch that both wait for is kept without it.
+func (o *Owner) taken(id job.ID) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.pool.Kept(id) {
+		return nil
+	}
+	return errkind.New(errkind.LogUnavailable, "the store did not answer in time; the job was not kept")
 }
 
 // submit takes a job and returns the batch that carries it.
--- /dev/null
+++ b/services/owner/submit_test.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/journal"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+func submission(id string) job.Submission {
+	return job.Submission{ID: job.ID(id), Queue: "h/q/", Spec: "s", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 100}, Estimate: time.Second}}}
+}
+
+// open returns an owner of a pool in a model of the platform.
+func open(t *testing.T, w *world.World) *Owner {
+	t.Helper()
+	store := w.Store("n1")
+	o := &Owner{
+		Pool: "p", Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: store, Logger: log.Nop()},
+		Workers: w.Workers("n1"), Advisor: w.Advisor(), Logger: log.Nop(), Clock: clock.Clock{},
+		Limits: scheduler.Limits{Lease: 4 * time.Second, Keep: time.Minute},
+	}
+	assert.NilError(t, o.Claim(t.Context(), "n1"))
+	return o
+}
+
+// TestWithdrawnJobIsAcceptedByNoCall has two calls submit one job while the store
+// does not answer: the first takes the job back, so that the second must not be
+// told that it is kept.
+func TestWithdrawnJobIsAcceptedByNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		o := open(t, w)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run(ctx) }()
+		assert.NilError(t, o.Submit(ctx, submission("1")))
+
+		w.Set("n1", func(f *world.Faults) { f.StoreSilent = true })
+		first, second, carried := make(chan error, 1), make(chan error, 1), make(chan error, 1)
+		go func() { carried <- o.Submit(ctx, submission("2")) }()
+		time.Sleep(100 * time.Millisecond) // an append carries job 2, and none yet job 3
+		go func() { first <- o.Submit(ctx, submission("3")) }()
+		time.Sleep(50 * time.Millisecond)
+		go func() { second <- o.Submit(ctx, submission("3")) }()
+		assert.Assert(t, errkind.Is(<-first, errkind.LogUnavailable))
+
+		w.Set("n1", func(f *world.Faults) { f.StoreSilent = false })
+		assert.NilError(t, <-carried)
+		assert.NilError(t, o.Submit(ctx, submission("4")))
+		assert.Assert(t, errkind.Is(<-second, errkind.LogUnavailable))
+		_, err := o.State(ctx, "3")
+		assert.Assert(t, errkind.Is(err, errkind.Gone))
+		cancel()
+		<-ended
+	})
+}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -135,6 +135,12 @@
 // Has reports whether a job is known.
 func (p *Pool) Has(id job.ID) bool { return p.jobs[id] != nil }
 
+// Kept reports whether a job is known and kept for good.
+func (p *Pool) Kept(id job.ID) bool {
+	j := p.jobs[id]
+	return j != nil && (j.stored || j.state.Final())
+}
+
 // Withdraw takes a job back that no batch carries yet, and reports whether it did.
 func (p *Pool) Withdraw(id job.ID) bool {
 	j := p.jobs[id]
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -30,8 +30,10 @@
 	w.wantLook = false
 	ask := port.Look{Token: p.Token, Seen: w.kept, Wait: wait}
 	before := w.deadline
+	w.extendedBy = 0
 	if w.met && w.silent.IsZero() && len(w.runs) > 0 {
 		ask.Deadline = w.extend(now, p.Limits.Lease)
+		w.extendedBy = p.stamp
 	}
 	if ask.Seen < w.seen {
 		ask.Wait = 0 // it would answer at once with ends that are known
@@ -53,8 +55,8 @@
 		p.lifeOver(w, now, "another life answers")
 		return
 	case port.Unreached:
-		if w.deadline == k.ask.Deadline {
-			w.deadline = k.before // it was not sent
+		if w.extendedBy == k.stamp {
+			w.deadline = k.before // it was not sent, and no other since
 		}
 		p.missed(w, a, now)
 		return
@@ -69,6 +71,9 @@
 		p.moved = true
 	}
 	if !w.met {
+		// What an earlier owner let run there may have a lease that was sent just
+		// before this look.
+		w.deadline = max(w.deadline, w.clock+p.Limits.Lease)
 		w.met = true
 		p.moved = true
 	}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -156,11 +156,12 @@
 	Pace bool
 }
 
-// Start notes that the order to begin the run is sent, and returns it to begin the run, with a deadline on the worker's
-// clock.
+// Start notes that the order to begin a run is sent, and returns it, with a
+// deadline on the worker's clock.
 func (p *Pool) Start(o Order, now time.Time) port.Start {
 	u := o.Run
 	u.sent = true
+	u.at.extendedBy = 0
 	return port.Start{
 		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket,
 		Deadline: u.at.extend(now, p.Limits.Lease), Token: p.Token,
--- /dev/null
+++ b/services/scheduler/takeover_test.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+var testLimits = Limits{Lease: 4 * time.Second, StopTime: 400 * time.Millisecond, Keep: time.Minute}
+
+// testConfig has one queue that leads to the pool "p".
+var testConfig = config.New(1,
+	[]config.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 3, Stretch: 1.5, Target: time.Second}},
+	[]config.Pool{{Name: "p"}}, config.Limits{},
+)
+
+// desk is a pool with a clock that a test moves.
+type desk struct {
+	*Pool
+	t   *testing.T
+	now time.Time
+}
+
+func newDesk(t *testing.T, token uint64) *desk {
+	d := &desk{New("p", token, testLimits, log.Nop()), t, time.Unix(1000, 0)}
+	d.Configure(testConfig)
+	return d
+}
+
+// look has a worker answer one look.
+func (d *desk) look(id worker.ID, listing worker.Listing, a port.Answer) {
+	d.t.Helper()
+	k, _, known := d.BeginLook(id, 0, d.now)
+	assert.Assert(d.t, known)
+	d.EndLook(k, listing, a, d.now)
+}
+
+// keep plans and keeps what has changed, and returns its records.
+func (d *desk) keep() []port.Record {
+	d.t.Helper()
+	d.Plan(d.now)
+	b, err := d.Collect(d.now)
+	assert.NilError(d.t, err)
+	if b == nil {
+		return nil
+	}
+	d.Committed(b)
+	return b.Records
+}
+
+// TestLeaseOfAnEarlierOwnerHolds has a new owner hear a worker once and then find
+// no way there: what the earlier owner let run may run on until its lease is over.
+func TestLeaseOfAnEarlierOwnerHolds(t *testing.T) {
+	first := newDesk(t, 1)
+	first.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}, first.now)
+	clock := 100 * time.Second
+	first.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: clock})
+	first.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, first.now)
+	records := first.keep()
+	order, has := first.NextOrder("w")
+	assert.Assert(t, has)
+	first.Start(order, first.now)
+
+	second := newDesk(t, 2)
+	assert.NilError(t, second.Restore(records, second.now, time.Minute))
+	running := worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}
+	second.look("w", running, port.Answer{Verdict: port.Taken, Clock: clock})
+	second.look("w", worker.Listing{}, port.Answer{Verdict: port.Unreached})
+	second.now = second.now.Add(testLimits.Lease)
+	second.Lapse(second.now)
+	assert.Equal(t, len(second.jobs["1"].rounds[0].steps[0].tasks[0].runs), 1, "the run is given up while its lease holds")
+	second.now = second.now.Add(time.Second)
+	second.Lapse(second.now)
+	assert.Equal(t, len(second.jobs["1"].rounds[0].steps[0].tasks[0].runs), 0)
+}
+
+// TestLookThatWasNotSentTakesBackOnlyItself has a look find no way to a worker
+// after an order with the same deadline went there.
+func TestLookThatWasNotSentTakesBackOnlyItself(t *testing.T) {
+	d := newDesk(t, 1)
+	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}, d.now)
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
+	for _, id := range []job.ID{"1", "2"} {
+		d.Submit(job.Submission{ID: id, Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+	}
+	d.keep()
+	order, _ := d.NextOrder("w")
+	d.Answered(order, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second}, d.now)
+	d.now = d.now.Add(2 * time.Second)
+	k, _, _ := d.BeginLook("w", 0, d.now)
+	order, _ = d.NextOrder("w")
+	sent := d.Start(order, d.now)
+	d.EndLook(k, worker.Listing{}, port.Answer{Verdict: port.Unreached}, d.now)
+	assert.Equal(t, d.workers["w"].deadline, sent.Deadline)
+}
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -26,20 +26,22 @@
 	clock    time.Duration // of the worker, as it answered last
 	clockAt  time.Time     // when that answer came
 	deadline time.Duration // the latest on the worker's clock that was sent
-	silent   time.Time     // since when it has not answered, zero while it does
-	surely   time.Time     // when all that an earlier owner began there is over, unless it has answered
-	waiting  bool          // it is among the workers with new orders
-	cordoned bool          // nothing is placed there, and what can be moved is
-	cordonIn uint64        // batch that carries the newest change of that
-	must     time.Time     // since when its instance must be maintained, zero where it need not
-	wantLook bool          // somebody waits for a look
-	looked   time.Time     // when the last look ended
-	seen     int           // newest end that was taken in
-	kept     int           // newest end that is kept for good
-	told     int           // newest end that the worker was told to forget
-	trust    trust
-	sharing  sharing
-	tickets  map[job.StepRef]ticket
+
+	extendedBy uint64    // stamp of the look that alone has sent this deadline, 0 for an order
+	silent     time.Time // since when it has not answered, zero while it does
+	surely     time.Time // when all that an earlier owner began there is over, unless it has answered
+	waiting    bool      // it is among the workers with new orders
+	cordoned   bool      // nothing is placed there, and what can be moved is
+	cordonIn   uint64    // batch that carries the newest change of that
+	must       time.Time // since when its instance must be maintained, zero where it need not
+	wantLook   bool      // somebody waits for a look
+	looked     time.Time // when the last look ended
+	seen       int       // newest end that was taken in
+	kept       int       // newest end that is kept for good
+	told       int       // newest end that the worker was told to forget
+	trust      trust
+	sharing    sharing
+	tickets    map[job.StepRef]ticket
 }
 
 // clockSlack is by how much a worker's clock may be slow.
--- a/standin/world/instance.go
+++ b/standin/world/instance.go
@@ -71,17 +71,40 @@
 			time.Sleep(instanceTime)
 			return w.listInstances(), nil
 		},
-		Move: func(_ context.Context, p port.Permit, name, pool string) error {
+		Move: func(ctx context.Context, p port.Permit, name, pool string) error {
 			time.Sleep(instanceTime)
-			return w.moveInstance(p, name, pool)
+			return w.answerOrder(ctx, w.moveInstance(p, name, pool))
 		},
-		Maintain: func(_ context.Context, p port.Permit, name string, wave int) error {
+		Maintain: func(ctx context.Context, p port.Permit, name string, wave int) error {
 			time.Sleep(instanceTime)
-			return w.maintainInstance(p, name, wave)
+			return w.answerOrder(ctx, w.maintainInstance(p, name, wave))
 		},
 	}
 }
 
+// LoseOrders lets a share of the orders to instances be done and get no answer.
+func (w *World) LoseOrders(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ordersLost = share
+}
+
+// answerOrder returns the outcome of an order to an instance unless its answer is
+// lost.
+func (w *World) answerOrder(ctx context.Context, err error) error {
+	w.mu.Lock()
+	lost := w.random.Float64() < w.ordersLost
+	w.mu.Unlock()
+	if lost {
+		return silence(ctx, orderSilence)
+	}
+	return err
+}
+
+// orderSilence is how long a holder waits for the answer to an order to an
+// instance.
+const orderSilence = 2 * time.Second
+
 func (w *World) listInstances() []port.Instance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -27,6 +27,7 @@
 	jobs       map[job.ID]*submitted
 	faults     map[string]*Faults       // by node
 	policies   map[string]time.Duration // how long a ticket holds, by pool
+	ordersLost float64                  // share of the orders to instances that get no answer
 	lives      int
 	violations []string
 	networks   network
