Which life of an instance goes on is told by answers, not by the order of the list

Change: lives of one instance are looked at; one that answered a look ends those that have not answered since it was sent. A stray run keeps its room, and its task is not begun until it must have been stopped.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -81,7 +81,7 @@
 // store-refuses, store-lost (for one node, or all where none is named), crash,
 // silent, late, hangs, fails, drain (of a worker, by its place among those of the
 // pool), wave, orders-lost (of the answers of the control of instances), history,
-// cancel (of the jobs of a pool).
+// relist (of lives that are over), cancel (of the jobs of a pool).
 type scriptEvent struct {
 	At     tomlfile.Duration `toml:"at"`
 	Kind   string            `toml:"kind"`
@@ -402,6 +402,8 @@
 	case "orders-lost":
 		st.world.LoseOrders(e.Share)
 		time.AfterFunc(e.For.Std(), func() { st.world.LoseOrders(0) })
+	case "relist":
+		st.world.Relist()
 	case "wave":
 		st.wave(e)
 	case "history":
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -16,6 +16,7 @@
 	worker *workerState
 	stamp  uint64
 	ask    port.Look
+	sent   time.Time
 	before time.Duration // the worker's latest deadline without it
 }
 
@@ -38,7 +39,7 @@
 	if ask.Seen < w.seen {
 		ask.Wait = 0 // it would answer at once with ends that are known
 	}
-	return Look{w, p.stamp, ask, before}, ask, true
+	return Look{w, p.stamp, ask, now, before}, ask, true
 }
 
 // EndLook takes the answer to a look.
@@ -78,6 +79,9 @@
 		p.moved = true
 	}
 	w.told = max(w.told, k.ask.Seen)
+	if w.rivals {
+		p.outlived(w, k.sent, now)
+	}
 	p.list(w, k, listing, now)
 }
 
@@ -115,6 +119,7 @@
 		}
 	}
 	listed := make(map[string]bool, len(listing.Runs))
+	w.strays = job.Size{}
 	for _, r := range listing.Runs {
 		listed[r.Task] = true
 		p.runs(w, r, now)
@@ -131,7 +136,7 @@
 func (p *Pool) runs(w *workerState, r worker.Run, now time.Time) {
 	u := w.runs[r.Task]
 	if u == nil || u.number != r.Number {
-		p.stray(w, r)
+		p.stray(w, r, now)
 		return
 	}
 	if u.phase != running {
@@ -167,13 +172,15 @@
 }
 
 // stray stops a run that is not known, which an earlier owner or a late order
-// has begun.
-func (p *Pool) stray(w *workerState, r worker.Run) {
+// has begun. Until it has ended its room is taken, and its task is not begun
+// elsewhere.
+func (p *Pool) stray(w *workerState, r worker.Run, now time.Time) {
 	ref, err := job.ParseTask(r.Task)
 	if err != nil {
 		p.Logger.Warn().Str("event", "stray").Str("worker", string(w.info.ID)).Err(err).Msg("a run with no name of a task")
 		return
 	}
+	p.holdBack(w, ref, now)
 	for _, o := range w.out {
 		if o.Stop && o.Run.name == r.Task {
 			return
@@ -186,3 +193,19 @@
 		Msg("a run that is not ours to keep is stopped")
 	p.order(w, Order{Run: u, Stop: true})
 }
+
+// holdBack keeps the room of a stray run, and its task from being begun, until it
+// must have been stopped.
+func (p *Pool) holdBack(w *workerState, ref job.TaskRef, now time.Time) {
+	j := p.jobs[ref.Job]
+	if j == nil || ref.Round >= len(j.rounds) || j.rounds[ref.Round] == nil || ref.Step >= len(j.sub.Steps) {
+		return
+	}
+	s := &j.rounds[ref.Round].steps[ref.Step]
+	if ref.Index >= len(s.tasks) {
+		return
+	}
+	w.strays = w.strays.Plus(s.spec.Room())
+	s.tasks[ref.Index].notBefore = now.Add(p.Limits.StopTime + lookRetry)
+	p.wakeAt(now.Add(p.Limits.StopTime+lookRetry), now)
+}
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -18,13 +18,16 @@
 	info    worker.Worker
 	runs    map[string]*run // by the task's name
 	used    job.Size
-	lasting int     // runs of tasks that last
-	out     []Order // to be given, oldest first
+	strays  job.Size // room of runs there that are not ours to keep, by the last look
+	lasting int      // runs of tasks that last
+	out     []Order  // to be given, oldest first
 
 	met      bool          // it has answered, so its clock is known and no lower token counts
 	listed   bool          // it stands in the platform's list
 	clock    time.Duration // of the worker, as it answered last
 	clockAt  time.Time     // when that answer came
+	heardAt  time.Time     // when an answer came last that this life has given
+	rivals   bool          // other lives of its instance are known
 	deadline time.Duration // the latest on the worker's clock that was sent
 
 	extendedBy uint64    // stamp of the look that alone has sent this deadline, 0 for an order
@@ -73,7 +76,7 @@
 }
 
 // room returns what is free.
-func (w *workerState) room() job.Size { return w.info.Capacity.Minus(w.used) }
+func (w *workerState) room() job.Size { return w.info.Capacity.Minus(w.used).Minus(w.strays) }
 
 // open reports whether tasks may be placed there.
 func (w *workerState) open(now time.Time) bool {
@@ -91,6 +94,9 @@
 	if a.Verdict == port.Unknown || a.Verdict == port.Unreached {
 		return
 	}
+	if a.Verdict != port.OtherLife {
+		w.heardAt = now
+	}
 	if a.Clock > 0 {
 		w.clock, w.clockAt = a.Clock, now
 	}
@@ -107,7 +113,7 @@
 		w = p.addWorker(info)
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Str("instance", info.Instance).
 			Str("address", info.Address).Strs("labels", info.Labels).Uint64("revision", info.Revision).Msg("a worker has come")
-		p.replaced(info, now)
+		p.compare(w)
 		w.listed = true
 		return true
 	}
@@ -135,14 +141,33 @@
 	return w
 }
 
-// replaced ends the earlier lives of an instance that has a new one.
-func (p *Pool) replaced(info worker.Worker, now time.Time) {
-	if info.Instance == "" {
+// compare has the lives of one instance looked at, of which one at most goes on.
+// The list does not tell which: what an earlier life said of itself may be listed
+// late.
+func (p *Pool) compare(w *workerState) {
+	if w.info.Instance == "" {
 		return
 	}
-	for id, w := range p.workers {
-		if id != info.ID && w.info.Instance == info.Instance && w.info.Revision < info.Revision {
-			p.lifeOver(w, now, "its instance has a new life")
+	for _, o := range p.workers {
+		if o != w && o.info.Instance == w.info.Instance {
+			w.rivals, o.rivals = true, true
+			w.wantLook, o.wantLook = true, true
+		}
+	}
+}
+
+// outlived ends the other lives of a worker's instance that have not answered since
+// a look was sent which the worker has answered.
+func (p *Pool) outlived(w *workerState, sent, now time.Time) {
+	w.rivals = false
+	for _, o := range p.workers {
+		if o == w || o.info.Instance != w.info.Instance {
+			continue
+		}
+		if o.heardAt.Before(sent) {
+			p.lifeOver(o, now, "its instance has a new life")
+		} else {
+			w.rivals = true
 		}
 	}
 }
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -122,6 +124,22 @@
 	w.partition(workersAt).add([]port.Record{{Key: string(id)}})
 }
 
+// Relist lists all lives again that are over, for a while: what a worker said of
+// itself may be written late.
+func (w *World) Relist() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if o := w.workers[id]; o.over {
+			w.list(o)
+			time.AfterFunc(relistedFor, func() { w.unlist(id) })
+		}
+	}
+}
+
+// relistedFor is how long a life that is over stays listed once more.
+const relistedFor = time.Second
+
 // Drain has a worker say that it leaves; it ends after the time.
 func (w *World) Drain(id worker.ID, after time.Duration) {
 	w.mu.Lock()
