--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -117,14 +117,13 @@
 func (o *Owner) See(ctx context.Context, listed []worker.Worker, whole bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.Clock.Now()
 	present := make(map[worker.ID]bool, len(listed))
 	for _, w := range listed {
 		if w.Pool != o.Pool {
 			continue
 		}
 		present[w.ID] = true
-		o.pool.See(w, now)
+		o.pool.See(w)
 		o.link(ctx, w.ID)
 	}
 	if whole {
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -62,7 +62,7 @@
 // no way there: what the earlier owner let run may run on until its lease is over.
 func TestLeaseOfAnEarlierOwnerHolds(t *testing.T) {
 	first := newDesk(t, 1)
-	first.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}, first.now)
+	first.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
 	clock := 100 * time.Second
 	first.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: clock})
 	first.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, first.now)
@@ -88,7 +88,7 @@
 // after an order with the same deadline went there.
 func TestLookThatWasNotSentTakesBackOnlyItself(t *testing.T) {
 	d := newDesk(t, 1)
-	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}, d.now)
+	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
 	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
 	for _, id := range []job.ID{"1", "2"} {
 		d.Submit(job.Submission{ID: id, Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -107,7 +107,7 @@
 
 // See takes what the platform's list says of a worker of the pool. It returns
 // whether the worker is new.
-func (p *Pool) See(info worker.Worker, now time.Time) bool {
+func (p *Pool) See(info worker.Worker) bool {
 	w := p.workers[info.ID]
 	if w == nil {
 		w = p.addWorker(info)
