--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,13 @@
 test:
 	$(GO) test -race -count=1 ./...
 
+# Nodes in processes of their own with faults drawn from a seed; not a part of
+# CI, since what it meets depends on the machine.
+.PHONY: soak
+SOAK ?= 60s
+SOAK_SEED ?=
+soak:
+	YARDBRIDGE_TEST_SOAK=$(SOAK) YARDBRIDGE_TEST_SOAK_SEED=$(SOAK_SEED) $(GO) test -race -count=1 -timeout 30m -run Soak -v ./platform
 
 # Figures in docs/ come from these files only; see docs/CAPACITY.md. The long
 # runs are made once, the short ones five times.
