--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -31,13 +31,13 @@
 		if w == nil {
 			continue
 		}
-		if c.Must && w.must.IsZero() {
-			w.must = now
-		}
 		wanted[id] = true
 		if !p.cordons[id] {
 			p.setCordon(id, true)
 		}
+		if c.Must && w.must.IsZero() {
+			w.must = now
+		}
 		newest = max(newest, w.cordonIn)
 	}
 	for id := range p.cordons {
@@ -124,9 +124,29 @@
 	for _, j := range p.active {
 		p.needs(j, now, &r)
 	}
+	if p.stuck(now) {
+		r.Apart = max(r.Apart, p.openWorkers(now)+1)
+	}
 	return r
 }
 
+// stuck reports whether tasks that last have long had no other place than a worker
+// whose instance must be maintained: one more worker may be one.
+func (p *Pool) stuck(now time.Time) bool {
+	for _, w := range p.workers {
+		if w.mustLeave(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mustLeave reports whether tasks that last have had their time to look for another
+// place than a worker whose instance must be maintained.
+func (w *workerState) mustLeave(now time.Time) bool {
+	return !w.must.IsZero() && now.Sub(w.must) > mustPatience && w.lasting > 0
+}
+
 // openWorkers returns on how many workers tasks may be placed.
 func (p *Pool) openWorkers(now time.Time) int {
 	n := 0
@@ -205,7 +225,7 @@
 		for _, u := range w.runs {
 			p.leaveRun(w, u, now)
 		}
-		if !w.must.IsZero() && now.Sub(w.must) > mustPatience && w.lasting > 0 {
+		if w.mustLeave(now) {
 			p.leaveAll(w, now)
 		}
 	}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -178,7 +178,7 @@
 	case o.Pace:
 		return o.Run.phase == running && !o.Run.stopping
 	}
-	return o.Run.phase == ordered && (!o.Run.stopping || o.Run.unsure)
+	return o.Run.phase == ordered && !o.Run.stopping // a stop also prevents a start that comes later
 }
 
 // StopOrder returns the order to end the run.
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -103,3 +103,24 @@
 	d.EndLook(k, worker.Listing{}, port.Answer{Verdict: port.Unreached}, d.now)
 	assert.Equal(t, d.workers["w"].deadline, sent.Deadline)
 }
+
+// TestNoStartOfACancelledJob has an order to begin a run get no answer, and the
+// job cancelled before the order is given again.
+func TestNoStartOfACancelledJob(t *testing.T) {
+	d := newDesk(t, 1)
+	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+	d.keep()
+	order, _ := d.NextOrder("w")
+	d.Start(order, d.now)
+	assert.Assert(t, d.Answered(order, port.Answer{Verdict: port.Unknown}, d.now))
+	d.Again(order, d.now)
+	_, err := d.Cancel("1", d.now)
+	assert.NilError(t, err)
+	d.keep()
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
+	order, has := d.NextOrder("w")
+	assert.Assert(t, has)
+	assert.Assert(t, order.Stop, "a run of a cancelled job is begun")
+}
