Orders behind one without an answer go over other channels; one lost answer is no silence

Cause: with 4 to 20 of 100 orders unanswered (applied_late) the worker counted as silent for half a second each time: nothing was placed there, and the orders behind waited 400 ms. Change: orders that have waited 40 ms behind another get up to two more channels; a worker is silent only where a look fails, or a second order after the first with nothing heard between; a failed look counts only where nothing else was heard.

--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -13,6 +13,7 @@
 )
 
 // link carries orders and looks to one worker, each over a channel of its own.
+// While an order waits long for its answer, those behind it go over other channels.
 type link struct {
 	owner  *Owner
 	id     worker.ID
@@ -22,8 +23,18 @@
 	look   chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	helpers int          // that give orders now; under the owner's lock
+	idle    []*port.Link // channels of helpers that have ended; under the owner's lock
 }
 
+// The help for orders that wait behind one without an answer. Orders are answered
+// in a few milliseconds, or after 400 for unknown.
+const (
+	helpAfter  = 40 * time.Millisecond
+	mostHelper = 2
+)
+
 // wake has the link look for orders and for a look that is due.
 func (l *link) wake() {
 	select {
@@ -36,18 +47,22 @@
 	}
 }
 
-// close ends the link.
+// close ends the link. The owner's lock is held.
 func (l *link) close() {
 	l.cancel()
 	l.port.Close()
 	l.looks.Close()
+	for _, c := range l.idle {
+		c.Close()
+	}
+	l.idle = nil
 }
 
 // runOrders gives orders one after another.
 func (l *link) runOrders() {
 	defer l.owner.tasks.Done()
 	for {
-		for l.give() {
+		for l.give(l.port) {
 		}
 		select {
 		case <-l.orders:
@@ -57,8 +72,8 @@
 	}
 }
 
-// give gives one order and returns whether there was one.
-func (l *link) give() bool {
+// give gives one order over a channel and returns whether there was one.
+func (l *link) give(channel *port.Link) bool {
 	o := l.owner
 	o.mu.Lock()
 	order, has := o.pool.NextOrder(l.id)
@@ -66,9 +81,11 @@
 		o.mu.Unlock()
 		return false
 	}
-	send := l.prepare(order)
+	send := l.prepare(order, channel)
 	o.mu.Unlock()
+	help := time.AfterFunc(helpAfter, l.help)
 	answer := send()
+	help.Stop()
 	o.mu.Lock()
 	now := o.Clock.Now()
 	if o.pool.Answered(order, answer, now) {
@@ -83,19 +100,61 @@
 	return true
 }
 
-// prepare returns the sending of an order. The lock is held.
-func (l *link) prepare(order scheduler.Order) func() port.Answer {
+// help has the orders that wait given over another channel.
+func (l *link) help() {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w, known := o.pool.Worker(l.id)
+	if !known || l.helpers == mostHelper || !o.pool.HasOrder(l.id) || l.ctx.Err() != nil || o.over != nil {
+		return
+	}
+	var channel *port.Link
+	if n := len(l.idle); n > 0 {
+		channel, l.idle = l.idle[n-1], l.idle[:n-1]
+	} else {
+		channel = o.Workers.Open(w)
+	}
+	l.helpers++
+	o.tasks.Add(1)
+	go helper{l, channel}.run()
+}
+
+// helper gives the orders of a link over another channel.
+type helper struct {
+	link    *link
+	channel *port.Link
+}
+
+// run gives orders while there are any.
+func (h helper) run() {
+	l := h.link
+	defer l.owner.tasks.Done()
+	for l.give(h.channel) {
+	}
+	l.owner.mu.Lock()
+	defer l.owner.mu.Unlock()
+	l.helpers--
+	if l.ctx.Err() != nil {
+		h.channel.Close()
+		return
+	}
+	l.idle = append(l.idle, h.channel)
+}
+
+// prepare returns the sending of an order over a channel. The lock is held.
+func (l *link) prepare(order scheduler.Order, channel *port.Link) func() port.Answer {
 	p := l.owner.pool
 	switch {
 	case order.Stop:
 		stop := p.StopOrder(order)
-		return func() port.Answer { return l.port.Stop(l.ctx, stop) }
+		return func() port.Answer { return channel.Stop(l.ctx, stop) }
 	case order.Pace:
 		pace := p.PaceOrder(order)
-		return func() port.Answer { return l.port.Pace(l.ctx, pace) }
+		return func() port.Answer { return channel.Pace(l.ctx, pace) }
 	}
 	start := p.Start(order, l.owner.Clock.Now())
-	return func() port.Answer { return l.port.Start(l.ctx, start) }
+	return func() port.Answer { return channel.Start(l.ctx, start) }
 }
 
 func (l *link) wakeLook() {
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -62,6 +62,10 @@
 		p.missed(w, a, now)
 		return
 	default:
+		if w.heardAt.After(k.sent) {
+			w.wantLook = true // it answers other calls
+			return
+		}
 		p.missed(w, a, now)
 		return
 	}
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -67,16 +67,25 @@
 	return Order{}, false
 }
 
-// Again queues an order once more that got no answer; the worker is looked at
-// first.
+// HasOrder reports whether an order to a worker waits.
+func (p *Pool) HasOrder(id worker.ID) bool {
+	w := p.workers[id]
+	return w != nil && w.silent.IsZero() && len(w.out) > 0
+}
+
+// Again queues an order once more that got no answer. One order without an answer
+// says little of its worker: nothing new is placed there until something is heard
+// of it. Where nothing is before the next order gets no answer, it counts as silent
+// until it has answered a look.
 func (p *Pool) Again(o Order, now time.Time) {
 	w := o.Run.at
 	if p.workers[w.info.ID] != w {
 		return
 	}
-	if w.silent.IsZero() {
+	if w.doubted && w.silent.IsZero() {
 		w.silent = now
 	}
+	w.doubted = true
 	w.wantLook = true
 	p.order(w, o)
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -32,6 +32,7 @@
 
 	extendedBy uint64    // stamp of the look that alone has sent this deadline, 0 for an order
 	silent     time.Time // since when it has not answered, zero while it does
+	doubted    bool      // nothing has been heard since an order got no answer
 	surely     time.Time // when all that an earlier owner began there is over, unless it has answered
 	waiting    bool      // it is among the workers with new orders
 	cordoned   bool      // nothing is placed there, and what can be moved is
@@ -80,7 +81,7 @@
 
 // open reports whether tasks may be placed there.
 func (w *workerState) open(now time.Time) bool {
-	return w.met && w.listed && w.silent.IsZero() && !w.leaves() && !w.rests(now)
+	return w.met && w.listed && w.silent.IsZero() && !w.doubted && !w.leaves() && !w.rests(now)
 }
 
 // leaves reports whether what runs there has to go elsewhere.
@@ -96,6 +97,10 @@
 	}
 	if a.Verdict != port.OtherLife {
 		w.heardAt = now
+		if w.doubted {
+			w.doubted = false
+			p.moved = true
+		}
 	}
 	if a.Clock > 0 {
 		w.clock, w.clockAt = a.Clock, now
