--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -244,6 +244,9 @@
 	if a.Verdict == port.Unreached {
 		u.sent = u.unsure
 		p.missed(u.at, a, now)
+		if !u.unsure {
+			p.release(u) // the worker may have been missed before this answer
+		}
 		return u.unsure
 	}
 	// Nothing was done by this order; an earlier one for the same run that got
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -124,3 +124,20 @@
 	assert.Assert(t, has)
 	assert.Assert(t, order.Stop, "a run of a cancelled job is begun")
 }
+
+// TestTwoStartsThatFindNoWay has two orders find no way to their worker at a time:
+// both tasks wait for another.
+func TestTwoStartsThatFindNoWay(t *testing.T) {
+	d := newDesk(t, 1)
+	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+	d.keep()
+	first, _ := d.NextOrder("w")
+	d.Start(first, d.now)
+	second, _ := d.NextOrder("w")
+	d.Start(second, d.now)
+	assert.Assert(t, !d.Answered(first, port.Answer{Verdict: port.Unreached}, d.now))
+	assert.Assert(t, !d.Answered(second, port.Answer{Verdict: port.Unreached}, d.now))
+	assert.Equal(t, d.jobs["1"].rounds[0].steps[0].waiting, 2)
+}
