--- a/modules/log/queue.go
+++ b/modules/log/queue.go
@@ -4,9 +4,13 @@
 package log
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // queueBytes bounds the lines that wait to be written: some seconds of a busy
@@ -62,14 +66,47 @@
 		if dropped > 0 {
 			lines = fmt.Appendf(lines, `{"level":"warn","event":"log","dropped":%d,"message":"lines were dropped since the queue was full"}`+"\n", dropped)
 		}
-		// A log that can't be written has nowhere to say so.
-		_, _ = q.Target.Write(lines)
+		q.put(lines)
 		q.mu.Lock()
 		q.spare = lines[:0]
 		q.mu.Unlock()
 	}
 }
 
+// The patience with a target that is full: a pipe whose reader lags, in a mode in
+// which a write does not wait.
+const (
+	fullPause = 5 * time.Millisecond
+	fullTries = 200
+)
+
+// put writes lines whole. What can't be written has nowhere to say so but the
+// count of what was dropped, and a line that is cut off is ended.
+func (q *Queue) put(lines []byte) {
+	for try := 0; len(lines) > 0; try++ {
+		n, err := q.Target.Write(lines)
+		rest := lines[n:]
+		if err == nil || len(rest) == 0 {
+			return
+		}
+		if !errors.Is(err, syscall.EAGAIN) || try == fullTries {
+			q.cutOff(rest)
+			return
+		}
+		lines = rest
+		time.Sleep(fullPause)
+	}
+}
+
+// cutOff counts the lines that were not written whole.
+func (q *Queue) cutOff(rest []byte) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dropped += bytes.Count(rest, []byte{'\n'})
+	q.lost += int64(bytes.Count(rest, []byte{'\n'}))
+	q.waiting = append([]byte{'\n'}, q.waiting...)
+}
+
 // Dropped returns how many lines were dropped since the start.
 func (q *Queue) Dropped() int64 {
 	q.mu.Lock()
--- /dev/null
+++ b/modules/log/queue_test.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package log
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fullPipe takes a few bytes at a time and then is full once.
+type fullPipe struct {
+	mu   sync.Mutex
+	got  bytes.Buffer
+	full bool
+	fail error // in place of being full, once
+}
+
+// Write takes at most ten bytes.
+func (p *fullPipe) Write(data []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.full = !p.full; p.full {
+		n := min(len(data), 10)
+		p.got.Write(data[:n])
+		if n == len(data) {
+			return n, nil
+		}
+		if err := p.fail; err != nil {
+			p.fail = nil
+			return n, err
+		}
+		return n, syscall.EAGAIN
+	}
+	return 0, syscall.EAGAIN
+}
+
+func TestLinesStayWholeWhereThePipeIsFull(t *testing.T) {
+	p := &fullPipe{}
+	q := &Queue{Target: p}
+	var want strings.Builder
+	for _, line := range []string{"a first line that is long\n", "a second line\n", "a third line that is long too\n"} {
+		want.WriteString(line)
+		_, err := q.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	q.Flush()
+	assert.Equal(t, p.got.String(), want.String())
+	assert.Equal(t, q.Dropped(), int64(0))
+}
+
+func TestLineThatIsCutOffIsEnded(t *testing.T) {
+	p := &fullPipe{fail: errors.New("no more")}
+	q := &Queue{Target: p}
+	_, err := q.Write([]byte("a first line that is long\n"))
+	assert.NilError(t, err)
+	q.Flush()
+	_, err = q.Write([]byte("second\n"))
+	assert.NilError(t, err)
+	q.Flush()
+	assert.Assert(t, strings.HasSuffix(p.got.String(), "\nsecond\n"), p.got.String())
+	assert.Equal(t, q.Dropped(), int64(1))
+}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -216,6 +216,9 @@
 		e = e.Str("err", a.Err.Error())
 	}
 	e.Msg("a start was answered")
+	if u.phase == running && !tellsOfRun(a.Verdict) {
+		return false // a look has shown the run meanwhile, which an earlier order has begun
+	}
 	switch a.Verdict {
 	case port.Taken:
 		u.ack = p.stamp
@@ -242,12 +245,7 @@
 		return false
 	}
 	if a.Verdict == port.Unreached {
-		u.sent = u.unsure
-		p.missed(u.at, a, now)
-		if !u.unsure {
-			p.release(u) // the worker may have been missed before this answer
-		}
-		return u.unsure
+		return p.startUnreached(u, a, now)
 	}
 	// Nothing was done by this order; an earlier one for the same run that got
 	// no answer may be carried out yet, which a stop prevents.
@@ -263,6 +261,23 @@
 	return false
 }
 
+// tellsOfRun reports whether the answer to a start tells something of the run itself
+// and not just of this order.
+func tellsOfRun(v port.Verdict) bool {
+	return v == port.Taken || v == port.Outdated || v == port.OtherLife
+}
+
+// startUnreached takes the news that a start was not sent. The run waits for its
+// worker no longer, unless an earlier start for it was sent.
+func (p *Pool) startUnreached(u *run, a port.Answer, now time.Time) bool {
+	u.sent = u.unsure
+	p.missed(u.at, a, now)
+	if !u.sent {
+		p.release(u) // the worker may have been missed before this answer
+	}
+	return u.unsure
+}
+
 // began notes that a task of a job has begun.
 func (p *Pool) began(u *run, _ time.Time) {
 	if u.job.began {
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -141,3 +141,27 @@
 	assert.Assert(t, !d.Answered(second, port.Answer{Verdict: port.Unreached}, d.now))
 	assert.Equal(t, d.jobs["1"].rounds[0].steps[0].waiting, 2)
 }
+
+// TestAnswerToALaterStartOfARunningTask has an order get no answer, a look show that
+// its run has begun, and the order given again come to nothing: the run goes on.
+func TestAnswerToALaterStartOfARunningTask(t *testing.T) {
+	for _, v := range []port.Verdict{port.Unreached, port.Refused, port.Unknown, port.Late, port.NoRoom, port.TooLow} {
+		d := newDesk(t, 1)
+		d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+		answer := port.Answer{Verdict: port.Taken, Clock: 100 * time.Second}
+		d.look("w", worker.Listing{}, answer)
+		d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+		d.keep()
+		order, _ := d.NextOrder("w")
+		d.Start(order, d.now)
+		assert.Assert(t, d.Answered(order, port.Answer{Verdict: port.Unknown}, d.now))
+		d.Again(order, d.now)
+		order, _ = d.NextOrder("w")
+		d.Start(order, d.now)
+		d.look("w", worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}, answer)
+		assert.Assert(t, !d.Answered(order, port.Answer{Verdict: v}, d.now), "%s", v)
+		assert.Equal(t, d.jobs["1"].rounds[0].steps[0].waiting, 0, "%s", v)
+		d.look("w", worker.Listing{}, answer)
+		assert.Equal(t, d.jobs["1"].rounds[0].steps[0].waiting, 1, "%s: a run that is gone is not noticed", v)
+	}
+}
