--- a/modules/log/queue.go
+++ b/modules/log/queue.go
@@ -80,30 +80,46 @@
 	fullTries = 200
 )
 
+// atomicBytes is up to which size a pipe takes a write as a whole, by POSIX at
+// least 512 and on Linux this; larger ones came out cut.
+const atomicBytes = 4096
+
 // put writes lines whole. What can't be written has nowhere to say so but the
 // count of what was dropped, and a line that is cut off is ended.
 func (q *Queue) put(lines []byte) {
-	for try := 0; len(lines) > 0; try++ {
-		n, err := q.Target.Write(lines)
-		rest := lines[n:]
-		if err == nil || len(rest) == 0 {
-			return
-		}
-		if !errors.Is(err, syscall.EAGAIN) || try == fullTries {
-			q.cutOff(rest)
+	for try := 0; len(lines) > 0; {
+		n, err := q.Target.Write(firstLines(lines))
+		lines = lines[n:]
+		switch {
+		case err == nil:
+		case errors.Is(err, syscall.EAGAIN) && try < fullTries:
+			try++
+			time.Sleep(fullPause)
+		default:
+			q.cutOff(lines)
 			return
 		}
-		lines = rest
-		time.Sleep(fullPause)
 	}
 }
 
+// firstLines returns as many whole lines as a pipe takes at once.
+func firstLines(lines []byte) []byte {
+	if len(lines) <= atomicBytes {
+		return lines
+	}
+	if end := bytes.LastIndexByte(lines[:atomicBytes], '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	return lines[:atomicBytes]
+}
+
 // cutOff counts the lines that were not written whole.
 func (q *Queue) cutOff(rest []byte) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.dropped += bytes.Count(rest, []byte{'\n'})
-	q.lost += int64(bytes.Count(rest, []byte{'\n'}))
+	n := bytes.Count(rest, []byte{'\n'})
+	q.dropped += n
+	q.lost += int64(n)
 	q.waiting = append([]byte{'\n'}, q.waiting...)
 }
 
--- a/modules/log/queue_test.go
+++ b/modules/log/queue_test.go
@@ -67,3 +67,14 @@
 	assert.Assert(t, strings.HasSuffix(p.got.String(), "\nsecond\n"), p.got.String())
 	assert.Equal(t, q.Dropped(), int64(1))
 }
+
+func TestWritesAreOfWholeLines(t *testing.T) {
+	line := strings.Repeat("x", 99) + "\n"
+	lines := []byte(strings.Repeat(line, 100))
+	for len(lines) > 0 {
+		first := firstLines(lines)
+		assert.Assert(t, len(first) <= atomicBytes && len(first)%len(line) == 0, "%d bytes", len(first))
+		lines = lines[len(first):]
+	}
+	assert.Equal(t, len(firstLines(bytes.Repeat([]byte("x"), 2*atomicBytes))), atomicBytes)
+}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -58,6 +58,15 @@
 // task returns the state of the run's task.
 func (u *run) task() *taskState { return &u.step().tasks[u.ref.Index] }
 
+// age returns for how long the run has been known to be at work, 0 where its
+// beginning was not seen.
+func (u *run) age(now time.Time) time.Duration {
+	if u.began.IsZero() {
+		return 0
+	}
+	return now.Sub(u.began)
+}
+
 // fullPace is the pace of a run that was told nothing.
 const fullPace = 100
 
@@ -139,7 +148,7 @@
 		return
 	}
 	p.Logger.Info().Str("event", "stop").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
-		Dur("age", now.Sub(u.began)).Str("why", why).Msg("a run is stopped")
+		Dur("age", u.age(now)).Str("why", why).Msg("a run is stopped")
 	if u.phase == planned {
 		p.release(u)
 		return
@@ -319,7 +328,7 @@
 		t.checkpoint = e.Checkpoint
 	}
 	p.Logger.Info().Str("event", "end").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
-		Str("outcome", string(e.How)).Dur("took", now.Sub(u.began)).Int("sequence", e.Sequence).Msg("a run has ended")
+		Str("outcome", string(e.How)).Dur("took", u.age(now)).Int("sequence", e.Sequence).Msg("a run has ended")
 	p.began(u, now)
 	switch e.How {
 	case worker.Done:
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -221,7 +221,7 @@
 // lose ends a run that never ends by itself; its task waits again.
 func (p *Pool) lose(u *run, now time.Time, why string) {
 	p.Logger.Info().Str("event", "lost").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
-		Dur("age", now.Sub(u.began)).Str("why", why).Msg("a run is lost")
+		Dur("age", u.age(now)).Str("why", why).Msg("a run is lost")
 	if u.saved != "" && u.step().spec.Checkpoints {
 		u.task().checkpoint = u.saved
 	}
