An owner that reaches neither the store nor another node extends leases no longer

Cause: found by reading: a new owner waits for a lease and three seconds for what it can't reach, and the earlier one, cut off from the store and all nodes, went on extending leases.

--- a/node/news.go
+++ b/node/news.go
@@ -55,12 +55,24 @@
 	if err := n.probes.Call(ctx, o.Address, methodProbe, empty{}, &a); err != nil {
 		return 0, err
 	}
+	n.answered.Store(n.Clock.Now().UnixNano())
 	if n.behind(a) && n.catching.CompareAndSwap(false, true) {
 		go catchUp{n, o}.run(context.WithoutCancel(ctx))
 	}
 	return a.Life, nil
 }
 
+// alone reports whether there are other nodes and none has answered a probe for a
+// while. Two are probed every 250 ms.
+func (n *Node) alone() bool {
+	v, _ := n.Directory.View()
+	return v != nil && len(v.Nodes) > 1 && n.Clock.Now().Sub(time.Unix(0, n.answered.Load())) > aloneAfter
+}
+
+// aloneAfter is how long no other node may have answered until this one counts as
+// alone.
+const aloneAfter = time.Second
+
 // stale is how old this node's own reading must be before others are asked: two
 // readings of the store.
 const stale = 2 * time.Second
--- a/node/node.go
+++ b/node/node.go
@@ -59,7 +59,8 @@
 	server  *noderpc.Server
 
 	operatorFeed follow.Follower
-	catching     atomic.Bool // another node is being asked for news
+	catching     atomic.Bool  // another node is being asked for news
+	answered     atomic.Int64 // when another node answered a probe last, in nanoseconds since 1970
 
 	mu      sync.Mutex
 	newer   *setting.NodeBounds    // the bounds of newer settings, nil for none
@@ -166,7 +167,7 @@
 		Limits: scheduler.Limits{
 			Lease: min(lease, b.LeaseMost.Std()), StopTime: b.StopTime.Std(), Keep: b.StatusKept.Std(), FarTimes: b.FarTimes,
 		},
-		Clock: n.Clock, Logger: logger,
+		Clock: n.Clock, Logger: logger, Alone: n.alone,
 	}
 	run := func(ctx context.Context) error {
 		n.setOwner(pool, o)
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -58,29 +58,33 @@
 	if err != nil {
 		return nil, err
 	}
-	epoch, err := claimed(page)
+	last, err := claimant(page.Records)
 	if err != nil {
 		return nil, err
 	}
-	if err := j.fence(ctx, claim{Epoch: epoch + 1, Node: node}); err != nil {
+	mine := claim{Epoch: last.Epoch + 1, Node: node}
+	if err := j.fence(ctx, mine); err != nil {
 		return nil, err
 	}
-	return j.readAll(ctx)
+	records, err := j.readAll(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if by, err := claimant(records); err != nil || by != mine {
+		return nil, errkind.New(errkind.Conflict, "the partition was claimed by %q at epoch %d (%v)", by.Node, by.Epoch, err)
+	}
+	return records, nil
 }
 
-// claimed returns the epoch of the newest claim, 0 for none.
-func claimed(page port.Page) (uint64, error) {
-	for _, r := range page.Records {
-		if r.Key != keyClaim || len(r.Value) == 0 {
-			continue
-		}
-		var c claim
-		if err := codec.Unmarshal(r.Value, &c); err != nil {
-			return 0, err
+// claimant returns the newest claim among the records, the zero one for none.
+func claimant(records []port.Record) (claim, error) {
+	var c claim
+	for _, r := range records {
+		if r.Key == keyClaim && len(r.Value) > 0 {
+			return c, codec.Unmarshal(r.Value, &c)
 		}
-		return c.Epoch, nil
 	}
-	return 0, nil
+	return c, nil
 }
 
 // fence raises the partition's epoch. The first sequence number of the epoch is
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -208,6 +208,7 @@
 func (l *link) lookNow(wait time.Duration) {
 	o := l.owner
 	o.mu.Lock()
+	o.isolate()
 	look, ask, known := o.pool.BeginLook(l.id, wait, o.Clock.Now())
 	o.mu.Unlock()
 	if !known {
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -32,6 +32,8 @@
 	Limits  scheduler.Limits
 	Clock   clock.Clock
 	Logger  log.Logger
+	// Alone reports whether no other node answers, nil for never.
+	Alone func() bool
 
 	changed   chan struct{} // there may be something to plan or to keep
 	questions chan struct{} // there may be something to ask the advice service
@@ -80,6 +82,23 @@
 // Epoch returns the epoch under which the pool is owned.
 func (o *Owner) Epoch() uint64 { return o.Journal.Epoch() }
 
+// unconfirmed is after how long without a word from the store an owner that reaches
+// no other node extends leases no longer. What it lets run is over a lease later,
+// before the next owner, which waits for a lease and three seconds, begins it anew.
+const unconfirmed = 2 * time.Second
+
+// isolate notes whether the owner could learn that another has taken over: from the
+// store, or from another node. The lock is held.
+func (o *Owner) isolate() {
+	isolated := o.Alone != nil && o.Clock.Now().Sub(o.Journal.Confirmed()) > unconfirmed && o.Alone()
+	if isolated == o.pool.Isolated {
+		return
+	}
+	o.pool.Isolated = isolated
+	o.Logger.Warn().Str("event", "isolated").Bool("isolated", isolated).Time("confirmed", o.Journal.Confirmed()).
+		Msg("whether this owner reaches the store or another node has changed; while it does not, leases are not extended")
+}
+
 // poke has the pool planned and its changes kept.
 func (o *Owner) poke() {
 	select {
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -32,7 +32,7 @@
 	ask := port.Look{Token: p.Token, Seen: w.kept, Wait: wait}
 	before := w.deadline
 	w.extendedBy = 0
-	if w.met && w.silent.IsZero() && len(w.runs) > 0 {
+	if w.met && w.silent.IsZero() && len(w.runs) > 0 && !p.Isolated {
 		ask.Deadline = w.extend(now, p.Limits.Lease)
 		w.extendedBy = p.stamp
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -26,6 +26,9 @@
 	Token  uint64 // of every order; the epoch of the pool's owner
 	Limits Limits
 	Logger log.Logger
+	// Isolated has leases extended no longer: whether another owner has taken over
+	// can't be learned.
+	Isolated bool
 
 	config    *config.Config
 	jobs      map[job.ID]*jobState
