--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -7,13 +7,10 @@
 	"flag"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/yardbridge/yardbridge/services/pools"
 	"github.com/yardbridge/yardbridge/services/rollout"
 )
@@ -33,9 +30,9 @@
 
 // send sends a declarative file to an action of the API.
 func (f *fileFlags) send(api *client, action, name string) (rollout.Result, []byte, error) {
-	data, err := os.ReadFile(name)
+	data, err := readFile(name)
 	if err != nil {
-		return rollout.Result{}, nil, errors.Trace(err)
+		return rollout.Result{}, nil, err
 	}
 	query := url.Values{"file": {name}}
 	if f.base >= 0 {
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
 )
@@ -95,6 +96,23 @@
 	return ExitFailed
 }
 
+// readFile reads a file that the command line names.
+func readFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "a file can't be read: %v", err)
+	}
+	return data, nil
+}
+
+// counted says how many there are of something.
+func counted(n int, what string) string {
+	if n == 1 {
+		return "1 " + what
+	}
+	return fmt.Sprintf("%d %ss", n, what)
+}
+
 // complain writes a line for a person; one that can't be written is lost.
 func (c console) complain(line string) { _, _ = fmt.Fprintln(c.err, line) }
 
--- a/cmd/node_settings_test.go
+++ b/cmd/node_settings_test.go
@@ -4,7 +4,6 @@
 package cmd
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"path/filepath"
@@ -43,14 +42,23 @@
 grace = "6s"
 `
 
+// logged takes log lines.
+type logged chan string
+
+// Write takes one line.
+func (l logged) Write(line []byte) (int, error) {
+	l <- string(line)
+	return len(line), nil
+}
+
 // TestSettingsAreReadAnew has a settings file changed without a signal, changed
 // to a wrong one, and signalled.
 func TestSettingsAreReadAnew(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.toml")
 	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
 	write(nodeSettings)
-	var lines bytes.Buffer
-	logger, err := log.New(&lines, "info", "n1")
+	lines := make(logged, 10)
+	logger, err := log.New(lines, "info", "n1")
 	assert.NilError(t, err)
 	hangup, tick := make(chan os.Signal), make(chan time.Time)
 	taken := make(chan setting.Node, 1)
@@ -73,11 +81,11 @@
 
 	write(strings.Replace(nodeSettings, `grace = "6s"`, `grace = "soon"`, 1))
 	tick <- time.Time{} // nothing is taken over
+	assert.Assert(t, strings.Contains(<-lines, "wrong settings"))
 	write(nodeSettings)
 	hangup <- syscall.SIGHUP
 	assert.Equal(t, (<-taken).Bounds.Grace.Std(), 6*time.Second)
 	cancel()
 	<-ended
-	assert.Assert(t, strings.Contains(lines.String(), "wrong settings"), lines.String())
-	assert.Assert(t, strings.Contains(lines.String(), "hangup signal"), lines.String())
+	assert.Assert(t, strings.Contains(<-lines, "hangup signal"))
 }
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -6,13 +6,10 @@
 import (
 	"context"
 	"flag"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/yardbridge/yardbridge/standin"
 )
 
@@ -30,9 +27,9 @@
 	if *file == "" {
 		return usageError{"-fleet is missing"}
 	}
-	data, err := os.ReadFile(*file)
+	data, err := readFile(*file)
 	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	workers, problems := standin.ParseFleet(*file, string(data))
 	if err := problems.Err(); err != nil {
--- a/cmd/validate.go
+++ b/cmd/validate.go
@@ -5,9 +5,6 @@
 
 import (
 	"flag"
-	"os"
-
-	"github.com/juju/errors"
 
 	"github.com/yardbridge/yardbridge/models/manifest"
 	"github.com/yardbridge/yardbridge/models/state"
@@ -24,9 +21,9 @@
 	}
 	var problems tomlfile.Problems
 	for _, name := range flags.Args() {
-		data, err := os.ReadFile(name)
+		data, err := readFile(name)
 		if err != nil {
-			return errors.Trace(err)
+			return err
 		}
 		if *settings {
 			_, found := setting.Parse(name, string(data))
@@ -39,9 +36,9 @@
 		c.complain(p.String())
 	}
 	if len(problems) > 0 {
-		return errkind.New(errkind.BadRequest, "%d problems", len(problems))
+		return errkind.New(errkind.BadRequest, "%s", counted(len(problems), "problem"))
 	}
-	c.say("%d files are in order", flags.NArg())
+	c.say("in order: %s", counted(flags.NArg(), "file"))
 	return nil
 }
 
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -10,8 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/juju/errors"
-
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
 )
 
@@ -69,7 +68,7 @@
 func LoadNode(path string) (Node, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Node{}, errors.Annotate(err, "settings")
+		return Node{}, errkind.New(errkind.BadRequest, "settings: %v", err)
 	}
 	var n Node
 	problems, isTOML := tomlfile.Decode(path, string(data), &n)
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -7,8 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/juju/errors"
-
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
 )
 
@@ -122,7 +121,7 @@
 func Load(path string) (Setting, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Setting{}, errors.Annotate(err, "settings")
+		return Setting{}, errkind.New(errkind.BadRequest, "settings: %v", err)
 	}
 	s, problems := Parse(path, string(data))
 	return s, problems.Err()
