--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
@@ -53,6 +54,7 @@
 	Gateway   *gateway.Gateway
 	Steward   *steward.Steward
 
+	hurry   chan struct{} // the list of workers is needed now
 	monitor *monitor.Monitor
 	client  *noderpc.Client
 	probes  *noderpc.Client // of its own, so that no call holds up a probe
@@ -74,7 +76,7 @@
 // New puts a node together; it opens its address for other nodes, but does
 // nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
-	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record)}
+	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record), hurry: make(chan struct{}, 1)}
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), Open: ports.Listen}
@@ -207,6 +209,10 @@
 		return
 	}
 	n.owners[pool] = o
+	select {
+	case n.hurry <- struct{}{}:
+	default:
+	}
 }
 
 // ownerList returns the owners of pools on this node.
@@ -301,12 +307,23 @@
 func (n *Node) followWorkers(ctx context.Context) {
 	f := follow.Follower{
 		Store: n.Ports.Store, Partition: n.Ports.Feeds.Workers, Clock: n.Clock, Logger: n.Logger,
-		Gap:   workersGap,
+		Gap: n.listGap, Hurry: n.hurry,
 		Apply: func(records []port.Record, whole bool) { n.list(ctx, records, whole) },
 	}
 	f.Run(ctx)
 }
 
+// listGap returns how often the list of workers is read: seldom where no pool of
+// this node needs it.
+func (n *Node) listGap() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.owners) == 0 {
+		return idleGap
+	}
+	return workersGap
+}
+
 // list takes records of the platform's list of workers.
 func (n *Node) list(ctx context.Context, records []port.Record, whole bool) {
 	var seen []worker.Worker
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -25,9 +25,11 @@
 	Logger    log.Logger
 	// Wait is how long a reading waits for a record; 0 reads each Gap.
 	Wait time.Duration
-	// Gap is the pause between readings; records that come in it are read
-	// together.
-	Gap time.Duration
+	// Gap returns the pause between readings; records that come in it are read
+	// together. Nil stands for none.
+	Gap func() time.Duration
+	// Hurry ends a pause early; nil never does.
+	Hurry <-chan struct{}
 	// Apply takes records in the order of the partition. Where whole is true
 	// they are the newest of all keys, and other keys are no longer there.
 	Apply func(records []port.Record, whole bool)
@@ -46,7 +48,7 @@
 	for ctx.Err() == nil {
 		from, err := f.readWhole(ctx)
 		for err == nil && ctx.Err() == nil {
-			f.sleep(ctx, f.Gap)
+			f.pause(ctx)
 			from, err = f.readTail(ctx, from)
 		}
 		if errkind.Is(err, errkind.Gone) {
@@ -125,6 +127,18 @@
 	f.lost = time.Time{}
 }
 
+// pause waits for the gap between readings, or until there is a hurry.
+func (f *Follower) pause(ctx context.Context) {
+	if f.Gap == nil {
+		return
+	}
+	select {
+	case <-f.Clock.After(f.Gap()):
+	case <-f.Hurry:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
