--- /dev/null
+++ b/services/fleet/need.go
@@ -0,0 +1,95 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// poolState is what is known of one pool.
+type poolState struct {
+	report scheduler.Report
+	at     time.Time      // when it was told
+	hard   int            // instances that what is there needs now
+	need   int            // the same and the spare ones
+	level  int            // the same, held for a while after a peak
+	peak   time.Time      // when it last needed as many
+	logged [2]int         // need and supply, as logged last
+	lacked map[string]int // instances lacked by label, as logged last
+}
+
+// The numbers of instances that are held for a pool.
+const (
+	spareShare   = 1.1                     // of the room that is in use or waited for
+	mostSpare    = 5.0                     // instances that a pool whose jobs can't wait has free
+	leastSpare   = 1.0                     // the same for one whose jobs can
+	hastySlack   = 1500 * time.Millisecond // of jobs that can't wait: an instance takes longer to come
+	patientSlack = 3 * time.Second         // of jobs that can
+	keepFrom     = 1                       // instances that a pool keeps beyond its need when others take from it
+	holdLevel    = 3 * time.Second         // after a peak; a move there and back takes as long
+)
+
+// needs returns how many instances of a size a pool needs for what it has, those
+// with labels aside, and how many with the spare ones. What must be apart leaves
+// most of its instances free, which are as good as spare ones.
+func needs(r scheduler.Report, size job.Size) (hard, soft int) {
+	used := r.Lasting.Plus(r.Running.Max(r.Arrives)).Plus(r.Presses)
+	share := shareOf(used, size) * spareShare
+	return max(int(math.Ceil(share)), r.Apart), max(int(math.Ceil(share+spareFor(r.Slack))), r.Apart)
+}
+
+// spareFor returns how many instances a pool is to have free, so that a rush of
+// jobs with a slack finds room until more instances have come.
+func spareFor(slack time.Duration) float64 {
+	if slack == 0 {
+		return mostSpare
+	}
+	part := float64(patientSlack-slack) / float64(patientSlack-hastySlack)
+	return leastSpare + (mostSpare-leastSpare)*min(max(part, 0), 1)
+}
+
+// instances returns how many instances of a size room takes, with some to spare.
+func instances(used, size job.Size) int {
+	return int(math.Ceil(shareOf(used, size) * spareShare))
+}
+
+// shareOf returns how many instances of a size room fills.
+func shareOf(used, size job.Size) float64 {
+	share := 0.0
+	for _, d := range []struct{ used, size int }{
+		{used.CPU, size.CPU}, {used.MemoryMB, size.MemoryMB}, {used.Accelerators, size.Accelerators},
+	} {
+		if d.size > 0 {
+			share = max(share, float64(d.used)/float64(d.size))
+		}
+	}
+	return share
+}
+
+// follow takes a need into the level of a pool.
+func (p *poolState) follow(hard, n int, now time.Time) {
+	p.hard, p.need = hard, n
+	if n >= p.level {
+		p.level, p.peak = n, now
+		return
+	}
+	if now.Sub(p.peak) > holdLevel {
+		p.level, p.peak = n, now
+	}
+}
+
+// needs returns how many instances a pool needs now.
+func (v *view) needs(pool string) int {
+	if p := v.pools[pool]; p != nil {
+		return p.need
+	}
+	return 0
+}
+
+func (p *poolState) hardNeed() int { return p.hard }
+func (p *poolState) softNeed() int { return p.need }
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -5,49 +5,15 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
-	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
-// waveState is a wave and how far it is.
-type waveState struct {
-	wave.Wave
-	seen time.Time
-	done map[string]bool // instances that have begun their maintenance
-	told bool            // that it is completed
-}
-
-// left returns the instances of a wave that are there and have not begun their
-// maintenance.
-func (w *waveState) left(instances map[string]port.Instance) []string {
-	var names []string
-	for _, n := range w.Instances {
-		if _, there := instances[n]; there && !w.done[n] {
-			names = append(names, n)
-		}
-	}
-	return names
-}
-
-// poolState is what is known of one pool.
-type poolState struct {
-	report scheduler.Report
-	at     time.Time      // when it was told
-	hard   int            // instances that what is there needs now
-	need   int            // the same and the spare ones
-	level  int            // the same, held for a while after a peak
-	peak   time.Time      // when it last needed as many
-	logged [2]int         // need and supply, as logged last
-	lacked map[string]int // instances lacked by label, as logged last
-}
-
 // view is what a plan is made from.
 type view struct {
 	now       time.Time
@@ -71,66 +37,6 @@
 	return i.Labels[0]
 }
 
-// The numbers of instances that are held for a pool.
-const (
-	spareShare   = 1.1                     // of the room that is in use or waited for
-	mostSpare    = 5.0                     // instances that a pool whose jobs can't wait has free
-	leastSpare   = 1.0                     // the same for one whose jobs can
-	hastySlack   = 1500 * time.Millisecond // of jobs that can't wait: an instance takes longer to come
-	patientSlack = 3 * time.Second         // of jobs that can
-	keepFrom     = 1                       // instances that a pool keeps beyond its need when others take from it
-	holdLevel    = 3 * time.Second         // after a peak; a move there and back takes as long
-)
-
-// needs returns how many instances of a size a pool needs for what it has, those
-// with labels aside, and how many with the spare ones. What must be apart leaves
-// most of its instances free, which are as good as spare ones.
-func needs(r scheduler.Report, size job.Size) (hard, soft int) {
-	used := r.Lasting.Plus(r.Running.Max(r.Arrives)).Plus(r.Presses)
-	share := shareOf(used, size) * spareShare
-	return max(int(math.Ceil(share)), r.Apart), max(int(math.Ceil(share+spareFor(r.Slack))), r.Apart)
-}
-
-// spareFor returns how many instances a pool is to have free, so that a rush of
-// jobs with a slack finds room until more instances have come.
-func spareFor(slack time.Duration) float64 {
-	if slack == 0 {
-		return mostSpare
-	}
-	part := float64(patientSlack-slack) / float64(patientSlack-hastySlack)
-	return leastSpare + (mostSpare-leastSpare)*min(max(part, 0), 1)
-}
-
-// instances returns how many instances of a size room takes, with some to spare.
-func instances(used, size job.Size) int {
-	return int(math.Ceil(shareOf(used, size) * spareShare))
-}
-
-// shareOf returns how many instances of a size room fills.
-func shareOf(used, size job.Size) float64 {
-	share := 0.0
-	for _, d := range []struct{ used, size int }{
-		{used.CPU, size.CPU}, {used.MemoryMB, size.MemoryMB}, {used.Accelerators, size.Accelerators},
-	} {
-		if d.size > 0 {
-			share = max(share, float64(d.used)/float64(d.size))
-		}
-	}
-	return share
-}
-
-// follow takes a need into the level of a pool.
-func (p *poolState) follow(hard, n int, now time.Time) {
-	p.hard, p.need = hard, n
-	if n >= p.level {
-		p.level, p.peak = n, now
-		return
-	}
-	if now.Sub(p.peak) > holdLevel {
-		p.level, p.peak = n, now
-	}
-}
-
 // plan returns the actions to begin now.
 func (v *view) plan() []*action {
 	size := v.usual()
@@ -228,65 +134,6 @@
 	return &action{instance: i.Name, worker: i.Worker, from: i.Pool, to: to, wave: number, began: v.now}
 }
 
-// The times that a wave is paced by.
-const (
-	emptyTime = 4 * time.Second // that emptying a worker takes at most as a rule
-	waveSlack = 3 * time.Second // that a wave is to be done early
-)
-
-// maintain begins the maintenance of instances of waves: first of those that
-// are off, then of those that their pool can spare, and where the time runs
-// short of any.
-func (v *view) maintain() []*action {
-	var began []*action
-	for _, w := range v.waves {
-		left := w.left(v.instances)
-		slots := v.slots(w)
-		if len(left) == 0 || slots <= 0 {
-			continue
-		}
-		due := make(map[string]bool, len(left))
-		for _, n := range left {
-			due[n] = v.actions[n] == nil
-		}
-		short := v.short(w, len(left))
-		for _, pool := range v.poolsOf(left) {
-			for _, i := range v.free(pool) {
-				if slots == 0 || !due[i.Name] {
-					continue
-				}
-				if pool != v.headroom && !short && v.supply(pool) <= v.needs(pool) {
-					break
-				}
-				a := v.begin(i, "", w.Number)
-				v.actions[i.Name] = a
-				began = append(began, a)
-				slots--
-			}
-		}
-	}
-	return began
-}
-
-// poolsOf returns the pools of instances, the one that is off first.
-func (v *view) poolsOf(names []string) []string {
-	var pools []string
-	for _, n := range names {
-		pools = append(pools, v.instances[n].Pool)
-	}
-	slices.SortFunc(pools, func(a, b string) int {
-		return cmp.Or(-cmp.Compare(btoi(a == v.headroom), btoi(b == v.headroom)), cmp.Compare(a, b))
-	})
-	return slices.Compact(pools)
-}
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // level returns how many instances a pool needs.
 func (v *view) level(pool string) int {
 	if p := v.pools[pool]; p != nil {
@@ -295,39 +142,6 @@
 	return 0
 }
 
-// needs returns how many instances a pool needs now.
-func (v *view) needs(pool string) int {
-	if p := v.pools[pool]; p != nil {
-		return p.need
-	}
-	return 0
-}
-
-// slots returns how many more instances of a wave may be emptied or down.
-func (v *view) slots(w *waveState) int {
-	if w.AtOnce <= 0 {
-		return len(w.Instances)
-	}
-	slots := w.AtOnce
-	for _, name := range w.Instances {
-		a := v.actions[name]
-		if a != nil && a.to == "" || v.instances[name].Condition == port.Maintenance {
-			slots--
-		}
-	}
-	return slots
-}
-
-// short reports whether a wave must go on though pools need its instances.
-func (v *view) short(w *waveState, left int) bool {
-	rounds := 1
-	if w.AtOnce > 0 {
-		rounds = (left + w.AtOnce - 1) / w.AtOnce
-	}
-	takes := time.Duration(rounds)*(v.repair+emptyTime) + waveSlack
-	return v.now.Sub(w.seen)+takes > w.Within
-}
-
 // move begins moves of instances to pools that need them and, where none does,
 // to the pool whose instances are off.
 func (v *view) move() []*action {
@@ -355,9 +169,6 @@
 	return began
 }
 
-func (p *poolState) hardNeed() int { return p.hard }
-func (p *poolState) softNeed() int { return p.need }
-
 // fill begins moves to the pools that lack instances by a need, from the pool
 // whose instances are off and from those that have more than that need.
 func (v *view) fill(need func(*poolState) int) []*action {
@@ -434,17 +245,6 @@
 	return best, most
 }
 
-// swaps returns how many instances more than it needs a pool is to have: one
-// while a wave asks for one of its own, which may then go.
-func (v *view) swaps(pool string) int {
-	for name, i := range v.instances {
-		if i.Pool == pool && i.Condition == port.Up && v.due(name) {
-			return 1
-		}
-	}
-	return 0
-}
-
 // has reports whether an instance carries a label.
 func has(i port.Instance, label string) bool { return slices.Contains(i.Labels, label) }
 
@@ -494,16 +294,6 @@
 	return a.Name < b.Name
 }
 
-// due reports whether a wave asks for an instance's maintenance yet.
-func (v *view) due(name string) bool {
-	for _, w := range v.waves {
-		if !w.done[name] && slices.Contains(w.Instances, name) {
-			return true
-		}
-	}
-	return false
-}
-
 // inRack returns how many instances a pool has in the rack of an instance.
 func (v *view) inRack(pool string, i port.Instance) int {
 	n := 0
