--- a/node/script_test.go
+++ b/node/script_test.go
@@ -129,6 +129,7 @@
 	assert.Assert(t, len(files) > 0)
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".toml"), func(t *testing.T) {
+			t.Parallel()
 			data, err := os.ReadFile(f)
 			assert.NilError(t, err)
 			var s script
--- a/standin/world/instance.go
+++ b/standin/world/instance.go
@@ -190,6 +190,7 @@
 	if o := w.workers[i.life]; o != nil {
 		for _, r := range o.runs {
 			w.stopped("", o, r)
+			r.stopping = true
 		}
 		o.end()
 		id := i.life
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -185,7 +185,7 @@
 	o.over = true
 	for _, r := range o.runs {
 		r.timer.Stop()
-		o.w.left(r)
+		o.w.left(o, r)
 	}
 	clear(o.runs)
 }
