--- a/node/random_test.go
+++ b/node/random_test.go
@@ -25,7 +25,7 @@
 // first.
 var failedSeeds = []uint64{
 	22,                                      // a node was asked to take a pool over before it had a configuration
-	32, // the model took a task for away by an order that had been at work since
+	32,                                      // the model took a task for away by an order that had been at work since
 	2, 6, 7, 8, 47, 48, 66, 70, 73, 86, 168, // failed while the nodes were written: see the commits that name them
 }
 
