A log that can't be written is tried once a line; a hangup is taken from the first moment

Read as a newcomer: a closed output would have kept the log's writer busy for ever (TestTargetThatIsGoneIsTriedOncePerLine), and a SIGHUP while the settings are read would still have ended the process.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"flag"
 	"net/http"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"sync"
@@ -42,6 +43,9 @@
 	if *path == "" {
 		return usageError{"-settings is missing"}
 	}
+	// From the first moment on: a hangup that is not taken ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	s, err := setting.LoadNode(*path)
 	if err != nil {
 		return err
@@ -61,7 +65,7 @@
 	}
 	p.meter.Gauge("log.dropped", lines.Dropped)
 	logger.Info().Str("event", "start").Str("customers", s.Listen.Customers).Str("store", s.Platform.Store).Msg("the node starts")
-	p.watchSettings(ctx, *path)
+	p.watchSettings(ctx, *path, hangup)
 	p.run(ctx)
 	logger.Info().Str("event", "stop").Msg("the node has stopped")
 	return nil
--- a/cmd/node_settings.go
+++ b/cmd/node_settings.go
@@ -7,8 +7,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
@@ -31,9 +29,7 @@
 }
 
 // watchSettings follows the settings file until the context ends.
-func (p *nodeProcess) watchSettings(ctx context.Context, path string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func (p *nodeProcess) watchSettings(ctx context.Context, path string, hangup <-chan os.Signal) {
 	w := &settingsWatch{path: path, logger: p.logger, hangup: hangup, apply: p.node.Reload}
 	w.changed() // as it was read at the start
 	go w.run(ctx)
--- a/modules/log/queue.go
+++ b/modules/log/queue.go
@@ -27,6 +27,7 @@
 	spare   []byte
 	dropped int   // since the last line that told of them
 	lost    int64 // in all
+	torn    bool  // the last line that was written was cut off
 	writing bool
 	idle    *sync.Cond
 }
@@ -52,8 +53,8 @@
 func (q *Queue) run() {
 	for {
 		q.mu.Lock()
-		lines, dropped := q.waiting, q.dropped
-		if len(lines) == 0 && dropped == 0 {
+		lines, dropped, torn := q.waiting, q.dropped, q.torn
+		if len(lines) == 0 {
 			q.writing = false
 			if q.idle != nil {
 				q.idle.Broadcast()
@@ -61,10 +62,13 @@
 			q.mu.Unlock()
 			return
 		}
-		q.waiting, q.spare, q.dropped = q.spare[:0], nil, 0
+		q.waiting, q.spare, q.dropped, q.torn = q.spare[:0], nil, 0, false
 		q.mu.Unlock()
+		if torn {
+			lines = append([]byte{'\n'}, lines...)
+		}
 		if dropped > 0 {
-			lines = fmt.Appendf(lines, `{"level":"warn","event":"log","dropped":%d,"message":"lines were dropped since the queue was full"}`+"\n", dropped)
+			lines = fmt.Appendf(lines, `{"level":"warn","event":"log","dropped":%d,"message":"lines were dropped: the queue was full, or they could not be written"}`+"\n", dropped)
 		}
 		q.put(lines)
 		q.mu.Lock()
@@ -120,7 +124,7 @@
 	n := bytes.Count(rest, []byte{'\n'})
 	q.dropped += n
 	q.lost += int64(n)
-	q.waiting = append([]byte{'\n'}, q.waiting...)
+	q.torn = true
 }
 
 // Dropped returns how many lines were dropped since the start.
--- a/modules/log/queue_test.go
+++ b/modules/log/queue_test.go
@@ -64,10 +64,32 @@
 	_, err = q.Write([]byte("second\n"))
 	assert.NilError(t, err)
 	q.Flush()
-	assert.Assert(t, strings.HasSuffix(p.got.String(), "\nsecond\n"), p.got.String())
+	assert.Assert(t, strings.HasPrefix(p.got.String(), "a first li\nsecond\n{"), p.got.String())
+	assert.Assert(t, strings.Contains(p.got.String(), `"dropped":1`), p.got.String())
 	assert.Equal(t, q.Dropped(), int64(1))
 }
 
+// broken takes nothing.
+type broken struct{ tries int }
+
+// Write always fails.
+func (b *broken) Write([]byte) (int, error) {
+	b.tries++
+	return 0, errors.New("closed")
+}
+
+func TestTargetThatIsGoneIsTriedOncePerLine(t *testing.T) {
+	b := &broken{}
+	q := &Queue{Target: b}
+	for range 3 {
+		_, err := q.Write([]byte("a line\n"))
+		assert.NilError(t, err)
+		q.Flush()
+	}
+	assert.Equal(t, b.tries, 3)
+	assert.Assert(t, q.Dropped() >= 3)
+}
+
 func TestWritesAreOfWholeLines(t *testing.T) {
 	line := strings.Repeat("x", 99) + "\n"
 	lines := []byte(strings.Repeat(line, 100))
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -79,8 +79,8 @@
 	// settleTime is how long a done order may take to show in the list.
 	settleTime = 15 * time.Second
 	// doneBefore is after which time an instance that the list shows in the same
-	// life was not taken down by an order: it had been done before. A repair and
-	// a move take longer, and the list may be as old as a slow answer.
+	// life was not taken down by an order: it had been done before. An order shows
+	// in the list with the next reading, which takes two seconds at most.
 	doneBefore = 3 * time.Second
 )
 
