One table of connections and one server loop for both kinds of processes

adapters/noderpc had written again what adapters/peerrpc had: the connection to each address, forgetting one on which a call failed, and the loop that serves those that come in. Both call modules/rpcconn now and keep what differs: TLS and counting here, writes that end in time there. Behaviour as before; tests of both and of whole processes pass with the race detector.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -7,7 +7,6 @@
 	"context"
 	stderrors "errors"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,6 +14,7 @@
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/rpcconn"
 )
 
 // dialTimeout bounds the time to connect to a node, which takes milliseconds.
@@ -26,20 +26,14 @@
 	// Dial opens a connection; nil does over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn // by address
+	conns rpcconn.Table
 }
 
-// noHandler answers what nodes ask on connections of this side: nothing.
-var noHandler = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
-})
-
 // Call calls a method of the node at an address. An error of the kind NoTarget
 // says that nothing was sent, OutcomeUnknown that the call may have been taken;
 // others are the node's own.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.conn(ctx, address)
+	conn, err := c.conns.Get(ctx, address, c.dial, &c.Logger)
 	if err != nil {
 		return errkind.New(errkind.NoTarget, "node at %s: %v", address, err)
 	}
@@ -51,46 +45,26 @@
 	case stderrors.As(err, &refused):
 		return kindOf(refused)
 	}
-	c.forget(address, conn)
+	c.conns.Forget(address, conn)
 	return errkind.New(errkind.OutcomeUnknown, "%s at %s: %v", method, address, err)
 }
 
-// conn returns the connection to an address, a new one if need be.
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	known := c.conns[address]
-	c.mu.Unlock()
-	if known != nil {
-		select {
-		case <-known.DisconnectNotify():
-		default:
-			return known, nil
-		}
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	stream := jsonrpc2.NewBufferedStream(boundedConn{raw}, jsonrpc2.VarintObjectCodec{})
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(&c.Logger))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns == nil {
-		c.conns = make(map[string]*jsonrpc2.Conn)
-	}
-	c.conns[address] = fresh
-	return fresh, nil
-}
-
+// dial opens a connection whose writes end in time.
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	if c.Dial != nil {
-		return c.Dial(bounded, address)
+	open := c.Dial
+	if open == nil {
+		var dialer net.Dialer
+		open = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	raw, err := open(bounded, address)
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(bounded, "tcp", address)
-	return raw, errors.Trace(err)
+	return boundedConn{raw}, nil
 }
 
 // writeTimeout bounds a write. A peer that has gone without a word takes nothing
@@ -112,27 +86,8 @@
 	return n, err
 }
 
-// forget closes a connection on which a call has failed. Calls of others on it
-// that wait would wait for nothing as well.
-func (c *Client) forget(address string, conn *jsonrpc2.Conn) {
-	c.mu.Lock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	c.mu.Unlock()
-	// Closing a connection that is closed tells nothing.
-	_ = conn.Close()
-}
-
 // Close ends all connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		_ = conn.Close()
-	}
-	c.conns = nil
-}
+func (c *Client) Close() { c.conns.Close() }
 
 // codeBase is the code of the first error kind between nodes.
 const codeBase = 1000
--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/rpcconn"
 )
 
 // Method answers one method; it gets the parameters as they came.
@@ -55,31 +56,8 @@
 
 // Run takes connections until the context ends.
 func (s *Server) Run(ctx context.Context) {
-	context.AfterFunc(ctx, func() { _ = s.listener.Close() })
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go session{s, raw}.run(ctx)
-	}
-}
-
-// session is one connection of another node.
-type session struct {
-	s   *Server
-	raw net.Conn
-}
-
-// run serves the connection until it or the context ends.
-func (c session) run(ctx context.Context) {
-	stream := jsonrpc2.NewBufferedStream(boundedConn{c.raw}, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(&c.s.Logger))
-	select {
-	case <-rpc.DisconnectNotify():
-	case <-ctx.Done():
-		_ = rpc.Close()
-	}
+	wrap := func(_ context.Context, raw net.Conn) (net.Conn, error) { return boundedConn{raw}, nil }
+	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger}).Run(ctx, s.listener)
 }
 
 // handle answers one call.
--- a/adapters/peerrpc/client.go
+++ b/adapters/peerrpc/client.go
@@ -7,16 +7,15 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/yardbridge/yardbridge/models/state"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/metrics"
+	"github.com/yardbridge/yardbridge/modules/rpcconn"
 	"github.com/yardbridge/yardbridge/services/members"
 	"github.com/yardbridge/yardbridge/services/slots"
 )
@@ -33,40 +32,7 @@
 	Metrics *metrics.Set
 	Logger  log.Logger
 
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn // by address
-}
-
-// noHandler answers what peers ask on connections of this side: nothing.
-var noHandler = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
-})
-
-// conn returns the connection to an address, a new one if need be.
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	known := c.conns[address]
-	c.mu.Unlock()
-	if known != nil {
-		select {
-		case <-known.DisconnectNotify():
-		default:
-			return known, nil
-		}
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(&c.Logger))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns == nil {
-		c.conns = make(map[string]*jsonrpc2.Conn)
-	}
-	c.conns[address] = fresh
-	return fresh, nil
+	conns rpcconn.Table
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -105,7 +71,7 @@
 }
 
 func (c *Client) callAddress(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.conn(ctx, address)
+	conn, err := c.conns.Get(ctx, address, c.dial, &c.Logger)
 	if err != nil {
 		return err
 	}
@@ -115,29 +81,13 @@
 		err = conn.Call(ctx, method, params, result)
 	}
 	if err != nil {
-		c.forget(address, conn)
+		c.conns.Forget(address, conn)
 	}
 	return errors.Annotatef(err, "%s at %s", method, address)
 }
 
-func (c *Client) forget(address string, conn *jsonrpc2.Conn) {
-	c.mu.Lock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	c.mu.Unlock()
-	_ = conn.Close()
-}
-
 // Close ends all connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		_ = conn.Close()
-	}
-	c.conns = nil
-}
+func (c *Client) Close() { c.conns.Close() }
 
 // Exchange sends a slots exchange.
 func (c *Client) Exchange(ctx context.Context, entry string, x slots.Exchange) (slots.Granted, error) {
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -15,6 +15,7 @@
 	"github.com/yardbridge/yardbridge/models/state"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/metrics"
+	"github.com/yardbridge/yardbridge/modules/rpcconn"
 	"github.com/yardbridge/yardbridge/services/members"
 	"github.com/yardbridge/yardbridge/services/slots"
 )
@@ -41,41 +42,21 @@
 
 // Run takes connections until the context ends.
 func (s *Server) Run(ctx context.Context) {
-	context.AfterFunc(ctx, func() { _ = s.listener.Close() })
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go session{s, raw}.run(ctx)
-	}
-}
-
-// session is one connection of another entry.
-type session struct {
-	s   *Server
-	raw net.Conn
+	(&rpcconn.Server{Wrap: s.secure, Handle: s.handle, Logger: &s.Logger}).Run(ctx, s.listener)
 }
 
-// run serves the connection until it or the context ends.
-func (c session) run(ctx context.Context) {
-	conn := c.s.Metrics.CountPeer(c.raw)
-	if c.s.TLS != nil {
-		secure := tls.Server(conn, c.s.TLS)
-		if err := secure.HandshakeContext(ctx); err != nil {
-			c.s.Logger.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("peer refused")
-			_ = c.raw.Close()
-			return
-		}
-		conn = secure
+// secure returns a counted connection, with TLS where that is set.
+func (s *Server) secure(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	conn := s.Metrics.CountPeer(raw)
+	if s.TLS == nil {
+		return conn, nil
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(&c.s.Logger))
-	select {
-	case <-rpc.DisconnectNotify():
-	case <-ctx.Done():
-		_ = rpc.Close()
+	secure := tls.Server(conn, s.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		s.Logger.Warn().Err(err).Str("from", raw.RemoteAddr().String()).Msg("peer refused")
+		return nil, err
 	}
+	return secure, nil
 }
 
 // handle answers one message.
