Settings of a node are read once; the runs of a job are gathered in one place

Start-up and each reload read the settings file twice, and a change between the two readings was missed: what is parsed is now what was compared. Withdraw and finish walked rounds, steps, tasks and runs each on their own. Config.Serves and Pool.Known were called by nobody. Tests keep their assertions.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/httpconn"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/setting"
@@ -46,7 +47,11 @@
 	// From the first moment on: a hangup that is not taken ends the process.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	s, err := setting.LoadNode(*path)
+	data, err := os.ReadFile(*path)
+	if err != nil {
+		return errkind.New(errkind.BadRequest, "settings: %v", err)
+	}
+	s, err := setting.ParseNode(*path, string(data))
 	if err != nil {
 		return err
 	}
@@ -65,7 +70,7 @@
 	}
 	p.meter.Gauge("log.dropped", lines.Dropped)
 	logger.Info().Str("event", "start").Str("customers", s.Listen.Customers).Str("store", s.Platform.Store).Msg("the node starts")
-	p.watchSettings(ctx, *path, hangup)
+	p.watchSettings(ctx, *path, data, hangup)
 	p.run(ctx)
 	logger.Info().Str("event", "stop").Msg("the node has stopped")
 	return nil
--- a/cmd/node_settings.go
+++ b/cmd/node_settings.go
@@ -28,10 +28,10 @@
 	known  []byte // the file as it was read last
 }
 
-// watchSettings follows the settings file until the context ends.
-func (p *nodeProcess) watchSettings(ctx context.Context, path string, hangup <-chan os.Signal) {
-	w := &settingsWatch{path: path, logger: p.logger, hangup: hangup, apply: p.node.Reload}
-	w.changed() // as it was read at the start
+// watchSettings follows the settings file, of which something is known, until the
+// context ends.
+func (p *nodeProcess) watchSettings(ctx context.Context, path string, known []byte, hangup <-chan os.Signal) {
+	w := &settingsWatch{path: path, logger: p.logger, hangup: hangup, apply: p.node.Reload, known: known}
 	go w.run(ctx)
 }
 
@@ -41,10 +41,11 @@
 		select {
 		case <-w.hangup:
 			w.logger.Info().Str("event", "reload").Str("why", "hangup signal").Msg("the settings are read anew")
-			w.changed()
-			w.load()
+			if _, read := w.read(); read {
+				w.load()
+			}
 		case <-w.clock.After(settingsPeriod):
-			if w.changed() {
+			if changed, _ := w.read(); changed {
 				w.load()
 			}
 		case <-ctx.Done():
@@ -53,22 +54,23 @@
 	}
 }
 
-// changed reads the file and reports whether it is another than before.
-func (w *settingsWatch) changed() bool {
+// read reads the file, and reports whether it is another than before and whether
+// it could be read.
+func (w *settingsWatch) read() (changed, read bool) {
 	data, err := os.ReadFile(w.path)
 	if err != nil {
 		w.logger.Warn().Str("event", "reload").Err(err).Msg("the settings file can't be read; the known settings stay in force")
-		return false
+		return false, false
 	}
-	changed := !bytes.Equal(data, w.known)
+	changed = !bytes.Equal(data, w.known)
 	w.known = data
-	return changed
+	return changed, true
 }
 
-// load puts the settings of the file in force, unless something is wrong with
-// them.
+// load puts the settings that were read last in force, unless something is wrong
+// with them.
 func (w *settingsWatch) load() {
-	s, err := setting.LoadNode(w.path)
+	s, err := setting.ParseNode(w.path, string(w.known))
 	if err != nil {
 		w.logger.Error().Str("event", "reload").Str("outcome", "kept").Err(err).Msg("wrong settings; those known stay in force")
 		return
--- a/cmd/node_settings_test.go
+++ b/cmd/node_settings_test.go
@@ -65,8 +65,8 @@
 	w := &settingsWatch{
 		path: path, logger: logger, hangup: hangup, apply: func(s setting.Node) { taken <- s },
 		clock: clock.Clock{AfterFunc: func(time.Duration) <-chan time.Time { return tick }},
+		known: []byte(nodeSettings),
 	}
-	w.changed()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
--- a/models/config/config.go
+++ b/models/config/config.go
@@ -110,13 +110,3 @@
 	}
 	return ""
 }
-
-// Serves reports whether a queue takes jobs to the pool.
-func (c *Config) Serves(pool string) bool {
-	for i := range c.Queues {
-		if c.Queues[i].Pool == pool {
-			return true
-		}
-	}
-	return false
-}
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -6,11 +6,9 @@
 import (
 	"net"
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
-	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
 )
 
@@ -64,18 +62,14 @@
 	PaceTime    tomlfile.Duration `toml:"pace_time"`    // until a pace works
 }
 
-// LoadNode reads and checks the settings of a node.
-func LoadNode(path string) (Node, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Node{}, errkind.New(errkind.BadRequest, "settings: %v", err)
-	}
+// ParseNode checks the settings of a node, which a file holds.
+func ParseNode(file, data string) (Node, error) {
 	var n Node
-	problems, isTOML := tomlfile.Decode(path, string(data), &n)
+	problems, isTOML := tomlfile.Decode(file, data, &n)
 	if !isTOML {
 		return n, problems.Err()
 	}
-	return n, problems.Merge(n.check(path, tomlfile.NewLocator(string(data)))).Err()
+	return n, problems.Merge(n.check(file, tomlfile.NewLocator(data))).Err()
 }
 
 func (n *Node) check(file string, l tomlfile.Locator) tomlfile.Problems {
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -96,6 +96,22 @@
 	return r
 }
 
+// runs returns the job's runs under way.
+func (j *jobState) runs() []*run {
+	var list []*run
+	for _, r := range j.rounds {
+		if r == nil {
+			continue
+		}
+		for i := range r.steps {
+			for t := range r.steps[i].tasks {
+				list = append(list, r.steps[i].tasks[t].runs...)
+			}
+		}
+	}
+	return list
+}
+
 // over reports whether the job has ended and nothing of it runs any more.
 func (j *jobState) over() bool { return j.state.Final() && j.live == 0 }
 
@@ -147,17 +163,8 @@
 	if j == nil || j.collected {
 		return false
 	}
-	for _, r := range j.rounds {
-		if r == nil {
-			continue
-		}
-		for i := range r.steps {
-			for t := range r.steps[i].tasks {
-				for _, u := range slices.Clone(r.steps[i].tasks[t].runs) {
-					p.release(u) // its order has not gone out, since no batch carries it
-				}
-			}
-		}
+	for _, u := range j.runs() {
+		p.release(u) // its order has not gone out, since no batch carries it
 	}
 	p.dirty = slices.DeleteFunc(p.dirty, func(o *jobState) bool { return o == j })
 	p.active = slices.DeleteFunc(p.active, func(o *jobState) bool { return o == j })
@@ -214,17 +221,8 @@
 func (p *Pool) finish(j *jobState, state job.State, now time.Time, why string) {
 	j.state = state
 	j.endedAt = now
-	for _, r := range j.rounds {
-		if r == nil {
-			continue
-		}
-		for i := range r.steps {
-			for t := range r.steps[i].tasks {
-				for _, u := range slices.Clone(r.steps[i].tasks[t].runs) {
-					p.stop(u, now, "job "+string(state))
-				}
-			}
-		}
+	for _, u := range j.runs() {
+		p.stop(u, now, "job "+string(state))
 	}
 	p.touch(j)
 	p.ended = append(p.ended, endedJob{j.sub.ID, now.Add(p.Limits.Keep)})
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -107,9 +107,6 @@
 	}
 }
 
-// Known reports whether the worker is one of the pool's.
-func (p *Pool) Known(id worker.ID) bool { return p.workers[id] != nil }
-
 // See takes what the platform's list says of a worker of the pool. It returns
 // whether the worker is new.
 func (p *Pool) See(info worker.Worker) bool {
