--- a/services/scheduler/cordon_test.go
+++ b/services/scheduler/cordon_test.go
@@ -11,19 +11,16 @@
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
-	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // TestStuckMaintenanceAsksForAWorker has two tasks that last on the only worker,
 // which must be maintained: one at most may be away, so that they need another.
 func TestStuckMaintenanceAsksForAWorker(t *testing.T) {
 	d := newDesk(t, 1)
-	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-	answer := port.Answer{Verdict: port.Taken, Clock: 100 * time.Second}
-	d.look("w", worker.Listing{}, answer)
+	d.serve()
 	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, Lasting: true, MayMiss: 1}}}, d.now)
 	d.keep()
-	d.look("w", worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1, Percent: 100}, {Task: "1.0.0.1", Number: 1, Percent: 100}}}, answer)
+	d.look("w", worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1, Percent: 100}, {Task: "1.0.0.1", Number: 1, Percent: 100}}}, heard)
 	d.Cordon([]Cordoned{{ID: "w", Must: true}}, d.now)
 	d.keep()
 	before := d.Report(d.now).Apart
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -37,6 +37,21 @@
 	return d
 }
 
+// heard is a worker's answer to a look or an order that it has taken.
+var heard = port.Answer{Verdict: port.Taken, Clock: 100 * time.Second}
+
+// serve lists the worker "w" and has it answer a look.
+func (d *desk) serve() {
+	d.t.Helper()
+	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+	d.look("w", worker.Listing{}, heard)
+}
+
+// submit hands in a job of one step with tasks of a minute.
+func (d *desk) submit(id job.ID, count int) {
+	d.Submit(job.Submission{ID: id, Queue: "h/q/", Steps: []job.Step{{Count: count, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+}
+
 // look has a worker answer one look.
 func (d *desk) look(id worker.ID, listing worker.Listing, a port.Answer) {
 	d.t.Helper()
@@ -62,10 +77,8 @@
 // no way there: what the earlier owner let run may run on until its lease is over.
 func TestLeaseOfAnEarlierOwnerHolds(t *testing.T) {
 	first := newDesk(t, 1)
-	first.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-	clock := 100 * time.Second
-	first.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: clock})
-	first.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, first.now)
+	first.serve()
+	first.submit("1", 1)
 	records := first.keep()
 	order, has := first.NextOrder("w")
 	assert.Assert(t, has)
@@ -74,7 +87,7 @@
 	second := newDesk(t, 2)
 	assert.NilError(t, second.Restore(records, second.now, time.Minute))
 	running := worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}
-	second.look("w", running, port.Answer{Verdict: port.Taken, Clock: clock})
+	second.look("w", running, heard)
 	second.look("w", worker.Listing{}, port.Answer{Verdict: port.Unreached})
 	second.now = second.now.Add(testLimits.Lease)
 	second.Lapse(second.now)
@@ -88,14 +101,13 @@
 // after an order with the same deadline went there.
 func TestLookThatWasNotSentTakesBackOnlyItself(t *testing.T) {
 	d := newDesk(t, 1)
-	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
+	d.serve()
 	for _, id := range []job.ID{"1", "2"} {
-		d.Submit(job.Submission{ID: id, Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+		d.submit(id, 1)
 	}
 	d.keep()
 	order, _ := d.NextOrder("w")
-	d.Answered(order, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second}, d.now)
+	d.Answered(order, heard, d.now)
 	d.now = d.now.Add(2 * time.Second)
 	k, _, _ := d.BeginLook("w", 0, d.now)
 	order, _ = d.NextOrder("w")
@@ -108,9 +120,8 @@
 // job cancelled before the order is given again.
 func TestNoStartOfACancelledJob(t *testing.T) {
 	d := newDesk(t, 1)
-	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
-	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+	d.serve()
+	d.submit("1", 1)
 	d.keep()
 	order, _ := d.NextOrder("w")
 	d.Start(order, d.now)
@@ -119,7 +130,7 @@
 	_, err := d.Cancel("1", d.now)
 	assert.NilError(t, err)
 	d.keep()
-	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
+	d.look("w", worker.Listing{}, heard)
 	order, has := d.NextOrder("w")
 	assert.Assert(t, has)
 	assert.Assert(t, order.Stop, "a run of a cancelled job is begun")
@@ -129,9 +140,8 @@
 // both tasks wait for another.
 func TestTwoStartsThatFindNoWay(t *testing.T) {
 	d := newDesk(t, 1)
-	d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: 100 * time.Second})
-	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+	d.serve()
+	d.submit("1", 2)
 	d.keep()
 	first, _ := d.NextOrder("w")
 	d.Start(first, d.now)
@@ -147,10 +157,8 @@
 func TestAnswerToALaterStartOfARunningTask(t *testing.T) {
 	for _, v := range []port.Verdict{port.Unreached, port.Refused, port.Unknown, port.Late, port.NoRoom, port.TooLow} {
 		d := newDesk(t, 1)
-		d.See(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-		answer := port.Answer{Verdict: port.Taken, Clock: 100 * time.Second}
-		d.look("w", worker.Listing{}, answer)
-		d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
+		d.serve()
+		d.submit("1", 1)
 		d.keep()
 		order, _ := d.NextOrder("w")
 		d.Start(order, d.now)
@@ -158,10 +166,10 @@
 		d.Again(order, d.now)
 		order, _ = d.NextOrder("w")
 		d.Start(order, d.now)
-		d.look("w", worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}, answer)
+		d.look("w", worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}, heard)
 		assert.Assert(t, !d.Answered(order, port.Answer{Verdict: v}, d.now), "%s", v)
 		assert.Equal(t, d.jobs["1"].rounds[0].steps[0].waiting, 0, "%s", v)
-		d.look("w", worker.Listing{}, answer)
+		d.look("w", worker.Listing{}, heard)
 		assert.Equal(t, d.jobs["1"].rounds[0].steps[0].waiting, 1, "%s: a run that is gone is not noticed", v)
 	}
 }
