--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -169,7 +169,7 @@
 
 // Committed takes the news that a batch is kept for good: what it carries may be
 // acted on.
-func (p *Pool) Committed(b *Batch) {
+func (p *Pool) Committed(b *Batch, now time.Time) {
 	p.committed = b.Number
 	for _, j := range b.stored {
 		j.stored = true
@@ -177,6 +177,7 @@
 	for _, u := range b.runs {
 		if u.phase == planned {
 			u.phase = ordered
+			u.kept = now
 			p.order(u.at, Order{Run: u})
 		}
 	}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -34,6 +34,9 @@
 	phase  phase
 	batch  uint64 // that carries it
 
+	kept     time.Time // when it was kept, from which its order counts
+	sentAt   time.Time // when its order was sent last
+	tries    int       // how often it was
 	sent     bool   // an order for it was sent
 	unsure   bool   // an order for it got no answer: it may begin yet
 	stray    bool   // listed by its worker and not known
@@ -170,6 +173,8 @@
 func (p *Pool) Start(o Order, now time.Time) port.Start {
 	u := o.Run
 	u.sent = true
+	u.sentAt = now
+	u.tries++
 	u.at.extendedBy = 0
 	return port.Start{
 		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket,
@@ -220,7 +225,8 @@
 
 func (p *Pool) startAnswered(u *run, a port.Answer, now time.Time) bool {
 	e := p.Logger.Info().Str("event", "start").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
-		Str("outcome", string(a.Verdict))
+		Str("outcome", string(a.Verdict)).Int("try", u.tries).Dur("kept_for", now.Sub(u.kept)).Dur("sent_for", now.Sub(u.sentAt)).
+		Str("job_state", string(u.job.state))
 	if a.Err != nil {
 		e = e.Str("err", a.Err.Error())
 	}
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -69,7 +69,7 @@
 	if b == nil {
 		return nil
 	}
-	d.Committed(b)
+	d.Committed(b, d.now)
 	return b.Records
 }
 
