--- /dev/null
+++ b/services/gateway/gateway_test.go
@@ -0,0 +1,38 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/directory"
+)
+
+// TestARefusalAfterAnUnknownOutcomeIsNoRefusal: the first try of a submission got no
+// answer, so its job may be taken yet. The second is refused, which says that it was
+// not taken by that try; the customer must not be told that the job never runs.
+func TestARefusalAfterAnUnknownOutcomeIsNoRefusal(t *testing.T) {
+	for _, refusal := range []errkind.Kind{errkind.LogUnavailable, errkind.Overloaded, errkind.Stopping} {
+		tries := 0
+		g := &Gateway{Directory: &directory.Directory{}}
+		g.Local = func(string) *Desk {
+			return &Desk{Submit: func(context.Context, job.Submission) error {
+				tries++
+				if tries == 1 {
+					return errkind.New(errkind.OutcomeUnknown, "the connection broke off")
+				}
+				return errkind.New(refusal, "not taken")
+			}}
+		}
+		err := g.Submit(t.Context(), &config.Queue{Pool: "p"}, job.Submission{ID: "1"})
+		assert.Equal(t, tries, 2)
+		assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%s: %v", refusal, err)
+	}
+}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -37,13 +37,13 @@
 	kept     time.Time // when it was kept, from which its order counts
 	sentAt   time.Time // when its order was sent last
 	tries    int       // how often it was
-	sent     bool   // an order for it was sent
-	unsure   bool   // an order for it got no answer: it may begin yet
-	stray    bool   // listed by its worker and not known
-	restored bool   // taken over from an earlier owner
-	stopping bool   // it is to be stopped
-	stopped  bool   // its worker has taken the stop
-	ack      uint64 // stamp of the answer that told the newest of it
+	sent     bool      // an order for it was sent
+	unsure   bool      // an order for it got no answer: it may begin yet
+	stray    bool      // listed by its worker and not known
+	restored bool      // taken over from an earlier owner
+	stopping bool      // it is to be stopped
+	stopped  bool      // its worker has taken the stop
+	ack      uint64    // stamp of the answer that told the newest of it
 	began    time.Time
 	ticket   string
 	percent  int       // of its work, as listed last
