An order to begin a run expires: it is not given, and not carried out, long after it was decided

It waits for a silent worker, is given again, or is held up on its way, while its job is cancelled, its worker says that it leaves or its pool gets another owner; each place where work begins asked, if at all, for one of these. Change: one rule for every order to begin a run (services/scheduler, withhold): it goes out within 1 s of its run being kept and not to a worker that is to be left; else its task waits again, or is stopped where an earlier try may be carried out. It carries a deadline of 1.5 s, so that a worker that gets it late refuses it; looks bring the lease. A worker made silent by two unanswered orders gives back what was not sent there. A call that was given up is reset, not closed, so that its bytes do not arrive later. A refusal after a try with an unknown outcome is told as unknown.

--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -74,7 +74,7 @@
 	}
 	response, keep, err := ch.do(ctx, c.Address, r, timeout)
 	if err != nil {
-		_ = ch.raw.Close()
+		ch.reset()
 		return Response{}, errkind.New(errkind.OutcomeUnknown, "%s %s at %s: %v", r.Method, r.Path, c.Address, err)
 	}
 	c.put(ch, keep)
@@ -106,6 +106,17 @@
 	return &channel{raw, bufio.NewReaderSize(raw, bufferBytes), bufio.NewWriterSize(raw, bufferBytes)}, nil
 }
 
+// reset ends a channel whose call was given up, so that what the far end has not
+// read yet is lost: closed in the usual way, the kernel would go on sending it, and
+// the far end might carry out seconds later what nobody waits for any more.
+func (ch *channel) reset() {
+	if c, isTCP := ch.raw.(*net.TCPConn); isTCP {
+		// A connection that can't be set is closed in the usual way.
+		_ = c.SetLinger(0)
+	}
+	_ = ch.raw.Close()
+}
+
 // put keeps a channel for the next call, or closes it.
 func (c *Client) put(ch *channel, keep bool) {
 	c.mu.Lock()
--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -125,7 +125,7 @@
 			unknown = true
 		case errkind.Is(err, errkind.Fenced), errkind.Is(err, errkind.NoTarget):
 		default:
-			return answer, err
+			return answer, surely(pool, unknown, err)
 		}
 		if ctx.Err() != nil || g.Clock.Now().Sub(began) > ownerless {
 			return answer, givenUp(pool, unknown, err)
@@ -138,6 +138,20 @@
 	}
 }
 
+// surely returns the error of a call that was answered. A refusal for the time being
+// says only that this try has done nothing: where an earlier one may have, that is
+// what is told.
+func surely(pool string, unknown bool, err error) error {
+	if !unknown || err == nil {
+		return err
+	}
+	row := errkind.Of(err).Kind.Answer()
+	if row.Outcome == errkind.NotRun && row.Retry > 0 {
+		return errkind.New(errkind.OutcomeUnknown, "pool %s: an earlier try got no answer, and then: %v", pool, err)
+	}
+	return err
+}
+
 // givenUp returns the error of a call that did not reach an owner; one that may
 // have is not told as refused.
 func givenUp(pool string, unknown bool, err error) error {
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -76,9 +76,13 @@
 func (l *link) give(channel *port.Link) bool {
 	o := l.owner
 	o.mu.Lock()
-	order, has := o.pool.NextOrder(l.id)
+	order, has := o.pool.NextOrder(l.id, o.Clock.Now())
+	changed := o.pool.Changed()
 	if !has || l.ctx.Err() != nil {
 		o.mu.Unlock()
+		if changed {
+			o.poke() // orders that were given up have freed something
+		}
 		return false
 	}
 	send := l.prepare(order, channel)
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -57,7 +57,7 @@
 		return
 	case port.Unreached:
 		if w.extendedBy == k.stamp {
-			w.deadline = k.before // it was not sent, and no other since
+			w.deadline = max(k.before, w.orderedTo) // it was not sent, and no other look since
 		}
 		p.missed(w, a, now)
 		return
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // order queues an order to a worker.
@@ -49,9 +50,9 @@
 	return w.info, true
 }
 
-// NextOrder takes the next order to a worker off its queue. A worker that does
-// not answer gets none.
-func (p *Pool) NextOrder(id worker.ID) (Order, bool) {
+// NextOrder takes the next order to a worker off its queue that is still to be
+// given. A worker that does not answer gets none.
+func (p *Pool) NextOrder(id worker.ID, now time.Time) (Order, bool) {
 	w := p.workers[id]
 	if w == nil || !w.silent.IsZero() {
 		return Order{}, false
@@ -59,6 +60,7 @@
 	for len(w.out) > 0 {
 		o := w.out[0]
 		w.out = w.out[1:]
+		p.withhold(o, now)
 		if o.Valid() {
 			return o, true
 		}
@@ -82,14 +84,71 @@
 	if p.workers[w.info.ID] != w {
 		return
 	}
-	if w.doubted && w.silent.IsZero() {
-		w.silent = now
+	if w.doubted {
+		p.missed(w, port.Answer{Verdict: port.Unknown}, now)
 	}
 	w.doubted = true
 	w.wantLook = true
 	p.order(w, o)
 }
 
+// An order to begin a run rests on what was known when the run was kept: its job is
+// wanted, its worker stays, this node owns the pool. The bounds below keep it from
+// going out, or from being carried out, when that may no longer hold. Together they
+// stay under the users' bounds for work of a cancelled job (3 s) and, since a worker
+// that leaves is known within 0.5 s, for new work on a worker that leaves (2 s).
+const (
+	startFresh  = time.Second             // from when a run is kept until its order may go out last
+	startTravel = 1500 * time.Millisecond // from when an order goes out until its worker refuses it: a channel (0.7 s), the answer (0.4 s) and the look that extends the lease
+)
+
+// withheld returns why a run is not to be begun any more, "" where it may be.
+func withheld(u *run, now time.Time) string {
+	switch {
+	case now.Sub(u.kept) > startFresh:
+		return "its order has waited too long"
+	case u.at.leaves():
+		return "its worker is to be left"
+	}
+	return ""
+}
+
+// withhold gives up an order to begin a run that is not to go out any more: the
+// task of one that was never sent waits again, one that may be carried out yet is
+// stopped.
+func (p *Pool) withhold(o Order, now time.Time) {
+	if !o.starts() || !o.Valid() {
+		return
+	}
+	u := o.Run
+	why := withheld(u, now)
+	if why == "" {
+		return
+	}
+	p.Logger.Info().Str("event", "withheld").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
+		Dur("kept_for", now.Sub(u.kept)).Int("tries", u.tries).Str("why", why).Msg("an order to begin a run does not go out")
+	if u.sent {
+		p.stop(u, now, why)
+		return
+	}
+	p.release(u)
+}
+
+// withholdAll gives up the orders that wait and are not to go out any more.
+func (p *Pool) withholdAll(now time.Time) {
+	for _, w := range p.workers {
+		for _, o := range w.out {
+			p.withhold(o, now)
+			if o.starts() && o.Valid() {
+				p.wakeAt(o.Run.kept.Add(startFresh+time.Millisecond), now)
+			}
+		}
+	}
+}
+
+// Changed reports whether there is something to plan or to keep.
+func (p *Pool) Changed() bool { return p.moved || len(p.dirty) > 0 || len(p.stops) > 0 }
+
 // The times between looks at a worker. A look is priced, and an end is heard of
 // at the next look at the latest.
 const (
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -35,6 +35,7 @@
 // to plan again though nothing changes, the zero time for never.
 func (p *Pool) Plan(now time.Time) time.Time {
 	p.Lapse(now)
+	p.withholdAll(now)
 	p.forget(now)
 	p.leave(now)
 	if !p.moved && (p.wake.IsZero() || now.Before(p.wake)) {
@@ -43,6 +44,7 @@
 	p.moved, p.wake = false, time.Time{}
 	p.reserved, p.reservedFor = nil, nil
 	p.Lapse(now)
+	p.withholdAll(now)
 	p.sweep()
 	for _, c := range p.candidates(now) {
 		p.place(c, now)
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -175,13 +175,15 @@
 	u.sent = true
 	u.sentAt = now
 	u.tries++
-	u.at.extendedBy = 0
 	return port.Start{
 		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket,
-		Deadline: u.at.extend(now, p.Limits.Lease), Token: p.Token,
+		Deadline: u.at.ordered(now, startTravel), Token: p.Token,
 	}
 }
 
+// starts reports whether an order is to begin its run.
+func (o Order) starts() bool { return !o.Stop && !o.Pace }
+
 // Valid reports whether an order still is to be given.
 func (o Order) Valid() bool {
 	switch {
--- a/services/scheduler/stale_test.go
+++ b/services/scheduler/stale_test.go
@@ -25,7 +25,7 @@
 // get no answer.
 func (d *desk) unanswered(id worker.ID) {
 	d.t.Helper()
-	order, has := d.NextOrder(id)
+	order, has := d.NextOrder(id, d.now)
 	assert.Assert(d.t, has && !order.Stop)
 	d.Start(order, d.now)
 	if d.Answered(order, port.Answer{Verdict: port.Unknown}, d.now) {
@@ -36,7 +36,7 @@
 // orders returns what is left of a worker's orders.
 func (d *desk) orders(id worker.ID) (starts, stops int) {
 	for {
-		order, has := d.NextOrder(id)
+		order, has := d.NextOrder(id, d.now)
 		switch {
 		case !has:
 			return starts, stops
@@ -63,12 +63,12 @@
 	d.now = d.now.Add(decidedLongAgo)
 	d.keep()
 	d.look("w", worker.Listing{}, heard)
-	starts, _ := d.orders("w")
+	starts, stops := d.orders("w")
 	assert.Equal(t, starts, 0, "a start is given long after it was decided")
 	assert.Equal(t, d.waitingTasks("3"), 1, "a task whose order was never sent does not wait again")
 	d.keep()
-	_, stops := d.orders("w")
-	assert.Equal(t, stops, 2, "starts that may be carried out yet are not stopped")
+	_, later := d.orders("w")
+	assert.Equal(t, stops+later, 2, "starts that may be carried out yet are not stopped")
 }
 
 // TestTasksOfASilentWorkerGoElsewhere: a second order without an answer makes a
@@ -114,7 +114,7 @@
 	d.submit("1", 1)
 	d.keep()
 	d.now = d.now.Add(500 * time.Millisecond)
-	order, has := d.NextOrder("w")
+	order, has := d.NextOrder("w", d.now)
 	assert.Assert(t, has)
 	at := heard.Clock + 500*time.Millisecond // the worker's clock now
 	deadline := d.Start(order, d.now).Deadline
@@ -128,7 +128,7 @@
 	d.serve()
 	d.submit("1", 1)
 	d.keep()
-	order, _ := d.NextOrder("w")
+	order, _ := d.NextOrder("w", d.now)
 	d.Start(order, d.now)
 	d.Answered(order, heard, d.now)
 	_, ask, _ := d.BeginLook("w", 0, d.now)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -30,19 +30,20 @@
 	rivals   bool          // other lives of its instance are known
 	deadline time.Duration // the latest on the worker's clock that was sent
 
-	extendedBy uint64    // stamp of the look that alone has sent this deadline, 0 for an order
-	silent     time.Time // since when it has not answered, zero while it does
-	doubted    bool      // nothing has been heard since an order got no answer
-	surely     time.Time // when all that an earlier owner began there is over, unless it has answered
-	waiting    bool      // it is among the workers with new orders
-	cordoned   bool      // nothing is placed there, and what can be moved is
-	cordonIn   uint64    // batch that carries the newest change of that
-	must       time.Time // since when its instance must be maintained, zero where it need not
-	wantLook   bool      // somebody waits for a look
-	looked     time.Time // when the last look ended
-	seen       int       // newest end that was taken in
-	kept       int       // newest end that is kept for good
-	told       int       // newest end that the worker was told to forget
+	orderedTo  time.Duration // the latest of those that an order has sent
+	extendedBy uint64        // stamp of the look that has extended the deadline last, 0 for none
+	silent     time.Time     // since when it has not answered, zero while it does
+	doubted    bool          // nothing has been heard since an order got no answer
+	surely     time.Time     // when all that an earlier owner began there is over, unless it has answered
+	waiting    bool          // it is among the workers with new orders
+	cordoned   bool          // nothing is placed there, and what can be moved is
+	cordonIn   uint64        // batch that carries the newest change of that
+	must       time.Time     // since when its instance must be maintained, zero where it need not
+	wantLook   bool          // somebody waits for a look
+	looked     time.Time     // when the last look ended
+	seen       int           // newest end that was taken in
+	kept       int           // newest end that is kept for good
+	told       int           // newest end that the worker was told to forget
 	trust      trust
 	sharing    sharing
 	tickets    map[job.StepRef]ticket
@@ -66,6 +67,16 @@
 	return w.deadline
 }
 
+// ordered returns the deadline of an order to begin a run, after which the worker
+// refuses it, and notes that it is sent. The worker's clock is taken for as fast as
+// this node's, so that the order has its whole time; what runs is extended by looks.
+func (w *workerState) ordered(now time.Time, travel time.Duration) time.Duration {
+	deadline := w.clock + now.Sub(w.clockAt) + travel
+	w.orderedTo = max(w.orderedTo, deadline)
+	w.deadline = max(w.deadline, deadline)
+	return deadline
+}
+
 // lapses returns when all that runs there has surely been ended by its lease,
 // unless it is extended.
 func (w *workerState) lapses() time.Time {
