--- /dev/null
+++ b/services/fleet/order_test.go
@@ -0,0 +1,51 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/wave"
+	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/journal"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+// TestARefusalAfterAnUnknownOrderDoesNotEndIt: the first try of an order to an instance
+// got no answer, so it may be carried out yet. The second is refused, which says only
+// that this try has done nothing: the instance's worker stays cordoned, and the place
+// in its wave stays taken, until it is known what became of the first.
+func TestARefusalAfterAnUnknownOrderDoesNotEndIt(t *testing.T) {
+	for _, refusal := range []errkind.Kind{errkind.LogUnavailable, errkind.Conflict} {
+		w := world.New(1)
+		m := &Manager{
+			Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: w.Store("n1"), Logger: log.Nop()},
+			Clock:   clock.Clock{}, Logger: log.Nop(), Limits: Limits{Repair: time.Second, HolderLease: time.Second},
+			Config: func() *config.Config { return nil }, Waves: func() []wave.Wave { return nil },
+		}
+		tries := 0
+		m.Instances.Maintain = func(context.Context, port.Permit, string, int) error {
+			tries++
+			if tries == 1 {
+				return errkind.New(errkind.OutcomeUnknown, "no answer")
+			}
+			return errkind.New(refusal, "not done")
+		}
+		assert.NilError(t, m.Claim(t.Context(), "n1"))
+		m.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "p", Condition: port.Up}}
+		m.view.actions["i"] = &action{instance: "i", from: "p", wave: 1, began: time.Now()}
+		assert.NilError(t, m.act(t.Context()))
+		assert.NilError(t, m.act(t.Context()))
+		assert.Equal(t, tries, 2)
+		assert.Assert(t, m.view.actions["i"] != nil, "%s: an order that may be carried out yet is forgotten", refusal)
+	}
+}
--- /dev/null
+++ b/services/owner/fence_test.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+// TestRunKeptLongAgoIsNotBegun: the append that keeps a run is done at once and its
+// answer is read five seconds later, as by a node that was frozen. Another node has
+// taken the pool over meanwhile, and its customers may have cancelled the job: the
+// order counts from when the append was sent, not from when its answer was read.
+func TestRunKeptLongAgoIsNotBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		queues := []config.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 3, Stretch: 1.5, Target: time.Second}}
+		first, second := open(t, w), (*Owner)(nil)
+		var frozen atomic.Bool
+		appendRecords := first.Journal.Store.Append
+		first.Journal.Store.Append = func(ctx context.Context, p port.Partition, wr port.Writer, records []port.Record) error {
+			err := appendRecords(ctx, p, wr, records)
+			if len(records) > 0 && frozen.CompareAndSwap(true, false) {
+				second = open(t, w) // fences the first
+				time.Sleep(5 * time.Second)
+			}
+			return err
+		}
+		var starts atomic.Int32
+		openLink := first.Workers.Open
+		first.Workers.Open = func(o worker.Worker) *port.Link {
+			l := openLink(o)
+			start := l.Start
+			l.Start = func(ctx context.Context, s port.Start) port.Answer {
+				starts.Add(1)
+				return start(ctx, s)
+			}
+			return l
+		}
+		id := w.AddWorker("i", "p", "r", job.Size{CPU: 4000, MemoryMB: 4000})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- first.Run(ctx) }()
+		first.Configure(config.New(1, queues, []config.Pool{{Name: "p"}}, config.Limits{}))
+		first.See(ctx, []worker.Worker{{ID: id, Instance: "i", Pool: "p", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}}, true)
+		synctest.Wait()
+		time.Sleep(time.Second)
+
+		frozen.Store(true)
+		submitted := make(chan error, 1)
+		go func() { submitted <- first.Submit(ctx, submission("1")) }()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, second != nil, "the pool was not taken over")
+		assert.Equal(t, starts.Load(), int32(0), "a run that was kept before another node took the pool over is begun")
+		cancel()
+		<-ended
+		<-submitted
+	})
+}
