A run counts as kept from when its append was sent

Cause: kept was set when the answer of the append was read. A node that was frozen in between, or whose store answers late (1.5 s a try), counted a run as fresh that was kept before another node took the pool over, and began it with its old token. A try takes 1.5 s at most, so 0.1 s of startFresh (1.6 s) is left even then.

--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -88,7 +88,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.pool.Committed(batch, o.Clock.Now())
+	o.pool.Committed(batch, o.Journal.Confirmed())
 	o.kept = batch.Number
 	for n, waiting := range o.waiting {
 		if n > o.kept {
--- a/services/owner/fence_test.go
+++ b/services/owner/fence_test.go
@@ -27,13 +27,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := world.New(1)
 		queues := []config.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 3, Stretch: 1.5, Target: time.Second}}
-		first, second := open(t, w), (*Owner)(nil)
-		var frozen atomic.Bool
+		first := open(t, w)
+		var frozen, taken atomic.Bool
 		appendRecords := first.Journal.Store.Append
 		first.Journal.Store.Append = func(ctx context.Context, p port.Partition, wr port.Writer, records []port.Record) error {
 			err := appendRecords(ctx, p, wr, records)
 			if len(records) > 0 && frozen.CompareAndSwap(true, false) {
-				second = open(t, w) // fences the first
+				open(t, w) // fences the first
+				taken.Store(true)
 				time.Sleep(5 * time.Second)
 			}
 			return err
@@ -62,7 +63,7 @@
 		submitted := make(chan error, 1)
 		go func() { submitted <- first.Submit(ctx, submission("1")) }()
 		time.Sleep(10 * time.Second)
-		assert.Assert(t, second != nil, "the pool was not taken over")
+		assert.Assert(t, taken.Load(), "the pool was not taken over")
 		assert.Equal(t, starts.Load(), int32(0), "a run that was kept before another node took the pool over is begun")
 		cancel()
 		<-ended
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -168,8 +168,9 @@
 }
 
 // Committed takes the news that a batch is kept for good: what it carries may be
-// acted on.
-func (p *Pool) Committed(b *Batch, now time.Time) {
+// acted on. Its runs count as kept from when the append was sent: then this node
+// owned the pool, which the time at which the answer is read does not tell.
+func (p *Pool) Committed(b *Batch, sent time.Time) {
 	p.committed = b.Number
 	for _, j := range b.stored {
 		j.stored = true
@@ -177,7 +178,7 @@
 	for _, u := range b.runs {
 		if u.phase == planned {
 			u.phase = ordered
-			u.kept = now
+			u.kept = sent
 			p.order(u.at, Order{Run: u})
 		}
 	}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -34,7 +34,7 @@
 	phase  phase
 	batch  uint64 // that carries it
 
-	kept     time.Time // when it was kept, from which its order counts
+	kept     time.Time // when the append that kept it was sent, from which its order counts
 	sentAt   time.Time // when its order was sent last
 	tries    int       // how often it was
 	sent     bool      // an order for it was sent
