A gang is given up as a whole; a member on a cordoned worker still begins

Cause: since an order to begin a run is withheld once its worker is cordoned, which is our own doing and no disruption by the users' rules; of a gang the other members began and waited alone (GANG). Change: an order of a gang goes out to a cordoned worker, which is not moved before it is empty; where a member does not begin, the others are given up with it (breakGang).

--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -105,7 +105,7 @@
 	e.Msg("a worker does not answer")
 	for _, u := range w.runs {
 		if !u.sent && !u.restored {
-			p.release(u)
+			p.giveUp(u, now, "its worker does not answer")
 		}
 	}
 	p.wakeAt(w.lapses(), now)
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/worker"
@@ -103,20 +104,20 @@
 	startTravel = 1200 * time.Millisecond // from when an order goes out until its worker refuses it: a fresh channel (0.7 s) and the answer (0.4 s)
 )
 
-// withheld returns why a run is not to be begun any more, "" where it may be.
+// withheld returns why a run is not to be begun any more, "" where it may be. A
+// worker that is to be emptied by our own wish stays until it is empty, so a gang,
+// which begins as a whole, may still begin there.
 func withheld(u *run, now time.Time) string {
 	switch {
 	case now.Sub(u.kept) > startFresh:
 		return "its order has waited too long"
-	case u.at.leaves():
+	case u.at.info.Draining, u.at.cordoned && !u.step().spec.Gang:
 		return "its worker is to be left"
 	}
 	return ""
 }
 
-// withhold gives up an order to begin a run that is not to go out any more: the
-// task of one that was never sent waits again, one that may be carried out yet is
-// stopped.
+// withhold gives up an order to begin a run that is not to go out any more.
 func (p *Pool) withhold(o Order, now time.Time) {
 	if !o.starts() || !o.Valid() {
 		return
@@ -128,11 +129,34 @@
 	}
 	p.Logger.Info().Str("event", "withheld").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
 		Dur("kept_for", now.Sub(u.kept)).Int("tries", u.tries).Str("why", why).Msg("an order to begin a run does not go out")
-	if u.sent {
+	p.giveUp(u, now, why)
+}
+
+// giveUp ends a run that is not to begin, and with it its gang: the task of one that
+// was never sent waits again, one that may be carried out yet is stopped.
+func (p *Pool) giveUp(u *run, now time.Time, why string) {
+	if u.sent || u.restored {
 		p.stop(u, now, why)
+	} else {
+		p.release(u)
+	}
+	p.breakGang(u, now, why)
+}
+
+// breakGang gives up the other members of the gang of a run that does not begin: they
+// would wait for it in vain.
+func (p *Pool) breakGang(u *run, now time.Time, why string) {
+	if u.stray || !u.step().spec.Gang {
 		return
 	}
-	p.release(u)
+	tasks := u.step().tasks
+	for i := range tasks {
+		for _, o := range slices.Clone(tasks[i].runs) {
+			if o != u && o.number == u.number && !o.stopping && o.phase != over {
+				p.giveUp(o, now, "a member of its gang does not begin: "+why)
+			}
+		}
+	}
 }
 
 // withholdAll gives up the orders that wait and are not to go out any more.
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -269,12 +269,14 @@
 	p.refusedBy(u, a.Verdict, now)
 	if u.unsure {
 		p.stop(u, now, "refused, and an earlier order may be under way")
+		p.breakGang(u, now, "refused")
 		return false
 	}
 	if a.Verdict == port.BadTicket {
 		u.at.forgetTicket(u.ref.StepRef)
 	}
 	p.release(u)
+	p.breakGang(u, now, "refused")
 	return false
 }
 
@@ -290,7 +292,7 @@
 	u.sent = u.unsure
 	p.missed(u.at, a, now)
 	if !u.sent {
-		p.release(u) // the worker may have been missed before this answer
+		p.giveUp(u, now, "its worker is not reached") // it may have been missed before this answer
 	}
 	return u.unsure
 }
