A refused order to an instance ends it only if no earlier try may be carried out yet

The action was forgotten after 503 or 409 though a try before it had got no answer: its worker was cordoned no longer, so that tasks began there which the late order would end, and its place in the wave was free. Change: for 8 s (unsettled) after a try without an answer a refusal leaves the action as it is, and the order is given again. TestARefusalAfterAnUnknownOrderDoesNotEndIt failed before; services/fleet and node TestScripts pass with -race.

--- a/services/fleet/action.go
+++ b/services/fleet/action.go
@@ -30,6 +30,7 @@
 	stage    stage
 	began    time.Time
 	sent     time.Time // when its order was given
+	unknown  time.Time // when a try of its order was last given up without an answer
 }
 
 // over reports whether the list shows that a done action has taken effect.
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -68,8 +68,8 @@
 	listTimeout   = time.Second
 	confirmAfter  = time.Second // without an append, until the store is asked whether the duty is still held
 	reportTimeout = 400 * time.Millisecond
-	// unsettled is for how long an order of an earlier holder whose outcome is
-	// not known may be carried out yet.
+	// unsettled is for how long an order whose outcome is not known may be carried
+	// out yet.
 	unsettled = 8 * time.Second
 	// intentAge is how old an intent may be when its order is given: another
 	// holder counts from the intent's time until it may order the instance.
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -135,15 +135,21 @@
 	switch {
 	case err == nil:
 		a.stage = settling
-	case errkind.Is(err, errkind.OutcomeUnknown), errkind.Is(err, errkind.Overloaded):
-		// It is given again with the next plan; one that is done already is
-		// answered as done.
-	default:
-		if errkind.Is(err, errkind.NotFound) && a.to != "" {
+	case errkind.Is(err, errkind.OutcomeUnknown):
+		a.unknown = m.Clock.Now() // it is given again with the next plan; one that is done already is answered as done
+	case errkind.Is(err, errkind.Overloaded):
+		// It is given again with the next plan.
+	case errkind.Is(err, errkind.NotFound):
+		if a.to != "" {
 			m.view.barred[bar{kind(m.view.instances[a.instance]), a.to}] = true
 		}
 		delete(m.view.actions, a.instance)
 		a.stage = emptying
+	case m.Clock.Now().Sub(a.unknown) < unsettled:
+		// This try was refused; an earlier one may be carried out yet.
+	default:
+		delete(m.view.actions, a.instance)
+		a.stage = emptying
 	}
 }
 
