An order to a worker that was idle for long goes out for a shorter time

Cause: the clock of an idle worker was read long ago and may be 2% slow, so that an order's deadline there comes later than counted: after 30 s, one that goes out 1.2 s after its run was kept may be begun 3.06 s after it, and one that goes out at 1.6 s later still. Change: what the clock may have fallen behind is taken off startFresh, down to 0.4 s. Ruled out: a deadline by the slowest clock, since a worker whose clock goes right would refuse every first order after a minute, one member of a gang as well. TestStartOnASlowClockIsSoonTooLate failed before and passes; scheduler, owner and node TestScripts pass with -race.

--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -104,12 +104,23 @@
 	startTravel = 1200 * time.Millisecond // from when an order goes out until its worker refuses it: a fresh channel (0.7 s) and the answer (0.4 s)
 )
 
+// leastFresh is what of startFresh is left at the least; a worker that has been idle
+// for a minute is down to it.
+const leastFresh = 400 * time.Millisecond
+
+// fresh returns for how long after the run was kept its order may go out. A worker's
+// clock may have fallen behind since it was heard of, by which its refusal is late.
+func (u *run) fresh(now time.Time) time.Duration {
+	behind := time.Duration(clockSlack * float64(now.Sub(u.at.clockAt)))
+	return max(startFresh-behind, leastFresh)
+}
+
 // withheld returns why a run is not to be begun any more, "" where it may be. A
 // worker that is to be emptied by our own wish stays until it is empty, so a gang,
 // which begins as a whole, may still begin there.
 func withheld(u *run, now time.Time) string {
 	switch {
-	case now.Sub(u.kept) > startFresh:
+	case now.Sub(u.kept) > u.fresh(now):
 		return "its order has waited too long"
 	case u.at.info.Draining, u.at.cordoned && !u.step().spec.Gang:
 		return "its worker is to be left"
@@ -165,7 +176,7 @@
 		for _, o := range w.out {
 			p.withhold(o, now)
 			if o.starts() && o.Valid() {
-				p.wakeAt(o.Run.kept.Add(startFresh+time.Millisecond), now)
+				p.wakeAt(o.Run.kept.Add(o.Run.fresh(now)+time.Millisecond), now)
 			}
 		}
 	}
