--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -36,3 +36,32 @@
 		assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%s: %v", refusal, err)
 	}
 }
+
+// TestAJobThatComesAgainIsOneThoughItsQueueHasMoved: a job was taken by the pool that
+// its queue led to. The same job comes again after the queue has come to lead to another
+// pool: it must not begin there as well.
+func TestAJobThatComesAgainIsOneThoughItsQueueHasMoved(t *testing.T) {
+	taken := map[string]bool{}
+	g := &Gateway{Directory: &directory.Directory{}}
+	g.Local = func(pool string) *Desk {
+		return &Desk{
+			Submit: func(context.Context, job.Submission) error {
+				taken[pool] = true
+				return nil
+			},
+			State: func(context.Context, job.ID) (job.State, error) {
+				if taken[pool] {
+					return job.Running, nil
+				}
+				return "", errkind.New(errkind.Gone, "no such job")
+			},
+		}
+	}
+	pools := []config.Pool{{Name: "a"}, {Name: "b"}}
+	for version, pool := range []string{"a", "b"} {
+		queue := config.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: pool}
+		g.Configure(config.New(uint64(version+1), []config.Queue{queue}, pools, config.Limits{}))
+		assert.NilError(t, g.Submit(t.Context(), &queue, job.Submission{ID: "1"}))
+	}
+	assert.Assert(t, !taken["b"], "one job is taken by two pools")
+}
--- /dev/null
+++ b/services/scheduler/ticket_test.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// TestStartWhoseTicketRanOutIsNotGiven: an order waited until its ticket had run out.
+// Its worker would refuse it, which is priced.
+func TestStartWhoseTicketRanOutIsNotGiven(t *testing.T) {
+	const valid = 500 * time.Millisecond
+	d := newDesk(t, 1)
+	d.Configure(config.New(2, []config.Queue{{
+		Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 3, Stretch: 1.5, Target: time.Second,
+		Advice: &config.Advice{Valid: valid},
+	}}, []config.Pool{{Name: "p"}}, config.Limits{}))
+	d.serve()
+	d.submit("1", 1)
+	d.Plan(d.now)
+	q, has := d.NextQuestion(d.now)
+	assert.Assert(t, has)
+	d.Advised(q, []port.Ticket{{Worker: "w", Text: "t"}}, nil, d.now)
+	d.keep()
+	d.now = d.now.Add(valid)
+	starts, _ := d.orders("w")
+	assert.Equal(t, starts, 0, "a start with a ticket that has run out is given")
+	assert.Equal(t, d.waitingTasks(job.ID("1")), 1)
+}
