An order whose ticket has run out is not given

Cause: an order may go out 1.6 s after its run was kept, a ticket may hold for less, and askMargin (0.15 s) counted only when the run was planned. TestStartWhoseTicketRanOutIsNotGiven failed before.

--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -124,6 +124,8 @@
 		return "its order has waited too long"
 	case u.at.info.Draining, u.at.cordoned && !u.step().spec.Gang:
 		return "its worker is to be left"
+	case !u.ticket.until.IsZero() && !now.Before(u.ticket.until):
+		return "its ticket has run out"
 	}
 	return ""
 }
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -45,7 +45,7 @@
 	stopped  bool      // its worker has taken the stop
 	ack      uint64    // stamp of the answer that told the newest of it
 	began    time.Time
-	ticket   string
+	ticket   ticket    // the zero one where none is needed
 	percent  int       // of its work, as listed last
 	moved    time.Time // when the percent changed last
 	load     int
@@ -81,7 +81,7 @@
 	ref := job.TaskRef{StepRef: s.ref, Index: index}
 	u := &run{
 		job: j, ref: ref, name: ref.String(), number: t.number, at: w, room: s.spec.Room(),
-		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref].text,
+		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref],
 	}
 	p.attach(u)
 	p.planned = append(p.planned, u)
@@ -176,7 +176,7 @@
 	u.sentAt = now
 	u.tries++
 	return port.Start{
-		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket,
+		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket.text,
 		Deadline: u.at.ordered(now, startTravel), Token: p.Token,
 	}
 }
