A job that comes again after its queue has moved is asked for where it was taken

Change: each node remembers for 30 s where queues led before, and asks there first; a pool that can't say makes the outcome unknown. Ruled out: to ask every pool for every submission (a call to each owner for each job). Left: a node that started after the move does not know of it. TestAJobThatComesAgainIsOneThoughItsQueueHasMoved failed before.

--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Remote func(n directory.Node, pool string) *Desk
 
 	newest atomic.Pointer[config.Config]
+	moves  moves
 }
 
 // Config returns the newest configuration, nil before the first.
@@ -49,6 +50,7 @@
 			return false
 		}
 		if g.newest.CompareAndSwap(known, c) {
+			g.moves.note(known, c, g.Clock.Now())
 			return true
 		}
 	}
@@ -70,6 +72,9 @@
 
 // Submit hands a job to its pool's owner and returns once it is kept.
 func (g *Gateway) Submit(ctx context.Context, q *config.Queue, s job.Submission) error {
+	if taken, err := g.takenBefore(ctx, q, s.ID); taken || err != nil {
+		return err
+	}
 	_, err := call(ctx, g, q.Pool, func(ctx context.Context, d *Desk) (nothing, error) {
 		return nothing{}, d.Submit(ctx, s)
 	})
@@ -125,7 +130,7 @@
 			unknown = true
 		case errkind.Is(err, errkind.Fenced), errkind.Is(err, errkind.NoTarget):
 		default:
-			return answer, surely(pool, unknown, err)
+			return answer, refusedAfterUnknown(pool, unknown, err)
 		}
 		if ctx.Err() != nil || g.Clock.Now().Sub(began) > ownerless {
 			return answer, givenUp(pool, unknown, err)
@@ -138,10 +143,10 @@
 	}
 }
 
-// surely returns the error of a call that was answered. A refusal for the time being
+// refusedAfterUnknown returns the error of a call that was answered. A refusal for the time being
 // says only that this try has done nothing: where an earlier one may have, that is
 // what is told.
-func surely(pool string, unknown bool, err error) error {
+func refusedAfterUnknown(pool string, unknown bool, err error) error {
 	if !unknown || err == nil {
 		return err
 	}
