--- a/node/rpc.go
+++ b/node/rpc.go
@@ -8,7 +8,6 @@
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/job"
-	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/directory"
@@ -38,11 +37,10 @@
 	Data  []byte `json:"data,omitempty"` // a submission, encoded
 }
 
-// reportAsk asks for the report of a pool, and to cordon just the workers named.
+// reportAsk asks the owner of a pool for its report.
 type reportAsk struct {
-	Pool   string               `json:"pool"`
-	Cordon []scheduler.Cordoned `json:"cordon,omitempty"`
-	Over   []worker.ID          `json:"over,omitempty"` // workers whose lives were ended
+	Pool  string            `json:"pool"`
+	Asked scheduler.Cordons `json:"asked"`
 }
 
 // empty is what a call answers that only succeeds or fails.
@@ -178,13 +176,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return o.Report(ctx, a.Cordon, a.Over)
+	return o.Report(ctx, a.Asked)
 }
 
 // report asks the owner of a pool for its report, on this node or another.
-func (n *Node) report(ctx context.Context, pool string, cordon []scheduler.Cordoned, over []worker.ID) (scheduler.Report, error) {
+func (n *Node) report(ctx context.Context, pool string, asked scheduler.Cordons) (scheduler.Report, error) {
 	if o := n.owner(pool); o != nil {
-		return o.Report(ctx, cordon, over)
+		return o.Report(ctx, asked)
 	}
 	v, _ := n.Directory.View()
 	if v == nil {
@@ -195,6 +193,6 @@
 		return scheduler.Report{}, errkind.New(errkind.NoTarget, "pool %s has no owner", pool)
 	}
 	var r scheduler.Report
-	err := n.client.Call(ctx, at.Address, methodReport, reportAsk{pool, cordon, over}, &r)
+	err := n.client.Call(ctx, at.Address, methodReport, reportAsk{pool, asked}, &r)
 	return r, err
 }
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -15,7 +15,6 @@
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/wave"
-	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -39,14 +38,14 @@
 	Waves func() []wave.Wave
 	// Tell tells the operators that a wave runs or is done.
 	Tell func(ctx context.Context, wave int, done bool) error
-	// Report asks a pool's owner for its report, and to cordon just the workers
-	// named; the lives of others have been ended by an order.
-	Report func(ctx context.Context, pool string, cordon []scheduler.Cordoned, over []worker.ID) (scheduler.Report, error)
+	// Report asks a pool's owner for its report, and for cordons.
+	Report func(ctx context.Context, pool string, asked scheduler.Cordons) (scheduler.Report, error)
 
-	done chan struct{}
-	view view
-	past map[string]intent // newest order to each instance
-	mu   sync.Mutex
+	done  chan struct{}
+	asked uint64 // questions to owners so far
+	view  view
+	past  map[string]intent // newest order to each instance
+	mu    sync.Mutex
 }
 
 // Limits are the bounds of orders to instances.
@@ -307,8 +306,8 @@
 		if p.Headroom {
 			continue
 		}
-		cordon, over := m.cordons(p.Name)
-		asks.Go(func() { m.ask(bounded, p.Name, cordon, over) })
+		asked := m.cordons(p.Name)
+		asks.Go(func() { m.ask(bounded, p.Name, asked) })
 	}
 	asks.Wait()
 }
@@ -325,15 +324,15 @@
 			continue
 		}
 		asked[a.from] = true
-		cordon, over := m.cordons(a.from)
-		asks.Go(func() { m.ask(bounded, a.from, cordon, over) })
+		question := m.cordons(a.from)
+		asks.Go(func() { m.ask(bounded, a.from, question) })
 	}
 	asks.Wait()
 }
 
 // ask takes the report of one pool.
-func (m *Manager) ask(ctx context.Context, pool string, cordon []scheduler.Cordoned, over []worker.ID) {
-	r, err := m.Report(ctx, pool, cordon, over)
+func (m *Manager) ask(ctx context.Context, pool string, asked scheduler.Cordons) {
+	r, err := m.Report(ctx, pool, asked)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
@@ -348,20 +347,22 @@
 	p.report, p.at = r, m.Clock.Now()
 }
 
-// cordons returns the workers of a pool that nothing may be placed on, and those
-// whose lives have been ended.
-func (m *Manager) cordons(pool string) (cordon []scheduler.Cordoned, over []worker.ID) {
+// cordons returns what is asked of a pool: the workers that nothing may be placed
+// on, and those whose lives have been ended.
+func (m *Manager) cordons(pool string) scheduler.Cordons {
+	m.asked++
+	asked := scheduler.Cordons{Epoch: m.Epoch(), Number: m.asked}
 	for _, a := range m.view.actions {
 		switch {
 		case a.from != pool || a.worker == "":
 		case a.stage == settling && m.ended(a):
-			over = append(over, a.worker)
+			asked.Over = append(asked.Over, a.worker)
 		default:
-			cordon = append(cordon, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
+			asked.Workers = append(asked.Workers, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
 		}
 	}
-	slices.SortFunc(cordon, func(a, b scheduler.Cordoned) int { return cmp.Compare(a.ID, b.ID) })
-	return cordon, over
+	slices.SortFunc(asked.Workers, func(a, b scheduler.Cordoned) int { return cmp.Compare(a.ID, b.ID) })
+	return asked
 }
 
 // tellWaves tells the operators of the waves that are done.
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -77,12 +77,11 @@
 	o := l.owner
 	o.mu.Lock()
 	order, has := o.pool.NextOrder(l.id, o.Clock.Now())
-	changed := o.pool.Changed()
+	if o.pool.Changed() {
+		o.poke() // orders that were given up have freed something
+	}
 	if !has || l.ctx.Err() != nil {
 		o.mu.Unlock()
-		if changed {
-			o.poke() // orders that were given up have freed something
-		}
 		return false
 	}
 	send := l.prepare(order, channel)
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -361,16 +361,18 @@
 }
 
 // Report returns what the pool tells of itself, after it has cordoned just the
-// workers named, and has given up on those whose lives were ended. It returns
-// once the cordons are kept.
-func (o *Owner) Report(ctx context.Context, cordon []scheduler.Cordoned, over []worker.ID) (scheduler.Report, error) {
+// workers that are asked for, and that is kept.
+func (o *Owner) Report(ctx context.Context, asked scheduler.Cordons) (scheduler.Report, error) {
 	o.mu.Lock()
 	if err := o.live(); err != nil {
 		o.mu.Unlock()
 		return scheduler.Report{}, err
 	}
-	o.pool.Over(over, o.Clock.Now())
-	batch := o.pool.Cordon(cordon, o.Clock.Now())
+	batch, err := o.pool.Cordon(asked, o.Clock.Now())
+	if err != nil {
+		o.mu.Unlock()
+		return scheduler.Report{}, err
+	}
 	o.attend()
 	o.mu.Unlock()
 	o.poke()
--- a/services/port/worker.go
+++ b/services/port/worker.go
@@ -17,7 +17,7 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	Deadline   time.Duration // of all that runs there, on the worker's clock
+	Deadline   time.Duration // on the worker's clock: after it the order is refused, and until it what runs there is kept alive
 	Token      uint64
 }
 
--- a/services/scheduler/clock_test.go
+++ b/services/scheduler/clock_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // TestStartOnASlowClockIsSoonTooLate: a worker without runs is not looked at, so its
@@ -38,3 +41,17 @@
 		d.now = d.now.Add(100 * time.Millisecond)
 	}
 }
+
+// TestAnAnswerThatWasHeldUpSetsNoClockBack: an answer that was a second on its way
+// tells what the worker's clock showed a second ago.
+func TestAnAnswerThatWasHeldUpSetsNoClockBack(t *testing.T) {
+	d := newDesk(t, 1)
+	d.serve()
+	d.now = d.now.Add(2 * time.Second)
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: heard.Clock + time.Second})
+	d.submit("1", 1)
+	d.keep()
+	order, _ := d.NextOrder("w", d.now)
+	deadline := d.Start(order, d.now).Deadline
+	assert.Assert(t, deadline > heard.Clock+2*time.Second+startTravel/2, "the worker's clock shows at least %s", heard.Clock+1960*time.Millisecond)
+}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -4,10 +4,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
@@ -19,13 +21,32 @@
 	Must bool `json:"must,omitempty"`
 }
 
+// Cordons is what the holder of the duty for instances asks of a pool.
+type Cordons struct {
+	Epoch   uint64      `json:"epoch"`             // of the holder
+	Number  uint64      `json:"number"`            // of the question within the epoch; a later one has a higher
+	Workers []Cordoned  `json:"workers,omitempty"` // all that are to be cordoned
+	Over    []worker.ID `json:"over,omitempty"`    // workers whose lives were ended by an order
+}
+
+// before reports whether a question was asked before another one.
+func (c Cordons) before(o Cordons) bool {
+	return cmp.Or(cmp.Compare(c.Epoch, o.Epoch), cmp.Compare(c.Number, o.Number)) < 0
+}
+
 // Cordon makes the workers named the only ones that nothing is placed on: what
 // runs there ends or moves, so that their instances can be maintained or moved.
-// It returns the batch that carries the newest of these cordons.
-func (p *Pool) Cordon(asked []Cordoned, now time.Time) uint64 {
+// It returns the batch that carries the newest of these cordons. A question that
+// comes after a later one is refused: what it asks for is not wanted any more.
+func (p *Pool) Cordon(asked Cordons, now time.Time) (uint64, error) {
+	if asked.before(p.asked) {
+		return 0, errkind.New(errkind.Conflict, "a later question has come: epoch %d, number %d", p.asked.Epoch, p.asked.Number)
+	}
+	p.asked = Cordons{Epoch: asked.Epoch, Number: asked.Number}
+	p.Over(asked.Over, now)
 	newest := uint64(0)
-	wanted := make(map[worker.ID]bool, len(asked))
-	for _, c := range asked {
+	wanted := make(map[worker.ID]bool, len(asked.Workers))
+	for _, c := range asked.Workers {
 		id := c.ID
 		w := p.workers[id]
 		if w == nil {
@@ -45,7 +66,7 @@
 			p.setCordon(id, false)
 		}
 	}
-	return newest
+	return newest, nil
 }
 
 func (p *Pool) setCordon(id worker.ID, cordoned bool) {
--- a/services/scheduler/cordon_test.go
+++ b/services/scheduler/cordon_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 )
 
 // TestStuckMaintenanceAsksForAWorker has two tasks that last on the only worker,
@@ -21,10 +22,30 @@
 	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, Lasting: true, MayMiss: 1}}}, d.now)
 	d.keep()
 	d.look("w", worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1, Percent: 100}, {Task: "1.0.0.1", Number: 1, Percent: 100}}}, heard)
-	d.Cordon([]Cordoned{{ID: "w", Must: true}}, d.now)
+	cordon(d, Cordons{Workers: []Cordoned{{ID: "w", Must: true}}})
 	d.keep()
 	before := d.Report(d.now).Apart
 	d.now = d.now.Add(mustPatience + time.Second)
 	d.keep()
 	assert.Equal(t, d.Report(d.now).Apart, before+1)
 }
+
+func cordon(d *desk, asked Cordons) {
+	d.t.Helper()
+	_, err := d.Cordon(asked, d.now)
+	assert.NilError(d.t, err)
+}
+
+// TestALateQuestionChangesNoCordon: questions of the duty for instances may overtake
+// one another, and one of a replaced holder may come late. What an earlier one asks
+// for is not wanted any more: the worker is about to be moved.
+func TestALateQuestionChangesNoCordon(t *testing.T) {
+	for _, late := range []Cordons{{Epoch: 2, Number: 4}, {Epoch: 1, Number: 9}} {
+		d := newDesk(t, 1)
+		d.serve()
+		cordon(d, Cordons{Epoch: 2, Number: 5, Workers: []Cordoned{{ID: "w"}}})
+		_, err := d.Cordon(late, d.now)
+		assert.Assert(t, errkind.Is(err, errkind.Conflict), "%v", err)
+		assert.Assert(t, d.workers["w"].cordoned, "%+v", late)
+	}
+}
--- a/services/scheduler/gang_test.go
+++ b/services/scheduler/gang_test.go
@@ -65,7 +65,7 @@
 // own doing.
 func TestGangOfWhichAWorkerIsCordoned(t *testing.T) {
 	d := gangOnTwo(t)
-	d.Cordon([]Cordoned{{ID: "b"}}, d.now)
+	cordon(d, Cordons{Workers: []Cordoned{{ID: "b"}}})
 	d.begin("a")
 	d.begin("b")
 	d.keep()
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -115,10 +115,10 @@
 	return max(startFresh-behind, leastFresh)
 }
 
-// withheld returns why a run is not to be begun any more, "" where it may be. A
+// whyWithheld returns why a run is not to be begun any more, "" where it may be. A
 // worker that is to be emptied by our own wish stays until it is empty, so a gang,
 // which begins as a whole, may still begin there.
-func withheld(u *run, now time.Time) string {
+func whyWithheld(u *run, now time.Time) string {
 	switch {
 	case now.Sub(u.kept) > u.fresh(now):
 		return "its order has waited too long"
@@ -136,7 +136,7 @@
 		return
 	}
 	u := o.Run
-	why := withheld(u, now)
+	why := whyWithheld(u, now)
 	if why == "" {
 		return
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -36,6 +36,7 @@
 	workers   map[worker.ID]*workerState
 	cordons   map[worker.ID]bool // that are kept or in the batch that is being filled
 	recordons []worker.ID        // whose cordon has changed since the last batch
+	asked     Cordons            // the newest question that came, without its lists
 	times     map[string]*trend  // what run times are to estimates, by queue
 	images    map[string]*mean   // run times in seconds, by image
 
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -52,6 +52,11 @@
 // clockSlack is by how much a worker's clock may be slow.
 const clockSlack = 0.02
 
+// clockTolerance is how much less than at least a worker's clock may show in an
+// answer: its way back takes a few milliseconds. One that was held up for longer would
+// set the clock back, and orders that rest on it would be refused as late.
+const clockTolerance = 100 * time.Millisecond
+
 // lapseSlack is added to the time at which a lease has surely run out.
 const lapseSlack = 50 * time.Millisecond
 
@@ -113,7 +118,7 @@
 			p.moved = true
 		}
 	}
-	if a.Clock > 0 {
+	if a.Clock > 0 && (w.clockAt.IsZero() || a.Clock > w.now(now)-clockTolerance) {
 		w.clock, w.clockAt = a.Clock, now
 	}
 }
