A repeated GET is sent to the target that has just failed it: brought about at will

TestRepeatWaitsForTheSecondTargetsSlot holds the lender until the first target's slot is free again or was used again.

--- a/services/dispatch/faults_test.go
+++ b/services/dispatch/faults_test.go
@@ -63,6 +63,8 @@
 	state state.State
 	seq   uint64
 	down  bool
+
+	beforeLending func(slots.Exchange) // called before the lender takes an exchange, nil for nothing
 }
 
 const entryName = "e1"
@@ -98,6 +100,9 @@
 	lender := &slots.Lender{Name: entryName, Poke: func(string, slots.Poke) {}}
 	holder := &slots.Holder{Name: entryName, Cost: func(worker string, _ int) float64 { return float64(worker[1]) }}
 	links := &slots.Links{Holder: holder, Incarnation: 1, Call: func(_ context.Context, _ string, x slots.Exchange) (slots.Granted, error) {
+		if b.beforeLending != nil {
+			b.beforeLending(x)
+		}
 		return lender.Exchange(x), nil
 	}}
 	holder.Kick = links.Kick
@@ -234,6 +239,34 @@
 	assert.Equal(t, sends, c.Sends)
 }
 
+// TestRepeatWaitsForTheSecondTargetsSlot: the second target's slot is lent only
+// once the slot of the first one, on which the request failed, has rested and
+// is free again.
+func TestRepeatWaitsForTheSecondTargetsSlot(t *testing.T) {
+	b := newBench(t)
+	b.setFaults(t, 0, "cut")
+	b.beforeLending = func(slots.Exchange) {
+		for b.targets[0].Journal().Requests == 1 && b.inUse("w0") > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	answer, body := b.send(t, faultCase{Method: http.MethodGet}, "")
+	assert.Equal(t, answer.StatusCode, http.StatusOK, body)
+	assert.Equal(t, b.targets[0].Journal().Requests, 1, "sent again to the target that has just failed")
+	assert.Equal(t, b.targets[1].Journal().Requests, 1)
+}
+
+// inUse returns how many slots of a worker are in use.
+func (b *bench) inUse(worker string) int {
+	held, _ := b.d.Holder.Dump()
+	for _, h := range held {
+		if h.Worker == worker {
+			return h.InUse
+		}
+	}
+	return 0
+}
+
 // mend opens the closed targets again at their addresses.
 func (b *bench) mend(t *testing.T) {
 	t.Helper()
