A repeat waits for another target while one may still come

The slot that the failure freed is nearly always the first one.

Change (services/slots): a repeat waits beside the queue as long as a slot of another target may still come: one that is in use here, or one of an owner that has not refused; a quarter of its time at most, so that an owner that is frozen costs it no more. It holds up nobody: idle slots of the target that failed go to those behind it. Where no other target is left it takes that slot at once; before, it could wait for the next asking. A want names the avoided worker, which the owner lends last: it failed, so it is the emptiest, and would be lent first.

Ruled out: passing over the failing target for good (a pool of one target could never repeat), blocking the queue behind a repeat.

--- a/services/slots/acquire.go
+++ b/services/slots/acquire.go
@@ -19,7 +19,7 @@
 	Deadline time.Time
 	Limit    int           // requests that may wait for the pool
 	Typical  time.Duration // usual time in a slot, 0 for not known
-	Avoid    string        // worker that is taken only where no slot of another one is to be had, empty for none
+	Avoid    string        // worker that is taken only where no slot of another one comes in a while, empty for none
 }
 
 // Slot is the right to one request on a target, until Release.
@@ -76,12 +76,19 @@
 		h.mu.Unlock()
 		return nil, err
 	}
+	h.serveQueue(p) // a repeat takes a slot that is idle where no other one may come
 	kicks := h.wantMore(p)
 	h.mu.Unlock()
 	h.kickAll(kicks)
 	return h.await(ctx, p, w)
 }
 
+// choosyShare is the part of a repeat's time for which it leaves the slots of
+// the target that failed it to others: an exchange with an owner in another hall
+// takes some milliseconds, the shortest deadlines are a second or two, and most
+// of the time is left for the attempt itself.
+const choosyShare = 4
+
 // enqueue makes a request wait, unless that is hopeless; h.mu is held.
 func (h *Holder) enqueue(p *poolHoldings, a Ask) (*waiter, error) {
 	if !slices.ContainsFunc(p.targets, func(t *holding) bool { return t.serving }) {
@@ -99,13 +106,17 @@
 		return nil, errkind.NewRetry(errkind.Overloaded, wait, "the wait for pool %s would be %s, allowed are %s",
 			a.Pool, wait.Round(time.Millisecond), bound.Round(time.Millisecond))
 	}
-	if p.queue.len() >= a.Limit {
+	if p.queue.all() >= a.Limit {
 		wait := h.expectedWait(p, a.Class)
 		if a.Class == manifest.Batch || !shedOldest(&p.queue.batch, wait) {
-			return nil, errkind.NewRetry(errkind.Overloaded, wait, "%d requests wait for pool %s, the most allowed", p.queue.len(), a.Pool)
+			return nil, errkind.NewRetry(errkind.Overloaded, wait, "%d requests wait for pool %s, the most allowed", p.queue.all(), a.Pool)
 		}
 	}
 	w := &waiter{class: a.Class, avoid: a.Avoid, deadline: a.Deadline, grant: make(chan *Slot, 1), shed: make(chan struct{})}
+	if a.Avoid != "" && h.mayCome(p, a.Avoid) {
+		p.queue.choosy = append(p.queue.choosy, w)
+		return w, nil
+	}
 	p.queue.add(w)
 	return w, nil
 }
@@ -168,16 +179,27 @@
 
 // await returns the slot, or the reason why the request is given up on.
 func (h *Holder) await(ctx context.Context, p *poolHoldings, w *waiter) (*Slot, error) {
+	left := w.deadline.Sub(h.Clock.Now())
+	var settle <-chan time.Time // never, where the request takes any slot
+	if w.avoid != "" {
+		settle = h.Clock.After(left / choosyShare)
+	}
+	late := h.Clock.After(left)
 	var err error
-	select {
-	case s := <-w.grant:
-		return s, nil
-	case <-w.shed:
-		return nil, errkind.NewRetry(errkind.Overloaded, w.comeBack, "given up since more requests came than pool %s can serve", p.name)
-	case <-h.Clock.After(w.deadline.Sub(h.Clock.Now())):
-		err = errkind.New(errkind.DeadlinePassed, "no slot of pool %s in time", p.name)
-	case <-ctx.Done():
-		err = errkind.New(errkind.DeadlinePassed, "the caller waits no more")
+	for err == nil {
+		select {
+		case s := <-w.grant:
+			return s, nil
+		case <-w.shed:
+			return nil, errkind.NewRetry(errkind.Overloaded, w.comeBack, "given up since more requests came than pool %s can serve", p.name)
+		case <-settle:
+			settle = nil
+			h.settle(p, w)
+		case <-late:
+			err = errkind.New(errkind.DeadlinePassed, "no slot of pool %s in time", p.name)
+		case <-ctx.Done():
+			err = errkind.New(errkind.DeadlinePassed, "the caller waits no more")
+		}
 	}
 	h.mu.Lock()
 	p.queue.remove(w)
@@ -189,3 +211,12 @@
 	}
 	return nil, err
 }
+
+// settle has a repeat that has waited long enough for another target take a
+// slot of any.
+func (h *Holder) settle(p *poolHoldings, w *waiter) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p.queue.settle(w)
+	h.serveQueue(p)
+}
--- a/services/slots/holder.go
+++ b/services/slots/holder.go
@@ -190,7 +190,7 @@
 		targets = append(targets, Target{t.worker, t.pool, t.owner, t.held, t.inUse, t.serving})
 	}
 	for name, p := range h.pools {
-		waiting[name] = p.queue.len()
+		waiting[name] = p.queue.all()
 	}
 	return targets, waiting
 }
--- a/services/slots/lend.go
+++ b/services/slots/lend.go
@@ -27,7 +27,7 @@
 	}
 	grants := make(map[string]int)
 	for range w.Count {
-		worker := emptiest(free)
+		worker := emptiest(free, w.Avoid)
 		if worker == "" {
 			break
 		}
@@ -48,10 +48,15 @@
 	return list
 }
 
-func emptiest(free map[string]int) string {
+// emptiest returns the target with the most free slots, the avoided one only
+// where it is the last, and empty for none.
+func emptiest(free map[string]int, avoid string) string {
 	best := ""
 	for worker, n := range free {
-		if n > 0 && (best == "" || n > free[best] || n == free[best] && worker < best) {
+		if n <= 0 {
+			continue
+		}
+		if best == "" || best == avoid || worker != avoid && (n > free[best] || n == free[best] && worker < best) {
 			best = worker
 		}
 	}
--- a/services/slots/link.go
+++ b/services/slots/link.go
@@ -151,8 +151,8 @@
 	for name := range pools {
 		p := h.pool(name)
 		x.Haves = append(x.Haves, Have{Pool: name, Count: h.held(p)})
-		if n := p.queue.len(); n > 0 && !p.askedAt[owner] {
-			x.Wants = append(x.Wants, Want{Pool: name, Count: min(n, maxWant)})
+		if n := p.queue.all(); n > 0 && !p.askedAt[owner] {
+			x.Wants = append(x.Wants, Want{Pool: name, Count: min(n, maxWant), Avoid: p.queue.avoided()})
 			due = true
 		}
 	}
@@ -177,6 +177,11 @@
 	defer h.mu.Unlock()
 	h.told[owner] = x.Offset
 	given := make(map[string]int)
+	other := make(map[string]bool) // by pool, a slot of a target that is not avoided
+	avoid := make(map[string]string)
+	for _, w := range x.Wants {
+		avoid[w.Pool] = w.Avoid
+	}
 	for _, n := range g.Grants {
 		t, ok := h.targets[n.Worker]
 		if !ok || t.epoch != n.Epoch || t.owner != owner {
@@ -185,10 +190,11 @@
 		}
 		t.held += n.Count
 		given[t.pool] += n.Count
+		other[t.pool] = other[t.pool] || t.worker != avoid[t.pool]
 	}
 	for _, w := range x.Wants {
 		p := h.pool(w.Pool)
-		if given[w.Pool] < w.Count {
+		if given[w.Pool] < w.Count || w.Avoid != "" && !other[w.Pool] {
 			p.askedAt[owner] = true
 		}
 		h.serveQueue(p)
--- a/services/slots/message.go
+++ b/services/slots/message.go
@@ -14,6 +14,7 @@
 type Want struct {
 	Pool  string `json:"p"`
 	Count int    `json:"n"`
+	Avoid string `json:"a,omitempty"` // worker that is lent last, empty for none
 }
 
 // Have says how many slots of a pool an entry holds from all owners.
--- a/services/slots/pick.go
+++ b/services/slots/pick.go
@@ -61,7 +61,7 @@
 // held. This entry is asked first, then owners in its hall, then the others,
 // each once those before it have refused.
 func (h *Holder) wantMore(p *poolHoldings) []string {
-	if p.queue.len() == 0 {
+	if p.queue.all() == 0 {
 		return nil
 	}
 	nearest, distance := "", 0
--- a/services/slots/queue.go
+++ b/services/slots/queue.go
@@ -4,6 +4,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/manifest"
@@ -13,7 +14,7 @@
 type waiter struct {
 	class    manifest.Class
 	deadline time.Time
-	avoid    string        // worker that is taken only where there is no other one
+	avoid    string        // worker on which the request failed, empty for none
 	grant    chan *Slot    // gets the slot; holds one
 	shed     chan struct{} // closed when the request is given up on
 	comeBack time.Duration // when to ask again, set before shed is closed
@@ -24,10 +25,15 @@
 type queue struct {
 	interactive []*waiter
 	batch       []*waiter
+	choosy      []*waiter // repeats that leave slots of the target that failed them to others
 }
 
+// len returns how many requests wait for a slot of any target.
 func (q *queue) len() int { return len(q.interactive) + len(q.batch) }
 
+// all returns how many requests wait.
+func (q *queue) all() int { return q.len() + len(q.choosy) }
+
 func (q *queue) add(w *waiter) {
 	if w.class == manifest.Batch {
 		q.batch = append(q.batch, w)
@@ -63,6 +69,24 @@
 	w.gone = true
 	q.interactive = without(q.interactive, w)
 	q.batch = without(q.batch, w)
+	q.choosy = without(q.choosy, w)
+}
+
+// avoided returns the worker on which the first choosy request has failed,
+// empty for none.
+func (q *queue) avoided() string {
+	if len(q.choosy) == 0 {
+		return ""
+	}
+	return q.choosy[0].avoid
+}
+
+// settle has a choosy request take a slot of any target, as the next one.
+func (q *queue) settle(w *waiter) {
+	if slices.Contains(q.choosy, w) {
+		q.choosy = without(q.choosy, w)
+		q.putBack(w)
+	}
 }
 
 func without(line []*waiter, w *waiter) []*waiter {
--- a/services/slots/return.go
+++ b/services/slots/return.go
@@ -3,6 +3,8 @@
 
 package slots
 
+import "slices"
+
 // returnIdle gives back the idle slots of targets that serve no more; h.mu is
 // held, and the owners to kick are returned.
 func (h *Holder) returnIdle() []string {
@@ -39,6 +41,7 @@
 // serveQueue hands idle slots to the requests that wait; h.mu is held.
 func (h *Holder) serveQueue(p *poolHoldings) {
 	now := h.Clock.Now()
+	h.serveChoosy(p)
 	for {
 		w := p.queue.next(now)
 		if w == nil {
@@ -47,7 +50,7 @@
 		}
 		t := h.pick(p, w.avoid)
 		if t == nil && w.avoid != "" {
-			t = h.pick(p, "") // its owner had no slot of another target either
+			t = h.pick(p, "") // no other one was to be had
 		}
 		if t == nil {
 			p.queue.putBack(w)
@@ -57,6 +60,33 @@
 	}
 }
 
+// serveChoosy hands idle slots of other targets to the requests that have
+// failed on one, and lets those take any slot for which no other one may come;
+// h.mu is held.
+func (h *Holder) serveChoosy(p *poolHoldings) {
+	for _, w := range slices.Clone(p.queue.choosy) {
+		t := h.pick(p, w.avoid)
+		switch {
+		case t != nil:
+			p.queue.choosy = without(p.queue.choosy, w)
+			w.grant <- h.slotOn(t)
+		case !h.mayCome(p, w.avoid):
+			p.queue.settle(w)
+		}
+	}
+}
+
+// mayCome reports whether a slot of another target may still come: one that is
+// in use here, or one of an owner that has not refused; h.mu is held.
+func (h *Holder) mayCome(p *poolHoldings, avoid string) bool {
+	return slices.ContainsFunc(p.targets, func(t *holding) bool {
+		if t.worker == avoid || !t.serving || !h.mayUse(t) {
+			return false
+		}
+		return t.held > 0 || t.owner != "" && !p.askedAt[t.owner]
+	})
+}
+
 // HandlePoke follows an owner's poke.
 func (h *Holder) HandlePoke(p Poke) {
 	h.mu.Lock()
