"Not run" is said of a request that a target had: brought about at will

Found by reading on the way to tests/oneway: serveUsual answers a repeated request with the error of its last attempt.

TestNotRunIsNeverSaidOnceATargetHadTheRequest lets all targets leave once the first attempt has reached one.

--- a/services/dispatch/faults_test.go
+++ b/services/dispatch/faults_test.go
@@ -256,6 +256,28 @@
 	assert.Equal(t, b.targets[1].Journal().Requests, 1)
 }
 
+// TestNotRunIsNeverSaidOnceATargetHadTheRequest: a repeat that gets no slot is
+// refused, but the attempt before has reached a target.
+func TestNotRunIsNeverSaidOnceATargetHadTheRequest(t *testing.T) {
+	for _, c := range []faultCase{
+		{First: "cut", Want: http.StatusGatewayTimeout, Outcome: string(errkind.Unknown)},
+		{First: "fail", Want: http.StatusInternalServerError, Outcome: string(errkind.Ran)},
+	} {
+		b := newBench(t)
+		b.setFaults(t, 0, c.First)
+		b.beforeLending = func(slots.Exchange) {
+			if b.targets[0].Journal().Requests > 0 {
+				b.d.Holder.Leaving([]string{"w0", "w1"})
+			}
+		}
+		c.Method, c.Timeout = http.MethodGet, "300ms"
+		answer, body := b.send(t, c, "")
+		assert.Equal(t, b.targets[0].Journal().Requests, 1)
+		assert.Equal(t, answer.Header.Get(errkind.HeaderOutcome), c.Outcome, "%s: %s", c.First, body)
+		assert.Equal(t, answer.StatusCode, c.Want, "%s: %s", c.First, body)
+	}
+}
+
 // inUse returns how many slots of a worker are in use.
 func (b *bench) inUse(worker string) int {
 	held, _ := b.d.Holder.Dump()
