A repeat's refusal is no refusal of the request

Cause: see; the error of the last attempt was passed on as that of the request.

Change (services/dispatch): where the last attempt was refused and one before it had reached a target, the caller gets that one's answer, if it was a whole one (the target's own server error, as for a request that may not be repeated), and else outcome-unknown with both reasons.

--- a/services/dispatch/answer.go
+++ b/services/dispatch/answer.go
@@ -50,12 +50,11 @@
 
 // relay passes an answer on to the caller and gives the slot back.
 func (c *call) relay(a *answer) error {
-	header := c.w.Header()
-	copyHeaders(header, a.response.Header)
-	header[HeaderRequestID] = []string{c.id}
-	header[HeaderConfig] = []string{strconv.FormatUint(c.version, 10)}
-	header[errkind.HeaderOutcome] = []string{string(errkind.Ran)}
+	c.relayHeaders(a)
 	if a.whole != nil {
+		// The slot is free before the caller has the answer, since the target
+		// has nothing left to do.
+		c.end(a)
 		c.relayWhole(a)
 		return nil
 	}
@@ -63,12 +62,30 @@
 	return nil
 }
 
-// relayWhole passes on an answer that was read already; the slot is free
-// before the caller has it, since the target has nothing left to do.
-func (c *call) relayWhole(a *answer) {
+// relayKept passes on the answer of an attempt that has ended.
+func (c *call) relayKept() error {
+	c.relayHeaders(c.kept)
+	c.relayWhole(c.kept)
+	return nil
+}
+
+func (c *call) relayHeaders(a *answer) {
+	header := c.w.Header()
+	copyHeaders(header, a.response.Header)
+	header[HeaderRequestID] = []string{c.id}
+	header[HeaderConfig] = []string{strconv.FormatUint(c.version, 10)}
+	header[errkind.HeaderOutcome] = []string{string(errkind.Ran)}
+}
+
+// end ends an attempt whose answer was read to its end.
+func (c *call) end(a *answer) {
 	c.judge(a, nil)
 	a.cancel()
 	a.slot.Release()
+}
+
+// relayWhole passes on an answer that was read already.
+func (c *call) relayWhole(a *answer) {
 	c.w.WriteHeader(a.response.StatusCode)
 	// A caller that has gone away needs no answer.
 	_, _ = c.w.Write(a.whole.Bytes())
@@ -89,9 +106,7 @@
 		c.d.Logger.Warn().Str("request", c.id).Str("worker", a.slot.Worker()).Err(err).Msg("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
-	c.judge(a, nil)
-	a.cancel()
-	a.slot.Release()
+	c.end(a)
 }
 
 // copyPieces reads to the end of the target's answer also when the caller has
--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -34,9 +34,12 @@
 		case err == nil && !again:
 			return c.relay(a) // the target's own error
 		case err == nil:
-			c.discard(a)
+			c.keep(a)
 		case !again:
-			return err
+			return c.giveUp(err)
+		}
+		if err != nil && !notRun(err) {
+			c.lost = err
 		}
 		c.failedOn = a.slot.Worker()
 		c.d.Metrics.Retries.Inc(1)
@@ -49,14 +52,30 @@
 	return a.whole != nil && a.response.StatusCode >= http.StatusInternalServerError
 }
 
-// discard ends an attempt whose answer was read to its end.
-func (c *call) discard(a *answer) {
-	c.judge(a, nil)
-	a.cancel()
-	a.slot.Release()
-	c.d.buffers.Put(a.whole)
+// keep ends an attempt whose answer was read to its end, and keeps the answer
+// in case that no later attempt reaches a target.
+func (c *call) keep(a *answer) {
+	c.end(a)
+	c.kept = a
 }
 
+// giveUp answers after an attempt that failed for good. A refusal of the last
+// attempt is no refusal of the request where one before it reached a target.
+func (c *call) giveUp(err error) error {
+	switch {
+	case !notRun(err):
+		return err
+	case c.kept != nil:
+		return c.relayKept()
+	case c.lost != nil:
+		return errkind.New(errkind.OutcomeUnknown, "%s; no other attempt was made: %s", errkind.Of(c.lost).Message, errkind.Of(err).Message)
+	}
+	return err
+}
+
+// notRun reports whether an error says that no target had the request.
+func notRun(err error) bool { return errkind.Of(err).Kind.Answer().Outcome == errkind.NotRun }
+
 // mayRetry reports whether a failed attempt may be followed by another one:
 // always while no target can have seen it, and else only if the request may
 // be repeated. A refusal for want of a slot is final.
--- a/services/dispatch/dispatcher.go
+++ b/services/dispatch/dispatcher.go
@@ -91,7 +91,9 @@
 	body     []byte // nil where it is streamed
 	key      string
 	begun    time.Time
-	failedOn string // worker of the attempt before, empty for the first one
+	failedOn string  // worker of the attempt before, empty for the first one
+	kept     *answer // newest server error that a target answered, nil for none
+	lost     error   // newest failure of an attempt that reached a target, nil for none
 }
 
 // Serve answers a request for a service at a path below it.
