A failed attempt tells at which step it stood; the load tells of requests that came late

For tests/oneway, whose lost requests said only that a target did not answer. Each attempt that comes to nothing is a line now with the request's id, the configuration that served, pool, worker and number of the attempt, the wait for the slot, the time that was left, when the connection was had, the request written and the answer begun, when the attempt ended and how late this process noticed the deadline. The stand-in's targets count the requests that come after their deadline; the load of the scripts logs that. The dispatcher's dialling is a seam for tests.

--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
@@ -102,22 +101,27 @@
 	response *http.Response // nil for none
 	whole    *buffer        // the body, where it was read already
 	cancel   context.CancelFunc
+	asked    time.Time // for the slot
 	sent     time.Time
+	steps    steps
 }
 
 // attempt gets a slot and sends the request. The answer is nil where no slot
 // was had; it holds no slot any more where the error is not nil.
 func (c *call) attempt(t *http.Transport) (*answer, error) {
+	c.attempts++
+	asked := c.d.Clock.Now()
 	slot, err := c.acquire()
 	if err != nil {
 		return nil, err
 	}
-	a := &answer{slot: slot, sent: c.d.Clock.Now()}
+	a := &answer{slot: slot, asked: asked, sent: c.d.Clock.Now(), steps: steps{clock: c.d.Clock}}
 	c.d.Watch.Begin(slot.Worker())
 	err = c.send(a, t)
 	if err == nil {
 		return a, nil
 	}
+	c.tell(a, err)
 	c.judge(a, err)
 	c.drop(a, err)
 	return a, err
@@ -150,14 +154,10 @@
 	// in use until the work is done.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
 	a.cancel = cancel
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	})
 	c.d.Metrics.Sends.Inc(1)
-	response, err := t.RoundTrip(c.outgoing(ctx, a.slot.Address()))
+	response, err := t.RoundTrip(c.outgoing(a.steps.watch(ctx), a.slot.Address()))
 	if err != nil {
-		return c.sendError(a.slot.Worker(), connected, err)
+		return c.sendError(a.slot.Worker(), a.steps.connected.Load() != 0, err)
 	}
 	a.response = response
 	return c.check(a)
--- a/services/dispatch/dispatcher.go
+++ b/services/dispatch/dispatcher.go
@@ -4,7 +4,9 @@
 package dispatch
 
 import (
+	"context"
 	"crypto/rand"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -51,6 +53,7 @@
 	// MaxBody is the largest body of a request in bytes.
 	MaxBody int64
 
+	dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil for the network's
 	start    sync.Once
 	shared   *http.Transport // keeps connections
 	single   *http.Transport // one connection a request, never sent twice by the library
@@ -70,8 +73,8 @@
 func (d *Dispatcher) init() {
 	d.start.Do(func() {
 		d.ended = make(chan struct{})
-		d.shared = newTransport(d.IdleConns)
-		d.single = newTransport(0)
+		d.shared = newTransport(d.IdleConns, d.dial)
+		d.single = newTransport(0, d.dial)
 		d.single.DisableKeepAlives = true
 		d.buffers.New = func() any { return new(buffer) }
 	})
@@ -91,6 +94,7 @@
 	body     []byte // nil where it is streamed
 	key      string
 	begun    time.Time
+	attempts int     // that asked for a slot
 	failedOn string  // worker of the attempt before, empty for the first one
 	kept     *answer // newest server error that a target answered, nil for none
 	lost     error   // newest failure of an attempt that reached a target, nil for none
--- a/services/dispatch/faults_test.go
+++ b/services/dispatch/faults_test.go
@@ -72,12 +72,28 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{}
-	b.put(record.Record{Join: &record.Join{}})
+	var addresses []string
 	for i := range b.targets {
 		b.targets[i] = &standin.Target{Name: fmt.Sprintf("w%d", i)}
 		address, err := b.targets[i].Listen("127.0.0.1:0")
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = b.targets[i].Close() })
+		addresses = append(addresses, address)
+	}
+	b.declare(addresses)
+	b.build(t)
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+		b.d.Serve(w, r, service, "/"+path)
+	}))
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// declare puts a service on the log with targets at the addresses.
+func (b *bench) declare(addresses []string) {
+	b.put(record.Record{Join: &record.Join{}})
+	for i, address := range addresses {
 		b.put(record.Record{Sighting: &record.Sighting{Revision: uint64(i + 1), Workers: []fleet.Worker{{
 			ID: fmt.Sprintf("w%d", i), Address: address, Slots: 2, Condition: fleet.Live,
 		}}}})
@@ -87,12 +103,10 @@
 	b.put(record.Record{Apply: &record.Apply{Deployment: "d", Put: []manifest.Object{
 		{Team: &manifest.Team{Name: "t"}}, {Pool: &manifest.Pool{Name: "p", Team: "t", Size: 2}}, {Service: &service},
 	}}})
-	for i := range b.targets {
+	for i := range addresses {
 		instance, _ := b.State().Instances.Get(fmt.Sprintf("w%d", i))
 		b.put(record.Record{Move: &record.Move{Worker: instance.Worker.ID, Version: instance.Version, To: "p"}})
 	}
-	b.build(t)
-	return b
 }
 
 func (b *bench) build(t *testing.T) {
@@ -113,11 +127,6 @@
 	holder.Update(b.State())
 	desk := &once.Desk{Ledger: once.Proposer{Propose: b.propose, State: b.State}}
 	b.d = &Dispatcher{State: b.State, Holder: holder, Watch: &outlier.Watch{}, Desk: desk, Metrics: metrics.New(), MaxBody: 4000}
-	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		b.d.Serve(w, r, service, "/"+path)
-	}))
-	t.Cleanup(b.server.Close)
 }
 
 // State returns the folded state.
--- a/services/dispatch/transport.go
+++ b/services/dispatch/transport.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -14,10 +15,12 @@
 // is left to a target that has gone.
 const idleLife = 5 * time.Second
 
-func newTransport(idle int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(idle int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           dial,
 		MaxIdleConnsPerHost:   max(idle, 1),
 		IdleConnTimeout:       idleLife,
 		DisableCompression:    true,
--- a/standin/target.go
+++ b/standin/target.go
@@ -20,6 +20,7 @@
 const (
 	headerRequestID = "X-Request-Id"
 	headerKey       = "Yardbridge-Key"
+	headerDeadline  = "Yardbridge-Deadline"
 )
 
 // TargetFaults are the failures of a target that a test can switch on.
@@ -39,6 +40,8 @@
 	MaxConns    int            `json:"max_conns"`
 	Runs        map[string]int `json:"runs"` // by key, or by request id where there is none
 	LastStart   time.Time      `json:"last_start"`
+	Late        int            `json:"late"`     // requests whose deadline had passed as they came
+	MaxLate     time.Duration  `json:"max_late"` // nanoseconds
 }
 
 // Target is one sample back end; it has slots but does not guard them. Its
@@ -127,12 +130,25 @@
 	if key := r.Header.Get(headerKey); key != "" {
 		t.journal.Runs[key]++
 	}
+	t.noteLate(r)
 	if t.faults.Hang && t.released == nil {
 		t.released = make(chan struct{})
 	}
 	return t.faults, t.released
 }
 
+// noteLate notes how late a request came; t.mu is held.
+func (t *Target) noteLate(r *http.Request) {
+	deadline, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	if err != nil {
+		return // without a deadline none is late
+	}
+	if late := time.Since(time.UnixMilli(deadline)); late > 0 {
+		t.journal.Late++
+		t.journal.MaxLate = max(t.journal.MaxLate, late)
+	}
+}
+
 func (t *Target) end() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/tests/load_test.go
+++ b/tests/load_test.go
@@ -19,6 +19,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/standin"
 )
 
 // load sends requests through a stand-in of the platform's balancer, which
@@ -61,10 +62,24 @@
 	case "stop":
 		l := w.load(args[1])
 		l.stop()
+		w.tellLate(ts)
 		l.judge(ts, args[2:])
 	}
 }
 
+// tellLate logs how many requests came to their target after their deadline,
+// which tells a target that was slow from a request that was late.
+func (w *world) tellLate(ts *testscript.TestScript) {
+	late, most := 0, time.Duration(0)
+	for _, worker := range w.workers(ts) {
+		var j standin.Journal
+		getJSON(ts, "http://"+w.standin+"/control/targets/"+worker+"/journal", &j)
+		late += j.Late
+		most = max(most, j.MaxLate)
+	}
+	ts.Logf("targets: %d requests came after their deadline, by %s at most", late, most)
+}
+
 func (w *world) load(name string) *load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
