An answer on its way at the deadline is passed on

Change (services/dispatch/late.go): a timer of the attempt's own looks at the deadline whether the answer has begun, or whether this process was 100 ms or more late to notice, which is when what has come lies unread. Then the answer gets half a second more, once; else the attempt ends at once, as before. An attempt whose slot comes after the deadline is not sent any more: the context did that before.

Ruled out: a grace for every request (a target that hangs would cost all callers half a second more than they asked for), a select that prefers the answer (the library has that already; the answer is not parsed yet when it looks).

--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -116,6 +116,10 @@
 		return nil, err
 	}
 	a := &answer{slot: slot, asked: asked, sent: c.d.Clock.Now(), steps: steps{clock: c.d.Clock}}
+	if !a.sent.Before(c.deadline) {
+		slot.Release()
+		return nil, errkind.New(errkind.DeadlinePassed, "a slot of pool %s came too late", c.service.Pool)
+	}
 	c.d.Watch.Begin(slot.Worker())
 	err = c.send(a, t)
 	if err == nil {
@@ -150,12 +154,9 @@
 // send sends the request and reads the answer: all of it if it is short, and
 // else its headers.
 func (c *call) send(a *answer, t *http.Transport) error {
-	// The target's work goes on when the caller goes away, and its slot stays
-	// in use until the work is done.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
-	a.cancel = cancel
+	ctx := c.withDeadline(a)
 	c.d.Metrics.Sends.Inc(1)
-	response, err := t.RoundTrip(c.outgoing(a.steps.watch(ctx), a.slot.Address()))
+	response, err := t.RoundTrip(c.outgoing(ctx, a.slot.Address()))
 	if err != nil {
 		return c.sendError(a.slot.Worker(), a.steps.connected.Load() != 0, err)
 	}
--- a/services/dispatch/late.go
+++ b/services/dispatch/late.go
@@ -3,7 +3,10 @@
 
 package dispatch
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Bounds of what is done for an answer that is on its way at the deadline.
 const (
@@ -15,3 +18,36 @@
 	// timer of a busy process is late by some milliseconds.
 	lateNotice = 100 * time.Millisecond
 )
+
+// expiry ends an attempt at the deadline, or a little later where an answer may
+// be on its way.
+type expiry struct {
+	c      *call
+	steps  *steps
+	cancel context.CancelCauseFunc
+}
+
+// run is called at the deadline.
+func (e expiry) run() {
+	if e.steps.answered.Load() == 0 && e.c.d.Clock.Now().Sub(e.c.deadline) < lateNotice {
+		e.end()
+		return
+	}
+	time.AfterFunc(lateGrace, e.end) // which is harmless for an attempt that has ended
+}
+
+func (e expiry) end() { e.cancel(context.DeadlineExceeded) }
+
+// withDeadline returns a context for an attempt that ends when the attempt does,
+// at the latest some time after the request's deadline. The target's work goes
+// on when the caller goes away, and its slot stays in use until the work is done.
+func (c *call) withDeadline(a *answer) context.Context {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(c.r.Context()))
+	e := expiry{c, &a.steps, cancel}
+	timer := time.AfterFunc(c.deadline.Sub(c.d.Clock.Now()), e.run)
+	a.cancel = func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+	return a.steps.watch(ctx)
+}
