A request is sent milliseconds before its deadline: brought about at will

The target gets work that nobody waits for, and the caller an unknown outcome in place of a refusal.

TestSlotThatComesTooLateIsNotUsed lends the slot late in a bubble of testing/synctest.

--- a/services/dispatch/late_test.go
+++ b/services/dispatch/late_test.go
@@ -17,7 +17,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/metrics"
+	"github.com/yardbridge/yardbridge/services/slots"
 )
 
 // lateCase is one target's answer by the time at which its parts come.
@@ -83,8 +85,7 @@
 }
 
 func (c lateCase) play(t *testing.T, name string) {
-	b := &bench{}
-	b.declare([]string{"192.0.2.1:1", "192.0.2.2:1"})
+	b := lateBench()
 	b.build(t)
 	begun := time.Now()
 	b.d.Clock = clock.Clock{NowFunc: func() time.Time {
@@ -94,6 +95,24 @@
 		}
 		return now.Add(c.heldUp)
 	}}
+	w, took := b.serveLate(t, c)
+	assert.Equal(t, w.Code, c.want, "%s: %s", name, w.Body.String())
+	assert.Equal(t, took, c.took, name)
+	if c.want == http.StatusOK {
+		assert.Equal(t, w.Body.String(), "whole", name)
+	}
+}
+
+// lateBench returns a bench without listeners, to be built in a bubble.
+func lateBench() *bench {
+	b := &bench{}
+	b.declare([]string{"192.0.2.1:1", "192.0.2.2:1"})
+	return b
+}
+
+// serveLate has a request served by targets that answer as the case says.
+func (b *bench) serveLate(t *testing.T, c lateCase) (w *httptest.ResponseRecorder, took time.Duration) {
+	t.Helper()
 	b.d.dial = func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go c.answerParts(far)
@@ -101,14 +120,50 @@
 	}
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
 	r.Header.Set(HeaderTimeout, lateTimeout.String())
-	w := httptest.NewRecorder()
+	w = httptest.NewRecorder()
+	begun := time.Now()
 	b.d.Serve(w, r, "svc", "/x")
-	took := time.Since(begun)
+	took = time.Since(begun)
 	b.d.Stop()
 	time.Sleep(2 * time.Minute) // of the bubble, in which the target's end comes
+	return w, took
+}
+
+// slotCase is a slot that is lent some time after a request asked for it.
+type slotCase struct {
+	usual time.Duration // time in a slot
+	lent  time.Duration
+	want  int
+	took  time.Duration
+}
+
+// TestSlotThatComesTooLateIsNotUsed: a request that can't be answered in time
+// any more is refused, truly, and not sent for an unknown outcome.
+func TestSlotThatComesTooLateIsNotUsed(t *testing.T) {
+	metrics.New() // the library's goroutine for all meters must not be of a bubble
+	for name, c := range map[string]slotCase{
+		"in time":                     {usual: 100 * time.Millisecond, lent: 200 * time.Millisecond, want: http.StatusOK, took: 200*time.Millisecond + lateFirst},
+		"nearly at the deadline":      {usual: 100 * time.Millisecond, lent: lateTimeout - 3*time.Millisecond, want: http.StatusServiceUnavailable, took: lateTimeout - 25*time.Millisecond},
+		"a part of the usual is left": {usual: 200 * time.Millisecond, lent: lateTimeout - 40*time.Millisecond, want: http.StatusServiceUnavailable, took: lateTimeout - 50*time.Millisecond},
+		"asked for less than usual":   {usual: time.Minute, lent: lateTimeout / 3, want: http.StatusOK, took: lateTimeout/3 + lateFirst},
+		"waited for half of so much":  {usual: time.Minute, lent: lateTimeout - 3*time.Millisecond, want: http.StatusServiceUnavailable, took: lateTimeout / 2},
+	} {
+		synctest.Test(t, func(t *testing.T) { c.play(t, name) })
+	}
+}
+
+func (c slotCase) play(t *testing.T, name string) {
+	answer := lateCase{first: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"}
+	b := lateBench()
+	begun := time.Now()
+	b.beforeLending = func(slots.Exchange) { time.Sleep(c.lent - time.Since(begun)) }
+	b.build(t)
+	b.d.usual.add("p", c.usual)
+	w, took := b.serveLate(t, answer)
 	assert.Equal(t, w.Code, c.want, "%s: %s", name, w.Body.String())
 	assert.Equal(t, took, c.took, name)
-	if c.want == http.StatusOK {
-		assert.Equal(t, w.Body.String(), "whole", name)
+	if c.want != http.StatusOK {
+		assert.Equal(t, w.Header().Get(errkind.HeaderOutcome), string(errkind.NotRun), name)
+		assert.Equal(t, b.d.Metrics.Sends.Count(), int64(0), name)
 	}
 }
