--- a/services/slots/link.go
+++ b/services/slots/link.go
@@ -18,6 +18,9 @@
 const (
 	callTimeout = 2 * time.Second
 	retryPause  = 50 * time.Millisecond
+	// askPatience is how long an owner may take to answer before others are
+	// asked: an exchange takes some milliseconds, also between halls.
+	askPatience = 100 * time.Millisecond
 )
 
 // Links runs the exchanges with all owners, one at a time with each.
