--- a/services/dispatch/faults_test.go
+++ b/services/dispatch/faults_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -63,6 +64,10 @@
 	state state.State
 	seq   uint64
 	down  bool
+
+	closed map[string]bool // addresses that refuse connections; set between requests only
+
+	beforeLending func(slots.Exchange) // called before the lender takes an exchange, nil for nothing
 }
 
 const entryName = "e1"
@@ -70,12 +75,30 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{}
-	b.put(record.Record{Join: &record.Join{}})
+	var addresses []string
 	for i := range b.targets {
 		b.targets[i] = &standin.Target{Name: fmt.Sprintf("w%d", i)}
 		address, err := b.targets[i].Listen("127.0.0.1:0")
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = b.targets[i].Close() })
+		addresses = append(addresses, address)
+	}
+	b.closed = make(map[string]bool)
+	b.declare(addresses)
+	b.build(t)
+	b.d.dial = b.dial
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+		b.d.Serve(w, r, service, "/"+path)
+	}))
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// declare puts a service on the log with targets at the addresses.
+func (b *bench) declare(addresses []string) {
+	b.put(record.Record{Join: &record.Join{}})
+	for i, address := range addresses {
 		b.put(record.Record{Sighting: &record.Sighting{Revision: uint64(i + 1), Workers: []fleet.Worker{{
 			ID: fmt.Sprintf("w%d", i), Address: address, Slots: 2, Condition: fleet.Live,
 		}}}})
@@ -85,12 +108,10 @@
 	b.put(record.Record{Apply: &record.Apply{Deployment: "d", Put: []manifest.Object{
 		{Team: &manifest.Team{Name: "t"}}, {Pool: &manifest.Pool{Name: "p", Team: "t", Size: 2}}, {Service: &service},
 	}}})
-	for i := range b.targets {
+	for i := range addresses {
 		instance, _ := b.State().Instances.Get(fmt.Sprintf("w%d", i))
 		b.put(record.Record{Move: &record.Move{Worker: instance.Worker.ID, Version: instance.Version, To: "p"}})
 	}
-	b.build(t)
-	return b
 }
 
 func (b *bench) build(t *testing.T) {
@@ -98,6 +119,9 @@
 	lender := &slots.Lender{Name: entryName, Poke: func(string, slots.Poke) {}}
 	holder := &slots.Holder{Name: entryName, Cost: func(worker string, _ int) float64 { return float64(worker[1]) }}
 	links := &slots.Links{Holder: holder, Incarnation: 1, Call: func(_ context.Context, _ string, x slots.Exchange) (slots.Granted, error) {
+		if b.beforeLending != nil {
+			b.beforeLending(x)
+		}
 		return lender.Exchange(x), nil
 	}}
 	holder.Kick = links.Kick
@@ -108,11 +132,6 @@
 	holder.Update(b.State())
 	desk := &once.Desk{Ledger: once.Proposer{Propose: b.propose, State: b.State}}
 	b.d = &Dispatcher{State: b.State, Holder: holder, Watch: &outlier.Watch{}, Desk: desk, Metrics: metrics.New(), MaxBody: 4000}
-	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		b.d.Serve(w, r, service, "/"+path)
-	}))
-	t.Cleanup(b.server.Close)
 }
 
 // State returns the folded state.
@@ -149,7 +168,7 @@
 	case "":
 		b.targets[target].SetFaults(standin.TargetFaults{})
 	case "closed":
-		assert.NilError(t, b.targets[target].Close())
+		b.closed[b.address(target)] = true
 	default:
 		b.targets[target].SetFaults(standin.TargetFaults{
 			Fail: fault == "fail", Cut: fault == "cut", Garbage: fault == "garbage", Swap: fault == "swap", Hang: fault == "hang",
@@ -216,7 +235,7 @@
 	if c.Repeat || c.Mended {
 		b.released(key)
 		if c.Mended {
-			b.mend(t)
+			clear(b.closed)
 		}
 		answer, body = b.send(t, c, key)
 	}
@@ -234,17 +253,76 @@
 	assert.Equal(t, sends, c.Sends)
 }
 
-// mend opens the closed targets again at their addresses.
-func (b *bench) mend(t *testing.T) {
-	t.Helper()
-	for i := range b.targets {
-		instance, _ := b.State().Instances.Get(fmt.Sprintf("w%d", i))
-		b.targets[i] = &standin.Target{Name: instance.Worker.ID}
-		_, err := b.targets[i].Listen(instance.Worker.Address)
-		assert.NilError(t, err)
+// TestRepeatWaitsForTheSecondTargetsSlot: the second target's slot is lent only
+// once the slot of the first one, on which the request failed, has rested and
+// is free again.
+func TestRepeatWaitsForTheSecondTargetsSlot(t *testing.T) {
+	b := newBench(t)
+	b.setFaults(t, 0, "cut")
+	b.beforeLending = func(slots.Exchange) {
+		for b.targets[0].Journal().Requests == 1 && b.inUse("w0") > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	answer, body := b.send(t, faultCase{Method: http.MethodGet}, "")
+	assert.Equal(t, answer.StatusCode, http.StatusOK, body)
+	assert.Equal(t, b.targets[0].Journal().Requests, 1, "sent again to the target that has just failed")
+	assert.Equal(t, b.targets[1].Journal().Requests, 1)
+}
+
+// TestNotRunIsNeverSaidOnceATargetHadTheRequest: a repeat that gets no slot is
+// refused, but the attempt before has reached a target.
+func TestNotRunIsNeverSaidOnceATargetHadTheRequest(t *testing.T) {
+	for _, c := range []faultCase{
+		{First: "cut", Want: http.StatusGatewayTimeout, Outcome: string(errkind.Unknown)},
+		{First: "fail", Want: http.StatusInternalServerError, Outcome: string(errkind.Ran)},
+	} {
+		b := newBench(t)
+		b.setFaults(t, 0, c.First)
+		b.beforeLending = func(slots.Exchange) {
+			if b.targets[0].Journal().Requests > 0 {
+				b.d.Holder.Leaving([]string{"w0", "w1"})
+			}
+		}
+		c.Method, c.Timeout = http.MethodGet, "300ms"
+		answer, body := b.send(t, c, "")
+		assert.Equal(t, b.targets[0].Journal().Requests, 1)
+		assert.Equal(t, answer.Header.Get(errkind.HeaderOutcome), c.Outcome, "%s: %s", c.First, body)
+		assert.Equal(t, answer.StatusCode, c.Want, "%s: %s", c.First, body)
 	}
 }
 
+// inUse returns how many slots of a worker are in use.
+func (b *bench) inUse(worker string) int {
+	held, _ := b.d.Holder.Dump()
+	for _, h := range held {
+		if h.Worker == worker {
+			return h.InUse
+		}
+	}
+	return 0
+}
+
+// refusing is an address at which nobody listens. The port of a target that was
+// closed may be taken by another process at once; that of the multiplexer of old
+// is not dealt out.
+const refusing = "127.0.0.1:1"
+
+// dial connects to a target, or has the kernel refuse it in place of a closed
+// one.
+func (b *bench) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if b.closed[address] {
+		address = refusing
+	}
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+}
+
+// address returns where a target listens.
+func (b *bench) address(target int) string {
+	instance, _ := b.State().Instances.Get(fmt.Sprintf("w%d", target))
+	return instance.Worker.Address
+}
+
 // TestLongAnswerThatBreaksOff: a part must not look like the whole.
 func TestLongAnswerThatBreaksOff(t *testing.T) {
 	b := newBench(t)
