Tests that fail: signals to every command, from its first moment to its last

Each command runs as a child process and gets signals in series while it reads its file, starts, serves and stops.

--- /dev/null
+++ b/cmd/signals_test.go
@@ -0,0 +1,426 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/cmd"
+	"github.com/yardbridge/yardbridge/examples"
+)
+
+// envArgs holds the arguments, a line each, of the command that this process is to be.
+const envArgs = "YARDBRIDGE_TEST_ARGS"
+
+// TestMain makes the test program the real one where it is started as that.
+func TestMain(m *testing.M) {
+	if args := os.Getenv(envArgs); args != "" {
+		os.Exit(cmd.Main(strings.Split(args, "\n"), os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// lineLimit bounds the wait for a line or an end that must come.
+const lineLimit = 30 * time.Second
+
+// child is a command in a process of its own.
+type child struct {
+	t     *testing.T
+	run   *exec.Cmd
+	lines chan string // of both outputs; closed at their end
+
+	mu   sync.Mutex
+	said []string
+}
+
+// begin starts a command.
+func begin(t *testing.T, args ...string) *child {
+	t.Helper()
+	c := &child{t: t, run: exec.Command(os.Args[0]), lines: make(chan string, 1000)}
+	c.run.Env = append(os.Environ(), envArgs+"="+strings.Join(args, "\n"))
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	c.run.Stdout, c.run.Stderr = w, w
+	assert.NilError(t, c.run.Start())
+	assert.NilError(t, w.Close())
+	go c.read(r)
+	t.Cleanup(func() { _ = c.run.Process.Kill(); _ = c.run.Wait() })
+	return c
+}
+
+// read takes what the process says.
+func (c *child) read(r *os.File) {
+	defer close(c.lines)
+	for s := bufio.NewScanner(r); s.Scan(); {
+		c.mu.Lock()
+		c.said = append(c.said, s.Text())
+		c.mu.Unlock()
+		c.lines <- s.Text()
+	}
+	_ = r.Close()
+}
+
+// text returns all that the process has said.
+func (c *child) text() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Join(c.said, "\n")
+}
+
+// await waits for a line that holds a pattern and returns what the pattern holds
+// in parentheses.
+func (c *child) await(pattern string) []string {
+	c.t.Helper()
+	p := regexp.MustCompile(pattern)
+	end := time.After(lineLimit)
+	for {
+		select {
+		case line, more := <-c.lines:
+			if found := p.FindStringSubmatch(line); found != nil {
+				return found
+			}
+			if !more {
+				c.t.Fatalf("the process has ended without a line %q:\n%s", pattern, c.text())
+			}
+		case <-end:
+			c.t.Fatalf("no line %q:\n%s", pattern, c.text())
+		}
+	}
+}
+
+// signal sends signals one after another.
+func (c *child) signal(list ...syscall.Signal) {
+	c.t.Helper()
+	for _, g := range list {
+		assert.NilError(c.t, c.run.Process.Signal(g), "%s: the process has ended:\n%s", g, c.text())
+	}
+}
+
+// end waits for the end and returns the exit code, -1 for an end by a signal.
+func (c *child) end() int {
+	c.t.Helper()
+	kill := time.AfterFunc(lineLimit, func() { _ = c.run.Process.Kill() })
+	for range c.lines { // the outputs end with the process
+	}
+	_ = c.run.Wait() // the exit code tells
+	kill.Stop()
+	return c.run.ProcessState.ExitCode()
+}
+
+// outcomes returns the outcomes that the log tells of a signal.
+func (c *child) outcomes(signal string) []string {
+	var list []string
+	for _, line := range strings.Split(c.text(), "\n") {
+		var e struct{ Event, Signal, Outcome string }
+		if json.Unmarshal([]byte(line), &e) == nil && e.Event == "signal" && e.Signal == signal {
+			list = append(list, e.Outcome)
+		}
+	}
+	return list
+}
+
+// pipeFile is a file whose reader waits until it is written, so that a process can
+// be held while it reads it.
+type pipeFile struct {
+	t    *testing.T
+	path string
+}
+
+func newPipeFile(t *testing.T) pipeFile {
+	p := pipeFile{t, filepath.Join(t.TempDir(), "file.toml")}
+	assert.NilError(t, syscall.Mkfifo(p.path, 0o600))
+	return p
+}
+
+// open waits until a process reads the file.
+func (p pipeFile) open() *os.File {
+	f, err := os.OpenFile(p.path, os.O_WRONLY, 0)
+	assert.NilError(p.t, err)
+	p.t.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
+// freeAddress returns an address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// nodeText returns settings of a node; its store refuses connections.
+func nodeText(t *testing.T) string {
+	_, port, err := net.SplitHostPort(freeAddress(t))
+	assert.NilError(t, err)
+	return fmt.Sprintf(`[node]
+name = "n1"
+data_center = "a"
+address = "127.0.0.1"
+cores = 1.0
+memory_mb = 200
+[listen]
+customers = %q
+ready = %q
+node_port = %s
+[platform]
+store = "127.0.0.1:1"
+instances = "127.0.0.1:1"
+partitions = 8
+[bounds]
+lease_most = "10s"
+grace = "1s"
+`, freeAddress(t), freeAddress(t), port)
+}
+
+// entryText returns settings of an entry whose platform is at an address.
+func entryText(platform string) string {
+	return fmt.Sprintf(`[entry]
+name = "e1"
+hall = "h"
+data_center = "a"
+[listen]
+callers = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+[platform]
+url = "http://%s"
+[peers]
+insecure = true
+[limits]
+withdraw = "0s"
+[[token]]
+name = "operator"
+secret = "first-secret-0123456789"
+`, platform)
+}
+
+// fleetText returns a fleet of the stand-in.
+func fleetText(t *testing.T) string {
+	e, err := examples.Get("tablehold")
+	assert.NilError(t, err)
+	return e.Fleet
+}
+
+// readers are the commands that read a file as they start.
+func readers(t *testing.T, path string) map[string][]string {
+	t.Helper()
+	return map[string][]string{
+		"node":    {"node", "-settings", path},
+		"serve":   {"serve", "-settings", path},
+		"standin": {"standin", "-listen", "127.0.0.1:0", "-fleet", path},
+	}
+}
+
+// hangups is a series of hang-ups.
+var hangups = []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP}
+
+// TestSignalsWhileSettingsAreRead signals each command while it reads its file: no
+// hang-up ends it, and a request to stop does, with the code of a planned end.
+func TestSignalsWhileSettingsAreRead(t *testing.T) {
+	for name := range readers(t, "") {
+		for _, end := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+			t.Run(name+"/"+end.String(), func(t *testing.T) {
+				file := newPipeFile(t)
+				c := begin(t, readers(t, file.path)[name]...)
+				file.open()
+				c.signal(hangups...)
+				c.await(`"signal":"hangup"`)
+				c.signal(syscall.SIGUSR1, syscall.SIGHUP)
+				c.signal(end, end, syscall.SIGHUP)
+				assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+				assert.Equal(t, c.outcomes(end.String())[0], "stop")
+			})
+		}
+	}
+}
+
+// TestHangupsWhileSettingsAreRead has each command go on with its start after
+// hang-ups, and stop as planned.
+func TestHangupsWhileSettingsAreRead(t *testing.T) {
+	texts := map[string]string{"node": nodeText(t), "serve": entryText("127.0.0.1:1"), "standin": fleetText(t)}
+	started := map[string]string{"node": `"event":"start"`, "serve": `no state yet`, "standin": `stand-in with`}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			file := newPipeFile(t)
+			c := begin(t, readers(t, file.path)[name]...)
+			f := file.open()
+			c.signal(hangups...)
+			c.await(`"signal":"hangup"`)
+			_, err := f.WriteString(text)
+			assert.NilError(t, err)
+			assert.NilError(t, f.Close())
+			c.await(started[name])
+			c.signal(hangups...)
+			c.signal(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+		})
+	}
+}
+
+// TestSignalsOfAStandalone signals everything in one process as it starts, serves
+// and stops.
+func TestSignalsOfAStandalone(t *testing.T) {
+	c := begin(t, "standalone", "-port", "0")
+	c.await(`insecure`) // the first entry is being made
+	c.signal(hangups...)
+	c.await(`"signal":"hangup"`)
+	address := c.await(`callers http://(\S+)`)[1]
+	c.await(`try next`)
+	c.signal(syscall.SIGHUP)
+	c.await(`"signal":"hangup".*nothing to read anew`)
+	answer, err := http.Get("http://" + address + "/s/none")
+	assert.NilError(t, err)
+	_ = answer.Body.Close()
+	c.signal(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+}
+
+// TestStopOfAStandaloneThatStarts stops it before it serves.
+func TestStopOfAStandaloneThatStarts(t *testing.T) {
+	c := begin(t, "standalone", "-port", "0")
+	c.await(`insecure`)
+	c.signal(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+	assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+}
+
+// TestSignalsOfAShortCommand: a hang-up does not cut what a command asked for, and
+// SIGTERM ends it with an error that says so.
+func TestSignalsOfAShortCommand(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	c := begin(t, "status", "-server", l.Addr().String())
+	asked, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = asked.Close() }()
+	c.signal(hangups...)
+	c.await(`"signal":"hangup"`)
+	c.signal(syscall.SIGTERM, syscall.SIGHUP)
+	assert.Equal(t, c.end(), cmd.ExitFailed, c.text())
+	assert.Assert(t, strings.Contains(c.text(), "stopped by a signal"), c.text())
+}
+
+// TestLogWhoseReaderHasGone: the end of what reads a process's output ends no
+// process.
+func TestLogWhoseReaderHasGone(t *testing.T) {
+	address := freeAddress(t)
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(fleetText(t)), 0o600))
+	run := exec.Command(os.Args[0])
+	run.Env = append(os.Environ(), envArgs+"="+strings.Join([]string{"standin", "-listen", address, "-fleet", path}, "\n"))
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	assert.NilError(t, r.Close())
+	run.Stdout, run.Stderr = w, w
+	assert.NilError(t, run.Start())
+	assert.NilError(t, w.Close())
+	t.Cleanup(func() { _ = run.Process.Kill(); _ = run.Wait() })
+	ended := make(chan error, 1)
+	go func() { ended <- run.Wait() }()
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			break
+		}
+		select {
+		case err := <-ended:
+			t.Fatalf("the process has ended: %v", err)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	for range 20 {
+		assert.NilError(t, run.Process.Signal(syscall.SIGHUP))
+	}
+	assert.NilError(t, run.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, <-ended)
+}
+
+// TestSignalsAreTakenFirst: the signals are asked for before the larger packages are
+// set up, which takes most of a program's first milliseconds.
+func TestSignalsAreTakenFirst(t *testing.T) {
+	run := exec.Command(os.Args[0])
+	run.Env = append(os.Environ(), envArgs+"=help", "GODEBUG=inittrace=1")
+	var said bytes.Buffer
+	run.Stdout, run.Stderr = &said, &said
+	assert.NilError(t, run.Run())
+	var order []string
+	for _, m := range regexp.MustCompile(`(?m)^init (\S+) @`).FindAllStringSubmatch(said.String(), -1) {
+		order = append(order, m[1])
+	}
+	first := slices.Index(order, "github.com/yardbridge/yardbridge/modules/signals")
+	assert.Assert(t, first >= 0, "signals are not taken at the start: %s", order)
+	for _, o := range []string{"net", "net/http", "github.com/rs/zerolog"} {
+		assert.Assert(t, first < slices.Index(order, o) || !slices.Contains(order, o), "%s comes first: %s", o, order)
+	}
+}
+
+// serveEntry runs an entry with a stand-in, and returns it once it serves, with its
+// address for administration and the file of its settings.
+func serveEntry(t *testing.T) (c *child, admin, path, platform string) {
+	dir := t.TempDir()
+	fleet := filepath.Join(dir, "fleet.toml")
+	assert.NilError(t, os.WriteFile(fleet, []byte(fleetText(t)), 0o600))
+	s := begin(t, "standin", "-listen", "127.0.0.1:0", "-fleet", fleet)
+	platform = s.await(`stand-in with .* at (\S+)`)[1]
+	path = filepath.Join(dir, "entry.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(entryText(platform)), 0o600))
+	a, err := http.Post("http://"+platform+"/control/entries/e1/listed", "", nil)
+	assert.NilError(t, err)
+	_ = a.Body.Close()
+	c = begin(t, "serve", "-settings", path)
+	admin = c.await(`administration at ([^,\s]+)`)[1]
+	return c, admin, path, platform
+}
+
+// TestEntryReadsItsSettingsAnew: a hang-up has an entry take up what it can, say
+// what needs a restart, and keep what it knows where the settings are wrong.
+func TestEntryReadsItsSettingsAnew(t *testing.T) {
+	c, admin, path, platform := serveEntry(t)
+	status := func(secret string) int {
+		r, err := http.NewRequest(http.MethodGet, "http://"+admin+"/api/v1/status", nil)
+		assert.NilError(t, err)
+		r.Header.Set("Authorization", "Bearer "+secret)
+		a, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		_ = a.Body.Close()
+		return a.StatusCode
+	}
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	assert.Equal(t, status("first-secret-0123456789"), http.StatusOK)
+
+	newer := strings.Replace(entryText(platform), "first-secret", "other-secret", 1)
+	newer = strings.Replace(newer, "[limits]", "[limits]\nheader_bytes = 4096", 1)
+	write(newer)
+	c.signal(syscall.SIGHUP)
+	c.await(`"event":"reload".*limits.header_bytes`)
+	assert.Equal(t, status("first-secret-0123456789"), http.StatusUnauthorized)
+	assert.Equal(t, status("other-secret-0123456789"), http.StatusOK)
+
+	write(strings.Replace(newer, `withdraw = "0s"`, `withdraw = "soon"`, 1))
+	c.signal(syscall.SIGHUP)
+	c.await(`"event":"reload".*entry.toml:\d+.*withdraw`)
+	assert.Equal(t, status("other-secret-0123456789"), http.StatusOK)
+	c.signal(syscall.SIGUSR1)
+	c.await(`"setting"`)
+	c.signal(syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM)
+	assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+}
