Signals are taken in one place, from before anything is set up until the process ends

Cause: each command asked for its own signals, after its settings were read, and gave them back before its log was flushed. serve, standin, standalone and the short commands asked for no SIGHUP; SIGPIPE of a standard output whose reader had gone ended any of them.

modules/signals asks for SIGHUP, SIGTERM, SIGINT and SIGUSR1 as it is set up, before package net and most others; cmd/signals.go carries them out for every command, each with a log line. A stop during the start ends with 0; a second one, and a hang-up during a stop, change nothing. A hang-up during the start is kept until the settings can be read anew. serve takes up tokens, seeds, the times withdraw and stale and the number of connections, and logs the keys that need a restart; node logs the keys, too. Logs of serve, standalone and standin go through the queue that waits for no reader, and its flush is bounded.

What stays: until the package is set up, the system's default holds.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -4,6 +4,7 @@
 package cmd
 
 import (
+	"context"
 	"flag"
 	"net/http"
 	"net/url"
@@ -29,8 +30,8 @@
 }
 
 // send sends a declarative file to an action of the API.
-func (f *fileFlags) send(api *client, action, name string) (rollout.Result, []byte, error) {
-	data, err := readFile(name)
+func (f *fileFlags) send(ctx context.Context, api *client, action, name string) (rollout.Result, []byte, error) {
+	data, err := readFile(ctx, name)
 	if err != nil {
 		return rollout.Result{}, nil, err
 	}
@@ -41,16 +42,16 @@
 	if f.short {
 		query.Set("short", "true")
 	}
-	return fetch[rollout.Result](api, http.MethodPost, "/"+action+"?"+query.Encode(), data)
+	return fetch[rollout.Result](ctx, api, http.MethodPost, "/"+action+"?"+query.Encode(), data)
 }
 
 // runApply applies a file.
-func runApply(c console, flags *flag.FlagSet, args []string) error {
+func runApply(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	api, file := clientFlags(flags), defineFileFlags(flags)
 	if err := parse(flags, args, "[flags] FILE", 1, 1); err != nil {
 		return err
 	}
-	result, data, err := file.send(api, "apply", flags.Arg(0))
+	result, data, err := file.send(ctx, api, "apply", flags.Arg(0))
 	if err != nil {
 		return err
 	}
@@ -67,12 +68,12 @@
 }
 
 // runPlan shows what a file would do.
-func runPlan(c console, flags *flag.FlagSet, args []string) error {
+func runPlan(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	api, file := clientFlags(flags), defineFileFlags(flags)
 	if err := parse(flags, args, "[flags] FILE", 1, 1); err != nil {
 		return err
 	}
-	result, data, err := file.send(api, "plan", flags.Arg(0))
+	result, data, err := file.send(ctx, api, "plan", flags.Arg(0))
 	if err != nil {
 		return err
 	}
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -57,8 +57,8 @@
 
 // call sends a request and returns the answer's body, or the error that the
 // API answered.
-func (c *client) call(method, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+func (c *client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.server+apiv1.Prefix+path, bytes.NewReader(body))
 	if err != nil {
@@ -102,9 +102,9 @@
 }
 
 // fetch calls the API and reads the answer.
-func fetch[T any](c *client, method, path string, body []byte) (T, []byte, error) {
+func fetch[T any](ctx context.Context, c *client, method, path string, body []byte) (T, []byte, error) {
 	var v T
-	data, err := c.call(method, path, body)
+	data, err := c.call(ctx, method, path, body)
 	if err != nil {
 		return v, nil, err
 	}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -4,13 +4,18 @@
 package cmd
 
 import (
+	"context"
 	stderrors "errors"
 	"flag"
 	"fmt"
 	"io"
 	"os"
 
+	"github.com/juju/errors"
+
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/signals"
 )
 
 // Exit codes of every subcommand.
@@ -20,18 +25,22 @@
 	ExitUsage  = 2
 )
 
-// console is where a subcommand writes.
+// console is where a subcommand writes, and what tells it of signals.
 type console struct {
-	out io.Writer
-	err io.Writer
+	out     io.Writer
+	err     io.Writer
+	lines   *log.Queue // the log, on the second output unless the command has its own
+	signals *watch
 }
 
 // command is one subcommand; run defines its flags on the set, parses the
-// arguments with it and does the work.
+// arguments with it and does the work. Its context ends with the first signal that
+// asks for a stop.
 type command struct {
 	name    string
 	summary string
-	run     func(c console, flags *flag.FlagSet, args []string) error
+	process bool // it runs until it is asked to stop
+	run     func(ctx context.Context, c console, flags *flag.FlagSet, args []string) error
 }
 
 // usageError is a wrong command line.
@@ -42,24 +51,32 @@
 
 func commands() []command {
 	return []command{
-		{"standalone", "run the stand-in and three entries in one process", runStandalone},
-		{"serve", "run an entry", runServe},
-		{"node", "run a node on the users' platform", runNode},
-		{"standin", "run the stand-in of the platform", runStandin},
-		{"validate", "check declarative files or settings", runValidate},
-		{"plan", "show what a file would change and move", runPlan},
-		{"apply", "apply a file as a whole and wait until it is in force", runApply},
-		{"status", "show pools, roles and what is short or blocked", runStatus},
-		{"get", "show declared objects or instances", runGet},
-		{"dump", "show the state of an entry process", runDump},
-		{"job", "submit, cancel or show job runs", runJob},
-		{"key", "make a key under which something runs at most once", runKey},
+		{"standalone", "run the stand-in and three entries in one process", true, runStandalone},
+		{"serve", "run an entry", true, runServe},
+		{"node", "run a node on the users' platform", true, runNode},
+		{"standin", "run the stand-in of the platform", true, runStandin},
+		{"validate", "check declarative files or settings", false, runValidate},
+		{"plan", "show what a file would change and move", false, runPlan},
+		{"apply", "apply a file as a whole and wait until it is in force", false, runApply},
+		{"status", "show pools, roles and what is short or blocked", false, runStatus},
+		{"get", "show declared objects or instances", false, runGet},
+		{"dump", "show the state of an entry process", false, runDump},
+		{"job", "submit, cancel or show job runs", false, runJob},
+		{"key", "make a key under which something runs at most once", false, runKey},
 	}
 }
 
 // Main runs the subcommand that the arguments name and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	c := console{out, errOut}
+	lines := &log.Queue{Target: errOut}
+	defer lines.Flush()
+	logger, err := log.New(lines, "info", "yardbridge")
+	if err != nil { // the level is one of the list
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+	ctx, watch := watchSignals(logger)
+	c := console{out, errOut, lines, watch}
 	if len(args) == 0 {
 		usage(errOut)
 		return ExitUsage
@@ -70,7 +87,7 @@
 	}
 	for _, k := range commands() {
 		if k.name == args[0] {
-			return c.run(k, args[1:])
+			return c.run(ctx, k, args[1:])
 		}
 	}
 	c.complain(fmt.Sprintf("yardbridge: %q is no subcommand", args[0]))
@@ -78,12 +95,22 @@
 	return ExitUsage
 }
 
-func (c console) run(k command, args []string) int {
+func (c console) run(ctx context.Context, k command, args []string) int {
 	flags := flag.NewFlagSet("yardbridge "+k.name, flag.ContinueOnError)
 	flags.SetOutput(c.err)
-	err := k.run(c, flags, args)
+	if k.process {
+		signals.KeepOutput()
+	} else {
+		c.signals.serving(nil, nil)
+	}
+	err := k.run(ctx, c, flags, args)
 	var wrong usageError
 	switch {
+	case k.process && stderrors.Is(err, context.Canceled):
+		return ExitOK // it was asked to stop before it served
+	case err != nil && ctx.Err() != nil:
+		c.complain("yardbridge " + k.name + ": stopped by a signal: " + errkind.Of(err).Error())
+		return ExitFailed
 	case err == nil || stderrors.Is(err, flag.ErrHelp):
 		return ExitOK
 	case stderrors.As(err, &wrong):
@@ -97,12 +124,43 @@
 }
 
 // readFile reads a file that the command line names.
-func readFile(name string) ([]byte, error) {
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return nil, errkind.New(errkind.BadRequest, "a file can't be read: %v", err)
+func readFile(ctx context.Context, name string) ([]byte, error) {
+	return read(ctx, "a file can't be read", name)
+}
+
+// readSettings reads the settings of a process.
+func readSettings(ctx context.Context, name string) ([]byte, error) {
+	return read(ctx, "settings", name)
+}
+
+// read reads a file until the context ends; what says what an error is about.
+func read(ctx context.Context, what, name string) ([]byte, error) {
+	f := &file{name: name, read: make(chan struct{})}
+	go f.run()
+	select {
+	case <-f.read:
+	case <-ctx.Done():
+		return nil, errors.Trace(ctx.Err())
+	}
+	if f.err != nil {
+		return nil, errkind.New(errkind.BadRequest, "%s: %v", what, f.err)
 	}
-	return data, nil
+	return f.data, nil
+}
+
+// file is a file that is being read, which may take for ever: it may be a pipe, or on
+// a disk that does not answer.
+type file struct {
+	name string
+	data []byte
+	err  error
+	read chan struct{} // closed once it is
+}
+
+// run reads the file.
+func (f *file) run() {
+	defer close(f.read)
+	f.data, f.err = os.ReadFile(f.name)
 }
 
 // counted says how many there are of something.
--- a/cmd/dump.go
+++ b/cmd/dump.go
@@ -4,17 +4,18 @@
 package cmd
 
 import (
+	"context"
 	"flag"
 	"net/http"
 )
 
 // runDump shows the state of an entry process.
-func runDump(c console, flags *flag.FlagSet, args []string) error {
+func runDump(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	api := clientFlags(flags)
 	if err := parse(flags, args, "[flags]", 0, 0); err != nil {
 		return err
 	}
-	data, err := api.call(http.MethodGet, "/dump", nil)
+	data, err := api.call(ctx, http.MethodGet, "/dump", nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/get.go
+++ b/cmd/get.go
@@ -4,6 +4,7 @@
 package cmd
 
 import (
+	"context"
 	"flag"
 	"net/http"
 
@@ -11,18 +12,18 @@
 )
 
 // runGet shows declared objects or instances.
-func runGet(c console, flags *flag.FlagSet, args []string) error {
+func runGet(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	api := clientFlags(flags)
 	if err := parse(flags, args, "[flags] objects|instances|KIND/NAME", 1, 1); err != nil {
 		return err
 	}
 	switch what := flags.Arg(0); what {
 	case "objects":
-		return getObjects(c, api)
+		return getObjects(ctx, c, api)
 	case "instances":
-		return getInstances(c, api)
+		return getInstances(ctx, c, api)
 	default:
-		data, err := api.call(http.MethodGet, "/objects/"+what, nil)
+		data, err := api.call(ctx, http.MethodGet, "/objects/"+what, nil)
 		if err != nil {
 			return err
 		}
@@ -31,8 +32,8 @@
 	}
 }
 
-func getObjects(c console, api *client) error {
-	o, data, err := fetch[apiv1.Objects](api, http.MethodGet, "/objects", nil)
+func getObjects(ctx context.Context, c console, api *client) error {
+	o, data, err := fetch[apiv1.Objects](ctx, api, http.MethodGet, "/objects", nil)
 	if err != nil {
 		return err
 	}
@@ -45,8 +46,8 @@
 	return nil
 }
 
-func getInstances(c console, api *client) error {
-	rows, data, err := fetch[[]apiv1.InstanceStatus](api, http.MethodGet, "/instances", nil)
+func getInstances(ctx context.Context, c console, api *client) error {
+	rows, data, err := fetch[[]apiv1.InstanceStatus](ctx, api, http.MethodGet, "/instances", nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/job.go
+++ b/cmd/job.go
@@ -4,6 +4,7 @@
 package cmd
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"net/http"
@@ -21,7 +22,7 @@
 const defaultKeyLife = time.Hour
 
 // runJob submits, cancels or shows job runs.
-func runJob(c console, flags *flag.FlagSet, args []string) error {
+func runJob(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	api := clientFlags(flags)
 	key := flags.String("key", "", "key that makes a repeated submission harmless (default: a fresh one)")
 	if err := parse(flags, args, "[flags] submit JOB | cancel RUN... | status [RUN]", 1, -1); err != nil {
@@ -30,13 +31,13 @@
 	rest := flags.Args()[1:]
 	switch verb := flags.Arg(0); {
 	case verb == "submit" && len(rest) == 1:
-		return submitJob(c, api, rest[0], *key)
+		return submitJob(ctx, c, api, rest[0], *key)
 	case verb == "cancel" && len(rest) > 0:
-		return cancelJobs(c, api, rest)
+		return cancelJobs(ctx, c, api, rest)
 	case verb == "status" && len(rest) == 0:
-		return listJobs(c, api)
+		return listJobs(ctx, c, api)
 	case verb == "status" && len(rest) == 1:
-		s, data, err := fetch[jobs.Status](api, http.MethodGet, "/jobs/"+url.PathEscape(rest[0]), nil)
+		s, data, err := fetch[jobs.Status](ctx, api, http.MethodGet, "/jobs/"+url.PathEscape(rest[0]), nil)
 		if err != nil {
 			return err
 		}
@@ -46,7 +47,7 @@
 	return usageError{"allowed are: submit JOB, cancel RUN..., status [RUN]"}
 }
 
-func submitJob(c console, api *client, job, key string) error {
+func submitJob(ctx context.Context, c console, api *client, job, key string) error {
 	if key == "" {
 		key = oncekey.New(time.Now().Add(defaultKeyLife))
 	}
@@ -54,7 +55,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s, data, err := fetch[jobs.Status](api, http.MethodPost, "/jobs", body)
+	s, data, err := fetch[jobs.Status](ctx, api, http.MethodPost, "/jobs", body)
 	if err != nil {
 		c.complain("the key was " + key + "; submit again with -key to be sure that it runs once")
 		return err
@@ -63,12 +64,12 @@
 	return nil
 }
 
-func cancelJobs(c console, api *client, ids []string) error {
+func cancelJobs(ctx context.Context, c console, api *client, ids []string) error {
 	body, err := json.Marshal(apiv1.Cancellation{IDs: ids})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	r, data, err := fetch[jobs.Cancelled](api, http.MethodPost, "/jobs/cancel", body)
+	r, data, err := fetch[jobs.Cancelled](ctx, api, http.MethodPost, "/jobs/cancel", body)
 	if err != nil {
 		return err
 	}
@@ -76,8 +77,8 @@
 	return nil
 }
 
-func listJobs(c console, api *client) error {
-	list, data, err := fetch[[]jobs.Status](api, http.MethodGet, "/jobs", nil)
+func listJobs(ctx context.Context, c console, api *client) error {
+	list, data, err := fetch[[]jobs.Status](ctx, api, http.MethodGet, "/jobs", nil)
 	if err != nil {
 		return err
 	}
@@ -93,7 +94,7 @@
 }
 
 // runKey makes a key.
-func runKey(c console, flags *flag.FlagSet, args []string) error {
+func runKey(_ context.Context, c console, flags *flag.FlagSet, args []string) error {
 	life := flags.Duration("life", defaultKeyLife, "how long the key is valid, 24h at most")
 	if err := parse(flags, args, "[flags]", 0, 0); err != nil {
 		return err
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -8,17 +8,13 @@
 	"encoding/json"
 	"flag"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
-	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/httpconn"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/setting"
@@ -36,7 +32,7 @@
 const storeChannels = 8
 
 // runNode runs a node on the users' platform until SIGTERM or SIGINT.
-func runNode(c console, flags *flag.FlagSet, args []string) error {
+func runNode(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	path := flags.String("settings", "", "file with the settings of this process")
 	if err := parse(flags, args, "-settings FILE", 0, 0); err != nil {
 		return err
@@ -44,12 +40,9 @@
 	if *path == "" {
 		return usageError{"-settings is missing"}
 	}
-	// From the first moment on: a hangup that is not taken ends the process.
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	data, err := os.ReadFile(*path)
+	data, err := readSettings(ctx, *path)
 	if err != nil {
-		return errkind.New(errkind.BadRequest, "settings: %v", err)
+		return err
 	}
 	s, err := setting.ParseNode(*path, string(data))
 	if err != nil {
@@ -61,16 +54,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	c.signals.use(logger)
 	debug.SetMemoryLimit(int64(float64(s.Node.MemoryMB<<20) * memoryShare))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	p, err := openNode(s, logger)
 	if err != nil {
 		return err
 	}
 	p.meter.Gauge("log.dropped", lines.Dropped)
 	logger.Info().Str("event", "start").Str("customers", s.Listen.Customers).Str("store", s.Platform.Store).Msg("the node starts")
+	// A hang-up that finds one waiting is one with it: the file is read after it.
+	hangup := make(chan struct{}, 1)
 	p.watchSettings(ctx, *path, data, hangup)
+	c.signals.serving(func() { tell(hangup) }, nil)
 	p.run(ctx)
 	logger.Info().Str("event", "stop").Msg("the node has stopped")
 	return nil
--- a/cmd/node_settings.go
+++ b/cmd/node_settings.go
@@ -23,18 +23,26 @@
 	path   string
 	logger log.Logger
 	clock  clock.Clock
-	hangup <-chan os.Signal
+	hangup <-chan struct{}
 	apply  func(setting.Node)
 	known  []byte // the file as it was read last
 }
 
 // watchSettings follows the settings file, of which something is known, until the
 // context ends.
-func (p *nodeProcess) watchSettings(ctx context.Context, path string, known []byte, hangup <-chan os.Signal) {
+func (p *nodeProcess) watchSettings(ctx context.Context, path string, known []byte, hangup <-chan struct{}) {
 	w := &settingsWatch{path: path, logger: p.logger, hangup: hangup, apply: p.node.Reload, known: known}
 	go w.run(ctx)
 }
 
+// tell lets whoever waits go on; what is told twice before that is told once.
+func tell(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // run reads the file at each signal and now and then.
 func (w *settingsWatch) run(ctx context.Context) {
 	for {
--- a/cmd/node_settings_test.go
+++ b/cmd/node_settings_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -60,7 +59,7 @@
 	lines := make(logged, 10)
 	logger, err := log.New(lines, "info", "n1")
 	assert.NilError(t, err)
-	hangup, tick := make(chan os.Signal), make(chan time.Time)
+	hangup, tick := make(chan struct{}), make(chan time.Time)
 	taken := make(chan setting.Node, 1)
 	w := &settingsWatch{
 		path: path, logger: logger, hangup: hangup, apply: func(s setting.Node) { taken <- s },
@@ -83,7 +82,7 @@
 	tick <- time.Time{} // nothing is taken over
 	assert.Assert(t, strings.Contains(<-lines, "wrong settings"))
 	write(nodeSettings)
-	hangup <- syscall.SIGHUP
+	hangup <- struct{}{}
 	assert.Equal(t, (<-taken).Bounds.Grace.Std(), 6*time.Second)
 	cancel()
 	<-ended
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -7,9 +7,6 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,7 +22,7 @@
 
 // runServe runs an entry until SIGTERM or SIGINT; SIGUSR1 writes a dump to the
 // standard output.
-func runServe(c console, flags *flag.FlagSet, args []string) error {
+func runServe(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	path := flags.String("settings", "", "file with the settings of this process")
 	if err := parse(flags, args, "-settings FILE", 0, 0); err != nil {
 		return err
@@ -33,20 +30,24 @@
 	if *path == "" {
 		return usageError{"-settings is missing"}
 	}
-	s, err := setting.Load(*path)
+	data, err := readSettings(ctx, *path)
 	if err != nil {
 		return err
 	}
-	logger, err := log.New(c.err, s.Log.Level, s.Entry.Name)
+	s, problems := setting.Parse(*path, string(data))
+	if err := problems.Err(); err != nil {
+		return err
+	}
+	logger, err := log.New(c.lines, s.Log.Level, s.Entry.Name)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	c.signals.use(logger)
 	d, err := daemon.Start(ctx, s, logger)
 	if err != nil {
 		return err
 	}
+	c.signals.serving(func() { reloadEntry(ctx, d, *path) }, func() { c.writeDump(d) })
 	c.say("entry %s serves callers at %s, administration at %s, peers at %s",
 		s.Entry.Name, d.Callers, d.Admin, d.Entry.Setting.Listen.Peers)
 	return c.serveUntil(ctx, d)
@@ -55,9 +56,6 @@
 // serveUntil waits for the end of an entry: asked for, or forced by the
 // platform that has replaced it.
 func (c console) serveUntil(ctx context.Context, d *daemon.Daemon) error {
-	dumps := make(chan os.Signal, 1)
-	signal.Notify(dumps, syscall.SIGUSR1)
-	defer signal.Stop(dumps)
 	ticker := time.NewTicker(deposedPeriod)
 	defer ticker.Stop()
 	for {
@@ -65,8 +63,6 @@
 		case <-ctx.Done():
 			d.Stop()
 			return nil
-		case <-dumps:
-			c.writeDump(d)
 		case <-ticker.C:
 			if d.Entry.Ledger.Deposed() {
 				d.Kill()
@@ -76,6 +72,24 @@
 	}
 }
 
+// reloadEntry reads the settings of an entry anew; where they are wrong, those known
+// stay in force.
+func reloadEntry(ctx context.Context, d *daemon.Daemon, path string) {
+	logger := d.Entry.Logger
+	data, err := readSettings(ctx, path)
+	if err != nil {
+		logger.Error().Str("event", "reload").Str("outcome", "kept").Err(err).Msg("the settings can't be read; those known stay in force")
+		return
+	}
+	s, problems := setting.Parse(path, string(data))
+	if err := problems.Err(); err != nil {
+		logger.Error().Str("event", "reload").Str("outcome", "kept").Err(err).Msg("wrong settings; those known stay in force")
+		return
+	}
+	restart := d.Reload(s)
+	logger.Info().Str("event", "reload").Str("outcome", "in force").Strs("restart_needed", restart).Msg("newer settings are taken over")
+}
+
 func (c console) writeDump(d *daemon.Daemon) {
 	data, err := json.Marshal(d.Entry.Dump())
 	if err != nil {
--- a/cmd/standalone.go
+++ b/cmd/standalone.go
@@ -7,8 +7,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,7 +30,7 @@
 const applyLimit = 30 * time.Second
 
 // runStandalone runs everything in one process until SIGTERM or SIGINT.
-func runStandalone(c console, flags *flag.FlagSet, args []string) error {
+func runStandalone(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	deployment := flags.String("deployment", "tablehold", "example to run: tablehold or haddad")
 	port := flags.Int("port", 7600, "first port on 127.0.0.1; 0 for any")
 	level := flags.String("log", "warn", "least level of the logs")
@@ -43,12 +41,11 @@
 	if err != nil {
 		return usageError{err.Error()}
 	}
-	logger, err := log.New(c.err, *level, "standalone")
+	logger, err := log.New(c.lines, *level, "standalone")
 	if err != nil {
 		return usageError{"-log: " + err.Error()}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	c.signals.use(logger)
 	return c.standalone(ctx, example, *port, logger)
 }
 
@@ -63,6 +60,11 @@
 	}
 	defer s.Close(context.WithoutCancel(ctx))
 	var daemons []*daemon.Daemon
+	defer func() {
+		for _, d := range daemons {
+			d.Stop()
+		}
+	}()
 	for n := range standaloneEntries {
 		hall := workers[n*len(workers)/standaloneEntries].Hall
 		d, err := startEntry(ctx, s, n, hall, port, logger)
@@ -72,13 +74,14 @@
 		daemons = append(daemons, d)
 	}
 	if err := applyExample(ctx, daemons[0], example); err != nil {
+		if ctx.Err() != nil {
+			err = errors.Trace(ctx.Err())
+		}
 		return err
 	}
+	c.signals.serving(nil, nil)
 	c.sayStandalone(daemons, example, len(workers))
 	<-ctx.Done()
-	for _, d := range daemons {
-		d.Stop()
-	}
 	return nil
 }
 
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -6,15 +6,15 @@
 import (
 	"context"
 	"flag"
-	"os/signal"
-	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/yardbridge/yardbridge/standin"
 )
 
 // runStandin runs the stand-in until SIGTERM or SIGINT.
-func runStandin(c console, flags *flag.FlagSet, args []string) error {
+func runStandin(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	var o standin.Options
 	flags.StringVar(&o.Address, "listen", "127.0.0.1:7700", "IP and port")
 	flags.DurationVar(&o.Lag, "lag", 500*time.Millisecond, "how far the instance list is behind")
@@ -27,7 +27,7 @@
 	if *file == "" {
 		return usageError{"-fleet is missing"}
 	}
-	data, err := readFile(*file)
+	data, err := readFile(ctx, *file)
 	if err != nil {
 		return err
 	}
@@ -35,13 +35,15 @@
 	if err := problems.Err(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	if ctx.Err() != nil {
+		return errors.Trace(ctx.Err())
+	}
 	r, err := standin.Start(o, workers)
 	if err != nil {
 		return err
 	}
 	defer r.Close(context.Background())
+	c.signals.serving(nil, nil)
 	c.say("stand-in with %d workers at %s", len(workers), r.Address)
 	<-ctx.Done()
 	return nil
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -4,6 +4,7 @@
 package cmd
 
 import (
+	"context"
 	"flag"
 	"net/http"
 	"strings"
@@ -12,12 +13,12 @@
 )
 
 // runStatus shows how an entry sees the system.
-func runStatus(c console, flags *flag.FlagSet, args []string) error {
+func runStatus(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	api := clientFlags(flags)
 	if err := parse(flags, args, "[flags]", 0, 0); err != nil {
 		return err
 	}
-	s, data, err := fetch[apiv1.Status](api, http.MethodGet, "/status", nil)
+	s, data, err := fetch[apiv1.Status](ctx, api, http.MethodGet, "/status", nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/validate.go
+++ b/cmd/validate.go
@@ -4,6 +4,7 @@
 package cmd
 
 import (
+	"context"
 	"flag"
 
 	"github.com/yardbridge/yardbridge/models/manifest"
@@ -14,14 +15,14 @@
 )
 
 // runValidate checks files without an entry.
-func runValidate(c console, flags *flag.FlagSet, args []string) error {
+func runValidate(ctx context.Context, c console, flags *flag.FlagSet, args []string) error {
 	settings := flags.Bool("settings", false, "the files are settings of processes")
 	if err := parse(flags, args, "[flags] FILE...", 1, -1); err != nil {
 		return err
 	}
 	var problems tomlfile.Problems
 	for _, name := range flags.Args() {
-		data, err := readFile(name)
+		data, err := readFile(ctx, name)
 		if err != nil {
 			return err
 		}
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -46,7 +46,7 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	return Dump{
-		Setting:    e.Setting,
+		Setting:    e.Current(),
 		Offset:     s.Offset,
 		LogTime:    s.Now,
 		Contact:    e.Ledger.Contact(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -61,6 +62,9 @@
 	client *peerrpc.Client
 	pokes  chan pokeTo
 
+	newer  atomic.Pointer[setting.Setting] // the settings in force, nil for those of the start
+	listen setting.Listen                  // as the settings of the start said
+
 	mu    sync.Mutex
 	ready bool
 }
@@ -91,6 +95,7 @@
 		Logger:  logger,
 		Metrics: m,
 		pokes:   make(chan pokeTo, pokeBacklog),
+		listen:  s.Listen,
 	}
 	if err := e.openPeers(); err != nil {
 		return nil, err
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -83,7 +83,7 @@
 
 // whole takes the newest state of the seeds and known entries.
 func (e *Entry) whole(ctx context.Context) (state.State, error) {
-	addresses := append([]string(nil), e.Setting.Peers.Seeds...)
+	addresses := append([]string(nil), e.Current().Peers.Seeds...)
 	for _, p := range e.alivePeers() {
 		addresses = append(addresses, e.addressOf(p))
 	}
--- /dev/null
+++ b/entry/reload.go
@@ -0,0 +1,28 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import "github.com/yardbridge/yardbridge/modules/setting"
+
+// Reload takes over newer settings: the tokens, the seeds and the times that are
+// looked up at each use. It returns the keys of the others that differ, which are
+// taken up at the next start.
+func (e *Entry) Reload(s setting.Setting) (restart []string) {
+	newer := e.Setting
+	newer.Tokens, newer.Peers.Seeds = s.Tokens, s.Peers.Seeds
+	newer.Limits.Withdraw, newer.Limits.Stale = s.Limits.Withdraw, s.Limits.Stale
+	newer.Limits.Connections = s.Limits.Connections
+	e.newer.Store(&newer)
+	known := newer
+	known.Listen = e.listen // as the file said, and not as the system gave it
+	return setting.Changed(known, s)
+}
+
+// Current returns the settings in force.
+func (e *Entry) Current() setting.Setting {
+	if newer := e.newer.Load(); newer != nil {
+		return *newer
+	}
+	return e.Setting
+}
--- a/modules/httpserve/httpserve.go
+++ b/modules/httpserve/httpserve.go
@@ -29,6 +29,7 @@
 	server   *http.Server
 	listener net.Listener
 	open     atomic.Int64
+	limit    atomic.Int64 // newer than Connections, 0 for none
 	closing  atomic.Bool
 	unasked  sync.Map         // connections on which no request has come yet, by net.Conn
 	unserved inflight.Counter // of those
@@ -95,9 +96,20 @@
 	}
 }
 
+// Limit sets how many connections there may be at once from now on.
+func (s *Surface) Limit(connections int) { s.limit.Store(int64(connections)) }
+
+// most returns how many connections there may be at once, 0 for no limit.
+func (s *Surface) most() int64 {
+	if newer := s.limit.Load(); newer > 0 {
+		return newer
+	}
+	return int64(s.Connections)
+}
+
 // mark tells a connection beyond the limit, before it is counted.
 func (s *Surface) mark(ctx context.Context, _ net.Conn) context.Context {
-	if s.Connections > 0 && s.open.Load() >= int64(s.Connections) {
+	if most := s.most(); most > 0 && s.open.Load() >= most {
 		return context.WithValue(ctx, tooMany{}, true)
 	}
 	return ctx
@@ -106,7 +118,7 @@
 func (s *Surface) serve(w http.ResponseWriter, r *http.Request) {
 	if r.Context().Value(tooMany{}) != nil {
 		w.Header().Set("Connection", "close")
-		errkind.Write(w, "", errkind.New(errkind.TooManyConnections, "%d connections are open, the most allowed", s.Connections))
+		errkind.Write(w, "", errkind.New(errkind.TooManyConnections, "%d connections are open, the most allowed", s.most()))
 		return
 	}
 	if s.closing.Load() {
--- a/modules/log/queue.go
+++ b/modules/log/queue.go
@@ -29,7 +29,7 @@
 	lost    int64 // in all
 	torn    bool  // the last line that was written was cut off
 	writing bool
-	idle    *sync.Cond
+	idle    chan struct{} // closed once nothing is being written
 }
 
 // Write takes a line.
@@ -43,7 +43,7 @@
 	}
 	q.waiting = append(q.waiting, line...)
 	if !q.writing {
-		q.writing = true
+		q.writing, q.idle = true, make(chan struct{})
 		go q.run()
 	}
 	return len(line), nil
@@ -56,9 +56,7 @@
 		lines, dropped, torn := q.waiting, q.dropped, q.torn
 		if len(lines) == 0 {
 			q.writing = false
-			if q.idle != nil {
-				q.idle.Broadcast()
-			}
+			close(q.idle)
 			q.mu.Unlock()
 			return
 		}
@@ -134,14 +132,21 @@
 	return q.lost
 }
 
-// Flush waits until everything that came is written.
+// flushLimit bounds the wait for lines to be written at a process's end: a reader
+// that takes nothing for a second holds up no stop, which has some seconds in all.
+const flushLimit = time.Second
+
+// Flush waits until everything that came is written, or the target has taken nothing
+// for long.
 func (q *Queue) Flush() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.idle == nil {
-		q.idle = sync.NewCond(&q.mu)
+	idle, writing := q.idle, q.writing
+	q.mu.Unlock()
+	if !writing {
+		return
 	}
-	for q.writing {
-		q.idle.Wait()
+	select {
+	case <-idle:
+	case <-time.After(flushLimit):
 	}
 }
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -4,10 +4,8 @@
 package setting
 
 import (
-	"os"
 	"time"
 
-	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
 )
 
@@ -117,16 +115,6 @@
 	return max((l.TargetConnections-l.TargetSlots)/l.Entries, 0)
 }
 
-// Load reads and checks a settings file.
-func Load(path string) (Setting, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Setting{}, errkind.New(errkind.BadRequest, "settings: %v", err)
-	}
-	s, problems := Parse(path, string(data))
-	return s, problems.Err()
-}
-
 // Parse reads and checks settings and returns all that is wrong with them.
 func Parse(name, data string) (Setting, tomlfile.Problems) {
 	s := Default()
--- a/modules/setting/setting_test.go
+++ b/modules/setting/setting_test.go
@@ -14,9 +14,18 @@
 
 const exampleFile = "../../custom/settings.example.toml"
 
-func TestExampleIsInOrder(t *testing.T) {
-	s, err := Load(exampleFile)
+// load returns the settings of a file, which must be in order.
+func load(t *testing.T, path string) Setting {
+	t.Helper()
+	data, err := os.ReadFile(path)
 	assert.NilError(t, err)
+	s, problems := Parse(path, string(data))
+	assert.NilError(t, problems.Err())
+	return s
+}
+
+func TestExampleIsInOrder(t *testing.T) {
+	s := load(t, exampleFile)
 	assert.Equal(t, s.Tokens[1].Team, "floor")
 	assert.Equal(t, fmt.Sprint(s.Tokens), "[{operator *** } {floor-automation *** floor}]", "a secret is shown")
 }
@@ -37,7 +46,13 @@
 	}
 	full, problems := Parse("full", strings.Join(lines, "\n"))
 	assert.NilError(t, problems.Err())
-	plain, err := Load(exampleFile)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, full, plain)
+	assert.DeepEqual(t, full, load(t, exampleFile))
+}
+
+func TestChangedNamesTheKeys(t *testing.T) {
+	a, b := Default(), Default()
+	b.Limits.Stale++
+	b.Peers.Seeds = []string{"127.0.0.1:1"}
+	b.Tokens = []Token{{Name: "x"}}
+	assert.DeepEqual(t, Changed(a, b), []string{"peers.seeds", "limits.stale", "token"})
 }
--- a/node/reload.go
+++ b/node/reload.go
@@ -14,11 +14,8 @@
 	n.mu.Unlock()
 	old := n.Setting
 	old.Bounds = s.Bounds
-	e := n.Logger.Info().Str("event", "reload").Str("outcome", "in force")
-	if s != old {
-		e = e.Bool("restart_needed", true)
-	}
-	e.Msg("newer settings are taken over")
+	n.Logger.Info().Str("event", "reload").Str("outcome", "in force").Strs("restart_needed", setting.Changed(old, s)).
+		Msg("newer settings are taken over")
 }
 
 // bounds returns the bounds in force.
--- a/routers/apiv1/router.go
+++ b/routers/apiv1/router.go
@@ -105,9 +105,10 @@
 		return operator{}, errkind.New(errkind.Unauthorized, "the Authorization header must be: Bearer TOKEN")
 	}
 	var found *setting.Token
-	for i, k := range t.Entry.Setting.Tokens {
+	tokens := t.Entry.Current().Tokens
+	for i, k := range tokens {
 		if subtle.ConstantTimeCompare([]byte(k.Secret), []byte(secret)) == 1 {
-			found = &t.Entry.Setting.Tokens[i]
+			found = &tokens[i]
 		}
 	}
 	if found == nil {
--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -106,7 +106,7 @@
 	d.Entry.Withdraw()
 	d.callers.Retire()
 	calm{
-		Clock: d.Entry.Clock, Newest: d.Entry.Dispatch.Newest, Span: d.setting.Limits.Withdraw.Std(),
+		Clock: d.Entry.Clock, Newest: d.Entry.Dispatch.Newest, Span: d.Entry.Current().Limits.Withdraw.Std(),
 	}.await()
 	d.Entry.Dispatch.EndStreams()
 	if err := d.callers.Shutdown(ctx); err != nil {
@@ -119,6 +119,14 @@
 	d.cancel()
 }
 
+// Reload takes over newer settings and returns the keys of those that need a restart.
+func (d *Daemon) Reload(s setting.Setting) (restart []string) {
+	restart = d.Entry.Reload(s)
+	d.callers.Limit(s.Limits.Connections)
+	d.admin.Limit(s.Limits.Connections)
+	return restart
+}
+
 // Kill ends the process's work at once, as if it had crashed.
 func (d *Daemon) Kill() {
 	d.cancel()
