--- /dev/null
+++ b/modules/httpserve/stop_test.go
@@ -0,0 +1,242 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package httpserve
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/errkind"
+)
+
+// customer is one connection of a customer.
+type customer struct {
+	t     *testing.T
+	conn  net.Conn
+	lines *bufio.Reader
+}
+
+// waitMost bounds the wait for an answer that must come.
+const waitMost = 30 * time.Second
+
+func connect(t *testing.T, address string) *customer {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(waitMost)))
+	return &customer{t, c, bufio.NewReader(c)}
+}
+
+// post writes a whole request with a body.
+func (c *customer) post(body string) error {
+	_, err := fmt.Fprintf(c.conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err
+}
+
+// answer reads a whole answer.
+func (c *customer) answer() (status int, body string, ends bool, err error) {
+	a, err := http.ReadResponse(c.lines, nil)
+	if err != nil {
+		return 0, "", false, err
+	}
+	data, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(data), a.Close, err
+}
+
+// untilRefused waits until nothing listens at an address.
+func untilRefused(address string) {
+	for {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+	}
+}
+
+// shut begins a planned stop.
+func shut(ctx context.Context, s *Surface) chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(ctx) }()
+	return ended
+}
+
+// TestStopAnswersEveryWholeRequest has customers go on using kept connections until
+// they are told that these end: each request has its whole answer.
+func TestStopAnswersEveryWholeRequest(t *testing.T) {
+	s := &Surface{ReadTimeout: time.Minute}
+	address := start(t, s)
+	var asked atomic.Int64
+	var tasks sync.WaitGroup
+	for i := range 40 {
+		c := connect(t, address)
+		tasks.Go(func() {
+			for n := 0; ; n++ {
+				text := fmt.Sprintf("request %d of customer %d", n, i)
+				asked.Add(1)
+				if err := c.post(text); err != nil {
+					t.Errorf("%s: not sent: %v", text, err)
+					return
+				}
+				status, body, ends, err := c.answer()
+				if err != nil || status != http.StatusOK || body != text {
+					t.Errorf("%s: %d %q, %v", text, status, body, err)
+					return
+				}
+				if ends {
+					return
+				}
+			}
+		})
+	}
+	for asked.Load() < 1000 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, <-shut(t.Context(), s))
+	tasks.Wait()
+}
+
+// TestStopWaitsForARequestOnAKeptConnection: a customer that can't know of the stop
+// yet has its request answered, and is told with the answer.
+func TestStopWaitsForARequestOnAKeptConnection(t *testing.T) {
+	s := &Surface{ReadTimeout: time.Minute}
+	address := start(t, s)
+	c := connect(t, address)
+	assert.NilError(t, c.post("first"))
+	_, _, ends, err := c.answer()
+	assert.NilError(t, err)
+	assert.Assert(t, !ends)
+	half := connect(t, address)
+	_, err = fmt.Fprint(half.conn, "POST / HTTP/1.1\r\nHo")
+	assert.NilError(t, err)
+
+	ended := shut(t.Context(), s)
+	untilRefused(address)
+	assert.NilError(t, c.post("second"))
+	status, body, ends, err := c.answer()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "second")
+	assert.Assert(t, ends, "the customer is not told that the connection ends")
+	_, err = fmt.Fprint(half.conn, "st: x\r\nContent-Length: 4\r\n\r\nhalf")
+	assert.NilError(t, err)
+	_, body, ends, err = half.answer()
+	assert.NilError(t, err)
+	assert.Equal(t, body, "half")
+	assert.Assert(t, ends)
+	assert.NilError(t, <-ended)
+}
+
+// TestStopTakesWhatWaitsToBeAccepted: connections that the system has made are served.
+func TestStopTakesWhatWaitsToBeAccepted(t *testing.T) {
+	s := &Surface{ReadTimeout: time.Minute}
+	begun := make(chan struct{})
+	var once sync.Once
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		once.Do(func() { close(begun) })
+		_, _ = io.Copy(w, r.Body)
+	})
+	address, err := s.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	var list []*customer
+	for range 200 {
+		c := connect(t, address)
+		assert.NilError(t, c.post("waits"))
+		list = append(list, c)
+	}
+	go s.Run(t.Context())
+	<-begun
+	ended := shut(t.Context(), s)
+	for i, c := range list {
+		_, body, _, err := c.answer()
+		assert.NilError(t, err, "customer %d", i)
+		assert.Equal(t, body, "waits")
+	}
+	assert.NilError(t, <-ended)
+}
+
+// TestStopTellsRequestsToGiveUp: a request that would take longer than the stop may
+// gets its answer, which says so.
+func TestStopTellsRequestsToGiveUp(t *testing.T) {
+	s := &Surface{ReadTimeout: time.Minute}
+	begun := make(chan struct{})
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		errkind.Write(w, "", errkind.New(errkind.Stopping, "the owner was not found"))
+	})
+	address, err := s.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	go s.Run(t.Context())
+	c := connect(t, address)
+	assert.NilError(t, c.post(""))
+	<-begun
+	bounded, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	ended := shut(bounded, s)
+	status, _, ends, err := c.answer()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, ends)
+	assert.NilError(t, <-ended)
+}
+
+// TestStopIsBounded: neither a request that never comes whole nor a silent connection
+// nor a handler that does not listen holds a stop up.
+func TestStopIsBounded(t *testing.T) {
+	s := &Surface{ReadTimeout: time.Hour}
+	begun, never := make(chan struct{}), make(chan struct{})
+	s.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-never
+	})
+	defer close(never)
+	address, err := s.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	go s.Run(t.Context())
+	stuck, half, silent := connect(t, address), connect(t, address), connect(t, address)
+	assert.NilError(t, stuck.post(""))
+	_, err = fmt.Fprint(half.conn, "POST / HT")
+	assert.NilError(t, err)
+	<-begun
+	bounded, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorContains(t, <-shut(bounded, s), "cut off")
+	for _, c := range []*customer{stuck, half, silent} {
+		_, _, _, err := c.answer()
+		assert.Assert(t, err != nil, "the connection is still open")
+	}
+}
+
+// TestBodyThatDoesNotComeBeyondTheLimit: a connection that has no place does not stay
+// for a body that never comes.
+func TestBodyThatDoesNotComeBeyondTheLimit(t *testing.T) {
+	address := start(t, &Surface{Connections: 1, ReadTimeout: 50 * time.Millisecond})
+	first := connect(t, address)
+	assert.NilError(t, first.post("takes the place"))
+	_, _, _, err := first.answer()
+	assert.NilError(t, err)
+	c := connect(t, address)
+	_, err = fmt.Fprint(c.conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	status, _, ends, err := c.answer()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, ends)
+	_, err = c.lines.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
