Tests that fail: processes that stop under pressure, customers beyond the bound

A node has no bound of connections, keeps the place of a customer whose body never comes, and goes on without serving anybody where its address is taken.

--- /dev/null
+++ b/cmd/stop_test.go
@@ -0,0 +1,206 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/cmd"
+)
+
+// crowd is customers of one address that go on using their connections.
+type crowd struct {
+	t       *testing.T
+	address string
+	request string
+	asked   atomic.Int64
+	tasks   sync.WaitGroup
+}
+
+// crowdSize is how many customers there are.
+const crowdSize = 30
+
+// press has the customers send requests one after another, until each is told that its
+// connection ends.
+func press(t *testing.T, address, request string) *crowd {
+	k := &crowd{t: t, address: address, request: request}
+	for range crowdSize {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		assert.NilError(t, c.SetDeadline(time.Now().Add(lineLimit)))
+		k.tasks.Go(func() { k.use(c) })
+	}
+	for k.asked.Load() < 20*crowdSize {
+		time.Sleep(time.Millisecond)
+	}
+	return k
+}
+
+// use uses one connection.
+func (k *crowd) use(c net.Conn) {
+	lines := bufio.NewReader(c)
+	for {
+		k.asked.Add(1)
+		if _, err := fmt.Fprint(c, k.request); err != nil {
+			k.t.Errorf("a request could not be sent: %v", err)
+			return
+		}
+		a, err := http.ReadResponse(lines, nil)
+		if err != nil {
+			k.t.Errorf("a request got no answer: %v", err)
+			return
+		}
+		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+			k.t.Errorf("an answer is not whole: %v", err)
+			return
+		}
+		if a.Close {
+			return
+		}
+	}
+}
+
+// customersPattern finds the address for customers in the settings of a node.
+var customersPattern = regexp.MustCompile(`customers = "([^"]+)"`)
+
+// beginNode starts a node whose store refuses connections.
+func beginNode(t *testing.T) (c *child, customers, ready string) {
+	text, path := nodeText(t), filepath.Join(t.TempDir(), "node.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	c = begin(t, "node", "-settings", path)
+	customers = customersPattern.FindStringSubmatch(text)[1]
+	ready = regexp.MustCompile(`ready = "([^"]+)"`).FindStringSubmatch(text)[1]
+	listens(t, customers)
+	return c, customers, ready
+}
+
+// listens waits until an address is served.
+func listens(t *testing.T, address string) {
+	for end := time.Now().Add(lineLimit); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "%v", err)
+	}
+}
+
+// wholeRequest is a submission that a node without a configuration refuses.
+const wholeRequest = "POST /q/0123456789abcdef HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2\r\n\r\n{}"
+
+// TestStopsOfProcessesAnswerEveryRequest asks each process to stop, and hangs up, while
+// customers press it on kept connections: every whole request is answered.
+func TestStopsOfProcessesAnswerEveryRequest(t *testing.T) {
+	stop := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}
+	t.Run("node", func(t *testing.T) {
+		c, customers, _ := beginNode(t)
+		k := press(t, customers, wholeRequest)
+		c.signal(stop...)
+		k.tasks.Wait()
+		assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+	})
+	t.Run("standin", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "fleet.toml")
+		assert.NilError(t, os.WriteFile(path, []byte(fleetText(t)), 0o600))
+		c := begin(t, "standin", "-listen", "127.0.0.1:0", "-fleet", path)
+		k := press(t, c.await(`stand-in with .* at (\S+)`)[1], "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+		c.signal(stop...)
+		k.tasks.Wait()
+		assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+	})
+	t.Run("serve", func(t *testing.T) {
+		c, admin, _, _ := serveEntry(t)
+		k := press(t, admin, "GET /api/v1/status HTTP/1.1\r\nHost: x\r\n\r\n")
+		c.signal(stop...)
+		k.tasks.Wait()
+		assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+	})
+	t.Run("standalone", func(t *testing.T) {
+		c := begin(t, "standalone", "-port", "0")
+		address := c.await(`callers http://(\S+)`)[1]
+		c.await(`try next`)
+		k := press(t, address, "GET /s/none HTTP/1.1\r\nHost: x\r\n\r\n")
+		c.signal(stop...)
+		k.tasks.Wait()
+		assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+	})
+}
+
+// TestCustomersBeyondTheBound: a node tells the customers that have no place so, and
+// serves those that have one.
+func TestCustomersBeyondTheBound(t *testing.T) {
+	c, customers, _ := beginNode(t)
+	var list []net.Conn
+	status := func() string {
+		k, err := net.Dial("tcp", customers)
+		assert.NilError(t, err)
+		list = append(list, k)
+		assert.NilError(t, k.SetDeadline(time.Now().Add(lineLimit)))
+		_, err = fmt.Fprint(k, wholeRequest)
+		assert.NilError(t, err)
+		a, err := http.ReadResponse(bufio.NewReader(k), nil)
+		assert.NilError(t, err)
+		_ = a.Body.Close()
+		return a.Header.Get("Yardbridge-Error")
+	}
+	defer func() {
+		for _, k := range list {
+			_ = k.Close()
+		}
+	}()
+	const most = 2048 // the bound of docs/OPERATIONS.md
+	for range most {
+		if kind := status(); kind != "stopping" {
+			t.Fatalf("customer %d is told %q", len(list), kind)
+		}
+	}
+	assert.Equal(t, status(), "too-many-connections")
+	_ = list[0].Close()
+	c.signal(syscall.SIGTERM)
+	assert.Equal(t, c.end(), cmd.ExitOK, c.text())
+}
+
+// TestBodyOfACustomerThatNeverComes: the place of a customer whose body does not come
+// is free again after a time.
+func TestBodyOfACustomerThatNeverComes(t *testing.T) {
+	_, customers, _ := beginNode(t)
+	k, err := net.Dial("tcp", customers)
+	assert.NilError(t, err)
+	defer func() { _ = k.Close() }()
+	assert.NilError(t, k.SetDeadline(time.Now().Add(lineLimit)))
+	_, err = fmt.Fprint(k, "POST /q/0123456789abcdef HTTP/1.1\r\nHost: h.example\r\nContent-Length: 10\r\n\r\n{")
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, k)
+	assert.Assert(t, err == nil || errors.Is(err, syscall.ECONNRESET), "the place is still taken: %v", err)
+}
+
+// TestNodeWhoseAddressIsTaken ends with an error that says so, in place of a node that
+// serves nobody.
+func TestNodeWhoseAddressIsTaken(t *testing.T) {
+	text, path := nodeText(t), filepath.Join(t.TempDir(), "node.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	l, err := net.Listen("tcp", customersPattern.FindStringSubmatch(text)[1])
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	c := begin(t, "node", "-settings", path)
+	c.await(`address already in use`)
+	assert.Equal(t, c.end(), cmd.ExitFailed, c.text())
+}
