A node and the stand-in serve with the surface that the first design's processes use

The stand-in closed its connections at once.

One surface serves all now. At most 2,048 customers have a place, a body has 5 s; the operators' limits for heads and idle connections, which were read and used by nothing, hold where they are shorter (their limit of a head's bytes is the one that the node has anyway).

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/httpconn"
+	"github.com/yardbridge/yardbridge/modules/httpserve"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/node"
@@ -77,9 +78,9 @@
 	setting   setting.Node
 	logger    log.Logger
 	meter     *measure.Meter
-	customers *http.Server
-	ready     *http.Server
-	metrics   *http.Server // nil for none
+	customers *httpserve.Surface
+	ready     *httpserve.Surface
+	metrics   *httpserve.Surface // nil for none
 }
 
 func openNode(s setting.Node, logger log.Logger) (*nodeProcess, error) {
@@ -98,27 +99,58 @@
 	meter.Gauge("pools.owned", n.Owned)
 	meter.Gauge("config.version", n.Version)
 	p := &nodeProcess{node: n, setting: s, logger: logger, meter: meter}
-	p.customers = &http.Server{
-		Addr:              s.Listen.Customers,
-		Handler:           &platform.Customers{Gateway: n.Gateway, Logger: logger, Meter: meter},
-		ReadHeaderTimeout: readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-	}
-	p.ready = &http.Server{Addr: s.Listen.Ready, Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: readTimeout}
-	if s.Listen.Metrics > 0 {
-		p.metrics = &http.Server{Addr: s.Figures(), Handler: p.figures(), ReadHeaderTimeout: readTimeout}
-	}
-	return p, nil
+	return p, p.open()
 }
 
-// The bounds of customers' connections, each far above what a customer needs.
+// The bounds of connections, each far above what a customer needs. The operators'
+// limits hold in place of the times where they are shorter.
 const (
-	readTimeout = 5 * time.Second // for the head of a request to come
+	readTimeout = 5 * time.Second // for the head of a request to come, and for its body
 	idleTimeout = 2 * time.Minute // between the requests of a connection
-	headerBytes = 16 << 10        // of the head of a request
+	headerBytes = 16 << 10        // of the head of a request; the operators say the same
+	// customerConnections is how many there may be at once: of the 3,900 descriptors
+	// that a process has for sockets, the rest is for workers, other nodes and the
+	// store; at some 30 kB each they take 60 MB of 284.
+	customerConnections = 2048
 )
 
+// open opens the addresses for customers, for the platform's question and for figures.
+func (p *nodeProcess) open() error {
+	p.customers = &httpserve.Surface{
+		Handler:     &platform.Customers{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter},
+		Connections: customerConnections, Newer: p.customerTimes,
+	}
+	p.ready = &httpserve.Surface{Handler: http.HandlerFunc(p.serveReady)}
+	listen := p.setting.Listen
+	if err := serveAt(p.customers, listen.Customers); err != nil {
+		return errors.Annotate(err, "address for customers")
+	}
+	if err := serveAt(p.ready, listen.Ready); err != nil {
+		return errors.Annotate(err, "address for the platform's question")
+	}
+	if listen.Metrics == 0 {
+		return nil
+	}
+	p.metrics = &httpserve.Surface{Handler: p.figures()}
+	return errors.Annotate(serveAt(p.metrics, p.setting.Figures()), "address for figures")
+}
+
+// serveAt opens the address of a surface.
+func serveAt(s *httpserve.Surface, address string) error {
+	s.HeaderBytes, s.ReadTimeout, s.IdleTimeout = headerBytes, readTimeout, idleTimeout
+	_, err := s.Listen(address)
+	return err
+}
+
+// customerTimes returns the operators' limits for heads and idle connections.
+func (p *nodeProcess) customerTimes() (header, idle time.Duration) {
+	c := p.node.Gateway.Config()
+	if c == nil {
+		return 0, 0
+	}
+	return c.Limits.HeaderTimeout, c.Limits.IdleTimeout
+}
+
 // figures answers with the counters and histograms, and with what the node
 // believes.
 func (p *nodeProcess) figures() http.Handler {
@@ -138,8 +170,17 @@
 	}
 }
 
-// stopShare is the part of the grace after which connections are closed.
-const stopShare = 0.7
+// The times of a stop.
+const (
+	// stopShare is the part of the grace after which requests that are still under way
+	// are told to give up.
+	stopShare = 0.7
+	// handShare is the part of the grace after which the node stops listening, whether
+	// its pools are handed over by then or not: the rest is for customers.
+	handShare = 0.35
+	// askedSpan is for answers to the platform's questions that are under way.
+	askedSpan = 50 * time.Millisecond
+)
 
 // run serves until the context ends, hands the node's pools over and lets what
 // is in flight end.
@@ -147,32 +188,51 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var tasks sync.WaitGroup
-	tasks.Go(func() { p.serve(p.customers) })
-	tasks.Go(func() { p.serve(p.ready) })
+	tasks.Go(func() { p.customers.Run(running) })
+	tasks.Go(func() { p.ready.Run(running) })
 	if p.metrics != nil {
-		tasks.Go(func() { p.serve(p.metrics) })
+		tasks.Go(func() { p.metrics.Run(running) })
 	}
 	tasks.Go(func() { p.node.Run(running) })
 	<-ctx.Done()
 	p.logger.Info().Str("event", "stop").Msg("the node is asked to stop")
-	bounded, end := context.WithTimeout(running, time.Duration(float64(p.setting.Bounds.Grace.Std())*stopShare))
+	p.stop(running)
+	cancel()
+	tasks.Wait()
+}
+
+// stop hands the node's pools over and has each surface end with the answers to what
+// it has taken.
+func (p *nodeProcess) stop(ctx context.Context) {
+	grace := p.setting.Bounds.Grace.Std()
+	bounded, end := context.WithTimeout(ctx, share(grace, stopShare))
 	defer end()
-	p.node.HandOver(bounded)
+	// Customers that stay are told to turn elsewhere with their next answer.
+	p.customers.Retire()
+	handed := make(chan struct{})
+	go p.handOver(bounded, handed)
+	select {
+	case <-handed:
+	case <-time.After(share(grace, handShare)):
+	}
 	if err := p.customers.Shutdown(bounded); err != nil {
 		p.logger.Warn().Str("event", "stop").Err(err).Msg("calls of customers were cut off")
 	}
-	// Nobody waits for an answer about readiness any more.
-	_ = p.ready.Close()
+	<-handed
+	asked, endAsked := context.WithTimeout(ctx, askedSpan)
+	defer endAsked()
+	// Nobody waits for an answer about readiness or figures that does not come at once.
+	_ = p.ready.Shutdown(asked)
 	if p.metrics != nil {
-		_ = p.metrics.Close()
+		_ = p.metrics.Shutdown(asked)
 	}
-	cancel()
-	tasks.Wait()
 }
 
-// serve serves one surface until it is shut down.
-func (p *nodeProcess) serve(s *http.Server) {
-	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		p.logger.Error().Str("event", "listen").Str("address", s.Addr).Err(err).Msg("an address can't be served")
-	}
+// handOver gives the node's pools to others.
+func (p *nodeProcess) handOver(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	p.node.HandOver(ctx)
 }
+
+// share returns a part of a time.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -42,9 +42,8 @@
 	if err != nil {
 		return err
 	}
-	defer r.Close(context.Background())
 	c.signals.serving(nil, nil)
 	c.say("stand-in with %d workers at %s", len(workers), r.Address)
 	<-ctx.Done()
-	return nil
+	return r.Stop(context.WithoutCancel(ctx))
 }
--- a/standin/run.go
+++ b/standin/run.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/yardbridge/yardbridge/models/fleet"
+	"github.com/yardbridge/yardbridge/modules/httpserve"
 )
 
 // The stand-in's behaviour unless told otherwise.
@@ -20,6 +20,7 @@
 	defaultRetain   = 24 * time.Hour
 	defaultLag      = 500 * time.Millisecond
 	defaultBootTime = 2 * time.Second
+	readTimeout     = time.Minute // for the head of a call, and for its body
 )
 
 // Running is a stand-in that serves.
@@ -27,7 +28,7 @@
 	Server  *Server
 	Address string
 
-	http *http.Server
+	surface *httpserve.Surface
 }
 
 // Options change the stand-in's behaviour; zero values take the defaults.
@@ -55,11 +56,12 @@
 		Platform: &Platform{Lag: orDefault(o.Lag, defaultLag), BootTime: orDefault(o.BootTime, defaultBootTime)},
 		Targets:  make(map[string]*Target),
 	}
-	l, err := net.Listen("tcp", o.Address)
+	surface := &httpserve.Surface{Handler: s.Handler(), ReadTimeout: readTimeout}
+	address, err := surface.Listen(o.Address)
 	if err != nil {
 		return nil, errors.Annotate(err, "stand-in")
 	}
-	host, _, err := net.SplitHostPort(l.Addr().String())
+	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -71,19 +73,27 @@
 		s.Targets[w.ID] = t
 		s.Platform.SetWorker(w)
 	}
-	r := &Running{Server: s, Address: l.Addr().String(), http: &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Minute}}
-	go r.run(l)
+	r := &Running{Server: s, Address: address, surface: surface}
+	go surface.Run(context.Background())
 	return r, nil
 }
 
-func (r *Running) run(l net.Listener) {
-	// Serve ends with an error in any case, when the stand-in is closed.
-	_ = r.http.Serve(l)
+// stopLimit bounds a planned stop of the stand-in, whose calls take milliseconds but
+// for those that wait for news.
+const stopLimit = 2 * time.Second
+
+// Stop has the calls that were taken end with their answers, and closes the stand-in.
+func (r *Running) Stop(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, stopLimit)
+	defer cancel()
+	err := r.surface.Shutdown(bounded)
+	r.Close(ctx)
+	return errors.Trace(err)
 }
 
-// Close ends the stand-in and its targets.
+// Close ends the stand-in and its targets at once.
 func (r *Running) Close(context.Context) {
-	_ = r.http.Close()
+	_ = r.surface.Close()
 	for _, t := range r.Server.Targets {
 		_ = t.Close()
 	}
