A stop of a surface goes on listening until no kept connection is left

Cause: with the second that kept connections are waited for, the listener was closed for that long: customers that turned elsewhere and came back found no connection.

TestStopWaitsForARequestOnAKeptConnection looks at the stop's beginning itself, no more at the closing of the listener, and that a fresh customer is served, too.

--- a/modules/httpserve/conn.go
+++ b/modules/httpserve/conn.go
@@ -140,6 +140,13 @@
 // begins after it was set still takes what has come.
 const endSpan = time.Millisecond
 
+// isKept reports whether the connection waits for its next request.
+func (c *conn) isKept() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == idle
+}
+
 // endIdle ends the connection if it has been idle since a time.
 func (c *conn) endIdle(since time.Time) {
 	c.mu.Lock()
--- a/modules/httpserve/httpserve.go
+++ b/modules/httpserve/httpserve.go
@@ -101,27 +101,17 @@
 	lastSpan = 300 * time.Millisecond
 )
 
-// Shutdown stops listening and returns once every connection has ended: with the
-// answer to its request, if one is under way or on its way on a fresh connection, and
-// else after a time in which none has come. The library's own Shutdown is not used: it
+// Shutdown returns once every connection has ended: with the answer to its request, if
+// one is under way or on its way on a fresh connection, and else after a time in which
+// none has come. It goes on listening until no kept connection is left, so that whoever
+// turns elsewhere and comes back here is served as well. The library's own Shutdown is not used: it
 // drops a request that it has read when it begins before the handler is called, and
 // closes kept connections while a request is on its way. Once the context ends,
 // requests are told to give up, and what has not ended soon after is cut off.
 func (s *Surface) Shutdown(ctx context.Context) error {
 	s.Retire()
-	s.mu.Lock()
-	s.stopping = true
-	running := s.running
-	s.mu.Unlock()
-	if running {
-		// A listener that takes no deadline is closed.
-		_ = s.listener.SetDeadline(time.Now())
-		select {
-		case <-s.ended:
-		case <-ctx.Done():
-		}
-	}
-	_ = s.listener.Close() // one that is closed already says so
+	s.awaitKept(ctx)
+	s.endListening(ctx)
 	defer s.giveUp()
 	if s.awaitEnds(ctx) {
 		return nil
@@ -137,6 +127,38 @@
 	return errors.Errorf("%d connections were cut off: %v", left, context.Cause(ctx))
 }
 
+// awaitKept ends kept connections as they become quiet, and returns once there is none
+// or the context ends.
+func (s *Surface) awaitKept(ctx context.Context) {
+	began := time.Now()
+	ticker := time.NewTicker(quietLook)
+	defer ticker.Stop()
+	for s.endQuiet(began) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// endListening takes the connections that wait, and listens no more.
+func (s *Surface) endListening(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	running := s.running
+	s.mu.Unlock()
+	if running {
+		// A listener that takes no deadline is closed.
+		_ = s.listener.SetDeadline(time.Now())
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+		}
+	}
+	_ = s.listener.Close() // one that is closed already says so
+}
+
 // awaitEnds ends connections as they become quiet, and returns whether all have ended
 // before the context does.
 func (s *Surface) awaitEnds(ctx context.Context) bool {
@@ -149,26 +171,31 @@
 			return true
 		case <-ctx.Done():
 			return false
-		case now := <-ticker.C:
-			if now.Sub(began) >= s.span() || s.requests.Err() != nil {
-				s.endQuiet(now)
-			}
+		case <-ticker.C:
+			s.endQuiet(began)
 		}
 	}
 }
 
-// endQuiet ends the kept connections on which nothing has come for long; once requests
-// are told to give up, all on which nothing has come.
-func (s *Surface) endQuiet(now time.Time) {
+// endQuiet ends the kept connections on which nothing has come for long in a stop that
+// began at a time, and returns how many are kept. Once requests are told to give up, it
+// ends all on which nothing has come.
+func (s *Surface) endQuiet(began time.Time) (kept int) {
+	since := time.Now().Add(-s.span())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if s.requests.Err() != nil {
+		switch {
+		case s.requests.Err() != nil:
 			c.endUnasked()
-		} else {
-			c.endIdle(now.Add(-s.span()))
+		case c.isKept():
+			kept++
+			if !since.Before(began) {
+				c.endIdle(since)
+			}
 		}
 	}
+	return kept
 }
 
 // span returns how long kept connections are waited for.
--- a/modules/httpserve/stop_test.go
+++ b/modules/httpserve/stop_test.go
@@ -55,17 +55,6 @@
 	return a.StatusCode, string(data), a.Close, err
 }
 
-// untilRefused waits until nothing listens at an address.
-func untilRefused(address string) {
-	for {
-		c, err := net.Dial("tcp", address)
-		if err != nil {
-			return
-		}
-		_ = c.Close()
-	}
-}
-
 // shut begins a planned stop.
 func shut(ctx context.Context, s *Surface) chan error {
 	ended := make(chan error, 1)
@@ -123,7 +112,15 @@
 	assert.NilError(t, err)
 
 	ended := shut(t.Context(), s)
-	untilRefused(address)
+	for !s.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	late := connect(t, address)
+	assert.NilError(t, late.post("late"))
+	_, body, ends, err := late.answer()
+	assert.NilError(t, err)
+	assert.Equal(t, body, "late")
+	assert.Assert(t, ends)
 	assert.NilError(t, c.post("second"))
 	status, body, ends, err := c.answer()
 	assert.NilError(t, err)
