A node waits for kept connections until the platform has noticed that it stops

Cause: after one second, customers' kept connections were ended before the platform had seen two answers that the node is not ready, so that new customers found no connection, and now and then one sent its request as its connection ended.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -118,7 +118,7 @@
 func (p *nodeProcess) open() error {
 	p.customers = &httpserve.Surface{
 		Handler:     &platform.Customers{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter},
-		Connections: customerConnections, Newer: p.customerTimes,
+		Connections: customerConnections, Newer: p.customerTimes, Quiet: noticeSpan,
 	}
 	p.ready = &httpserve.Surface{Handler: http.HandlerFunc(p.serveReady)}
 	listen := p.setting.Listen
@@ -178,6 +178,10 @@
 	// handShare is the part of the grace after which the node stops listening, whether
 	// its pools are handed over by then or not: the rest is for customers.
 	handShare = 0.35
+	// noticeSpan is how long customers' kept connections are waited for, and the node
+	// listens while there are some: the platform asks each second whether a node is
+	// ready, and sends it no new customers after two answers that it is not.
+	noticeSpan = 2200 * time.Millisecond
 	// askedSpan is for answers to the platform's questions that are under way.
 	askedSpan = 50 * time.Millisecond
 )
--- a/modules/httpserve/httpserve.go
+++ b/modules/httpserve/httpserve.go
@@ -4,6 +4,7 @@
 package httpserve
 
 import (
+	"cmp"
 	"context"
 	stderrors "errors"
 	"io"
@@ -26,11 +27,11 @@
 	ReadTimeout time.Duration // for headers and body
 	IdleTimeout time.Duration // between requests, 0 for no limit
 	Connections int           // at once, 0 for no limit
+	Quiet       time.Duration // that kept connections are waited for in a stop, 0 for a second
 	// Newer returns shorter times than those above for what comes from now on, 0 for
 	// those above; nil does so always.
 	Newer func() (header, idle time.Duration)
 
-	quiet    time.Duration // in place of quietSpan, 0 for that
 	server   *http.Server
 	listener *acceptor
 	requests context.Context // of requests
@@ -90,10 +91,10 @@
 
 // The times of a stop.
 const (
-	// quietSpan is how long a kept connection is waited for from the moment of the
-	// stop or its last answer, whichever is later: a request that was sent before has
-	// come by then, over any path that is in order, and one that comes is answered and
-	// told that the connection ends.
+	// quietSpan is how long a kept connection is waited for, unless the surface says
+	// else, from the moment of the stop or its last answer, whichever is later: a
+	// request that was sent before has come by then, over any path that is in order,
+	// and one that comes is answered and told that the connection ends.
 	quietSpan = time.Second
 	// quietLook is how often kept connections are looked at during a stop.
 	quietLook = 20 * time.Millisecond
@@ -200,10 +201,7 @@
 
 // span returns how long kept connections are waited for.
 func (s *Surface) span() time.Duration {
-	if s.quiet > 0 {
-		return s.quiet
-	}
-	return quietSpan
+	return cmp.Or(s.Quiet, quietSpan)
 }
 
 // Close ends the surface at once.
--- a/modules/httpserve/stop_test.go
+++ b/modules/httpserve/stop_test.go
@@ -65,7 +65,7 @@
 // TestStopAnswersEveryWholeRequest has customers go on using kept connections until
 // they are told that these end: each request has its whole answer.
 func TestStopAnswersEveryWholeRequest(t *testing.T) {
-	s := &Surface{ReadTimeout: time.Minute, quiet: time.Minute}
+	s := &Surface{ReadTimeout: time.Minute, Quiet: time.Minute}
 	address := start(t, s)
 	var asked atomic.Int64
 	var tasks sync.WaitGroup
@@ -100,7 +100,7 @@
 // TestStopWaitsForARequestOnAKeptConnection: a customer that can't know of the stop
 // yet has its request answered, and is told with the answer.
 func TestStopWaitsForARequestOnAKeptConnection(t *testing.T) {
-	s := &Surface{ReadTimeout: time.Minute, quiet: time.Minute}
+	s := &Surface{ReadTimeout: time.Minute, Quiet: time.Minute}
 	address := start(t, s)
 	c := connect(t, address)
 	assert.NilError(t, c.post("first"))
@@ -241,7 +241,7 @@
 // TestStopEndsQuietConnections: kept connections on which nothing comes end by
 // themselves, and the stop with them.
 func TestStopEndsQuietConnections(t *testing.T) {
-	s := &Surface{ReadTimeout: time.Minute, quiet: time.Millisecond}
+	s := &Surface{ReadTimeout: time.Minute, Quiet: time.Millisecond}
 	address := start(t, s)
 	c := connect(t, address)
 	assert.NilError(t, c.post("only"))
