--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -85,10 +85,10 @@
 	w.standin = w.said(ts, p, `stand-in with .* at (\S+)`)[0]
 }
 
-// patientDeadline is far longer than a busy machine keeps a process from a
-// processor: with eight copies of a script on three processors, requests were
-// measured that ended some 6 s after they had come.
-const patientDeadline = "60s"
+// patientDeadline is longer than a busy machine keeps a process from a processor: with
+// eight copies of a script on three processors, requests were measured that ended some
+// 6 s after they had come. A request that waits for longer still fails its script.
+const patientDeadline = "20s"
 
 var deadlineLine = regexp.MustCompile(`(?m)^deadline = "[0-9]+s"`)
 
