One end of a gang's member as done stands for all

Cause: taskDone noted the member's own task only; the others waited to be begun, and a gang is begun as a whole, so its job ran for ever where one end was never listed. A step's progress was counted again by a later end of the same step (copies), too: it is counted by the end that is new. TestDoneOfOneMemberStandsForItsGang failed before.

--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -340,26 +340,33 @@
 	p.Logger.Info().Str("event", "end").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
 		Str("outcome", string(e.How)).Dur("took", u.age(now)).Int("sequence", e.Sequence).Msg("a run has ended")
 	p.began(u, now)
+	progressed := false
 	switch e.How {
 	case worker.Done:
-		p.taskDone(u, now)
+		progressed = p.taskDone(u, now)
 	case worker.Failed:
 		p.taskFailed(u, now)
 	}
 	p.release(u)
-	if e.How == worker.Done {
+	if progressed {
 		p.progressed(u.job, u.ref.StepRef, now)
 	}
 }
 
-func (p *Pool) taskDone(u *run, now time.Time) {
+// taskDone notes that a task is done, and reports whether that is new. The members of
+// a gang end as done together, so that the end of one stands for all: another's worker
+// may be gone before it has listed its own.
+func (p *Pool) taskDone(u *run, now time.Time) bool {
 	t, s := u.task(), u.step()
 	if t.done || s.spec.Lasting {
-		return
+		return false
+	}
+	s.markDone(t)
+	if s.spec.Gang {
+		for i := range s.tasks {
+			s.markDone(&s.tasks[i])
+		}
 	}
-	t.done = true
-	t.checkpoint = ""
-	s.done++
 	u.at.succeededOn()
 	if !u.restored && u.number == 1 && !u.began.IsZero() {
 		p.learn(u.job, s, now.Sub(u.began))
@@ -369,6 +376,20 @@
 			p.stop(o, now, "a copy is done")
 		}
 	}
+	return true
+}
+
+// markDone counts a task as done, once.
+func (s *stepState) markDone(t *taskState) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	s.done++
+	if len(t.runs) == 0 {
+		s.waiting-- // it waited to be begun again
+	}
 }
 
 func (p *Pool) taskFailed(u *run, now time.Time) {
