--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -41,8 +41,13 @@
 	StoreSlow    time.Duration // added to each answer
 	Cut          bool          // nothing passes between this node and others
 	WorkersCut   bool          // nothing passes between this node and workers
+	Apart        time.Time     // until when the node is out of touch, for the rules with a time bound
+	HeldUp       time.Time     // until when its orders may be held up on their way
 }
 
+// apart reports whether the rules with a time bound do not apply to a node now.
+func (f *Faults) apart() bool { return time.Now().Before(f.Apart) || time.Now().Before(f.HeldUp) }
+
 // New returns an empty world whose luck is drawn from a seed.
 func New(seed uint64) *World {
 	return &World{
