The model of the platform: workers that hear late, and gangs that end together

The time bound of a cancel now counts from when an order came and not from when it was carried out, as the rule says (time bounds do not apply to orders that a worker carried out late); an order that comes too late is told as before, whenever it is carried out.

The members of a gang ended each by itself, one as done and another as failed, which the platform never shows. They now end together, break together, or are alone after 3 s. A look that got no answer shared its listing with one that was carried out later, which is a race of the model (seen once, in a soak).

TestDeafWorkerCarriesOrdersOutLate, TestGangEndsTogether; the scripts of node and the tests of services/owner pass with the race detector.

--- a/standin/world/check_test.go
+++ b/standin/world/check_test.go
@@ -71,3 +71,56 @@
 		assert.Assert(t, strings.HasPrefix(strings.Join(w.Violations(), "\n"), "REFUSED"))
 	})
 }
+
+// TestDeafWorkerCarriesOrdersOutLate has an order reach a worker that does not hear,
+// just before and after a cancel's bound.
+func TestDeafWorkerCarriesOrdersOutLate(t *testing.T) {
+	for wait, rule := range map[time.Duration]string{cancelTime - time.Second: "", cancelTime + time.Second: "UNASKED"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := New(1)
+			id := w.AddWorker("m-1", "p", "r-1", job.Size{})
+			w.Submitted(job.Submission{ID: "0000000000000001", Steps: []job.Step{{Count: 1, Estimate: time.Second}}})
+			w.Cancelled("0000000000000001")
+			w.Touch(id, func(o *Worker) { o.Deaf = true })
+			time.Sleep(wait)
+			a := w.Workers("n1").Open(worker.Worker{ID: id}).Start(t.Context(), port.Start{Task: "0000000000000001.0.0.0", Number: 1, Deadline: time.Hour})
+			assert.Equal(t, a.Verdict, port.Unknown)
+			time.Sleep(cancelTime)
+			assert.Equal(t, len(w.Runs("0000000000000001")), 0)
+			w.Touch(id, func(o *Worker) { o.Deaf = false })
+			assert.Equal(t, len(w.Runs("0000000000000001")), 1)
+			broken := strings.Join(w.Violations(), "\n")
+			assert.Assert(t, (broken == "") == (rule == "") && strings.HasPrefix(broken, rule), broken)
+		})
+	}
+}
+
+// TestGangEndsTogether has the members of a gang be done at once, be broken by the
+// end of one, and wait for one that does not come.
+func TestGangEndsTogether(t *testing.T) {
+	for _, c := range []struct {
+		members int
+		crash   bool
+		ends    string // of the first member
+	}{{2, false, "done"}, {2, true, "broken"}, {1, false, "alone"}} {
+		synctest.Test(t, func(t *testing.T) {
+			w := New(1)
+			ids := []worker.ID{w.AddWorker("m-1", "p", "r-1", job.Size{}), w.AddWorker("m-2", "p", "r-1", job.Size{})}
+			w.Submitted(job.Submission{ID: "0000000000000001", Steps: []job.Step{{Count: 2, Estimate: time.Second, Gang: true}}})
+			for i, id := range ids[:c.members] {
+				time.Sleep(100 * time.Millisecond)
+				task := []string{"0000000000000001.0.0.0", "0000000000000001.0.0.1"}[i]
+				w.Workers("n1").Open(worker.Worker{ID: id}).Start(t.Context(), port.Start{Task: task, Number: 1, Deadline: time.Hour})
+			}
+			time.Sleep(500 * time.Millisecond)
+			if c.crash {
+				w.Crash(ids[1], time.Second)
+			}
+			time.Sleep(5 * time.Second)
+			l, _ := w.Workers("n1").Open(worker.Worker{ID: ids[0]}).Look(t.Context(), port.Look{})
+			assert.Equal(t, len(l.Ends), 1)
+			assert.Equal(t, string(l.Ends[0].How), c.ends)
+			assert.Equal(t, w.HasCompleted("0000000000000001"), c.ends == "done")
+		})
+	}
+}
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -21,6 +21,7 @@
 type Worker struct {
 	Silent bool          // answers nothing, and runs on
 	Late   time.Duration // orders get no answer and are carried out after this
+	Deaf   bool          // orders get no answer and are carried out once it hears again
 	Hangs  bool          // what runs makes no progress
 	Slow   float64       // how many times as long work takes, 0 for once
 	Fails  bool          // all that begins fails
@@ -39,6 +40,8 @@
 	void    int       // ends up to this one do not count
 	harmed  time.Time // since when what fills keeps a serving task over its target
 	changed chan struct{}
+	unheard []func()  // orders that wait until it hears again
+	sent    time.Time // when the order came that is being carried out
 }
 
 // running is a run under way.
@@ -63,7 +66,9 @@
 	stopTime    = 200 * time.Millisecond
 	lastingTime = 300 * time.Millisecond // until a task that lasts is at work
 	clockStart  = 100 * time.Second
-	whole       = 100 // percent
+	gangTime    = 3 * time.Second       // that the members of a gang wait for each other
+	gangPoll    = 20 * time.Millisecond // until one that waits looks again
+	whole       = 100                   // percent
 )
 
 // AddWorker brings a worker of an instance up in a pool and lists it.
@@ -178,6 +183,13 @@
 	for _, r := range o.runs {
 		o.schedule(r)
 	}
+	if o.Deaf || o.over {
+		return
+	}
+	for _, carryOut := range o.unheard {
+		carryOut()
+	}
+	o.unheard = nil
 }
 
 // end ends the worker's life. The lock is held.
@@ -186,6 +198,11 @@
 	for _, r := range o.runs {
 		r.timer.Stop()
 		o.w.left(o, r)
+		for m, at := range o.w.members(r) {
+			if at != o {
+				at.endRun(m, worker.Broken)
+			}
+		}
 	}
 	clear(o.runs)
 }
@@ -240,6 +257,47 @@
 	if o.over || o.runs[r.task] != r {
 		return
 	}
+	others := o.w.members(r)
+	if how == worker.Done && len(others) < r.members()-1 {
+		if time.Since(r.began) < gangTime {
+			r.timer = time.AfterFunc(gangPoll, func() { o.finish(r, how) })
+			return
+		}
+		how = worker.Alone
+	}
+	o.endRun(r, how)
+	if how != worker.Done {
+		how = worker.Broken
+	}
+	for m, at := range others {
+		at.endRun(m, how)
+	}
+}
+
+// members returns the other runs of a gang, with their workers. The lock is held.
+func (w *World) members(r *running) map[*running]*Worker {
+	list := make(map[*running]*Worker)
+	ref, _ := job.ParseTask(r.task)
+	for _, o := range w.workers {
+		for name, other := range o.runs {
+			if at, _ := job.ParseTask(name); r.step.Gang && other != r && other.number == r.number && at.StepRef == ref.StepRef {
+				list[other] = o
+			}
+		}
+	}
+	return list
+}
+
+// members returns how many runs must be there for a run to work.
+func (r *running) members() int {
+	if r.step.Gang {
+		return r.step.Count
+	}
+	return 1
+}
+
+// endRun ends one run and lists that. The lock is held.
+func (o *Worker) endRun(r *running, how worker.How) {
 	if r.timer != nil {
 		r.timer.Stop()
 	}
@@ -292,29 +350,35 @@
 		defer l.w.mu.Unlock()
 		return port.Answer{Verdict: port.Unreached}
 	}
-	if cut || o.Late > 0 {
-		if !cut {
-			time.AfterFunc(o.Late, func() { l.w.carryOut(o, token, do) })
+	if cut || o.Late > 0 || o.Deaf {
+		sent := time.Now()
+		switch {
+		case cut:
+		case o.Deaf:
+			o.unheard = append(o.unheard, func() { o.take(sent, token, do) })
+		default:
+			time.AfterFunc(o.Late, func() { l.w.carryOut(o, sent, token, do) })
 		}
 		l.w.mu.Unlock()
 		_ = silence(ctx, callTimeout)
 		return port.Answer{Verdict: port.Unknown}
 	}
 	defer l.w.mu.Unlock()
-	return o.take(token, do)
+	return o.take(time.Now(), token, do)
 }
 
 // carryOut carries a late order out.
-func (w *World) carryOut(o *Worker, token uint64, do func(o *Worker) port.Verdict) {
+func (w *World) carryOut(o *Worker, sent time.Time, token uint64, do func(o *Worker) port.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !o.over {
-		o.take(token, do)
+		o.take(sent, token, do)
 	}
 }
 
 // take carries an order out unless a higher token was seen. The lock is held.
-func (o *Worker) take(token uint64, do func(o *Worker) port.Verdict) port.Answer {
+func (o *Worker) take(sent time.Time, token uint64, do func(o *Worker) port.Verdict) port.Answer {
+	o.sent = sent
 	o.lapse()
 	if token < o.token {
 		return port.Answer{Verdict: port.TooLow, Clock: o.clock()}
@@ -399,15 +463,11 @@
 }
 
 func (l *nodeLink) look(ctx context.Context, k port.Look) (worker.Listing, port.Answer) {
-	var listing worker.Listing
-	a := l.order(ctx, k.Token, func(o *Worker) port.Verdict {
+	listing, a := l.list(ctx, k.Token, func(o *Worker) {
 		o.extend(k.Deadline)
 		o.forget(k.Seen)
-		listing = o.listing()
-		return port.Taken
 	})
 	if a.Verdict != port.Taken || len(listing.Ends) > 0 || k.Wait == 0 {
-		listing.Clock = a.Clock
 		return listing, a
 	}
 	l.w.mu.Lock()
@@ -419,12 +479,22 @@
 	case <-time.After(k.Wait):
 	case <-ctx.Done():
 	}
-	a = l.order(ctx, k.Token, func(o *Worker) port.Verdict {
-		listing = o.listing()
+	return l.list(ctx, k.Token, func(*Worker) {})
+}
+
+// list carries an order out that is answered with a listing.
+func (l *nodeLink) list(ctx context.Context, token uint64, do func(o *Worker)) (worker.Listing, port.Answer) {
+	var taken worker.Listing // may be written late, where there is no answer
+	a := l.order(ctx, token, func(o *Worker) port.Verdict {
+		do(o)
+		taken = o.listing()
 		return port.Taken
 	})
-	listing.Clock = a.Clock
-	return listing, a
+	if a.Verdict != port.Taken {
+		return worker.Listing{Clock: a.Clock}, a
+	}
+	taken.Clock = a.Clock
+	return taken, a
 }
 
 // forget drops ends that were taken note of. The lock is held.
