--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -76,7 +76,10 @@
 func (l *link) give(channel *port.Link) bool {
 	o := l.owner
 	o.mu.Lock()
-	order, has := o.pool.NextOrder(l.id)
+	order, has := o.pool.NextOrder(l.id, o.Clock.Now())
+	if o.pool.Changed() {
+		o.poke() // orders that were given up have freed something
+	}
 	if !has || l.ctx.Err() != nil {
 		o.mu.Unlock()
 		return false
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -34,15 +34,18 @@
 	phase  phase
 	batch  uint64 // that carries it
 
-	sent     bool   // an order for it was sent
-	unsure   bool   // an order for it got no answer: it may begin yet
-	stray    bool   // listed by its worker and not known
-	restored bool   // taken over from an earlier owner
-	stopping bool   // it is to be stopped
-	stopped  bool   // its worker has taken the stop
-	ack      uint64 // stamp of the answer that told the newest of it
+	kept     time.Time // when the append that kept it was sent, from which its order counts
+	sentAt   time.Time // when its order was sent last
+	tries    int       // how often it was
+	sent     bool      // an order for it was sent
+	unsure   bool      // an order for it got no answer: it may begin yet
+	stray    bool      // listed by its worker and not known
+	restored bool      // taken over from an earlier owner
+	stopping bool      // it is to be stopped
+	stopped  bool      // its worker has taken the stop
+	ack      uint64    // stamp of the answer that told the newest of it
 	began    time.Time
-	ticket   string
+	ticket   ticket    // the zero one where none is needed
 	percent  int       // of its work, as listed last
 	moved    time.Time // when the percent changed last
 	load     int
@@ -78,7 +81,7 @@
 	ref := job.TaskRef{StepRef: s.ref, Index: index}
 	u := &run{
 		job: j, ref: ref, name: ref.String(), number: t.number, at: w, room: s.spec.Room(),
-		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref].text,
+		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref],
 	}
 	p.attach(u)
 	p.planned = append(p.planned, u)
@@ -170,13 +173,17 @@
 func (p *Pool) Start(o Order, now time.Time) port.Start {
 	u := o.Run
 	u.sent = true
-	u.at.extendedBy = 0
+	u.sentAt = now
+	u.tries++
 	return port.Start{
-		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket,
-		Deadline: u.at.extend(now, p.Limits.Lease), Token: p.Token,
+		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket.text,
+		Deadline: u.at.ordered(now, startTravel), Token: p.Token,
 	}
 }
 
+// starts reports whether an order is to begin its run.
+func (o Order) starts() bool { return !o.Stop && !o.Pace }
+
 // Valid reports whether an order still is to be given.
 func (o Order) Valid() bool {
 	switch {
@@ -220,7 +227,8 @@
 
 func (p *Pool) startAnswered(u *run, a port.Answer, now time.Time) bool {
 	e := p.Logger.Info().Str("event", "start").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
-		Str("outcome", string(a.Verdict))
+		Str("outcome", string(a.Verdict)).Int("try", u.tries).Dur("kept_for", now.Sub(u.kept)).Dur("sent_for", now.Sub(u.sentAt)).
+		Str("job_state", string(u.job.state))
 	if a.Err != nil {
 		e = e.Str("err", a.Err.Error())
 	}
@@ -261,12 +269,14 @@
 	p.refusedBy(u, a.Verdict, now)
 	if u.unsure {
 		p.stop(u, now, "refused, and an earlier order may be under way")
+		p.breakGang(u, now, "refused")
 		return false
 	}
 	if a.Verdict == port.BadTicket {
 		u.at.forgetTicket(u.ref.StepRef)
 	}
 	p.release(u)
+	p.breakGang(u, now, "refused")
 	return false
 }
 
@@ -282,7 +292,7 @@
 	u.sent = u.unsure
 	p.missed(u.at, a, now)
 	if !u.sent {
-		p.release(u) // the worker may have been missed before this answer
+		p.giveUp(u, now, "its worker is not reached") // it may have been missed before this answer
 	}
 	return u.unsure
 }
