--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -26,8 +26,8 @@
 	begun     bool                 // a task of it was begun
 }
 
-// cancelTime is how long after a cancel's acknowledgement an order may come that
-// begins a task; one that is carried out late counts from when it came.
+// cancelTime is how long after a cancel's acknowledgement a task may begin, also by an
+// order that came before and is carried out late: an order can tell until when.
 const cancelTime = 3 * time.Second
 
 // Submitted tells the world of a job before it is handed in.
@@ -116,7 +116,7 @@
 		w.broken("REFUSED: %s starts %s of a job that was refused", node, s.Task)
 	}
 	step := &j.sub.Steps[ref.Step]
-	if !j.cancelled.IsZero() && o.sent.Sub(j.cancelled) > cancelTime && !w.fault(node).apart() {
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelTime && !w.fault(node).apart() {
 		w.broken("UNASKED: %s starts %s of a cancelled job", node, s.Task)
 	}
 	if s.Spec != j.sub.Spec {
--- a/standin/world/check_test.go
+++ b/standin/world/check_test.go
@@ -72,20 +72,19 @@
 	})
 }
 
-// TestDeafWorkerCarriesOrdersOutLate has an order reach a worker that does not hear,
-// just before and after a cancel's bound.
+// TestDeafWorkerCarriesOrdersOutLate has an order reach a worker that does not hear
+// until just before, and just after, a cancel's bound is over.
 func TestDeafWorkerCarriesOrdersOutLate(t *testing.T) {
-	for wait, rule := range map[time.Duration]string{cancelTime - time.Second: "", cancelTime + time.Second: "UNASKED"} {
+	for deaf, rule := range map[time.Duration]string{cancelTime - time.Second: "", cancelTime + time.Second: "UNASKED"} {
 		synctest.Test(t, func(t *testing.T) {
 			w := New(1)
 			id := w.AddWorker("m-1", "p", "r-1", job.Size{})
 			w.Submitted(job.Submission{ID: "0000000000000001", Steps: []job.Step{{Count: 1, Estimate: time.Second}}})
-			w.Cancelled("0000000000000001")
 			w.Touch(id, func(o *Worker) { o.Deaf = true })
-			time.Sleep(wait)
 			a := w.Workers("n1").Open(worker.Worker{ID: id}).Start(t.Context(), port.Start{Task: "0000000000000001.0.0.0", Number: 1, Deadline: time.Hour})
 			assert.Equal(t, a.Verdict, port.Unknown)
-			time.Sleep(cancelTime)
+			w.Cancelled("0000000000000001")
+			time.Sleep(deaf)
 			assert.Equal(t, len(w.Runs("0000000000000001")), 0)
 			w.Touch(id, func(o *Worker) { o.Deaf = false })
 			assert.Equal(t, len(w.Runs("0000000000000001")), 1)
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -40,8 +40,7 @@
 	void    int       // ends up to this one do not count
 	harmed  time.Time // since when what fills keeps a serving task over its target
 	changed chan struct{}
-	unheard []func()  // orders that wait until it hears again
-	sent    time.Time // when the order came that is being carried out
+	unheard []func() // orders that wait until it hears again
 }
 
 // running is a run under way.
@@ -351,34 +350,32 @@
 		return port.Answer{Verdict: port.Unreached}
 	}
 	if cut || o.Late > 0 || o.Deaf {
-		sent := time.Now()
 		switch {
 		case cut:
 		case o.Deaf:
-			o.unheard = append(o.unheard, func() { o.take(sent, token, do) })
+			o.unheard = append(o.unheard, func() { o.take(token, do) })
 		default:
-			time.AfterFunc(o.Late, func() { l.w.carryOut(o, sent, token, do) })
+			time.AfterFunc(o.Late, func() { l.w.carryOut(o, token, do) })
 		}
 		l.w.mu.Unlock()
 		_ = silence(ctx, callTimeout)
 		return port.Answer{Verdict: port.Unknown}
 	}
 	defer l.w.mu.Unlock()
-	return o.take(time.Now(), token, do)
+	return o.take(token, do)
 }
 
 // carryOut carries a late order out.
-func (w *World) carryOut(o *Worker, sent time.Time, token uint64, do func(o *Worker) port.Verdict) {
+func (w *World) carryOut(o *Worker, token uint64, do func(o *Worker) port.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !o.over {
-		o.take(sent, token, do)
+		o.take(token, do)
 	}
 }
 
 // take carries an order out unless a higher token was seen. The lock is held.
-func (o *Worker) take(sent time.Time, token uint64, do func(o *Worker) port.Verdict) port.Answer {
-	o.sent = sent
+func (o *Worker) take(token uint64, do func(o *Worker) port.Verdict) port.Answer {
 	o.lapse()
 	if token < o.token {
 		return port.Answer{Verdict: port.TooLow, Clock: o.clock()}
