--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
@@ -34,9 +33,12 @@
 		case err == nil && !again:
 			return c.relay(a) // the target's own error
 		case err == nil:
-			c.discard(a)
+			c.keep(a)
 		case !again:
-			return err
+			return c.giveUp(err)
+		}
+		if err != nil && !notRun(err) {
+			c.lost = err
 		}
 		c.failedOn = a.slot.Worker()
 		c.d.Metrics.Retries.Inc(1)
@@ -49,14 +51,30 @@
 	return a.whole != nil && a.response.StatusCode >= http.StatusInternalServerError
 }
 
-// discard ends an attempt whose answer was read to its end.
-func (c *call) discard(a *answer) {
-	c.judge(a, nil)
-	a.cancel()
-	a.slot.Release()
-	c.d.buffers.Put(a.whole)
+// keep ends an attempt whose answer was read to its end, and keeps the answer
+// in case that no later attempt reaches a target.
+func (c *call) keep(a *answer) {
+	c.end(a)
+	c.kept = a
 }
 
+// giveUp answers after an attempt that failed for good. A refusal of the last
+// attempt is no refusal of the request where one before it reached a target.
+func (c *call) giveUp(err error) error {
+	switch {
+	case !notRun(err):
+		return err
+	case c.kept != nil:
+		return c.relayKept()
+	case c.lost != nil:
+		return errkind.New(errkind.OutcomeUnknown, "%s; no other attempt was made: %s", errkind.Of(c.lost).Message, errkind.Of(err).Message)
+	}
+	return err
+}
+
+// notRun reports whether an error says that no target had the request.
+func notRun(err error) bool { return errkind.Of(err).Kind.Answer().Outcome == errkind.NotRun }
+
 // mayRetry reports whether a failed attempt may be followed by another one:
 // always while no target can have seen it, and else only if the request may
 // be repeated. A refusal for want of a slot is final.
@@ -83,33 +101,44 @@
 	response *http.Response // nil for none
 	whole    *buffer        // the body, where it was read already
 	cancel   context.CancelFunc
+	asked    time.Time // for the slot
 	sent     time.Time
+	steps    steps
 }
 
 // attempt gets a slot and sends the request. The answer is nil where no slot
 // was had; it holds no slot any more where the error is not nil.
 func (c *call) attempt(t *http.Transport) (*answer, error) {
-	slot, err := c.acquire()
+	c.attempts++
+	asked := c.d.Clock.Now()
+	latest := c.latest(asked)
+	slot, err := c.acquire(latest)
 	if err != nil {
 		return nil, err
 	}
-	a := &answer{slot: slot, sent: c.d.Clock.Now()}
+	a := &answer{slot: slot, asked: asked, sent: c.d.Clock.Now(), steps: steps{clock: c.d.Clock}}
+	if !a.sent.Before(latest) {
+		slot.Release()
+		return nil, errkind.New(errkind.DeadlinePassed, "a slot of pool %s came too late", c.service.Pool)
+	}
 	c.d.Watch.Begin(slot.Worker())
 	err = c.send(a, t)
 	if err == nil {
 		return a, nil
 	}
+	c.tell(a, err)
 	c.judge(a, err)
 	c.drop(a, err)
 	return a, err
 }
 
-func (c *call) acquire() (*slots.Slot, error) {
+// acquire waits for a slot until a time.
+func (c *call) acquire(latest time.Time) (*slots.Slot, error) {
 	for {
 		slot, err := c.d.Holder.Acquire(c.r.Context(), slots.Ask{
 			Pool:     c.service.Pool,
 			Class:    c.class,
-			Deadline: c.deadline,
+			Deadline: latest,
 			Limit:    c.service.Queue,
 			Typical:  c.d.usual.of(c.service.Pool),
 			Avoid:    c.failedOn,
@@ -127,18 +156,11 @@
 // send sends the request and reads the answer: all of it if it is short, and
 // else its headers.
 func (c *call) send(a *answer, t *http.Transport) error {
-	// The target's work goes on when the caller goes away, and its slot stays
-	// in use until the work is done.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
-	a.cancel = cancel
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	})
+	ctx := c.withDeadline(a)
 	c.d.Metrics.Sends.Inc(1)
 	response, err := t.RoundTrip(c.outgoing(ctx, a.slot.Address()))
 	if err != nil {
-		return c.sendError(a.slot.Worker(), connected, err)
+		return c.sendError(a.slot.Worker(), a.steps.connected.Load() != 0, err)
 	}
 	a.response = response
 	return c.check(a)
--- a/services/slots/link.go
+++ b/services/slots/link.go
@@ -18,6 +18,9 @@
 const (
 	callTimeout = 2 * time.Second
 	retryPause  = 50 * time.Millisecond
+	// askPatience is how long an owner may take to answer before others are
+	// asked: an exchange takes some milliseconds, also between halls.
+	askPatience = 100 * time.Millisecond
 )
 
 // Links runs the exchanges with all owners, one at a time with each.
@@ -111,10 +114,13 @@
 	x.Incarnation = k.links.Incarnation
 	x.Session = k.session
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	slow := time.AfterFunc(askPatience, func() { h.kickAll(h.noteSilent(k.owner)) })
 	g, err := k.links.Call(bounded, k.owner, x)
+	slow.Stop()
 	cancel()
 	if err != nil || g.Stale || g.Behind {
 		k.broken = true
+		h.kickAll(h.noteSilent(k.owner))
 		k.links.Logger.Debug().Err(err).Str("owner", k.owner).Bool("behind", g.Behind).Msg("slots not exchanged")
 		select {
 		case <-h.Clock.After(retryPause):
@@ -129,6 +135,18 @@
 	return dropped
 }
 
+// noteSilent has the requests that wait ask other owners before one that does
+// not answer or can't lend yet, and returns whom.
+func (h *Holder) noteSilent(owner string) (kicks []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent[owner] = true
+	for _, p := range h.pools {
+		kicks = append(kicks, h.wantMore(p)...)
+	}
+	return kicks
+}
+
 // compose writes the next exchange with an owner; due is false where there is
 // nothing to say.
 func (h *Holder) compose(owner string, full bool) (x Exchange, due bool) {
@@ -151,8 +169,8 @@
 	for name := range pools {
 		p := h.pool(name)
 		x.Haves = append(x.Haves, Have{Pool: name, Count: h.held(p)})
-		if n := p.queue.len(); n > 0 && !p.askedAt[owner] {
-			x.Wants = append(x.Wants, Want{Pool: name, Count: min(n, maxWant)})
+		if n := p.queue.all(); n > 0 && !p.askedAt[owner] {
+			x.Wants = append(x.Wants, Want{Pool: name, Count: min(n, maxWant), Avoid: p.queue.avoided()})
 			due = true
 		}
 	}
@@ -176,7 +194,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.told[owner] = x.Offset
+	delete(h.silent, owner)
 	given := make(map[string]int)
+	other := make(map[string]bool) // by pool, a slot of a target that is not avoided
+	avoid := make(map[string]string)
+	for _, w := range x.Wants {
+		avoid[w.Pool] = w.Avoid
+	}
 	for _, n := range g.Grants {
 		t, ok := h.targets[n.Worker]
 		if !ok || t.epoch != n.Epoch || t.owner != owner {
@@ -185,10 +209,11 @@
 		}
 		t.held += n.Count
 		given[t.pool] += n.Count
+		other[t.pool] = other[t.pool] || t.worker != avoid[t.pool]
 	}
 	for _, w := range x.Wants {
 		p := h.pool(w.Pool)
-		if given[w.Pool] < w.Count {
+		if given[w.Pool] < w.Count || w.Avoid != "" && !other[w.Pool] {
 			p.askedAt[owner] = true
 		}
 		h.serveQueue(p)
