--- /dev/null
+++ b/standin/world/check_test.go
@@ -0,0 +1,125 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// TestJudge has a node do what it must not, and what it may.
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(w *World)
+		rule   string // that is broken, "" for none
+	}{
+		{"a job that is wanted", func(*World) {}, ""},
+		{"a refused job", func(w *World) { w.Refused("0000000000000001") }, "REFUSED"},
+		{"soon after a cancel", func(w *World) {
+			w.Cancelled("0000000000000001")
+			time.Sleep(cancelTime - orderTime)
+		}, ""},
+		{"long after a cancel", func(w *World) {
+			w.Cancelled("0000000000000001")
+			time.Sleep(cancelTime + time.Millisecond)
+		}, "UNASKED"},
+		{"long after a cancel and out of touch", func(w *World) {
+			w.Cancelled("0000000000000001")
+			time.Sleep(cancelTime + time.Millisecond)
+			w.Set("n1", func(f *Faults) { f.Apart = time.Now().Add(time.Second) })
+		}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := New(1)
+				id := w.AddWorker("m-1", "p", "r-1", job.Size{CPU: 1000, MemoryMB: 1000})
+				w.Submitted(job.Submission{ID: "0000000000000001", Spec: "poison", Steps: []job.Step{{Count: 1, Estimate: time.Second}}})
+				c.before(w)
+				l := w.Workers("n1").Open(worker.Worker{ID: id})
+				a := l.Start(t.Context(), port.Start{Task: "0000000000000001.0.0.0", Number: 1, Spec: "poison", Deadline: time.Hour, Token: 1})
+				assert.Equal(t, a.Verdict, port.Taken)
+				assert.Equal(t, len(w.Runs("0000000000000001")), 1)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, len(w.Runs("0000000000000001")), 0)
+				assert.Assert(t, !w.HasFailed("0000000000000001") && !w.HasCompleted("0000000000000001"))
+				broken := strings.Join(w.Violations(), "\n")
+				assert.Assert(t, (broken == "") == (c.rule == "") && strings.HasPrefix(broken, c.rule), broken)
+			})
+		})
+	}
+}
+
+// TestRefusedAfterItHasBegun has a customer be told that a job will not run which
+// does.
+func TestRefusedAfterItHasBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := New(1)
+		id := w.AddWorker("m-1", "p", "r-1", job.Size{})
+		w.Submitted(job.Submission{ID: "0000000000000001", Steps: []job.Step{{Count: 1}}})
+		w.Workers("n1").Open(worker.Worker{ID: id}).Start(t.Context(), port.Start{Task: "0000000000000001.0.0.0", Number: 1, Deadline: time.Hour})
+		w.Refused("0000000000000001")
+		assert.Assert(t, strings.HasPrefix(strings.Join(w.Violations(), "\n"), "REFUSED"))
+	})
+}
+
+// TestDeafWorkerCarriesOrdersOutLate has an order reach a worker that does not hear
+// until just before, and just after, a cancel's bound is over.
+func TestDeafWorkerCarriesOrdersOutLate(t *testing.T) {
+	for deaf, rule := range map[time.Duration]string{cancelTime - time.Second: "", cancelTime + time.Second: "UNASKED"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := New(1)
+			id := w.AddWorker("m-1", "p", "r-1", job.Size{})
+			w.Submitted(job.Submission{ID: "0000000000000001", Steps: []job.Step{{Count: 1, Estimate: time.Second}}})
+			w.Touch(id, func(o *Worker) { o.Deaf = true })
+			a := w.Workers("n1").Open(worker.Worker{ID: id}).Start(t.Context(), port.Start{Task: "0000000000000001.0.0.0", Number: 1, Deadline: time.Hour})
+			assert.Equal(t, a.Verdict, port.Unknown)
+			w.Cancelled("0000000000000001")
+			time.Sleep(deaf)
+			assert.Equal(t, len(w.Runs("0000000000000001")), 0)
+			w.Touch(id, func(o *Worker) { o.Deaf = false })
+			assert.Equal(t, len(w.Runs("0000000000000001")), 1)
+			broken := strings.Join(w.Violations(), "\n")
+			assert.Assert(t, (broken == "") == (rule == "") && strings.HasPrefix(broken, rule), broken)
+		})
+	}
+}
+
+// TestGangEndsTogether has the members of a gang be done at once, be broken by the
+// end of one, and wait for one that does not come.
+func TestGangEndsTogether(t *testing.T) {
+	for _, c := range []struct {
+		members int
+		crash   bool
+		ends    string // of the first member
+	}{{2, false, "done"}, {2, true, "broken"}, {1, false, "alone"}} {
+		synctest.Test(t, func(t *testing.T) {
+			w := New(1)
+			ids := []worker.ID{w.AddWorker("m-1", "p", "r-1", job.Size{}), w.AddWorker("m-2", "p", "r-1", job.Size{})}
+			w.Submitted(job.Submission{ID: "0000000000000001", Steps: []job.Step{{Count: 2, Estimate: time.Second, Gang: true}}})
+			for i, id := range ids[:c.members] {
+				time.Sleep(100 * time.Millisecond)
+				task := []string{"0000000000000001.0.0.0", "0000000000000001.0.0.1"}[i]
+				w.Workers("n1").Open(worker.Worker{ID: id}).Start(t.Context(), port.Start{Task: task, Number: 1, Deadline: time.Hour})
+			}
+			time.Sleep(500 * time.Millisecond)
+			if c.crash {
+				w.Crash(ids[1], time.Second)
+			}
+			time.Sleep(5 * time.Second)
+			l, _ := w.Workers("n1").Open(worker.Worker{ID: ids[0]}).Look(t.Context(), port.Look{})
+			assert.Equal(t, len(l.Ends), 1)
+			assert.Equal(t, string(l.Ends[0].How), c.ends)
+			assert.Equal(t, w.HasCompleted("0000000000000001"), c.ends == "done")
+		})
+	}
+}
