Failing test: connections between nodes that fall silent hold customers' calls up

The model lets all open connections between nodes fall silent, again while the silence before was hardly found.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -45,6 +46,8 @@
 	AtWork   bool              `toml:"at_work"`  // all tasks that last must be at work at the end
 	MayStay  bool              `toml:"may_stay"` // jobs need not be done
 	Complete []int             `toml:"complete"` // waves that must be
+	Stay     bool              `toml:"stay"`     // no pool may change its owner after the first event
+	Answer   tomlfile.Duration `toml:"answer"`   // the longest that a call of a customer may take, 0 for no limit
 }
 
 type scriptPool struct {
@@ -105,6 +108,7 @@
 	random *rand.Rand
 
 	mu      sync.Mutex
+	epochs  map[string]uint64 // of the pools, before the first event
 	lasting []job.StepRef
 	open    map[string][]job.ID // jobs by pool
 	failed  []string
@@ -351,8 +355,12 @@
 	for ctx.Err() == nil {
 		if n := st.live(); n != nil {
 			bounded, cancel := context.WithTimeout(ctx, callLimit)
+			began := time.Now()
 			done := do(bounded, n)
 			cancel()
+			if took := time.Since(began); st.script.Answer > 0 && took > st.script.Answer.Std() {
+				st.fail("a call of a customer took %s", took)
+			}
 			if done {
 				return true
 			}
@@ -382,7 +390,26 @@
 }
 
 // happen carries out an event.
+// owners returns the epochs of the pools, which rise with each change of an owner.
+func (st *stage) owners() map[string]uint64 {
+	epochs := make(map[string]uint64)
+	if n := st.live(); n != nil {
+		v, _ := n.Directory.View()
+		for name, o := range v.Pools {
+			epochs[name] = o.Epoch
+		}
+	}
+	return epochs
+}
+
 func (st *stage) happen(e scriptEvent) {
+	if epochs := st.owners(); st.script.Stay {
+		st.mu.Lock()
+		if st.epochs == nil {
+			st.epochs = epochs
+		}
+		st.mu.Unlock()
+	}
 	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
 		fmt.Fprintf(os.Stderr, "{\"event\":\"HAPPENS\",\"what\":\"%+v\",\"time\":%q}\n", e, time.Now().Format(time.RFC3339))
 	}
@@ -409,6 +436,8 @@
 		st.wave(e)
 	case "history":
 		st.world.DropHistory()
+	case "silence":
+		st.world.Silence()
 	case "cancel":
 		st.mu.Lock()
 		ids := slices.Clone(st.open[e.Pool])
@@ -532,11 +561,15 @@
 	for _, v := range st.world.Violations() {
 		st.t.Error(v)
 	}
+	owners := st.owners()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for _, f := range st.failed {
 		st.t.Error(f)
 	}
+	if st.script.Stay && !maps.Equal(st.epochs, owners) {
+		st.t.Errorf("pools have changed their owners: epochs %v, before %v", owners, st.epochs)
+	}
 	if st.script.AtWork {
 		for _, ref := range st.lasting {
 			if n := st.world.AtWork(ref); n < st.want(ref) {
--- a/standin/world/network.go
+++ b/standin/world/network.go
@@ -17,6 +17,7 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	silences  atomic.Int64 // how often all connections have fallen silent
 }
 
 // listener takes the connections to one address.
@@ -28,6 +29,10 @@
 	once    sync.Once
 }
 
+// Silence lets all connections between nodes that are open fall silent for good: what
+// is sent on them is lost, and no end of them is told. New ones work.
+func (w *World) Silence() { w.networks.silences.Add(1) }
+
 // Listen opens an address.
 func (w *World) Listen(address string) (net.Listener, error) {
 	n := &w.networks
@@ -61,8 +66,8 @@
 	near, far := net.Pipe()
 	dead := new(atomic.Bool)
 	select {
-	case l.conns <- &conn{far, w, node, to, dead}:
-		return &conn{near, w, node, to, dead}, nil
+	case l.conns <- &conn{far, w, node, to, dead, w.networks.silences.Load()}:
+		return &conn{near, w, node, to, dead, w.networks.silences.Load()}, nil
 	case <-l.closed:
 	case <-ctx.Done():
 	}
@@ -115,12 +120,13 @@
 	w    *World
 	a, b string
 	dead *atomic.Bool
+	born int64 // how often connections had fallen silent when it was opened
 }
 
 // Write writes, or takes what then gets lost: it must not wait, since the caller
 // holds a lock that no fake clock can wait on.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.dead.Load() || c.w.cut(c.a, c.b) {
+	if c.dead.Load() || c.w.cut(c.a, c.b) || c.w.networks.silences.Load() > c.born {
 		c.dead.Store(true)
 		return len(p), nil
 	}
