Connections that fall silent are found by a fresh one, early, and for all that wait on them

Cause: a call on a channel that had fallen silent was waited for to its own limit (an append 1.5 s, a customer's call between nodes up to 3 s), and each channel learned by itself. Change: modules/silence under every client of HTTP and jsonrpc2. A call that may be made twice goes again over a fresh channel after 0.2 s or four times the usual time, within a budget; an answer there ends the older channels to the same end that are idle or overdue. On jsonrpc2 a waiting call has its own connection asked, then a fresh one, which takes its place. Orders to workers and looks share one client, so that a link is one thing (three before). A process closes connections that bring nothing for 2 minutes and takes 1,200 at most.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -7,6 +7,7 @@
 	"context"
 	stderrors "errors"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,30 +27,37 @@
 	// Dial opens a connection; nil does over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
+	// Found is told of each connection that was found silent; nil tells nobody.
+	Found func(address string, after time.Duration)
+
+	once  sync.Once
 	conns rpcconn.Table
 }
 
-// Call calls a method of the node at an address. An error of the kind NoTarget
-// says that nothing was sent, OutcomeUnknown that the call may have been taken;
-// others are the node's own.
+// table returns the connections, set up at the first use.
+func (c *Client) table() *rpcconn.Table {
+	c.once.Do(func() { c.conns.Dial, c.conns.Logger, c.conns.Found = c.dial, &c.Logger, c.Found })
+	return &c.conns
+}
+
+// Call calls a method of the node at an address. An error of the kind NoTarget says
+// that the call was not sent, one of the kind OutcomeUnknown that it may have been
+// taken.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.conns.Get(ctx, address, c.dial, &c.Logger)
-	if err != nil {
-		return errkind.New(errkind.NoTarget, "node at %s: %v", address, err)
-	}
-	err = conn.Call(ctx, method, params, result)
+	err := c.table().Call(ctx, address, method, params, result)
 	var refused *jsonrpc2.Error
+	var unreached rpcconn.Unreached
 	switch {
 	case err == nil:
 		return nil
 	case stderrors.As(err, &refused):
 		return kindOf(refused)
+	case stderrors.As(err, &unreached):
+		return errkind.New(errkind.NoTarget, "node at %s: %v", address, err)
 	}
-	c.conns.Forget(address, conn)
 	return errkind.New(errkind.OutcomeUnknown, "%s at %s: %v", method, address, err)
 }
 
-// dial opens a connection whose writes end in time.
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -87,7 +95,7 @@
 }
 
 // Close ends all connections.
-func (c *Client) Close() { c.conns.Close() }
+func (c *Client) Close() { c.table().Close() }
 
 // codeBase is the code of the first error kind between nodes.
 const codeBase = 1000
--- a/adapters/peerrpc/client.go
+++ b/adapters/peerrpc/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,9 +33,16 @@
 	Metrics *metrics.Set
 	Logger  log.Logger
 
+	once  sync.Once
 	conns rpcconn.Table
 }
 
+// table returns the connections, set up at the first use.
+func (c *Client) table() *rpcconn.Table {
+	c.once.Do(func() { c.conns.Dial, c.conns.Logger = c.dial, &c.Logger })
+	return &c.conns
+}
+
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -71,23 +79,17 @@
 }
 
 func (c *Client) callAddress(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.conns.Get(ctx, address, c.dial, &c.Logger)
-	if err != nil {
-		return err
-	}
+	var err error
 	if result == nil {
-		err = conn.Notify(ctx, method, params)
+		err = c.table().Notify(ctx, address, method, params)
 	} else {
-		err = conn.Call(ctx, method, params, result)
-	}
-	if err != nil {
-		c.conns.Forget(address, conn)
+		err = c.table().Call(ctx, address, method, params, result)
 	}
 	return errors.Annotatef(err, "%s at %s", method, address)
 }
 
 // Close ends all connections.
-func (c *Client) Close() { c.conns.Close() }
+func (c *Client) Close() { c.table().Close() }
 
 // Exchange sends a slots exchange.
 func (c *Client) Exchange(ctx context.Context, entry string, x slots.Exchange) (slots.Granted, error) {
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -84,14 +84,19 @@
 }
 
 func openNode(s setting.Node, logger log.Logger) (*nodeProcess, error) {
-	store := &platform.Store{Client: &httpconn.Client{Address: s.Platform.Store, MaxIdle: storeChannels}}
 	meter := measure.New()
+	c := clients{meter, logger}
+	store := &platform.Store{Client: c.to("store", s.Platform.Store)}
+	store.Client.MaxIdle = storeChannels
+	workers := &platform.Workers{Client: func(address string) *httpconn.Client { return c.to("worker", address) }}
+	nodeFound, _ := meter.Channels("node")
 	n, err := node.New(s, node.Ports{
 		Store:     meter.Store(store.Port()),
 		Feeds:     platform.Feeds(),
-		Workers:   meter.Workers((&platform.Workers{}).Port()),
-		Instances: meter.Instances((&platform.Instances{Client: &httpconn.Client{Address: s.Platform.Instances}}).Port()),
-		Advisor:   meter.Advisor((&platform.Advisor{Client: &httpconn.Client{Address: s.Platform.Advice}}).Port()),
+		Workers:   meter.Workers(workers.Port()),
+		Instances: meter.Instances((&platform.Instances{Client: c.to("instances", s.Platform.Instances)}).Port()),
+		Advisor:   meter.Advisor((&platform.Advisor{Client: c.to("advice", s.Platform.Advice)}).Port()),
+		Found:     func(_ string, after time.Duration) { nodeFound(1, after) },
 	}, clock.Clock{}, logger)
 	if err != nil {
 		return nil, err
--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -5,18 +5,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/silence"
 )
 
 // dialTimeout bounds the time to open a channel. Across data centres it takes
@@ -24,19 +22,19 @@
 // a second, which is longer than a caller here waits.
 const dialTimeout = 700 * time.Millisecond
 
-// bufferBytes is the size of the buffers of a channel, enough for the usual
-// call in one piece.
-const bufferBytes = 4 << 10
-
-// maxBody bounds an answer's body.
-const maxBody = 64 << 20
-
 // Client calls one address; the zero value with an address works.
 type Client struct {
 	Address string // IP and port
 	MaxIdle int    // channels kept open without a call, 0 for one
-	// Wrap returns the connection to use in place of a fresh one; nil keeps it.
-	Wrap func(net.Conn) net.Conn
+	// Found is told how many channels were found silent together, and since when they
+	// had been at least; nil tells nobody.
+	Found func(n int, after time.Duration)
+	// Repeated is told of each call that was to be made again, and whether the budget
+	// let it; nil tells nobody.
+	Repeated func(allowed bool)
+
+	end     silence.End
+	repeats silence.Repeats
 
 	mu     sync.Mutex
 	idle   []*channel
@@ -49,6 +47,11 @@
 	Path   string // with the query
 	Header http.Header
 	Body   []byte
+	// Repeatable says that the call may be made twice: where an older channel brings
+	// no answer it is made again over a fresh one.
+	Repeatable bool
+	// Hold is how long the far end may hold its answer back, as it was asked to.
+	Hold time.Duration
 }
 
 // Response is the answer to a call.
@@ -58,29 +61,82 @@
 	Body   []byte
 }
 
-// channel is one connection and its buffers.
-type channel struct {
-	raw net.Conn
-	in  *bufio.Reader
-	out *bufio.Writer
-}
-
 // Do makes a call within the timeout. An error of the kind NoTarget says that
 // nothing was sent, any other that the call may have been taken.
 func (c *Client) Do(ctx context.Context, r Request, timeout time.Duration) (Response, error) {
+	began := time.Now()
 	ch, err := c.take(ctx)
 	if err != nil {
 		return Response{}, errkind.New(errkind.NoTarget, "%s: %v", c.Address, err)
 	}
-	response, keep, err := ch.do(ctx, c.Address, r, timeout)
+	limit := timeout
+	due := r.Hold + c.repeats.Patience()
+	if r.Repeatable && ch.used {
+		limit = min(timeout, due)
+	}
+	ch.conn.Await(began.Add(due))
+	response, keep, err := ch.do(ctx, c.Address, r, began.Add(limit))
+	if err == nil {
+		c.answered(ch, keep, r, began)
+		return response, nil
+	}
+	ch.conn.Reset()
+	older := ch.used || ch.conn.Silent() // the channel may be at fault, and not the far end
+	if older && r.Repeatable && ctx.Err() == nil && time.Since(began) < timeout && c.mayRepeat() {
+		return c.again(ctx, r, began, limit, timeout)
+	}
+	return Response{}, unknown(r, c.Address, err)
+}
+
+// again makes a call once more, over a fresh channel, that got no answer on an older
+// one. Where that one was waited on for a whole limit, an answer now tells that the
+// older channels have fallen silent.
+func (c *Client) again(ctx context.Context, r Request, began time.Time, limit, timeout time.Duration) (Response, error) {
+	again := time.Now()
+	waited := again.Sub(began) >= limit
+	ch, err := c.open(ctx)
 	if err != nil {
-		ch.reset()
-		return Response{}, errkind.New(errkind.OutcomeUnknown, "%s %s at %s: %v", r.Method, r.Path, c.Address, err)
+		return Response{}, unknown(r, c.Address, err) // the first try may have been taken
 	}
-	c.put(ch, keep)
+	response, keep, err := ch.do(ctx, c.Address, r, began.Add(timeout))
+	if err != nil {
+		ch.conn.Reset()
+		return Response{}, unknown(r, c.Address, err)
+	}
+	if waited {
+		c.found(1+c.end.Answered(ch.conn), began) // the first channel is closed already
+	}
+	c.answered(ch, keep, r, again)
 	return response, nil
 }
 
+// answered keeps a channel whose call was answered for the next one.
+func (c *Client) answered(ch *channel, keep bool, r Request, began time.Time) {
+	c.repeats.Answered(began, r.Hold)
+	ch.conn.Rest()
+	c.put(ch, keep)
+}
+
+func unknown(r Request, address string, err error) error {
+	return errkind.New(errkind.OutcomeUnknown, "%s %s at %s: %v", r.Method, r.Path, address, err)
+}
+
+// mayRepeat reports whether the budget lets a call be made again.
+func (c *Client) mayRepeat() bool {
+	allowed := c.repeats.Spend()
+	if c.Repeated != nil {
+		c.Repeated(allowed)
+	}
+	return allowed
+}
+
+// found tells of channels that were found silent.
+func (c *Client) found(n int, began time.Time) {
+	if c.Found != nil {
+		c.Found(n, time.Since(began))
+	}
+}
+
 // take returns an idle channel or a fresh one.
 func (c *Client) take(ctx context.Context) (*channel, error) {
 	c.mu.Lock()
@@ -88,33 +144,28 @@
 		c.mu.Unlock()
 		return nil, errors.New("the client is closed")
 	}
-	if n := len(c.idle); n > 0 {
+	for n := len(c.idle); n > 0; n = len(c.idle) {
 		ch := c.idle[n-1]
 		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		return ch, nil
+		if !ch.conn.Silent() {
+			c.mu.Unlock()
+			ch.used = true
+			return ch, nil
+		}
 	}
 	c.mu.Unlock()
+	return c.open(ctx)
+}
+
+// open returns a fresh channel.
+func (c *Client) open(ctx context.Context) (*channel, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if c.Wrap != nil {
-		raw = c.Wrap(raw)
-	}
-	return &channel{raw, bufio.NewReaderSize(raw, bufferBytes), bufio.NewWriterSize(raw, bufferBytes)}, nil
-}
-
-// reset ends a channel whose call was given up, so that what the far end has not
-// read yet is lost: closed in the usual way, the kernel would go on sending it, and
-// the far end might carry out seconds later what nobody waits for any more.
-func (ch *channel) reset() {
-	if c, isTCP := ch.raw.(*net.TCPConn); isTCP {
-		// A connection that can't be set is closed in the usual way.
-		_ = c.SetLinger(0)
-	}
-	_ = ch.raw.Close()
+	conn := c.end.Track(raw)
+	return &channel{conn: conn, in: bufio.NewReaderSize(conn, bufferBytes), out: bufio.NewWriterSize(conn, bufferBytes)}, nil
 }
 
 // put keeps a channel for the next call, or closes it.
@@ -126,7 +177,7 @@
 	}
 	c.mu.Unlock()
 	if !keep {
-		_ = ch.raw.Close()
+		_ = ch.conn.Close()
 	}
 }
 
@@ -136,69 +187,7 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	for _, ch := range c.idle {
-		_ = ch.raw.Close()
+		_ = ch.conn.Close()
 	}
 	c.idle = nil
 }
-
-// do sends a request and reads its answer whole; keep says whether the channel
-// may carry another.
-func (ch *channel) do(ctx context.Context, host string, r Request, timeout time.Duration) (Response, bool, error) {
-	if err := ch.raw.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return Response{}, false, errors.Trace(err)
-	}
-	stop := context.AfterFunc(ctx, func() {
-		// A deadline in the past ends the call under way.
-		_ = ch.raw.SetDeadline(time.Unix(1, 0))
-	})
-	defer stop()
-	request, err := newRequest(host, r)
-	if err != nil {
-		return Response{}, false, err
-	}
-	if err := request.Write(ch.out); err != nil {
-		return Response{}, false, errors.Trace(err)
-	}
-	if err := ch.out.Flush(); err != nil {
-		return Response{}, false, errors.Trace(err)
-	}
-	response, err := http.ReadResponse(ch.in, request)
-	if err != nil {
-		return Response{}, false, errors.Trace(err)
-	}
-	body, err := readBody(response)
-	if err != nil {
-		return Response{}, false, err
-	}
-	return Response{response.StatusCode, response.Header, body}, !response.Close && stop(), nil
-}
-
-// newRequest makes the library's request; one without a body states none.
-func newRequest(host string, r Request) (*http.Request, error) {
-	target, err := url.Parse(r.Path)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	target.Scheme, target.Host = "http", host
-	header := r.Header
-	if header == nil {
-		header = make(http.Header)
-	}
-	request := &http.Request{Method: r.Method, URL: target, Host: host, Header: header, ProtoMajor: 1, ProtoMinor: 1}
-	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
-		request.ContentLength = int64(len(r.Body))
-	}
-	return request, nil
-}
-
-func readBody(r *http.Response) ([]byte, error) {
-	defer func() { _ = r.Body.Close() }() // the whole body is read, so closing tells nothing more
-	if r.ContentLength > 0 && r.ContentLength <= maxBody {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, errors.Trace(err)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
-	return body, errors.Trace(err)
-}
--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -4,8 +4,11 @@
 package rpcconn
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -22,8 +25,26 @@
 	Wrap   func(ctx context.Context, raw net.Conn) (net.Conn, error)
 	Handle Handler
 	Logger *log.Logger
+	// Idle is for how long a connection may bring nothing until it is closed, 0 for
+	// idleLimit.
+	Idle time.Duration
+	// Most is how many connections may be open at once, 0 for mostOpen.
+	Most int64
+
+	open atomic.Int64
 }
 
+// The bounds of a server's connections.
+const (
+	// idleLimit is far above the time between two calls of a process that lives, and
+	// short enough that connections that fell silent don't pile up: a process opens a
+	// fresh one where its old one is closed.
+	idleLimit = 2 * time.Minute
+	// mostOpen lets each of 300 processes have two connections here, for calls and for
+	// probes, and as many that fell silent and are not closed yet.
+	mostOpen = 1200
+)
+
 // Run takes connections until the context ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) {
 	context.AfterFunc(ctx, func() { _ = l.Close() })
@@ -32,6 +53,13 @@
 		if err != nil {
 			return
 		}
+		if s.open.Add(1) > cmp.Or(s.Most, mostOpen) {
+			s.open.Add(-1)
+			_ = raw.Close()
+			s.Logger.Warn().Str("event", "connection").Str("from", raw.RemoteAddr().String()).Int64("open", s.open.Load()).
+				Str("outcome", "refused").Msg("too many connections are open; one more is closed")
+			continue
+		}
 		go session{s, raw}.run(ctx)
 	}
 }
@@ -44,16 +72,39 @@
 
 // run serves the connection until it or the context ends.
 func (c session) run(ctx context.Context) {
+	defer c.s.open.Add(-1)
 	conn, err := c.s.Wrap(ctx, c.raw)
 	if err != nil {
 		_ = c.raw.Close()
 		return
 	}
+	conn = idleConn{conn, cmp.Or(c.s.Idle, idleLimit)}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.Handle)), jsonrpc2.SetLogger(c.s.Logger))
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(c.s.Logger))
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
 		_ = rpc.Close()
 	}
 }
+
+// handle answers whether this process is there, and leaves the rest to the owner.
+func (s *Server) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Method == methodPing {
+		return struct{}{}, nil
+	}
+	return s.Handle(ctx, conn, r)
+}
+
+// idleConn is a connection that ends where it brings nothing for too long.
+type idleConn struct {
+	net.Conn
+	limit time.Duration
+}
+
+// Read reads from the connection.
+func (c idleConn) Read(p []byte) (int, error) {
+	// A connection that takes no deadline is one of a test.
+	_ = c.SetReadDeadline(time.Now().Add(c.limit))
+	return c.Conn.Read(p)
+}
--- a/modules/rpcconn/table.go
+++ b/modules/rpcconn/table.go
@@ -7,69 +7,152 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/silence"
 )
 
-// Table keeps one connection to each address; its zero value works.
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Table holds one connection to each address; its zero value with a way to open
+// them works. A connection that has fallen silent is told apart from a far end that
+// is: where a call waits and the connection does not answer a question either, a fresh
+// one is asked, and takes its place.
 type Table struct {
+	Dial   Dial
+	Logger *log.Logger
+	// Found is told of each connection that was found silent, by address, and how
+	// long a call had waited on it; nil tells nobody.
+	Found func(address string, after time.Duration)
+
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn // by address
+	peers map[string]*peer // by address
+}
+
+// peer is a connection of a table.
+type peer struct {
+	table   *Table
+	address string
+	rpc     *jsonrpc2.Conn
+	conn    *silence.Conn
+	end     silence.End
+	repeats silence.Repeats
+	asked   atomic.Bool // a fresh connection is being asked about it
 }
 
-// noHandler answers what is asked on connections of the calling side: nothing.
+// noHandler takes no calls: a client's connection carries its own only.
 var noHandler = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
 })
 
-// Get returns the connection to an address, a new one over what dial opens if need
-// be.
-func (t *Table) Get(ctx context.Context, address string, dial func(ctx context.Context, address string) (net.Conn, error), logger *log.Logger) (*jsonrpc2.Conn, error) {
+// pingTimeout bounds the question on a fresh connection, which a far end that lives
+// answers within a few milliseconds, and one short of processor time within 0.2 s.
+const pingTimeout = 400 * time.Millisecond
+
+// Call makes a call to an address. Unreached says that it was not sent.
+func (t *Table) Call(ctx context.Context, address, method string, params, result any) error {
+	p, err := t.get(ctx, address)
+	if err != nil {
+		return Unreached{err}
+	}
+	began := time.Now()
+	w := p.watch(ctx, began)
+	err = p.rpc.Call(ctx, method, params, result)
+	w.end()
+	if _, answered := err.(*jsonrpc2.Error); err == nil || answered { //nolint:errorlint // the library returns it as it is
+		p.repeats.Answered(began, 0)
+		return err
+	}
+	t.forget(p)
+	return err
+}
+
+// Notify sends a message that has no answer.
+func (t *Table) Notify(ctx context.Context, address, method string, params any) error {
+	p, err := t.get(ctx, address)
+	if err != nil {
+		return Unreached{err}
+	}
+	if err := p.rpc.Notify(ctx, method, params); err != nil {
+		t.forget(p)
+		return err
+	}
+	return nil
+}
+
+// Unreached is the error of a call for which there was no connection.
+type Unreached struct{ Err error }
+
+// Error says why there was no connection.
+func (u Unreached) Error() string { return u.Err.Error() }
+
+// Unwrap returns why there was no connection.
+func (u Unreached) Unwrap() error { return u.Err }
+
+// get returns the connection to an address, a fresh one where there is none.
+func (t *Table) get(ctx context.Context, address string) (*peer, error) {
 	t.mu.Lock()
-	known := t.conns[address]
+	known := t.peers[address]
 	t.mu.Unlock()
 	if known != nil {
 		select {
-		case <-known.DisconnectNotify():
+		case <-known.rpc.DisconnectNotify():
 		default:
 			return known, nil
 		}
 	}
-	raw, err := dial(ctx, address)
+	fresh, err := t.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(logger))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conns == nil {
-		t.conns = make(map[string]*jsonrpc2.Conn)
-	}
-	t.conns[address] = fresh
+	t.put(fresh)
 	return fresh, nil
 }
 
-// Forget closes a connection on which a call has failed. Calls of others on it that
-// wait would wait for nothing as well.
-func (t *Table) Forget(address string, conn *jsonrpc2.Conn) {
+func (t *Table) open(ctx context.Context, address string) (*peer, error) {
+	raw, err := t.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p := &peer{table: t, address: address}
+	p.conn = p.end.Track(raw)
+	stream := jsonrpc2.NewBufferedStream(p.conn, jsonrpc2.VarintObjectCodec{})
+	p.rpc = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(t.Logger))
+	return p, nil
+}
+
+// put makes a connection the one to its address. The lock is held.
+func (t *Table) put(p *peer) {
+	if t.peers == nil {
+		t.peers = make(map[string]*peer)
+	}
+	t.peers[p.address] = p
+}
+
+// forget ends a connection that failed a call, unless it ended before.
+func (t *Table) forget(p *peer) {
 	t.mu.Lock()
-	if t.conns[address] == conn {
-		delete(t.conns, address)
+	if t.peers[p.address] == p {
+		delete(t.peers, p.address)
 	}
 	t.mu.Unlock()
 	// Closing a connection that is closed tells nothing.
-	_ = conn.Close()
+	_ = p.rpc.Close()
 }
 
 // Close ends all connections.
 func (t *Table) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, conn := range t.conns {
-		_ = conn.Close()
+	for _, p := range t.peers {
+		_ = p.rpc.Close()
 	}
-	t.conns = nil
+	t.peers = nil
 }
--- /dev/null
+++ b/modules/rpcconn/watch.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rpcconn
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// methodPing is answered by every server of this package, with nothing.
+const methodPing = "rpc.ping"
+
+// watch looks after a call that waits: where its connection does not answer a
+// question, a fresh one is asked.
+type watch struct {
+	peer  *peer
+	ctx   context.Context
+	heard uint64        // what had come on the connection when it was looked at last
+	wait  time.Duration // until the next look
+	began time.Time
+
+	mu    sync.Mutex
+	timer *time.Timer // nil once the call has ended
+}
+
+// watch begins to look after a call, and returns nil for one whose limit leaves no
+// time to find out that its connection is silent: it ends the connection by itself.
+func (p *peer) watch(ctx context.Context, began time.Time) *watch {
+	patience := p.repeats.Patience()
+	if limit, has := ctx.Deadline(); has && limit.Sub(began) < patience+pingGrace {
+		return nil
+	}
+	w := &watch{peer: p, ctx: ctx, heard: p.conn.Heard(), wait: patience, began: began}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.wait, w.look)
+	return w
+}
+
+// end ends the looking.
+func (w *watch) end() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+	w.timer = nil
+}
+
+// look asks a fresh connection where nothing has come, and looks again later, each
+// time after twice as long: a far end that is slow is not asked over and over.
+func (w *watch) look() {
+	if heard := w.peer.conn.Heard(); heard != w.heard {
+		w.heard = heard
+	} else if w.peer.asked.CompareAndSwap(false, true) {
+		if !w.alive() {
+			w.ask()
+		}
+		w.peer.asked.Store(false)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.wait *= 2
+		w.timer.Reset(w.wait)
+	}
+}
+
+// pingGrace is how long a connection has to answer a question before a fresh one is
+// asked too: some ten times what a node takes that is short of processor time.
+const pingGrace = 150 * time.Millisecond
+
+// alive asks on the connection itself: a call may take long on one that works.
+func (w *watch) alive() bool {
+	ctx, cancel := context.WithTimeout(w.ctx, pingGrace)
+	defer cancel()
+	var nothing struct{}
+	err := w.peer.rpc.Call(ctx, methodPing, nothing, &nothing)
+	return err == nil || w.peer.conn.Heard() != w.heard
+}
+
+// ask puts a fresh connection in the place of one that has fallen silent: it has
+// answered, and nothing has come on the older one.
+func (w *watch) ask() {
+	p, t := w.peer, w.peer.table
+	ctx, cancel := context.WithTimeout(w.ctx, pingTimeout)
+	defer cancel()
+	fresh, err := t.open(ctx, p.address)
+	if err != nil {
+		return // the far end itself can't be reached; the call's own limit tells
+	}
+	var nothing struct{}
+	if err := fresh.rpc.Call(ctx, methodPing, nothing, &nothing); err != nil || p.conn.Heard() != w.heard {
+		_ = fresh.rpc.Close() // the same, or the older connection works
+		return
+	}
+	t.mu.Lock()
+	if t.peers[p.address] == p {
+		t.put(fresh)
+	} else {
+		defer fresh.rpc.Close() //nolint:errcheck // another connection is in use already
+	}
+	t.mu.Unlock()
+	p.conn.Reset()
+	_ = p.rpc.Close() // calls that wait on it end
+	t.Logger.Warn().Str("event", "silent").Str("to", "process").Str("address", p.address).Dur("after", time.Since(w.began)).
+		Msg("a connection had fallen silent and was replaced by a fresh one, which works")
+	if t.Found != nil {
+		t.Found(p.address, time.Since(w.began))
+	}
+}
--- /dev/null
+++ b/modules/silence/silence.go
@@ -0,0 +1,126 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package silence
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Conn is a connection that counts what comes on it. Counts, not times, since reading
+// the clock at each read would cost more than all the rest.
+type Conn struct {
+	net.Conn
+	end    *End
+	opened time.Time
+	heard  atomic.Uint64 // how often something has come
+	silent atomic.Bool
+
+	waiting atomic.Pointer[wait] // for an answer, nil while none is waited for
+}
+
+// wait is the waiting for an answer.
+type wait struct {
+	due   time.Time // when the answer is due
+	heard uint64    // what had come before
+}
+
+// Read reads from the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Add(1)
+	}
+	return n, err
+}
+
+// Heard returns how often something has come on the connection.
+func (c *Conn) Heard() uint64 { return c.heard.Load() }
+
+// Await notes that an answer is waited for that is due at a time.
+func (c *Conn) Await(due time.Time) { c.waiting.Store(&wait{due, c.Heard()}) }
+
+// Rest notes that no answer is waited for.
+func (c *Conn) Rest() { c.waiting.Store(nil) }
+
+// quiet reports whether the connection has nothing to show for itself: no answer is
+// waited for, or one is overdue and nothing of it has come.
+func (c *Conn) quiet(now time.Time) bool {
+	w := c.waiting.Load()
+	return w == nil || !now.Before(w.due) && c.Heard() == w.heard
+}
+
+// Silent reports whether the connection was found silent, and ended for that.
+func (c *Conn) Silent() bool { return c.silent.Load() }
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.end.forget(c)
+	return c.Conn.Close()
+}
+
+// Reset ends the connection so that what the far end has not read yet is lost:
+// closed in the usual way, the kernel would go on sending it, and the far end might
+// carry out seconds later what nobody waits for any more.
+func (c *Conn) Reset() {
+	if t, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		// A connection that can't be set is closed in the usual way.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// End is a far end and the connections that are open to it; its zero value has
+// none.
+type End struct {
+	mu    sync.Mutex
+	conns map[*Conn]bool
+}
+
+// Track counts a fresh connection among those to the end.
+func (e *End) Track(raw net.Conn) *Conn {
+	c := &Conn{Conn: raw, end: e, opened: time.Now()}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns == nil {
+		e.conns = make(map[*Conn]bool)
+	}
+	e.conns[c] = true
+	return c
+}
+
+func (e *End) forget(c *Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, c)
+}
+
+// Answered takes the news that the end has answered on a fresh connection what got no
+// answer on an older one: all that were opened before it have fallen silent, unless they
+// show that they have not, and are ended: those on which nothing is waited for, and those
+// whose answer is overdue; calls that wait there fail at once. It returns how many there
+// were.
+func (e *End) Answered(fresh *Conn) int {
+	silent := e.older(fresh)
+	for _, c := range silent {
+		c.silent.Store(true)
+		c.Reset()
+	}
+	return len(silent)
+}
+
+func (e *End) older(fresh *Conn) []*Conn {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []*Conn
+	for c := range e.conns {
+		if c != fresh && c.opened.Before(fresh.opened) && c.quiet(now) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/modules/silence/silence_test.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package silence
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// pipe returns a tracked connection and its far end.
+func pipe(e *End) (*Conn, net.Conn) {
+	near, far := net.Pipe()
+	return e.Track(near), far
+}
+
+// TestOnlyWhatIsOlderQuietAndOverdueIsEnded plays any order of opening, hearing,
+// waiting and finding.
+func TestOnlyWhatIsOlderQuietAndOverdueIsEnded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var e End
+		type known struct {
+			c       *Conn
+			far     net.Conn
+			waiting bool
+		}
+		var conns []*known
+		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 30).Draw(t, "steps")
+		for _, s := range steps {
+			time.Sleep(time.Microsecond) // so that no two things have one time
+			switch {
+			case s == 0 || len(conns) == 0:
+				c, far := pipe(&e)
+				conns = append(conns, &known{c: c, far: far})
+			case s == 1:
+				k := conns[rapid.IntRange(0, len(conns)-1).Draw(t, "which")]
+				if k.c.Silent() {
+					continue
+				}
+				go func() { _, _ = k.far.Write([]byte{1}) }()
+				_, err := k.c.Read(make([]byte, 1))
+				assert.NilError(t, err)
+			case s == 2:
+				k := conns[rapid.IntRange(0, len(conns)-1).Draw(t, "which")]
+				k.waiting = !k.waiting
+				k.c.Rest()
+				if k.waiting {
+					k.c.Await(time.Now().Add(time.Hour))
+				}
+			default:
+				fresh, far := pipe(&e)
+				ended := 0
+				for _, k := range conns {
+					if !k.c.Silent() && !k.waiting {
+						ended++
+					}
+				}
+				assert.Equal(t, e.Answered(fresh), ended)
+				for _, k := range conns {
+					assert.Assert(t, k.c.Silent() || k.waiting)
+				}
+				conns = append(conns, &known{c: fresh, far: far})
+			}
+		}
+		for _, k := range conns {
+			_ = k.far.Close()
+			_ = k.c.Close()
+		}
+	})
+}
+
+// TestWhatWasHeardSinceIsNotEnded: a connection on which a part of the answer has come
+// is not silent, however long the rest takes.
+func TestWhatWasHeardSinceIsNotEnded(t *testing.T) {
+	var e End
+	c, far := pipe(&e)
+	c.Await(time.Now())
+	go func() { _, _ = far.Write([]byte{1}) }()
+	_, err := c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	time.Sleep(time.Millisecond) // so that the fresh one is younger
+	fresh, _ := pipe(&e)
+	assert.Equal(t, e.Answered(fresh), 0)
+	assert.Assert(t, !c.Silent())
+	c.Rest()
+	assert.Equal(t, e.Answered(fresh), 1)
+}
+
+// TestRepeatsAreATenthOfCallsInTheLongRun: whatever is answered and asked for in any
+// order, repeats stay within the budget.
+func TestRepeatsAreATenthOfCallsInTheLongRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Repeats
+		answered, allowed := 0, 0
+		for _, isAnswer := range rapid.SliceOf(rapid.Bool()).Draw(t, "calls") {
+			if isAnswer {
+				r.Answered(time.Now(), 0)
+				answered++
+				continue
+			}
+			if r.Spend() {
+				allowed++
+			}
+		}
+		assert.Assert(t, float64(allowed) <= budgetMost+budgetShare*float64(answered)+1e-6, "%d of %d", allowed, answered)
+	})
+}
+
+// TestPatienceFollowsAnEndThatBecomesSlow: a slow end is waited for.
+func TestPatienceFollowsAnEndThatBecomesSlow(t *testing.T) {
+	var r Repeats
+	r.Answered(time.Now().Add(-2*time.Millisecond), 0)
+	assert.Equal(t, r.Patience(), leastPatience)
+	for range 80 {
+		r.Answered(time.Now().Add(-300*time.Millisecond), 0)
+	}
+	assert.Assert(t, r.Patience() > time.Second, "%s", r.Patience())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,8 @@
 	// Listen and Dial connect nodes; nil does over TCP.
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	// Found is told of each connection to a node that was found silent; nil tells nobody.
+	Found func(address string, after time.Duration)
 }
 
 // Node is one node; New makes it and Run brings it to life.
@@ -77,8 +79,8 @@
 // nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
 	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record), hurry: make(chan struct{}, 1)}
-	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial}
-	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial}
+	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, Found: ports.Found}
+	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, Found: ports.Found}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), Open: ports.Listen}
 	if _, err := n.server.Listen(s.Peers()); err != nil {
 		return nil, err
--- a/services/measure/meter.go
+++ b/services/measure/meter.go
@@ -55,6 +55,24 @@
 	m.Time(call, took, outcome(err))
 }
 
+// Channels returns what counts channels to a destination that were found silent, with
+// the time until each was, and what counts the calls to it that were to be made again.
+func (m *Meter) Channels(to string) (found func(n int, after time.Duration), repeated func(allowed bool)) {
+	found = func(n int, after time.Duration) {
+		for range n {
+			m.Time("channel."+to, after, "silent")
+		}
+	}
+	repeated = func(allowed bool) {
+		if allowed {
+			m.Count("channel." + to + ".repeated")
+			return
+		}
+		m.Count("channel." + to + ".repeat-refused")
+	}
+	return found, repeated
+}
+
 // Gauge registers a value that is asked for when it is read.
 func (m *Meter) Gauge(name string, read func() int64) {
 	if m == nil {
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -18,14 +18,12 @@
 	owner  *Owner
 	id     worker.ID
 	port   *port.Link
-	looks  *port.Link
 	orders chan struct{}
 	look   chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	helpers int          // that give orders now; under the owner's lock
-	idle    []*port.Link // channels of helpers that have ended; under the owner's lock
+	helpers int // that give orders now; under the owner's lock
 }
 
 // The help for orders that wait behind one without an answer. Orders are answered
@@ -51,18 +49,13 @@
 func (l *link) close() {
 	l.cancel()
 	l.port.Close()
-	l.looks.Close()
-	for _, c := range l.idle {
-		c.Close()
-	}
-	l.idle = nil
 }
 
 // runOrders gives orders one after another.
 func (l *link) runOrders() {
 	defer l.owner.tasks.Done()
 	for {
-		for l.give(l.port) {
+		for l.give() {
 		}
 		select {
 		case <-l.orders:
@@ -73,7 +66,7 @@
 }
 
 // give gives one order over a channel and returns whether there was one.
-func (l *link) give(channel *port.Link) bool {
+func (l *link) give() bool {
 	o := l.owner
 	o.mu.Lock()
 	order, has := o.pool.NextOrder(l.id, o.Clock.Now())
@@ -84,7 +77,7 @@
 		o.mu.Unlock()
 		return false
 	}
-	send := l.prepare(order, channel)
+	send := l.prepare(order)
 	o.mu.Unlock()
 	help := time.AfterFunc(helpAfter, l.help)
 	answer := send()
@@ -108,56 +101,40 @@
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	w, known := o.pool.Worker(l.id)
-	if !known || l.helpers == mostHelper || !o.pool.HasOrder(l.id) || l.ctx.Err() != nil || o.over != nil {
+	if l.helpers == mostHelper || !o.pool.HasOrder(l.id) || l.ctx.Err() != nil || o.over != nil {
 		return
 	}
-	var channel *port.Link
-	if n := len(l.idle); n > 0 {
-		channel, l.idle = l.idle[n-1], l.idle[:n-1]
-	} else {
-		channel = o.Workers.Open(w)
-	}
 	l.helpers++
 	o.tasks.Add(1)
-	go helper{l, channel}.run()
+	go helper{l}.run()
 }
 
 // helper gives the orders of a link over another channel.
-type helper struct {
-	link    *link
-	channel *port.Link
-}
+type helper struct{ link *link }
 
-// run gives orders while there are any.
 func (h helper) run() {
 	l := h.link
 	defer l.owner.tasks.Done()
-	for l.give(h.channel) {
+	for l.give() {
 	}
 	l.owner.mu.Lock()
 	defer l.owner.mu.Unlock()
 	l.helpers--
-	if l.ctx.Err() != nil {
-		h.channel.Close()
-		return
-	}
-	l.idle = append(l.idle, h.channel)
 }
 
 // prepare returns the sending of an order over a channel. The lock is held.
-func (l *link) prepare(order scheduler.Order, channel *port.Link) func() port.Answer {
+func (l *link) prepare(order scheduler.Order) func() port.Answer {
 	p := l.owner.pool
 	switch {
 	case order.Stop:
 		stop := p.StopOrder(order)
-		return func() port.Answer { return channel.Stop(l.ctx, stop) }
+		return func() port.Answer { return l.port.Stop(l.ctx, stop) }
 	case order.Pace:
 		pace := p.PaceOrder(order)
-		return func() port.Answer { return channel.Pace(l.ctx, pace) }
+		return func() port.Answer { return l.port.Pace(l.ctx, pace) }
 	}
 	start := p.Start(order, l.owner.Clock.Now())
-	return func() port.Answer { return channel.Start(l.ctx, start) }
+	return func() port.Answer { return l.port.Start(l.ctx, start) }
 }
 
 func (l *link) wakeLook() {
@@ -217,7 +194,7 @@
 	if !known {
 		return // the owner is about to end the link
 	}
-	listing, answer := l.looks.Look(l.ctx, ask)
+	listing, answer := l.port.Look(l.ctx, ask)
 	o.mu.Lock()
 	o.pool.EndLook(look, listing, answer, o.Clock.Now())
 	o.attend()
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -172,7 +172,7 @@
 	if !known || o.links[id] != nil || ctx.Err() != nil || o.over != nil {
 		return
 	}
-	l := &link{owner: o, id: id, port: o.Workers.Open(w), looks: o.Workers.Open(w), orders: make(chan struct{}, 1), look: make(chan struct{}, 1)}
+	l := &link{owner: o, id: id, port: o.Workers.Open(w), orders: make(chan struct{}, 1), look: make(chan struct{}, 1)}
 	o.links[id] = l
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	o.tasks.Add(2)
--- a/services/port/worker.go
+++ b/services/port/worker.go
@@ -68,7 +68,7 @@
 	Err     error         // of the channel, for the logs
 }
 
-// Link carries orders to one worker, one at a time.
+// Link carries orders and looks to one worker, each over a channel of its own.
 type Link struct {
 	Start func(ctx context.Context, s Start) Answer
 	Stop  func(ctx context.Context, s Stop) Answer
