--- a/node/script_test.go
+++ b/node/script_test.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -22,8 +21,6 @@
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
-	"github.com/yardbridge/yardbridge/models/wave"
-	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -80,23 +77,6 @@
 	Filling   bool              `toml:"filling"`
 }
 
-// scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
-// store-refuses, store-lost (for one node, or all where none is named), crash,
-// silent, late, hangs, fails, drain (of a worker, by its place among those of the
-// pool), wave, orders-lost (of the answers of the control of instances), history,
-// relist (of lives that are over), cancel (of the jobs of a pool).
-type scriptEvent struct {
-	At     tomlfile.Duration `toml:"at"`
-	Kind   string            `toml:"kind"`
-	Node   int               `toml:"node"` // from 1, 0 for all
-	Pool   string            `toml:"pool"`
-	Worker int               `toml:"worker"`
-	For    tomlfile.Duration `toml:"for"`
-	Share  float64           `toml:"share"`
-	AtOnce int               `toml:"at_once"`
-	Within tomlfile.Duration `toml:"within"`
-}
-
 // stage is a script that is being played.
 type stage struct {
 	t      *testing.T
@@ -402,159 +382,6 @@
 	return epochs
 }
 
-func (st *stage) happen(e scriptEvent) {
-	if epochs := st.owners(); st.script.Stay {
-		st.mu.Lock()
-		if st.epochs == nil {
-			st.epochs = epochs
-		}
-		st.mu.Unlock()
-	}
-	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
-		fmt.Fprintf(os.Stderr, "{\"event\":\"HAPPENS\",\"what\":\"%+v\",\"time\":%q}\n", e, time.Now().Format(time.RFC3339))
-	}
-	switch e.Kind {
-	case "kill", "stop":
-		for i, n := range st.nodes {
-			if e.Node == 0 || e.Node == i+1 {
-				go st.down(n, e)
-			}
-		}
-	case "cut", "store-silent", "store-refuses", "store-lost", "workers-cut":
-		for i, n := range st.nodes {
-			if e.Node == 0 || e.Node == i+1 {
-				st.world.Set(n.name, func(f *world.Faults) { fault(f, e, true) })
-				time.AfterFunc(e.For.Std(), func() { st.world.Set(n.name, func(f *world.Faults) { fault(f, e, false) }) })
-			}
-		}
-	case "orders-lost":
-		st.world.LoseOrders(e.Share)
-		time.AfterFunc(e.For.Std(), func() { st.world.LoseOrders(0) })
-	case "relist":
-		st.world.Relist()
-	case "wave":
-		st.wave(e)
-	case "history":
-		st.world.DropHistory()
-	case "silence":
-		st.world.Silence()
-	case "cancel":
-		st.mu.Lock()
-		ids := slices.Clone(st.open[e.Pool])
-		st.mu.Unlock()
-		for _, id := range ids {
-			st.jobs.Go(func() { st.cancelJob(e.Pool, id) })
-		}
-	default:
-		st.trouble(e)
-	}
-}
-
-func fault(f *world.Faults, e scriptEvent, on bool) {
-	switch e.Kind {
-	case "cut":
-		f.Cut = on
-	case "store-silent":
-		f.StoreSilent = on
-	case "store-refuses":
-		f.StoreRefuses = on
-	case "workers-cut":
-		f.WorkersCut = on
-	case "store-lost":
-		f.StoreLost = 0
-		if on {
-			f.StoreLost = e.Share
-		}
-	}
-}
-
-// down ends a node, after it has handed over where it is stopped, and brings it
-// back after a while.
-func (st *stage) down(n *stagedNode, e scriptEvent) {
-	n.mu.Lock()
-	node := n.node
-	busy := n.busy
-	n.busy = true
-	n.mu.Unlock()
-	if node == nil || busy {
-		return
-	}
-	if e.Kind == "stop" {
-		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-		node.HandOver(ctx)
-		cancel()
-	}
-	n.stop()
-	time.Sleep(e.For.Std())
-	st.start(n)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.busy = false
-}
-
-// wave asks for the maintenance of a share of all instances.
-func (st *stage) wave(e scriptEvent) {
-	list, _ := st.world.Instances().List(context.Background())
-	v := wave.Wave{Number: 1, Within: e.Within.Std(), AtOnce: e.AtOnce}
-	for i, o := range list {
-		if float64(i) < e.Share*float64(len(list)) {
-			v.Instances = append(v.Instances, o.Name)
-		}
-	}
-	st.world.AskWave(v)
-}
-
-func (st *stage) cancelJob(pool string, id job.ID) {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*callLimit)
-	defer cancel()
-	if st.until(ctx, func(ctx context.Context, n *Node) bool {
-		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id) == nil
-	}) {
-		st.world.Cancelled(id)
-	}
-}
-
-// trouble has something happen to a worker.
-func (st *stage) trouble(e scriptEvent) {
-	list, _ := st.world.Instances().List(context.Background())
-	var ids []worker.ID
-	for _, i := range list {
-		if i.Pool == e.Pool && i.Worker != "" {
-			ids = append(ids, i.Worker)
-		}
-	}
-	if e.Worker >= len(ids) {
-		return
-	}
-	id := ids[e.Worker]
-	set := func(on bool) func(o *world.Worker) {
-		return func(o *world.Worker) {
-			switch e.Kind {
-			case "silent":
-				o.Silent = on
-			case "hangs":
-				o.Hangs = on
-			case "fails":
-				o.Fails = on
-			case "late":
-				o.Late = 0
-				if on {
-					o.Late = 2 * time.Second
-				}
-			}
-		}
-	}
-	switch e.Kind {
-	case "crash":
-		st.world.Crash(id, e.For.Std())
-	case "drain":
-		st.world.Drain(id, e.For.Std())
-	default:
-		st.world.Touch(id, set(true))
-		time.AfterFunc(e.For.Std(), func() { st.world.Touch(id, set(false)) })
-	}
-}
-
 // judge looks whether all is as it must be.
 func (st *stage) judge() {
 	st.t.Helper()
--- /dev/null
+++ b/services/scheduler/order.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Order is an order to a worker about a run.
+type Order struct {
+	Run  *run
+	Stop bool
+	Pace bool
+}
+
+// Start notes that the order to begin a run is sent, and returns it, with a
+// deadline on the worker's clock.
+func (p *Pool) Start(o Order, now time.Time) port.Start {
+	u := o.Run
+	u.sent = true
+	u.sentAt = now
+	u.tries++
+	return port.Start{
+		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket.text,
+		Deadline: u.at.ordered(now, startTravel), Token: p.Token,
+	}
+}
+
+// starts reports whether an order is to begin its run.
+func (o Order) starts() bool { return !o.Stop && !o.Pace }
+
+// Valid reports whether an order still is to be given.
+func (o Order) Valid() bool {
+	switch {
+	case o.Run.phase == over:
+		return false
+	case o.Stop:
+		return !o.Run.stopped
+	case o.Pace:
+		return o.Run.phase == running && !o.Run.stopping
+	}
+	return o.Run.phase == ordered && !o.Run.stopping // a stop also prevents a start that comes later
+}
+
+// StopOrder returns the order to end the run.
+func (p *Pool) StopOrder(o Order) port.Stop {
+	return port.Stop{Task: o.Run.name, Number: o.Run.number, Token: p.Token}
+}
+
+// PaceOrder returns the order to let the run work at its share.
+func (p *Pool) PaceOrder(o Order) port.Pace {
+	return port.Pace{Task: o.Run.name, Number: o.Run.number, Percent: o.Run.pace, Token: p.Token}
+}
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -4,7 +4,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/worker"
@@ -93,97 +92,6 @@
 	p.order(w, o)
 }
 
-// An order to begin a run rests on what was known when the run was kept: its job is
-// wanted, its worker stays, this node owns the pool. The bounds below keep it from
-// going out, or from being carried out, when that may no longer hold: together they
-// stay under the users' 3 s for work of a cancelled job. The first leaves four tries
-// to a worker that answers half of its orders; with 1 s and two to three tries such
-// days served 0.01 to 0.05 less (trials, four seeds a site).
-const (
-	startFresh  = 1600 * time.Millisecond // from when a run is kept until its order may go out last
-	startTravel = 1200 * time.Millisecond // from when an order goes out until its worker refuses it: a fresh channel (0.7 s) and the answer (0.4 s)
-)
-
-// leastFresh is what of startFresh is left at the least; a worker that has been idle
-// for a minute is down to it.
-const leastFresh = 400 * time.Millisecond
-
-// fresh returns for how long after the run was kept its order may go out. A worker's
-// clock may have fallen behind since it was heard of, by which its refusal is late.
-func (u *run) fresh(now time.Time) time.Duration {
-	behind := time.Duration(clockSlack * float64(now.Sub(u.at.clockAt)))
-	return max(startFresh-behind, leastFresh)
-}
-
-// whyWithheld returns why a run is not to be begun any more, "" where it may be. A
-// worker that is to be emptied by our own wish stays until it is empty, so a gang,
-// which begins as a whole, may still begin there.
-func whyWithheld(u *run, now time.Time) string {
-	switch {
-	case now.Sub(u.kept) > u.fresh(now):
-		return "its order has waited too long"
-	case u.at.info.Draining, u.at.cordoned && !u.step().spec.Gang:
-		return "its worker is to be left"
-	case !u.ticket.until.IsZero() && !now.Before(u.ticket.until):
-		return "its ticket has run out"
-	}
-	return ""
-}
-
-// withhold gives up an order to begin a run that is not to go out any more.
-func (p *Pool) withhold(o Order, now time.Time) {
-	if !o.starts() || !o.Valid() {
-		return
-	}
-	u := o.Run
-	why := whyWithheld(u, now)
-	if why == "" {
-		return
-	}
-	p.Logger.Info().Str("event", "withheld").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
-		Dur("kept_for", now.Sub(u.kept)).Int("tries", u.tries).Str("why", why).Msg("an order to begin a run does not go out")
-	p.giveUp(u, now, why)
-}
-
-// giveUp ends a run that is not to begin, and with it its gang: the task of one that
-// was never sent waits again, one that may be carried out yet is stopped.
-func (p *Pool) giveUp(u *run, now time.Time, why string) {
-	if u.sent || u.restored {
-		p.stop(u, now, why)
-	} else {
-		p.release(u)
-	}
-	p.breakGang(u, now, why)
-}
-
-// breakGang gives up the other members of the gang of a run that does not begin: they
-// would wait for it in vain.
-func (p *Pool) breakGang(u *run, now time.Time, why string) {
-	if u.stray || !u.step().spec.Gang {
-		return
-	}
-	tasks := u.step().tasks
-	for i := range tasks {
-		for _, o := range slices.Clone(tasks[i].runs) {
-			if o != u && o.number == u.number && !o.stopping && o.phase != over {
-				p.giveUp(o, now, "a member of its gang does not begin: "+why)
-			}
-		}
-	}
-}
-
-// withholdAll gives up the orders that wait and are not to go out any more.
-func (p *Pool) withholdAll(now time.Time) {
-	for _, w := range p.workers {
-		for _, o := range w.out {
-			p.withhold(o, now)
-			if o.starts() && o.Valid() {
-				p.wakeAt(o.Run.kept.Add(o.Run.fresh(now)+time.Millisecond), now)
-			}
-		}
-	}
-}
-
 // Changed reports whether there is something to plan or to keep.
 func (p *Pool) Changed() bool { return p.moved || len(p.dirty) > 0 || len(p.stops) > 0 }
 
--- /dev/null
+++ b/standin/world/link.go
@@ -0,0 +1,207 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package world
+
+import (
+	"context"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Workers returns the workers as a node reaches them.
+func (w *World) Workers(node string) port.Workers {
+	return port.Workers{Open: func(info worker.Worker) *port.Link {
+		l := &nodeLink{w, node, info.ID}
+		return &port.Link{Start: l.start, Stop: l.stop, Pace: l.pace, Look: l.look, Close: func() {}}
+	}}
+}
+
+// nodeLink is a worker as one node reaches it.
+type nodeLink struct {
+	w    *World
+	node string
+	id   worker.ID
+}
+
+// order carries an order out and returns its answer.
+func (l *nodeLink) order(ctx context.Context, token uint64, do func(o *Worker) port.Verdict) port.Answer {
+	select {
+	case <-time.After(orderTime):
+	case <-ctx.Done():
+	}
+	l.w.mu.Lock()
+	o := l.w.workers[l.id]
+	cut := l.w.fault(l.node).WorkersCut || o.Silent
+	if o.over && !cut {
+		defer l.w.mu.Unlock()
+		return port.Answer{Verdict: port.Unreached}
+	}
+	if cut || o.Late > 0 || o.Deaf {
+		switch {
+		case cut:
+		case o.Deaf:
+			o.unheard = append(o.unheard, func() { o.take(token, do) })
+		default:
+			time.AfterFunc(o.Late, func() { l.w.carryOut(o, token, do) })
+		}
+		l.w.mu.Unlock()
+		_ = silence(ctx, callTimeout)
+		return port.Answer{Verdict: port.Unknown}
+	}
+	defer l.w.mu.Unlock()
+	return o.take(token, do)
+}
+
+// carryOut carries a late order out.
+func (w *World) carryOut(o *Worker, token uint64, do func(o *Worker) port.Verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !o.over {
+		o.take(token, do)
+	}
+}
+
+// take carries an order out unless a higher token was seen. The lock is held.
+func (o *Worker) take(token uint64, do func(o *Worker) port.Verdict) port.Answer {
+	o.lapse()
+	if token < o.token {
+		return port.Answer{Verdict: port.TooLow, Clock: o.clock()}
+	}
+	o.token = token
+	return port.Answer{Verdict: do(o), Clock: o.clock()}
+}
+
+func (l *nodeLink) start(ctx context.Context, s port.Start) port.Answer {
+	return l.order(ctx, s.Token, func(o *Worker) port.Verdict { return o.startRun(l.node, s) })
+}
+
+// startRun begins a run. The lock is held.
+func (o *Worker) startRun(node string, s port.Start) port.Verdict {
+	if s.Deadline <= o.clock() {
+		return port.Late
+	}
+	o.extend(s.Deadline)
+	r := o.runs[s.Task]
+	switch {
+	case r != nil && r.number == s.Number:
+		return port.Taken
+	case r != nil, s.Number <= o.ended[s.Task]:
+		return port.Outdated
+	}
+	if !o.w.admitted(o, s) {
+		return port.BadTicket
+	}
+	step, room := o.w.started(node, o, s)
+	takes := step.Estimate
+	if step.Lasting {
+		takes = lastingTime
+	}
+	r = &running{task: s.Task, number: s.Number, spec: s.Spec, room: room, began: time.Now(), left: takes, takes: takes, counted: time.Now(), step: step, pace: whole}
+	o.runs[s.Task] = r
+	r.timer = time.AfterFunc(time.Hour, func() {})
+	o.schedule(r)
+	return port.Taken
+}
+
+// extend adopts a deadline, and has what runs end once it is over. The lock is
+// held.
+func (o *Worker) extend(deadline time.Duration) {
+	if deadline <= o.lease {
+		return
+	}
+	o.lease = deadline
+	time.AfterFunc(deadline-o.clock()+time.Millisecond, func() {
+		o.w.mu.Lock()
+		defer o.w.mu.Unlock()
+		if !o.over {
+			o.lapse()
+		}
+	})
+}
+
+func (l *nodeLink) stop(ctx context.Context, s port.Stop) port.Answer {
+	return l.order(ctx, s.Token, func(o *Worker) port.Verdict {
+		r := o.runs[s.Task]
+		if r == nil || r.number != s.Number {
+			o.ended[s.Task] = max(o.ended[s.Task], s.Number)
+			return port.Taken
+		}
+		if !r.stopping {
+			r.stopping = true
+			o.w.stopped(l.node, o, r)
+			time.AfterFunc(stopTime, func() { o.finish(r, worker.Stopped) })
+		}
+		return port.Taken
+	})
+}
+
+func (l *nodeLink) pace(ctx context.Context, p port.Pace) port.Answer {
+	return l.order(ctx, p.Token, func(o *Worker) port.Verdict {
+		if r := o.runs[p.Task]; r != nil && r.number == p.Number {
+			r.pace = p.Percent
+			o.checkHarm()
+			return port.Taken
+		}
+		return port.Outdated
+	})
+}
+
+func (l *nodeLink) look(ctx context.Context, k port.Look) (worker.Listing, port.Answer) {
+	listing, a := l.list(ctx, k.Token, func(o *Worker) {
+		o.extend(k.Deadline)
+		o.forget(k.Seen)
+	})
+	if a.Verdict != port.Taken || len(listing.Ends) > 0 || k.Wait == 0 {
+		return listing, a
+	}
+	l.w.mu.Lock()
+	o := l.w.workers[l.id]
+	changed := o.changed
+	l.w.mu.Unlock()
+	select {
+	case <-changed:
+	case <-time.After(k.Wait):
+	case <-ctx.Done():
+	}
+	return l.list(ctx, k.Token, func(*Worker) {})
+}
+
+// list carries an order out that is answered with a listing.
+func (l *nodeLink) list(ctx context.Context, token uint64, do func(o *Worker)) (worker.Listing, port.Answer) {
+	var taken worker.Listing // may be written late, where there is no answer
+	a := l.order(ctx, token, func(o *Worker) port.Verdict {
+		do(o)
+		taken = o.listing()
+		return port.Taken
+	})
+	if a.Verdict != port.Taken {
+		return worker.Listing{Clock: a.Clock}, a
+	}
+	taken.Clock = a.Clock
+	return taken, a
+}
+
+// forget drops ends that were taken note of. The lock is held.
+func (o *Worker) forget(seen int) {
+	o.seen = max(o.seen, seen)
+	for len(o.ends) > 0 && o.ends[0].Sequence <= o.seen {
+		if o.ends[0].Sequence > o.void {
+			o.w.noted(o.ends[0])
+		}
+		o.ends = o.ends[1:]
+	}
+}
+
+// listing returns what runs and what has ended. The lock is held.
+func (o *Worker) listing() worker.Listing {
+	var l worker.Listing
+	for _, r := range o.runs {
+		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r), Load: int(o.tail(r).Milliseconds())})
+	}
+	o.checkHarm()
+	l.Ends = append(l.Ends, o.ends...)
+	return l
+}
