--- a/cmd/node.go
+++ b/cmd/node.go
@@ -131,8 +131,14 @@
 	if listen.Metrics == 0 {
 		return nil
 	}
-	p.metrics = &httpserve.Surface{Handler: p.figures()}
-	return errors.Annotate(serveAt(p.metrics, p.setting.Figures()), "address for figures")
+	figures := &httpserve.Surface{Handler: p.figures()}
+	if err := serveAt(figures, p.setting.Figures()); err != nil {
+		// Customers are served without figures, too.
+		p.logger.Error().Str("event", "listen").Str("address", p.setting.Figures()).Err(err).Msg("the figures can't be served")
+		return nil
+	}
+	p.metrics = figures
+	return nil
 }
 
 // serveAt opens the address of a surface.
