A task that lasts is not stopped for a move beside others of its step that have gone away

Cause: that so few are away was asked when a stop was decided, not when it was given again. The rule stands where orders are given now (mustWait), for every stop of a task that lasts and is at work on a worker that stays; it holds after a take-over too, since nothing of it is kept. Ruled out: to take the stop back (an earlier try may be carried out yet). TestAStopForAMoveWaitsWhileAnotherTaskIsAway failed before.

--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -98,3 +98,25 @@
 		}
 	}
 }
+
+// mustWait reports whether an order to stop a task that lasts must wait, though an
+// earlier try of it may be carried out yet: since the stop was decided so many others of
+// its step have gone away that it may not be ended beside them. Its worker stays, and
+// looks at it ask again.
+func (o Order) mustWait() bool {
+	u := o.Run
+	if !o.Stop || u.stray || u.job.state.Final() || u.at.info.Draining {
+		return false
+	}
+	s := u.step()
+	if !s.spec.Lasting || u.phase != running || u.percent < fullPace {
+		return false
+	}
+	away := 0
+	for i := range s.tasks {
+		if i != u.ref.Index && !s.tasks[i].serves() {
+			away++
+		}
+	}
+	return away >= max(s.spec.MayMiss, 1)
+}
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -57,15 +57,22 @@
 	if w == nil || !w.silent.IsZero() {
 		return Order{}, false
 	}
+	var waiting []Order
 	for len(w.out) > 0 {
 		o := w.out[0]
 		w.out = w.out[1:]
 		p.withhold(o, now)
-		if o.Valid() {
-			return o, true
+		if !o.Valid() {
+			continue
 		}
+		if o.mustWait() {
+			waiting = append(waiting, o)
+			continue
+		}
+		w.out = append(waiting, w.out...)
+		return o, true
 	}
-	w.out = nil
+	w.out = waiting
 	return Order{}, false
 }
 
