Failing tests: what one call finds, or its end, cuts others; silent connections to nodes are not reset

TestAFreshChannelIsNotTakenForASilentOne: httpconn's second try notes no wait, so that any later find takes it for an idle channel and ends it (outcome-unknown). Calls that are made again together end one another so. TestACallThatIsGivenUpEndsNoOther: a call whose context is cancelled (a customer leaves) closes the connection between nodes; other customers' calls on it end with an unknown outcome. TestASilentConnectionToANodeIsReset: silence.Conn.Reset knows *net.TCPConn only, and connections between nodes are wrapped: EOF in place of a reset.

--- /dev/null
+++ b/adapters/noderpc/client_test.go
@@ -0,0 +1,32 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package noderpc
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/silence"
+)
+
+// TestASilentConnectionToANodeIsReset: what the other node has not read yet is lost, and
+// not carried out later, when nobody waits for it any more.
+func TestASilentConnectionToANodeIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close() //nolint:errcheck // the test is over
+	raw, err := (&Client{}).dial(context.Background(), l.Addr().String())
+	assert.NilError(t, err)
+	far, err := l.Accept()
+	assert.NilError(t, err)
+	defer far.Close() //nolint:errcheck // the test is over
+	var end silence.End
+	end.Track(raw).Reset()
+	_, err = far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/modules/httpconn/silence_test.go
+++ b/modules/httpconn/silence_test.go
@@ -207,3 +207,52 @@
 	assert.Equal(t, asked.Load(), int64(3))
 	assert.Equal(t, l.opens.Load(), int64(1))
 }
+
+// TestAFreshChannelIsNotTakenForASilentOne: a call that was made again over a fresh
+// channel waits there for as long as any other; what a later call finds of older
+// channels does not end it.
+func TestAFreshChannelIsNotTakenForASilentOne(t *testing.T) {
+	const hold = longLimit / 2
+	var held atomic.Int64
+	again := make(chan struct{})
+	release := make(chan struct{})
+	opened := make(chan struct{}, 2)
+	l := serveQuiet(t, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/open":
+			opened <- struct{}{}
+			for len(opened) < cap(opened) {
+				time.Sleep(time.Millisecond)
+			}
+		case r.URL.Path == "/held" && held.Add(1) == 1:
+			panic(http.ErrAbortHandler) // the older channel ends at once
+		case r.URL.Path == "/held":
+			close(again)
+			<-release
+		}
+		answerAtOnce(w, r)
+	})
+	c := l.client()
+	var both sync.WaitGroup
+	for range cap(opened) { // two channels, both idle in the end
+		both.Go(func() {
+			_, err := c.Do(context.Background(), Request{Method: http.MethodGet, Path: "/open"}, longLimit)
+			assert.Check(t, err)
+		})
+	}
+	both.Wait()
+	first := make(chan error, 1)
+	go func() {
+		_, err := c.Do(context.Background(), Request{Method: http.MethodGet, Path: "/held", Repeatable: true, Hold: hold}, longLimit)
+		first <- err
+	}()
+	<-again
+	l.fall()
+	l.mu.Lock()
+	l.conns[len(l.conns)-1].silent.Store(false) // the fresh one works
+	l.mu.Unlock()
+	_, err := c.Do(context.Background(), Request{Method: http.MethodGet, Path: "/", Repeatable: true}, longLimit)
+	assert.NilError(t, err)
+	close(release)
+	assert.NilError(t, <-first)
+}
--- a/modules/rpcconn/table_test.go
+++ b/modules/rpcconn/table_test.go
@@ -160,3 +160,26 @@
 
 // longCall is longer than a table waits until it looks after a call, and asks.
 const longCall = time.Second
+
+// TestACallThatIsGivenUpEndsNoOther: whoever gives a call up tells nothing about its
+// connection; the calls of others on it get their answers.
+func TestACallThatIsGivenUpEndsNoOther(t *testing.T) {
+	h, table := serve(t)
+	assert.NilError(t, limited(table, h, "work"))
+	other := make(chan error, 1)
+	go func() { other <- limited(table, h, "hold") }()
+	for h.calls.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, giveUp := context.WithCancel(context.Background())
+	given := make(chan error, 1)
+	go func() { given <- table.Call(ctx, h.address, "hold", struct{}{}, nil) }()
+	for h.calls.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	giveUp()
+	assert.ErrorIs(t, <-given, context.Canceled)
+	close(h.held)
+	assert.NilError(t, <-other)
+	assert.Equal(t, h.opened.Load(), int64(1))
+}
