What one call finds, or its end, cuts no other; silent connections are reset through their wrappers

Change: httpconn notes when the answer of a second try is due, as of a first one. rpcconn keeps a connection whose call was cancelled, or ended at its limit while something came on it; a call that ends at its limit with nothing heard ends it as before. The gateway cancels a try whenever a pool moves, which ended all calls to the old owner, for its other pools too. silence resets the innermost connection, before what is wrapped around it says good-bye. Ruled out: never ending a connection at a call's limit: calls with short limits have no watch.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -94,6 +94,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that is bounded, which a reset is for.
+func (c boundedConn) NetConn() net.Conn { return c.Conn }
+
 // Close ends all connections.
 func (c *Client) Close() { c.table().Close() }
 
--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return Response{}, unknown(r, c.Address, err) // the first try may have been taken
 	}
+	ch.conn.Await(again.Add(r.Hold + c.repeats.Patience()))
 	response, keep, err := ch.do(ctx, c.Address, r, began.Add(timeout))
 	if err != nil {
 		ch.conn.Reset()
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -69,6 +69,9 @@
 	return countedConn{c, s.LogIn, s.LogOut}
 }
 
+// NetConn returns the connection that is counted, which a reset is for.
+func (c countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read counts what came.
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/modules/rpcconn/table.go
+++ b/modules/rpcconn/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,7 @@
 		return Unreached{err}
 	}
 	began := time.Now()
+	heard := p.conn.Heard()
 	w := p.watch(ctx, began)
 	err = p.rpc.Call(ctx, method, params, result)
 	w.end()
@@ -68,6 +70,9 @@
 		p.repeats.Answered(began, 0)
 		return err
 	}
+	if stderrors.Is(err, context.Canceled) || stderrors.Is(err, context.DeadlineExceeded) && p.conn.Heard() != heard {
+		return err // the call was given up, or was late, and others go on over the connection
+	}
 	t.forget(p)
 	return err
 }
--- a/modules/silence/silence.go
+++ b/modules/silence/silence.go
@@ -64,15 +64,28 @@
 
 // Reset ends the connection so that what the far end has not read yet is lost:
 // closed in the usual way, the kernel would go on sending it, and the far end might
-// carry out seconds later what nobody waits for any more.
+// carry out seconds later what nobody waits for any more. The innermost connection is
+// ended first: a secure one around it would take seconds to say that it ends.
 func (c *Conn) Reset() {
-	if t, isTCP := c.Conn.(*net.TCPConn); isTCP {
+	if t, isTCP := innermost(c.Conn).(*net.TCPConn); isTCP {
 		// A connection that can't be set is closed in the usual way.
 		_ = t.SetLinger(0)
+		_ = t.Close() // one that is closed already tells nothing
 	}
 	_ = c.Close()
 }
 
+// innermost returns the connection that others are wrapped around.
+func innermost(c net.Conn) net.Conn {
+	for {
+		w, wraps := c.(interface{ NetConn() net.Conn }) // as the library's secure connections have it
+		if !wraps {
+			return c
+		}
+		c = w.NetConn()
+	}
+}
+
 // End is a far end and the connections that are open to it; its zero value has
 // none.
 type End struct {
