Failing tests: a connection between processes that takes nothing, one that is never secured

TestSilentConnectionThatTakesNothingIsReplaced: the library's Call knows its context only once the message is written; the question on the connection itself waits behind it, so that no fresh one is asked. Between nodes a write is bounded (0.4 s), between entries nothing is. TestAConnectionThatIsNeverSecuredGivesItsRoomBack: a caller that says nothing during the secure handshake keeps one of the 1,200 places for ever, since the idle limit begins after it.

--- a/modules/rpcconn/server_test.go
+++ b/modules/rpcconn/server_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"testing"
 	"time"
@@ -24,7 +25,9 @@
 	t.Cleanup(cancel)
 	logger := log.Nop()
 	s.Logger = &logger
-	s.Wrap = func(_ context.Context, raw net.Conn) (net.Conn, error) { return raw, nil }
+	if s.Wrap == nil {
+		s.Wrap = func(_ context.Context, raw net.Conn) (net.Conn, error) { return raw, nil }
+	}
 	s.Handle = func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return struct{}{}, nil }
 	go s.Run(ctx, l)
 	return l.Addr().String()
@@ -72,3 +75,16 @@
 	}
 	table.Close()
 }
+
+// TestAConnectionThatIsNeverSecuredGivesItsRoomBack: one whose far end says nothing
+// while it is made ready for use is closed as one that brings nothing later.
+func TestAConnectionThatIsNeverSecuredGivesItsRoomBack(t *testing.T) {
+	address := serveBounded(t, &Server{Idle: 50 * time.Millisecond, Wrap: func(ctx context.Context, raw net.Conn) (net.Conn, error) {
+		secure := tls.Server(raw, &tls.Config{MinVersion: tls.VersionTLS13})
+		return secure, secure.HandshakeContext(ctx)
+	}})
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	ended(t, c)
+}
--- a/modules/rpcconn/table_test.go
+++ b/modules/rpcconn/table_test.go
@@ -183,3 +183,56 @@
 	assert.NilError(t, <-other)
 	assert.Equal(t, h.opened.Load(), int64(1))
 }
+
+// full is a connection that can stop taking anything, as one does whose far end has
+// fallen silent and whose buffers are full.
+type full struct {
+	net.Conn
+	stuck atomic.Bool
+	ended chan struct{}
+	once  sync.Once
+}
+
+func (c *full) Write(p []byte) (int, error) {
+	if c.stuck.Load() {
+		<-c.ended
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *full) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+// TestSilentConnectionThatTakesNothingIsReplaced: a call whose own message is not taken
+// learns as well, long before its limit, that its connection is silent.
+func TestSilentConnectionThatTakesNothingIsReplaced(t *testing.T) {
+	h, table := serve(t)
+	dial := table.Dial
+	var opened []*full // by one call after the other
+	table.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &full{Conn: raw, ended: make(chan struct{})}
+		opened = append(opened, c)
+		return c, nil
+	}
+	assert.NilError(t, limited(table, h, "work"))
+	opened[0].stuck.Store(true)
+	stuck := make(chan error, 1)
+	go func() { stuck <- limited(table, h, "work") }()
+	select {
+	case err := <-stuck:
+		assert.Assert(t, err != nil)
+	case <-time.After(10 * time.Second):
+		_ = opened[0].Close()
+		<-stuck
+		t.Fatal("the call waits on a connection that takes nothing")
+	}
+	assert.NilError(t, limited(table, h, "work"))
+	assert.Equal(t, h.opened.Load(), int64(2))
+}
