A question on a connection that takes nothing ends; making a connection ready is bounded

Change: rpcconn asks whether a far end is there in a goroutine of its own, which ends with the connection. A server makes a connection ready (the secure handshake) within 5 s. Ruled out: a bound on each write as between nodes: it would hold the call up just as the question; and the idle limit of 2 minutes for the handshake: callers give up after 1 s.

--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -26,7 +26,7 @@
 	Handle Handler
 	Logger *log.Logger
 	// Idle is for how long a connection may bring nothing until it is closed, 0 for
-	// idleLimit.
+	// idleLimit, and for wrapLimit until it is ready for use.
 	Idle time.Duration
 	// Most is how many connections may be open at once, 0 for mostOpen.
 	Most int64
@@ -40,6 +40,9 @@
 	// short enough that connections that fell silent don't pile up: a process opens a
 	// fresh one where its old one is closed.
 	idleLimit = 2 * time.Minute
+	// wrapLimit is for a connection to be made ready for use: a secure handshake takes
+	// some milliseconds, and whoever calls gives up after a second.
+	wrapLimit = 5 * time.Second
 	// mostOpen lets each of 300 processes have two connections here, for calls and for
 	// probes, and as many that fell silent and are not closed yet.
 	mostOpen = 1200
@@ -73,7 +76,7 @@
 // run serves the connection until it or the context ends.
 func (c session) run(ctx context.Context) {
 	defer c.s.open.Add(-1)
-	conn, err := c.s.Wrap(ctx, c.raw)
+	conn, err := c.wrap(ctx)
 	if err != nil {
 		_ = c.raw.Close()
 		return
@@ -88,6 +91,13 @@
 	}
 }
 
+// wrap makes the connection ready for use, for no longer than one may bring nothing.
+func (c session) wrap(ctx context.Context) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, cmp.Or(c.s.Idle, wrapLimit))
+	defer cancel()
+	return c.s.Wrap(bounded, c.raw)
+}
+
 // handle answers whether this process is there, and leaves the rest to the owner.
 func (s *Server) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Method == methodPing {
--- a/modules/rpcconn/watch.go
+++ b/modules/rpcconn/watch.go
@@ -75,11 +75,36 @@
 
 // alive asks on the connection itself: a call may take long on one that works.
 func (w *watch) alive() bool {
-	ctx, cancel := context.WithTimeout(w.ctx, pingGrace)
+	err := w.peer.ping(w.ctx, pingGrace)
+	return err == nil || w.peer.conn.Heard() != w.heard
+}
+
+// ping asks whether the far end is there. The library does not look at the context
+// before it has written the question, which on a connection that takes nothing ends only
+// when that is closed.
+func (p *peer) ping(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	q := &question{peer: p, answer: make(chan error, 1)}
+	go q.run(ctx)
+	select {
+	case err := <-q.answer:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// question is one whether a far end is there.
+type question struct {
+	peer   *peer
+	answer chan error
+}
+
+// run asks.
+func (q *question) run(ctx context.Context) {
 	var nothing struct{}
-	err := w.peer.rpc.Call(ctx, methodPing, nothing, &nothing)
-	return err == nil || w.peer.conn.Heard() != w.heard
+	q.answer <- q.peer.rpc.Call(ctx, methodPing, nothing, &nothing)
 }
 
 // ask puts a fresh connection in the place of one that has fallen silent: it has
@@ -92,8 +117,7 @@
 	if err != nil {
 		return // the far end itself can't be reached; the call's own limit tells
 	}
-	var nothing struct{}
-	if err := fresh.rpc.Call(ctx, methodPing, nothing, &nothing); err != nil || p.conn.Heard() != w.heard {
+	if err := fresh.ping(ctx, pingTimeout); err != nil || p.conn.Heard() != w.heard {
 		_ = fresh.rpc.Close() // the same, or the older connection works
 		return
 	}
