Failing test: a call to another node outlives its context while it is being written

The library looks at the context only once the message is written: up to 0.4 s for each call that waits before it, beside the 0.3 s that a node which stops gives its last answers.

--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -6,13 +6,16 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // TestARefusalAfterAnUnknownOutcomeIsNoRefusal: the first try of a submission got no
@@ -65,3 +68,63 @@
 	}
 	assert.Assert(t, !taken["b"], "one job is taken by two pools")
 }
+
+// TestACallToAnotherNodeEndsWithItsContext: a node that stops tells its calls to give up
+// and has 0.3 s for their answers; one that is being written to a node that takes nothing
+// does not see that, and its customer gets an answer all the same.
+func TestACallToAnotherNodeEndsWithItsContext(t *testing.T) {
+	d := ownedElsewhere(t, "p")
+	asked, never := make(chan struct{}), make(chan struct{})
+	defer close(never)
+	g := &Gateway{Directory: d, Local: func(string) *Desk { return nil }}
+	g.Remote = func(directory.Node, string) *Desk {
+		return &Desk{Submit: func(context.Context, job.Submission) error {
+			close(asked)
+			<-never
+			return nil
+		}}
+	}
+	ctx, giveUp := context.WithCancel(t.Context())
+	answered := make(chan error, 1)
+	go func() { answered <- g.Submit(ctx, &config.Queue{Pool: "p"}, job.Submission{ID: "1"}) }()
+	<-asked
+	giveUp()
+	select {
+	case err := <-answered:
+		assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the call goes on though it was given up")
+	}
+}
+
+// ownedElsewhere returns a directory that says that another node owns a pool.
+func ownedElsewhere(t *testing.T, pool string) *directory.Directory {
+	t.Helper()
+	encode := func(v any) []byte {
+		data, err := codec.Marshal(v)
+		assert.NilError(t, err)
+		return data
+	}
+	records := []port.Record{
+		{Key: "n/other", Value: encode(directory.Node{Name: "other", Life: 1})},
+		{Key: "n/self", Value: encode(directory.Node{Name: "self", Life: 1}), Offset: 1},
+		{Key: "o/" + pool, Value: encode(directory.Ownership{Pool: pool, Epoch: 1, Node: "other", Life: 1}), Offset: 2},
+	}
+	d := &directory.Directory{Self: directory.Node{Name: "self", Life: 1}, Store: port.Store{
+		Newest: func(context.Context, port.Partition, string) (port.Page, error) {
+			return port.Page{Records: records, End: uint64(len(records))}, nil
+		},
+		Read: func(ctx context.Context, _ port.Partition, _ uint64, _ time.Duration) (port.Tail, error) {
+			<-ctx.Done()
+			return port.Tail{}, ctx.Err()
+		},
+	}}
+	go d.Run(t.Context())
+	for {
+		v, changed := d.View()
+		if v != nil {
+			return d
+		}
+		<-changed
+	}
+}
