A call to another node ends with its context

Change: the gateway gives a call 20 ms after its context ends to tell what came of it, and answers then that its outcome is unknown.

--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -65,6 +65,10 @@
 	// retryPause is the pause before a call that did not reach an owner is made
 	// again.
 	retryPause = 50 * time.Millisecond
+	// endSpan is how long a call whose context has ended may still tell what came of
+	// it, as one that was not sent does at once; a node that stops has 0.3 s for its
+	// last answers, and a customer's answer 50 ms for its way back.
+	endSpan = 20 * time.Millisecond
 )
 
 // nothing is the answer of calls that only succeed or fail.
@@ -187,10 +191,16 @@
 	defer cancel()
 	a := &attempt[T]{do: do, desk: g.Remote(node, pool), result: make(chan outcome[T], 1)}
 	go a.run(ctx)
+	given := ctx.Done()
+	var late <-chan time.Time
 	for {
 		select {
 		case o := <-a.result:
 			return o.answer, changed, o.err
+		case <-given:
+			given, late = nil, g.Clock.After(endSpan)
+		case <-late:
+			return none, changed, errkind.New(errkind.OutcomeUnknown, "node %s: the call was given up: %v", node.Name, context.Cause(ctx))
 		case <-changed:
 			v, changed = g.Directory.View()
 			if now, o, present := v.Owner(pool); !present || now.Name != node.Name || o.Epoch != known.Epoch {
