Failing test: calls that begin together leave a connection each

All calls that waited on a connection that ended go again at once, and each opens one; only the last is known. The others stay until the far end's idle limit of 2 minutes, which takes 1,200 connections at most.

--- a/modules/rpcconn/table_test.go
+++ b/modules/rpcconn/table_test.go
@@ -236,3 +236,41 @@
 	assert.NilError(t, limited(table, h, "work"))
 	assert.Equal(t, h.opened.Load(), int64(2))
 }
+
+// TestCallsThatBeginTogetherKeepOneConnection: where several calls find none and open
+// one each, all but one are closed, and not left to the far end's idle limit.
+func TestCallsThatBeginTogetherKeepOneConnection(t *testing.T) {
+	h, table := serve(t)
+	const calls = 10
+	var opened sync.WaitGroup
+	opened.Add(calls)
+	var left atomic.Int64
+	dial := table.Dial
+	table.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dial(ctx, address)
+		opened.Done()
+		opened.Wait()
+		left.Add(1)
+		return &counted{Conn: raw, left: &left}, err
+	}
+	errs := make(chan error, calls)
+	for range calls {
+		go func() { errs <- limited(table, h, "work") }()
+	}
+	for range calls {
+		assert.NilError(t, <-errs)
+	}
+	assert.Equal(t, left.Load(), int64(1))
+}
+
+// counted counts the connections that were not closed.
+type counted struct {
+	net.Conn
+	left *atomic.Int64
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.left.Add(-1) })
+	return c.Conn.Close()
+}
