Calls that begin together keep one connection

Change: a call that has opened a connection uses the one that another has opened in the meantime, and closes its own. Ruled out: one opening for all: its context is one call's, and the others would end with it. Measured: ten calls left ten connections and leave one; rpcconn and adapters pass, -race, three times.

--- a/modules/rpcconn/table.go
+++ b/modules/rpcconn/table.go
@@ -104,21 +104,37 @@
 	t.mu.Lock()
 	known := t.peers[address]
 	t.mu.Unlock()
-	if known != nil {
-		select {
-		case <-known.rpc.DisconnectNotify():
-		default:
-			return known, nil
-		}
+	if known.live() {
+		return known, nil
 	}
 	fresh, err := t.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.put(fresh)
-	return fresh, nil
+	known = t.peers[address]
+	if !known.live() {
+		t.put(fresh)
+		known = fresh
+	}
+	t.mu.Unlock()
+	if known != fresh {
+		_ = fresh.rpc.Close() // another call has opened one in the meantime
+	}
+	return known, nil
+}
+
+// live reports whether there is a connection and it has not ended.
+func (p *peer) live() bool {
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.rpc.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
 }
 
 func (t *Table) open(ctx context.Context, address string) (*peer, error) {
