--- a/modules/rpcconn/table.go
+++ b/modules/rpcconn/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,7 @@
 		return Unreached{err}
 	}
 	began := time.Now()
+	heard := p.conn.Heard()
 	w := p.watch(ctx, began)
 	err = p.rpc.Call(ctx, method, params, result)
 	w.end()
@@ -68,6 +70,9 @@
 		p.repeats.Answered(began, 0)
 		return err
 	}
+	if stderrors.Is(err, context.Canceled) || stderrors.Is(err, context.DeadlineExceeded) && p.conn.Heard() != heard {
+		return err // the call was given up, or was late, and others go on over the connection
+	}
 	t.forget(p)
 	return err
 }
@@ -99,21 +104,37 @@
 	t.mu.Lock()
 	known := t.peers[address]
 	t.mu.Unlock()
-	if known != nil {
-		select {
-		case <-known.rpc.DisconnectNotify():
-		default:
-			return known, nil
-		}
+	if known.live() {
+		return known, nil
 	}
 	fresh, err := t.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.put(fresh)
-	return fresh, nil
+	known = t.peers[address]
+	if !known.live() {
+		t.put(fresh)
+		known = fresh
+	}
+	t.mu.Unlock()
+	if known != fresh {
+		_ = fresh.rpc.Close() // another call has opened one in the meantime
+	}
+	return known, nil
+}
+
+// live reports whether there is a connection and it has not ended.
+func (p *peer) live() bool {
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.rpc.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
 }
 
 func (t *Table) open(ctx context.Context, address string) (*peer, error) {
--- a/modules/rpcconn/table_test.go
+++ b/modules/rpcconn/table_test.go
@@ -160,3 +160,117 @@
 
 // longCall is longer than a table waits until it looks after a call, and asks.
 const longCall = time.Second
+
+// TestACallThatIsGivenUpEndsNoOther: whoever gives a call up tells nothing about its
+// connection; the calls of others on it get their answers.
+func TestACallThatIsGivenUpEndsNoOther(t *testing.T) {
+	h, table := serve(t)
+	assert.NilError(t, limited(table, h, "work"))
+	other := make(chan error, 1)
+	go func() { other <- limited(table, h, "hold") }()
+	for h.calls.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, giveUp := context.WithCancel(context.Background())
+	given := make(chan error, 1)
+	go func() { given <- table.Call(ctx, h.address, "hold", struct{}{}, nil) }()
+	for h.calls.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	giveUp()
+	assert.ErrorIs(t, <-given, context.Canceled)
+	close(h.held)
+	assert.NilError(t, <-other)
+	assert.Equal(t, h.opened.Load(), int64(1))
+}
+
+// full is a connection that can stop taking anything, as one does whose far end has
+// fallen silent and whose buffers are full.
+type full struct {
+	net.Conn
+	stuck atomic.Bool
+	ended chan struct{}
+	once  sync.Once
+}
+
+func (c *full) Write(p []byte) (int, error) {
+	if c.stuck.Load() {
+		<-c.ended
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *full) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+// TestSilentConnectionThatTakesNothingIsReplaced: a call whose own message is not taken
+// learns as well, long before its limit, that its connection is silent.
+func TestSilentConnectionThatTakesNothingIsReplaced(t *testing.T) {
+	h, table := serve(t)
+	dial := table.Dial
+	var opened []*full // by one call after the other
+	table.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &full{Conn: raw, ended: make(chan struct{})}
+		opened = append(opened, c)
+		return c, nil
+	}
+	assert.NilError(t, limited(table, h, "work"))
+	opened[0].stuck.Store(true)
+	stuck := make(chan error, 1)
+	go func() { stuck <- limited(table, h, "work") }()
+	select {
+	case err := <-stuck:
+		assert.Assert(t, err != nil)
+	case <-time.After(10 * time.Second):
+		_ = opened[0].Close()
+		<-stuck
+		t.Fatal("the call waits on a connection that takes nothing")
+	}
+	assert.NilError(t, limited(table, h, "work"))
+	assert.Equal(t, h.opened.Load(), int64(2))
+}
+
+// TestCallsThatBeginTogetherKeepOneConnection: where several calls find none and open
+// one each, all but one are closed, and not left to the far end's idle limit.
+func TestCallsThatBeginTogetherKeepOneConnection(t *testing.T) {
+	h, table := serve(t)
+	const calls = 10
+	var opened sync.WaitGroup
+	opened.Add(calls)
+	var left atomic.Int64
+	dial := table.Dial
+	table.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dial(ctx, address)
+		opened.Done()
+		opened.Wait()
+		left.Add(1)
+		return &counted{Conn: raw, left: &left}, err
+	}
+	errs := make(chan error, calls)
+	for range calls {
+		go func() { errs <- limited(table, h, "work") }()
+	}
+	for range calls {
+		assert.NilError(t, <-errs)
+	}
+	assert.Equal(t, left.Load(), int64(1))
+}
+
+// counted counts the connections that were not closed.
+type counted struct {
+	net.Conn
+	left *atomic.Int64
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.left.Add(-1) })
+	return c.Conn.Close()
+}
