--- a/services/gateway/moved.go
+++ b/services/gateway/moved.go
@@ -39,6 +39,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.forget(now)
 	for i := range last.Queues {
 		q := &last.Queues[i]
 		if n := next.Queue(q.Key()); n != nil && n.Pool == q.Pool {
@@ -47,11 +48,23 @@
 		if m.left == nil {
 			m.left = make(map[string][]departure)
 		}
-		list := slices.DeleteFunc(m.left[q.Key()], func(d departure) bool { return d.pool == q.Pool || now.Sub(d.until) > movedFor })
+		list := slices.DeleteFunc(m.left[q.Key()], func(d departure) bool { return d.pool == q.Pool })
 		m.left[q.Key()] = append(list, departure{q.Pool, now})
 	}
 }
 
+// forget drops what is too long ago. The lock is held.
+func (m *moves) forget(now time.Time) {
+	for key, list := range m.left {
+		list = slices.DeleteFunc(list, func(d departure) bool { return now.Sub(d.until) > movedFor })
+		if len(list) == 0 {
+			delete(m.left, key)
+			continue
+		}
+		m.left[key] = list
+	}
+}
+
 // earlier returns the pools that a queue led to a little while ago.
 func (m *moves) earlier(q *config.Queue, now time.Time) []string {
 	m.mu.Lock()
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// give gives one order over a channel and returns whether there was one.
+// give gives one order and returns whether there was one.
 func (l *link) give() bool {
 	o := l.owner
 	o.mu.Lock()
@@ -112,6 +112,7 @@
 // helper gives the orders of a link over another channel.
 type helper struct{ link *link }
 
+// run gives orders while there are any.
 func (h helper) run() {
 	l := h.link
 	defer l.owner.tasks.Done()
@@ -122,7 +123,7 @@
 	l.helpers--
 }
 
-// prepare returns the sending of an order over a channel. The lock is held.
+// prepare returns the sending of an order. The lock is held.
 func (l *link) prepare(order scheduler.Order) func() port.Answer {
 	p := l.owner.pool
 	switch {
