Tests of cmd: no file is read half written, no port is taken meanwhile

The addresses are held until all are drawn now, on an IP of the test program's own. No assertion is changed.

--- a/cmd/node_settings_test.go
+++ b/cmd/node_settings_test.go
@@ -60,10 +60,14 @@
 	logger, err := log.New(lines, "info", "n1")
 	assert.NilError(t, err)
 	hangup, tick := make(chan struct{}), make(chan time.Time)
+	waits := make(chan struct{}) // taken before each change, so that none is read half written
 	taken := make(chan setting.Node, 1)
 	w := &settingsWatch{
 		path: path, logger: logger, hangup: hangup, apply: func(s setting.Node) { taken <- s },
-		clock: clock.Clock{AfterFunc: func(time.Duration) <-chan time.Time { return tick }},
+		clock: clock.Clock{AfterFunc: func(time.Duration) <-chan time.Time {
+			waits <- struct{}{}
+			return tick
+		}},
 		known: []byte(nodeSettings),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -73,17 +77,22 @@
 		w.run(ctx)
 	}()
 
+	<-waits
 	tick <- time.Time{} // nothing has changed
+	<-waits
 	write(strings.Replace(nodeSettings, `grace = "6s"`, `grace = "9s"`, 1))
 	tick <- time.Time{}
 	assert.Equal(t, (<-taken).Bounds.Grace.Std(), 9*time.Second)
 
+	<-waits
 	write(strings.Replace(nodeSettings, `grace = "6s"`, `grace = "soon"`, 1))
 	tick <- time.Time{} // nothing is taken over
 	assert.Assert(t, strings.Contains(<-lines, "wrong settings"))
+	<-waits
 	write(nodeSettings)
 	hangup <- struct{}{}
 	assert.Equal(t, (<-taken).Bounds.Grace.Std(), 6*time.Second)
+	<-waits
 	cancel()
 	<-ended
 	assert.Assert(t, strings.Contains(<-lines, "hangup signal"))
--- a/cmd/signals_test.go
+++ b/cmd/signals_test.go
@@ -168,12 +168,13 @@
 
 // nodeText returns settings of a node; its store refuses connections.
 func nodeText(t *testing.T) string {
-	_, port, err := net.SplitHostPort(freeAddress(t))
+	addresses := ownAddresses(t, 3)
+	ip, port, err := net.SplitHostPort(addresses[2])
 	assert.NilError(t, err)
 	return fmt.Sprintf(`[node]
 name = "n1"
 data_center = "a"
-address = "127.0.0.1"
+address = %q
 cores = 1.0
 memory_mb = 200
 [listen]
@@ -187,7 +188,23 @@
 [bounds]
 lease_most = "10s"
 grace = "1s"
-`, freeAddress(t), freeAddress(t), port)
+`, ip, addresses[0], addresses[1], port)
+}
+
+// ownAddresses returns different addresses that are free, on an IP that no other test
+// program uses, nor any connection: a port that was free on 127.0.0.1 may be taken by
+// either before a process listens there.
+func ownAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	ip := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&63, os.Getpid()&255)
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		assert.NilError(t, err)
+		defer func() { _ = l.Close() }() // all are held until all are drawn
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
 
 // entryText returns settings of an entry whose platform is at an address.
