--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -92,13 +92,13 @@
 // one. Where that one was waited on for a whole limit, an answer now tells that the
 // older channels have fallen silent.
 func (c *Client) again(ctx context.Context, r Request, began time.Time, limit, timeout time.Duration) (Response, error) {
-	again := time.Now()
-	waited := again.Sub(began) >= limit
+	resent := time.Now()
+	waited := resent.Sub(began) >= limit
 	ch, err := c.open(ctx)
 	if err != nil {
 		return Response{}, unknown(r, c.Address, err) // the first try may have been taken
 	}
-	ch.conn.Await(again.Add(r.Hold + c.repeats.Patience()))
+	ch.conn.Await(resent.Add(r.Hold + c.repeats.Patience()))
 	response, keep, err := ch.do(ctx, c.Address, r, began.Add(timeout))
 	if err != nil {
 		ch.conn.Reset()
@@ -107,7 +107,7 @@
 	if waited {
 		c.found(1+c.end.Answered(ch.conn), began) // the first channel is closed already
 	}
-	c.answered(ch, keep, r, again)
+	c.answered(ch, keep, r, resent)
 	return response, nil
 }
 
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -268,13 +268,7 @@
 		here[u.step()]++
 	}
 	for s, n := range here {
-		away := 0
-		for i := range s.tasks {
-			if !s.tasks[i].serves() {
-				away++
-			}
-		}
-		if away+n > max(s.spec.MayMiss, 1) {
+		if s.away(nil)+n > max(s.spec.MayMiss, 1) {
 			return
 		}
 	}
@@ -318,13 +312,19 @@
 // mayMiss reports whether one more task of a step that lasts may be away by our
 // doing.
 func (p *Pool) mayMiss(s *stepState) bool {
-	away := 0
+	return s.away(nil) < max(s.spec.MayMiss, 1)
+}
+
+// away returns how many tasks of a step that lasts are not known to be at work, without
+// one, nil for none.
+func (s *stepState) away(without *taskState) int {
+	n := 0
 	for i := range s.tasks {
-		if !s.tasks[i].serves() {
-			away++
+		if t := &s.tasks[i]; t != without && !t.serves() {
+			n++
 		}
 	}
-	return away < max(s.spec.MayMiss, 1)
+	return n
 }
 
 // serves reports whether a task that lasts is known to be at work: one on a worker
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -112,11 +112,5 @@
 	if !s.spec.Lasting || u.phase != running || u.percent < fullPace {
 		return false
 	}
-	away := 0
-	for i := range s.tasks {
-		if i != u.ref.Index && !s.tasks[i].serves() {
-			away++
-		}
-	}
-	return away >= max(s.spec.MayMiss, 1)
+	return s.away(u.task()) >= max(s.spec.MayMiss, 1)
 }
