A stop that comes during an entry's start is told as a stop

Cause: daemon.Start returned the error of the step that the stop had interrupted. It returns the stop now and logs the step's error; serve and standalone both start entries with it. TestAStopDuringTheStartIsToldAsOne failed before (seen), passes now.

--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -59,11 +59,14 @@
 	// comes later is Stop's, which needs the log to the end.
 	early := context.AfterFunc(ctx, cancel)
 	err = e.Start(running)
-	if early() && err == nil {
+	stopped := !early()
+	if !stopped && err == nil {
 		return d, nil
 	}
 	d.Kill()
-	if err == nil {
+	if stopped {
+		// What the start was doing failed for that.
+		logger.Info().Str("event", "stop").AnErr("err", err).Msg("the entry is asked to stop before it is ready")
 		err = errors.Trace(ctx.Err())
 	}
 	return nil, err
