A wave gives way to a rush while it has the time

Change: none is begun while pools need more than there is, unless the wave's time runs short; that is told from its instances that are off, which need no emptying, and those in use.

--- a/services/fleet/plan_test.go
+++ b/services/fleet/plan_test.go
@@ -91,6 +91,26 @@
 // and with the race detector.
 const planMost = 300 * time.Millisecond
 
+// TestWaveGivesWayInARush: instances that are off go to a pool that lacks them before
+// they are maintained, as long as the wave has time left, and are maintained then.
+func TestWaveGivesWayInARush(t *testing.T) {
+	v := fleetView(rand.New(rand.NewPCG(1, 1)), false, 500)
+	moved, maintained := 0, 0
+	for _, a := range v.plan() {
+		moved += btoi(a.to == "p0")
+		maintained += btoi(a.to == "")
+	}
+	assert.Assert(t, moved > 400, "%d instances move", moved)
+	assert.Equal(t, maintained, 0)
+	v = fleetView(rand.New(rand.NewPCG(1, 1)), false, 500)
+	v.waves[0].seen = v.now.Add(-v.waves[0].Within / 2)
+	maintained = 0
+	for _, a := range v.plan() {
+		maintained += btoi(a.to == "")
+	}
+	assert.Equal(t, maintained, v.waves[0].AtOnce)
+}
+
 // TestTallyFollowsThePlan: what was counted once and changed with each action is what
 // counting at the end gives.
 func TestTallyFollowsThePlan(t *testing.T) {
--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -35,6 +35,7 @@
 // The times that a wave is paced by.
 const (
 	emptyTime = 4 * time.Second // that emptying a worker takes at most as a rule
+	offTime   = 2 * time.Second // until an instance that is off and was maintained is listed as such, and another is begun
 	waveSlack = 3 * time.Second // that a wave is to be done early
 )
 
@@ -53,19 +54,21 @@
 		for _, n := range left {
 			due[n] = v.actions[n] == nil
 		}
-		short := v.short(w, len(left))
+		short := v.short(w, left)
+		spare := v.spare()
 		for _, pool := range v.poolsOf(left) {
 			for _, i := range v.free(pool) {
 				if slots == 0 || !due[i.Name] {
 					continue
 				}
-				if pool != v.headroom && !short && v.supply(pool) <= v.needs(pool) {
+				if !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
 					break
 				}
 				a := v.begin(i, "", w.Number)
 				v.take(a)
 				began = append(began, a)
 				slots--
+				spare--
 			}
 		}
 	}
@@ -106,12 +109,33 @@
 	return slots
 }
 
+// spare returns how many instances no pool needs. In a rush there are none and a wave
+// gives way: an instance that is maintained comes two seconds later.
+func (v *view) spare() int {
+	spare := len(v.tally.free[v.headroom])
+	for pool, p := range v.pools {
+		spare += v.supply(pool) - p.need
+	}
+	return spare
+}
+
 // short reports whether a wave must go on though pools need its instances.
-func (v *view) short(w *waveState, left int) bool {
-	rounds := 1
-	if w.AtOnce > 0 {
-		rounds = (left + w.AtOnce - 1) / w.AtOnce
+func (v *view) short(w *waveState, left []string) bool {
+	off := 0
+	for _, name := range left {
+		if v.instances[name].Worker == "" {
+			off++
+		}
 	}
-	takes := time.Duration(rounds)*(v.repair+emptyTime) + waveSlack
+	takes := w.rounds(off)*(v.repair+offTime) + w.rounds(len(left)-off)*(v.repair+emptyTime) + waveSlack
 	return v.now.Sub(w.seen)+takes > w.Within
 }
+
+// rounds returns how many times as many instances as may be maintained at once are
+// needed for a number of them.
+func (w *waveState) rounds(n int) time.Duration {
+	if w.AtOnce <= 0 {
+		return time.Duration(btoi(n > 0))
+	}
+	return time.Duration((n + w.AtOnce - 1) / w.AtOnce)
+}
