What is overdue takes no instance from what can be in time; a shortage is shared

Change: tasks of overdue jobs count with the spare instances and not with what a pool must have; between pools that both lack instances the better served one gives, a quarter of its instances at once at most, until it is served no better than 1.5 times the other.

--- a/services/fleet/need.go
+++ b/services/fleet/need.go
@@ -34,13 +34,15 @@
 	holdLevel    = 3 * time.Second         // after a peak; a move there and back takes as long
 )
 
-// needs returns how many instances of a size a pool needs for what it has, those
-// with labels aside, and how many with the spare ones. What must be apart leaves
-// most of its instances free, which are as good as spare ones.
+// needs returns how many instances of a size a pool needs for what is of use, those
+// with labels aside, and how many with the spare ones and for what is overdue, which
+// takes no instance from what can still be in time. What must be apart leaves most of
+// its instances free, which are as good as spare ones.
 func needs(r scheduler.Report, size job.Size) (hard, soft int) {
 	used := r.Lasting.Plus(r.Running.Max(r.Arrives)).Plus(r.Presses)
 	share := shareOf(used, size) * spareShare
-	return max(int(math.Ceil(share)), r.Apart), max(int(math.Ceil(share+spareFor(r.Slack))), r.Apart)
+	more := max(spareFor(r.Slack), shareOf(r.Overdue, size))
+	return max(int(math.Ceil(share)), r.Apart), max(int(math.Ceil(share+more)), r.Apart)
 }
 
 // spareFor returns how many instances a pool is to have free, so that a rush of
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -65,9 +65,9 @@
 func (v *view) move() []*action {
 	var began []*action
 	began = append(began, v.fillLabels()...)
-	for _, of := range []func(*poolState) int{(*poolState).hardNeed, (*poolState).softNeed} {
-		began = append(began, v.fill(of)...)
-	}
+	began = append(began, v.fill((*poolState).hardNeed)...)
+	began = append(began, v.even()...)
+	began = append(began, v.fill((*poolState).softNeed)...)
 	if v.headroom == "" {
 		return began
 	}
--- a/services/fleet/plan_test.go
+++ b/services/fleet/plan_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,6 +112,56 @@
 	assert.Equal(t, maintained, v.waves[0].AtOnce)
 }
 
+// TestShortageIsShared: two rushes want more than the whole fleet; the pool whose rush
+// came first gives up instances, a part at a time, until both are served alike, and what
+// is overdue counts for nothing beside what can be in time.
+func TestShortageIsShared(t *testing.T) {
+	v := fleetView(rand.New(rand.NewPCG(1, 1)), false, 900)
+	v.waves = nil
+	settle := func() {
+		for name, a := range v.actions {
+			i := v.instances[name]
+			if p := v.pools[i.Pool]; p != nil {
+				p.report.Workers = slices.DeleteFunc(p.report.Workers, func(w scheduler.WorkerReport) bool { return w.Instance == name })
+			}
+			i.Pool, i.Worker = a.to, ""
+			if p := v.pools[a.to]; p != nil {
+				i.Worker = worker.ID("w-" + name)
+				p.report.Workers = append(p.report.Workers, scheduler.WorkerReport{ID: i.Worker, Instance: name, Open: true, Runs: 1})
+			}
+			v.instances[name] = i
+			delete(v.actions, name)
+		}
+	}
+	v.plan()
+	settle()
+	first := v.supply("p0")
+	assert.Assert(t, first > 400, "%d instances", first)
+	v.pools["p1"].report.Presses = fleetSize.Times(900)
+	v.plan()
+	assert.Assert(t, v.supply("p0") >= first*3/4, "%d of %d are left at once", v.supply("p0"), first)
+	for range 20 {
+		settle()
+		v.plan()
+	}
+	a, b := v.supply("p0"), v.supply("p1")
+	assert.Assert(t, float64(a) <= evenMargin*float64(b)+evenMargin && b <= a+1, "%d and %d", a, b)
+	v.pools["p0"].report.Presses, v.pools["p0"].report.Overdue = job.Size{}, fleetSize.Times(900)
+	for range 20 {
+		settle()
+		v.plan()
+	}
+	assert.Assert(t, v.supply("p0") < 20, "%d instances for what is overdue", v.supply("p0"))
+	v.pools["p1"].report.Presses = job.Size{}
+	v.now = v.now.Add(2 * holdLevel)
+	for range 20 {
+		settle()
+		v.plan()
+		v.now = v.now.Add(2 * holdLevel)
+	}
+	assert.Assert(t, v.supply("p0") > 400, "%d instances for what is owed its end", v.supply("p0"))
+}
+
 // TestTallyFollowsThePlan: what was counted once and changed with each action is what
 // counting at the end gives.
 func TestTallyFollowsThePlan(t *testing.T) {
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -103,6 +103,7 @@
 	Arrives job.Size            `json:"arrives"`          // that the jobs of the last moments would keep busy if they went on coming
 	Waiting job.Size            `json:"waiting"`          // of the other tasks that may run and have no room
 	Presses job.Size            `json:"presses"`          // the part of it that is needed for all of them to be in time
+	Overdue job.Size            `json:"overdue"`          // of tasks that may run and whose jobs are of no use any more; they are owed their end
 	Apart   int                 `json:"apart"`            // workers that a step needs since few of its tasks may be on one
 	Slack   time.Duration       `json:"slack"`            // that jobs have when they come, on the mean; 0 where none has come
 	Labels  map[string]job.Size `json:"labels,omitempty"` // of the tasks that need a label, by it; they count here only
@@ -227,6 +228,10 @@
 				r.Lasting = r.Lasting.Plus(room.Times(len(s.tasks)))
 			case s.waiting > 0 && j.rounds[n].ready(i):
 				waiting := room.Times(s.waiting)
+				if j.urgency(s, now) == overdue {
+					r.Overdue = r.Overdue.Plus(waiting)
+					continue
+				}
 				r.Waiting = r.Waiting.Plus(waiting)
 				r.Presses = r.Presses.Plus(waiting.Scale(p.pressure(j, s, now)))
 			}
