A node that owns no pool does not read the list of workers

And where all start together, every node read the directory once for each. Change: without a pool nothing is read, and all of it as soon as one is claimed; changes of the directory are read together, 0.5 ms for each node there is. Of what one reading brings of a worker the newest counts: one that was gone and came back in it was missed for good before. Ruled out: one reader in each data centre that tells others, which this does not need yet. Tests: nothing is read while idle, and the whole at the first need.

--- a/node/limits.go
+++ b/node/limits.go
@@ -14,5 +14,4 @@
 const (
 	operatorsWait = 700 * time.Millisecond // a reading waits for news so long; see the directory's
 	workersGap    = 250 * time.Millisecond // workers write every 1.5 s; what they write is read together
-	idleGap       = 2 * time.Second        // the same on a node that owns no pool: the store's readings are limited for all nodes together
 )
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	server  *noderpc.Server
 
 	operatorFeed follow.Follower
+	unread       sync.Map     // names of entries among the workers that were told as unreadable
 	catching     atomic.Bool  // another node is being asked for news
 	answered     atomic.Int64 // when another node answered a probe last, in nanoseconds since 1970
 
@@ -309,45 +310,43 @@
 func (n *Node) followWorkers(ctx context.Context) {
 	f := follow.Follower{
 		Store: n.Ports.Store, Partition: n.Ports.Feeds.Workers, Clock: n.Clock, Logger: n.Logger,
-		Gap: n.listGap, Hurry: n.hurry,
+		Gap: func() time.Duration { return workersGap }, Hurry: n.hurry, Idle: n.ownsNoPool,
 		Apply: func(records []port.Record, whole bool) { n.list(ctx, records, whole) },
 	}
 	f.Run(ctx)
 }
 
-// listGap returns how often the list of workers is read: seldom where no pool of
-// this node needs it.
-func (n *Node) listGap() time.Duration {
+// ownsNoPool reports whether no pool of this node needs the list of workers. Each of
+// them changes its entry every second or two: read by every node, the list of 3,000
+// takes more than all reading that the store bears.
+func (n *Node) ownsNoPool() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.owners) == 0 {
-		return idleGap
-	}
-	return workersGap
+	return len(n.owners) == 0
 }
 
-// list takes records of the platform's list of workers.
+// list takes records of the platform's list of workers. An entry that can't be read,
+// or that lacks what a worker says of itself, may be another writer's: it names no
+// worker to use, and what an earlier one said is told no longer.
 func (n *Node) list(ctx context.Context, records []port.Record, whole bool) {
+	newest := make(map[worker.ID]*worker.Worker, len(records)) // nil for one that is gone
+	for _, r := range records {
+		newest[worker.ID(r.Key)] = n.decodeWorker(r)
+	}
 	var seen []worker.Worker
 	var gone []worker.ID
 	n.mu.Lock()
 	if whole {
 		clear(n.workers)
 	}
-	for _, r := range records {
-		if len(r.Value) == 0 {
-			delete(n.workers, worker.ID(r.Key))
-			gone = append(gone, worker.ID(r.Key))
-			continue
-		}
-		w, err := n.Ports.Feeds.DecodeWorker(r)
-		if err != nil {
-			n.Logger.Error().Str("event", "worker").Err(err).Msg("a worker's record can't be read and is passed over")
+	for id, w := range newest {
+		if w == nil {
+			delete(n.workers, id)
+			gone = append(gone, id)
 			continue
 		}
-		w.Revision = r.Offset
-		n.workers[w.ID] = w
-		seen = append(seen, w)
+		n.workers[id] = *w
+		seen = append(seen, *w)
 	}
 	n.mu.Unlock()
 	for _, o := range n.ownerList() {
@@ -357,3 +356,21 @@
 		}
 	}
 }
+
+// decodeWorker returns the worker that an entry names, nil for none.
+func (n *Node) decodeWorker(r port.Record) *worker.Worker {
+	if len(r.Value) == 0 {
+		return nil
+	}
+	w, err := n.Ports.Feeds.DecodeWorker(r)
+	if err == nil {
+		w.Revision = r.Offset
+		n.unread.Delete(r.Key)
+		return &w
+	}
+	if _, told := n.unread.Swap(r.Key, true); !told {
+		n.Logger.Error().Str("event", "worker").Str("worker", r.Key).Uint64("offset", r.Offset).Err(err).Str("outcome", "not used").
+			Msg("an entry among the workers names no worker to use")
+	}
+	return nil
+}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -85,11 +85,26 @@
 func (d *Directory) Run(ctx context.Context) {
 	f := &d.follower
 	f.Store, f.Partition, f.Clock, f.Logger = d.Store, Partition, d.Clock, d.Logger
-	f.Wait, f.Apply = followWait, d.apply
+	f.Wait, f.Gap, f.Apply = followWait, d.followGap, d.apply
 	go d.run(ctx)
 	f.Run(ctx)
 }
 
+// gapPerNode is the pause between two readings of the directory for each node that
+// there is: every node reads every change, and where all start or stop together there
+// are as many changes as nodes. All nodes together read it 2,000 times a second at most;
+// of 300, each learns of a change 0.15 s later at most.
+const gapPerNode = 500 * time.Microsecond
+
+// followGap returns the pause between two readings.
+func (d *Directory) followGap() time.Duration {
+	v, _ := d.View()
+	if v == nil {
+		return 0
+	}
+	return time.Duration(len(v.Nodes)) * gapPerNode
+}
+
 // Age returns how long ago the directory was read in the store.
 func (d *Directory) Age() time.Duration { return d.follower.Age() }
 
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -30,6 +30,9 @@
 	Gap func() time.Duration
 	// Hurry ends a pause early; nil never does.
 	Hurry <-chan struct{}
+	// Idle reports whether nobody needs the partition now: then nothing is read until
+	// a hurry, and all of it after that. Nil stands for never.
+	Idle func() bool
 	// Apply takes records in the order of the partition. Where whole is true
 	// they are the newest of all keys, and other keys are no longer there.
 	Apply func(records []port.Record, whole bool)
@@ -46,8 +49,12 @@
 // Run follows the partition until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.idle() {
+			f.rest(ctx)
+			continue
+		}
 		from, err := f.readWhole(ctx)
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && !f.idle() {
 			f.pause(ctx)
 			from, err = f.readTail(ctx, from)
 		}
@@ -60,6 +67,16 @@
 	}
 }
 
+func (f *Follower) idle() bool { return f.Idle != nil && f.Idle() }
+
+// rest waits for a hurry.
+func (f *Follower) rest(ctx context.Context) {
+	select {
+	case <-f.Hurry:
+	case <-ctx.Done():
+	}
+}
+
 // readWhole reads the newest records of all keys and returns from where to go
 // on. The pages are no snapshot; what changed meanwhile is read after them.
 func (f *Follower) readWhole(ctx context.Context) (uint64, error) {
--- /dev/null
+++ b/services/follow/follow_test.go
@@ -0,0 +1,68 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package follow
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// TestNothingIsReadWhileIdle: a partition of 3,000 workers, each of which changes its
+// entry every 1.5 s, costs a node that does not need it nothing, and is there as a whole
+// as soon as it does.
+func TestNothingIsReadWhileIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var whole, tails atomic.Int64
+		var idle atomic.Bool
+		idle.Store(true)
+		hurry := make(chan struct{}, 1)
+		applied := make(chan bool, 100)
+		f := Follower{
+			Store: port.Store{
+				Newest: func(context.Context, port.Partition, string) (port.Page, error) {
+					whole.Add(1)
+					return port.Page{Records: []port.Record{{Key: "w"}}, End: 1}, nil
+				},
+				Read: func(context.Context, port.Partition, uint64, time.Duration) (port.Tail, error) {
+					tails.Add(1)
+					return port.Tail{End: 1}, nil
+				},
+			},
+			Logger: log.Nop(), Gap: func() time.Duration { return 250 * time.Millisecond }, Hurry: hurry, Idle: idle.Load,
+			Apply: func(_ []port.Record, whole bool) { applied <- whole },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(time.Minute)
+		assert.Equal(t, whole.Load()+tails.Load(), int64(0))
+
+		idle.Store(false)
+		hurry <- struct{}{}
+		synctest.Wait()
+		assert.Assert(t, <-applied)
+		time.Sleep(time.Second)
+		assert.Equal(t, whole.Load(), int64(1))
+		assert.Assert(t, tails.Load() >= 3)
+
+		idle.Store(true)
+		time.Sleep(time.Second)
+		read := whole.Load() + tails.Load()
+		time.Sleep(time.Minute)
+		assert.Equal(t, whole.Load()+tails.Load(), read)
+		cancel()
+		<-ended
+	})
+}
