--- a/cmd/node.go
+++ b/cmd/node.go
@@ -94,7 +94,7 @@
 		Store:     meter.Store(store.Port()),
 		Feeds:     platform.Feeds(),
 		Workers:   meter.Workers(workers.Port()),
-		Instances: meter.Instances((&platform.Instances{Client: c.to("instances", s.Platform.Instances)}).Port()),
+		Instances: meter.Instances(c.instances(s.Platform.Instances).Port()),
 		Advisor:   meter.Advisor((&platform.Advisor{Client: c.to("advice", s.Platform.Advice)}).Port()),
 		Found:     func(_ string, after time.Duration) { nodeFound(1, after) },
 	}, clock.Clock{}, logger)
--- a/cmd/node_clients.go
+++ b/cmd/node_clients.go
@@ -4,10 +4,12 @@
 package cmd
 
 import (
+	"sync"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/httpconn"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/platform"
 	"github.com/yardbridge/yardbridge/services/measure"
 )
 
@@ -26,3 +28,15 @@
 			Msg("channels had fallen silent and are closed: a fresh one has answered what got no answer on them")
 	}}
 }
+
+// instances returns the control of instances at an address. Rows of its list that can't
+// be read are counted, and the first is logged: the list is read eight times a second.
+func (c clients) instances(address string) *platform.Instances {
+	var first sync.Once
+	return &platform.Instances{Client: c.to("instances", address), Unread: func(err error) {
+		c.meter.Count("instances.unread")
+		first.Do(func() {
+			c.logger.Error().Str("event", "instances").Err(err).Str("outcome", "passed over").Msg("a row of the list of instances can't be read")
+		})
+	}}
+}
