Pools that the store turns away move all at once, and once

Cause, by the logs: a pool that another node had just taken over was given away once more before its earlier owner had ended (jeka64b to b-2 at 18.300 and to c-2 at 18.345 s, and so with each), which has it taken over twice; and duties were given one after the other, each heir with a second to answer. Change: all duties whose appends get no answer are given at once, each until one has taken it. Before, after: in the new script, in which the store turns four nodes away in turn, five moves of pools were doubled; now none.

--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -46,6 +46,9 @@
 	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
 		fmt.Fprintf(os.Stderr, "{\"event\":\"HAPPENS\",\"what\":\"%+v\",\"time\":%q}\n", e, time.Now().Format(time.RFC3339))
 	}
+	if st.script.Once {
+		st.expectOnce(e)
+	}
 	switch e.Kind {
 	case "kill", "stop":
 		for i, n := range st.nodes {
@@ -83,6 +86,29 @@
 	}
 }
 
+// expectOnce has the pools looked at before an event is over: those of its node must
+// have changed their owner once, and the others not at all.
+func (st *stage) expectOnce(e scriptEvent) {
+	n := st.live()
+	if n == nil {
+		st.fail("no node is ready")
+		return
+	}
+	before, _ := n.Directory.View()
+	time.AfterFunc(e.For.Std(), func() {
+		after := st.owners()
+		for pool, o := range before.Pools {
+			moves, want := after[pool]-o.Epoch, uint64(0)
+			if o.Node == st.nodes[e.Node-1].name {
+				want = 1
+			}
+			if moves != want {
+				st.fail("pool %s of node %s has changed its owner %d times, not %d", pool, o.Node, moves, want)
+			}
+		}
+	})
+}
+
 func fault(f *world.Faults, e scriptEvent, on bool) {
 	switch e.Kind {
 	case "cut":
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -44,6 +44,7 @@
 	MayStay  bool              `toml:"may_stay"` // jobs need not be done
 	Complete []int             `toml:"complete"` // waves that must be
 	Stay     bool              `toml:"stay"`     // no pool may change its owner after the first event
+	Once     bool              `toml:"once"`     // each event has the pools of its node change their owner once, and no others
 	Answer   tomlfile.Duration `toml:"answer"`   // the longest that a call of a customer may take, 0 for no limit
 }
 
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -28,6 +28,7 @@
 	Done  func() <-chan struct{} // closed once it is the owner no longer
 
 	cancel context.CancelFunc // ends Run
+	giving bool               // another node is being asked to take it over, or has
 }
 
 // Steward claims pools that have no owner; its fields are set before Run. Lock
@@ -47,14 +48,13 @@
 	// Take asks another node to take a pool over.
 	Take func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
 
-	mu        sync.Mutex
-	running   context.Context // of Run; a duty that another node has asked to take over ends with it
-	owned     map[string]*Tenant
-	claiming  map[string]bool
-	orphaned  map[string]time.Time // since when a pool has no owner that is present
-	leaving   bool
-	relieving bool // a wish that another node takes over is under way
-	tasks     sync.WaitGroup
+	mu       sync.Mutex
+	running  context.Context // of Run; a duty that another node has asked to take over ends with it
+	owned    map[string]*Tenant
+	claiming map[string]bool
+	orphaned map[string]time.Time // since when a pool has no owner that is present
+	leaving  bool
+	tasks    sync.WaitGroup
 }
 
 // The pace of the steward.
@@ -132,38 +132,44 @@
 // answers in 4 ms, and 60 times as long on its slow days.
 const relieveAfter = 700 * time.Millisecond
 
-// relieve gives the duties whose appends the store does not answer to other
-// nodes, one at a time.
+// relieve gives the duties whose appends the store does not answer to other nodes, each
+// once, and all at once: what their owner can't keep, it refuses.
 func (s *Steward) relieve(ctx context.Context, v *directory.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.relieving {
-		return
-	}
+	var stuck []string
 	for _, duty := range slices.Sorted(maps.Keys(s.owned)) {
-		if s.owned[duty].Stuck() > relieveAfter {
-			s.relieving = true
-			s.tasks.Add(1)
-			go relief{s, v, duty}.run(ctx)
-			return
+		if t := s.owned[duty]; !t.giving && t.Stuck() > relieveAfter {
+			t.giving = true
+			stuck = append(stuck, duty)
 		}
 	}
+	if len(stuck) > 0 {
+		s.tasks.Add(1)
+		go relief{s, v, stuck}.run(ctx)
+	}
 }
 
-// relief is one wish that another node takes a duty over.
+// relief is one wish that other nodes take duties over.
 type relief struct {
-	s    *Steward
-	v    *directory.View
-	duty string
+	s      *Steward
+	v      *directory.View
+	duties []string
 }
 
-// run asks the other nodes, in an order of their own for each time.
+// run asks the other nodes.
 func (r relief) run(ctx context.Context) {
 	defer r.s.tasks.Done()
-	r.s.giveAway(ctx, r.v, []string{r.duty})
-	r.s.mu.Lock()
-	r.s.relieving = false
-	r.s.mu.Unlock()
+	r.s.giveAway(ctx, r.v, r.duties)
+}
+
+// kept notes that no other node has taken a duty over, so that another may be asked.
+func (s *Steward) kept(duty string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.owned[duty]; t != nil {
+		t.giving = false
+	}
 }
 
 // orphans returns the pools without an owner that is present, in order.
@@ -386,9 +392,15 @@
 		}
 	}
 	heirs := inherit(&rest, pools)
+	var gifts sync.WaitGroup
 	for _, pool := range pools {
-		s.give(ctx, &rest, pool, heirs[pool])
+		gifts.Go(func() {
+			if !s.give(ctx, &rest, pool, heirs[pool]) {
+				s.kept(pool)
+			}
+		})
 	}
+	gifts.Wait()
 }
 
 // settled reports whether a duty is not owned here any more, or goes on.
@@ -402,8 +414,8 @@
 // giveTimeout bounds the wish that one node takes a pool over.
 const giveTimeout = time.Second
 
-// give asks one node after the other to take a pool over.
-func (s *Steward) give(ctx context.Context, v *directory.View, pool string, heirs []string) {
+// give asks one node after the other to take a pool over, and reports whether one has.
+func (s *Steward) give(ctx context.Context, v *directory.View, pool string, heirs []string) bool {
 	for _, name := range heirs {
 		bounded, cancel := context.WithTimeout(ctx, giveTimeout)
 		o, err := s.Take(bounded, v.Nodes[name], pool)
@@ -412,8 +424,12 @@
 			s.Directory.Learn(o)
 		}
 		s.Logger.Info().Str("event", "hand-over").Str("pool", pool).Str("to", name).AnErr("err", err).Msg("a pool is handed over")
-		if err == nil || ctx.Err() != nil || s.settled(pool) {
-			return
+		if err == nil {
+			return true
+		}
+		if ctx.Err() != nil || s.settled(pool) {
+			return false
 		}
 	}
+	return false
 }
