A slow store is not taken for one that is away, and records do not wait behind questions

Each customer who asks for a job that is not there has the store asked whether this node still owns the pool, one call after the other, and the records of the pool waited in between; an append that took over a second was followed by one more such call; and calls that were answered late were made again over fresh channels, some twenty before the usual time of an answer had been learned. Change: whoever asks is told by any append sent since; the owner asks by itself only a second after the last answer; an answer to a repeated call that is late again counts at once; and an append counts as stuck, which has jobs refused and pools given away, only after three times the time of the one before. Ruled out: take-overs (two in that time), the list of instances, the orders themselves (5 ms).

--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -104,6 +104,7 @@
 		ch.conn.Reset()
 		return Response{}, unknown(r, c.Address, err)
 	}
+	c.repeats.Again(resent, r.Hold)
 	if waited {
 		c.found(1+c.end.Answered(ch.conn), began) // the first channel is closed already
 	}
--- a/modules/silence/repeat.go
+++ b/modules/silence/repeat.go
@@ -55,10 +55,26 @@
 	defer r.mu.Unlock()
 	r.spent = max(r.spent-budgetShare, 0)
 	r.answered++
-	if r.answered%timedOneIn != 1 {
-		return
+	if r.answered%timedOneIn == 1 {
+		r.took(max(time.Since(began)-held, 0))
 	}
+}
+
+// Again notes that a call was answered which had got no answer before: where it took as
+// long again, the far end is slow, and the next calls wait for it.
+func (r *Repeats) Again(began time.Time, held time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	took := max(time.Since(began)-held, 0)
+	if took > leastPatience/2 {
+		r.usual = max(r.usual, took)
+		return
+	}
+	r.took(took)
+}
+
+// took takes the time of an answer into the usual one. The lock is held.
+func (r *Repeats) took(took time.Duration) {
 	if r.usual == 0 {
 		r.usual = took
 	}
--- a/modules/silence/silence_test.go
+++ b/modules/silence/silence_test.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -120,3 +121,34 @@
 	}
 	assert.Assert(t, r.Patience() > time.Second, "%s", r.Patience())
 }
+
+// TestSlowEndIsLearnedAtOnce: an end that has become slow is asked twice by one call,
+// not by all of the next twenty; it is waited for no longer once it is quick again.
+func TestSlowEndIsLearnedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r Repeats
+		answer := func(takes time.Duration) (repeated bool) {
+			began := time.Now()
+			if takes <= r.Patience() {
+				time.Sleep(takes)
+				r.Answered(began, 0)
+				return false
+			}
+			time.Sleep(r.Patience())
+			again := time.Now()
+			time.Sleep(takes)
+			r.Again(again, 0)
+			r.Answered(again, 0)
+			return true
+		}
+		repeated := 0
+		for range 20 {
+			repeated += map[bool]int{true: 1}[answer(300*time.Millisecond)]
+		}
+		assert.Equal(t, repeated, 1)
+		for range 100 {
+			answer(4 * time.Millisecond)
+		}
+		assert.Equal(t, r.Patience(), leastPatience)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -180,7 +180,7 @@
 		n.inform(ctx, o)
 		return o.Run(ctx)
 	}
-	return &steward.Tenant{Claim: o.Claim, Run: run, Stuck: j.Stuck, Epoch: o.Epoch, Done: o.Done}
+	return &steward.Tenant{Claim: o.Claim, Run: run, Stuck: j.StuckFor, Epoch: o.Epoch, Done: o.Done}
 }
 
 // openFleet returns the tenant that decides on instances.
@@ -194,7 +194,7 @@
 			return n.Ports.Feeds.TellWave(ctx, n.Ports.Store, wave, done)
 		},
 	}
-	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Stuck: j.Stuck, Epoch: m.Epoch, Done: m.Done}
+	return &steward.Tenant{Claim: m.Claim, Run: m.Run, Stuck: j.StuckFor, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -166,7 +166,7 @@
 		if err := m.step(ctx); err != nil {
 			return err
 		}
-		if m.Clock.Now().Sub(m.Journal.Confirmed()) > confirmAfter {
+		if m.Clock.Now().Sub(m.Journal.Answered()) > confirmAfter {
 			if err := m.Journal.Confirm(ctx); err != nil {
 				return err
 			}
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -29,6 +29,8 @@
 	mu        sync.Mutex
 	writer    port.Writer
 	confirmed time.Time // when the last append that succeeded was sent
+	answered  time.Time // when the last append that succeeded was answered
+	took      time.Duration
 	stuck     time.Time // since when an append is under way, zero for none
 }
 
@@ -107,10 +109,20 @@
 }
 
 // Confirm makes sure that this process still is the writer; it keeps nothing, and
-// takes no sequence number, as the store counts only appends with records.
+// takes no sequence number, as the store counts only appends with records. An append
+// that was sent after it was asked for tells the same: however many ask at once, the
+// records that wait come after one such call.
 func (j *Journal) Confirm(ctx context.Context) error {
-	j.calls <- struct{}{}
+	asked := j.Clock.Now()
+	select {
+	case j.calls <- struct{}{}:
+	case <-ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "the store has not answered in time")
+	}
 	defer func() { <-j.calls }()
+	if !j.Confirmed().Before(asked) {
+		return nil
+	}
 	return j.append(ctx, nil)
 }
 
@@ -124,6 +136,27 @@
 	return j.Clock.Now().Sub(j.stuck)
 }
 
+// slowTimes is how many times as long as the one before an append may take before the
+// store counts as away: one that has become slow is not taken for one that is gone.
+const slowTimes = 3
+
+// StuckFor reports whether an append has been under way for longer than a time, or
+// where the store is slow, for much longer than the one before it took.
+func (j *Journal) StuckFor(least time.Duration) bool {
+	stuck := j.Stuck()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return stuck > max(least, slowTimes*j.took)
+}
+
+// Answered returns when an append was last answered that has shown that this process
+// still was the writer.
+func (j *Journal) Answered() time.Time {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.answered
+}
+
 // Append keeps records, all or none, and returns once they are kept, or with an
 // error of the kind Fenced or Conflict once another process writes. While the
 // store does not answer it goes on until the context ends.
@@ -163,7 +196,8 @@
 		err := j.Store.Append(ctx, j.Partition, w, records)
 		if err == nil {
 			j.mu.Lock()
-			j.confirmed = sent
+			j.confirmed, j.answered = sent, j.Clock.Now()
+			j.took = j.answered.Sub(sent)
 			j.mu.Unlock()
 			return nil
 		}
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -31,7 +31,7 @@
 		if err := o.idle(ctx, wake); err != nil {
 			return err
 		}
-		if o.Clock.Now().Sub(o.Journal.Confirmed()) > confirmAfter {
+		if o.Clock.Now().Sub(o.Journal.Answered()) > confirmAfter {
 			if err := o.Journal.Confirm(ctx); err != nil {
 				return err
 			}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -279,7 +279,8 @@
 	if err := o.live(); err != nil {
 		return 0, err
 	}
-	if stuck := o.Journal.Stuck(); stuck > stuckRefuse && !o.pool.Has(s.ID) {
+	if o.Journal.StuckFor(stuckRefuse) && !o.pool.Has(s.ID) {
+		stuck := o.Journal.Stuck()
 		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("stuck", stuck).Str("outcome", "refused").
 			Msg("a job is refused since the store does not answer")
 		return 0, errkind.New(errkind.LogUnavailable, "the store has not answered for %s", stuck.Round(time.Millisecond))
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -23,7 +23,7 @@
 type Tenant struct {
 	Claim func(ctx context.Context, node string) error // makes this node the owner
 	Run   func(ctx context.Context) error              // until it is the owner no longer
-	Stuck func() time.Duration                         // for how long an append has been under way
+	Stuck func(least time.Duration) bool               // whether an append has been under way for so long, or longer where the store is slow
 	Epoch func() uint64
 	Done  func() <-chan struct{} // closed once it is the owner no longer
 
@@ -139,7 +139,7 @@
 	defer s.mu.Unlock()
 	var stuck []string
 	for _, duty := range slices.Sorted(maps.Keys(s.owned)) {
-		if t := s.owned[duty]; !t.giving && t.Stuck() > relieveAfter {
+		if t := s.owned[duty]; !t.giving && t.Stuck(relieveAfter) {
 			t.giving = true
 			stuck = append(stuck, duty)
 		}
@@ -408,7 +408,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.owned[duty]
-	return t == nil || !s.leaving && t.Stuck() < relieveAfter
+	return t == nil || !s.leaving && !t.Stuck(relieveAfter)
 }
 
 // giveTimeout bounds the wish that one node takes a pool over.
