A swamped pool finishes what has begun, and refuses what it can not do in time

Cause: of the jobs that can be in time those come first that can wait least, and before them the late ones at their last moment; where more comes than can be done, each job ends just too late, and jobs that are left half done for others cost room for nothing. Change: where half a second of a full pool's work has been overdue for four seconds, jobs that have begun come first, then those that can wait longest; a job that would not be in time is refused at once as not run, with the time to come back, which now passes between nodes. A job's latest moment leaves 0.15 s a step for what is not its work.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	stderrors "errors"
 	"net"
 	"sync"
@@ -107,13 +108,21 @@
 func kindOf(e *jsonrpc2.Error) error {
 	kinds := errkind.Kinds()
 	if n := int(e.Code - codeBase); n >= 0 && n < len(kinds) {
+		var after time.Duration
+		if e.Data != nil && json.Unmarshal(*e.Data, &after) == nil && after > 0 {
+			return errkind.NewRetry(kinds[n], after, "%s", e.Message)
+		}
 		return errkind.New(kinds[n], "%s", e.Message)
 	}
 	return errkind.New(errkind.Internal, "%s", e.Message)
 }
 
-// codeOf returns the answer of an error.
+// codeOf returns the answer of an error, which names the time to come back as its data.
 func codeOf(err error) *jsonrpc2.Error {
 	e := errkind.Of(err)
-	return &jsonrpc2.Error{Code: codeBase + int64(e.Kind), Message: e.Message}
+	answer := &jsonrpc2.Error{Code: codeBase + int64(e.Kind), Message: e.Message}
+	if e.RetryAfter > 0 {
+		answer.SetError(e.RetryAfter)
+	}
+	return answer
 }
--- a/adapters/noderpc/client_test.go
+++ b/adapters/noderpc/client_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/silence"
 )
 
@@ -30,3 +32,14 @@
 	_, err = far.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// TestTimeToComeBackPassesBetweenNodes: a customer is told it by whichever node the call
+// came to.
+func TestTimeToComeBackPassesBetweenNodes(t *testing.T) {
+	e := errkind.Of(kindOf(codeOf(errkind.NewRetry(errkind.Overloaded, 3*time.Second, "full"))))
+	assert.Equal(t, e.Kind, errkind.Overloaded)
+	assert.Equal(t, e.After(), 3*time.Second)
+	e = errkind.Of(kindOf(codeOf(errkind.New(errkind.Gone, "no job"))))
+	assert.Equal(t, e.Kind, errkind.Gone)
+	assert.Equal(t, e.After(), time.Duration(0))
+}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -285,6 +285,11 @@
 			Msg("a job is refused since the store does not answer")
 		return 0, errkind.New(errkind.LogUnavailable, "the store has not answered for %s", stuck.Round(time.Millisecond))
 	}
+	if full := o.pool.Full(s, o.Clock.Now()); full > 0 {
+		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("full", full).Str("outcome", "refused").
+			Msg("a job is refused since it would not be done in time")
+		return 0, errkind.NewRetry(errkind.Overloaded, full, "the pool is full; a job that comes now would be %s late", full.Round(time.Millisecond))
+	}
 	return o.pool.Submit(s, o.Clock.Now()), nil
 }
 
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -64,6 +64,7 @@
 	runs       []*run // under way
 	notBefore  time.Time
 	failedOn   []worker.ID // workers on which it has failed
+	lost       []int       // numbers of runs that were taken for lost and whose end was not heard of
 }
 
 // ready reports whether the steps that a step follows are done.
@@ -96,6 +97,24 @@
 	return r
 }
 
+// open returns a task that a name stands for and its step, nil where there is none, or
+// its job has ended.
+func (p *Pool) open(name string) (*stepState, *taskState) {
+	ref, err := job.ParseTask(name)
+	if err != nil {
+		return nil, nil
+	}
+	j := p.jobs[ref.Job]
+	if j == nil || j.state.Final() || ref.Round >= len(j.rounds) || j.rounds[ref.Round] == nil || ref.Step >= len(j.sub.Steps) {
+		return nil, nil
+	}
+	s := &j.rounds[ref.Round].steps[ref.Step]
+	if ref.Index >= len(s.tasks) {
+		return nil, nil
+	}
+	return s, &s.tasks[ref.Index]
+}
+
 // runs returns the job's runs under way.
 func (j *jobState) runs() []*run {
 	var list []*run
@@ -295,9 +314,15 @@
 	if j.sub.Times > 0 {
 		begin = j.sub.Due(p.firstOpen(j))
 	}
-	j.latest = begin.Add(j.aim - left)
+	j.latest = begin.Add(j.aim - left - stepTime)
 }
 
+// stepTime is what passes beside a step's work until its end is told: its run is kept,
+// ordered, found ended and that is kept, each in some ten milliseconds, and its time is
+// not known exactly. Without it, where more comes than a pool can do and those that can
+// wait least come first, all of them end a moment late.
+const stepTime = 150 * time.Millisecond
+
 // firstOpen returns the first round that has not ended.
 func (p *Pool) firstOpen(j *jobState) int {
 	for n, r := range j.rounds {
--- /dev/null
+++ b/services/scheduler/overload.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+)
+
+// swampedBy is how many seconds of all its workers' work must be overdue for a pool to
+// count as swamped. A rush whose late jobs can all be saved leaves nothing overdue; where
+// so much more comes than the pool can do that it does, jobs saved at the last moment
+// make others late, and in the end all of them: with three times the load 0.02 are done
+// in time, and 0.3 where those that can be come first (TestOverloadServesSomeInTime).
+const swampedBy = 0.5
+
+// fullShare is which share of its workers' processors a pool that is swamped uses: one
+// whose store is slow has work that is overdue and room for it.
+const fullShare = 0.8
+
+// swampedAfter is for how long that must hold: more instances, if there are any, come
+// within two seconds and take another two to do what waited for them.
+const swampedAfter = 4 * time.Second
+
+// rank returns the place of a candidate by its urgency; the lower comes first. Where the
+// pool is swamped, jobs that have begun are finished first, while that is of use: those
+// that are left for others half done have cost room for nothing.
+func (c candidate) rank(swamped bool) int {
+	switch {
+	case !swamped || c.urgency == lasting || c.urgency == overdue:
+		return int(c.urgency)
+	case c.job.began:
+		return int(last)
+	case c.urgency == timely:
+		return int(timely)
+	}
+	return int(late)
+}
+
+// turn compares candidates of one rank: those that must go on first come first. Where the
+// pool is swamped, of the jobs that have not begun the ones that can wait longest do: the
+// others would end just too late, one after the other.
+func (c candidate) turn(o candidate, swamped bool) int {
+	if swamped && !c.job.began && !o.job.began {
+		return o.job.latest.Compare(c.job.latest)
+	}
+	return c.job.latest.Compare(o.job.latest)
+}
+
+// isSwamped reports whether more has come than the pool can do.
+func (p *Pool) isSwamped(list []candidate, now time.Time) bool {
+	left := 0.0
+	for _, c := range list {
+		if c.urgency == overdue {
+			left += float64(c.step.spec.Size.CPU*c.step.waiting) * p.expectStep(c.job, c.step).Seconds()
+		}
+	}
+	room := float64(p.openCPU(now))
+	if left <= swampedBy*room || float64(p.usedCPU()) < fullShare*room {
+		p.overdueSince = time.Time{}
+		return false
+	}
+	if p.overdueSince.IsZero() {
+		p.overdueSince = now
+	}
+	return now.Sub(p.overdueSince) >= swampedAfter
+}
+
+// usedCPU returns the processors that runs take, in thousandths of a core.
+func (p *Pool) usedCPU() int {
+	used := 0
+	for _, w := range p.workers {
+		used += w.used.CPU
+	}
+	return used
+}
+
+// openCPU returns the processors of the workers on which tasks may be placed, in
+// thousandths of a core.
+func (p *Pool) openCPU(now time.Time) int {
+	room := 0
+	for _, w := range p.workers {
+		if w.open(now) {
+			room += w.info.Capacity.CPU
+		}
+	}
+	return room
+}
+
+// comesFirst reports whether a swamped pool does a job before one that comes now: it can
+// be in time, or has begun and is of use yet.
+func (j *jobState) comesFirst(now time.Time) bool {
+	if j.state.Final() || j.sub.Times > 0 {
+		return false
+	}
+	return !now.After(j.latest) || j.began && !now.After(j.lastChance())
+}
+
+// Full returns for how long a job that comes now would have to wait beyond what it can
+// and still be in time, 0 where it may be taken. Only a swamped pool is full: what waits
+// in a rush is done by instances that are yet to come.
+func (p *Pool) Full(s job.Submission, now time.Time) time.Duration {
+	if !p.swamped || p.Has(s.ID) || s.Lasts() || s.Times > 0 {
+		return 0
+	}
+	ahead := 0.0 // core-seconds
+	for _, j := range p.active {
+		if j.comesFirst(now) {
+			ahead += j.work
+		}
+	}
+	j := p.newJob(s, now)
+	p.weigh(j)
+	const thousandths = 1000
+	wait := seconds(ahead * thousandths / float64(max(p.openCPU(now), 1)))
+	return max(wait-j.latest.Sub(now), 0)
+}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -69,11 +69,12 @@
 	for _, j := range p.active {
 		list = p.stepsOf(j, now, list)
 	}
+	p.swamped = p.isSwamped(list, now)
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			cmp.Compare(a.urgency, b.urgency),
-			a.job.latest.Compare(b.job.latest),
+			cmp.Compare(a.rank(p.swamped), b.rank(p.swamped)),
+			a.turn(b, p.swamped),
 		)
 	})
 	return list
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -43,18 +43,20 @@
 	arrivals arrivals
 	slack    mean // seconds that jobs have when they come
 
-	dirty       []*jobState
-	ended       []endedJob            // oldest first, to be forgotten
-	stops       []*run                // whose stops are not kept yet
-	planned     []*run                // since the last batch was collected
-	batch       uint64                // number of the batch that is being filled
-	committed   uint64                // newest batch that is kept for good
-	stamp       uint64                // counts looks and answers, to tell their order
-	moved       bool                  // something was freed or came since the last plan
-	wake        time.Time             // when to plan though nothing has changed, zero for never
-	reservedFor *stepState            // gang that workers are kept free for in this plan, nil for none
-	reserved    map[*workerState]bool // those workers
-	out         []worker.ID           // workers with orders that were queued since they were last asked for
+	dirty        []*jobState
+	ended        []endedJob            // oldest first, to be forgotten
+	stops        []*run                // whose stops are not kept yet
+	planned      []*run                // since the last batch was collected
+	batch        uint64                // number of the batch that is being filled
+	committed    uint64                // newest batch that is kept for good
+	stamp        uint64                // counts looks and answers, to tell their order
+	moved        bool                  // something was freed or came since the last plan
+	swamped      bool                  // more had come than the pool can do, at the last plan
+	overdueSince time.Time             // since when much is overdue though the pool is full, zero for not
+	wake         time.Time             // when to plan though nothing has changed, zero for never
+	reservedFor  *stepState            // gang that workers are kept free for in this plan, nil for none
+	reserved     map[*workerState]bool // those workers
+	out          []worker.ID           // workers with orders that were queued since they were last asked for
 }
 
 // endedJob is an ended job and when it is forgotten.
