The end of a run that was taken for lost counts

Change: an end as done of an open task counts whichever run it is of, and ends later runs; one as failed counts where this owner had taken the run for lost.

--- a/services/scheduler/answers.go
+++ b/services/scheduler/answers.go
@@ -154,12 +154,7 @@
 	if t.done || s.spec.Lasting {
 		return false
 	}
-	s.markDone(t)
-	if s.spec.Gang {
-		for i := range s.tasks {
-			s.markDone(&s.tasks[i])
-		}
-	}
+	s.markWithGang(t)
 	u.at.succeededOn()
 	if !u.restored && u.number == 1 && !u.began.IsZero() {
 		p.learn(u.job, s, now.Sub(u.began))
@@ -172,6 +167,17 @@
 	return true
 }
 
+// markWithGang counts a task as done, and with it the others of its gang.
+func (s *stepState) markWithGang(t *taskState) {
+	s.markDone(t)
+	if !s.spec.Gang {
+		return
+	}
+	for i := range s.tasks {
+		s.markDone(&s.tasks[i])
+	}
+}
+
 // markDone counts a task as done, once.
 func (s *stepState) markDone(t *taskState) {
 	if t.done {
@@ -191,11 +197,16 @@
 		t.notBefore = now.Add(lastingPause)
 		return
 	}
-	t.fails++
 	p.failedOn(u, now)
-	most := u.job.queue.Attempts
-	if most > 0 && t.fails >= most && !u.job.state.Final() {
-		p.finish(u.job, job.Failed, now, "task "+u.name+" has failed as often as is allowed")
+	p.spendAttempt(u.job, t, u.name, now)
+}
+
+// spendAttempt counts a failed run of a task, which may be its job's last.
+func (p *Pool) spendAttempt(j *jobState, t *taskState, name string, now time.Time) {
+	t.fails++
+	most := j.queue.Attempts
+	if most > 0 && t.fails >= most && !j.state.Final() {
+		p.finish(j, job.Failed, now, "task "+name+" has failed as often as is allowed")
 	}
 }
 
--- /dev/null
+++ b/services/scheduler/lateend_test.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// lostOne returns a pool that has begun a task on a worker, heard nothing more from it,
+// and taken the run for lost once its lease was over.
+func lostOne(t *testing.T) *desk {
+	d := newDesk(t, 1)
+	d.serve()
+	d.submit("1", 1)
+	d.keep()
+	order, has := d.NextOrder("w", d.now)
+	assert.Assert(t, has)
+	d.Start(order, d.now)
+	d.Answered(order, heard, d.now)
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Unknown})
+	d.now = d.now.Add(10 * time.Second)
+	d.Lapse(d.now)
+	assert.Equal(t, d.waitingTasks("1"), 1)
+	return d
+}
+
+// ended is a look that tells how run 1 of the task has ended.
+func (d *desk) ended(how worker.How) {
+	d.look("w", worker.Listing{Ends: []worker.End{{Sequence: 1, Task: "1.0.0.0", Number: 1, How: how}}}, heard)
+}
+
+// TestALostRunThatWasDone: its worker did not answer for longer than the lease, over a
+// link that was full, and lists the end when it answers again. That is taken note of, so
+// the task must not begin once more.
+func TestALostRunThatWasDone(t *testing.T) {
+	d := lostOne(t)
+	d.ended(worker.Done)
+	d.keep()
+	starts, _ := d.orders("w")
+	assert.Equal(t, starts, 0, "a task that is done begins again")
+	d.keep()
+	state, _ := d.State("1")
+	assert.Equal(t, state, job.Completed)
+}
+
+// TestALostRunThatWasDoneWhileAnotherIsPlanned: the later run is stopped, or never
+// begins.
+func TestALostRunThatWasDoneWhileAnotherIsPlanned(t *testing.T) {
+	d := lostOne(t)
+	d.See(worker.Worker{ID: "v", Instance: "j", Pool: "p", Address: "b", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+	d.look("v", worker.Listing{}, heard)
+	d.keep() // run 2 is kept, and its order waits
+	d.ended(worker.Done)
+	d.keep()
+	starts, stops := d.orders("v")
+	assert.Equal(t, starts, 0)
+	assert.Equal(t, stops, 1)
+}
+
+// TestALostRunThatFailed counts among the attempts of its task, once.
+func TestALostRunThatFailed(t *testing.T) {
+	d := lostOne(t)
+	d.jobs["1"].queue.Attempts = 1
+	d.ended(worker.Failed)
+	d.ended(worker.Failed)
+	d.keep()
+	assert.Equal(t, d.jobs["1"].rounds[0].steps[0].tasks[0].fails, 1)
+	d.keep()
+	state, _ := d.State("1")
+	assert.Equal(t, state, job.Failed)
+}
+
+// TestAnEndThatWasKeptBefore: an owner that takes over hears again of ends that the one
+// before it has kept; a failed one counts for no second attempt.
+func TestAnEndThatWasKeptBefore(t *testing.T) {
+	d := newDesk(t, 1)
+	d.serve()
+	d.submit("1", 1)
+	d.keep()
+	d.look("w", worker.Listing{Ends: []worker.End{{Sequence: 1, Task: "1.0.0.0", Number: 7, How: worker.Failed}}}, heard)
+	assert.Equal(t, d.jobs["1"].rounds[0].steps[0].tasks[0].fails, 0)
+}
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -120,6 +120,8 @@
 		w.seen = e.Sequence
 		if u := w.runs[e.Task]; u != nil && u.number == e.Number {
 			p.end(u, e, now)
+		} else {
+			p.lateEnd(w, e, now)
 		}
 	}
 	listed := make(map[string]bool, len(listing.Runs))
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -238,6 +238,9 @@
 	if u.saved != "" && u.step().spec.Checkpoints {
 		u.task().checkpoint = u.saved
 	}
+	if !u.stray {
+		u.task().lost = append(u.task().lost, u.number)
+	}
 	p.release(u)
 }
 
