Pools stay with nodes that can carry them

Change: after six nodes that say that the store turns them away too, the asking ends and begins again with the best; a duty moves on to a node that can carry three times as much for it, once that has been there for 3 s; a node's link counts as well as its processors, as 80 Mbit/s a core.

--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -28,6 +28,7 @@
 	Address    string  `toml:"address"` // IP at which other nodes reach it
 	Cores      float64 `toml:"cores"`   // its share of one, times how many it has
 	MemoryMB   int64   `toml:"memory_mb"`
+	LinkMbps   float64 `toml:"link_mbps"` // of its network link, 0 for not stated
 }
 
 // NodeListen holds the IP and port of each surface.
@@ -80,6 +81,9 @@
 	if _, err := netip.ParseAddr(n.Node.Address); err != nil {
 		c.add("node", 0, "address", "%q is no IP number; allowed is one such as 10.0.0.1", n.Node.Address)
 	}
+	if n.Node.LinkMbps < 0 {
+		c.add("node", 0, "link_mbps", "%v is not allowed; allowed is 0 for not stated, or more", n.Node.LinkMbps)
+	}
 	c.address("listen", "customers", n.Listen.Customers)
 	c.address("listen", "ready", n.Listen.Ready)
 	c.address("platform", "store", n.Platform.Store)
--- a/node/node.go
+++ b/node/node.go
@@ -90,7 +90,7 @@
 		Store: ports.Store, Clock: c, Logger: logger,
 		Self: directory.Node{
 			Name: s.Node.Name, Address: s.Peers(), Life: uint64(c.Now().UnixNano()),
-			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter,
+			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter, LinkMbps: s.Node.LinkMbps,
 		},
 	}
 	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,9 +35,11 @@
 type script struct {
 	Seed     uint64            `toml:"seed"`
 	Nodes    int               `toml:"nodes"`
-	Off      int               `toml:"off"`   // instances that are off
-	Waves    bool              `toml:"-"`     // a wave was asked for
-	Until    tomlfile.Duration `toml:"until"` // when all must be done
+	Cores    []float64         `toml:"cores"`  // of the nodes, one each where it is left out
+	Owners   []int             `toml:"owners"` // the nodes that may own pools at the end, any where it is left out
+	Off      int               `toml:"off"`    // instances that are off
+	Waves    bool              `toml:"-"`      // a wave was asked for
+	Until    tomlfile.Duration `toml:"until"`  // when all must be done
 	Pools    []scriptPool      `toml:"pool"`
 	Jobs     []scriptJob       `toml:"job"`
 	Events   []scriptEvent     `toml:"event"`
@@ -98,6 +101,7 @@
 // stagedNode is one node of a stage; it is replaced when it is killed.
 type stagedNode struct {
 	name   string
+	number int // from 1
 	mu     sync.Mutex
 	node   *Node
 	cancel context.CancelFunc
@@ -175,7 +179,7 @@
 	}
 	st.world.Configure(1, queues, pools)
 	for i := range st.script.Nodes {
-		n := &stagedNode{name: fmt.Sprintf("n%d", i+1)}
+		n := &stagedNode{name: fmt.Sprintf("n%d", i+1), number: i + 1}
 		st.nodes = append(st.nodes, n)
 		st.start(n)
 	}
@@ -188,6 +192,9 @@
 func (st *stage) start(n *stagedNode) {
 	s := setting.Node{}
 	s.Node.Name, s.Node.Address, s.Node.Cores = n.name, n.name, 1
+	if cores := st.script.Cores; len(cores) > 0 {
+		s.Node.Cores = cores[n.number-1]
+	}
 	s.Listen.NodePort, s.Platform.Partitions = 1, 8
 	s.Bounds.LeaseMost = tomlfile.Duration(10 * time.Second)
 	s.Bounds.StopTime = tomlfile.Duration(400 * time.Millisecond)
@@ -390,6 +397,7 @@
 		st.t.Error(v)
 	}
 	owners := st.owners()
+	st.judgeOwners()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for _, f := range st.failed {
@@ -412,5 +420,20 @@
 	}
 }
 
+// judgeOwners looks whether the pools belong to the nodes that may own them.
+func (st *stage) judgeOwners() {
+	st.t.Helper()
+	n := st.live()
+	if n == nil || len(st.script.Owners) == 0 {
+		return
+	}
+	v, _ := n.Directory.View()
+	for pool, o := range v.Pools {
+		if !slices.ContainsFunc(st.script.Owners, func(i int) bool { return st.nodes[i-1].name == o.Node }) {
+			st.t.Errorf("pool %s is owned by %s", pool, o.Node)
+		}
+	}
+}
+
 // want returns how many tasks of a step there are.
 func (st *stage) want(ref job.StepRef) int { return st.world.Count(ref) }
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -33,6 +33,24 @@
 	Life       uint64  `cbor:"3,keyasint"` // of the process; a later one of the name has a higher one
 	Cores      float64 `cbor:"4,keyasint"`
 	DataCenter string  `cbor:"5,keyasint"`
+	LinkMbps   float64 `cbor:"6,keyasint,omitempty"` // of its link, 0 for not stated
+}
+
+// coresPerMbit says how much of a core's work comes with a megabit a second: a run
+// takes some 0.5 ms of a core and 5 kB, its text and what is told of it.
+const coresPerMbit = 0.0125
+
+// leastCapacity stands for a node that does not state its processors.
+const leastCapacity = 0.01
+
+// Capacity returns what a node can carry, in cores: its processors, or its link where
+// that bears less.
+func (n Node) Capacity() float64 {
+	capacity := n.Cores
+	if n.LinkMbps > 0 {
+		capacity = min(capacity, n.LinkMbps*coresPerMbit)
+	}
+	return max(capacity, leastCapacity)
 }
 
 // Ownership says which node owns a pool, and in which slot the pool's partition
--- /dev/null
+++ b/services/steward/improve.go
@@ -0,0 +1,95 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/yardbridge/yardbridge/services/directory"
+)
+
+// A pool may have come to a node that can carry little, since no better one was there:
+// many had been killed, or the store came back when that node was asked. It moves on once
+// there is a much better one.
+
+// When a pool moves to a better node.
+const (
+	// muchBetter is how many times more another node must be able to carry for each of
+	// its duties. A take-over stops a pool for some 0.2 s; nodes that differ less carry
+	// the same rush.
+	muchBetter = 3
+	// provedAfter is for how long both the other node must have been there, and this one
+	// have owned the pool: one that is being restarted is about to go.
+	provedAfter = 3 * time.Second
+)
+
+// improve gives one duty to a much better node, if there is one.
+func (s *Steward) improve(ctx context.Context, v *directory.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	self := v.Nodes[s.Directory.Self.Name]
+	own := float64(len(s.owned)) / self.Capacity()
+	best := s.best(v, now)
+	if s.leaving || best == "" || load(v.Nodes[best], duties(v, best))*muchBetter > own {
+		return
+	}
+	for duty, t := range s.owned {
+		if t.giving || now.Sub(t.since) < provedAfter || t.Stuck(0) {
+			continue
+		}
+		t.giving = true
+		s.tasks.Add(1)
+		go upgrade{s, v, duty, best}.run(ctx)
+		return
+	}
+}
+
+// best returns the other node that can carry most for one more duty, "" for none.
+func (s *Steward) best(v *directory.View, now time.Time) string {
+	best := ""
+	for name, n := range v.Nodes {
+		if name == s.Directory.Self.Name || now.Sub(time.Unix(0, int64(n.Life))) < provedAfter { //nolint:gosec // a time
+			continue
+		}
+		if best == "" || better(v, name, best) {
+			best = name
+		}
+	}
+	return best
+}
+
+// better reports whether one node can carry more for one more duty than another.
+func better(v *directory.View, a, b string) bool {
+	x, y := load(v.Nodes[a], duties(v, a)), load(v.Nodes[b], duties(v, b))
+	return x < y || x == y && a < b
+}
+
+// duties returns how many duties a node owns.
+func duties(v *directory.View, name string) int {
+	n := 0
+	for duty := range v.Pools {
+		if o, _, present := v.Owner(duty); present && o.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
+// upgrade is one wish that a better node takes a duty over.
+type upgrade struct {
+	s    *Steward
+	v    *directory.View
+	duty string
+	to   string
+}
+
+// run asks the node.
+func (u upgrade) run(ctx context.Context) {
+	defer u.s.tasks.Done()
+	if !u.s.give(ctx, u.v, u.duty, []string{u.to}) {
+		u.s.kept(u.duty)
+	}
+}
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -29,6 +29,7 @@
 
 	cancel context.CancelFunc // ends Run
 	giving bool               // another node is being asked to take it over, or has
+	since  time.Time          // when it was claimed
 }
 
 // Steward claims pools that have no owner; its fields are set before Run. Lock
@@ -52,6 +53,7 @@
 	running  context.Context // of Run; a duty that another node has asked to take over ends with it
 	owned    map[string]*Tenant
 	claiming map[string]bool
+	refused  map[string]error     // why a pool was not claimed last, nil where it was
 	orphaned map[string]time.Time // since when a pool has no owner that is present
 	leaving  bool
 	tasks    sync.WaitGroup
@@ -99,6 +101,7 @@
 	}
 	s.yield(v)
 	s.relieve(ctx, v)
+	s.improve(ctx, v)
 	orphans := s.orphans(c, v)
 	heirs := inherit(v, orphans)
 	for _, pool := range orphans {
@@ -234,14 +237,11 @@
 	return heirs
 }
 
-// load is what one more pool makes a node carry for its processors.
+// load is what one more pool makes a node carry for its processors and link.
 func load(n directory.Node, owns int) float64 {
-	return float64(owns+1) / max(n.Cores, minCores)
+	return float64(owns+1) / n.Capacity()
 }
 
-// minCores stands for the processors of a node that does not state them.
-const minCores = 0.01
-
 func btoi(b bool) int {
 	if b {
 		return 1
@@ -258,6 +258,7 @@
 	}
 	if s.claiming == nil {
 		s.claiming = make(map[string]bool)
+		s.refused = make(map[string]error)
 		s.owned = make(map[string]*Tenant)
 	}
 	s.claiming[pool] = true
@@ -279,8 +280,9 @@
 	o, err := t.claim(ctx)
 	t.s.mu.Lock()
 	delete(t.s.claiming, t.pool)
+	t.s.refused[t.pool] = err
 	if err == nil {
-		o.cancel = cancel
+		o.cancel, o.since = cancel, t.s.Clock.Now()
 		t.s.owned[t.pool] = o
 	}
 	t.s.mu.Unlock()
@@ -342,11 +344,14 @@
 	s.claim(pool)
 	for {
 		s.mu.Lock()
-		t, claiming := s.owned[pool], s.claiming[pool]
+		t, claiming, refused := s.owned[pool], s.claiming[pool], s.refused[pool]
 		s.mu.Unlock()
 		if t != nil {
 			return s.ownership(pool, t), nil
 		}
+		if !claiming && errkind.Is(refused, errkind.LogUnavailable) {
+			return directory.Ownership{}, errkind.New(errkind.LogUnavailable, "pool %s was not claimed: %v", pool, refused)
+		}
 		if !claiming {
 			return directory.Ownership{}, errkind.New(errkind.Fenced, "pool %s was not claimed", pool)
 		}
@@ -414,8 +419,14 @@
 // giveTimeout bounds the wish that one node takes a pool over.
 const giveTimeout = time.Second
 
+// awayMost is how many nodes may answer that the store turns them away, too, until the
+// asking ends: it is away for all then, and whichever node is asked when it comes back
+// would get the pool. The best are asked again as long as the store does not answer.
+const awayMost = 6
+
 // give asks one node after the other to take a pool over, and reports whether one has.
 func (s *Steward) give(ctx context.Context, v *directory.View, pool string, heirs []string) bool {
+	away := 0
 	for _, name := range heirs {
 		bounded, cancel := context.WithTimeout(ctx, giveTimeout)
 		o, err := s.Take(bounded, v.Nodes[name], pool)
@@ -427,7 +438,10 @@
 		if err == nil {
 			return true
 		}
-		if ctx.Err() != nil || s.settled(pool) {
+		if errkind.Is(err, errkind.LogUnavailable) {
+			away++
+		}
+		if ctx.Err() != nil || s.settled(pool) || away == awayMost {
 			return false
 		}
 	}
