--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -13,7 +13,7 @@
 // count as swamped. A rush whose late jobs can all be saved leaves nothing overdue; where
 // so much more comes than the pool can do that it does, jobs saved at the last moment
 // make others late, and in the end all of them: with three times the load 0.02 are done
-// in time, and 0.3 where those that can be come first (TestOverloadServesSomeInTime).
+// in time, and 0.25 where those that can be come first (TestOverloadServesSomeInTime).
 const swampedBy = 0.5
 
 // fullShare is which share of its workers' processors a pool that is swamped uses: one
