--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -9,27 +9,27 @@
 	"github.com/yardbridge/yardbridge/models/job"
 )
 
-// swampedBy is how many seconds of all its workers' work must be overdue for a pool to
-// count as swamped. A rush whose late jobs can all be saved leaves nothing overdue; where
+// overloadedBy is how many seconds of all its workers' work must be overdue for a pool to
+// count as overloaded. A rush whose late jobs can all be saved leaves nothing overdue; where
 // so much more comes than the pool can do that it does, jobs saved at the last moment
 // make others late, and in the end all of them: with three times the load 0.02 are done
 // in time, and 0.25 where those that can be come first (TestOverloadServesSomeInTime).
-const swampedBy = 0.5
+const overloadedBy = 0.5
 
-// fullShare is which share of its workers' processors a pool that is swamped uses: one
+// fullShare is which share of its workers' processors a pool that is overloaded uses: one
 // whose store is slow has work that is overdue and room for it.
 const fullShare = 0.8
 
-// swampedAfter is for how long that must hold: more instances, if there are any, come
+// overloadedAfter is for how long that must hold: more instances, if there are any, come
 // within two seconds and take another two to do what waited for them.
-const swampedAfter = 4 * time.Second
+const overloadedAfter = 4 * time.Second
 
 // rank returns the place of a candidate by its urgency; the lower comes first. Where the
-// pool is swamped, jobs that have begun are finished first, while that is of use: those
+// pool is overloaded, jobs that have begun are finished first, while that is of use: those
 // that are left for others half done have cost room for nothing.
-func (c candidate) rank(swamped bool) int {
+func (c candidate) rank(overloaded bool) int {
 	switch {
-	case !swamped || c.urgency == lasting || c.urgency == overdue:
+	case !overloaded || c.urgency == lasting || c.urgency == overdue:
 		return int(c.urgency)
 	case c.job.began:
 		return int(last)
@@ -40,17 +40,17 @@
 }
 
 // turn compares candidates of one rank: those that must go on first come first. Where the
-// pool is swamped, of the jobs that have not begun the ones that can wait longest do: the
+// pool is overloaded, of the jobs that have not begun the ones that can wait longest do: the
 // others would end just too late, one after the other.
-func (c candidate) turn(o candidate, swamped bool) int {
-	if swamped && !c.job.began && !o.job.began {
+func (c candidate) turn(o candidate, overloaded bool) int {
+	if overloaded && !c.job.began && !o.job.began {
 		return o.job.latest.Compare(c.job.latest)
 	}
 	return c.job.latest.Compare(o.job.latest)
 }
 
-// isSwamped reports whether more has come than the pool can do.
-func (p *Pool) isSwamped(list []candidate, now time.Time) bool {
+// isOverloaded reports whether more has come than the pool can do.
+func (p *Pool) isOverloaded(list []candidate, now time.Time) bool {
 	left := 0.0
 	for _, c := range list {
 		if c.urgency == overdue {
@@ -58,14 +58,14 @@
 		}
 	}
 	room := float64(p.openCPU(now))
-	if left <= swampedBy*room || float64(p.usedCPU()) < fullShare*room {
+	if left <= overloadedBy*room || float64(p.usedCPU()) < fullShare*room {
 		p.overdueSince = time.Time{}
 		return false
 	}
 	if p.overdueSince.IsZero() {
 		p.overdueSince = now
 	}
-	return now.Sub(p.overdueSince) >= swampedAfter
+	return now.Sub(p.overdueSince) >= overloadedAfter
 }
 
 // usedCPU returns the processors that runs take, in thousandths of a core.
@@ -89,7 +89,7 @@
 	return room
 }
 
-// comesFirst reports whether a swamped pool does a job before one that comes now: it can
+// comesFirst reports whether an overloaded pool does a job before one that comes now: it can
 // be in time, or has begun and is of use yet.
 func (j *jobState) comesFirst(now time.Time) bool {
 	if j.state.Final() || j.sub.Times > 0 {
@@ -99,10 +99,10 @@
 }
 
 // Full returns for how long a job that comes now would have to wait beyond what it can
-// and still be in time, 0 where it may be taken. Only a swamped pool is full: what waits
+// and still be in time, 0 where it may be taken. Only an overloaded pool is full: what waits
 // in a rush is done by instances that are yet to come.
 func (p *Pool) Full(s job.Submission, now time.Time) time.Duration {
-	if !p.swamped || p.Has(s.ID) || s.Lasts() || s.Times > 0 {
+	if !p.overloaded || p.Has(s.ID) || s.Lasts() || s.Times > 0 {
 		return 0
 	}
 	ahead := 0.0 // core-seconds
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -69,12 +69,12 @@
 	for _, j := range p.active {
 		list = p.stepsOf(j, now, list)
 	}
-	p.swamped = p.isSwamped(list, now)
+	p.overloaded = p.isOverloaded(list, now)
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			cmp.Compare(a.rank(p.swamped), b.rank(p.swamped)),
-			a.turn(b, p.swamped),
+			cmp.Compare(a.rank(p.overloaded), b.rank(p.overloaded)),
+			a.turn(b, p.overloaded),
 		)
 	})
 	return list
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -51,7 +51,7 @@
 	committed    uint64                // newest batch that is kept for good
 	stamp        uint64                // counts looks and answers, to tell their order
 	moved        bool                  // something was freed or came since the last plan
-	swamped      bool                  // more had come than the pool can do, at the last plan
+	overloaded   bool                  // more had come than the pool can do, at the last plan
 	overdueSince time.Time             // since when much is overdue though the pool is full, zero for not
 	wake         time.Time             // when to plan though nothing has changed, zero for never
 	reservedFor  *stepState            // gang that workers are kept free for in this plan, nil for none
