A task that crashes its workers is begun without end: failing tests

The model has tasks that crash the worker that starts them, and counts their starts once three workers have crashed (BUDGET); scripts can crash a rack. Jobs that have not ended when a script ends now count as failed: until here they were not looked at.

crashing_task and crashing_task_that_lasts fail on the code as it is, with no other fault than the task: BUDGET for each such job, none told as failed, and three jobs and four lasting tasks beside them not done. racks_crash passes.

--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -18,7 +18,7 @@
 )
 
 // scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
-// store-refuses, store-lost (for one node, or all where none is named), crash,
+// store-refuses, store-lost (for one node, or all where none is named), crash, crash-rack,
 // silent, late, hangs, fails, drain (of a worker, by its place among those of the
 // pool), wave, orders-lost (of the answers of the control of instances), history,
 // relist (of lives that are over), cancel (of the jobs of a pool), silence (of all open
@@ -177,11 +177,20 @@
 func (st *stage) trouble(e scriptEvent) {
 	list, _ := st.world.Instances().List(context.Background())
 	var ids []worker.ID
+	racks := make(map[string][]worker.ID)
 	for _, i := range list {
 		if i.Pool == e.Pool && i.Worker != "" {
 			ids = append(ids, i.Worker)
+			rack := i.Labels[len(i.Labels)-1]
+			racks[rack] = append(racks[rack], i.Worker)
 		}
 	}
+	if e.Kind == "crash-rack" {
+		for _, id := range racks[fmt.Sprintf("r-%d", e.Worker)] {
+			st.world.Crash(id, e.For.Std())
+		}
+		return
+	}
 	if e.Worker >= len(ids) {
 		return
 	}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -152,6 +152,7 @@
 			n.stop()
 		}
 		st.jobs.Wait()
+		st.judgeJobs()
 	})
 }
 
@@ -269,7 +270,7 @@
 	st.world.Submitted(s)
 	st.mu.Lock()
 	st.open[j.Pool] = append(st.open[j.Pool], s.ID)
-	if s.Lasts() {
+	if s.Lasts() && !strings.HasPrefix(j.Spec, world.CrashingSpec) {
 		st.lasting = append(st.lasting, job.StepRef{Job: s.ID})
 	}
 	st.mu.Unlock()
@@ -279,11 +280,12 @@
 		return
 	}
 	st.jobs.Go(func() { st.again(ctx, s) })
-	if s.Lasts() || st.script.MayStay {
+	crashes := strings.HasPrefix(j.Spec, world.CrashingSpec)
+	if s.Lasts() && !crashes || st.script.MayStay {
 		return
 	}
 	want := job.Completed
-	if strings.Contains(j.Spec, "poison") {
+	if strings.Contains(j.Spec, "poison") || crashes {
 		want = job.Failed
 	}
 	var last job.State
@@ -371,7 +373,7 @@
 		}
 		s.Steps = append(s.Steps, spec)
 		if o.Lasting {
-			s.Spec = "lasts"
+			s.Spec += " lasts"
 		}
 	}
 	return s
@@ -400,9 +402,6 @@
 	st.judgeOwners()
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for _, f := range st.failed {
-		st.t.Error(f)
-	}
 	if st.script.Stay && !maps.Equal(st.epochs, owners) {
 		st.t.Errorf("pools have changed their owners: epochs %v, before %v", owners, st.epochs)
 	}
@@ -420,6 +419,17 @@
 	}
 }
 
+// judgeJobs looks whether each job has ended as it must, once all who wait for one have
+// been let go: those that have not ended count as well.
+func (st *stage) judgeJobs() {
+	st.t.Helper()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, f := range st.failed {
+		st.t.Error(f)
+	}
+}
+
 // judgeOwners looks whether the pools belong to the nodes that may own them.
 func (st *stage) judgeOwners() {
 	st.t.Helper()
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -24,6 +24,8 @@
 	ordered   map[string]bool      // such a task was ended by an order
 	refused   bool                 // its customer gave up after refusals only
 	begun     bool                 // a task of it was begun
+	crashes   map[string]int       // workers that a task has crashed
+	crashed   map[string]int       // starts of a task since it has crashed as many as is allowed
 }
 
 // cancelTime is how long after a cancel's acknowledgement a task may begin, also by an
@@ -36,7 +38,7 @@
 	defer w.mu.Unlock()
 	w.jobs[s.ID] = &submitted{
 		sub: s, done: make(map[string]bool), noted: make(map[string]bool), fails: make(map[string]int), away: make(map[string]time.Time),
-		ordered: make(map[string]bool), failed: make(map[string]int),
+		ordered: make(map[string]bool), failed: make(map[string]int), crashes: make(map[string]int), crashed: make(map[string]int),
 	}
 }
 
@@ -124,6 +126,7 @@
 	}
 	w.checkTwice(node, j, step, s)
 	w.checkOrder(node, j, ref, step, s)
+	w.checkCrashes(node, j, s)
 	used := step.Room()
 	onWorker := 0
 	for name, r := range o.runs {
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -103,6 +103,9 @@
 	o.runs[s.Task] = r
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	o.schedule(r)
+	if crashes(s) {
+		time.AfterFunc(crashAfter, func() { o.w.crashUnder(o.info.ID, s.Task) })
+	}
 	return port.Taken
 }
 
