A task that crashes its workers is told from those beside it, and given up

Cause: a worker that crashes lists no end of what it ran. Ruled out: a count lost with its owner (one owner began runs 1 to 8 and 22 to 27), crashes taken for something else (there was no count to go by).

Change: each task keeps which workers have crashed under it (records of their own, read by whoever owns the pool next), weighed by how many had just begun there, how many workers went silent together and whether an instance's new life was seen. A suspect is begun apart from others, where least runs, and nothing beside it until it is seen at work; it is given up after two crashes of enough weight, or four. What is no crash: a move, maintenance, a worker that drains or leaves unlisted, one that answers again. Once one is given up, the crashes it explains are taken back from those that had been at work beside it. A task that lasts is cleared by 3 s at work; when its job fails, those that serve go on until the customer cancels, since none may be ended beside the one that is away.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -97,6 +97,7 @@
 		Instances: meter.Instances(c.instances(s.Platform.Instances).Port()),
 		Advisor:   meter.Advisor((&platform.Advisor{Client: c.to("advice", s.Platform.Advice)}).Port()),
 		Found:     func(_ string, after time.Duration) { nodeFound(1, after) },
+		Count:     meter.Count,
 	}, clock.Clock{}, logger)
 	if err != nil {
 		return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,8 @@
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
 	// Found is told of each connection to a node that was found silent; nil tells nobody.
 	Found func(address string, after time.Duration)
+	// Count adds one to a counter; nil counts nothing.
+	Count func(counter string)
 }
 
 // Node is one node; New makes it and Run brings it to life.
@@ -172,7 +174,7 @@
 		Limits: scheduler.Limits{
 			Lease: min(lease, b.LeaseMost.Std()), StopTime: b.StopTime.Std(), Keep: b.StatusKept.Std(), FarTimes: b.FarTimes,
 		},
-		Clock: n.Clock, Logger: logger, Alone: n.alone,
+		Clock: n.Clock, Logger: logger, Alone: n.alone, Count: n.Ports.Count,
 	}
 	run := func(ctx context.Context) error {
 		n.setOwner(pool, o)
--- /dev/null
+++ b/node/random_crash_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/tomlfile"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+// crashSeeds is how many random days with tasks that crash their workers are played.
+const crashSeeds = 30
+
+// innocentMost is how many jobs may be given up beside those whose tasks crash workers, of
+// some 70 a day. One in some thousand days gives up one: the users allow that for a task
+// under which two workers have crashed, and on these days four have.
+const innocentMost = 1
+
+// TestRandomDaysWithCrashes plays random days on which some tasks crash each worker that
+// starts them, racks crash and rooms shrink, beside all other faults: the jobs of such
+// tasks fail, and all others end as they must.
+func TestRandomDaysWithCrashes(t *testing.T) {
+	for n := range crashSeeds {
+		seed := uint64(n + 1)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, crashDay(seed))
+		})
+	}
+}
+
+// crashDay draws a random day and adds to it.
+func crashDay(seed uint64) script {
+	s := randomDay(seed)
+	s.Pools[1].Policy = false
+	s.GiveUp = innocentMost
+	r := rand.New(rand.NewPCG(seed, 3))
+	within := func() tomlfile.Duration {
+		return tomlfile.Duration(firstFault + time.Duration(r.Int64N(int64(healed-firstFault))))
+	}
+	for range 2 + r.IntN(4) {
+		s.Jobs = append(s.Jobs, scriptJob{At: within(), Pool: s.Pools[0].Name, Spec: world.CrashingSpec, Steps: []scriptStep{
+			{Count: 1 + r.IntN(4), CPU: 500, MemoryMB: 100, Takes: seconds(1)},
+		}})
+	}
+	return s
+}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -32,6 +32,8 @@
 	Limits  scheduler.Limits
 	Clock   clock.Clock
 	Logger  log.Logger
+	// Count adds one to a counter, nil for none.
+	Count func(counter string)
 	// Alone reports whether no other node answers, nil for never.
 	Alone func() bool
 
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -139,6 +139,20 @@
 	return true
 }
 
+// barredEverywhere reports whether the advice service allows a step on none of the workers
+// there are: it waits for another one, of which about as many are allowed as of these.
+func (p *Pool) barredEverywhere(s *stepState, now time.Time) bool {
+	if len(s.barred) == 0 {
+		return false
+	}
+	for id, w := range p.workers {
+		if w.open(now) && !s.barred[id] {
+			return false
+		}
+	}
+	return true
+}
+
 // toAsk returns the workers to ask about: those that may have room first, without
 // those that are known not to be allowed or that have a ticket.
 func (p *Pool) toAsk(s *stepState, now time.Time) []worker.ID {
--- a/services/scheduler/answers.go
+++ b/services/scheduler/answers.go
@@ -63,7 +63,7 @@
 		u.at.wantLook = true
 		return false
 	case port.OtherLife:
-		p.lifeOver(u.at, now, "another life answers")
+		p.lifeOver(u.at, now, endedItself, "another life answers")
 		return false
 	}
 	if a.Verdict == port.Unreached {
@@ -113,7 +113,7 @@
 	case port.Unknown, port.Unreached, port.Refused:
 		return true
 	case port.OtherLife:
-		p.lifeOver(u.at, now, "another life answers")
+		p.lifeOver(u.at, now, endedItself, "another life answers")
 		return false
 	}
 	// An outdated or too low order leaves the run as it was; the next look tells
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -213,7 +213,7 @@
 		for i := range j.rounds[n].steps {
 			s := &j.rounds[n].steps[i]
 			room := s.spec.Room()
-			if s.spec.Lasting && s.waiting > 0 && s.spec.Label == "" && !p.elsewhere(s, now) {
+			if s.waiting > 0 && s.spec.Label == "" && (s.spec.Lasting && !p.elsewhere(s, now) || p.barredEverywhere(s, now)) {
 				r.Apart = max(r.Apart, p.openWorkers(now)+1) // another may suit it
 			}
 			if s.spec.PerWorker > 0 && (s.spec.Lasting || s.waiting > 0) {
--- /dev/null
+++ b/services/scheduler/crash.go
@@ -0,0 +1,377 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+)
+
+// A worker that crashes takes all its runs along and lists no end of any. One of them
+// may be the cause, and would crash the next worker as well; those beside it are not,
+// and are owed their end. So each task keeps which workers have crashed under it, for
+// whoever owns the pool. A suspect is begun where least is lost with it, apart from
+// other suspects, and nothing is begun beside it until it is seen at work: its second
+// crash then tells it from the others. Its job is given up soon enough that starts which
+// an owner did not hear of have room below the users' bound, two starts after the third
+// crash.
+
+// The bounds of what is held against a task.
+const (
+	// crashesLeast is after how many crashes a task is given up at the earliest, as the
+	// users allow.
+	crashesLeast = 2
+	// weightEnough is which weight of these crashes is enough: once with up to nine others
+	// that had just begun as well, and once as the only one that had.
+	weightEnough = 1.1
+	// unseenWeight is what a crash weighs that may have been a cut, against one that is
+	// sure, and what the beginning of a run weighs that was not answered.
+	unseenWeight = 0.5
+	// crashesMost is after how many crashes any task is given up.
+	crashesMost = 4
+	// freshTime is until when a run may be what has crashed its worker, rather than one
+	// beside it: a task that does so does it as it starts, in some ten milliseconds where
+	// it was measured. As long must a suspect be seen at work before others are begun
+	// beside it.
+	freshTime = 100 * time.Millisecond
+	// provenTime is how long a task that lasts must be at work to be held to crash no
+	// worker: what crashes later is begun again, as it is owed for a whole day.
+	provenTime = 3 * time.Second
+	// holdMost is the longest that others are kept from a worker with a suspect.
+	holdMost = time.Second
+	// holdStep is after which time workers with suspects are planned for again.
+	holdStep = 100 * time.Millisecond
+	// apartMost is how long a suspect waits for a worker without another suspect.
+	apartMost = time.Second
+	// togetherTime is within which time workers that went silent may have a rack, a switch
+	// or a data centre as their one cause, rather than a task each.
+	togetherTime = time.Second
+	// downsKept is how long it may take until all crashes of one moment are known.
+	downsKept = 15 * time.Second
+)
+
+// crash is a worker that has crashed under a task, as far as is known.
+type crash struct {
+	worker worker.ID
+	weight float64 // how likely the task was the cause, of 1: a share of what had just begun; 0 for one that had not
+	sure   bool    // the instance has another life; else its worker was silent until its leases were over
+}
+
+// fresh reports whether the task had just begun.
+func (c crash) fresh() bool { return c.weight > 0 }
+
+// weigh returns how much all crashes under a task weigh.
+func (t *taskState) weigh() float64 {
+	sum := 0.0
+	for _, c := range t.crashes {
+		if c.sure {
+			sum += c.weight
+		} else {
+			sum += c.weight * unseenWeight
+		}
+	}
+	return sum
+}
+
+// lifeEnd is how a worker's life has ended.
+type lifeEnd uint8
+
+// The ends of a life.
+const (
+	endedByOrder lifeEnd = iota // its instance was moved or maintained
+	endedItself                 // it has left, or crashed
+	endedUnseen                 // it was silent for so long that its leases are over
+)
+
+// suspect is a task under which a worker may have crashed.
+type suspect struct {
+	run   *run
+	fresh bool
+}
+
+// suspects returns the runs that a worker has begun, or may have, at its life's end:
+// none where it has left as planned or was taken down by an order.
+func (p *Pool) suspects(w *workerState, how lifeEnd) []suspect {
+	if how == endedByOrder || w.info.Draining || w.lingers {
+		return nil
+	}
+	var list []suspect
+	for _, u := range w.runs {
+		if u.stray || !u.sent && !u.restored || u.provenBy(w.heardAt) {
+			continue
+		}
+		list = append(list, suspect{u, u.isFresh(w.heardAt)})
+	}
+	return list
+}
+
+// isFresh reports whether a run had just begun, or may have, when its worker was heard of
+// last. For how long one that was taken over had been at work is not known.
+func (u *run) isFresh(heard time.Time) bool {
+	if u.began.IsZero() {
+		return !u.restored
+	}
+	return heard.Sub(u.began) < freshTime
+}
+
+// provenBy reports whether a run of a task that lasts had been at work for so long that
+// it is not held to crash its worker.
+func (u *run) provenBy(at time.Time) bool {
+	return u.step().spec.Lasting && u.percent >= fullPace && !u.began.IsZero() && at.Sub(u.began) >= provenTime
+}
+
+// blame holds a crash against the tasks of a worker, and gives up those that have
+// crashed too many. Their runs are over. Where one under which others have crashed had
+// just begun, those that had been at work are not suspected.
+func (p *Pool) blame(w *workerState, list []suspect, how lifeEnd, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	together := p.downTogether(w, now)
+	fresh, explained := 0, false
+	for _, s := range list {
+		if s.fresh {
+			fresh++
+			explained = explained || len(s.run.task().crashes) > 0
+		}
+	}
+	var culprits []*taskState
+	for _, s := range list {
+		t, j := s.run.task(), s.run.job
+		if j.state.Final() || t.done || t.crashedOn(w.info.ID) || explained && !s.fresh {
+			continue
+		}
+		c := crash{worker: w.info.ID, sure: how == endedItself}
+		if s.fresh {
+			c.weight = 1 / float64(fresh*together)
+		}
+		if s.run.began.IsZero() {
+			c.weight *= unseenWeight
+		}
+		t.crashes = append(t.crashes, c)
+		t.suspectSince = now
+		j.crashesChanged = true
+		p.blamed[w.info.ID] = append(p.blamed[w.info.ID], s.run.ref)
+		p.touch(j)
+		p.count(crashSuspected)
+		p.Logger.Info().Str("event", "crash").Str("task", s.run.name).Int("run", s.run.number).Str("worker", string(w.info.ID)).
+			Int("crashes", len(t.crashes)).Float64("weight", t.weigh()).Bool("fresh", s.fresh).Int("all_fresh", fresh).Int("all", len(list)).
+			Bool("sure", c.sure).Int("together", together).Msg("a worker has crashed under a task")
+		if p.convict(j, t, s, now) {
+			culprits = append(culprits, t)
+		}
+	}
+	for _, t := range culprits {
+		p.explain(t)
+	}
+}
+
+// downTogether notes that a worker has crashed, and returns how many went silent when it
+// did: some have crashed, of others it is not known yet.
+func (p *Pool) downTogether(w *workerState, now time.Time) int {
+	at := w.silent
+	if at.IsZero() {
+		at = now
+	}
+	n := 1
+	near := func(o time.Time) bool { return o.Sub(at).Abs() < togetherTime }
+	maps.DeleteFunc(p.downs, func(_ worker.ID, o time.Time) bool { return now.Sub(o) > downsKept })
+	for id, o := range p.downs {
+		if id != w.info.ID && near(o) {
+			n++
+		}
+	}
+	for id, o := range p.workers {
+		if _, counted := p.downs[id]; !counted && o != w && !o.silent.IsZero() && near(o.silent) {
+			n++
+		}
+	}
+	p.downs[w.info.ID] = at
+	return n
+}
+
+// convict gives a task's job up where so many workers have crashed under it that it is
+// held to be their cause, and reports whether it did.
+func (p *Pool) convict(j *jobState, t *taskState, s suspect, now time.Time) bool {
+	n := len(t.crashes)
+	if n < crashesMost && (n < crashesLeast || !s.fresh || t.weigh() < weightEnough) {
+		return false
+	}
+	p.count(crashGivenUp)
+	p.finish(j, job.Failed, now, "workers have crashed under task "+s.run.name+" as often as is allowed")
+	return true
+}
+
+// explain takes the crashes of a task that was given up back from those that had been
+// at work beside it. One that had just begun as well may do the same, and stays suspected.
+func (p *Pool) explain(culprit *taskState) {
+	for _, c := range culprit.crashes {
+		p.takeBack(c.worker, func(o crash) bool { return !o.fresh() }, "explained")
+	}
+}
+
+// crashedOn reports whether a crash is held against a task.
+func (t *taskState) crashedOn(id worker.ID) bool {
+	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.worker == id })
+}
+
+// suspected reports whether a task may crash the worker that it is begun on.
+func (t *taskState) suspected() bool {
+	return len(t.crashes) >= crashesLeast || slices.ContainsFunc(t.crashes, crash.fresh)
+}
+
+// acquit takes a worker's crash back: it has answered, so it was only cut off.
+func (p *Pool) acquit(id worker.ID) {
+	p.takeBack(id, func(crash) bool { return true }, "its worker answers")
+	delete(p.blamed, id)
+}
+
+// takeBack takes a worker's crash back from the tasks it is held against, where allowed.
+func (p *Pool) takeBack(id worker.ID, allowed func(crash) bool, why string) {
+	for _, ref := range p.blamed[id] {
+		_, t := p.open(ref.String())
+		if t == nil {
+			continue
+		}
+		before := len(t.crashes)
+		t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.worker == id && allowed(c) })
+		if len(t.crashes) == before {
+			continue
+		}
+		p.crashesChange(ref)
+		p.Logger.Info().Str("event", "crash").Str("task", ref.String()).Str("worker", string(id)).Int("crashes", len(t.crashes)).
+			Str("outcome", "taken back").Str("why", why).Msg("a crash is not held against a task any more")
+	}
+}
+
+// confirm takes the news that a worker which was silent until its leases were over has
+// crashed: its instance has another life.
+func (p *Pool) confirm(id worker.ID) {
+	for _, ref := range p.blamed[id] {
+		_, t := p.open(ref.String())
+		if t == nil {
+			continue
+		}
+		for i := range t.crashes {
+			if t.crashes[i].worker == id {
+				t.crashes[i].sure = true
+			}
+		}
+		p.crashesChange(ref)
+	}
+}
+
+// crashesChange marks what is held against a task as changed.
+func (p *Pool) crashesChange(ref job.TaskRef) {
+	j := p.jobs[ref.Job]
+	j.crashesChanged = true
+	p.touch(j)
+}
+
+// prove forgets the crashes under a task that lasts once it has been at work for long.
+func (p *Pool) prove(u *run, now time.Time) {
+	t := u.task()
+	if len(t.crashes) == 0 || !u.provenBy(now) {
+		return
+	}
+	t.crashes = nil
+	p.crashesChange(u.ref)
+	p.Logger.Info().Str("event", "crash").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
+		Str("outcome", "proven").Msg("a task is at work for so long that it is not held to crash its worker")
+}
+
+// forgetBlame drops what is kept for acquittals of jobs that have ended.
+func (p *Pool) forgetBlame() {
+	for id, refs := range p.blamed {
+		refs = slices.DeleteFunc(refs, func(ref job.TaskRef) bool {
+			_, t := p.open(ref.String())
+			return t == nil || t.done
+		})
+		if p.blamed[id] = refs; len(refs) == 0 {
+			delete(p.blamed, id)
+		}
+	}
+}
+
+// onProbation reports whether a worker has a run that may crash it yet: a suspect's that
+// was not seen at work for long enough.
+func (w *workerState) onProbation(now time.Time) bool {
+	for _, u := range w.runs {
+		if u.onProbation(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *run) onProbation(now time.Time) bool {
+	if u.stray || !u.suspected || now.Sub(u.moved) > holdMost && u.began.IsZero() {
+		return false
+	}
+	return u.began.IsZero() || u.at.heardAt.Sub(u.began) < freshTime && now.Sub(u.began) < holdMost
+}
+
+// hasSuspect reports whether a suspect runs on a worker.
+func (w *workerState) hasSuspect() bool {
+	for _, u := range w.runs {
+		if u.suspected {
+			return true
+		}
+	}
+	return false
+}
+
+// What counts against a worker for a suspect, against the share of it that is in use.
+const (
+	besideRun     = 1  // each run that would be lost with it
+	besideSuspect = 20 // another suspect there, from which it could not be told
+)
+
+// wakeForSuspects has the pool planned again where suspects keep tasks waiting.
+func (p *Pool) wakeForSuspects(now time.Time) {
+	for _, w := range p.workers {
+		if w.onProbation(now) {
+			p.wakeAt(now.Add(holdStep), now)
+			return
+		}
+	}
+}
+
+// risk returns what counts against beginning a suspect on a worker.
+func (t *taskState) risk(w *workerState) float64 {
+	if !t.suspected() {
+		return 0
+	}
+	against := besideRun * float64(len(w.runs)) * float64(len(t.crashes))
+	if w.hasSuspect() {
+		against += besideSuspect
+	}
+	return against
+}
+
+// endangers reports whether a task and a worker are better kept apart: the worker may
+// crash yet, or the task may crash it while another suspect is there. Neither waits long.
+func (t *taskState) endangers(w *workerState, now time.Time) bool {
+	if w.onProbation(now) {
+		return true
+	}
+	return t.suspected() && now.Sub(t.suspectSince) < apartMost && w.hasSuspect()
+}
+
+// The counters of a pool.
+const (
+	crashSuspected = "crash.suspected" // a crash was held against a task
+	crashGivenUp   = "crash.given-up"  // a job was given up for one
+)
+
+// count adds one to a counter.
+func (p *Pool) count(counter string) {
+	if p.Count != nil {
+		p.Count(counter)
+	}
+}
--- /dev/null
+++ b/services/scheduler/crash_test.go
@@ -0,0 +1,259 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// otherLife is the answer of a later life of an instance.
+var otherLife = port.Answer{Verdict: port.OtherLife}
+
+// life lists a fresh life of an instance and has it answer a look.
+func (d *desk) life(instance string, n int) worker.ID {
+	d.t.Helper()
+	id := worker.ID(fmt.Sprintf("%s-%d", instance, n))
+	d.See(worker.Worker{ID: id, Instance: instance, Pool: "p", Address: instance, Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+	d.look(id, worker.Listing{}, heard)
+	return id
+}
+
+// beginAll keeps what is planned and has every order to a worker taken; it returns what was
+// begun there.
+func (d *desk) beginAll(id worker.ID) []string {
+	d.t.Helper()
+	d.keep()
+	var begun []string
+	for {
+		order, has := d.NextOrder(id, d.now)
+		if !has {
+			return begun
+		}
+		if order.starts() {
+			d.Start(order, d.now)
+			begun = append(begun, order.Run.name)
+		}
+		d.Answered(order, heard, d.now)
+	}
+}
+
+// crash has a worker answered for by a later life of its instance, some seconds later.
+func (d *desk) crash(id worker.ID) {
+	d.t.Helper()
+	d.now = d.now.Add(3 * time.Second)
+	d.look(id, worker.Listing{}, otherLife)
+}
+
+// state keeps what has changed and returns what a customer is told.
+func (d *desk) state(id job.ID) job.State {
+	d.t.Helper()
+	d.keep()
+	d.keep()
+	state, _ := d.State(id)
+	return state
+}
+
+// TestATaskThatCrashesItsWorkersIsGivenUp: a task under which two workers have crashed as
+// it began, the second time alone, is begun no third time, and its job is told as failed.
+func TestATaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 1)
+	for n := range 2 {
+		id := d.life("a", n)
+		assert.DeepEqual(t, d.beginAll(id), []string{"1.0.0.0"})
+		d.crash(id)
+	}
+	assert.Equal(t, d.state("1"), job.Failed)
+	assert.Equal(t, len(d.beginAll(d.life("a", 2))), 0)
+}
+
+// TestCrashesOutliveTheirOwner: the second crash is seen by a node that has taken the pool
+// over since the first, and by another one that takes it over before that is kept.
+func TestCrashesOutliveTheirOwner(t *testing.T) {
+	first := newDesk(t, 1)
+	first.submit("1", 1)
+	records := map[string]port.Record{}
+	keep := func(d *desk) {
+		for _, r := range d.keep() {
+			records[r.Key] = r
+		}
+	}
+	restored := func(token uint64) *desk {
+		d := newDesk(t, token)
+		var list []port.Record
+		for _, r := range records {
+			list = append(list, r)
+		}
+		assert.NilError(t, d.Restore(list, d.now, time.Minute))
+		return d
+	}
+	keep(first)
+	a := first.life("a", 1)
+	keep(first)
+	first.beginAll(a)
+	first.crash(a)
+	keep(first)
+	second := restored(2)
+	b := second.life("b", 1)
+	keep(second)
+	assert.DeepEqual(t, second.beginAll(b), []string{"1.0.0.0"})
+	third := restored(3)
+	second.crash(b)
+	assert.Equal(t, second.state("1"), job.Failed)
+	third.crash(b) // that the run has ended is not in its records
+	third.keep()
+	assert.Equal(t, len(third.jobs["1"].rounds[0].steps[0].tasks[0].crashes), 2)
+}
+
+// TestAJobThatIsOverHoldsNoCrashes: what was held against its tasks is dropped.
+func TestAJobThatIsOverHoldsNoCrashes(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 1)
+	a := d.life("a", 1)
+	d.beginAll(a)
+	d.crash(a)
+	assert.Assert(t, has(d.keep(), keyCrashes+"1", true))
+	_, err := d.Cancel("1", d.now)
+	assert.NilError(t, err)
+	assert.Assert(t, has(d.keep(), keyCrashes+"1", false))
+	assert.Equal(t, len(d.blamed), 0)
+}
+
+// has reports whether a record with a key, and with a value or without, is among others.
+func has(records []port.Record, key string, value bool) bool {
+	for _, r := range records {
+		if r.Key == key && (len(r.Value) > 0) == value {
+			return true
+		}
+	}
+	return false
+}
+
+// TestWhatIsNoCrash: a worker that is only cut off, one that was taken down by an order,
+// one that drains and one that leaves without saying so end the runs of a task as often as
+// they may, and it is begun again.
+func TestWhatIsNoCrash(t *testing.T) {
+	ends := map[string]func(d *desk, id worker.ID){
+		"cut off": func(d *desk, id worker.ID) {
+			d.look(id, worker.Listing{}, port.Answer{Verdict: port.Unknown})
+			d.now = d.now.Add(10 * time.Second)
+			d.Lapse(d.now)
+			d.look(id, worker.Listing{}, heard)
+			d.Over([]worker.ID{id}, d.now) // so that the next turn is another's
+		},
+		"order": func(d *desk, id worker.ID) { d.Over([]worker.ID{id}, d.now) },
+		"drains": func(d *desk, id worker.ID) {
+			leaving, _ := d.Worker(id)
+			leaving.Draining = true
+			d.See(leaving)
+			d.crash(id)
+		},
+		"leaves": func(d *desk, id worker.ID) {
+			d.Miss(id)
+			d.look(id, worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: d.jobs["1"].rounds[0].steps[0].tasks[0].number}}}, heard)
+			d.crash(id)
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, 1)
+			d.submit("1", 1)
+			for n := range 2 * crashesMost {
+				id := d.life("a", n)
+				assert.DeepEqual(t, d.beginAll(id), []string{"1.0.0.0"})
+				end(d, id)
+			}
+			assert.Equal(t, len(d.jobs["1"].rounds[0].steps[0].tasks[0].crashes), 0)
+		})
+	}
+}
+
+// TestACrashCountsOnce: a worker is silent until its leases are over, and then its
+// instance has another life.
+func TestACrashCountsOnce(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 1)
+	a := d.life("a", 1)
+	d.beginAll(a)
+	d.look(a, worker.Listing{}, port.Answer{Verdict: port.Unknown})
+	d.now = d.now.Add(10 * time.Second)
+	d.Lapse(d.now)
+	crashes := func() []crash { return d.jobs["1"].rounds[0].steps[0].tasks[0].crashes }
+	assert.Equal(t, len(crashes()), 1)
+	assert.Equal(t, crashes()[0].sure, false)
+	d.look(a, worker.Listing{}, otherLife)
+	assert.Equal(t, len(crashes()), 1)
+	assert.Equal(t, crashes()[0].sure, true)
+}
+
+// TestSuspectsAreToldApart: of four tasks on a worker that crashes one is the cause. They
+// are begun on workers of their own, and the others are done, though a second crash comes.
+func TestSuspectsAreToldApart(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 4)
+	a := d.life("a", 1)
+	assert.Equal(t, len(d.beginAll(a)), 4)
+	d.crash(a)
+	begun := make(map[string]worker.ID)
+	for n := range 4 {
+		id := d.life(fmt.Sprintf("b%d", n), 1)
+		for _, name := range d.beginAll(id) {
+			begun[name] = id
+		}
+	}
+	where := make(map[worker.ID]int)
+	for _, id := range begun {
+		where[id]++
+	}
+	assert.Equal(t, len(begun), 4)
+	assert.Equal(t, len(where), 4, "suspects share a worker: %v", begun)
+	d.submit("2", 1)
+	d.keep()
+	assert.Equal(t, d.waitingTasks("2"), 1, "a task is begun beside a suspect that was not seen at work")
+	d.now = d.now.Add(2 * freshTime)
+	for id := range where {
+		name := ""
+		for task, at := range begun {
+			if at == id {
+				name = task
+			}
+		}
+		d.look(id, worker.Listing{Runs: []worker.Run{{Task: name, Number: 2}}}, heard)
+	}
+	d.moved = true
+	d.keep()
+	assert.Equal(t, d.waitingTasks("2"), 0)
+}
+
+// TestWhatServesOnAsAJobFails: a job with tasks that last fails for one of them. The
+// others serve their users, and none of them may be ended beside the one that is away,
+// until its customer cancels it.
+func TestWhatServesOnAsAJobFails(t *testing.T) {
+	d := newDesk(t, 1)
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, Lasting: true, MayMiss: 1, PerWorker: 1}}}, d.now)
+	a := d.life("a", 1)
+	d.beginAll(a)
+	d.look(a, worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1, Percent: fullPace}}}, heard)
+	for n := range 2 {
+		b := d.life("b", n)
+		assert.DeepEqual(t, d.beginAll(b), []string{"1.0.0.1"})
+		d.crash(b)
+	}
+	assert.Equal(t, d.state("1"), job.Failed)
+	_, stops := d.orders(a)
+	assert.Equal(t, stops, 0, "a task that serves is stopped")
+	_, err := d.Cancel("1", d.now)
+	assert.NilError(t, err)
+	d.keep()
+	_, stops = d.orders(a)
+	assert.Equal(t, stops, 1, "a task of a cancelled job goes on")
+}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -26,8 +26,12 @@
 	aim      time.Duration // its objective
 	work     float64       // core-seconds that are left
 
-	failedOn  map[worker.ID]bool // workers on which its tasks have failed
-	live      int                // runs under way
+	failedOn map[worker.ID]bool // workers on which its tasks have failed
+
+	crashesChanged bool // what is held against its tasks is not kept as it is
+	crashesStored  bool // something that is held against them is kept, or in the batch under way
+
+	live      int // runs under way
 	dirty     bool
 	stored    bool   // its submission is kept for good or is in the batch under way
 	collected bool   // a batch carries it
@@ -65,6 +69,9 @@
 	notBefore  time.Time
 	failedOn   []worker.ID // workers on which it has failed
 	lost       []int       // numbers of runs that were taken for lost and whose end was not heard of
+
+	crashes      []crash   // workers that have crashed under it
+	suspectSince time.Time // when the newest of them was noted
 }
 
 // ready reports whether the steps that a step follows are done.
@@ -206,6 +213,7 @@
 		return 0, errkind.New(errkind.Gone, "no job %s", id)
 	}
 	if j.state.Final() {
+		p.stopAll(j, now, "its customer cancelled it")
 		return j.changed, nil
 	}
 	p.finish(j, job.Cancelled, now, "its customer cancelled it")
@@ -241,19 +249,42 @@
 	j.state = state
 	j.endedAt = now
 	for _, u := range j.runs() {
-		p.stop(u, now, "job "+string(state))
+		if state != job.Failed || !u.servesOn() {
+			p.stop(u, now, "job "+string(state))
+		}
 	}
 	p.touch(j)
 	p.ended = append(p.ended, endedJob{j.sub.ID, now.Add(p.Limits.Keep)})
 	p.moved = true
+	p.forgetBlame()
 	p.Logger.Info().Str("event", "job-end").Str("job", string(j.sub.ID)).Str("queue", j.sub.Queue).Str("outcome", string(state)).
 		Dur("took", now.Sub(j.accepted)).Dur("aim", j.aim).Str("why", why).Msg("a job has ended")
 }
 
+// stopAll stops what a job still runs.
+func (p *Pool) stopAll(j *jobState, now time.Time, why string) {
+	for _, u := range j.runs() {
+		p.stop(u, now, why)
+	}
+}
+
+// servesOn reports whether a run is of a task of whose step only so many may be away by our
+// doing. Such tasks of a job that has failed serve their users until its customer cancels
+// it or it is forgotten: the failed one is away for good, so none may be ended beside it.
+func (u *run) servesOn() bool {
+	s := u.step().spec
+	return s.Lasting && s.MayMiss > 0 && u.phase == running
+}
+
 // forget drops the ended jobs that were told of for long enough.
 func (p *Pool) forget(now time.Time) {
 	for len(p.ended) > 0 && !p.ended[0].at.After(now) {
 		if j := p.jobs[p.ended[0].id]; j != nil && j.state.Final() {
+			p.stopAll(j, now, "its job is told of no longer")
+			if j.live > 0 {
+				p.ended = append(p.ended[1:], endedJob{j.sub.ID, now.Add(p.Limits.StopTime)})
+				continue
+			}
 			j.state = ""
 			p.touch(j)
 			delete(p.jobs, j.sub.ID)
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -53,7 +53,7 @@
 	switch a.Verdict {
 	case port.Taken:
 	case port.OtherLife:
-		p.lifeOver(w, now, "another life answers")
+		p.lifeOver(w, now, endedItself, "another life answers")
 		return
 	case port.Unreached:
 		if w.extendedBy == k.stamp {
@@ -73,6 +73,7 @@
 		p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Dur("silent", now.Sub(w.silent)).
 			Msg("a worker answers again")
 		w.silent = time.Time{}
+		p.acquit(w.info.ID)
 		p.moved = true
 	}
 	if !w.met {
@@ -80,8 +81,10 @@
 		// before this look.
 		w.deadline = max(w.deadline, w.clock+p.Limits.Lease)
 		w.met = true
+		p.acquit(w.info.ID)
 		p.moved = true
 	}
+	w.lingers = !w.listed
 	w.told = max(w.told, k.ask.Seen)
 	if w.rivals {
 		p.outlived(w, k.sent, now)
@@ -161,6 +164,7 @@
 	if r.Checkpoint != "" {
 		u.saved = r.Checkpoint
 	}
+	p.prove(u, now)
 }
 
 // vanished reports whether a run that a look did not list has ended: its worker
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -144,5 +144,8 @@
 			break
 		}
 	}
+	if w.onProbation(w.heardAt) {
+		wait = freshTime
+	}
 	return min(wait, p.Limits.Lease/leaseParts)
 }
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -53,6 +53,7 @@
 		p.wakeAt(w.trust.until, now)
 	}
 	p.wakeForAdvice(now)
+	p.wakeForSuspects(now)
 	return p.wake
 }
 
@@ -152,10 +153,11 @@
 			continue
 		}
 		w := p.choose(c, t, now, nil)
-		if w == nil && t.fails == 0 {
+		if w == nil && t.fails == 0 && !t.suspected() {
 			return
 		}
 		if w == nil {
+			p.wakeAt(t.suspectSince.Add(apartMost), now)
 			continue
 		}
 		u := p.plan(c.job, c.step, i, w, now)
@@ -176,10 +178,10 @@
 	var best *workerState
 	var bestScore float64
 	for _, w := range p.workers {
-		if !p.suits(c.step, w, now) || skip != nil && skip(w) || w.trust.onTrial && t.risky(c.job) {
+		if !p.suits(c.step, w, now) || skip != nil && skip(w) || w.trust.onTrial && t.risky(c.job) || t.endangers(w, now) {
 			continue
 		}
-		score := p.score(c.step, w) - t.mistrust(w)
+		score := p.score(c.step, w) - t.mistrust(w) - t.risk(w)
 		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -29,6 +29,8 @@
 	// Isolated has leases extended no longer: whether another owner has taken over
 	// can't be learned.
 	Isolated bool
+	// Count adds one to a counter, nil for none.
+	Count func(counter string)
 
 	config    *config.Config
 	jobs      map[job.ID]*jobState
@@ -40,6 +42,9 @@
 	times     map[string]*trend  // what run times are to estimates, by queue
 	images    map[string]*mean   // run times in seconds, by image
 
+	blamed map[worker.ID][]job.TaskRef // tasks against which a worker's crash is held
+	downs  map[worker.ID]time.Time     // since when workers that have crashed were silent, of late
+
 	arrivals arrivals
 	slack    mean // seconds that jobs have when they come
 
@@ -74,6 +79,8 @@
 		cordons: make(map[worker.ID]bool),
 		times:   make(map[string]*trend),
 		images:  make(map[string]*mean),
+		blamed:  make(map[worker.ID][]job.TaskRef),
+		downs:   make(map[worker.ID]time.Time),
 		batch:   1,
 	}
 }
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -16,11 +16,13 @@
 )
 
 // What is kept of a job lies under two keys: its submission, written once, and
-// its progress, written with each change. Cordoned workers have a key each.
+// its progress, written with each change. Cordoned workers have a key each, and so have the
+// jobs under whose tasks workers have crashed.
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
 	keyCordon     = "c/" // with the worker's name
+	keyCrashes    = "x/" // with the job's name
 )
 
 // progress is what is kept of how far a job is.
@@ -127,7 +129,7 @@
 		return err
 	}
 	b.Records = append(b.Records, port.Record{Key: keyProgress + id, Value: data})
-	return nil
+	return b.addCrashes(j)
 }
 
 func (j *jobState) progress() progress {
@@ -227,6 +229,9 @@
 		s.ID = job.ID(id)
 		p.restoreJob(s, d, now, surely)
 	}
+	if err := p.restoreCrashes(records); err != nil {
+		return err
+	}
 	p.arrange()
 	p.moved = true
 	return nil
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -48,6 +48,8 @@
 	load     int
 	saved    string // newest checkpoint listed
 	pace     int    // share of its speed that it was told to work at
+
+	suspected bool // workers had crashed under its task when it was planned
 }
 
 // step returns the state of the run's step.
@@ -78,7 +80,7 @@
 	ref := job.TaskRef{StepRef: s.ref, Index: index}
 	u := &run{
 		job: j, ref: ref, name: ref.String(), number: t.number, at: w, room: s.spec.Room(),
-		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref],
+		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref], suspected: t.suspected(),
 	}
 	p.attach(u)
 	p.planned = append(p.planned, u)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -24,6 +24,7 @@
 
 	met      bool          // it has answered, so its clock is known and no lower token counts
 	listed   bool          // it stands in the platform's list
+	lingers  bool          // it has answered since it stood there last: it leaves as planned
 	clock    time.Duration // of the worker, as it answered last
 	clockAt  time.Time     // when that answer came
 	heardAt  time.Time     // when an answer came last that this life has given
@@ -141,7 +142,7 @@
 		p.moved = true
 	}
 	w.info = info
-	w.listed = true
+	w.listed, w.lingers = true, false
 	return false
 }
 
@@ -183,7 +184,7 @@
 			continue
 		}
 		if o.heardAt.Before(sent) {
-			p.lifeOver(o, now, "its instance has a new life")
+			p.lifeOver(o, now, endedItself, "its instance has a new life")
 		} else {
 			w.rivals = true
 		}
@@ -210,15 +211,18 @@
 }
 
 // lifeOver ends all that a worker ran: its life is over.
-func (p *Pool) lifeOver(w *workerState, now time.Time, why string) {
+func (p *Pool) lifeOver(w *workerState, now time.Time, how lifeEnd, why string) {
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Str("why", why).
 		Msg("a worker's life is over")
+	blame := p.suspects(w, how)
 	for _, u := range w.runs {
 		p.lose(u, now, why)
 	}
 	w.out = nil
 	delete(p.workers, w.info.ID)
 	p.moved = true
+	p.confirm(w.info.ID)
+	p.blame(w, blame, how, now)
 }
 
 // Over takes the news that workers' lives were ended by an order to their
@@ -226,7 +230,7 @@
 func (p *Pool) Over(ids []worker.ID, now time.Time) {
 	for _, id := range ids {
 		if w := p.workers[id]; w != nil {
-			p.lifeOver(w, now, "its instance was moved or maintained")
+			p.lifeOver(w, now, endedByOrder, "its instance was moved or maintained")
 		}
 	}
 }
@@ -255,6 +259,7 @@
 			p.wakeAt(w.lapses(), now)
 			continue
 		}
+		blame := p.suspects(w, endedUnseen)
 		for _, u := range w.runs {
 			p.lose(u, now, "its lease has lapsed on a silent worker")
 		}
@@ -262,5 +267,6 @@
 		if !w.listed {
 			delete(p.workers, w.info.ID)
 		}
+		p.blame(w, blame, endedUnseen, now)
 	}
 }
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -26,6 +26,7 @@
 	begun     bool                 // a task of it was begun
 	crashes   map[string]int       // workers that a task has crashed
 	crashed   map[string]int       // starts of a task since it has crashed as many as is allowed
+	beside    map[string]int       // workers that have crashed under a task, by whatever cause
 }
 
 // cancelTime is how long after a cancel's acknowledgement a task may begin, also by an
@@ -39,6 +40,7 @@
 	w.jobs[s.ID] = &submitted{
 		sub: s, done: make(map[string]bool), noted: make(map[string]bool), fails: make(map[string]int), away: make(map[string]time.Time),
 		ordered: make(map[string]bool), failed: make(map[string]int), crashes: make(map[string]int), crashed: make(map[string]int),
+		beside: make(map[string]int),
 	}
 }
 
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -97,6 +97,7 @@
 	if o.over {
 		return
 	}
+	w.crashedUnder(o)
 	o.end()
 	i := w.instances[o.info.Instance]
 	i.condition, i.life = port.Down, ""
