--- a/node/random_crash_test.go
+++ b/node/random_crash_test.go
@@ -48,5 +48,12 @@
 			{Count: 1 + r.IntN(4), CPU: 500, MemoryMB: 100, Takes: seconds(1)},
 		}})
 	}
+	for range 2 + r.IntN(3) {
+		at := within()
+		s.Events = append(s.Events, scriptEvent{
+			At: at, Kind: "shrink", Pool: s.Pools[r.IntN(2)].Name, Worker: r.IntN(4), Share: 0.1 + 0.6*r.Float64(),
+			For: min(tomlfile.Duration(time.Duration(1+r.IntN(10))*time.Second), tomlfile.Duration(healed)-at),
+		})
+	}
 	return s
 }
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -19,7 +19,7 @@
 
 // scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
 // store-refuses, store-lost (for one node, or all where none is named), crash, crash-rack,
-// silent, late, hangs, fails, drain (of a worker, by its place among those of the
+// silent, late, hangs, fails, drain, shrink (of a worker, by its place among those of the
 // pool), wave, orders-lost (of the answers of the control of instances), history,
 // relist (of lives that are over), cancel (of the jobs of a pool), silence (of all open
 // connections between nodes).
@@ -217,6 +217,9 @@
 		st.world.Crash(id, e.For.Std())
 	case "drain":
 		st.world.Drain(id, e.For.Std())
+	case "shrink":
+		st.world.Resize(id, e.Share)
+		time.AfterFunc(e.For.Std(), func() { st.world.Resize(id, 1) })
 	default:
 		st.world.Touch(id, set(true))
 		time.AfterFunc(e.For.Std(), func() { st.world.Touch(id, set(false)) })
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -137,7 +137,7 @@
 			onWorker++
 		}
 	}
-	if !used.Fits(o.info.Capacity) {
+	if !used.Fits(o.room()) {
 		w.broken("LIMIT: %s starts %s on %s, which then holds %v", node, s.Task, o.info.ID, used)
 	}
 	if step.PerWorker > 0 && onWorker >= step.PerWorker {
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -27,6 +27,8 @@
 	w       *World
 	info    worker.Worker
 	over    bool // the life has ended
+	roomy   job.Size  // what it had room for before it has shrunk
+	shrunk  time.Time // when it has, zero for never
 	began   time.Time
 	token   uint64
 	lease   time.Duration // on the worker's clock
@@ -174,6 +176,31 @@
 	o.unheard = nil
 }
 
+// shrunkAfter is from when on a room that has shrunk counts: the users' time until a node
+// must know of it, and one writing of the worker's.
+const shrunkAfter = 4500 * time.Millisecond
+
+// Resize gives a worker room for a share of what its instance has, and lists that.
+func (w *World) Resize(id worker.ID, share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	if o.over {
+		return
+	}
+	o.roomy = o.room()
+	o.info.Capacity, o.shrunk = w.instances[o.info.Instance].capacity.Scale(share), time.Now()
+	w.list(o)
+}
+
+// room returns the room that starts on a worker are held to. The lock is held.
+func (o *Worker) room() job.Size {
+	if o.shrunk.IsZero() || time.Since(o.shrunk) > shrunkAfter {
+		return o.info.Capacity
+	}
+	return o.info.Capacity.Max(o.roomy)
+}
+
 // end ends the worker's life. The lock is held.
 func (o *Worker) end() {
 	o.over = true
