Orders to begin are held to the room a worker says it has now, and more room is planned for

Cause: an order rested on the room as it was when its run was placed, up to 1.6 s before; and a change of a worker's room set nothing in motion. Ruled out: the placing itself, which reads the room of now. What runs already is not stopped as a room shrinks: the work would be thrown away, and its room comes free as it ends.

--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -41,6 +41,8 @@
 		return "its worker is to be left"
 	case !u.ticket.until.IsZero() && !now.Before(u.ticket.until):
 		return "its ticket has run out"
+	case u.at.overfull():
+		return "its worker's room has shrunk"
 	}
 	return ""
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -96,6 +96,10 @@
 // room returns what is free.
 func (w *workerState) room() job.Size { return w.info.Capacity.Minus(w.used).Minus(w.strays) }
 
+// overfull reports whether more runs there, or is to begin, than there is room for: it has
+// shrunk, or others run there that are to be stopped.
+func (w *workerState) overfull() bool { return !(job.Size{}).Fits(w.room()) }
+
 // open reports whether tasks may be placed there.
 func (w *workerState) open(now time.Time) bool {
 	return w.met && w.listed && w.silent.IsZero() && !w.doubted && !w.leaves() && !w.rests(now)
@@ -136,6 +140,11 @@
 		w.listed = true
 		return true
 	}
+	if info.Capacity != w.info.Capacity {
+		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Int("cpu", info.Capacity.CPU).Int("memory_mb", info.Capacity.MemoryMB).
+			Int("cpu_before", w.info.Capacity.CPU).Int("used_cpu", w.used.CPU).Uint64("revision", info.Revision).Msg("a worker's room has changed")
+		p.moved = true
+	}
 	if info.Draining && !w.info.Draining {
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Dur("remaining", info.Remaining).
 			Uint64("revision", info.Revision).Msg("a worker drains")
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -26,7 +26,7 @@
 
 	w       *World
 	info    worker.Worker
-	over    bool // the life has ended
+	over    bool      // the life has ended
 	roomy   job.Size  // what it had room for before it has shrunk
 	shrunk  time.Time // when it has, zero for never
 	began   time.Time
