Time for which the machine was suspended counts

Cause: Go's readings rest on the steady clock, which stands still while a machine is suspended; the bounds of permissions, leases, reports and orders would all be taken for too young after it. Places that rest on elapsed time for a right: how long ago a run was kept before its order goes out, how old an intent and a report are before an instance is ordered, when the store has confirmed an owner last, when another node has answered; all read the clock that a process is made with. Time-outs of connections, which only wait, do not.

Change: the process's clock adds what the time since the machine's start is ahead of the steady clock, looked for when the time of day jumps by 5 ms against it and each second; the time of day, for jobs with times and for records that others read, is taken apart from it.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -98,7 +98,7 @@
 		Advisor:   meter.Advisor((&platform.Advisor{Client: c.to("advice", s.Platform.Advice)}).Port()),
 		Found:     func(_ string, after time.Duration) { nodeFound(1, after) },
 		Count:     meter.Count,
-	}, clock.Clock{}, logger)
+	}, machineClock(logger), logger)
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +108,23 @@
 	return p, p.open()
 }
 
+// machineClock returns the machine's clock, which counts the time for which the machine is
+// suspended where it tells that.
+func machineClock(logger log.Logger) clock.Clock {
+	c, err := clock.NewSuspendable(clock.SinceBoot, time.Now, func(d time.Duration, err error) {
+		if err != nil {
+			logger.Warn().Str("event", "suspended").Err(err).Msg("whether the machine was suspended is not known")
+			return
+		}
+		logger.Warn().Str("event", "suspended").Dur("for", d).Msg("the machine was suspended; what is known is older by that")
+	})
+	if err != nil {
+		logger.Warn().Str("event", "suspended").Err(err).Msg("suspensions of the machine are not told, and not counted")
+		return clock.Clock{}
+	}
+	return c.Clock()
+}
+
 // The bounds of connections, each far above what a customer needs. The operators'
 // limits hold in place of the times where they are shorter.
 const (
--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -9,8 +9,24 @@
 type Clock struct {
 	NowFunc   func() time.Time
 	AfterFunc func(time.Duration) <-chan time.Time
+	AheadFunc func() time.Duration
 }
 
+// Ahead returns by how much the time of day of Now is ahead: for as long as the machine
+// was suspended.
+func (c Clock) Ahead() time.Duration {
+	if c.AheadFunc == nil {
+		return 0
+	}
+	return c.AheadFunc()
+}
+
+// Date returns the time of day at a moment that Now has told.
+func (c Clock) Date(t time.Time) time.Time { return t.Add(-c.Ahead()) }
+
+// At returns what Now tells at a time of day.
+func (c Clock) At(date time.Time) time.Time { return date.Add(c.Ahead()) }
+
 // Now returns the current time.
 func (c Clock) Now() time.Time {
 	if c.NowFunc == nil {
--- a/node/random_crash_test.go
+++ b/node/random_crash_test.go
@@ -22,8 +22,8 @@
 const innocentMost = 1
 
 // TestRandomDaysWithCrashes plays random days on which some tasks crash each worker that
-// starts them, racks crash and rooms shrink, beside all other faults: the jobs of such
-// tasks fail, and all others end as they must.
+// starts them, rooms shrink and machines are suspended, beside all other faults: the jobs
+// of such tasks fail, and all others end as they must.
 func TestRandomDaysWithCrashes(t *testing.T) {
 	for n := range crashSeeds {
 		seed := uint64(n + 1)
@@ -55,5 +55,12 @@
 			For: min(tomlfile.Duration(time.Duration(1+r.IntN(10))*time.Second), tomlfile.Duration(healed)-at),
 		})
 	}
+	for range r.IntN(3) {
+		at := within()
+		s.Events = append(s.Events, scriptEvent{
+			At: at, Kind: "suspend", Node: r.IntN(s.Nodes + 1),
+			For: min(tomlfile.Duration(time.Duration(500+r.IntN(8000))*time.Millisecond), tomlfile.Duration(healed)-at),
+		})
+	}
 	return s
 }
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -18,7 +18,7 @@
 )
 
 // scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
-// store-refuses, store-lost (for one node, or all where none is named), crash, crash-rack,
+// store-refuses, store-lost, suspend (for one node, or all where none is named), crash, crash-rack,
 // silent, late, hangs, fails, drain, shrink (of a worker, by its place among those of the
 // pool), wave, orders-lost (of the answers of the control of instances), history,
 // relist (of lives that are over), cancel (of the jobs of a pool), silence (of all open
@@ -63,6 +63,12 @@
 				time.AfterFunc(e.For.Std(), func() { st.world.Set(n.name, func(f *world.Faults) { fault(f, e, false) }) })
 			}
 		}
+	case "suspend":
+		for i, n := range st.nodes {
+			if e.Node == 0 || e.Node == i+1 {
+				st.suspend(n, e)
+			}
+		}
 	case "orders-lost":
 		st.world.LoseOrders(e.Share)
 		time.AfterFunc(e.For.Std(), func() { st.world.LoseOrders(0) })
@@ -86,6 +92,21 @@
 	}
 }
 
+// suspend has a node reach nobody for a while that its steady clock does not count. The
+// model can't hold its process still: what it decides meanwhile comes to nothing.
+func (st *stage) suspend(n *stagedNode, e scriptEvent) {
+	set := func(on bool) {
+		st.world.Set(n.name, func(f *world.Faults) { f.Cut, f.StoreSilent, f.WorkersCut = on, on, on })
+	}
+	set(true)
+	n.since.Store(time.Now().UnixNano())
+	time.AfterFunc(e.For.Std(), func() {
+		n.since.Store(0)
+		n.asleep.Add(int64(e.For.Std()))
+		set(false)
+	})
+}
+
 // expectOnce has the pools looked at before an event is over: those of its node must
 // have changed their owner once, and the others not at all.
 func (st *stage) expectOnce(e scriptEvent) {
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,7 +109,26 @@
 	node   *Node
 	cancel context.CancelFunc
 	gone   chan struct{}
-	busy   bool // it is being stopped and started
+	busy   bool         // it is being stopped and started
+	asleep atomic.Int64 // for how long its machine was suspended, which its steady clock has not counted, in nanoseconds
+	since  atomic.Int64 // since when it is, in nanoseconds since 1970, 0 for not
+}
+
+// clock returns the clock of a process on the node's machine: its steady clock does not
+// count the time for which that was suspended.
+func (n *stagedNode) clock(t *testing.T) clock.Clock {
+	began := time.Now()
+	steady := func() time.Time {
+		lost := time.Duration(n.asleep.Load())
+		if since := n.since.Load(); since > 0 {
+			lost += time.Since(time.Unix(0, since))
+		}
+		return time.Now().Add(-lost)
+	}
+	s, err := clock.NewSuspendable(func() (time.Duration, error) { return time.Since(began), nil }, steady, func(time.Duration, error) {})
+	assert.NilError(t, err)
+	s.Period = time.Nanosecond
+	return clock.Clock{NowFunc: s.Now} // the model's time of day stands still with the steady clock, so that of Now is right
 }
 
 var testCapacity = job.Size{CPU: 16000, MemoryMB: 32768}
@@ -213,7 +233,7 @@
 	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
 		logger, _ = log.New(os.Stderr, "info", n.name)
 	}
-	fresh, err := New(s, ports, clock.Clock{}, logger)
+	fresh, err := New(s, ports, n.clock(st.t), logger)
 	assert.NilError(st.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.mu.Lock()
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -131,7 +131,7 @@
 				return err
 			}
 			if n, err := strconv.Atoi(name); err == nil {
-				seen[n] = time.UnixMilli(at)
+				seen[n] = m.Clock.At(time.UnixMilli(at))
 			}
 		}
 		if name, isDone := strings.CutPrefix(r.Key, keyDone); isDone {
@@ -152,7 +152,7 @@
 		if !i.Known {
 			m.view.actions[name] = &action{
 				instance: name, worker: i.Worker, from: i.From, to: i.To, wave: i.Wave, stage: ordered,
-				began: time.UnixMilli(i.At), sent: time.UnixMilli(i.At),
+				began: m.Clock.At(time.UnixMilli(i.At)), sent: m.Clock.At(time.UnixMilli(i.At)),
 			}
 		}
 	}
@@ -258,7 +258,7 @@
 			continue
 		}
 		now := m.Clock.Now()
-		value, err := codec.Marshal(now.UnixMilli())
+		value, err := codec.Marshal(m.Clock.Date(now).UnixMilli())
 		if err != nil {
 			return err
 		}
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -68,7 +68,7 @@
 	if !i.Known {
 		least = max(least, unsettled)
 	}
-	return least - m.Clock.Now().Sub(time.UnixMilli(i.At))
+	return least - m.Clock.Now().Sub(m.Clock.At(time.UnixMilli(i.At)))
 }
 
 // act gives the orders that may be given, after their intents are kept.
@@ -113,7 +113,7 @@
 
 func (m *Manager) intent(a *action, known bool) (port.Record, error) {
 	value, err := codec.Marshal(intent{
-		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Now().UnixMilli(), Known: known, From: a.from,
+		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Date(m.Clock.Now()).UnixMilli(), Known: known, From: a.from,
 	})
 	return port.Record{Key: keyIntent + a.instance, Value: value}, err
 }
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -207,7 +207,7 @@
 // needs adds what a job's open tasks need.
 func (p *Pool) needs(j *jobState, now time.Time, r *Report) {
 	for n := range j.rounds {
-		if j.rounds[n] == nil || j.rounds[n].left == 0 || j.sub.Times > 0 && now.Before(j.sub.Due(n)) {
+		if j.rounds[n] == nil || j.rounds[n].left == 0 || j.sub.Times > 0 && now.Before(p.due(j, n)) {
 			continue
 		}
 		for i := range j.rounds[n].steps {
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -343,11 +343,14 @@
 	j.work = work
 	begin := j.accepted
 	if j.sub.Times > 0 {
-		begin = j.sub.Due(p.firstOpen(j))
+		begin = p.due(j, p.firstOpen(j))
 	}
 	j.latest = begin.Add(j.aim - left - stepTime)
 }
 
+// due returns when a time of a job is due.
+func (p *Pool) due(j *jobState, round int) time.Time { return p.Clock.At(j.sub.Due(round)) }
+
 // stepTime is what passes beside a step's work until its end is told: its run is kept,
 // ordered, found ended and that is kept, each in some ten milliseconds, and its time is
 // not known exactly. Without it, where more comes than a pool can do and those that can
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -84,8 +84,8 @@
 // stepsOf adds a job's steps that may run now.
 func (p *Pool) stepsOf(j *jobState, now time.Time, list []candidate) []candidate {
 	for n := range j.rounds {
-		if j.sub.Times > 0 && now.Before(j.sub.Due(n)) {
-			p.wakeAt(j.sub.Due(n), now)
+		if j.sub.Times > 0 && now.Before(p.due(j, n)) {
+			p.wakeAt(p.due(j, n), now)
 			break
 		}
 		r := j.openRound(n)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -9,6 +9,7 @@
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
 )
 
@@ -29,6 +30,8 @@
 	// Isolated has leases extended no longer: whether another owner has taken over
 	// can't be learned.
 	Isolated bool
+	// Clock tells which time of day it is at the times that the pool is told.
+	Clock clock.Clock
 	// Count adds one to a counter, nil for none.
 	Count func(counter string)
 
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -11,6 +11,7 @@
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/services/port"
 )
@@ -76,10 +77,10 @@
 }
 
 // Collect returns what has changed since the last batch, nil for nothing.
-func (p *Pool) Collect(now time.Time) (*Batch, error) {
+func (p *Pool) Collect(_ time.Time) (*Batch, error) {
 	b := &Batch{Number: p.batch, runs: p.planned, stops: p.stops}
 	for _, j := range p.dirty {
-		if err := b.add(j, now); err != nil {
+		if err := b.add(j, p.Clock); err != nil {
 			return nil, err
 		}
 	}
@@ -107,7 +108,7 @@
 }
 
 // add puts the records of a job into the batch.
-func (b *Batch) add(j *jobState, _ time.Time) error {
+func (b *Batch) add(j *jobState, c clock.Clock) error {
 	id := string(j.sub.ID)
 	if j.state == "" { // forgotten
 		b.Records = append(b.Records, port.Record{Key: keyProgress + id})
@@ -124,7 +125,7 @@
 	case j.stored && j.over():
 		b.Records = append(b.Records, port.Record{Key: keySubmission + id})
 	}
-	data, err := codec.Marshal(j.progress())
+	data, err := codec.Marshal(j.progress(c))
 	if err != nil {
 		return err
 	}
@@ -132,10 +133,10 @@
 	return b.addCrashes(j)
 }
 
-func (j *jobState) progress() progress {
-	d := progress{State: j.state, Accepted: j.accepted.UnixMilli(), Began: j.began}
+func (j *jobState) progress(c clock.Clock) progress {
+	d := progress{State: j.state, Accepted: c.Date(j.accepted).UnixMilli(), Began: j.began}
 	if j.state.Final() {
-		d.Ended = j.endedAt.UnixMilli()
+		d.Ended = c.Date(j.endedAt).UnixMilli()
 	}
 	if j.over() {
 		return d
@@ -246,11 +247,11 @@
 }
 
 func (p *Pool) restoreJob(s job.Submission, d progress, now time.Time, surely time.Duration) {
-	j := p.newJob(s, time.UnixMilli(d.Accepted))
+	j := p.newJob(s, p.Clock.At(time.UnixMilli(d.Accepted)))
 	j.state, j.began, j.stored, j.collected = d.State, d.Began, true, true
 	p.jobs[s.ID] = j
 	if d.State.Final() {
-		j.endedAt = time.UnixMilli(d.Ended)
+		j.endedAt = p.Clock.At(time.UnixMilli(d.Ended))
 		p.ended = append(p.ended, endedJob{s.ID, now.Add(p.Limits.Keep)})
 	} else {
 		p.active = append(p.active, j)
--- a/services/steward/improve.go
+++ b/services/steward/improve.go
@@ -51,7 +51,7 @@
 func (s *Steward) best(v *directory.View, now time.Time) string {
 	best := ""
 	for name, n := range v.Nodes {
-		if name == s.Directory.Self.Name || now.Sub(time.Unix(0, int64(n.Life))) < provedAfter { //nolint:gosec // a time
+		if name == s.Directory.Self.Name || s.Clock.Date(now).Sub(time.Unix(0, int64(n.Life))) < provedAfter { //nolint:gosec // a time
 			continue
 		}
 		if best == "" || better(v, name, best) {
