--- a/node/script_test.go
+++ b/node/script_test.go
@@ -50,6 +50,7 @@
 	Stay     bool              `toml:"stay"`     // no pool may change its owner after the first event
 	Once     bool              `toml:"once"`     // each event has the pools of its node change their owner once, and no others
 	Answer   tomlfile.Duration `toml:"answer"`   // the longest that a call of a customer may take, 0 for no limit
+	Gangs    bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
 	GiveUp   int               `toml:"give_up"`  // jobs that may be given up though they could be done, where two workers have crashed under a task
 }
 
@@ -437,6 +438,9 @@
 	for _, v := range st.world.Violations() {
 		st.t.Error(v)
 	}
+	if n := st.world.Alone(); st.script.Gangs && n > 0 {
+		st.t.Errorf("GANG: %d runs have waited for the others of their gang in vain", n)
+	}
 	owners := st.owners()
 	st.judgeOwners()
 	st.mu.Lock()
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -92,6 +92,13 @@
 	return len(j.done) == tasks
 }
 
+// Alone returns how many runs have waited in vain for the others of their gang.
+func (w *World) Alone() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.alone
+}
+
 // Runs returns the runs of a job's tasks that are under way.
 func (w *World) Runs(id job.ID) []string {
 	w.mu.Lock()
--- a/standin/world/crash.go
+++ b/standin/world/crash.go
@@ -33,15 +33,16 @@
 // crashUnder ends a worker's life by a task that it runs, and counts that.
 func (w *World) crashUnder(id worker.ID, task string) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	o := w.workers[id]
-	runs := !o.over && o.runs[task] != nil
-	if ref, _ := job.ParseTask(task); runs && w.jobs[ref.Job] != nil {
-		w.jobs[ref.Job].crashes[task]++
+	if o.over || o.runs[task] == nil {
+		return
 	}
-	w.mu.Unlock()
-	if runs {
-		w.Crash(id, crashDown)
+	if ref, _ := job.ParseTask(task); w.jobs[ref.Job] != nil {
+		w.jobs[ref.Job].crashes[task]++
 	}
+	w.crash(o, crashDown)
+	clear(o.runs) // members elsewhere of gangs wait for those that were lost
 }
 
 // checkCrashes checks that a task that has crashed as many workers as is allowed is
--- a/standin/world/instance.go
+++ b/standin/world/instance.go
@@ -193,6 +193,7 @@
 			r.stopping = true
 		}
 		o.end()
+		o.breakGangs()
 		id := i.life
 		time.AfterFunc(repairTime, func() { w.unlist(id) })
 	}
--- a/standin/world/running.go
+++ b/standin/world/running.go
@@ -71,6 +71,7 @@
 			return
 		}
 		how = worker.Alone
+		o.w.alone++
 	}
 	o.endRun(r, how)
 	if how != worker.Done {
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -99,6 +99,14 @@
 	if o.over {
 		return
 	}
+	w.crash(o, down)
+	o.breakGangs()
+}
+
+// crash ends a worker's life; gangs of which members ran there wait for them in vain. The
+// lock is held.
+func (w *World) crash(o *Worker, down time.Duration) {
+	id := o.info.ID
 	w.crashedUnder(o)
 	o.end()
 	i := w.instances[o.info.Instance]
@@ -148,6 +156,7 @@
 		return
 	}
 	o.end()
+	o.breakGangs()
 	delete(w.instances, o.info.Instance)
 	w.partition(workersAt).add([]port.Record{{Key: string(id)}})
 }
@@ -207,6 +216,13 @@
 	for _, r := range o.runs {
 		r.timer.Stop()
 		o.w.left(o, r)
+	}
+}
+
+// breakGangs ends the members on other workers of gangs of which some ran on a worker whose
+// life is over. The lock is held.
+func (o *Worker) breakGangs() {
+	for _, r := range o.runs {
 		for m, at := range o.w.members(r) {
 			if at != o {
 				at.endRun(m, worker.Broken)
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -29,6 +29,7 @@
 	policies   map[string]time.Duration // how long a ticket holds, by pool
 	ordersLost float64                  // share of the orders to instances that get no answer
 	lives      int
+	alone      int // runs that have waited for the others of their gang in vain
 	violations []string
 	networks   network
 }
