A gang does not wait for a member whose worker has crashed

Cause: a run on a worker that does not answer is waited for until its leases are over, and the other members of its gang with it; where the gang has not come together they end alone after 3 s, where it was at work it stands still. Change: the others are stopped as soon as the worker does not answer, if the gang was not seen at work; else once none of them has done any work for 0.7 s, so that a silence which only this node meets ends no gang.

Suspects are counted at their worker, so that choosing one looks at no runs.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -301,6 +301,9 @@
 // onProbation reports whether a worker has a run that may crash it yet: a suspect's that
 // was not seen at work for long enough.
 func (w *workerState) onProbation(now time.Time) bool {
+	if w.suspects == 0 {
+		return false
+	}
 	for _, u := range w.runs {
 		if u.onProbation(now) {
 			return true
@@ -316,16 +319,6 @@
 	return u.began.IsZero() || u.at.heardAt.Sub(u.began) < freshTime && now.Sub(u.began) < holdMost
 }
 
-// hasSuspect reports whether a suspect runs on a worker.
-func (w *workerState) hasSuspect() bool {
-	for _, u := range w.runs {
-		if u.suspected {
-			return true
-		}
-	}
-	return false
-}
-
 // What counts against a worker for a suspect, against the share of it that is in use.
 const (
 	besideRun     = 1  // each run that would be lost with it
@@ -348,7 +341,7 @@
 		return 0
 	}
 	against := besideRun * float64(len(w.runs)) * float64(len(t.crashes))
-	if w.hasSuspect() {
+	if w.suspects > 0 {
 		against += besideSuspect
 	}
 	return against
@@ -360,7 +353,7 @@
 	if w.onProbation(now) {
 		return true
 	}
-	return t.suspected() && now.Sub(t.suspectSince) < apartMost && w.hasSuspect()
+	return t.suspected() && now.Sub(t.suspectSince) < apartMost && w.suspects > 0
 }
 
 // The counters of a pool.
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -89,6 +89,58 @@
 	}
 }
 
+// worksTogether reports whether the gang of a run has been seen at work: the platform ends
+// its members with the first that ends. One that was not waits for a member whose worker
+// has crashed until it ends alone, if it is not stopped.
+func (u *run) worksTogether() bool {
+	if u.stray || !u.step().spec.Gang {
+		return true
+	}
+	for _, t := range u.step().tasks {
+		for _, o := range t.runs {
+			if o.number == u.number && o.percent > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stallTime is after which time a gang has come to a stand that was at work when the worker
+// of one of its members went silent. Those that go on are not held up by a silence which
+// only this node meets; the others end alone after 3 s on the users' platform.
+const stallTime = 700 * time.Millisecond
+
+// breakStalled gives up the gangs of a silent worker's runs that have come to a stand.
+func (p *Pool) breakStalled(w *workerState, now time.Time) {
+	if now.Sub(w.silent) < stallTime {
+		p.wakeAt(w.silent.Add(stallTime), now)
+		return
+	}
+	for _, u := range w.runs {
+		if u.stray || !u.step().spec.Gang {
+			continue
+		}
+		if u.advances(now) {
+			p.wakeAt(now.Add(stallTime), now)
+			continue
+		}
+		p.breakGang(u, now, "a member's worker does not answer, and it stands still")
+	}
+}
+
+// advances reports whether another member of a run's gang has done some work of late.
+func (u *run) advances(now time.Time) bool {
+	for _, t := range u.step().tasks {
+		for _, o := range t.runs {
+			if o != u && o.number == u.number && now.Sub(o.moved) < stallTime {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // withholdAll gives up the orders that wait and are not to go out any more.
 func (p *Pool) withholdAll(now time.Time) {
 	for _, w := range p.workers {
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -109,6 +109,8 @@
 	for _, u := range w.runs {
 		if !u.sent && !u.restored {
 			p.giveUp(u, now, "its worker does not answer")
+		} else if !u.worksTogether() {
+			p.breakGang(u, now, "its worker does not answer")
 		}
 	}
 	p.wakeAt(w.lapses(), now)
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -107,6 +107,9 @@
 	if s.spec.Lasting {
 		u.at.lasting++
 	}
+	if u.suspected {
+		u.at.suspects++
+	}
 }
 
 // release frees a run's room; the task waits again unless it is done or another
@@ -138,6 +141,9 @@
 	if s.spec.Lasting {
 		u.at.lasting--
 	}
+	if u.suspected {
+		u.at.suspects--
+	}
 	p.moved = true
 	p.touch(u.job)
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -20,7 +20,9 @@
 	used    job.Size
 	strays  job.Size // room of runs there that are not ours to keep, by the last look
 	lasting int      // runs of tasks that last
-	out     []Order  // to be given, oldest first
+
+	suspects int     // runs of tasks under which workers had crashed before
+	out      []Order // to be given, oldest first
 
 	met      bool          // it has answered, so its clock is known and no lower token counts
 	listed   bool          // it stands in the platform's list
@@ -254,7 +256,11 @@
 	if !u.stray {
 		u.task().lost = append(u.task().lost, u.number)
 	}
+	alone := !u.worksTogether()
 	p.release(u)
+	if alone {
+		p.breakGang(u, now, why)
+	}
 }
 
 // Lapse ends the runs of workers that have been silent until their leases were
@@ -264,6 +270,7 @@
 		if w.silent.IsZero() {
 			continue
 		}
+		p.breakStalled(w, now)
 		if now.Before(w.lapses()) {
 			p.wakeAt(w.lapses(), now)
 			continue
