--- a/node/script_test.go
+++ b/node/script_test.go
@@ -324,7 +324,7 @@
 		return err == nil && (state.Final() || state == want)
 	}) || last != want {
 		if last != job.Cancelled && (last.Final() || !st.hasPolicy(j.Pool)) && !st.mayGiveUp(s.ID, last) {
-			st.fail("job %s of %s is %q, not %q", s.ID, j.Pool, last, want)
+			st.fail("job %s of %s is %q, not %q; its tasks have failed: %v", s.ID, j.Pool, last, want, st.world.Fails(s.ID))
 		}
 	}
 }
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
@@ -16,10 +17,11 @@
 type submitted struct {
 	sub       job.Submission
 	cancelled time.Time
-	done      map[string]bool      // tasks that have ended as done
-	noted     map[string]bool      // of them, those taken note of
-	fails     map[string]int       // failed ends taken note of
-	failed    map[string]int       // all failed ends
+	done      map[string]bool // tasks that have ended as done
+	noted     map[string]bool // of them, those taken note of
+	fails     map[string]int  // failed ends taken note of
+	failed    map[string]int  // all failed ends
+	failedOn  map[string][]worker.ID
 	away      map[string]time.Time // since when a task that lasts is not at work
 	ordered   map[string]bool      // such a task was ended by an order
 	refused   bool                 // its customer gave up after refusals only
@@ -39,7 +41,7 @@
 	defer w.mu.Unlock()
 	w.jobs[s.ID] = &submitted{
 		sub: s, done: make(map[string]bool), noted: make(map[string]bool), fails: make(map[string]int), away: make(map[string]time.Time),
-		ordered: make(map[string]bool), failed: make(map[string]int), crashes: make(map[string]int), crashed: make(map[string]int),
+		ordered: make(map[string]bool), failed: make(map[string]int), failedOn: make(map[string][]worker.ID), crashes: make(map[string]int), crashed: make(map[string]int),
 		beside: make(map[string]int),
 	}
 }
@@ -81,6 +83,13 @@
 	return false
 }
 
+// Fails returns how often each task of a job has ended as failed, and on which workers.
+func (w *World) Fails(id job.ID) map[string][]worker.ID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.jobs[id].failedOn)
+}
+
 // HasCompleted reports whether each task of a job without times has ended as done.
 func (w *World) HasCompleted(id job.ID) bool {
 	w.mu.Lock()
@@ -207,6 +216,7 @@
 		j.done[r.task] = true
 	case how == worker.Failed:
 		j.failed[r.task]++
+		j.failedOn[r.task] = append(j.failedOn[r.task], o.info.ID)
 	}
 }
 
