A task's last attempt is not spent on a worker on which it has failed

Cause: a worker that fails all that begins there rests only once tasks of two jobs have failed; where no other has room, one job's task can use up all its attempts there within a second. Change: such a task waits 2 s at most for another worker. The crash count is in two files now: what is held against a task, and where a suspect is begun.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -42,12 +42,6 @@
 	// provenTime is how long a task that lasts must be at work to be held to crash no
 	// worker: what crashes later is begun again, as it is owed for a whole day.
 	provenTime = 3 * time.Second
-	// holdMost is the longest that others are kept from a worker with a suspect.
-	holdMost = time.Second
-	// holdStep is after which time workers with suspects are planned for again.
-	holdStep = 100 * time.Millisecond
-	// apartMost is how long a suspect waits for a worker without another suspect.
-	apartMost = time.Second
 	// togetherTime is within which time workers that went silent may have a rack, a switch
 	// or a data centre as their one cause, rather than a task each.
 	togetherTime = time.Second
@@ -132,38 +126,21 @@
 	if len(list) == 0 {
 		return
 	}
-	together := p.downTogether(w, now)
-	fresh, explained := 0, false
+	e := event{at: w, sure: how == endedItself, runs: len(list), together: p.downTogether(w, now)}
+	explained := false
 	for _, s := range list {
 		if s.fresh {
-			fresh++
+			e.fresh++
 			explained = explained || len(s.run.task().crashes) > 0
 		}
 	}
 	var culprits []*taskState
 	for _, s := range list {
-		t, j := s.run.task(), s.run.job
-		if j.state.Final() || t.done || t.crashedOn(w.info.ID) || explained && !s.fresh {
+		if explained && !s.fresh {
 			continue
 		}
-		c := crash{worker: w.info.ID, sure: how == endedItself}
-		if s.fresh {
-			c.weight = 1 / float64(fresh*together)
-		}
-		if s.run.began.IsZero() {
-			c.weight *= unseenWeight
-		}
-		t.crashes = append(t.crashes, c)
-		t.suspectSince = now
-		j.crashesChanged = true
-		p.blamed[w.info.ID] = append(p.blamed[w.info.ID], s.run.ref)
-		p.touch(j)
-		p.count(crashSuspected)
-		p.Logger.Info().Str("event", "crash").Str("task", s.run.name).Int("run", s.run.number).Str("worker", string(w.info.ID)).
-			Int("crashes", len(t.crashes)).Float64("weight", t.weigh()).Bool("fresh", s.fresh).Int("all_fresh", fresh).Int("all", len(list)).
-			Bool("sure", c.sure).Int("together", together).Msg("a worker has crashed under a task")
-		if p.convict(j, t, s, now) {
-			culprits = append(culprits, t)
+		if p.hold(s, e, now) && p.convict(s, now) {
+			culprits = append(culprits, s.run.task())
 		}
 	}
 	for _, t := range culprits {
@@ -171,6 +148,40 @@
 	}
 }
 
+// event is one crash of a worker.
+type event struct {
+	at       *workerState
+	sure     bool
+	runs     int // that the worker had
+	fresh    int // of them, those that had just begun
+	together int // workers that went silent together
+}
+
+// hold holds a crash against a task, and reports whether it did: not for one that is done,
+// or twice.
+func (p *Pool) hold(s suspect, e event, now time.Time) bool {
+	t, j, id := s.run.task(), s.run.job, e.at.info.ID
+	if j.state.Final() || t.done || t.crashedOn(id) {
+		return false
+	}
+	c := crash{worker: id, sure: e.sure}
+	if s.fresh {
+		c.weight = 1 / float64(e.fresh*e.together)
+	}
+	if s.run.began.IsZero() {
+		c.weight *= unseenWeight
+	}
+	t.crashes = append(t.crashes, c)
+	t.suspectSince = now
+	p.blamed[id] = append(p.blamed[id], s.run.ref)
+	p.crashesChange(s.run.ref)
+	p.count(crashSuspected)
+	p.Logger.Info().Str("event", "crash").Str("task", s.run.name).Int("run", s.run.number).Str("worker", string(id)).
+		Int("crashes", len(t.crashes)).Float64("weight", t.weigh()).Bool("fresh", s.fresh).Int("all_fresh", e.fresh).Int("all", e.runs).
+		Bool("sure", c.sure).Int("together", e.together).Msg("a worker has crashed under a task")
+	return true
+}
+
 // downTogether notes that a worker has crashed, and returns how many went silent when it
 // did: some have crashed, of others it is not known yet.
 func (p *Pool) downTogether(w *workerState, now time.Time) int {
@@ -187,7 +198,7 @@
 		}
 	}
 	for id, o := range p.workers {
-		if _, counted := p.downs[id]; !counted && o != w && !o.silent.IsZero() && near(o.silent) {
+		if _, counted := p.downs[id]; !counted && o != w && len(o.runs) > 0 && !o.silent.IsZero() && near(o.silent) {
 			n++
 		}
 	}
@@ -197,13 +208,14 @@
 
 // convict gives a task's job up where so many workers have crashed under it that it is
 // held to be their cause, and reports whether it did.
-func (p *Pool) convict(j *jobState, t *taskState, s suspect, now time.Time) bool {
+func (p *Pool) convict(s suspect, now time.Time) bool {
+	t := s.run.task()
 	n := len(t.crashes)
 	if n < crashesMost && (n < crashesLeast || !s.fresh || t.weigh() < weightEnough) {
 		return false
 	}
 	p.count(crashGivenUp)
-	p.finish(j, job.Failed, now, "workers have crashed under task "+s.run.name+" as often as is allowed")
+	p.finish(s.run.job, job.Failed, now, "workers have crashed under task "+s.run.name+" as often as is allowed")
 	return true
 }
 
@@ -298,64 +310,6 @@
 	}
 }
 
-// onProbation reports whether a worker has a run that may crash it yet: a suspect's that
-// was not seen at work for long enough.
-func (w *workerState) onProbation(now time.Time) bool {
-	if w.suspects == 0 {
-		return false
-	}
-	for _, u := range w.runs {
-		if u.onProbation(now) {
-			return true
-		}
-	}
-	return false
-}
-
-func (u *run) onProbation(now time.Time) bool {
-	if u.stray || !u.suspected || now.Sub(u.moved) > holdMost && u.began.IsZero() {
-		return false
-	}
-	return u.began.IsZero() || u.at.heardAt.Sub(u.began) < freshTime && now.Sub(u.began) < holdMost
-}
-
-// What counts against a worker for a suspect, against the share of it that is in use.
-const (
-	besideRun     = 1  // each run that would be lost with it
-	besideSuspect = 20 // another suspect there, from which it could not be told
-)
-
-// wakeForSuspects has the pool planned again where suspects keep tasks waiting.
-func (p *Pool) wakeForSuspects(now time.Time) {
-	for _, w := range p.workers {
-		if w.onProbation(now) {
-			p.wakeAt(now.Add(holdStep), now)
-			return
-		}
-	}
-}
-
-// risk returns what counts against beginning a suspect on a worker.
-func (t *taskState) risk(w *workerState) float64 {
-	if !t.suspected() {
-		return 0
-	}
-	against := besideRun * float64(len(w.runs)) * float64(len(t.crashes))
-	if w.suspects > 0 {
-		against += besideSuspect
-	}
-	return against
-}
-
-// endangers reports whether a task and a worker are better kept apart: the worker may
-// crash yet, or the task may crash it while another suspect is there. Neither waits long.
-func (t *taskState) endangers(w *workerState, now time.Time) bool {
-	if w.onProbation(now) {
-		return true
-	}
-	return t.suspected() && now.Sub(t.suspectSince) < apartMost && w.suspects > 0
-}
-
 // The counters of a pool.
 const (
 	crashSuspected = "crash.suspected" // a crash was held against a task
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -68,6 +68,7 @@
 	runs       []*run // under way
 	notBefore  time.Time
 	failedOn   []worker.ID // workers on which it has failed
+	failedAt   time.Time   // when it did last
 	lost       []int       // numbers of runs that were taken for lost and whose end was not heard of
 
 	crashes      []crash   // workers that have crashed under it
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -158,6 +158,7 @@
 		}
 		if w == nil {
 			p.wakeAt(t.suspectSince.Add(apartMost), now)
+			p.wakeAt(t.failedAt.Add(lastPatience), now)
 			continue
 		}
 		u := p.plan(c.job, c.step, i, w, now)
@@ -178,7 +179,10 @@
 	var best *workerState
 	var bestScore float64
 	for _, w := range p.workers {
-		if !p.suits(c.step, w, now) || skip != nil && skip(w) || w.trust.onTrial && t.risky(c.job) || t.endangers(w, now) {
+		if !p.suits(c.step, w, now) || skip != nil && skip(w) || w.trust.onTrial && t.risky(c.job) {
+			continue
+		}
+		if t.spares(w, c.job, now) || t.endangers(w, now) {
 			continue
 		}
 		score := p.score(c.step, w) - t.mistrust(w) - t.risk(w)
--- a/services/scheduler/trust.go
+++ b/services/scheduler/trust.go
@@ -40,6 +40,7 @@
 // failedOn notes that a run has failed on its worker.
 func (p *Pool) failedOn(u *run, now time.Time) {
 	t, w := u.task(), u.at
+	t.failedAt = now
 	if !slices.Contains(t.failedOn, w.info.ID) {
 		t.failedOn = append(t.failedOn, w.info.ID)
 	}
@@ -98,6 +99,16 @@
 	return against
 }
 
+// lastPatience is how long a task waits with its last attempt for another worker than
+// those on which it has failed. A worker that fails all that begins there would use up all
+// of them within a second; nothing may wait for 3 s while there is room.
+const lastPatience = 2 * time.Second
+
+// spares reports whether a task keeps its last attempt from a worker on which it has failed.
+func (t *taskState) spares(w *workerState, j *jobState, now time.Time) bool {
+	return t.risky(j) && now.Sub(t.failedAt) < lastPatience && slices.Contains(t.failedOn, w.info.ID)
+}
+
 // risky reports whether a task should not be what a worker is tried with: one more
 // failure would be its job's last.
 func (t *taskState) risky(j *jobState) bool {
