A failed job whose tasks serve on is forgotten, also where a stop takes no time

Cause: a job that still runs as it is to be forgotten is looked at again after the time of a stop; with none, at once, for ever, under the pool's lock. Found in reading the change. Before: the test does not end. After: it passes.

--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -257,3 +257,22 @@
 	_, stops = d.orders(a)
 	assert.Equal(t, stops, 1, "a task of a cancelled job goes on")
 }
+
+// TestAFailedJobIsForgotten: what served on is stopped once the job is told of no longer,
+// also where a stop is said to take no time, and the job is forgotten once it has ended.
+func TestAFailedJobIsForgotten(t *testing.T) {
+	d := newDesk(t, 1)
+	d.Limits.StopTime = 0
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Lasting: true, MayMiss: 1}}}, d.now)
+	a := d.life("a", 1)
+	d.beginAll(a)
+	d.finish(d.jobs["1"], job.Failed, d.now, "test")
+	d.now = d.now.Add(testLimits.Keep)
+	d.keep()
+	_, stops := d.orders(a)
+	assert.Equal(t, stops, 1)
+	d.look(a, worker.Listing{Ends: []worker.End{{Sequence: 1, Task: "1.0.0.0", Number: 1, How: worker.Stopped}}}, heard)
+	d.now = d.now.Add(time.Second)
+	d.keep()
+	assert.Equal(t, d.Has("1"), false)
+}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -283,7 +283,7 @@
 		if j := p.jobs[p.ended[0].id]; j != nil && j.state.Final() {
 			p.stopAll(j, now, "its job is told of no longer")
 			if j.live > 0 {
-				p.ended = append(p.ended[1:], endedJob{j.sub.ID, now.Add(p.Limits.StopTime)})
+				p.ended = append(p.ended[1:], endedJob{j.sub.ID, now.Add(p.Limits.StopTime + lookRetry)}) // it is looked at again
 				continue
 			}
 			j.state = ""
