A silent connection is told of before the calls that wait on it end

Cause: the waiting calls were ended first and the count came after, so that the caller could be sooner. Proof: with 50 ms between the two the test fails, and with the count first and the same 50 ms it passes.

--- a/modules/rpcconn/watch.go
+++ b/modules/rpcconn/watch.go
@@ -128,11 +128,12 @@
 		defer fresh.rpc.Close() //nolint:errcheck // another connection is in use already
 	}
 	t.mu.Unlock()
-	p.conn.Reset()
-	_ = p.rpc.Close() // calls that wait on it end
+	// It is told before the calls that wait end, so that who has got such an end finds it told.
 	t.Logger.Warn().Str("event", "silent").Str("to", "process").Str("address", p.address).Dur("after", time.Since(w.began)).
 		Msg("a connection had fallen silent and was replaced by a fresh one, which works")
 	if t.Found != nil {
 		t.Found(p.address, time.Since(w.began))
 	}
+	p.conn.Reset()
+	_ = p.rpc.Close() // calls that wait on it end
 }
