Scheduler, steward, fleet: what the change wrote twice stands once

One look-up of a task by its name (find) serves open and holdBack, and takes the parsed name, which four callers had written out and parsed again; one endRuns ends a worker's runs for both ends of a life; one list of a gang's members serves three loops; a worker that answers acquits in one place; suspects are looked at in the loop over workers that was there. The steward counts duties once a look, with the count that inherit had of its own, and not at all on a node that owns nothing. How many instances of a pool are to leave stands in the tally, where each pool and move went over all actions. Collect loses a parameter that it did not read. The model derives the number of failed ends from their list; scripts ask in one place whether a job crashes its workers.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -70,6 +70,9 @@
 	Steps []scriptStep      `toml:"step"`
 }
 
+// crashes reports whether the first task of a job crashes its workers.
+func (j scriptJob) crashes() bool { return strings.HasPrefix(j.Spec, world.CrashingSpec) }
+
 type scriptStep struct {
 	Count     int               `toml:"count"`
 	CPU       int               `toml:"cpu"`
@@ -293,7 +296,7 @@
 	st.world.Submitted(s)
 	st.mu.Lock()
 	st.open[j.Pool] = append(st.open[j.Pool], s.ID)
-	if s.Lasts() && !strings.HasPrefix(j.Spec, world.CrashingSpec) {
+	if s.Lasts() && !j.crashes() {
 		st.lasting = append(st.lasting, job.StepRef{Job: s.ID})
 	}
 	st.mu.Unlock()
@@ -303,12 +306,11 @@
 		return
 	}
 	st.jobs.Go(func() { st.again(ctx, s) })
-	crashes := strings.HasPrefix(j.Spec, world.CrashingSpec)
-	if s.Lasts() && !crashes || st.script.MayStay {
+	if s.Lasts() && !j.crashes() || st.script.MayStay {
 		return
 	}
 	want := job.Completed
-	if strings.Contains(j.Spec, "poison") || crashes {
+	if strings.Contains(j.Spec, "poison") || j.crashes() {
 		want = job.Failed
 	}
 	var last job.State
--- a/services/fleet/even.go
+++ b/services/fleet/even.go
@@ -51,7 +51,7 @@
 		}
 	}
 	for pool := range v.pools {
-		if pool == to || v.leavingFrom(pool) >= max(1, int(evenPart*float64(v.supply(pool)))) {
+		if pool == to || v.tally.leaving[pool] >= max(1, int(evenPart*float64(v.supply(pool)))) {
 			continue
 		}
 		if s := v.served(pool, -1); from == "" || s > most || s == most && pool < from {
@@ -72,17 +72,6 @@
 	return float64(max(v.supply(pool)+more-lasting, 0)) / float64(max(p.hard-lasting, 1))
 }
 
-// leavingFrom returns how many instances of a pool are to go to others.
-func (v *view) leavingFrom(pool string) int {
-	n := 0
-	for _, a := range v.actions {
-		if a.from == pool && a.to != "" && a.stage != settling {
-			n++
-		}
-	}
-	return n
-}
-
 // emptiest returns the instance of a pool with the least to move, without tasks that
 // last: those would only go elsewhere in the pool.
 func (v *view) emptiest(from, to string) (port.Instance, bool) {
--- a/services/fleet/tally.go
+++ b/services/fleet/tally.go
@@ -19,6 +19,7 @@
 	usual    job.Size                // of the smallest instance
 	supply   map[string]int          // instances that serve a pool or are about to
 	racks    map[place]int           // instances that are in a pool or are about to be, by rack
+	leaving  map[string]int          // instances of a pool that are to go to others and have not gone
 	due      map[string]bool         // instances whose maintenance a wave asks for yet
 	swaps    map[string]bool         // pools that have one of them
 	reported map[life]*workerOfAPool // what owners say of workers
@@ -38,9 +39,12 @@
 func (v *view) count() {
 	t := &tally{
 		supply: make(map[string]int), racks: make(map[place]int), due: make(map[string]bool), swaps: make(map[string]bool),
-		reported: make(map[life]*workerOfAPool), free: make(map[string][]port.Instance),
+		reported: make(map[life]*workerOfAPool), free: make(map[string][]port.Instance), leaving: make(map[string]int),
 	}
 	v.tally = t
+	for _, a := range v.actions {
+		t.leaving[a.from] += btoi(a.leaves())
+	}
 	for pool, p := range v.pools {
 		for i := range p.report.Workers {
 			w := &p.report.Workers[i]
@@ -85,6 +89,9 @@
 	return i.Pool, i.Condition != port.Down || a != nil
 }
 
+// leaves reports whether an action has an instance go to another pool and it has not gone.
+func (a *action) leaves() bool { return a.to != "" && a.stage != settling }
+
 // isIn returns the pool that an instance is in or is about to be.
 func isIn(i port.Instance, a *action) string {
 	if a != nil && a.to != "" {
@@ -101,6 +108,7 @@
 	}
 	t.racks[place{isIn(i, v.actions[a.instance]), rack(i)}]--
 	v.actions[a.instance] = a
+	t.leaving[a.from] += btoi(a.leaves())
 	if pool, counts := serves(i, a); counts {
 		t.supply[pool]++
 	}
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -28,10 +28,10 @@
 
 	mu        sync.Mutex
 	writer    port.Writer
-	confirmed time.Time // when the last append that succeeded was sent
-	answered  time.Time // when the last append that succeeded was answered
-	took      time.Duration
-	stuck     time.Time // since when an append is under way, zero for none
+	confirmed time.Time     // when the last append that succeeded was sent
+	answered  time.Time     // when the last append that succeeded was answered
+	took      time.Duration // of that append
+	stuck     time.Time     // since when an append is under way, zero for none
 }
 
 // keyClaim is the key of the claim of the partition's writer; it sorts before
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -74,7 +74,7 @@
 	now := o.Clock.Now()
 	wake := o.pool.Plan(now)
 	o.askAdvice()
-	batch, err := o.pool.Collect(now)
+	batch, err := o.pool.Collect()
 	o.attend()
 	o.dropLinks()
 	o.mu.Unlock()
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -246,7 +246,7 @@
 // takeBack takes a worker's crash back from the tasks it is held against, where allowed.
 func (p *Pool) takeBack(id worker.ID, allowed func(crash) bool, why string) {
 	for _, ref := range p.blamed[id] {
-		_, t := p.open(ref.String())
+		_, t := p.open(ref)
 		if t == nil {
 			continue
 		}
@@ -265,7 +265,7 @@
 // crashed: its instance has another life.
 func (p *Pool) confirm(id worker.ID) {
 	for _, ref := range p.blamed[id] {
-		_, t := p.open(ref.String())
+		_, t := p.open(ref)
 		if t == nil {
 			continue
 		}
@@ -301,7 +301,7 @@
 func (p *Pool) forgetBlame() {
 	for id, refs := range p.blamed {
 		refs = slices.DeleteFunc(refs, func(ref job.TaskRef) bool {
-			_, t := p.open(ref.String())
+			_, t := p.open(ref)
 			return t == nil || t.done
 		})
 		if p.blamed[id] = refs; len(refs) == 0 {
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -111,7 +111,7 @@
 	assert.Equal(t, second.state("1"), job.Failed)
 	third.crash(b) // that the run has ended is not in its records
 	third.keep()
-	assert.Equal(t, len(third.jobs["1"].rounds[0].steps[0].tasks[0].crashes), 2)
+	assert.Equal(t, len(third.firstTask("1").crashes), 2)
 }
 
 // TestAJobThatIsOverHoldsNoCrashes: what was held against its tasks is dropped.
@@ -159,7 +159,7 @@
 		},
 		"leaves": func(d *desk, id worker.ID) {
 			d.Miss(id)
-			d.look(id, worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: d.jobs["1"].rounds[0].steps[0].tasks[0].number}}}, heard)
+			d.look(id, worker.Listing{Runs: []worker.Run{{Task: "1.0.0.0", Number: d.firstTask("1").number}}}, heard)
 			d.crash(id)
 		},
 	}
@@ -172,7 +172,7 @@
 				assert.DeepEqual(t, d.beginAll(id), []string{"1.0.0.0"})
 				end(d, id)
 			}
-			assert.Equal(t, len(d.jobs["1"].rounds[0].steps[0].tasks[0].crashes), 0)
+			assert.Equal(t, len(d.firstTask("1").crashes), 0)
 		})
 	}
 }
@@ -187,7 +187,7 @@
 	d.look(a, worker.Listing{}, port.Answer{Verdict: port.Unknown})
 	d.now = d.now.Add(10 * time.Second)
 	d.Lapse(d.now)
-	crashes := func() []crash { return d.jobs["1"].rounds[0].steps[0].tasks[0].crashes }
+	crashes := func() []crash { return d.firstTask("1").crashes }
 	assert.Equal(t, len(crashes()), 1)
 	assert.Equal(t, crashes()[0].sure, false)
 	d.look(a, worker.Listing{}, otherLife)
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -76,34 +76,38 @@
 // breakGang gives up the other members of the gang of a run that does not begin: they
 // would wait for it in vain.
 func (p *Pool) breakGang(u *run, now time.Time, why string) {
-	if u.stray || !u.step().spec.Gang {
+	if !u.inGang() {
 		return
 	}
-	tasks := u.step().tasks
-	for i := range tasks {
-		for _, o := range slices.Clone(tasks[i].runs) {
-			if o != u && o.number == u.number && !o.stopping && o.phase != over {
-				p.giveUp(o, now, "a member of its gang does not begin: "+why)
-			}
+	for _, o := range u.members() {
+		if o != u && !o.stopping && o.phase != over {
+			p.giveUp(o, now, "a member of its gang does not begin: "+why)
 		}
 	}
 }
 
-// worksTogether reports whether the gang of a run has been seen at work: the platform ends
-// its members with the first that ends. One that was not waits for a member whose worker
-// has crashed until it ends alone, if it is not stopped.
-func (u *run) worksTogether() bool {
-	if u.stray || !u.step().spec.Gang {
-		return true
-	}
+// inGang reports whether a run works only together with others.
+func (u *run) inGang() bool { return !u.stray && u.step().spec.Gang }
+
+// members returns the runs under way that began together with a run of a gang, itself
+// included.
+func (u *run) members() []*run {
+	var list []*run
 	for _, t := range u.step().tasks {
 		for _, o := range t.runs {
-			if o.number == u.number && o.percent > 0 {
-				return true
+			if o.number == u.number {
+				list = append(list, o)
 			}
 		}
 	}
-	return false
+	return list
+}
+
+// worksTogether reports whether the gang of a run has been seen at work: the platform ends
+// its members with the first that ends. One that was not waits for a member whose worker
+// has crashed until it ends alone, if it is not stopped.
+func (u *run) worksTogether() bool {
+	return !u.inGang() || slices.ContainsFunc(u.members(), func(o *run) bool { return o.percent > 0 })
 }
 
 // stallTime is after which time a gang has come to a stand that was at work when the worker
@@ -118,7 +122,7 @@
 		return
 	}
 	for _, u := range w.runs {
-		if u.stray || !u.step().spec.Gang {
+		if !u.inGang() {
 			continue
 		}
 		if u.advances(now) {
@@ -131,14 +135,7 @@
 
 // advances reports whether another member of a run's gang has done some work of late.
 func (u *run) advances(now time.Time) bool {
-	for _, t := range u.step().tasks {
-		for _, o := range t.runs {
-			if o != u && o.number == u.number && now.Sub(o.moved) < stallTime {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(u.members(), func(o *run) bool { return o != u && now.Sub(o.moved) < stallTime })
 }
 
 // withholdAll gives up the orders that wait and are not to go out any more.
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -105,15 +105,19 @@
 	return r
 }
 
-// open returns a task that a name stands for and its step, nil where there is none, or
-// its job has ended.
-func (p *Pool) open(name string) (*stepState, *taskState) {
-	ref, err := job.ParseTask(name)
-	if err != nil {
+// open returns a task and its step, nil where there is none, or its job has ended.
+func (p *Pool) open(ref job.TaskRef) (*stepState, *taskState) {
+	s, t := p.find(ref)
+	if t == nil || s.job.state.Final() {
 		return nil, nil
 	}
+	return s, t
+}
+
+// find returns a task and its step, nil where there is none.
+func (p *Pool) find(ref job.TaskRef) (*stepState, *taskState) {
 	j := p.jobs[ref.Job]
-	if j == nil || j.state.Final() || ref.Round >= len(j.rounds) || j.rounds[ref.Round] == nil || ref.Step >= len(j.sub.Steps) {
+	if j == nil || ref.Round >= len(j.rounds) || j.rounds[ref.Round] == nil || ref.Step >= len(j.sub.Steps) {
 		return nil, nil
 	}
 	s := &j.rounds[ref.Round].steps[ref.Step]
--- a/services/scheduler/lateend.go
+++ b/services/scheduler/lateend.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
 )
 
@@ -15,7 +16,11 @@
 // every other, so that it counts: a task that is done must not begin again, and one that
 // has failed has used an attempt.
 func (p *Pool) lateEnd(w *workerState, e worker.End, now time.Time) {
-	s, t := p.open(e.Task)
+	ref, err := job.ParseTask(e.Task)
+	if err != nil {
+		return // another's: no task of ours has such a name
+	}
+	s, t := p.open(ref)
 	if t == nil || t.done || s.spec.Lasting || e.Number > t.number {
 		return
 	}
--- a/services/scheduler/lateend_test.go
+++ b/services/scheduler/lateend_test.go
@@ -72,7 +72,7 @@
 	d.ended(worker.Failed)
 	d.ended(worker.Failed)
 	d.keep()
-	assert.Equal(t, d.jobs["1"].rounds[0].steps[0].tasks[0].fails, 1)
+	assert.Equal(t, d.firstTask("1").fails, 1)
 	d.keep()
 	state, _ := d.State("1")
 	assert.Equal(t, state, job.Failed)
@@ -86,5 +86,5 @@
 	d.submit("1", 1)
 	d.keep()
 	d.look("w", worker.Listing{Ends: []worker.End{{Sequence: 1, Task: "1.0.0.0", Number: 7, How: worker.Failed}}}, heard)
-	assert.Equal(t, d.jobs["1"].rounds[0].steps[0].tasks[0].fails, 0)
+	assert.Equal(t, d.firstTask("1").fails, 0)
 }
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -73,7 +73,6 @@
 		p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Dur("silent", now.Sub(w.silent)).
 			Msg("a worker answers again")
 		w.silent = time.Time{}
-		p.acquit(w.info.ID)
 		p.moved = true
 	}
 	if !w.met {
@@ -81,9 +80,9 @@
 		// before this look.
 		w.deadline = max(w.deadline, w.clock+p.Limits.Lease)
 		w.met = true
-		p.acquit(w.info.ID)
 		p.moved = true
 	}
+	p.acquit(w.info.ID)
 	w.lingers = !w.listed
 	w.told = max(w.told, k.ask.Seen)
 	if w.rivals {
@@ -209,15 +208,11 @@
 // holdBack keeps the room of a stray run, and its task from being begun, until it
 // must have been stopped.
 func (p *Pool) holdBack(w *workerState, ref job.TaskRef, now time.Time) {
-	j := p.jobs[ref.Job]
-	if j == nil || ref.Round >= len(j.rounds) || j.rounds[ref.Round] == nil || ref.Step >= len(j.sub.Steps) {
-		return
-	}
-	s := &j.rounds[ref.Round].steps[ref.Step]
-	if ref.Index >= len(s.tasks) {
+	s, t := p.find(ref)
+	if t == nil {
 		return
 	}
 	w.strays = w.strays.Plus(s.spec.Room())
-	s.tasks[ref.Index].notBefore = now.Add(p.Limits.StopTime + lookRetry)
+	t.notBefore = now.Add(p.Limits.StopTime + lookRetry)
 	p.wakeAt(now.Add(p.Limits.StopTime+lookRetry), now)
 }
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -51,9 +51,11 @@
 	}
 	for _, w := range p.workers {
 		p.wakeAt(w.trust.until, now)
+		if w.onProbation(now) {
+			p.wakeAt(now.Add(holdStep), now)
+		}
 	}
 	p.wakeForAdvice(now)
-	p.wakeForSuspects(now)
 	return p.wake
 }
 
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -77,7 +77,7 @@
 }
 
 // Collect returns what has changed since the last batch, nil for nothing.
-func (p *Pool) Collect(_ time.Time) (*Batch, error) {
+func (p *Pool) Collect() (*Batch, error) {
 	b := &Batch{Number: p.batch, runs: p.planned, stops: p.stops}
 	for _, j := range p.dirty {
 		if err := b.add(j, p.Clock); err != nil {
--- a/services/scheduler/record_crash.go
+++ b/services/scheduler/record_crash.go
@@ -89,7 +89,7 @@
 
 func (p *Pool) restoreCrash(id job.ID, k keptCrash) {
 	ref := job.TaskRef{StepRef: job.StepRef{Job: id, Round: k.Round, Step: k.Step}, Index: k.Index}
-	_, t := p.open(ref.String())
+	_, t := p.open(ref)
 	if t == nil {
 		return // its job has ended
 	}
--- a/services/scheduler/suspect.go
+++ b/services/scheduler/suspect.go
@@ -33,10 +33,13 @@
 }
 
 func (u *run) onProbation(now time.Time) bool {
-	if u.stray || !u.suspected || now.Sub(u.moved) > holdMost && u.began.IsZero() {
+	switch {
+	case u.stray || !u.suspected:
 		return false
+	case u.began.IsZero():
+		return now.Sub(u.moved) <= holdMost
 	}
-	return u.began.IsZero() || u.at.heardAt.Sub(u.began) < freshTime && now.Sub(u.began) < holdMost
+	return u.at.heardAt.Sub(u.began) < freshTime && now.Sub(u.began) < holdMost
 }
 
 // What counts against a worker for a suspect, against the share of it that is in use.
@@ -45,16 +48,6 @@
 	besideSuspect = 20 // another suspect there, from which it could not be told
 )
 
-// wakeForSuspects has the pool planned again where suspects keep tasks waiting.
-func (p *Pool) wakeForSuspects(now time.Time) {
-	for _, w := range p.workers {
-		if w.onProbation(now) {
-			p.wakeAt(now.Add(holdStep), now)
-			return
-		}
-	}
-}
-
 // risk returns what counts against beginning a suspect on a worker.
 func (t *taskState) risk(w *workerState) float64 {
 	if !t.suspected() {
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -52,6 +52,9 @@
 	d.Submit(job.Submission{ID: id, Queue: "h/q/", Steps: []job.Step{{Count: count, Size: job.Size{CPU: 1000}, Estimate: time.Minute}}}, d.now)
 }
 
+// firstTask returns the first task of a job of one step.
+func (d *desk) firstTask(id job.ID) *taskState { return &d.jobs[id].rounds[0].steps[0].tasks[0] }
+
 // look has a worker answer one look.
 func (d *desk) look(id worker.ID, listing worker.Listing, a port.Answer) {
 	d.t.Helper()
@@ -64,7 +67,7 @@
 func (d *desk) keep() []port.Record {
 	d.t.Helper()
 	d.Plan(d.now)
-	b, err := d.Collect(d.now)
+	b, err := d.Collect()
 	assert.NilError(d.t, err)
 	if b == nil {
 		return nil
@@ -91,10 +94,10 @@
 	second.look("w", worker.Listing{}, port.Answer{Verdict: port.Unreached})
 	second.now = second.now.Add(testLimits.Lease)
 	second.Lapse(second.now)
-	assert.Equal(t, len(second.jobs["1"].rounds[0].steps[0].tasks[0].runs), 1, "the run is given up while its lease holds")
+	assert.Equal(t, len(second.firstTask("1").runs), 1, "the run is given up while its lease holds")
 	second.now = second.now.Add(time.Second)
 	second.Lapse(second.now)
-	assert.Equal(t, len(second.jobs["1"].rounds[0].steps[0].tasks[0].runs), 0)
+	assert.Equal(t, len(second.firstTask("1").runs), 0)
 }
 
 // TestLookThatWasNotSentTakesBackOnlyItself has a look find no way to a worker
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -225,15 +225,20 @@
 func (p *Pool) lifeOver(w *workerState, now time.Time, how lifeEnd, why string) {
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Str("why", why).
 		Msg("a worker's life is over")
-	blame := p.suspects(w, how)
+	p.confirm(w.info.ID)
+	p.endRuns(w, now, how, why)
+	delete(p.workers, w.info.ID)
+	p.moved = true
+}
+
+// endRuns ends all that a worker ran, and holds it against those that may be the cause.
+func (p *Pool) endRuns(w *workerState, now time.Time, how lifeEnd, why string) {
+	suspects := p.suspects(w, how)
 	for _, u := range w.runs {
 		p.lose(u, now, why)
 	}
 	w.out = nil
-	delete(p.workers, w.info.ID)
-	p.moved = true
-	p.confirm(w.info.ID)
-	p.blame(w, blame, how, now)
+	p.blame(w, suspects, how, now)
 }
 
 // Over takes the news that workers' lives were ended by an order to their
@@ -275,14 +280,9 @@
 			p.wakeAt(w.lapses(), now)
 			continue
 		}
-		blame := p.suspects(w, endedUnseen)
-		for _, u := range w.runs {
-			p.lose(u, now, "its lease has lapsed on a silent worker")
-		}
-		w.out = nil
+		p.endRuns(w, now, endedUnseen, "its lease has lapsed on a silent worker")
 		if !w.listed {
 			delete(p.workers, w.info.ID)
 		}
-		p.blame(w, blame, endedUnseen, now)
 	}
 }
--- a/services/steward/improve.go
+++ b/services/steward/improve.go
@@ -29,11 +29,14 @@
 func (s *Steward) improve(ctx context.Context, v *directory.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Clock.Now()
+	if s.leaving || len(s.owned) == 0 {
+		return
+	}
+	now, owns := s.Clock.Now(), duties(v)
 	self := v.Nodes[s.Directory.Self.Name]
 	own := float64(len(s.owned)) / self.Capacity()
-	best := s.best(v, now)
-	if s.leaving || best == "" || load(v.Nodes[best], duties(v, best))*muchBetter > own {
+	best := s.best(v, owns, now)
+	if best == "" || load(v.Nodes[best], owns[best])*muchBetter > own {
 		return
 	}
 	for duty, t := range s.owned {
@@ -48,34 +51,28 @@
 }
 
 // best returns the other node that can carry most for one more duty, "" for none.
-func (s *Steward) best(v *directory.View, now time.Time) string {
-	best := ""
+func (s *Steward) best(v *directory.View, owns map[string]int, now time.Time) string {
+	best, least := "", 0.0
 	for name, n := range v.Nodes {
 		if name == s.Directory.Self.Name || s.Clock.Date(now).Sub(time.Unix(0, int64(n.Life))) < provedAfter { //nolint:gosec // a time
 			continue
 		}
-		if best == "" || better(v, name, best) {
-			best = name
+		if l := load(n, owns[name]); best == "" || l < least || l == least && name < best {
+			best, least = name, l
 		}
 	}
 	return best
 }
 
-// better reports whether one node can carry more for one more duty than another.
-func better(v *directory.View, a, b string) bool {
-	x, y := load(v.Nodes[a], duties(v, a)), load(v.Nodes[b], duties(v, b))
-	return x < y || x == y && a < b
-}
-
-// duties returns how many duties a node owns.
-func duties(v *directory.View, name string) int {
-	n := 0
+// duties returns how many duties each node owns.
+func duties(v *directory.View) map[string]int {
+	owns := make(map[string]int)
 	for duty := range v.Pools {
-		if o, _, present := v.Owner(duty); present && o.Name == name {
-			n++
+		if n, _, present := v.Owner(duty); present {
+			owns[n.Name]++
 		}
 	}
-	return n
+	return owns
 }
 
 // upgrade is one wish that a better node takes a duty over.
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -208,12 +208,7 @@
 // those that own the fewest pools for their processors. All nodes work out the
 // same from the same view.
 func inherit(v *directory.View, orphans []string) map[string][]string {
-	owns := make(map[string]int)
-	for pool := range v.Pools {
-		if n, _, present := v.Owner(pool); present {
-			owns[n.Name]++
-		}
-	}
+	owns := duties(v)
 	names := make([]string, 0, len(v.Nodes))
 	for name := range v.Nodes {
 		names = append(names, name)
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -17,18 +17,17 @@
 type submitted struct {
 	sub       job.Submission
 	cancelled time.Time
-	done      map[string]bool // tasks that have ended as done
-	noted     map[string]bool // of them, those taken note of
-	fails     map[string]int  // failed ends taken note of
-	failed    map[string]int  // all failed ends
-	failedOn  map[string][]worker.ID
-	away      map[string]time.Time // since when a task that lasts is not at work
-	ordered   map[string]bool      // such a task was ended by an order
-	refused   bool                 // its customer gave up after refusals only
-	begun     bool                 // a task of it was begun
-	crashes   map[string]int       // workers that a task has crashed
-	crashed   map[string]int       // starts of a task since it has crashed as many as is allowed
-	beside    map[string]int       // workers that have crashed under a task, by whatever cause
+	done      map[string]bool        // tasks that have ended as done
+	noted     map[string]bool        // of them, those taken note of
+	fails     map[string]int         // failed ends taken note of
+	failed    map[string][]worker.ID // the workers of all failed ends
+	away      map[string]time.Time   // since when a task that lasts is not at work
+	ordered   map[string]bool        // such a task was ended by an order
+	refused   bool                   // its customer gave up after refusals only
+	begun     bool                   // a task of it was begun
+	crashes   map[string]int         // workers that a task has crashed
+	crashed   map[string]int         // starts of a task since it has crashed as many as is allowed
+	beside    map[string]int         // workers that have crashed under a task, by whatever cause
 }
 
 // cancelTime is how long after a cancel's acknowledgement a task may begin, also by an
@@ -41,7 +40,7 @@
 	defer w.mu.Unlock()
 	w.jobs[s.ID] = &submitted{
 		sub: s, done: make(map[string]bool), noted: make(map[string]bool), fails: make(map[string]int), away: make(map[string]time.Time),
-		ordered: make(map[string]bool), failed: make(map[string]int), failedOn: make(map[string][]worker.ID), crashes: make(map[string]int), crashed: make(map[string]int),
+		ordered: make(map[string]bool), failed: make(map[string][]worker.ID), crashes: make(map[string]int), crashed: make(map[string]int),
 		beside: make(map[string]int),
 	}
 }
@@ -70,7 +69,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j, gangs := w.jobs[id], make(map[job.StepRef]int)
-	for task, n := range j.failed {
+	for task, on := range j.failed {
+		n := len(on)
 		ref, _ := job.ParseTask(task)
 		if j.sub.Steps[ref.Step].Gang {
 			gangs[ref.StepRef] += n
@@ -87,7 +87,7 @@
 func (w *World) Fails(id job.ID) map[string][]worker.ID {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return maps.Clone(w.jobs[id].failedOn)
+	return maps.Clone(w.jobs[id].failed)
 }
 
 // HasCompleted reports whether each task of a job without times has ended as done.
@@ -215,8 +215,7 @@
 	case how == worker.Done:
 		j.done[r.task] = true
 	case how == worker.Failed:
-		j.failed[r.task]++
-		j.failedOn[r.task] = append(j.failedOn[r.task], o.info.ID)
+		j.failed[r.task] = append(j.failed[r.task], o.info.ID)
 	}
 }
 
