--- a/adapters/noderpc/client_test.go
+++ b/adapters/noderpc/client_test.go
@@ -33,7 +33,7 @@
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
-// TestTimeToComeBackPassesBetweenNodes: a customer is told it by whichever node the call
+// TestTimeToComeBackPassesBetweenNodes: a caller is told it by whichever node the call
 // came to.
 func TestTimeToComeBackPassesBetweenNodes(t *testing.T) {
 	e := errkind.Of(kindOf(codeOf(errkind.NewRetry(errkind.Overloaded, 3*time.Second, "full"))))
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	p.meter.Gauge("log.dropped", lines.Dropped)
-	logger.Info().Str("event", "start").Str("customers", s.Listen.Customers).Str("store", s.Platform.Store).Msg("the node starts")
+	logger.Info().Str("event", "start").Str("callers", s.Listen.Callers).Str("store", s.Platform.Store).Msg("the node starts")
 	// A hang-up that finds one waiting is one with it: the file is read after it.
 	hangup := make(chan struct{}, 1)
 	p.watchSettings(ctx, *path, data, hangup)
@@ -74,13 +74,13 @@
 
 // nodeProcess is one node and its surfaces.
 type nodeProcess struct {
-	node      *node.Node
-	setting   setting.Node
-	logger    log.Logger
-	meter     *measure.Meter
-	customers *httpserve.Surface
-	ready     *httpserve.Surface
-	metrics   *httpserve.Surface // nil for none
+	node    *node.Node
+	setting setting.Node
+	logger  log.Logger
+	meter   *measure.Meter
+	callers *httpserve.Surface
+	ready   *httpserve.Surface
+	metrics *httpserve.Surface // nil for none
 }
 
 func openNode(s setting.Node, logger log.Logger) (*nodeProcess, error) {
@@ -125,28 +125,28 @@
 	return c.Clock()
 }
 
-// The bounds of connections, each far above what a customer needs. The operators'
+// The bounds of connections, each far above what a caller needs. The operators'
 // limits hold in place of the times where they are shorter.
 const (
 	readTimeout = 5 * time.Second // for the head of a request to come, and for its body
 	idleTimeout = 2 * time.Minute // between the requests of a connection
 	headerBytes = 16 << 10        // of the head of a request; the operators say the same
-	// customerConnections is how many there may be at once: of the 3,900 descriptors
+	// callerConnections is how many there may be at once: of the 3,900 descriptors
 	// that a process has for sockets, the rest is for workers, other nodes and the
 	// store; at some 30 kB each they take 60 MB of 284.
-	customerConnections = 2048
+	callerConnections = 2048
 )
 
-// open opens the addresses for customers, for the platform's question and for figures.
+// open opens the addresses for callers, for the platform's question and for figures.
 func (p *nodeProcess) open() error {
-	p.customers = &httpserve.Surface{
-		Handler:     &platform.Customers{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter},
-		Connections: customerConnections, Newer: p.customerTimes, Quiet: noticeSpan,
+	p.callers = &httpserve.Surface{
+		Handler:     &platform.Callers{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter},
+		Connections: callerConnections, Newer: p.callerTimes, Quiet: noticeSpan,
 	}
 	p.ready = &httpserve.Surface{Handler: http.HandlerFunc(p.serveReady)}
 	listen := p.setting.Listen
-	if err := serveAt(p.customers, listen.Customers); err != nil {
-		return errors.Annotate(err, "address for customers")
+	if err := serveAt(p.callers, listen.Callers); err != nil {
+		return errors.Annotate(err, "address for callers")
 	}
 	if err := serveAt(p.ready, listen.Ready); err != nil {
 		return errors.Annotate(err, "address for the platform's question")
@@ -156,7 +156,7 @@
 	}
 	figures := &httpserve.Surface{Handler: p.figures()}
 	if err := serveAt(figures, p.setting.Figures()); err != nil {
-		// Customers are served without figures, too.
+		// Callers are served without figures, too.
 		p.logger.Error().Str("event", "listen").Str("address", p.setting.Figures()).Err(err).Msg("the figures can't be served")
 		return nil
 	}
@@ -171,8 +171,8 @@
 	return err
 }
 
-// customerTimes returns the operators' limits for heads and idle connections.
-func (p *nodeProcess) customerTimes() (header, idle time.Duration) {
+// callerTimes returns the operators' limits for heads and idle connections.
+func (p *nodeProcess) callerTimes() (header, idle time.Duration) {
 	c := p.node.Gateway.Config()
 	if c == nil {
 		return 0, 0
@@ -205,11 +205,11 @@
 	// are told to give up.
 	stopShare = 0.7
 	// handShare is the part of the grace after which the node stops listening, whether
-	// its pools are handed over by then or not: the rest is for customers.
+	// its pools are handed over by then or not: the rest is for callers.
 	handShare = 0.35
-	// noticeSpan is how long customers' kept connections are waited for, and the node
+	// noticeSpan is how long callers' kept connections are waited for, and the node
 	// listens while there are some: the platform asks each second whether a node is
-	// ready, and sends it no new customers after two answers that it is not.
+	// ready, and sends it no new callers after two answers that it is not.
 	noticeSpan = 2200 * time.Millisecond
 	// askedSpan is for answers to the platform's questions that are under way.
 	askedSpan = 50 * time.Millisecond
@@ -221,7 +221,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var tasks sync.WaitGroup
-	tasks.Go(func() { p.customers.Run(running) })
+	tasks.Go(func() { p.callers.Run(running) })
 	tasks.Go(func() { p.ready.Run(running) })
 	if p.metrics != nil {
 		tasks.Go(func() { p.metrics.Run(running) })
@@ -240,16 +240,16 @@
 	grace := p.setting.Bounds.Grace.Std()
 	bounded, end := context.WithTimeout(ctx, share(grace, stopShare))
 	defer end()
-	// Customers that stay are told to turn elsewhere with their next answer.
-	p.customers.Retire()
+	// Callers that stay are told to turn elsewhere with their next answer.
+	p.callers.Retire()
 	handed := make(chan struct{})
 	go p.handOver(bounded, handed)
 	select {
 	case <-handed:
 	case <-time.After(share(grace, handShare)):
 	}
-	if err := p.customers.Shutdown(bounded); err != nil {
-		p.logger.Warn().Str("event", "stop").Err(err).Msg("calls of customers were cut off")
+	if err := p.callers.Shutdown(bounded); err != nil {
+		p.logger.Warn().Str("event", "stop").Err(err).Msg("calls of callers were cut off")
 	}
 	<-handed
 	asked, endAsked := context.WithTimeout(ctx, askedSpan)
--- a/cmd/node_settings_test.go
+++ b/cmd/node_settings_test.go
@@ -27,7 +27,7 @@
 memory_mb = 200
 
 [listen]
-customers = "127.0.0.1:7001"
+callers = "127.0.0.1:7001"
 ready = "127.0.0.1:7002"
 node_port = 7003
 
--- a/cmd/signals_test.go
+++ b/cmd/signals_test.go
@@ -178,7 +178,7 @@
 cores = 1.0
 memory_mb = 200
 [listen]
-customers = %q
+callers = %q
 ready = %q
 node_port = %s
 [platform]
--- a/cmd/stop_test.go
+++ b/cmd/stop_test.go
@@ -24,7 +24,7 @@
 	"github.com/yardbridge/yardbridge/cmd"
 )
 
-// crowd is customers of one address that go on using their connections.
+// crowd is callers of one address that go on using their connections.
 type crowd struct {
 	t       *testing.T
 	address string
@@ -33,10 +33,10 @@
 	tasks   sync.WaitGroup
 }
 
-// crowdSize is how many customers there are.
+// crowdSize is how many callers there are.
 const crowdSize = 30
 
-// press has the customers send requests one after another, until each is told that its
+// press has the callers send requests one after another, until each is told that its
 // connection ends.
 func press(t *testing.T, address, request string) *crowd {
 	k := &crowd{t: t, address: address, request: request}
@@ -77,18 +77,18 @@
 	}
 }
 
-// customersPattern finds the address for customers in the settings of a node.
-var customersPattern = regexp.MustCompile(`customers = "([^"]+)"`)
+// callersPattern finds the address for callers in the settings of a node.
+var callersPattern = regexp.MustCompile(`callers = "([^"]+)"`)
 
 // beginNode starts a node whose store refuses connections.
-func beginNode(t *testing.T) (c *child, customers, ready string) {
+func beginNode(t *testing.T) (c *child, callers, ready string) {
 	text, path := nodeText(t), filepath.Join(t.TempDir(), "node.toml")
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	c = begin(t, "node", "-settings", path)
-	customers = customersPattern.FindStringSubmatch(text)[1]
+	callers = callersPattern.FindStringSubmatch(text)[1]
 	ready = regexp.MustCompile(`ready = "([^"]+)"`).FindStringSubmatch(text)[1]
-	listens(t, customers)
-	return c, customers, ready
+	listens(t, callers)
+	return c, callers, ready
 }
 
 // listens waits until an address is served.
@@ -107,12 +107,12 @@
 const wholeRequest = "POST /q/0123456789abcdef HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2\r\n\r\n{}"
 
 // TestStopsOfProcessesAnswerEveryRequest asks each process to stop, and hangs up, while
-// customers press it on kept connections: every whole request is answered.
+// callers press it on kept connections: every whole request is answered.
 func TestStopsOfProcessesAnswerEveryRequest(t *testing.T) {
 	stop := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}
 	t.Run("node", func(t *testing.T) {
-		c, customers, _ := beginNode(t)
-		k := press(t, customers, wholeRequest)
+		c, callers, _ := beginNode(t)
+		k := press(t, callers, wholeRequest)
 		c.signal(stop...)
 		k.tasks.Wait()
 		assert.Equal(t, c.end(), cmd.ExitOK, c.text())
@@ -144,13 +144,13 @@
 	})
 }
 
-// TestCustomersBeyondTheBound: a node tells the customers that have no place so, and
+// TestCallersBeyondTheBound: a node tells the callers that have no place so, and
 // serves those that have one.
-func TestCustomersBeyondTheBound(t *testing.T) {
-	c, customers, _ := beginNode(t)
+func TestCallersBeyondTheBound(t *testing.T) {
+	c, callers, _ := beginNode(t)
 	var list []net.Conn
 	status := func() string {
-		k, err := net.Dial("tcp", customers)
+		k, err := net.Dial("tcp", callers)
 		assert.NilError(t, err)
 		list = append(list, k)
 		assert.NilError(t, k.SetDeadline(time.Now().Add(lineLimit)))
@@ -169,7 +169,7 @@
 	const most = 2048 // the bound of docs/OPERATIONS.md
 	for range most {
 		if kind := status(); kind != "stopping" {
-			t.Fatalf("customer %d is told %q", len(list), kind)
+			t.Fatalf("caller %d is told %q", len(list), kind)
 		}
 	}
 	assert.Equal(t, status(), "too-many-connections")
@@ -178,11 +178,11 @@
 	assert.Equal(t, c.end(), cmd.ExitOK, c.text())
 }
 
-// TestBodyOfACustomerThatNeverComes: the place of a customer whose body does not come
+// TestBodyOfACallerThatNeverComes: the place of a caller whose body does not come
 // is free again after a time.
-func TestBodyOfACustomerThatNeverComes(t *testing.T) {
-	_, customers, _ := beginNode(t)
-	k, err := net.Dial("tcp", customers)
+func TestBodyOfACallerThatNeverComes(t *testing.T) {
+	_, callers, _ := beginNode(t)
+	k, err := net.Dial("tcp", callers)
 	assert.NilError(t, err)
 	defer func() { _ = k.Close() }()
 	assert.NilError(t, k.SetDeadline(time.Now().Add(lineLimit)))
@@ -197,7 +197,7 @@
 func TestNodeWhoseAddressIsTaken(t *testing.T) {
 	text, path := nodeText(t), filepath.Join(t.TempDir(), "node.toml")
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
-	l, err := net.Listen("tcp", customersPattern.FindStringSubmatch(text)[1])
+	l, err := net.Listen("tcp", callersPattern.FindStringSubmatch(text)[1])
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	c := begin(t, "node", "-settings", path)
--- a/models/config/config.go
+++ b/models/config/config.go
@@ -50,7 +50,7 @@
 	Headroom bool // its instances are off and cost nothing
 }
 
-// Limits bound what a customer may send.
+// Limits bound what a caller may send.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
--- a/models/job/job.go
+++ b/models/job/job.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// ID names a job; its customer chooses it.
+// ID names a job; its caller chooses it.
 type ID string
 
-// State is what a customer is told of a job.
+// State is what a caller is told of a job.
 type State string
 
 // The states of a job.
@@ -68,7 +68,7 @@
 type Step struct {
 	Count       int           `cbor:"1,keyasint"`
 	Size        Size          `cbor:"2,keyasint"`            // of each task
-	Estimate    time.Duration `cbor:"3,keyasint,omitempty"`  // of a task's run time, by the customer; often far off
+	Estimate    time.Duration `cbor:"3,keyasint,omitempty"`  // of a task's run time, by the caller; often far off
 	After       []int         `cbor:"4,keyasint,omitempty"`  // earlier steps that must be done
 	Checkpoints bool          `cbor:"5,keyasint,omitempty"`  // a later run can go on from what an earlier one saved
 	Gang        bool          `cbor:"6,keyasint,omitempty"`  // the tasks run and end together
@@ -94,7 +94,7 @@
 	return room
 }
 
-// Submission is a job as its customer describes it.
+// Submission is a job as its caller describes it.
 type Submission struct {
 	ID       ID            `cbor:"1,keyasint"`
 	Queue    string        `cbor:"2,keyasint"`           // key of the queue it came on
--- a/modules/httpserve/stop_test.go
+++ b/modules/httpserve/stop_test.go
@@ -20,8 +20,8 @@
 	"github.com/yardbridge/yardbridge/modules/errkind"
 )
 
-// customer is one connection of a customer.
-type customer struct {
+// caller is one connection of a caller.
+type caller struct {
 	t     *testing.T
 	conn  net.Conn
 	lines *bufio.Reader
@@ -30,23 +30,23 @@
 // waitMost bounds the wait for an answer that must come.
 const waitMost = 30 * time.Second
 
-func connect(t *testing.T, address string) *customer {
+func connect(t *testing.T, address string) *caller {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	assert.NilError(t, c.SetDeadline(time.Now().Add(waitMost)))
-	return &customer{t, c, bufio.NewReader(c)}
+	return &caller{t, c, bufio.NewReader(c)}
 }
 
 // post writes a whole request with a body.
-func (c *customer) post(body string) error {
+func (c *caller) post(body string) error {
 	_, err := fmt.Fprintf(c.conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	return err
 }
 
 // answer reads a whole answer.
-func (c *customer) answer() (status int, body string, ends bool, err error) {
+func (c *caller) answer() (status int, body string, ends bool, err error) {
 	a, err := http.ReadResponse(c.lines, nil)
 	if err != nil {
 		return 0, "", false, err
@@ -62,7 +62,7 @@
 	return ended
 }
 
-// TestStopAnswersEveryWholeRequest has customers go on using kept connections until
+// TestStopAnswersEveryWholeRequest has callers go on using kept connections until
 // they are told that these end: each request has its whole answer.
 func TestStopAnswersEveryWholeRequest(t *testing.T) {
 	s := &Surface{ReadTimeout: time.Minute, Quiet: time.Minute}
@@ -73,7 +73,7 @@
 		c := connect(t, address)
 		tasks.Go(func() {
 			for n := 0; ; n++ {
-				text := fmt.Sprintf("request %d of customer %d", n, i)
+				text := fmt.Sprintf("request %d of caller %d", n, i)
 				asked.Add(1)
 				if err := c.post(text); err != nil {
 					t.Errorf("%s: not sent: %v", text, err)
@@ -97,7 +97,7 @@
 	tasks.Wait()
 }
 
-// TestStopWaitsForARequestOnAKeptConnection: a customer that can't know of the stop
+// TestStopWaitsForARequestOnAKeptConnection: a caller that can't know of the stop
 // yet has its request answered, and is told with the answer.
 func TestStopWaitsForARequestOnAKeptConnection(t *testing.T) {
 	s := &Surface{ReadTimeout: time.Minute, Quiet: time.Minute}
@@ -126,7 +126,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, "second")
-	assert.Assert(t, ends, "the customer is not told that the connection ends")
+	assert.Assert(t, ends, "the caller is not told that the connection ends")
 	_, err = fmt.Fprint(half.conn, "st: x\r\nContent-Length: 4\r\n\r\nhalf")
 	assert.NilError(t, err)
 	_, body, ends, err = half.answer()
@@ -148,7 +148,7 @@
 	address, err := s.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
-	var list []*customer
+	var list []*caller
 	for range 200 {
 		c := connect(t, address)
 		assert.NilError(t, c.post("waits"))
@@ -159,7 +159,7 @@
 	ended := shut(t.Context(), s)
 	for i, c := range list {
 		_, body, _, err := c.answer()
-		assert.NilError(t, err, "customer %d", i)
+		assert.NilError(t, err, "caller %d", i)
 		assert.Equal(t, body, "waits")
 	}
 	assert.NilError(t, <-ended)
@@ -213,7 +213,7 @@
 	bounded, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	assert.ErrorContains(t, <-shut(bounded, s), "cut off")
-	for _, c := range []*customer{stuck, half, silent} {
+	for _, c := range []*caller{stuck, half, silent} {
 		_, _, _, err := c.answer()
 		assert.Assert(t, err != nil, "the connection is still open")
 	}
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -33,10 +33,10 @@
 
 // NodeListen holds the IP and port of each surface.
 type NodeListen struct {
-	Customers string `toml:"customers"`
-	Ready     string `toml:"ready"`
-	NodePort  int    `toml:"node_port"`    // for other nodes
-	Metrics   int    `toml:"metrics_port"` // 0 for none
+	Callers  string `toml:"callers"`
+	Ready    string `toml:"ready"`
+	NodePort int    `toml:"node_port"`    // for other nodes
+	Metrics  int    `toml:"metrics_port"` // 0 for none
 }
 
 // NodePlatform says where the platform is and what its store is like.
@@ -84,7 +84,7 @@
 	if n.Node.LinkMbps < 0 {
 		c.add("node", 0, "link_mbps", "%v is not allowed; allowed is 0 for not stated, or more", n.Node.LinkMbps)
 	}
-	c.address("listen", "customers", n.Listen.Customers)
+	c.address("listen", "callers", n.Listen.Callers)
 	c.address("listen", "ready", n.Listen.Ready)
 	c.address("platform", "store", n.Platform.Store)
 	c.address("platform", "instances", n.Platform.Instances)
--- a/node/node.go
+++ b/node/node.go
@@ -117,7 +117,7 @@
 	n.probes.Close()
 }
 
-// Ready reports whether customers may be sent here.
+// Ready reports whether callers may be sent here.
 func (n *Node) Ready() bool {
 	v, _ := n.Directory.View()
 	n.mu.Lock()
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -49,7 +49,7 @@
 	Complete []int             `toml:"complete"` // waves that must be
 	Stay     bool              `toml:"stay"`     // no pool may change its owner after the first event
 	Once     bool              `toml:"once"`     // each event has the pools of its node change their owner once, and no others
-	Answer   tomlfile.Duration `toml:"answer"`   // the longest that a call of a customer may take, 0 for no limit
+	Answer   tomlfile.Duration `toml:"answer"`   // the longest that a call of a caller may take, 0 for no limit
 	Gangs    bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
 	GiveUp   int               `toml:"give_up"`  // jobs that may be given up though they could be done, where two workers have crashed under a task
 }
@@ -361,7 +361,7 @@
 	return slices.ContainsFunc(st.script.Pools, func(p scriptPool) bool { return p.Name == pool && p.Policy })
 }
 
-// again submits a job once more some time after it was accepted, as customers do
+// again submits a job once more some time after it was accepted, as callers do
 // now and then.
 func (st *stage) again(ctx context.Context, s job.Submission) {
 	st.mu.Lock()
@@ -388,7 +388,7 @@
 	st.failed = append(st.failed, fmt.Sprintf(format, args...))
 }
 
-// callLimit and callPause bound the calls of customers.
+// callLimit and callPause bound the calls of callers.
 const (
 	callLimit = 3 * time.Second
 	callPause = 100 * time.Millisecond
@@ -407,7 +407,7 @@
 				continue // the machine of such a node answers nothing
 			}
 			if took := time.Since(began); st.script.Answer > 0 && took > st.script.Answer.Std() {
-				st.fail("a call of a customer took %s", took)
+				st.fail("a call of a caller took %s", took)
 			}
 			if done {
 				return true
--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -59,7 +59,7 @@
 // The patience of the gateway with owners.
 const (
 	// ownerless is how long a call waits for a pool to have an owner that can be
-	// reached. Taking over takes about a second; a customer that is refused
+	// reached. Taking over takes about a second; a caller that is refused
 	// comes back no sooner.
 	ownerless = 1500 * time.Millisecond
 	// retryPause is the pause before a call that did not reach an owner is made
@@ -67,7 +67,7 @@
 	retryPause = 50 * time.Millisecond
 	// endSpan is how long a call whose context has ended may still tell what came of
 	// it, as one that was not sent does at once; a node that stops has 0.3 s for its
-	// last answers, and a customer's answer 50 ms for its way back.
+	// last answers, and a caller's answer 50 ms for its way back.
 	endSpan = 20 * time.Millisecond
 )
 
@@ -93,7 +93,7 @@
 	return err
 }
 
-// State returns what a customer is told of a job.
+// State returns what a caller is told of a job.
 func (g *Gateway) State(ctx context.Context, q *config.Queue, id job.ID) (job.State, error) {
 	return find(ctx, g, q, func(ctx context.Context, d *Desk) (job.State, error) { return d.State(ctx, id) })
 }
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -20,7 +20,7 @@
 
 // TestARefusalAfterAnUnknownOutcomeIsNoRefusal: the first try of a submission got no
 // answer, so its job may be taken yet. The second is refused, which says that it was
-// not taken by that try; the customer must not be told that the job never runs.
+// not taken by that try; the caller must not be told that the job never runs.
 func TestARefusalAfterAnUnknownOutcomeIsNoRefusal(t *testing.T) {
 	for _, refusal := range []errkind.Kind{errkind.LogUnavailable, errkind.Overloaded, errkind.Stopping} {
 		tries := 0
@@ -71,7 +71,7 @@
 
 // TestACallToAnotherNodeEndsWithItsContext: a node that stops tells its calls to give up
 // and has 0.3 s for their answers; one that is being written to a node that takes nothing
-// does not see that, and its customer gets an answer all the same.
+// does not see that, and its caller gets an answer all the same.
 func TestACallToAnotherNodeEndsWithItsContext(t *testing.T) {
 	d := ownedElsewhere(t, "p")
 	asked, never := make(chan struct{}), make(chan struct{})
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// TestRecordsDoNotWaitBehindQuestions: in a rush on a slow store, many customers ask for
+// TestRecordsDoNotWaitBehindQuestions: in a rush on a slow store, many callers ask for
 // jobs that are not there, each of whom is told so only after the store was asked whether
 // this process still is the writer. The records that come meanwhile wait for one answer.
 func TestRecordsDoNotWaitBehindQuestions(t *testing.T) {
--- a/services/owner/fence_test.go
+++ b/services/owner/fence_test.go
@@ -21,7 +21,7 @@
 
 // TestRunKeptLongAgoIsNotBegun: the append that keeps a run is done at once and its
 // answer is read five seconds later, as by a node that was frozen. Another node has
-// taken the pool over meanwhile, and its customers may have cancelled the job: the
+// taken the pool over meanwhile, and its callers may have cancelled the job: the
 // order counts from when the append was sent, not from when its answer was read.
 func TestRunKeptLongAgoIsNotBegun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -323,7 +323,7 @@
 	return o.pool.Cancel(id, o.Clock.Now())
 }
 
-// State returns what a customer is told of a job.
+// State returns what a caller is told of a job.
 func (o *Owner) State(ctx context.Context, id job.ID) (job.State, error) {
 	state, err := o.state(id)
 	if err != nil {
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -53,7 +53,7 @@
 	d.look(id, worker.Listing{}, otherLife)
 }
 
-// state keeps what has changed and returns what a customer is told.
+// state keeps what has changed and returns what a caller is told.
 func (d *desk) state(id job.ID) job.State {
 	d.t.Helper()
 	d.keep()
@@ -236,7 +236,7 @@
 
 // TestWhatServesOnAsAJobFails: a job with tasks that last fails for one of them. The
 // others serve their users, and none of them may be ended beside the one that is away,
-// until its customer cancels it.
+// until its caller cancels it.
 func TestWhatServesOnAsAJobFails(t *testing.T) {
 	d := newDesk(t, 1)
 	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, Lasting: true, MayMiss: 1, PerWorker: 1}}}, d.now)
--- a/services/scheduler/expect.go
+++ b/services/scheduler/expect.go
@@ -26,7 +26,7 @@
 	m.value += (v - m.value) * math.Max(1/float64(m.count), meanWeight)
 }
 
-// trend is a line through the logarithms of estimates and run times. Customers'
+// trend is a line through the logarithms of estimates and run times. Callers'
 // estimates are off by a factor that differs from job to job, so that a far
 // estimate tells less than how long the queue's tasks usually run.
 type trend struct {
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -218,14 +218,14 @@
 		return 0, errkind.New(errkind.Gone, "no job %s", id)
 	}
 	if j.state.Final() {
-		p.stopAll(j, now, "its customer cancelled it")
+		p.stopAll(j, now, "its caller cancelled it")
 		return j.changed, nil
 	}
-	p.finish(j, job.Cancelled, now, "its customer cancelled it")
+	p.finish(j, job.Cancelled, now, "its caller cancelled it")
 	return p.batch, nil
 }
 
-// State returns what a customer is told of a job, and false for none such. An
+// State returns what a caller is told of a job, and false for none such. An
 // end is told only once it is kept for good.
 func (p *Pool) State(id job.ID) (job.State, bool) {
 	j := p.jobs[id]
@@ -274,7 +274,7 @@
 }
 
 // servesOn reports whether a run is of a task of whose step only so many may be away by our
-// doing. Such tasks of a job that has failed serve their users until its customer cancels
+// doing. Such tasks of a job that has failed serve their users until its caller cancels
 // it or it is forgotten: the failed one is away for good, so none may be ended beside it.
 func (u *run) servesOn() bool {
 	s := u.step().spec
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -23,7 +23,7 @@
 	failed    map[string][]worker.ID // the workers of all failed ends
 	away      map[string]time.Time   // since when a task that lasts is not at work
 	ordered   map[string]bool        // such a task was ended by an order
-	refused   bool                   // its customer gave up after refusals only
+	refused   bool                   // its caller gave up after refusals only
 	begun     bool                   // a task of it was begun
 	crashes   map[string]int         // workers that a task has crashed
 	crashed   map[string]int         // starts of a task since it has crashed as many as is allowed
@@ -53,7 +53,7 @@
 }
 
 // Refused tells the world that each try to hand a job in was refused, and that its
-// customer has given up: it must not have begun, and never may.
+// caller has given up: it must not have begun, and never may.
 func (w *World) Refused(id job.ID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/world/check_test.go
+++ b/standin/world/check_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// TestRefusedAfterItHasBegun has a customer be told that a job will not run which
+// TestRefusedAfterItHasBegun has a caller be told that a job will not run which
 // does.
 func TestRefusedAfterItHasBegun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
