Whose call it is: keys of customers, and jobs that are theirs

Cause: every call was taken, whoever made it; the operators' configuration names customers with keys, and a queue that does not take anyone is theirs alone. Change: a configuration holds customers with the hashes of their keys; a call to such a queue without a known key is answered 401 at once. News between nodes carry the configuration as read, without keys.

--- a/models/config/config.go
+++ b/models/config/config.go
@@ -15,8 +15,12 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  Limits
-	byHost  map[string][]*Queue
-	byKey   map[string]*Queue
+	// Customers are those on whose behalf callers call; see WithCustomers.
+	Customers []Customer
+	byHost    map[string][]*Queue
+	byKey     map[string]*Queue
+	byHash    map[KeyHash]*Customer
+	byName    map[string]*Customer
 }
 
 // Queue takes the jobs of a host and path prefix to the workers of a pool.
@@ -30,6 +34,7 @@
 	Stretch    float64       // of a job's longest chain of work, for its objective
 	Target     time.Duration // added to that
 	Advice     *Advice       // nil where every worker may run a step
+	Anyone     bool          // it takes calls without a key
 }
 
 // Key names the queue as long as its host and prefix stand.
--- a/models/config/doc.go
+++ b/models/config/doc.go
@@ -1,5 +1,6 @@
 // Copyright 2026 The yardbridge Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package config holds the operators' newest configuration of queues and pools.
+// Package config holds the operators' newest configuration of queues, pools
+// and customers.
 package config
--- a/models/job/job.go
+++ b/models/job/job.go
@@ -103,8 +103,13 @@
 	Times    int           `cbor:"5,keyasint,omitempty"` // how many times the steps run, 0 for once and at once
 	First    time.Time     `cbor:"6,keyasint,omitempty"` // when the first time is due
 	Interval time.Duration `cbor:"7,keyasint,omitempty"` // from one time to the next
+	Customer string        `cbor:"8,keyasint,omitempty"` // whose job it is, "" for nobody's
 }
 
+// May reports whether a call on behalf of a customer, "" for none, may see, cancel or hand in
+// again the job. One that is nobody's is open to all who may call its queue.
+func (s *Submission) May(by string) bool { return s.Customer == "" || s.Customer == by }
+
 // Rounds returns how many times the steps run.
 func (s *Submission) Rounds() int { return max(s.Times, 1) }
 
--- a/modules/errkind/answer.go
+++ b/modules/errkind/answer.go
@@ -25,6 +25,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderKind, row.Name)
 	header.Set(HeaderOutcome, string(row.Outcome))
+	if e.Kind == Unauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if after := e.After(); after > 0 {
 		header.Set("Retry-After", strconv.Itoa(comeBack(after)))
 	}
--- a/node/news.go
+++ b/node/news.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/services/directory"
 	"github.com/yardbridge/yardbridge/services/port"
 )
@@ -23,7 +24,8 @@
 
 // news is what a node knows that others may have missed.
 type news struct {
-	Operators []port.Record   `json:"operators"`
+	Config    *config.Config  `json:"config"`    // as read: of keys it has the hashes
+	Operators []port.Record   `json:"operators"` // other records of the operators
 	Directory *directory.View `json:"directory"`
 }
 
@@ -40,7 +42,7 @@
 
 func (n *Node) onNews(context.Context, empty) (any, error) {
 	v, _ := n.Directory.View()
-	a := news{Directory: v}
+	a := news{Config: n.Gateway.Config(), Directory: v}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, r := range n.said {
@@ -108,6 +110,9 @@
 	if err != nil {
 		return
 	}
+	if a.Config != nil {
+		c.n.configure(config.New(a.Config.Version, a.Config.Queues, a.Config.Pools, a.Config.Limits).WithCustomers(a.Config.Customers))
+	}
 	c.n.operators(a.Operators, false)
 	if a.Directory != nil {
 		c.n.Directory.Adopt(a.Directory)
--- a/node/node.go
+++ b/node/node.go
@@ -71,7 +71,7 @@
 
 	mu      sync.Mutex
 	newer   *setting.NodeBounds    // the bounds of newer settings, nil for none
-	said    map[string]port.Record // what the operators said last, by key
+	said    map[string]port.Record // what the operators said last beside the configuration, by key
 	workers map[worker.ID]worker.Worker
 	owners  map[string]*owner.Owner // of pools, by name
 	waves   []wave.Wave
@@ -268,7 +268,6 @@
 // operators takes records of the operators.
 func (n *Node) operators(records []port.Record, _ bool) {
 	for _, r := range records {
-		n.keep(r)
 		c, err := n.Ports.Feeds.DecodeConfig(r)
 		if err != nil {
 			n.Logger.Error().Str("event", "config").Uint64("offset", r.Offset).Err(err).Msg("a configuration can't be read and is passed over")
@@ -276,7 +275,9 @@
 		}
 		if c != nil {
 			n.configure(c)
+			continue
 		}
+		n.keep(r)
 		w, isWave, err := n.Ports.Feeds.DecodeWave(r)
 		if err != nil {
 			n.Logger.Error().Str("event", "wave").Uint64("offset", r.Offset).Err(err).Msg("a wave can't be read and is passed over")
@@ -288,7 +289,8 @@
 	}
 }
 
-// keep keeps a record of the operators for nodes that can't read it themselves.
+// keep keeps a record of the operators for nodes that can't read it themselves. Of a
+// configuration only what was read from it is kept, since its record has the customers' keys.
 func (n *Node) keep(r port.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -301,7 +303,7 @@
 	if !n.Gateway.Configure(c) {
 		return
 	}
-	n.Logger.Info().Str("event", "config").Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).
+	n.Logger.Info().Str("event", "config").Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Int("customers", len(c.Customers)).
 		Str("outcome", "in force").Msg("a configuration is taken over")
 	for _, o := range n.ownerList() {
 		o.Configure(c)
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -31,10 +31,11 @@
 
 // onPool names a pool, and what of it a call is about.
 type onPool struct {
-	Pool  string `json:"pool"`
-	Job   job.ID `json:"job,omitempty"`
-	Queue string `json:"queue,omitempty"`
-	Data  []byte `json:"data,omitempty"` // a submission, encoded
+	Pool     string `json:"pool"`
+	Job      job.ID `json:"job,omitempty"`
+	Queue    string `json:"queue,omitempty"`
+	Customer string `json:"customer,omitempty"` // on whose behalf the call comes
+	Data     []byte `json:"data,omitempty"`     // a submission, encoded
 }
 
 // reportAsk asks the owner of a pool for its report.
@@ -87,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return o.State(ctx, a.Job)
+	return o.State(ctx, a.Job, a.Customer)
 }
 
 func (n *Node) onCancel(ctx context.Context, a onPool) (any, error) {
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return empty{}, o.Cancel(ctx, a.Job)
+	return empty{}, o.Cancel(ctx, a.Job, a.Customer)
 }
 
 func (n *Node) onPending(_ context.Context, a onPool) (any, error) {
@@ -145,13 +146,13 @@
 			}
 			return call(ctx, methodSubmit, onPool{Pool: pool, Data: data}, &empty{})
 		},
-		State: func(ctx context.Context, id job.ID) (job.State, error) {
+		State: func(ctx context.Context, id job.ID, by string) (job.State, error) {
 			var state job.State
-			err := call(ctx, methodState, onPool{Pool: pool, Job: id}, &state)
+			err := call(ctx, methodState, onPool{Pool: pool, Job: id, Customer: by}, &state)
 			return state, err
 		},
-		Cancel: func(ctx context.Context, id job.ID) error {
-			return call(ctx, methodCancel, onPool{Pool: pool, Job: id}, &empty{})
+		Cancel: func(ctx context.Context, id job.ID, by string) error {
+			return call(ctx, methodCancel, onPool{Pool: pool, Job: id, Customer: by}, &empty{})
 		},
 		Pending: func(ctx context.Context, queue string) (int, error) {
 			var count int
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -188,7 +188,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*callLimit)
 	defer cancel()
 	if st.until(ctx, func(ctx context.Context, n *Node) bool {
-		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id) == nil
+		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id, "") == nil
 	}) {
 		st.world.Cancelled(id)
 	}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -315,7 +315,7 @@
 	}
 	var last job.State
 	if !st.until(ctx, func(ctx context.Context, n *Node) bool {
-		state, err := n.Gateway.State(ctx, n.Gateway.Config().Queue(s.Queue), s.ID)
+		state, err := n.Gateway.State(ctx, n.Gateway.Config().Queue(s.Queue), s.ID, s.Customer)
 		if errkind.Is(err, errkind.Gone) {
 			st.fail("LOST: job %s of %s is not known any more", s.ID, j.Pool)
 			return true
--- a/routers/apiv1/router.go
+++ b/routers/apiv1/router.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/yardbridge/yardbridge/entry"
+	"github.com/yardbridge/yardbridge/modules/bearer"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/services/jobs"
@@ -100,8 +101,8 @@
 
 // who returns the bearer of the request's token.
 func (t *Router) who(r *http.Request) (operator, error) {
-	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
+	secret, bears := bearer.Secret(r)
+	if !bears {
 		return operator{}, errkind.New(errkind.Unauthorized, "the Authorization header must be: Bearer TOKEN")
 	}
 	var found *setting.Token
--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -16,11 +16,13 @@
 	"github.com/yardbridge/yardbridge/services/directory"
 )
 
-// Desk takes calls about the jobs of one pool, on this node or on another.
+// Desk takes calls about the jobs of one pool, on this node or on another. Each comes
+// on behalf of a customer, "" for none; a job of another one is an error of the kind
+// Forbidden.
 type Desk struct {
 	Submit  func(ctx context.Context, s job.Submission) error
-	State   func(ctx context.Context, id job.ID) (job.State, error)
-	Cancel  func(ctx context.Context, id job.ID) error
+	State   func(ctx context.Context, id job.ID, by string) (job.State, error)
+	Cancel  func(ctx context.Context, id job.ID, by string) error
 	Pending func(ctx context.Context, queue string) (int, error)
 }
 
@@ -76,7 +78,7 @@
 
 // Submit hands a job to its pool's owner and returns once it is kept.
 func (g *Gateway) Submit(ctx context.Context, q *config.Queue, s job.Submission) error {
-	if taken, err := g.takenBefore(ctx, q, s.ID); taken || err != nil {
+	if taken, err := g.takenBefore(ctx, q, s.ID, s.Customer); taken || err != nil {
 		return err
 	}
 	_, err := call(ctx, g, q.Pool, func(ctx context.Context, d *Desk) (nothing, error) {
@@ -85,17 +87,17 @@
 	return err
 }
 
-// Cancel ends a job and returns once that is kept.
-func (g *Gateway) Cancel(ctx context.Context, q *config.Queue, id job.ID) error {
+// Cancel ends a job on behalf of a customer and returns once that is kept.
+func (g *Gateway) Cancel(ctx context.Context, q *config.Queue, id job.ID, by string) error {
 	_, err := find(ctx, g, q, func(ctx context.Context, d *Desk) (nothing, error) {
-		return nothing{}, d.Cancel(ctx, id)
+		return nothing{}, d.Cancel(ctx, id, by)
 	})
 	return err
 }
 
-// State returns what a caller is told of a job.
-func (g *Gateway) State(ctx context.Context, q *config.Queue, id job.ID) (job.State, error) {
-	return find(ctx, g, q, func(ctx context.Context, d *Desk) (job.State, error) { return d.State(ctx, id) })
+// State returns what a caller is told of a job on behalf of a customer.
+func (g *Gateway) State(ctx context.Context, q *config.Queue, id job.ID, by string) (job.State, error) {
+	return find(ctx, g, q, func(ctx context.Context, d *Desk) (job.State, error) { return d.State(ctx, id, by) })
 }
 
 // Pending returns how many of a queue's jobs have not begun.
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -52,7 +52,7 @@
 				taken[pool] = true
 				return nil
 			},
-			State: func(context.Context, job.ID) (job.State, error) {
+			State: func(context.Context, job.ID, string) (job.State, error) {
 				if taken[pool] {
 					return job.Running, nil
 				}
--- a/services/gateway/moved.go
+++ b/services/gateway/moved.go
@@ -80,14 +80,16 @@
 
 // takenBefore reports whether a pool that the queue led to a little while ago has
 // taken a job. Where one can't say, the outcome is unknown: the job may be there.
-func (g *Gateway) takenBefore(ctx context.Context, q *config.Queue, id job.ID) (bool, error) {
+func (g *Gateway) takenBefore(ctx context.Context, q *config.Queue, id job.ID, by string) (bool, error) {
 	for _, pool := range g.moves.earlier(q, g.Clock.Now()) {
-		state, err := call(ctx, g, pool, func(ctx context.Context, d *Desk) (job.State, error) { return d.State(ctx, id) })
+		state, err := call(ctx, g, pool, func(ctx context.Context, d *Desk) (job.State, error) { return d.State(ctx, id, by) })
 		switch {
 		case err == nil:
 			g.Logger.Info().Str("event", "submit").Str("job", string(id)).Str("queue", q.Key()).Str("pool", pool).Str("now", q.Pool).
 				Str("state", string(state)).Str("outcome", "known").Msg("a job came again after its queue had come to lead to another pool")
 			return true, nil
+		case errkind.Is(err, errkind.Forbidden):
+			return false, err
 		case !errkind.Is(err, errkind.Gone):
 			return false, errkind.New(errkind.OutcomeUnknown, "whether pool %s, where the queue led before, has taken the job: %v", pool, err)
 		}
--- a/services/owner/overload_test.go
+++ b/services/owner/overload_test.go
@@ -71,7 +71,7 @@
 			accepted++
 			mu.Unlock()
 			for time.Since(began) < 3*loadAim {
-				if state, err := o.State(ctx, s.ID); err == nil && state.Final() {
+				if state, err := o.State(ctx, s.ID, ""); err == nil && state.Final() {
 					mu.Lock()
 					defer mu.Unlock()
 					if time.Since(began) <= loadAim {
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -281,6 +281,9 @@
 	if err := o.live(); err != nil {
 		return 0, err
 	}
+	if err := o.pool.Check(s.ID, s.Customer); errkind.Is(err, errkind.Forbidden) {
+		return 0, err
+	}
 	if o.Journal.StuckFor(stuckRefuse) && !o.pool.Has(s.ID) {
 		stuck := o.Journal.Stuck()
 		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("stuck", stuck).Str("outcome", "refused").
@@ -302,9 +305,9 @@
 	return o.over == nil && o.pool.Withdraw(id)
 }
 
-// Cancel ends a job and returns once that is kept.
-func (o *Owner) Cancel(ctx context.Context, id job.ID) error {
-	batch, err := o.cancel(id)
+// Cancel ends a job on behalf of a customer and returns once that is kept.
+func (o *Owner) Cancel(ctx context.Context, id job.ID, by string) error {
+	batch, err := o.cancel(id, by)
 	if err != nil {
 		return o.sure(ctx, err)
 	}
@@ -313,35 +316,38 @@
 }
 
 // cancel ends a job and returns the batch that carries that.
-func (o *Owner) cancel(id job.ID) (uint64, error) {
+func (o *Owner) cancel(id job.ID, by string) (uint64, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.live(); err != nil {
 		return 0, err
 	}
+	if err := o.pool.Check(id, by); err != nil {
+		return 0, err
+	}
 	defer o.attend()
 	return o.pool.Cancel(id, o.Clock.Now())
 }
 
-// State returns what a caller is told of a job.
-func (o *Owner) State(ctx context.Context, id job.ID) (job.State, error) {
-	state, err := o.state(id)
+// State returns what a caller is told of a job on behalf of a customer.
+func (o *Owner) State(ctx context.Context, id job.ID, by string) (job.State, error) {
+	state, err := o.state(id, by)
 	if err != nil {
 		return "", o.sure(ctx, err)
 	}
 	return state, nil
 }
 
-func (o *Owner) state(id job.ID) (job.State, error) {
+func (o *Owner) state(id job.ID, by string) (job.State, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.live(); err != nil {
 		return "", err
 	}
-	state, known := o.pool.State(id)
-	if !known {
-		return "", errkind.New(errkind.Gone, "no job %s", id)
+	if err := o.pool.Check(id, by); err != nil {
+		return "", err
 	}
+	state, _ := o.pool.State(id)
 	return state, nil
 }
 
--- a/services/owner/submit_test.go
+++ b/services/owner/submit_test.go
@@ -63,7 +63,7 @@
 		assert.NilError(t, <-carried)
 		assert.NilError(t, o.Submit(ctx, submission("4")))
 		assert.Assert(t, errkind.Is(<-second, errkind.LogUnavailable))
-		_, err := o.State(ctx, "3")
+		_, err := o.State(ctx, "3", "")
 		assert.Assert(t, errkind.Is(err, errkind.Gone))
 		cancel()
 		<-ended
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -175,10 +175,23 @@
 	p.touch(j)
 	p.moved = true
 	p.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Str("queue", s.Queue).Int("steps", len(s.Steps)).
-		Str("kinds", s.Kinds()).Uint64("config", p.version()).Uint64("batch", p.batch).Dur("aim", j.aim).Str("outcome", "taken").Msg("a job was taken")
+		Str("kinds", s.Kinds()).Str("customer", s.Customer).Uint64("config", p.version()).Uint64("batch", p.batch).Dur("aim", j.aim).Str("outcome", "taken").Msg("a job was taken")
 	return p.batch
 }
 
+// Check returns an error where a job is not known, or is not one that a customer, "" for
+// none, may see.
+func (p *Pool) Check(id job.ID, by string) error {
+	j := p.jobs[id]
+	if j == nil {
+		return errkind.New(errkind.Gone, "no job %s", id)
+	}
+	if !j.sub.May(by) {
+		return errkind.New(errkind.Forbidden, "job %s is another customer's than %q", id, by)
+	}
+	return nil
+}
+
 // Has reports whether a job is known.
 func (p *Pool) Has(id job.ID) bool { return p.jobs[id] != nil }
 
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -16,8 +16,8 @@
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
-// What is kept of a job lies under two keys: its submission, written once, and
-// its progress, written with each change. Cordoned workers have a key each, and so have the
+// What is kept of a job lies under two keys: its submission, written once, of which only
+// whose job it is stays once it has ended, and its progress, written with each change. Cordoned workers have a key each, and so have the
 // jobs under whose tasks workers have crashed.
 const (
 	keySubmission = "s/"
@@ -112,18 +112,13 @@
 	id := string(j.sub.ID)
 	if j.state == "" { // forgotten
 		b.Records = append(b.Records, port.Record{Key: keyProgress + id})
+		if j.sub.Customer != "" {
+			b.Records = append(b.Records, port.Record{Key: keySubmission + id})
+		}
 		return nil
 	}
-	switch {
-	case !j.stored && !j.over():
-		data, err := codec.Marshal(j.sub)
-		if err != nil {
-			return err
-		}
-		b.Records = append(b.Records, port.Record{Key: keySubmission + id, Value: data})
-		b.stored = append(b.stored, j)
-	case j.stored && j.over():
-		b.Records = append(b.Records, port.Record{Key: keySubmission + id})
+	if err := b.addSubmission(j); err != nil {
+		return err
 	}
 	data, err := codec.Marshal(j.progress(c))
 	if err != nil {
@@ -133,6 +128,29 @@
 	return b.addCrashes(j)
 }
 
+// addSubmission puts what is to be kept of a job's submission into the batch, where that
+// has changed.
+func (b *Batch) addSubmission(j *jobState) error {
+	kept := j.sub
+	switch {
+	case !j.stored && !j.over():
+		b.stored = append(b.stored, j)
+	case !j.over(), !j.stored && j.sub.Customer == "":
+		return nil
+	case j.sub.Customer == "":
+		b.Records = append(b.Records, port.Record{Key: keySubmission + string(j.sub.ID)})
+		return nil
+	default:
+		kept = job.Submission{ID: j.sub.ID, Queue: j.sub.Queue, Customer: j.sub.Customer}
+	}
+	data, err := codec.Marshal(kept)
+	if err != nil {
+		return err
+	}
+	b.Records = append(b.Records, port.Record{Key: keySubmission + string(j.sub.ID), Value: data})
+	return nil
+}
+
 func (j *jobState) progress(c clock.Clock) progress {
 	d := progress{State: j.state, Accepted: c.Date(j.accepted).UnixMilli(), Began: j.began}
 	if j.state.Final() {
