--- /dev/null
+++ b/models/config/customer_test.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// many returns a configuration with customers of four keys each.
+func many(customers int) *Config {
+	list := make([]Customer, customers)
+	for i := range list {
+		list[i].Name = fmt.Sprint("customer-", i)
+		for k := range 4 {
+			h, _ := HashKey(keyOf(i, k))
+			list[i].Keys = append(list[i].Keys, h)
+		}
+	}
+	return New(1, nil, nil, Limits{}).WithCustomers(list)
+}
+
+func keyOf(customer, key int) string { return fmt.Sprintf("%020d-%d", customer, key) }
+
+// TestHolder finds customers by each of their keys, and none by another text.
+func TestHolder(t *testing.T) {
+	c := many(20)
+	for i := range 20 {
+		for k := range 4 {
+			assert.Equal(t, c.Holder(keyOf(i, k)), c.Customer(fmt.Sprint("customer-", i)))
+		}
+	}
+	for _, text := range []string{"", "x", keyOf(20, 0), keyOf(1, 1) + "0", strings.Repeat("x", MostKeyBytes+1)} {
+		assert.Assert(t, c.Holder(text) == nil, text)
+	}
+	none := New(2, nil, nil, Limits{})
+	assert.Assert(t, none.Holder(keyOf(1, 1)) == nil)
+}
+
+// TestConfigurationPassesBetweenNodes: what one node has read another takes over, and no
+// key stands in it.
+func TestConfigurationPassesBetweenNodes(t *testing.T) {
+	c := many(2)
+	text, err := json.Marshal(c)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(text), keyOf(1, 1)))
+	var read Config
+	assert.NilError(t, json.Unmarshal(text, &read))
+	again := New(read.Version, read.Queues, read.Pools, read.Limits).WithCustomers(read.Customers)
+	assert.Equal(t, again.Holder(keyOf(1, 1)).Name, "customer-1")
+}
+
+// TestKeyTakesNoMemory: a call's key is looked up without an allocation.
+func TestKeyTakesNoMemory(t *testing.T) {
+	c, key := many(1000), keyOf(7, 3)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { c.Holder(key) }), 0.0)
+}
+
+// BenchmarkHolder looks one key up among 1,000 customers with four each.
+func BenchmarkHolder(b *testing.B) {
+	c, key := many(1000), keyOf(7, 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Holder(key)
+	}
+}
--- a/standin/world/feed.go
+++ b/standin/world/feed.go
@@ -27,10 +27,11 @@
 
 // written is a configuration as an operator writes it here.
 type written struct {
-	Version uint64
-	Queues  []config.Queue
-	Pools   []config.Pool
-	Limits  config.Limits
+	Version   uint64
+	Queues    []config.Queue
+	Pools     []config.Pool
+	Limits    config.Limits
+	Customers []config.Customer
 }
 
 func encodeWorker(w worker.Worker) []byte { return encode(w) }
@@ -44,9 +45,9 @@
 }
 
 // Configure writes a configuration as an operator.
-func (w *World) Configure(version uint64, queues []config.Queue, pools []config.Pool) {
+func (w *World) Configure(version uint64, queues []config.Queue, pools []config.Pool, customers ...config.Customer) {
 	limits := config.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 14}
-	w.Write(operatorsAt, port.Record{Key: keyConfig, Value: encode(written{version, queues, pools, limits})})
+	w.Write(operatorsAt, port.Record{Key: keyConfig, Value: encode(written{version, queues, pools, limits, customers})})
 }
 
 // AskWave writes a wave as an operator.
@@ -67,7 +68,7 @@
 			}
 			var c written
 			err := codec.Unmarshal(r.Value, &c)
-			return config.New(c.Version, c.Queues, c.Pools, c.Limits), err
+			return config.New(c.Version, c.Queues, c.Pools, c.Limits).WithCustomers(c.Customers), err
 		},
 		DecodeWave: func(r port.Record) (wave.Wave, bool, error) {
 			var v wave.Wave
