--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -6,8 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
@@ -20,7 +20,7 @@
 // scriptEvent is something that happens. Kinds: kill, stop, cut, store-silent,
 // store-refuses, store-lost, suspend (for one node, or all where none is named), crash, crash-rack,
 // silent, late, hangs, fails, drain, shrink (of a worker, by its place among those of the
-// pool), wave, orders-lost (of the answers of the control of instances), history,
+// pool), wave, limits (of the customers, to a share of what they were), orders-lost (of the answers of the control of instances), history,
 // relist (of lives that are over), cancel (of the jobs of a pool), silence (of all open
 // connections between nodes).
 type scriptEvent struct {
@@ -76,16 +76,18 @@
 		st.world.Relist()
 	case "wave":
 		st.wave(e)
+	case "limits":
+		st.configure(e.Share)
 	case "history":
 		st.world.DropHistory()
 	case "silence":
 		st.world.Silence()
 	case "cancel":
 		st.mu.Lock()
-		ids := slices.Clone(st.open[e.Pool])
+		ids := maps.Clone(st.open[e.Pool])
 		st.mu.Unlock()
-		for _, id := range ids {
-			st.jobs.Go(func() { st.cancelJob(e.Pool, id) })
+		for id, by := range ids {
+			st.jobs.Go(func() { st.cancelJob(e.Pool, id, by) })
 		}
 	default:
 		st.trouble(e)
@@ -184,11 +186,11 @@
 	st.world.AskWave(v)
 }
 
-func (st *stage) cancelJob(pool string, id job.ID) {
+func (st *stage) cancelJob(pool string, id job.ID, by string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*callLimit)
 	defer cancel()
 	if st.until(ctx, func(ctx context.Context, n *Node) bool {
-		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id, "") == nil
+		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id, by) == nil
 	}) {
 		st.world.Cancelled(id)
 	}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -34,24 +34,25 @@
 // script is a scripted test of whole nodes: what there is, what happens when, and
 // what must hold at the end.
 type script struct {
-	Seed     uint64            `toml:"seed"`
-	Nodes    int               `toml:"nodes"`
-	Cores    []float64         `toml:"cores"`  // of the nodes, one each where it is left out
-	Owners   []int             `toml:"owners"` // the nodes that may own pools at the end, any where it is left out
-	Off      int               `toml:"off"`    // instances that are off
-	Waves    bool              `toml:"-"`      // a wave was asked for
-	Until    tomlfile.Duration `toml:"until"`  // when all must be done
-	Pools    []scriptPool      `toml:"pool"`
-	Jobs     []scriptJob       `toml:"job"`
-	Events   []scriptEvent     `toml:"event"`
-	AtWork   bool              `toml:"at_work"`  // all tasks that last must be at work at the end
-	MayStay  bool              `toml:"may_stay"` // jobs need not be done
-	Complete []int             `toml:"complete"` // waves that must be
-	Stay     bool              `toml:"stay"`     // no pool may change its owner after the first event
-	Once     bool              `toml:"once"`     // each event has the pools of its node change their owner once, and no others
-	Answer   tomlfile.Duration `toml:"answer"`   // the longest that a call of a caller may take, 0 for no limit
-	Gangs    bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
-	GiveUp   int               `toml:"give_up"`  // jobs that may be given up though they could be done, where two workers have crashed under a task
+	Seed      uint64            `toml:"seed"`
+	Nodes     int               `toml:"nodes"`
+	Cores     []float64         `toml:"cores"`  // of the nodes, one each where it is left out
+	Owners    []int             `toml:"owners"` // the nodes that may own pools at the end, any where it is left out
+	Off       int               `toml:"off"`    // instances that are off
+	Waves     bool              `toml:"-"`      // a wave was asked for
+	Until     tomlfile.Duration `toml:"until"`  // when all must be done
+	Pools     []scriptPool      `toml:"pool"`
+	Customers []scriptCustomer  `toml:"customer"`
+	Jobs      []scriptJob       `toml:"job"`
+	Events    []scriptEvent     `toml:"event"`
+	AtWork    bool              `toml:"at_work"`  // all tasks that last must be at work at the end
+	MayStay   bool              `toml:"may_stay"` // jobs need not be done
+	Complete  []int             `toml:"complete"` // waves that must be
+	Stay      bool              `toml:"stay"`     // no pool may change its owner after the first event
+	Once      bool              `toml:"once"`     // each event has the pools of its node change their owner once, and no others
+	Answer    tomlfile.Duration `toml:"answer"`   // the longest that a call of a caller may take, 0 for no limit
+	Gangs     bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
+	GiveUp    int               `toml:"give_up"`  // jobs that may be given up though they could be done, where two workers have crashed under a task
 }
 
 type scriptPool struct {
@@ -61,13 +62,22 @@
 	Policy  bool   `toml:"policy"` // its tasks need tickets
 }
 
+// scriptCustomer is a customer with a limit for all pools together.
+type scriptCustomer struct {
+	Name     string  `toml:"name"`
+	Share    float64 `toml:"share"`
+	CPU      int     `toml:"cpu"` // 0 for no limit
+	MemoryMB int     `toml:"memory_mb"`
+}
+
 type scriptJob struct {
-	At    tomlfile.Duration `toml:"at"`
-	Pool  string            `toml:"pool"`
-	Count int               `toml:"count"` // of like jobs
-	Gap   tomlfile.Duration `toml:"gap"`   // between them
-	Spec  string            `toml:"spec"`
-	Steps []scriptStep      `toml:"step"`
+	At       tomlfile.Duration `toml:"at"`
+	Pool     string            `toml:"pool"`
+	Customer string            `toml:"customer"`
+	Count    int               `toml:"count"` // of like jobs
+	Gap      tomlfile.Duration `toml:"gap"`   // between them
+	Spec     string            `toml:"spec"`
+	Steps    []scriptStep      `toml:"step"`
 }
 
 // crashes reports whether the first task of a job crashes its workers.
@@ -92,15 +102,18 @@
 	t      *testing.T
 	script script
 	world  *world.World
+	queues []config.Queue
+	pools  []config.Pool
 	nodes  []*stagedNode
 	jobs   sync.WaitGroup
 	began  time.Time
 	random *rand.Rand
 
 	mu      sync.Mutex
+	version uint64            // of the configuration
 	epochs  map[string]uint64 // of the pools, before the first event
 	lasting []job.StepRef
-	open    map[string][]job.ID // jobs by pool
+	open    map[string]map[job.ID]string // jobs by pool, and whose they are
 	failed  []string
 	givenUp int
 }
@@ -160,7 +173,7 @@
 func play(t *testing.T, s script) {
 	synctest.Test(t, func(t *testing.T) {
 		st := &stage{
-			t: t, script: s, world: world.New(s.Seed), began: time.Now(), open: make(map[string][]job.ID),
+			t: t, script: s, world: world.New(s.Seed), began: time.Now(), open: make(map[string]map[job.ID]string),
 			random: rand.New(rand.NewPCG(s.Seed, 1)),
 		}
 		st.build()
@@ -184,10 +197,9 @@
 
 // build brings up the platform and the nodes.
 func (st *stage) build() {
-	var queues []config.Queue
-	pools := []config.Pool{{Name: world.Headroom, Headroom: true}}
+	st.pools = []config.Pool{{Name: world.Headroom, Headroom: true}}
 	for _, p := range st.script.Pools {
-		pools = append(pools, config.Pool{Name: p.Name})
+		st.pools = append(st.pools, config.Pool{Name: p.Name})
 		q := config.Queue{
 			Name: p.Name, Host: "h", PathPrefix: "/" + p.Name + "/", Pool: p.Name, Attempts: world.Attempts, Stretch: 1.6, Target: 600 * time.Millisecond,
 		}
@@ -195,7 +207,7 @@
 			q.Advice = &config.Advice{Decide: 20 * time.Millisecond, Each: time.Millisecond, Valid: ticketTime}
 			st.world.Policy(p.Name, ticketTime)
 		}
-		queues = append(queues, q)
+		st.queues = append(st.queues, q)
 		for i := range p.Workers {
 			rack := fmt.Sprintf("r-%d", i%max(p.Racks, 1))
 			st.world.AddWorker(fmt.Sprintf("m-%s-%d", p.Name, i), p.Name, rack, testCapacity)
@@ -204,7 +216,7 @@
 	for i := range st.script.Off {
 		st.world.AddInstance(fmt.Sprintf("m-off-%d", i), world.Headroom, fmt.Sprintf("r-%d", i%2), testCapacity)
 	}
-	st.world.Configure(1, queues, pools)
+	st.configure(1)
 	for i := range st.script.Nodes {
 		n := &stagedNode{name: fmt.Sprintf("n%d", i+1), number: i + 1}
 		st.nodes = append(st.nodes, n)
@@ -212,6 +224,19 @@
 	}
 }
 
+// configure writes the next version of the configuration, with a part of the customers' limits.
+func (st *stage) configure(part float64) {
+	var customers []config.Customer
+	for _, c := range st.script.Customers {
+		limit := job.Size{CPU: c.CPU, MemoryMB: c.MemoryMB}
+		customers = append(customers, config.Customer{Name: c.Name, Share: c.Share, Limit: limit.Scale(part)})
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.version++
+	st.world.Configure(st.version, st.queues, st.pools, customers...)
+}
+
 // ticketTime is how long a ticket holds.
 const ticketTime = 3 * time.Second
 
@@ -295,7 +320,10 @@
 	s := st.submission(j)
 	st.world.Submitted(s)
 	st.mu.Lock()
-	st.open[j.Pool] = append(st.open[j.Pool], s.ID)
+	if st.open[j.Pool] == nil {
+		st.open[j.Pool] = make(map[job.ID]string)
+	}
+	st.open[j.Pool][s.ID] = s.Customer
 	if s.Lasts() && !j.crashes() {
 		st.lasting = append(st.lasting, job.StepRef{Job: s.ID})
 	}
@@ -422,7 +450,7 @@
 	st.mu.Lock()
 	id := job.ID(fmt.Sprintf("%016x", st.random.Uint64()))
 	st.mu.Unlock()
-	s := job.Submission{ID: id, Queue: "h/" + j.Pool + "/", Spec: j.Spec}
+	s := job.Submission{ID: id, Queue: "h/" + j.Pool + "/", Spec: j.Spec, Customer: j.Customer}
 	for _, o := range j.Steps {
 		spec := job.Step{
 			Count: o.Count, Size: job.Size{CPU: o.CPU, MemoryMB: o.MemoryMB}, Estimate: o.Takes.Std(), After: o.After,
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -145,6 +145,7 @@
 	w.checkTwice(node, j, step, s)
 	w.checkOrder(node, j, ref, step, s)
 	w.checkCrashes(node, j, s)
+	w.checkLimit(node, j, step, s.Task)
 	used := step.Room()
 	onWorker := 0
 	for name, r := range o.runs {
--- a/standin/world/feed.go
+++ b/standin/world/feed.go
@@ -46,6 +46,9 @@
 
 // Configure writes a configuration as an operator.
 func (w *World) Configure(version uint64, queues []config.Queue, pools []config.Pool, customers ...config.Customer) {
+	w.mu.Lock()
+	w.setLimits(customers)
+	w.mu.Unlock()
 	limits := config.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 14}
 	w.Write(operatorsAt, port.Record{Key: keyConfig, Value: encode(written{version, queues, pools, limits, customers})})
 }
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -29,7 +29,8 @@
 	policies   map[string]time.Duration // how long a ticket holds, by pool
 	ordersLost float64                  // share of the orders to instances that get no answer
 	lives      int
-	alone      int // runs that have waited for the others of their gang in vain
+	alone      int                   // runs that have waited for the others of their gang in vain
+	limits     map[string][]setLimit // of customers, the oldest first
 	violations []string
 	networks   network
 }
