--- /dev/null
+++ b/node/random_limit_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/tomlfile"
+)
+
+// limitSeeds is how many random days with limits are played; YARDBRIDGE_TEST_SEEDS names
+// another number, and YARDBRIDGE_TEST_SEED one seed.
+const limitSeeds = 20
+
+// TestRandomLimits plays days on which three pools rush for the same customers, whose limits
+// are lowered and raised beside all kinds of faults. Nobody may ever be above a limit that
+// may be in force, and by the end everything must be done.
+func TestRandomLimits(t *testing.T) {
+	count, only := limitSeeds, os.Getenv("YARDBRIDGE_TEST_SEED")
+	if only != "" {
+		seed, err := strconv.ParseUint(only, 10, 64)
+		assert.NilError(t, err)
+		play(t, limitDay(seed))
+		return
+	}
+	if text := os.Getenv("YARDBRIDGE_TEST_SEEDS"); text != "" {
+		n, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		count = n
+	}
+	for n := range count {
+		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
+			t.Parallel()
+			play(t, limitDay(uint64(n+1)))
+		})
+	}
+}
+
+// limitDay draws a day with limits. A customer uses at most what its limits let it in some
+// of its pools, and rushes in the others.
+func limitDay(seed uint64) script {
+	r := rand.New(rand.NewPCG(seed, 5))
+	s := script{
+		Seed: seed, Nodes: 3 + r.IntN(3), Off: 3, Until: tomlfile.Duration(110 * time.Second), AtWork: true,
+		Pools:     []scriptPool{{"alpha", 5, 2, false}, {"beta", 5, 2, false}, {"gamma", 4, 2, false}},
+		Customers: []scriptCustomer{{"north", 3, 16000 + r.IntN(16000), 0}, {"south", 1, 12000, 4000 + r.IntN(8000)}, {"west", 1, 0, 0}},
+	}
+	for _, p := range s.Pools {
+		s.Jobs = append(s.Jobs, scriptJob{At: seconds(2), Pool: p.Name, Steps: []scriptStep{
+			{Count: 3, CPU: 1000, MemoryMB: 1000, Lasting: true, MayMiss: 1, PerWorker: 2},
+		}})
+		for _, c := range s.Customers {
+			if r.IntN(4) == 0 {
+				continue
+			}
+			s.Jobs = append(s.Jobs, scriptJob{
+				At: seconds(3 + r.IntN(4)), Pool: p.Name, Customer: c.Name, Count: 15 + r.IntN(20), Gap: tomlfile.Duration(time.Duration(100+r.IntN(600)) * time.Millisecond),
+				Steps: []scriptStep{{Count: 1 + r.IntN(6), CPU: 500 + r.IntN(3000), MemoryMB: 100 + r.IntN(1000), Takes: tomlfile.Duration(time.Duration(200+r.IntN(1200)) * time.Millisecond)}},
+			})
+		}
+	}
+	for range 3 + r.IntN(4) {
+		at := firstFault + time.Duration(r.Int64N(int64(healed-firstFault)))
+		s.Events = append(s.Events, scriptEvent{At: tomlfile.Duration(at), Kind: "limits", Share: 0.4 + 1.2*r.Float64()})
+	}
+	s.Events = append(s.Events, scriptEvent{At: tomlfile.Duration(healed), Kind: "limits", Share: 1})
+	for range 3 + r.IntN(5) {
+		s.Events = append(s.Events, randomEvent(r, s.Nodes))
+	}
+	return s
+}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -19,6 +19,7 @@
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/journal"
+	"github.com/yardbridge/yardbridge/services/lending"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/services/scheduler"
 )
@@ -44,6 +45,7 @@
 	done  chan struct{}
 	asked uint64 // questions to owners so far
 	view  view
+	lends lending.Lender
 	past  map[string]intent // newest order to each instance
 	mu    sync.Mutex
 }
@@ -92,6 +94,7 @@
 	}
 	m.Node = node
 	m.done = make(chan struct{})
+	m.lends = lending.Lender{Epoch: m.Epoch(), Logger: m.Logger}
 	m.past = make(map[string]intent)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[bar]bool), repair: m.Limits.Repair,
@@ -118,6 +121,9 @@
 		if len(r.Value) == 0 {
 			continue
 		}
+		if err := m.lends.Restore(r, m.Clock.Now()); err != nil {
+			return err
+		}
 		if _, isIntent := strings.CutPrefix(r.Key, keyIntent); isIntent {
 			var i intent
 			if err := codec.Unmarshal(r.Value, &i); err != nil {
@@ -193,7 +199,8 @@
 	cancel()
 	if err != nil {
 		m.Logger.Warn().Str("event", "instances").Err(err).Msg("the list of instances can't be read")
-		return nil
+		m.reports(ctx, c)
+		return m.lend(ctx, c)
 	}
 	m.view.instances = make(map[string]port.Instance, len(list))
 	for _, i := range list {
@@ -203,6 +210,9 @@
 	m.view.headroom = c.Headroom()
 	m.settle()
 	m.reports(ctx, c)
+	if err := m.lend(ctx, c); err != nil {
+		return err
+	}
 	began := m.view.plan()
 	m.logCapacity()
 	for _, a := range began {
@@ -299,35 +309,56 @@
 
 // reports asks the owners of all pools at once for their reports.
 func (m *Manager) reports(ctx context.Context, c *config.Config) {
+	var pools []string
+	for _, p := range c.Pools {
+		if !p.Headroom {
+			pools = append(pools, p.Name)
+		}
+	}
+	m.askAll(ctx, pools)
+}
+
+// askAll asks the owners of pools at once.
+func (m *Manager) askAll(ctx context.Context, pools []string) {
 	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	questions := make([]scheduler.Cordons, len(pools)) // all are made before an answer changes what is known
+	for i, pool := range pools {
+		questions[i] = m.cordons(pool)
+	}
 	var asks sync.WaitGroup
-	for _, p := range c.Pools {
-		if p.Headroom {
-			continue
-		}
-		asked := m.cordons(p.Name)
-		asks.Go(func() { m.ask(bounded, p.Name, asked) })
+	for i, pool := range pools {
+		asks.Go(func() { m.ask(bounded, pool, questions[i]) })
 	}
 	asks.Wait()
 }
 
+// lend decides on the allowances of all pools, keeps them and tells the pools at once: tasks
+// wait for them.
+func (m *Manager) lend(ctx context.Context, c *config.Config) error {
+	records, err := m.lends.Plan(c, m.Clock.Now())
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		if err := m.Journal.Append(ctx, records); err != nil {
+			return err
+		}
+	}
+	m.askAll(ctx, slices.DeleteFunc(m.lends.Pools(), func(pool string) bool { return !m.lends.News(pool) }))
+	return nil
+}
+
 // cordon has the workers of new actions cordoned at once, so that those that are
 // empty need not wait for the next plan.
 func (m *Manager) cordon(ctx context.Context, began []*action) {
-	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	asked := make(map[string]bool)
-	var asks sync.WaitGroup
+	var pools []string
 	for _, a := range began {
-		if a.worker == "" || asked[a.from] {
-			continue
+		if a.worker != "" && !slices.Contains(pools, a.from) {
+			pools = append(pools, a.from)
 		}
-		asked[a.from] = true
-		question := m.cordons(a.from)
-		asks.Go(func() { m.ask(bounded, a.from, question) })
 	}
-	asks.Wait()
+	m.askAll(ctx, pools)
 }
 
 // ask takes the report of one pool.
@@ -345,6 +376,7 @@
 		m.view.pools[pool] = p
 	}
 	p.report, p.at = r, m.Clock.Now()
+	m.lends.Take(pool, r, p.at)
 }
 
 // cordons returns what is asked of a pool: the workers that nothing may be placed
@@ -361,6 +393,7 @@
 			asked.Workers = append(asked.Workers, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
 		}
 	}
+	m.lends.Ask(pool, &asked)
 	slices.SortFunc(asked.Workers, func(a, b scheduler.Cordoned) int { return cmp.Compare(a.ID, b.ID) })
 	return asked
 }
--- /dev/null
+++ b/services/lending/lend.go
@@ -0,0 +1,276 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package lending
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
+)
+
+// headroom is how many times what a pool lacks it is lent where there is enough: what comes
+// with a rush while the next word passes finds room.
+const headroom = 2
+
+// lend lends to the pools that want more of a customer's than they have. What is free is
+// lent at once; where that does not do, it is shared out by what all pools want, and those
+// that have more than their share give it back first.
+func (p *plan) lend() {
+	for _, customer := range p.lacking() {
+		limit := p.limit(customer)
+		if !quota.Limited(limit) {
+			continue
+		}
+		free := p.free(customer, limit)
+		if wanted := p.lacks(customer, limit); quota.Within(wanted, free, limit) {
+			p.lendFree(customer, limit, free, wanted)
+			continue
+		}
+		p.asks = append(p.asks, customer)
+		if p.allTold(customer) {
+			p.shareOut(customer, limit, free)
+		}
+	}
+}
+
+// lacking returns the customers of which a pool wants more than it may use, in order.
+func (p *plan) lacking() []string {
+	lacking := make(map[string]bool)
+	for _, name := range p.names {
+		b := p.l.books[name]
+		for customer, a := range b.report.Accounts {
+			limit := p.limit(customer)
+			if b.heard && !a.Held && !quota.Within(capped(a.Wants, limit), b.told.For(customer, limit), limit) {
+				lacking[customer] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(lacking))
+}
+
+// free returns what of a limit no pool has; parts without a limit are 0.
+func (p *plan) free(customer string, limit job.Size) job.Size {
+	free := limit
+	for _, b := range p.l.books {
+		free = free.Minus(b.most(customer, limit))
+	}
+	return free.Max(job.Size{})
+}
+
+// lacks returns what the pools want beyond their bounds, together.
+func (p *plan) lacks(customer string, limit job.Size) job.Size {
+	var sum job.Size
+	for _, name := range p.names {
+		sum = sum.Plus(p.l.books[name].lacks(customer, limit))
+	}
+	return sum
+}
+
+// lacks returns what a pool wants beyond its bound.
+func (b *book) lacks(customer string, limit job.Size) job.Size {
+	a, told := b.account(customer)
+	if !told || !b.heard || a.Held {
+		return job.Size{}
+	}
+	return capped(a.Wants, limit).Minus(b.most(customer, limit)).Max(job.Size{})
+}
+
+// capped returns a size cut off at a limit in the parts in which there is one, and 0 in the
+// others.
+func capped(size, limit job.Size) job.Size {
+	return job.Size{CPU: min(size.CPU, limit.CPU), MemoryMB: min(size.MemoryMB, limit.MemoryMB), Accelerators: min(size.Accelerators, limit.Accelerators)}
+}
+
+// lendFree lends to each pool what it lacks, and some more where there is enough.
+func (p *plan) lendFree(customer string, limit, free, wanted job.Size) {
+	more := part(wanted.Times(headroom), wanted.Times(headroom), free)
+	for _, name := range p.names {
+		b := p.l.books[name]
+		lacks := b.lacks(customer, limit)
+		a, told := b.account(customer)
+		if !told || !b.heard || a.Held || quota.Within(a.Wants, b.told.For(customer, limit), limit) {
+			continue
+		}
+		p.raise(b, customer, limit, b.most(customer, limit).Plus(part(lacks.Times(headroom), wanted.Times(headroom), more)))
+	}
+}
+
+// raise gives a pool a higher bound and the allowance of it.
+func (p *plan) raise(b *book, customer string, limit, size job.Size) {
+	size = capped(size, limit)
+	if size == b.told.For(customer, limit) {
+		return
+	}
+	b.bound = b.bound.With(customer, b.most(customer, limit).Max(size))
+	p.tell(b, b.told.With(customer, size))
+	p.log(customer, limit, b, "lent")
+}
+
+func (p *plan) log(customer string, limit job.Size, b *book, outcome string) {
+	a, _ := b.account(customer)
+	now := b.told.For(customer, limit)
+	p.l.Logger.Info().Str("event", "allowance").Str("customer", customer).Str("of", p.nameOf(b)).Int("allowed_cpu", now.CPU).Int("allowed_memory_mb", now.MemoryMB).
+		Int("used_cpu", a.Used.CPU).Int("used_memory_mb", a.Used.MemoryMB).Int("wants_cpu", a.Wants.CPU).Int("wants_memory_mb", a.Wants.MemoryMB).
+		Int("limit_cpu", limit.CPU).Int("limit_memory_mb", limit.MemoryMB).Dur("age", p.now.Sub(b.since)).Str("outcome", outcome).
+		Msg("a customer's allowance in a pool has changed")
+}
+
+func (p *plan) nameOf(b *book) string {
+	for name, o := range p.l.books {
+		if o == b {
+			return name
+		}
+	}
+	return ""
+}
+
+// allTold reports whether all pools that are heard of have told a customer's account.
+func (p *plan) allTold(customer string) bool {
+	for _, name := range p.names {
+		if b := p.l.books[name]; b.heard {
+			if _, told := b.account(customer); !told {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// shareOut gives each pool its share of a limit, by what all of them want.
+func (p *plan) shareOut(customer string, limit, free job.Size) {
+	shares := p.shares(customer, limit)
+	for i, name := range p.names {
+		b := p.l.books[name]
+		a, _ := b.account(customer)
+		if !b.heard || a.Held {
+			continue
+		}
+		share, has, most := shares[i], b.told.For(customer, limit), b.most(customer, limit)
+		grows := capped(share.Minus(most).Max(job.Size{}), free)
+		next := capped(share, most.Plus(grows))
+		if !changesMuch(next, has, limit) {
+			continue
+		}
+		free = free.Minus(grows)
+		if !grows.Fits(job.Size{}) {
+			b.bound = b.bound.With(customer, most.Plus(grows))
+		}
+		p.tell(b, b.told.With(customer, next))
+		p.log(customer, limit, b, "shared out")
+	}
+}
+
+// changesMuch reports whether an allowance differs enough from another to be told: by a
+// hundredth of the limit, or up to the point where it meets a bound of 0.
+func changesMuch(next, has, limit job.Size) bool {
+	const least = 100
+	much := func(next, has, limit int) bool {
+		return limit > 0 && (max(next-has, has-next) >= max(limit/least, 1) || next == 0 && has > 0)
+	}
+	return much(next.CPU, has.CPU, limit.CPU) || much(next.MemoryMB, has.MemoryMB, limit.MemoryMB) || much(next.Accelerators, has.Accelerators, limit.Accelerators)
+}
+
+// shares returns the share of each pool in a limit, in the order of their names.
+func (p *plan) shares(customer string, limit job.Size) []job.Size {
+	wants := make([]job.Size, len(p.names))
+	left := limit
+	for name, b := range p.l.books { // of pools that are not heard of, all that they may use is taken
+		if i := slices.Index(p.names, name); i >= 0 && b.heard {
+			a, _ := b.account(customer)
+			wants[i] = a.Wants
+			continue
+		}
+		left = left.Minus(b.most(customer, limit))
+	}
+	return p.useful(customer, limit, left, wants)
+}
+
+// useful shares out what is left of a limit in whole tasks, where a pool wants more than its
+// share: what is smaller than the task that waits is of use to nobody.
+func (p *plan) useful(customer string, limit, left job.Size, wants []job.Size) []job.Size {
+	shares := shareSizes(left, wants)
+	var short []claimant
+	for i, name := range p.names {
+		a, _ := p.l.books[name].account(customer)
+		if a.Least != (job.Size{}) && !quota.Within(wants[i], shares[i], limit) {
+			shares[i] = a.Least.Times(fits(a.Least, shares[i], limit))
+			short = append(short, claimant{i, a})
+		}
+		left = left.Minus(shares[i])
+	}
+	for given := true; given; {
+		given = false
+		slices.SortStableFunc(short, func(a, b claimant) int { return a.before(b, shares) })
+		for _, c := range short {
+			if quota.Within(c.account.Least, left, limit) && !quota.Within(c.account.Wants, shares[c.index], limit) {
+				shares[c.index] = shares[c.index].Plus(c.account.Least)
+				left = left.Minus(c.account.Least)
+				given = true
+				break
+			}
+		}
+	}
+	return shares
+}
+
+// claimant is a pool that wants more than its share.
+type claimant struct {
+	index   int
+	account quota.Account
+}
+
+// before orders claimants for what is left over: first those that can begin nothing, by how
+// long something has waited there; then those that run more already, so that little is moved.
+func (c claimant) before(o claimant, shares []job.Size) int {
+	none := func(c claimant) bool { return shares[c.index] == job.Size{} }
+	runs := func(c claimant) bool { return shares[c.index].Plus(c.account.Least).Fits(c.account.Used) }
+	return cmp.Or(
+		compareBool(none(c), none(o)),
+		compareBool(!none(c) && runs(c), !none(o) && runs(o)),
+		cmp.Compare(o.account.Waits, c.account.Waits),
+	)
+}
+
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// fits returns how many times a size fits into room, in the parts in which there is a limit.
+func fits(size, room, limit job.Size) int {
+	n := math.MaxInt32
+	for _, part := range [][3]int{{size.CPU, room.CPU, limit.CPU}, {size.MemoryMB, room.MemoryMB, limit.MemoryMB}, {size.Accelerators, room.Accelerators, limit.Accelerators}} {
+		if part[2] > 0 && part[0] > 0 {
+			n = min(n, part[1]/part[0])
+		}
+	}
+	return n
+}
+
+// shareSizes shares a size out by wants, each of its parts by itself.
+func shareSizes(size job.Size, wants []job.Size) []job.Size {
+	shares := make([]job.Size, len(wants))
+	for _, part := range []func(s *job.Size) *int{
+		func(s *job.Size) *int { return &s.CPU }, func(s *job.Size) *int { return &s.MemoryMB }, func(s *job.Size) *int { return &s.Accelerators },
+	} {
+		list := make([]int, len(wants))
+		for i := range wants {
+			list[i] = *part(&wants[i])
+		}
+		for i, share := range quota.Share(max(*part(&size), 0), list) {
+			*part(&shares[i]) = share
+		}
+	}
+	return shares
+}
--- /dev/null
+++ b/services/lending/lender.go
@@ -0,0 +1,147 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package lending
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
+
+// For each pool the lender has a bound: the most that the pool may be using, whoever owns
+// it now. Bounds are kept in the journal of the duty for instances, and a higher one before
+// the pool is told of it. A lower one is told first, and becomes the bound once the pool's
+// owner says that it has kept it. So the sum of the bounds is right after every failure,
+// and no clock decides on it: what a pool without an owner holds stays with it until the
+// next owner answers.
+
+// prefixBound begins the keys of the bounds in the journal, with the pool's name.
+const prefixBound = "q/"
+
+// standingShare is which part of every limit the pools have among them without being asked
+// for it. A customer that uses less than that costs no word; the other half is lent by need.
+const standingShare = 0.5
+
+// forgetAfter is for how long a pool that has left the configuration must have told nothing
+// until what it had is free: without an owner all that ran there has lapsed long since.
+const forgetAfter = 30 * time.Second
+
+// Lender decides on the allowances of all pools; its zero value knows none. It is not safe
+// for concurrent use.
+type Lender struct {
+	Epoch  uint64 // of the holder of the duty
+	Logger log.Logger
+
+	number uint64
+	books  map[string]*book // by pool
+	asks   []string         // customers whose accounts are wanted from all pools
+}
+
+// book is what is known of one pool.
+type book struct {
+	bound  quota.Allowances // the most that it may be using; which holder has set it does not matter
+	told   quota.Allowances // the newest that it is told
+	heard  bool             // it has told which it has, since this holder holds the duty
+	taken  bool             // it has the newest
+	since  time.Time        // when it reported last, or was first known
+	report scheduler.Report
+}
+
+// Restore takes a record of an earlier holder's journal; others than those of bounds are
+// passed over.
+func (l *Lender) Restore(r port.Record, now time.Time) error {
+	pool, is := strings.CutPrefix(r.Key, prefixBound)
+	if !is || len(r.Value) == 0 {
+		return nil
+	}
+	var bound quota.Allowances
+	if err := codec.Unmarshal(r.Value, &bound); err != nil {
+		return errors.Annotatef(err, "bound of pool %s", pool)
+	}
+	l.book(pool, now).bound = bound
+	return nil
+}
+
+func (l *Lender) book(pool string, now time.Time) *book {
+	if l.books == nil {
+		l.books = make(map[string]*book)
+	}
+	if l.books[pool] == nil {
+		l.books[pool] = &book{since: now}
+	}
+	return l.books[pool]
+}
+
+// Ask puts what is to be said to a pool's owner into a question.
+func (l *Lender) Ask(pool string, q *scheduler.Cordons) {
+	q.Accounts = l.asks
+	if b := l.books[pool]; b != nil && b.heard && !b.taken {
+		told := b.told
+		q.Allow = &told
+	}
+}
+
+// News reports whether a pool has not said yet that it has the newest allowances.
+func (l *Lender) News(pool string) bool {
+	b := l.books[pool]
+	return b != nil && b.heard && !b.taken
+}
+
+// Pools returns the pools that something is lent to, in order.
+func (l *Lender) Pools() []string { return slices.Sorted(maps.Keys(l.books)) }
+
+// Take takes a pool's report. What comes from an owner that another has replaced is
+// passed over.
+func (l *Lender) Take(pool string, r scheduler.Report, now time.Time) {
+	b := l.book(pool, now)
+	if r.Epoch < b.report.Epoch {
+		return
+	}
+	b.report, b.since = r, now
+	if !b.heard {
+		b.told, b.heard, b.taken = r.Allowed, true, true
+		return
+	}
+	b.taken = r.Allowed.Epoch == b.told.Epoch && r.Allowed.Number == b.told.Number
+}
+
+// Plan decides on the allowances by a configuration, and returns the records that must be
+// kept before any pool is told of them.
+func (l *Lender) Plan(c *config.Config, now time.Time) ([]port.Record, error) {
+	if !hasLimits(c) && len(l.books) == 0 {
+		return nil, nil
+	}
+	p := l.begin(c, now)
+	p.lower()
+	p.part()
+	p.settle()
+	p.lend()
+	l.asks = p.asks
+	return p.changes()
+}
+
+func hasLimits(c *config.Config) bool {
+	return slices.ContainsFunc(c.Customers, func(o config.Customer) bool { return quota.Limited(o.Limit) })
+}
+
+// account returns what a pool has told of a customer, and false where it has told nothing:
+// then it wants less than half of its allowance.
+func (b *book) account(customer string) (quota.Account, bool) {
+	a, told := b.report.Accounts[customer]
+	return a, told
+}
+
+// most returns the most that a pool may be using of a customer's.
+func (b *book) most(customer string, limit job.Size) job.Size { return b.bound.For(customer, limit) }
--- /dev/null
+++ b/services/lending/plan.go
@@ -0,0 +1,245 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package lending
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// plan is the making of one plan.
+type plan struct {
+	l      *Lender
+	config *config.Config
+	names  []string         // of the pools that run tasks by the configuration
+	before map[string]entry // of each book, as it was
+	asks   []string
+	now    time.Time
+}
+
+// entry is what a plan may change of a book.
+type entry struct{ bound, told quota.Allowances }
+
+// begin begins a plan: pools that have come get a book, those that have gone for long
+// lose theirs.
+func (l *Lender) begin(c *config.Config, now time.Time) *plan {
+	p := &plan{l: l, config: c, before: make(map[string]entry), now: now}
+	for _, o := range c.Pools {
+		if !o.Headroom {
+			p.names = append(p.names, o.Name)
+			l.book(o.Name, now)
+		}
+	}
+	for name, b := range l.books {
+		p.before[name] = entry{b.bound, b.told}
+		if !slices.Contains(p.names, name) && now.Sub(b.since) > forgetAfter {
+			delete(l.books, name)
+		}
+	}
+	return p
+}
+
+// lower takes what pools say that they have: a bound comes down to the allowances that a
+// pool has kept, though not below what it uses.
+func (p *plan) lower() {
+	for _, b := range p.l.books {
+		if !b.heard || !b.taken {
+			continue
+		}
+		bound := b.told
+		for customer, a := range b.report.Accounts {
+			limit := p.limit(customer)
+			if allowed := b.told.For(customer, limit); !quota.Within(a.Used, allowed, limit) {
+				bound = bound.With(customer, allowed.Max(a.Used))
+			}
+		}
+		b.bound = bound
+	}
+}
+
+func (p *plan) limit(customer string) job.Size {
+	if c := p.config.Customer(customer); c != nil {
+		return c.Limit
+	}
+	return job.Size{}
+}
+
+// tell gives a pool other allowances.
+func (p *plan) tell(b *book, a quota.Allowances) {
+	b.told, b.taken = a, false
+}
+
+// part gives each pool the same part of every limit to have without being asked for. Where
+// a pool has come, the others give first.
+func (p *plan) part() {
+	want := 0.0
+	if hasLimits(p.config) {
+		want = standingShare / float64(max(len(p.names), 1))
+	}
+	left := standingShare
+	for _, b := range p.l.books {
+		left -= b.bound.Part
+	}
+	for _, name := range p.l.Pools() {
+		b := p.l.books[name]
+		if !b.heard {
+			continue
+		}
+		aim := want
+		if !slices.Contains(p.names, name) {
+			aim = 0
+		}
+		next := b.told
+		switch more := aim - b.bound.Part; {
+		case b.told.Part > aim:
+			next.Part = aim
+			p.tell(b, next)
+		case more > 0 && left >= more-tinyPart:
+			left -= more
+			p.pin(b, more)
+			next = b.told
+			next.Part, b.bound.Part = aim, aim
+			p.tell(b, next)
+		}
+	}
+}
+
+// pin keeps the allowances of a pool as they are for the customers of whom so much more of
+// their limits is not free, though its part of all limits rises.
+func (p *plan) pin(b *book, more float64) {
+	for i := range p.config.Customers {
+		c := &p.config.Customers[i]
+		if !quota.Limited(c.Limit) || quota.Within(c.Limit.Scale(more), p.free(c.Name, c.Limit), c.Limit) {
+			continue
+		}
+		b.bound = b.bound.With(c.Name, b.most(c.Name, c.Limit))
+		b.told = b.told.With(c.Name, b.told.For(c.Name, c.Limit))
+	}
+}
+
+// tinyPart is by how much sums of parts may be off, as they are rounded.
+const tinyPart = 1e-9
+
+// settle has the pools begin again what they hold since a limit was lowered. Once each of
+// them knows the configuration, what they use tells what there is: it grows no more.
+func (p *plan) settle() {
+	stale := false
+	for _, name := range p.names {
+		b := p.l.books[name]
+		if !b.heard || b.report.Config < p.config.Version {
+			return
+		}
+		stale = stale || b.told.Version < p.config.Version
+	}
+	if !stale {
+		return
+	}
+	held := make(map[string]bool)
+	for _, name := range p.names {
+		for customer, a := range p.l.books[name].report.Accounts {
+			if a.Held {
+				held[customer] = true
+			}
+		}
+	}
+	for _, customer := range slices.Sorted(maps.Keys(held)) {
+		p.settleOne(customer)
+	}
+	for _, name := range p.names {
+		b := p.l.books[name]
+		next := b.told
+		next.Version = p.config.Version
+		p.tell(b, next)
+	}
+}
+
+// settleOne has each pool keep what it uses of a customer's, within the limit.
+func (p *plan) settleOne(customer string) {
+	limit := p.limit(customer)
+	used := make(map[string]job.Size, len(p.l.books))
+	var sum job.Size
+	for name, b := range p.l.books {
+		a, told := b.account(customer)
+		used[name] = a.Used
+		if !told || !a.Held {
+			used[name] = b.most(customer, limit).Max(a.Used)
+		}
+		sum = sum.Plus(used[name])
+	}
+	if p.standing(limit, used) {
+		for _, b := range p.l.books {
+			b.bound = b.bound.Without(customer)
+			p.tell(b, b.told.Without(customer))
+		}
+		return
+	}
+	for name, b := range p.l.books {
+		if !b.heard {
+			continue
+		}
+		b.bound = b.bound.With(customer, used[name])
+		p.tell(b, b.told.With(customer, part(used[name], sum, limit)))
+	}
+}
+
+// standing reports whether what each pool uses is within the part of a limit that it has
+// without being asked for.
+func (p *plan) standing(limit job.Size, used map[string]job.Size) bool {
+	for name, b := range p.l.books {
+		if !b.heard || !quota.Within(used[name], limit.Scale(min(b.told.Part, b.bound.Part)), limit) {
+			return false
+		}
+	}
+	return true
+}
+
+// part returns a size, or where the sum of all is above a limit, its part of that.
+func part(size, sum, limit job.Size) job.Size {
+	of := func(size, sum, limit int) int {
+		if limit == 0 || sum <= limit {
+			return size
+		}
+		return int(float64(size) / float64(sum) * float64(limit))
+	}
+	return job.Size{
+		CPU: of(size.CPU, sum.CPU, limit.CPU), MemoryMB: of(size.MemoryMB, sum.MemoryMB, limit.MemoryMB),
+		Accelerators: of(size.Accelerators, sum.Accelerators, limit.Accelerators),
+	}
+}
+
+// changes gives numbers to the allowances that have changed and returns the records of the
+// bounds that have.
+func (p *plan) changes() ([]port.Record, error) {
+	var records []port.Record
+	for name, last := range p.before {
+		b := p.l.books[name]
+		if b == nil {
+			records = append(records, port.Record{Key: prefixBound + name})
+			continue
+		}
+		if !reflect.DeepEqual(b.told, last.told) {
+			p.l.number++
+			b.told.Epoch, b.told.Number = p.l.Epoch, p.l.number
+			p.l.Logger.Info().Str("event", "allowance").Str("of", name).Uint64("number", b.told.Number).Uint64("config", b.told.Version).
+				Float64("part", b.told.Part).Int("customers", len(b.told.Of)).Str("outcome", "set").Msg("a pool's allowances are set")
+		}
+		if b.bound.Part == last.bound.Part && maps.Equal(b.bound.Of, last.bound.Of) {
+			continue
+		}
+		value, err := codec.Marshal(b.bound)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, port.Record{Key: prefixBound + name, Value: value})
+	}
+	return records, nil
+}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -290,6 +290,11 @@
 			Msg("a job is refused since the store does not answer")
 		return 0, errkind.New(errkind.LogUnavailable, "the store has not answered for %s", stuck.Round(time.Millisecond))
 	}
+	if step, beyond := o.pool.Beyond(s); beyond {
+		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Str("customer", s.Customer).Int("step", step).Str("outcome", "refused").
+			Msg("a job is refused since its customer may not have so much running")
+		return 0, errkind.New(errkind.Infeasible, "step %d: what begins together is larger than all that customer %s may have running", step, s.Customer)
+	}
 	if full := o.pool.Full(s, o.Clock.Now()); full > 0 {
 		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("full", full).Str("outcome", "refused").
 			Msg("a job is refused since it would not be done in time")
@@ -395,14 +400,14 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pool.Report(o.Clock.Now()), nil
+	return o.pool.Report(asked, o.Clock.Now()), nil
 }
 
 // Peek returns what the pool tells of itself, and changes nothing.
 func (o *Owner) Peek() scheduler.Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pool.Report(o.Clock.Now())
+	return o.pool.Report(scheduler.Cordons{}, o.Clock.Now())
 }
 
 var errStopped = errors.New("stopped")
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -5,9 +5,11 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/port"
@@ -27,8 +29,14 @@
 	Number  uint64      `json:"number"`            // of the question within the epoch; a later one has a higher
 	Workers []Cordoned  `json:"workers,omitempty"` // all that are to be cordoned
 	Over    []worker.ID `json:"over,omitempty"`    // workers whose lives were ended by an order
+
+	Allow    *quota.Allowances `json:"allow,omitempty"`    // new ones, nil where the pool has told that it has the newest
+	Accounts []string          `json:"accounts,omitempty"` // customers whose accounts are told, whatever they want
 }
 
+// wantsAccount reports whether the account of a customer is asked for.
+func (c Cordons) wantsAccount(customer string) bool { return slices.Contains(c.Accounts, customer) }
+
 // before reports whether a question was asked before another one.
 func (c Cordons) before(o Cordons) bool {
 	return cmp.Or(cmp.Compare(c.Epoch, o.Epoch), cmp.Compare(c.Number, o.Number)) < 0
@@ -44,7 +52,10 @@
 	}
 	p.asked = Cordons{Epoch: asked.Epoch, Number: asked.Number}
 	p.Over(asked.Over, now)
-	newest := uint64(0)
+	if asked.Allow != nil {
+		p.Allow(*asked.Allow)
+	}
+	newest := p.allowed.reducedIn
 	wanted := make(map[worker.ID]bool, len(asked.Workers))
 	for _, c := range asked.Workers {
 		id := c.ID
@@ -107,6 +118,10 @@
 	Apart   int                 `json:"apart"`            // workers that a step needs since few of its tasks may be on one
 	Slack   time.Duration       `json:"slack"`            // that jobs have when they come, on the mean; 0 where none has come
 	Labels  map[string]job.Size `json:"labels,omitempty"` // of the tasks that need a label, by it; they count here only
+
+	Config   uint64                   `json:"config"`             // version that is in force here
+	Allowed  quota.Allowances         `json:"allowed"`            // that are in force; of those that the asking holder has set only which
+	Accounts map[string]quota.Account `json:"accounts,omitempty"` // of customers; see accounts
 }
 
 // WorkerReport is what a pool tells of one worker.
@@ -120,8 +135,8 @@
 	Used     job.Size  `json:"used"`
 }
 
-// Report returns what the pool tells of itself.
-func (p *Pool) Report(now time.Time) Report {
+// Report returns what the pool tells of itself to who has asked.
+func (p *Pool) Report(asked Cordons, now time.Time) Report {
 	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Slack: seconds(p.slack.value)}
 	for id, w := range p.workers {
 		o := WorkerReport{
@@ -146,6 +161,10 @@
 	for _, j := range p.active {
 		p.needs(j, now, &r)
 	}
+	r.Config, r.Allowed, r.Accounts = p.version(), p.allowed.set, p.accounts(asked, now)
+	if r.Allowed.Epoch == asked.Epoch {
+		r.Allowed.Of = nil
+	}
 	if p.stuck(now) {
 		r.Apart = max(r.Apart, p.openWorkers(now)+1)
 	}
@@ -204,6 +223,10 @@
 	return float64(takes) / float64(takes+max(slack, 0))
 }
 
+// limitPatience is for how long what waits for its customer's allowance counts as needed: room
+// that is lent comes within half a second, or does not come soon.
+const limitPatience = time.Second
+
 // needs adds what a job's open tasks need.
 func (p *Pool) needs(j *jobState, now time.Time, r *Report) {
 	for n := range j.rounds {
@@ -228,6 +251,9 @@
 				r.Lasting = r.Lasting.Plus(room.Times(len(s.tasks)))
 			case s.waiting > 0 && j.rounds[n].ready(i):
 				waiting := room.Times(s.waiting)
+				if p.atLimitFor(j.sub.Customer, now) > limitPatience {
+					continue
+				}
 				if j.urgency(s, now) == overdue {
 					r.Overdue = r.Overdue.Plus(waiting)
 					continue
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -46,9 +46,11 @@
 	p.Lapse(now)
 	p.withholdAll(now)
 	p.sweep()
+	clear(p.limited)
 	for _, c := range p.candidates(now) {
 		p.place(c, now)
 	}
+	p.endWaits(p.limited, now)
 	for _, w := range p.workers {
 		p.wakeAt(w.trust.until, now)
 		if w.onProbation(now) {
@@ -150,6 +152,9 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
+		if !p.allows(c, 1, now) {
+			return
+		}
 		if now.Before(t.notBefore) {
 			p.wakeAt(t.notBefore, now)
 			continue
@@ -168,6 +173,21 @@
 	}
 }
 
+// allows reports whether so many tasks of a step may begin together by their customer's
+// allowance.
+func (p *Pool) allows(c candidate, tasks int, now time.Time) bool {
+	size := c.step.spec.Size.Times(tasks)
+	if p.lets(c.job.sub.Customer, size) {
+		return true
+	}
+	if p.limited == nil {
+		p.limited = make(map[string]bool)
+	}
+	p.limited[c.job.sub.Customer] = true
+	p.waitsAtLimit(c.job, size, now)
+	return false
+}
+
 func (p *Pool) logPlaced(c candidate, u *run, now time.Time) {
 	room := u.at.room()
 	p.Logger.Info().Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
@@ -244,6 +264,9 @@
 			return
 		}
 	}
+	if !p.allows(c, len(c.step.tasks), now) {
+		return
+	}
 	var chosen []*workerState
 	if c.step.spec.SameRack {
 		for _, rack := range p.racks() {
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -48,6 +48,8 @@
 	blamed map[worker.ID][]job.TaskRef // tasks against which a worker's crash is held
 	downs  map[worker.ID]time.Time     // since when workers that have crashed were silent, of late
 
+	allowed  allowances
+	limited  map[string]bool // customers of whom tasks wait for their allowance, in the newest plan
 	arrivals arrivals
 	slack    mean // seconds that jobs have when they come
 
@@ -93,6 +95,7 @@
 	if p.config != nil && c.Version <= p.config.Version {
 		return
 	}
+	p.relimit(c)
 	p.config = c
 	for _, j := range p.active {
 		j.queue = p.queueOf(j)
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -18,7 +18,7 @@
 
 // What is kept of a job lies under two keys: its submission, written once, of which only
 // whose job it is stays once it has ended, and its progress, written with each change. Cordoned workers have a key each, and so have the
-// jobs under whose tasks workers have crashed.
+// jobs under whose tasks workers have crashed. The pool's allowances have one (allowance.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -88,6 +88,14 @@
 		b.Records = append(b.Records, cordonRecord(id, p.cordons[id]))
 	}
 	p.recordons = nil
+	if p.allowed.changed {
+		r, err := p.allowancesRecord()
+		if err != nil {
+			return nil, err
+		}
+		b.Records = append(b.Records, r)
+		p.allowed.changed = false
+	}
 	for _, w := range p.workers {
 		if w.seen > w.kept {
 			b.seen = append(b.seen, seenEnd{w, w.seen})
@@ -251,6 +259,9 @@
 	if err := p.restoreCrashes(records); err != nil {
 		return err
 	}
+	if err := p.restoreAllowances(records); err != nil {
+		return err
+	}
 	p.arrange()
 	p.moved = true
 	return nil
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -83,6 +83,7 @@
 		batch: p.batch, pace: fullPace, moved: now, ticket: w.tickets[s.ref], suspected: t.suspected(),
 	}
 	p.attach(u)
+	p.allowed.begins(j.sub.Customer, now)
 	p.planned = append(p.planned, u)
 	p.touch(j)
 	return u
@@ -96,6 +97,7 @@
 	}
 	t.runs = append(t.runs, u)
 	u.job.live++
+	p.allowed.count(u.job.sub.Customer, s.spec.Size)
 	if s.spec.PerWorker > 0 {
 		if s.perHost == nil {
 			s.perHost = make(map[*workerState]int)
@@ -124,6 +126,7 @@
 	}
 	u.job.live--
 	s, t := u.step(), u.task()
+	p.allowed.count(u.job.sub.Customer, job.Size{}.Minus(s.spec.Size))
 	for i, o := range t.runs {
 		if o == u {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -31,6 +31,7 @@
 	lives      int
 	alone      int                   // runs that have waited for the others of their gang in vain
 	limits     map[string][]setLimit // of customers, the oldest first
+	unread     time.Time             // until when a node could not read the store
 	violations []string
 	networks   network
 }
@@ -68,7 +69,11 @@
 func (w *World) Set(node string, change func(f *Faults)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	change(w.fault(node))
+	f := w.fault(node)
+	if f.storeless() {
+		w.unread = time.Now()
+	}
+	change(f)
 }
 
 // fault returns what is wrong for a node. The lock is held.
