--- a/node/random_limit_test.go
+++ b/node/random_limit_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -20,6 +21,13 @@
 // another number, and YARDBRIDGE_TEST_SEED one seed.
 const limitSeeds = 20
 
+// failedLimitSeeds are seeds of such days that have failed once; they are played first.
+var failedLimitSeeds = []uint64{
+	20,       // pools in which nothing could begin within their shares waited for ever while another had more than its own
+	97,       // the model took a limit for out of force that no node could have read the successor of
+	131, 171, // after a limit was lowered below what ran, room was lent again before that had ended
+}
+
 // TestRandomLimits plays days on which three pools rush for the same customers, whose limits
 // are lowered and raised beside all kinds of faults. Nobody may ever be above a limit that
 // may be in force, and by the end everything must be done.
@@ -36,10 +44,16 @@
 		assert.NilError(t, err)
 		count = n
 	}
+	seeds := slices.Clone(failedLimitSeeds)
 	for n := range count {
-		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
+		if seed := uint64(n + 1); !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, limitDay(uint64(n+1)))
+			play(t, limitDay(seed))
 		})
 	}
 }
@@ -49,7 +63,7 @@
 func limitDay(seed uint64) script {
 	r := rand.New(rand.NewPCG(seed, 5))
 	s := script{
-		Seed: seed, Nodes: 3 + r.IntN(3), Off: 3, Until: tomlfile.Duration(110 * time.Second), AtWork: true,
+		Seed: seed, Nodes: 3 + r.IntN(3), Off: 3, Until: tomlfile.Duration(240 * time.Second), AtWork: true,
 		Pools:     []scriptPool{{"alpha", 5, 2, false}, {"beta", 5, 2, false}, {"gamma", 4, 2, false}},
 		Customers: []scriptCustomer{{"north", 3, 16000 + r.IntN(16000), 0}, {"south", 1, 12000, 4000 + r.IntN(8000)}, {"west", 1, 0, 0}},
 	}
--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -26,6 +26,9 @@
 		if !quota.Limited(limit) {
 			continue
 		}
+		if !p.fits(customer, limit) {
+			continue // more runs than is allowed since the limit was lowered
+		}
 		free := p.free(customer, limit)
 		if wanted := p.lacks(customer, limit); quota.Within(wanted, free, limit) {
 			p.lendFree(customer, limit, free, wanted)
@@ -53,13 +56,23 @@
 	return slices.Sorted(maps.Keys(lacking))
 }
 
-// free returns what of a limit no pool has; parts without a limit are 0.
-func (p *plan) free(customer string, limit job.Size) job.Size {
-	free := limit
+// sum returns what all pools may be using of a customer's.
+func (p *plan) sum(customer string, limit job.Size) job.Size {
+	var sum job.Size
 	for _, b := range p.l.books {
-		free = free.Minus(b.most(customer, limit))
+		sum = sum.Plus(b.most(customer, limit))
 	}
-	return free.Max(job.Size{})
+	return sum
+}
+
+// fits reports whether what all pools may be using is within a limit.
+func (p *plan) fits(customer string, limit job.Size) bool {
+	return quota.Within(p.sum(customer, limit), limit, limit)
+}
+
+// free returns what of a limit no pool has; parts without a limit are 0.
+func (p *plan) free(customer string, limit job.Size) job.Size {
+	return limit.Minus(p.sum(customer, limit)).Max(job.Size{})
 }
 
 // lacks returns what the pools want beyond their bounds, together.
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -162,7 +162,8 @@
 	}
 }
 
-// settleOne has each pool keep what it uses of a customer's, within the limit.
+// settleOne has each pool keep what it uses of a customer's. Where that is above the limit
+// together, nothing begins in any until enough has ended.
 func (p *plan) settleOne(customer string) {
 	limit := p.limit(customer)
 	used := make(map[string]job.Size, len(p.l.books))
@@ -182,12 +183,17 @@
 		}
 		return
 	}
+	fits := quota.Within(sum, limit, limit)
 	for name, b := range p.l.books {
 		if !b.heard {
 			continue
 		}
+		keeps := used[name]
+		if !fits {
+			keeps = job.Size{}
+		}
 		b.bound = b.bound.With(customer, used[name])
-		p.tell(b, b.told.With(customer, part(used[name], sum, limit)))
+		p.tell(b, b.told.With(customer, keeps))
 	}
 }
 
@@ -202,7 +208,7 @@
 	return true
 }
 
-// part returns a size, or where the sum of all is above a limit, its part of that.
+// part returns a size, or where the sum of all is above what there is, its part of that.
 func part(size, sum, limit job.Size) job.Size {
 	of := func(size, sum, limit int) int {
 		if limit == 0 || sum <= limit {
