Shares when a pool is full: customers below their share come first, and what is beyond a share is refused

Now it is counted as the last plan left it, and the wait of a job that comes now is that behind its own customer's work in its share.

--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -36,9 +36,6 @@
 
 // count adds to what a customer has running.
 func (a *allowances) count(customer string, size job.Size) {
-	if customer == "" {
-		return
-	}
 	if a.used == nil {
 		a.used = make(map[string]job.Size)
 	}
--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -17,7 +17,8 @@
 const overloadedBy = 0.5
 
 // fullShare is which share of its workers' processors a pool that is overloaded uses: one
-// whose store is slow has work that is overdue and room for it.
+// whose store is slow has work that is overdue and room for it. What counts is what was in use
+// once the last plan had placed what it could: a plan is made when something has ended.
 const fullShare = 0.8
 
 // overloadedAfter is for how long that must hold: more instances, if there are any, come
@@ -58,7 +59,7 @@
 		}
 	}
 	room := float64(p.openCPU(now))
-	if left <= overloadedBy*room || float64(p.usedCPU()) < fullShare*room {
+	if left <= overloadedBy*room || float64(max(p.usedCPU(), p.placedCPU)) < fullShare*room {
 		p.overdueSince = time.Time{}
 		return false
 	}
@@ -79,15 +80,7 @@
 
 // openCPU returns the processors of the workers on which tasks may be placed, in
 // thousandths of a core.
-func (p *Pool) openCPU(now time.Time) int {
-	room := 0
-	for _, w := range p.workers {
-		if w.open(now) {
-			room += w.info.Capacity.CPU
-		}
-	}
-	return room
-}
+func (p *Pool) openCPU(now time.Time) int { return p.openRoom(now).CPU }
 
 // comesFirst reports whether an overloaded pool does a job before one that comes now: it can
 // be in time, or has begun and is of use yet.
@@ -105,15 +98,32 @@
 	if !p.overloaded || p.Has(s.ID) || s.Lasts() || s.Times > 0 {
 		return 0
 	}
-	ahead := 0.0 // core-seconds
-	for _, j := range p.active {
-		if j.comesFirst(now) {
-			ahead += j.work
-		}
-	}
 	j := p.newJob(s, now)
 	p.weigh(j)
 	const thousandths = 1000
-	wait := seconds(ahead * thousandths / float64(max(p.openCPU(now), 1)))
+	wait := seconds(p.ahead(s.Customer, now) * thousandths / float64(max(p.openCPU(now), 1)))
 	return max(wait-j.latest.Sub(now), 0)
 }
+
+// ahead returns the work, in core-seconds, after which a job of a customer that comes now has
+// its turn. Of its share it waits for what the customer itself has there already, however much
+// the others have; where they leave something, for less.
+func (p *Pool) ahead(customer string, now time.Time) float64 {
+	work := make(map[string]float64)
+	all, weights := 0.0, 0.0
+	for _, j := range p.active {
+		if !j.comesFirst(now) {
+			continue
+		}
+		if _, known := work[j.sub.Customer]; !known {
+			weights += p.weightOf(j.sub.Customer)
+		}
+		work[j.sub.Customer] += j.work
+		all += j.work
+	}
+	own := p.weightOf(customer)
+	if _, known := work[customer]; !known {
+		weights += own
+	}
+	return min(all, work[customer]*weights/own)
+}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -47,10 +47,10 @@
 	p.withholdAll(now)
 	p.sweep()
 	clear(p.limited)
-	for _, c := range p.candidates(now) {
-		p.place(c, now)
-	}
+	p.averageUse(now)
+	p.placeAll(p.candidates(now), now)
 	p.endWaits(p.limited, now)
+	p.placedCPU = p.usedCPU()
 	for _, w := range p.workers {
 		p.wakeAt(w.trust.until, now)
 		if w.onProbation(now) {
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -50,6 +50,8 @@
 
 	allowed  allowances
 	limited  map[string]bool // customers of whom tasks wait for their allowance, in the newest plan
+	uses     map[string]use  // of the pool by customer, averaged
+	averaged time.Time       // when they were last
 	arrivals arrivals
 	slack    mean // seconds that jobs have when they come
 
@@ -62,6 +64,7 @@
 	stamp        uint64                // counts looks and answers, to tell their order
 	moved        bool                  // something was freed or came since the last plan
 	overloaded   bool                  // more had come than the pool can do, at the last plan
+	placedCPU    int                   // in use at the end of the last plan, in thousandths of a core
 	overdueSince time.Time             // since when much is overdue though the pool is full, zero for not
 	wake         time.Time             // when to plan though nothing has changed, zero for never
 	reservedFor  *stepState            // gang that workers are kept free for in this plan, nil for none
