Allowances: lent before they are used up, and given back when idle; accounts of customers at their limit are asked for a while

Now a pool is lent three times what it wants while there is enough, gives half back after an idle second, and room passes between pools in three turns of one step.

--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -336,19 +336,29 @@
 // lend decides on the allowances of all pools, keeps them and tells the pools at once: tasks
 // wait for them.
 func (m *Manager) lend(ctx context.Context, c *config.Config) error {
-	records, err := m.lends.Plan(c, m.Clock.Now())
-	if err != nil {
-		return err
-	}
-	if len(records) > 0 {
-		if err := m.Journal.Append(ctx, records); err != nil {
+	for range lendTurns {
+		records, err := m.lends.Plan(c, m.Clock.Now())
+		if err != nil {
 			return err
 		}
+		if len(records) > 0 {
+			if err := m.Journal.Append(ctx, records); err != nil {
+				return err
+			}
+		}
+		due := m.lends.Due()
+		if len(due) == 0 {
+			return nil
+		}
+		m.askAll(ctx, due)
 	}
-	m.askAll(ctx, slices.DeleteFunc(m.lends.Pools(), func(pool string) bool { return !m.lends.News(pool) }))
 	return nil
 }
 
+// lendTurns is how often one after the other allowances are decided on: room that another
+// pool has passes in three turns (what all want, giving back, lending), some 30 ms each.
+const lendTurns = 3
+
 // cordon has the workers of new actions cordoned at once, so that those that are
 // empty need not wait for the next plan.
 func (m *Manager) cordon(ctx context.Context, began []*action) {
--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -8,52 +8,59 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/quota"
+	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
-// headroom is how many times what a pool lacks it is lent where there is enough: what comes
-// with a rush while the next word passes finds room.
-const headroom = 2
+// headroom is how many times what it wants a pool is lent where there is enough: what comes
+// in the first second of a rush, while an instance is on its way, finds room.
+const headroom = 3
 
-// lend lends to the pools that want more of a customer's than they have. What is free is
-// lent at once; where that does not do, it is shared out by what all pools want, and those
-// that have more than their share give it back first.
+// lend lends to the pools that want much of what they have of a customer's. What is free is
+// lent at once; where that does not do for what waits, the limit is shared out by what all
+// pools want, and those that have more than their share give it back first.
 func (p *plan) lend() {
-	for _, customer := range p.lacking() {
+	for _, customer := range p.told() {
 		limit := p.limit(customer)
-		if !quota.Limited(limit) {
+		if !quota.Limited(limit) || !p.fits(customer, limit) { // more runs than is allowed since the limit was lowered
 			continue
 		}
-		if !p.fits(customer, limit) {
-			continue // more runs than is allowed since the limit was lowered
-		}
 		free := p.free(customer, limit)
-		if wanted := p.lacks(customer, limit); quota.Within(wanted, free, limit) {
-			p.lendFree(customer, limit, free, wanted)
+		if quota.Within(p.lacks(customer, limit, 1), free, limit) {
+			p.lendFree(customer, limit, free)
 			continue
 		}
-		p.asks = append(p.asks, customer)
+		p.ask(customer)
 		if p.allTold(customer) {
 			p.shareOut(customer, limit, free)
 		}
 	}
 }
 
-// lacking returns the customers of which a pool wants more than it may use, in order.
-func (p *plan) lacking() []string {
-	lacking := make(map[string]bool)
+// ask has the accounts of a customer asked for from all pools.
+func (p *plan) ask(customer string) {
+	if p.l.asks == nil {
+		p.l.asks = make(map[string]time.Time)
+	}
+	p.l.asks[customer] = p.now
+}
+
+// told returns the customers of whom a pool wants much of what it may use, in order.
+func (p *plan) told() []string {
+	told := make(map[string]bool)
 	for _, name := range p.names {
 		b := p.l.books[name]
 		for customer, a := range b.report.Accounts {
 			limit := p.limit(customer)
-			if b.heard && !a.Held && !quota.Within(capped(a.Wants, limit), b.told.For(customer, limit), limit) {
-				lacking[customer] = true
+			if b.heard && !a.Held && !quota.Within(capped(a.Wants.Times(scheduler.AccountTold), limit), b.told.For(customer, limit), limit) {
+				told[customer] = true
 			}
 		}
 	}
-	return slices.Sorted(maps.Keys(lacking))
+	return slices.Sorted(maps.Keys(told))
 }
 
 // sum returns what all pools may be using of a customer's.
@@ -75,22 +82,22 @@
 	return limit.Minus(p.sum(customer, limit)).Max(job.Size{})
 }
 
-// lacks returns what the pools want beyond their bounds, together.
-func (p *plan) lacks(customer string, limit job.Size) job.Size {
+// lacks returns what the pools want so many times beyond their bounds, together.
+func (p *plan) lacks(customer string, limit job.Size, times int) job.Size {
 	var sum job.Size
 	for _, name := range p.names {
-		sum = sum.Plus(p.l.books[name].lacks(customer, limit))
+		sum = sum.Plus(p.l.books[name].lacks(customer, limit, times))
 	}
 	return sum
 }
 
-// lacks returns what a pool wants beyond its bound.
-func (b *book) lacks(customer string, limit job.Size) job.Size {
+// lacks returns what a pool wants so many times beyond its bound.
+func (b *book) lacks(customer string, limit job.Size, times int) job.Size {
 	a, told := b.account(customer)
 	if !told || !b.heard || a.Held {
 		return job.Size{}
 	}
-	return capped(a.Wants, limit).Minus(b.most(customer, limit)).Max(job.Size{})
+	return capped(a.Wants.Times(times), limit).Minus(b.most(customer, limit)).Max(job.Size{})
 }
 
 // capped returns a size cut off at a limit in the parts in which there is one, and 0 in the
@@ -99,24 +106,40 @@
 	return job.Size{CPU: min(size.CPU, limit.CPU), MemoryMB: min(size.MemoryMB, limit.MemoryMB), Accelerators: min(size.Accelerators, limit.Accelerators)}
 }
 
-// lendFree lends to each pool what it lacks, and some more where there is enough.
-func (p *plan) lendFree(customer string, limit, free, wanted job.Size) {
-	more := part(wanted.Times(headroom), wanted.Times(headroom), free)
+// lendFree lends to each pool what it lacks, and what there is of the headroom.
+func (p *plan) lendFree(customer string, limit, free job.Size) {
+	spare := free.Minus(p.lacks(customer, limit, 1))
+	sum := p.lacks(customer, limit, headroom).Minus(p.lacks(customer, limit, 1))
 	for _, name := range p.names {
 		b := p.l.books[name]
-		lacks := b.lacks(customer, limit)
 		a, told := b.account(customer)
-		if !told || !b.heard || a.Held || quota.Within(a.Wants, b.told.For(customer, limit), limit) {
+		if !told || !b.heard || a.Held || quota.Within(capped(a.Wants.Times(scheduler.AccountTold), limit), b.told.For(customer, limit), limit) {
 			continue
 		}
-		p.raise(b, customer, limit, b.most(customer, limit).Plus(part(lacks.Times(headroom), wanted.Times(headroom), more)))
+		lacks := b.lacks(customer, limit, 1)
+		more := b.lacks(customer, limit, headroom).Minus(lacks)
+		p.raise(b, customer, limit, b.most(customer, limit).Plus(lacks).Plus(part(more, sum, spare)))
+	}
+}
+
+// part returns a size, or where the sum of all is above what there is, its part of that.
+func part(size, sum, there job.Size) job.Size {
+	of := func(size, sum, there int) int {
+		if sum <= there {
+			return size
+		}
+		return int(float64(size) / float64(sum) * float64(there))
+	}
+	return job.Size{
+		CPU: of(size.CPU, sum.CPU, there.CPU), MemoryMB: of(size.MemoryMB, sum.MemoryMB, there.MemoryMB),
+		Accelerators: of(size.Accelerators, sum.Accelerators, there.Accelerators),
 	}
 }
 
 // raise gives a pool a higher bound and the allowance of it.
 func (p *plan) raise(b *book, customer string, limit, size job.Size) {
 	size = capped(size, limit)
-	if size == b.told.For(customer, limit) {
+	if !changesMuch(size, b.told.For(customer, limit), limit) {
 		return
 	}
 	b.bound = b.bound.With(customer, b.most(customer, limit).Max(size))
--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -45,17 +45,18 @@
 	Logger log.Logger
 
 	number uint64
-	books  map[string]*book // by pool
-	asks   []string         // customers whose accounts are wanted from all pools
+	books  map[string]*book     // by pool
+	asks   map[string]time.Time // customers whose accounts are wanted from all pools, since when last
 }
 
 // book is what is known of one pool.
 type book struct {
-	bound  quota.Allowances // the most that it may be using; which holder has set it does not matter
-	told   quota.Allowances // the newest that it is told
-	heard  bool             // it has told which it has, since this holder holds the duty
-	taken  bool             // it has the newest
-	since  time.Time        // when it reported last, or was first known
+	bound  quota.Allowances     // the most that it may be using; which holder has set it does not matter
+	told   quota.Allowances     // the newest that it is told
+	heard  bool                 // it has told which it has, since this holder holds the duty
+	taken  bool                 // it has the newest
+	since  time.Time            // when it reported last, or was first known
+	idle   map[string]time.Time // since when it has not used much of what it was lent, by customer
 	report scheduler.Report
 }
 
@@ -86,21 +87,37 @@
 
 // Ask puts what is to be said to a pool's owner into a question.
 func (l *Lender) Ask(pool string, q *scheduler.Cordons) {
-	q.Accounts = l.asks
+	q.Accounts = slices.Sorted(maps.Keys(l.asks))
 	if b := l.books[pool]; b != nil && b.heard && !b.taken {
 		told := b.told
 		q.Allow = &told
 	}
 }
 
-// News reports whether a pool has not said yet that it has the newest allowances.
-func (l *Lender) News(pool string) bool {
-	b := l.books[pool]
-	return b != nil && b.heard && !b.taken
+// Due returns the pools to be asked at once, in order: those that have not said yet that they
+// have the newest allowances, and those that have not told an account that is wanted.
+func (l *Lender) Due() []string {
+	return slices.DeleteFunc(l.pools(), func(pool string) bool {
+		b := l.books[pool]
+		return !b.heard || b.taken && b.hasTold(l.asks)
+	})
 }
 
-// Pools returns the pools that something is lent to, in order.
-func (l *Lender) Pools() []string { return slices.Sorted(maps.Keys(l.books)) }
+// hasTold reports whether a pool has told the accounts of customers.
+func (b *book) hasTold(customers map[string]time.Time) bool {
+	for customer := range customers {
+		if _, told := b.account(customer); !told {
+			return false
+		}
+	}
+	return true
+}
+
+// askFor is for how long an account goes on being asked for that was wanted: a customer that
+// is at its limit stays there for a while.
+const askFor = time.Second
+
+func (l *Lender) pools() []string { return slices.Sorted(maps.Keys(l.books)) }
 
 // Take takes a pool's report. What comes from an owner that another has replaced is
 // passed over.
@@ -127,8 +144,9 @@
 	p.lower()
 	p.part()
 	p.settle()
+	p.relax()
 	p.lend()
-	l.asks = p.asks
+	maps.DeleteFunc(l.asks, func(_ string, since time.Time) bool { return now.Sub(since) > askFor })
 	return p.changes()
 }
 
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -22,7 +22,6 @@
 	config *config.Config
 	names  []string         // of the pools that run tasks by the configuration
 	before map[string]entry // of each book, as it was
-	asks   []string
 	now    time.Time
 }
 
@@ -89,7 +88,7 @@
 	for _, b := range p.l.books {
 		left -= b.bound.Part
 	}
-	for _, name := range p.l.Pools() {
+	for _, name := range p.l.pools() {
 		b := p.l.books[name]
 		if !b.heard {
 			continue
@@ -208,18 +207,51 @@
 	return true
 }
 
-// part returns a size, or where the sum of all is above what there is, its part of that.
-func part(size, sum, limit job.Size) job.Size {
-	of := func(size, sum, limit int) int {
-		if limit == 0 || sum <= limit {
-			return size
+// relax takes back what a pool has not used much of for a while, so that it is free when
+// another pool needs it: half of it each time, down to the part that all customers have.
+func (p *plan) relax() {
+	for _, name := range p.names {
+		b := p.l.books[name]
+		if !b.heard || !b.taken {
+			continue
+		}
+		for _, customer := range slices.Sorted(maps.Keys(b.told.Of)) {
+			limit := p.limit(customer)
+			if _, told := b.account(customer); told || b.idle[customer].IsZero() {
+				b.used(customer, p.now)
+				continue
+			}
+			if !quota.Limited(limit) || p.now.Sub(b.idle[customer]) < relaxAfter {
+				continue
+			}
+			b.used(customer, p.now)
+			has, standing := b.told.For(customer, limit), limit.Scale(b.told.Part)
+			switch half := has.Scale(relaxPart); {
+			case !quota.Within(half, standing, limit):
+				p.tell(b, b.told.With(customer, half))
+			case !quota.Within(has, standing, limit):
+				p.tell(b, b.told.With(customer, capped(has, standing)))
+			case quota.Within(standing.Minus(has), p.free(customer, limit), limit):
+				b.bound = b.bound.Without(customer)
+				p.tell(b, b.told.Without(customer))
+			}
 		}
-		return int(float64(size) / float64(sum) * float64(limit))
 	}
-	return job.Size{
-		CPU: of(size.CPU, sum.CPU, limit.CPU), MemoryMB: of(size.MemoryMB, sum.MemoryMB, limit.MemoryMB),
-		Accelerators: of(size.Accelerators, sum.Accelerators, limit.Accelerators),
+}
+
+// What a pool has lent and does not use goes back by halves, each second: a rush that pauses
+// for a second keeps half, and the next pool's rush finds most of the limit free.
+const (
+	relaxAfter = time.Second
+	relaxPart  = 0.5
+)
+
+// used notes that a pool has used much of a customer's allowance, or given some of it back.
+func (b *book) used(customer string, now time.Time) {
+	if b.idle == nil {
+		b.idle = make(map[string]time.Time)
 	}
+	b.idle[customer] = now
 }
 
 // changes gives numbers to the allowances that have changed and returns the records of the
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -171,9 +171,9 @@
 	return false
 }
 
-// accountTold is from which part of its allowance on a customer's account is told: more is
-// lent before the allowance is used up.
-const accountTold = 2
+// AccountTold is how many times what it wants must be more than its allowance for a customer's
+// account to be told: more is lent before the allowance is used up.
+const AccountTold = 2
 
 // accounts returns the accounts of the customers that are asked for, that may not begin
 // anything, and that want much of their allowance.
@@ -193,7 +193,7 @@
 			Used: quota.Masked(used, c.Limit), Wants: quota.Masked(used.Plus(waits.all), c.Limit), Least: quota.Masked(waits.least, c.Limit),
 			Waits: p.atLimitFor(c.Name, now), Held: p.held(c.Name),
 		}
-		if !a.Held && !asked.wantsAccount(c.Name) && quota.Within(a.Wants.Times(accountTold), p.allowed.set.For(c.Name, c.Limit), c.Limit) {
+		if !a.Held && !asked.wantsAccount(c.Name) && quota.Within(a.Wants.Times(AccountTold), p.allowed.set.For(c.Name, c.Limit), c.Limit) {
 			continue
 		}
 		if list == nil {
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -129,7 +129,7 @@
 		}
 	}
 	listed := make(map[string]bool, len(listing.Runs))
-	w.strays = job.Size{}
+	p.forgetStrays(w)
 	for _, r := range listing.Runs {
 		listed[r.Task] = true
 		p.runs(w, r, now)
@@ -205,6 +205,20 @@
 	p.order(w, Order{Run: u, Stop: true})
 }
 
+// strayUse is what a customer uses by a stray run.
+type strayUse struct {
+	customer string
+	size     job.Size
+}
+
+// forgetStrays forgets the stray runs of a worker: it is about to say which there are, or is gone.
+func (p *Pool) forgetStrays(w *workerState) {
+	for _, u := range w.strayUses {
+		p.allowed.count(u.customer, job.Size{}.Minus(u.size))
+	}
+	w.strays, w.strayUses = job.Size{}, nil
+}
+
 // holdBack keeps the room of a stray run, and its task from being begun, until it
 // must have been stopped.
 func (p *Pool) holdBack(w *workerState, ref job.TaskRef, now time.Time) {
@@ -213,6 +227,8 @@
 		return
 	}
 	w.strays = w.strays.Plus(s.spec.Room())
+	w.strayUses = append(w.strayUses, strayUse{s.job.sub.Customer, s.spec.Size})
+	p.allowed.count(s.job.sub.Customer, s.spec.Size)
 	t.notBefore = now.Add(p.Limits.StopTime + lookRetry)
 	p.wakeAt(now.Add(p.Limits.StopTime+lookRetry), now)
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -15,11 +15,13 @@
 
 // workerState is one worker, what runs there and what is known of it.
 type workerState struct {
-	info    worker.Worker
-	runs    map[string]*run // by the task's name
-	used    job.Size
-	strays  job.Size // room of runs there that are not ours to keep, by the last look
-	lasting int      // runs of tasks that last
+	info   worker.Worker
+	runs   map[string]*run // by the task's name
+	used   job.Size
+	strays job.Size // room of runs there that are not ours to keep, by the last look
+
+	strayUses []strayUse // what their customers use by them
+	lasting   int        // runs of tasks that last
 
 	suspects int     // runs of tasks under which workers had crashed before
 	out      []Order // to be given, oldest first
@@ -213,7 +215,7 @@
 	w.listed = false
 	p.Logger.Info().Str("event", "worker").Str("worker", string(id)).Int("runs", len(w.runs)).Msg("a worker is listed no longer")
 	if len(w.runs) == 0 {
-		delete(p.workers, id)
+		p.dropWorker(w)
 		return
 	}
 	if w.silent.IsZero() {
@@ -221,13 +223,19 @@
 	}
 }
 
+// dropWorker forgets a worker.
+func (p *Pool) dropWorker(w *workerState) {
+	p.forgetStrays(w)
+	delete(p.workers, w.info.ID)
+}
+
 // lifeOver ends all that a worker ran: its life is over.
 func (p *Pool) lifeOver(w *workerState, now time.Time, how lifeEnd, why string) {
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Str("why", why).
 		Msg("a worker's life is over")
 	p.confirm(w.info.ID)
 	p.endRuns(w, now, how, why)
-	delete(p.workers, w.info.ID)
+	p.dropWorker(w)
 	p.moved = true
 }
 
@@ -282,7 +290,7 @@
 		}
 		p.endRuns(w, now, endedUnseen, "its lease has lapsed on a silent worker")
 		if !w.listed {
-			delete(p.workers, w.info.ID)
+			p.dropWorker(w)
 		}
 	}
 }
