--- a/models/quota/quota.go
+++ b/models/quota/quota.go
@@ -84,6 +84,25 @@
 	return size
 }
 
+// Told is how many times what it wants must be more than its allowance for a customer's account
+// to be told: more is lent before the allowance is used up.
+const Told = 2
+
+// Question asks the owner of a pool for its statement, and may bring other allowances.
+type Question struct {
+	Epoch    uint64      `json:"epoch"`              // of the holder that asks
+	Allow    *Allowances `json:"allow,omitempty"`    // nil for those that it has
+	Accounts []string    `json:"accounts,omitempty"` // customers whose accounts are told, whatever they want
+}
+
+// Statement is what a pool tells of its allowances.
+type Statement struct {
+	Owner    uint64             `json:"owner"`              // epoch of the pool's owner
+	Config   uint64             `json:"config"`             // version that is in force there
+	Allowed  Allowances         `json:"allowed"`            // the newest that are kept; of those that the asking holder has set only which
+	Accounts map[string]Account `json:"accounts,omitempty"` // of customers that are asked for, that may not begin anything, or that want much of what they have
+}
+
 // Limited reports whether a limit has a part that is one.
 func Limited(limit job.Size) bool { return limit != job.Size{} }
 
--- a/node/news.go
+++ b/node/news.go
@@ -89,6 +89,19 @@
 	return v != nil && a.End > v.End && n.Directory.Age() > stale
 }
 
+// outdatedAfter is how old this node's own reading of the directory must be for it to ask a
+// node that has given a pool away to whom: what is written there is read within some
+// milliseconds.
+const outdatedAfter = 100 * time.Millisecond
+
+// outdated asks a node that does not own a pool any more who does, where the store may not
+// answer this node.
+func (n *Node) outdated(at directory.Node) {
+	if n.Directory.Age() > outdatedAfter && n.catching.CompareAndSwap(false, true) {
+		go catchUp{n, at}.run(context.Background())
+	}
+}
+
 // newsTimeout bounds the asking for news.
 const newsTimeout = time.Second
 
--- a/node/node.go
+++ b/node/node.go
@@ -95,10 +95,10 @@
 			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter, LinkMbps: s.Node.LinkMbps,
 		},
 	}
-	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote}
+	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote, Outdated: n.outdated}
 	n.Steward = &steward.Steward{
 		Directory: n.Directory, Clock: c, Logger: logger,
-		Config: n.Gateway.Config, Duties: duties, Open: n.open, Take: n.take,
+		Config: n.Gateway.Config, Duties: duties, Open: n.open, Offer: n.offer, Take: n.take,
 	}
 	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, Ask: n.ask}
 	return n, nil
@@ -191,7 +191,7 @@
 	m := &fleet.Manager{
 		Journal: j, Instances: n.Ports.Instances, Clock: n.Clock, Logger: logger,
 		Limits: fleet.Limits{Repair: b.RepairTime.Std(), HolderLease: b.HolderLease.Std()},
-		Config: n.Gateway.Config, Waves: n.waveList, Report: n.report,
+		Config: n.Gateway.Config, Waves: n.waveList, Report: n.report, Allow: n.allow,
 		Tell: func(ctx context.Context, wave int, done bool) error {
 			return n.Ports.Feeds.TellWave(ctx, n.Ports.Store, wave, done)
 		},
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/directory"
@@ -24,8 +26,10 @@
 	methodPending = "queue.pending"
 	methodProbe   = "node.probe"
 	methodHelp    = "node.help"
+	methodOffer   = "node.offer"
 	methodTake    = "pool.take"
 	methodReport  = "pool.report"
+	methodAllow   = "pool.allow"
 	methodNews    = "node.news"
 )
 
@@ -56,8 +60,10 @@
 		methodPending: noderpc.Handle(n.onPending),
 		methodProbe:   noderpc.Handle(n.onProbe),
 		methodHelp:    noderpc.Handle(n.onHelp),
+		methodOffer:   noderpc.Handle(n.onOffer),
 		methodTake:    noderpc.Handle(n.onTake),
 		methodReport:  noderpc.Handle(n.onReport),
+		methodAllow:   noderpc.Handle(n.onAllow),
 		methodNews:    noderpc.Handle(n.onNews),
 	}
 }
@@ -115,6 +121,33 @@
 	return empty{}, err
 }
 
+// freshContact is how long ago the store must have answered this node for it to be able to
+// take a pool over; else it is asked anew.
+const freshContact = 50 * time.Millisecond
+
+// onOffer returns nothing where the store answers this node, and else an error.
+func (n *Node) onOffer(ctx context.Context, _ empty) (any, error) {
+	v, _ := n.Directory.View()
+	if v == nil || n.Gateway.Config() == nil {
+		return nil, errkind.New(errkind.Stopping, "node %s has not read the directory and the configuration", n.Setting.Node.Name)
+	}
+	if n.Directory.Age() < freshContact {
+		return empty{}, nil
+	}
+	if _, err := n.Ports.Store.Newest(ctx, directory.Partition, lastKey); err != nil {
+		return nil, errkind.New(errkind.LogUnavailable, "the store does not answer node %s: %v", n.Setting.Node.Name, err)
+	}
+	return empty{}, nil
+}
+
+// lastKey follows all keys of the directory: a reading of those after it brings nothing, and
+// shows that the store answers.
+const lastKey = "~"
+
+func (n *Node) offer(ctx context.Context, o directory.Node) error {
+	return n.client.Call(ctx, o.Address, methodOffer, empty{}, &empty{})
+}
+
 func (n *Node) onTake(ctx context.Context, a onPool) (any, error) {
 	return n.Steward.Assume(ctx, a.Pool)
 }
@@ -185,15 +218,44 @@
 	if o := n.owner(pool); o != nil {
 		return o.Report(ctx, asked)
 	}
+	var r scheduler.Report
+	err := n.callOwner(ctx, pool, methodReport, reportAsk{pool, asked}, &r)
+	return r, err
+}
+
+// callOwner makes a call to the owner of a pool at another node.
+func (n *Node) callOwner(ctx context.Context, pool, method string, params, result any) error {
 	v, _ := n.Directory.View()
 	if v == nil {
-		return scheduler.Report{}, errkind.New(errkind.NoTarget, "the directory has not been read")
+		return errkind.New(errkind.NoTarget, "the directory has not been read")
 	}
 	at, _, present := v.Owner(pool)
 	if !present {
-		return scheduler.Report{}, errkind.New(errkind.NoTarget, "pool %s has no owner", pool)
+		return errkind.New(errkind.NoTarget, "pool %s has no owner", pool)
 	}
-	var r scheduler.Report
-	err := n.client.Call(ctx, at.Address, methodReport, reportAsk{pool, asked}, &r)
-	return r, err
+	return n.client.Call(ctx, at.Address, method, params, result)
+}
+
+// allowAsk asks the owner of a pool for what it tells of its allowances.
+type allowAsk struct {
+	Pool     string         `json:"pool"`
+	Question quota.Question `json:"question"`
+}
+
+func (n *Node) onAllow(ctx context.Context, a allowAsk) (any, error) {
+	o, err := n.owned(a.Pool)
+	if err != nil {
+		return nil, err
+	}
+	return o.Allow(ctx, a.Question)
+}
+
+// allow asks the owner of a pool for what it tells of its allowances, on this node or another.
+func (n *Node) allow(ctx context.Context, pool string, q quota.Question) (quota.Statement, error) {
+	if o := n.owner(pool); o != nil {
+		return o.Allow(ctx, q)
+	}
+	var s quota.Statement
+	err := n.callOwner(ctx, pool, methodAllow, allowAsk{pool, q}, &s)
+	return s, err
 }
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -126,15 +126,18 @@
 // Age returns how long ago the directory was read in the store.
 func (d *Directory) Age() time.Duration { return d.follower.Age() }
 
-// Adopt takes over what another node knows of the directory, where that has read
-// more of it.
+// Adopt takes over what another node knows of the directory: of the nodes where that has
+// read more of it, and of owners what is newer.
 func (d *Directory) Adopt(v *View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.view == nil || v.End <= d.view.End {
+	if d.view == nil || v.End <= d.view.End && !d.view.outdatedBy(v) {
 		return
 	}
 	next := &View{Nodes: v.Nodes, Pools: make(map[string]Ownership, len(v.Pools)), End: v.End}
+	if v.End <= d.view.End {
+		next.Nodes, next.End = d.view.Nodes, d.view.End
+	}
 	for _, pools := range []map[string]Ownership{d.view.Pools, v.Pools} {
 		for _, o := range pools {
 			next.learn(o)
@@ -143,6 +146,16 @@
 	d.set(next)
 }
 
+// outdatedBy reports whether another view knows a newer owner of a pool.
+func (v *View) outdatedBy(o *View) bool {
+	for pool, newer := range o.Pools {
+		if newer.Epoch > v.Pools[pool].Epoch {
+			return true
+		}
+	}
+	return false
+}
+
 // View returns the newest view, nil before the first, and a channel that is
 // closed with the next change.
 func (d *Directory) View() (*View, <-chan struct{}) {
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/codec"
@@ -39,15 +40,18 @@
 	Waves func() []wave.Wave
 	// Tell tells the operators that a wave runs or is done.
 	Tell func(ctx context.Context, wave int, done bool) error
+	// Allow asks a pool's owner for what it tells of its allowances, and may give it others.
+	Allow func(ctx context.Context, pool string, q quota.Question) (quota.Statement, error)
 	// Report asks a pool's owner for its report, and for cordons.
 	Report func(ctx context.Context, pool string, asked scheduler.Cordons) (scheduler.Report, error)
 
-	done  chan struct{}
-	asked uint64 // questions to owners so far
-	view  view
-	lends lending.Lender
-	past  map[string]intent // newest order to each instance
-	mu    sync.Mutex
+	done     chan struct{}
+	reported chan struct{} // pools have reported
+	asked    uint64        // questions to owners so far
+	view     view
+	lends    lending.Lender
+	past     map[string]intent // newest order to each instance
+	mu       sync.Mutex
 }
 
 // Limits are the bounds of orders to instances.
@@ -94,6 +98,7 @@
 	}
 	m.Node = node
 	m.done = make(chan struct{})
+	m.reported = make(chan struct{}, 1)
 	m.lends = lending.Lender{Epoch: m.Epoch(), Logger: m.Logger}
 	m.past = make(map[string]intent)
 	m.view = view{
@@ -168,6 +173,18 @@
 // Run does the duty until the context ends or another node holds it.
 func (m *Manager) Run(ctx context.Context) error {
 	defer close(m.done)
+	ctx, cancel := context.WithCancel(ctx)
+	loop := loan{m, make(chan error, 1)}
+	go loop.run(ctx)
+	err := m.steps(ctx, loop.ended)
+	cancel()
+	<-loop.ended
+	return err
+}
+
+// steps does the duty until the context ends, another node holds it, or a channel brings why
+// it must end.
+func (m *Manager) steps(ctx context.Context, ended chan error) error {
 	for {
 		if err := m.step(ctx); err != nil {
 			return err
@@ -179,6 +196,9 @@
 		}
 		select {
 		case <-m.Clock.After(period):
+		case err := <-ended:
+			ended <- err
+			return err
 		case <-ctx.Done():
 			return nil
 		}
@@ -200,7 +220,7 @@
 	if err != nil {
 		m.Logger.Warn().Str("event", "instances").Err(err).Msg("the list of instances can't be read")
 		m.reports(ctx, c)
-		return m.lend(ctx, c)
+		return nil
 	}
 	m.view.instances = make(map[string]port.Instance, len(list))
 	for _, i := range list {
@@ -210,9 +230,6 @@
 	m.view.headroom = c.Headroom()
 	m.settle()
 	m.reports(ctx, c)
-	if err := m.lend(ctx, c); err != nil {
-		return err
-	}
 	began := m.view.plan()
 	m.logCapacity()
 	for _, a := range began {
@@ -316,6 +333,10 @@
 		}
 	}
 	m.askAll(ctx, pools)
+	select {
+	case m.reported <- struct{}{}:
+	default:
+	}
 }
 
 // askAll asks the owners of pools at once.
@@ -333,32 +354,6 @@
 	asks.Wait()
 }
 
-// lend decides on the allowances of all pools, keeps them and tells the pools at once: tasks
-// wait for them.
-func (m *Manager) lend(ctx context.Context, c *config.Config) error {
-	for range lendTurns {
-		records, err := m.lends.Plan(c, m.Clock.Now())
-		if err != nil {
-			return err
-		}
-		if len(records) > 0 {
-			if err := m.Journal.Append(ctx, records); err != nil {
-				return err
-			}
-		}
-		due := m.lends.Due()
-		if len(due) == 0 {
-			return nil
-		}
-		m.askAll(ctx, due)
-	}
-	return nil
-}
-
-// lendTurns is how often one after the other allowances are decided on: room that another
-// pool has passes in three turns (what all want, giving back, lending), some 30 ms each.
-const lendTurns = 3
-
 // cordon has the workers of new actions cordoned at once, so that those that are
 // empty need not wait for the next plan.
 func (m *Manager) cordon(ctx context.Context, began []*action) {
@@ -386,7 +381,7 @@
 		m.view.pools[pool] = p
 	}
 	p.report, p.at = r, m.Clock.Now()
-	m.lends.Take(pool, r, p.at)
+	m.lends.Take(pool, r.Quota, p.at)
 }
 
 // cordons returns what is asked of a pool: the workers that nothing may be placed
@@ -403,7 +398,9 @@
 			asked.Workers = append(asked.Workers, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
 		}
 	}
-	m.lends.Ask(pool, &asked)
+	m.mu.Lock()
+	asked.Accounts = m.lends.Accounts()
+	m.mu.Unlock()
 	slices.SortFunc(asked.Workers, func(a, b scheduler.Cordoned) int { return cmp.Compare(a.ID, b.ID) })
 	return asked
 }
--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -33,6 +33,9 @@
 	Logger    log.Logger
 	// Local returns the desk of a pool that this node owns, nil for none.
 	Local func(pool string) *Desk
+	// Outdated is told of a node that does not own a pool any more though the directory says
+	// so; nil tells nobody.
+	Outdated func(n directory.Node)
 	// Remote returns the desk of a pool at another node.
 	Remote func(n directory.Node, pool string) *Desk
 
@@ -198,6 +201,9 @@
 	for {
 		select {
 		case o := <-a.result:
+			if errkind.Is(o.err, errkind.Fenced) && g.Outdated != nil {
+				g.Outdated(node)
+			}
 			return o.answer, changed, o.err
 		case <-given:
 			given, late = nil, g.Clock.After(endSpan)
--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -12,7 +12,6 @@
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/quota"
-	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
 // headroom is how many times what it wants a pool is lent where there is enough: what comes
@@ -53,9 +52,9 @@
 	told := make(map[string]bool)
 	for _, name := range p.names {
 		b := p.l.books[name]
-		for customer, a := range b.report.Accounts {
+		for customer, a := range b.said.Accounts {
 			limit := p.limit(customer)
-			if b.heard && !a.Held && !quota.Within(capped(a.Wants.Times(scheduler.AccountTold), limit), b.told.For(customer, limit), limit) {
+			if b.heard && !a.Held && !quota.Within(capped(a.Wants.Times(quota.Told), limit), b.told.For(customer, limit), limit) {
 				told[customer] = true
 			}
 		}
@@ -113,7 +112,7 @@
 	for _, name := range p.names {
 		b := p.l.books[name]
 		a, told := b.account(customer)
-		if !told || !b.heard || a.Held || quota.Within(capped(a.Wants.Times(scheduler.AccountTold), limit), b.told.For(customer, limit), limit) {
+		if !told || !b.heard || a.Held || quota.Within(capped(a.Wants.Times(quota.Told), limit), b.told.For(customer, limit), limit) {
 			continue
 		}
 		lacks := b.lacks(customer, limit, 1)
@@ -177,9 +176,21 @@
 	return true
 }
 
+// shareEvery is the least time from one lowering of the shares in a limit to the next: at its
+// limit a customer's tasks follow one another within each pool, and it takes up to a second
+// until what one gives is begun in another. Whatever waits gets its turn within three.
+const shareEvery = 700 * time.Millisecond
+
 // shareOut gives each pool its share of a limit, by what all of them want.
 func (p *plan) shareOut(customer string, limit, free job.Size) {
 	shares := p.shares(customer, limit)
+	mayLower := p.now.Sub(p.l.shared[customer]) >= shareEvery
+	if mayLower {
+		if p.l.shared == nil {
+			p.l.shared = make(map[string]time.Time)
+		}
+		p.l.shared[customer] = p.now
+	}
 	for i, name := range p.names {
 		b := p.l.books[name]
 		a, _ := b.account(customer)
@@ -189,6 +200,9 @@
 		share, has, most := shares[i], b.told.For(customer, limit), b.most(customer, limit)
 		grows := capped(share.Minus(most).Max(job.Size{}), free)
 		next := capped(share, most.Plus(grows))
+		if !mayLower {
+			next = next.Max(has) // what is lowered is lowered in all pools at a time
+		}
 		if !changesMuch(next, has, limit) {
 			continue
 		}
--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -17,7 +17,6 @@
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/port"
-	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
 // For each pool the lender has a bound: the most that the pool may be using, whoever owns
@@ -46,18 +45,19 @@
 
 	number uint64
 	books  map[string]*book     // by pool
+	shared map[string]time.Time // when a customer's limit was last shared out
 	asks   map[string]time.Time // customers whose accounts are wanted from all pools, since when last
 }
 
 // book is what is known of one pool.
 type book struct {
-	bound  quota.Allowances     // the most that it may be using; which holder has set it does not matter
-	told   quota.Allowances     // the newest that it is told
-	heard  bool                 // it has told which it has, since this holder holds the duty
-	taken  bool                 // it has the newest
-	since  time.Time            // when it reported last, or was first known
-	idle   map[string]time.Time // since when it has not used much of what it was lent, by customer
-	report scheduler.Report
+	bound quota.Allowances     // the most that it may be using; which holder has set it does not matter
+	told  quota.Allowances     // the newest that it is told
+	heard bool                 // it has told which it has, since this holder holds the duty
+	taken bool                 // it has the newest
+	since time.Time            // when it reported last, or was first known
+	idle  map[string]time.Time // since when it has not used much of what it was lent, by customer
+	said  quota.Statement      // the newest
 }
 
 // Restore takes a record of an earlier holder's journal; others than those of bounds are
@@ -85,13 +85,17 @@
 	return l.books[pool]
 }
 
-// Ask puts what is to be said to a pool's owner into a question.
-func (l *Lender) Ask(pool string, q *scheduler.Cordons) {
-	q.Accounts = slices.Sorted(maps.Keys(l.asks))
+// Accounts returns the customers whose accounts are wanted from all pools, in order.
+func (l *Lender) Accounts() []string { return slices.Sorted(maps.Keys(l.asks)) }
+
+// Ask returns what a pool's owner is to be asked.
+func (l *Lender) Ask(pool string) quota.Question {
+	q := quota.Question{Epoch: l.Epoch, Accounts: l.Accounts()}
 	if b := l.books[pool]; b != nil && b.heard && !b.taken {
 		told := b.told
 		q.Allow = &told
 	}
+	return q
 }
 
 // Due returns the pools to be asked at once, in order: those that have not said yet that they
@@ -119,19 +123,19 @@
 
 func (l *Lender) pools() []string { return slices.Sorted(maps.Keys(l.books)) }
 
-// Take takes a pool's report. What comes from an owner that another has replaced is
-// passed over.
-func (l *Lender) Take(pool string, r scheduler.Report, now time.Time) {
+// Take takes a pool's statement. What comes from an owner that another has replaced, or was
+// said before the newest, is passed over.
+func (l *Lender) Take(pool string, s quota.Statement, now time.Time) {
 	b := l.book(pool, now)
-	if r.Epoch < b.report.Epoch {
+	if s.Owner < b.said.Owner || s.Owner == b.said.Owner && s.Allowed.Before(b.said.Allowed) {
 		return
 	}
-	b.report, b.since = r, now
+	b.said, b.since = s, now
 	if !b.heard {
-		b.told, b.heard, b.taken = r.Allowed, true, true
+		b.told, b.heard, b.taken = s.Allowed, true, true
 		return
 	}
-	b.taken = r.Allowed.Epoch == b.told.Epoch && r.Allowed.Number == b.told.Number
+	b.taken = s.Allowed.Epoch == b.told.Epoch && s.Allowed.Number == b.told.Number
 }
 
 // Plan decides on the allowances by a configuration, and returns the records that must be
@@ -157,7 +161,7 @@
 // account returns what a pool has told of a customer, and false where it has told nothing:
 // then it wants less than half of its allowance.
 func (b *book) account(customer string) (quota.Account, bool) {
-	a, told := b.report.Accounts[customer]
+	a, told := b.said.Accounts[customer]
 	return a, told
 }
 
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		bound := b.told
-		for customer, a := range b.report.Accounts {
+		for customer, a := range b.said.Accounts {
 			limit := p.limit(customer)
 			if allowed := b.told.For(customer, limit); !quota.Within(a.Used, allowed, limit) {
 				bound = bound.With(customer, allowed.Max(a.Used))
@@ -134,7 +134,7 @@
 	stale := false
 	for _, name := range p.names {
 		b := p.l.books[name]
-		if !b.heard || b.report.Config < p.config.Version {
+		if !b.heard || b.said.Config < p.config.Version {
 			return
 		}
 		stale = stale || b.told.Version < p.config.Version
@@ -144,7 +144,7 @@
 	}
 	held := make(map[string]bool)
 	for _, name := range p.names {
-		for customer, a := range p.l.books[name].report.Accounts {
+		for customer, a := range p.l.books[name].said.Accounts {
 			if a.Held {
 				held[customer] = true
 			}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
@@ -403,6 +404,28 @@
 	return o.pool.Report(asked, o.Clock.Now()), nil
 }
 
+// Allow gives the pool other allowances, if the question brings some, and returns what it tells
+// of them once it has kept what they lower.
+func (o *Owner) Allow(ctx context.Context, q quota.Question) (quota.Statement, error) {
+	o.mu.Lock()
+	if err := o.live(); err != nil {
+		o.mu.Unlock()
+		return quota.Statement{}, err
+	}
+	batch := uint64(0)
+	if q.Allow != nil {
+		batch = o.pool.Allow(*q.Allow)
+	}
+	o.mu.Unlock()
+	o.poke()
+	if err := o.await(ctx, batch); err != nil {
+		return quota.Statement{}, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pool.Statement(q, o.Clock.Now()), nil
+}
+
 // Peek returns what the pool tells of itself, and changes nothing.
 func (o *Owner) Peek() scheduler.Report {
 	o.mu.Lock()
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,9 +27,10 @@
 
 // allowances is what the pool may have running, and has.
 type allowances struct {
-	set       quota.Allowances
-	changed   bool   // since the last batch
-	reducedIn uint64 // batch that carries the newest ones in which something was lowered
+	set       quota.Allowances // that are in force
+	kept      quota.Allowances // the newest in which all that was lowered is kept
+	changed   bool             // since the last batch
+	reducedIn uint64           // batch that carries the newest ones in which something was lowered
 	used      map[string]job.Size
 	lowered   map[string]uint64    // the version of the configuration in which a customer's limit was last seen lowered
 	heldBack  map[string]time.Time // since when tasks of a customer wait for its allowance and none has begun
@@ -140,19 +142,37 @@
 	maps.DeleteFunc(p.allowed.lowered, func(name string, _ uint64) bool { return next.Customer(name) == nil })
 }
 
+// keptAllowances notes which allowances are kept as far as they lower something.
+func (p *Pool) keptAllowances() {
+	if p.allowed.reducedIn <= p.committed {
+		p.allowed.kept = p.allowed.set
+	}
+}
+
+// Statement returns what the pool tells of its allowances to who has asked.
+func (p *Pool) Statement(q quota.Question, now time.Time) quota.Statement {
+	s := quota.Statement{Owner: p.Token, Config: p.version(), Allowed: p.allowed.kept, Accounts: p.accounts(q, now)}
+	if s.Allowed.Epoch == q.Epoch {
+		s.Allowed.Of = nil
+	}
+	return s
+}
+
 // Allow takes allowances from the holder of the duty for instances, unless later ones are
-// known.
-func (p *Pool) Allow(a quota.Allowances) {
+// known. It returns the batch that carries the newest that lower something.
+func (p *Pool) Allow(a quota.Allowances) uint64 {
 	last := p.allowed.set
 	if !last.Before(a) {
-		return
+		return p.allowed.reducedIn
 	}
 	p.allowed.set, p.allowed.changed, p.moved = a, true, true
 	if p.reduces(last, a) {
 		p.allowed.reducedIn = p.batch
 	}
+	p.keptAllowances()
 	p.Logger.Info().Str("event", "allowance").Uint64("epoch", a.Epoch).Uint64("number", a.Number).Uint64("config", a.Version).Float64("part", a.Part).
 		Int("customers", len(a.Of)).Uint64("batch", p.batch).Str("outcome", "taken").Msg("the pool's allowances have changed")
+	return p.allowed.reducedIn
 }
 
 // reduces reports whether something is lower in allowances than in earlier ones.
@@ -171,13 +191,9 @@
 	return false
 }
 
-// AccountTold is how many times what it wants must be more than its allowance for a customer's
-// account to be told: more is lent before the allowance is used up.
-const AccountTold = 2
-
 // accounts returns the accounts of the customers that are asked for, that may not begin
 // anything, and that want much of their allowance.
-func (p *Pool) accounts(asked Cordons, now time.Time) map[string]quota.Account {
+func (p *Pool) accounts(q quota.Question, now time.Time) map[string]quota.Account {
 	if p.config == nil {
 		return nil
 	}
@@ -193,7 +209,7 @@
 			Used: quota.Masked(used, c.Limit), Wants: quota.Masked(used.Plus(waits.all), c.Limit), Least: quota.Masked(waits.least, c.Limit),
 			Waits: p.atLimitFor(c.Name, now), Held: p.held(c.Name),
 		}
-		if !a.Held && !asked.wantsAccount(c.Name) && quota.Within(a.Wants.Times(AccountTold), p.allowed.set.For(c.Name, c.Limit), c.Limit) {
+		if !a.Held && !slices.Contains(q.Accounts, c.Name) && quota.Within(a.Wants.Times(quota.Told), p.allowed.set.For(c.Name, c.Limit), c.Limit) {
 			continue
 		}
 		if list == nil {
@@ -254,6 +270,7 @@
 		if err := codec.Unmarshal(r.Value, &p.allowed.set); err != nil {
 			return errors.Annotate(err, "allowances")
 		}
+		p.allowed.kept = p.allowed.set
 	}
 	return nil
 }
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
@@ -25,18 +24,13 @@
 
 // Cordons is what the holder of the duty for instances asks of a pool.
 type Cordons struct {
-	Epoch   uint64      `json:"epoch"`             // of the holder
-	Number  uint64      `json:"number"`            // of the question within the epoch; a later one has a higher
-	Workers []Cordoned  `json:"workers,omitempty"` // all that are to be cordoned
-	Over    []worker.ID `json:"over,omitempty"`    // workers whose lives were ended by an order
-
-	Allow    *quota.Allowances `json:"allow,omitempty"`    // new ones, nil where the pool has told that it has the newest
-	Accounts []string          `json:"accounts,omitempty"` // customers whose accounts are told, whatever they want
+	Epoch    uint64      `json:"epoch"`              // of the holder
+	Number   uint64      `json:"number"`             // of the question within the epoch; a later one has a higher
+	Workers  []Cordoned  `json:"workers,omitempty"`  // all that are to be cordoned
+	Over     []worker.ID `json:"over,omitempty"`     // workers whose lives were ended by an order
+	Accounts []string    `json:"accounts,omitempty"` // customers whose accounts are told, whatever they want
 }
 
-// wantsAccount reports whether the account of a customer is asked for.
-func (c Cordons) wantsAccount(customer string) bool { return slices.Contains(c.Accounts, customer) }
-
 // before reports whether a question was asked before another one.
 func (c Cordons) before(o Cordons) bool {
 	return cmp.Or(cmp.Compare(c.Epoch, o.Epoch), cmp.Compare(c.Number, o.Number)) < 0
@@ -52,10 +46,7 @@
 	}
 	p.asked = Cordons{Epoch: asked.Epoch, Number: asked.Number}
 	p.Over(asked.Over, now)
-	if asked.Allow != nil {
-		p.Allow(*asked.Allow)
-	}
-	newest := p.allowed.reducedIn
+	newest := uint64(0)
 	wanted := make(map[worker.ID]bool, len(asked.Workers))
 	for _, c := range asked.Workers {
 		id := c.ID
@@ -118,10 +109,7 @@
 	Apart   int                 `json:"apart"`            // workers that a step needs since few of its tasks may be on one
 	Slack   time.Duration       `json:"slack"`            // that jobs have when they come, on the mean; 0 where none has come
 	Labels  map[string]job.Size `json:"labels,omitempty"` // of the tasks that need a label, by it; they count here only
-
-	Config   uint64                   `json:"config"`             // version that is in force here
-	Allowed  quota.Allowances         `json:"allowed"`            // that are in force; of those that the asking holder has set only which
-	Accounts map[string]quota.Account `json:"accounts,omitempty"` // of customers; see accounts
+	Quota   quota.Statement     `json:"quota"`
 }
 
 // WorkerReport is what a pool tells of one worker.
@@ -161,10 +149,7 @@
 	for _, j := range p.active {
 		p.needs(j, now, &r)
 	}
-	r.Config, r.Allowed, r.Accounts = p.version(), p.allowed.set, p.accounts(asked, now)
-	if r.Allowed.Epoch == asked.Epoch {
-		r.Allowed.Of = nil
-	}
+	r.Quota = p.Statement(quota.Question{Epoch: asked.Epoch, Accounts: asked.Accounts}, now)
 	if p.stuck(now) {
 		r.Apart = max(r.Apart, p.openWorkers(now)+1)
 	}
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -201,6 +201,7 @@
 // owned the pool, which the time at which the answer is read does not tell.
 func (p *Pool) Committed(b *Batch, sent time.Time) {
 	p.committed = b.Number
+	p.keptAllowances()
 	for _, j := range b.stored {
 		j.stored = true
 	}
--- a/services/steward/steward.go
+++ b/services/steward/steward.go
@@ -46,6 +46,8 @@
 	// Open returns a tenant for a duty whose partition lies in a slot, not yet
 	// claimed.
 	Open func(duty string, slot int) *Tenant
+	// Offer asks another node whether it could take a pool over: the store answers it.
+	Offer func(ctx context.Context, n directory.Node) error
 	// Take asks another node to take a pool over.
 	Take func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
 
@@ -55,6 +57,8 @@
 	claiming map[string]bool
 	refused  map[string]error     // why a pool was not claimed last, nil where it was
 	orphaned map[string]time.Time // since when a pool has no owner that is present
+	asked    map[string]time.Time // of these times, the one for which the heirs before this node were asked for
+	unable   map[string]time.Time // until when a node is not chosen that could not take a pool over
 	leaving  bool
 	tasks    sync.WaitGroup
 }
@@ -110,8 +114,11 @@
 			continue
 		}
 		turn := slices.Index(heirs[pool], s.Directory.Self.Name)
-		if turn >= 0 && s.since(pool) >= time.Duration(turn)*heirTurn {
+		switch {
+		case turn >= 0 && s.since(pool) >= time.Duration(turn)*heirTurn:
 			s.claim(pool)
+		case turn > 0 && turn <= offersAtOnce:
+			s.succeed(ctx, v, pool, heirs[pool][:turn])
 		}
 	}
 }
@@ -414,15 +421,28 @@
 // giveTimeout bounds the wish that one node takes a pool over.
 const giveTimeout = time.Second
 
-// awayMost is how many nodes may answer that the store turns them away, too, until the
-// asking ends: it is away for all then, and whichever node is asked when it comes back
-// would get the pool. The best are asked again as long as the store does not answer.
-const awayMost = 6
-
-// give asks one node after the other to take a pool over, and reports whether one has.
+// give asks the nodes that the store answers, the best first, to take a pool over, and reports
+// whether one has. Where none of those that are asked at once is answered, the store is away for
+// all, and whichever node is asked when it comes back would get the pool: the best are asked
+// again as long as the store does not answer.
 func (s *Steward) give(ctx context.Context, v *directory.View, pool string, heirs []string) bool {
-	away := 0
-	for _, name := range heirs {
+	for len(heirs) > 0 {
+		n := min(len(heirs), offersAtOnce)
+		able := s.able(ctx, v, heirs[:n])
+		if s.giveTo(ctx, v, pool, able) {
+			return true
+		}
+		if len(able) == 0 || ctx.Err() != nil || s.settled(pool) {
+			return false
+		}
+		heirs = heirs[n:]
+	}
+	return false
+}
+
+// giveTo asks nodes that the store answers, one after the other, to take a pool over.
+func (s *Steward) giveTo(ctx context.Context, v *directory.View, pool string, able []string) bool {
+	for _, name := range able {
 		bounded, cancel := context.WithTimeout(ctx, giveTimeout)
 		o, err := s.Take(bounded, v.Nodes[name], pool)
 		cancel()
@@ -433,10 +453,8 @@
 		if err == nil {
 			return true
 		}
-		if errkind.Is(err, errkind.LogUnavailable) {
-			away++
-		}
-		if ctx.Err() != nil || s.settled(pool) || away == awayMost {
+		s.setUnable(name)
+		if ctx.Err() != nil || s.settled(pool) {
 			return false
 		}
 	}
