Rushes are expected as high as the last; customers in declarative files; offers wait longer where no node is able

Rush: a pool whose need surely rises is given at once what its last rush needed, or where it has had none, what it needed before times as much as the others' rushes have climbed; after 3 s only what is there (rush_test.go: 28 to 303 instances over 3.4 s). Own interface: customers with sums of keys, shares and limits; services for customers only; jobs of customers, whose limits hold over all pools (customers.txtar). Soak: tasks that last are of a customer without a limit: with north's they used it up, and its other jobs never began.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -62,6 +62,7 @@
 		{"get", "show declared objects or instances", false, runGet},
 		{"dump", "show the state of an entry process", false, runDump},
 		{"job", "submit, cancel or show job runs", false, runJob},
+		{"customer-key", "make a customer's key and the sum of it that a declarative file holds", false, runCustomerKey},
 		{"key", "make a key under which something runs at most once", false, runKey},
 	}
 }
--- a/cmd/job.go
+++ b/cmd/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"flag"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/modules/oncekey"
 	"github.com/yardbridge/yardbridge/routers/apiv1"
 	"github.com/yardbridge/yardbridge/services/jobs"
@@ -105,3 +107,19 @@
 	c.say("%s", oncekey.New(time.Now().Add(*life)))
 	return nil
 }
+
+// runCustomerKey makes a customer's key, which is shown here only.
+func runCustomerKey(_ context.Context, c console, flags *flag.FlagSet, args []string) error {
+	if err := parse(flags, args, "", 0, 0); err != nil {
+		return err
+	}
+	key := rand.Text()
+	sum, _ := config.HashKey(key) // a text of that length can be a key
+	text, err := sum.MarshalText()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.say("key %s", key)
+	c.say("sum %s", text)
+	return nil
+}
--- a/models/manifest/check.go
+++ b/models/manifest/check.go
@@ -19,11 +19,13 @@
 	MaxQueue    = 100000
 	MaxDeadline = 10 * time.Minute
 	MaxCores    = 1024
+	MaxShare    = 1e6
 )
 
 var (
 	namePattern    = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 	clockPattern   = regexp.MustCompile(`^([01][0-9]|2[0-3]):[0-5][0-9]$`)
+	sumPattern     = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	domains        = []string{string(DomainWorker), string(DomainRack), string(DomainHall)}
 	requestClasses = []string{string(Interactive), string(Batch)}
 	jobClasses     = []string{string(Batch), string(LongRunning), string(Urgent)}
@@ -60,6 +62,10 @@
 	for i, t := range f.Teams {
 		c.checkTeam(at{KindTeam, i}, t)
 	}
+	for i, o := range f.Customers {
+		c.checkCustomer(at{KindCustomer, i}, o)
+	}
+	c.checkKeys(f.Customers)
 	for i, p := range f.Pools {
 		c.checkPool(at{KindPool, i}, p)
 	}
@@ -82,6 +88,35 @@
 	c.between(a, "quota_accelerators", t.QuotaAccelerators, 0, MaxPoolSize*MaxCores)
 }
 
+func (c *checker) checkCustomer(a at, o Customer) {
+	c.name(a, "name", o.Name)
+	c.name(a, "team", o.Team)
+	if o.Share < 0 || o.Share > MaxShare {
+		c.add(a, "share", "%g is not allowed; allowed is above 0 and up to %g", o.Share, float64(MaxShare))
+	}
+	c.between(a, "limit_cores", o.LimitCores, 0, MaxPoolSize*MaxCores)
+	c.between(a, "limit_memory_gb", o.LimitMemoryGB, 0, MaxPoolSize*MaxCores)
+	c.between(a, "limit_accelerators", o.LimitAccelerators, 0, MaxPoolSize*MaxCores)
+	for i, k := range o.Keys {
+		if !sumPattern.MatchString(k) {
+			c.add(a, "keys", "entry %d is no sum of a key; allowed is its SHA-256 sum in 64 lower-case hex digits (yardbridge customer-key makes a key and its sum)", i+1)
+		}
+	}
+}
+
+// checkKeys checks that no key is held twice: whose call it is would not be known.
+func (c *checker) checkKeys(customers []Customer) {
+	holder := make(map[string]string)
+	for i, o := range customers {
+		for n, k := range o.Keys {
+			if other, held := holder[k]; held {
+				c.add(at{KindCustomer, i}, "keys", "entry %d is held by customer %q already; allowed is one holder for a key", n+1, other)
+			}
+			holder[k] = o.Name
+		}
+	}
+}
+
 func (c *checker) checkPool(a at, p Pool) {
 	c.name(a, "name", p.Name)
 	if p.Name == SparePool {
@@ -111,6 +146,9 @@
 	c.name(a, "name", j.Name)
 	c.name(a, "team", j.Team)
 	c.name(a, "pool", j.Pool)
+	if j.Customer != "" {
+		c.name(a, "customer", j.Customer)
+	}
 	c.oneOf(a, "class", string(j.Class), jobClasses)
 	c.between(a, "cores", j.Cores, 1, MaxCores)
 	c.between(a, "memory_gb", j.MemoryGB, 1, MaxCores*MaxCores)
--- a/models/manifest/defaults.go
+++ b/models/manifest/defaults.go
@@ -15,10 +15,16 @@
 	DefaultDeadline = 2 * time.Second
 	DefaultQueue    = 128
 	DefaultRunTime  = time.Minute
+	DefaultShare    = 1.0
 	DefaultPeriod   = 6 * 7 * 24 * time.Hour
 )
 
 func (f *File) setDefaults() {
+	for i := range f.Customers {
+		if o := &f.Customers[i]; o.Share == 0 {
+			o.Share = DefaultShare
+		}
+	}
 	for i := range f.Pools {
 		p := &f.Pools[i]
 		if p.Survive == "" {
--- a/models/manifest/file.go
+++ b/models/manifest/file.go
@@ -14,6 +14,7 @@
 type File struct {
 	Deployment  string        `toml:"deployment"`
 	Teams       []Team        `toml:"team"`
+	Customers   []Customer    `toml:"customer"`
 	Pools       []Pool        `toml:"pool"`
 	Services    []Service     `toml:"service"`
 	Jobs        []Job         `toml:"job"`
@@ -42,6 +43,9 @@
 	for i := range f.Teams {
 		objects = append(objects, Object{Team: &f.Teams[i]})
 	}
+	for i := range f.Customers {
+		objects = append(objects, Object{Customer: &f.Customers[i]})
+	}
 	for i := range f.Pools {
 		objects = append(objects, Object{Pool: &f.Pools[i]})
 	}
--- a/models/manifest/object.go
+++ b/models/manifest/object.go
@@ -19,6 +19,7 @@
 // The sorts of declarative objects.
 const (
 	KindTeam        Kind = "team"
+	KindCustomer    Kind = "customer"
 	KindPool        Kind = "pool"
 	KindService     Kind = "service"
 	KindJob         Kind = "job"
@@ -81,6 +82,17 @@
 	QuotaAccelerators int    `toml:"quota_accelerators" json:"quota_accelerators"`
 }
 
+// Customer is on whose behalf callers call, and whose jobs run.
+type Customer struct {
+	Name              string   `toml:"name" json:"name"`
+	Team              string   `toml:"team" json:"team"`
+	Keys              []string `toml:"keys" json:"keys"`   // SHA-256 sums of its keys in hex digits; the keys themselves stand nowhere
+	Share             float64  `toml:"share" json:"share"` // of what there is when not all can run, against those of the others
+	LimitCores        int      `toml:"limit_cores" json:"limit_cores"`
+	LimitMemoryGB     int      `toml:"limit_memory_gb" json:"limit_memory_gb"`
+	LimitAccelerators int      `toml:"limit_accelerators" json:"limit_accelerators"` // that its jobs may hold over all pools, 0 for no limit
+}
+
 // Pool asks for instances and states the budget that must hold.
 type Pool struct {
 	Name      string   `toml:"name" json:"name"`
@@ -101,6 +113,8 @@
 	Repeatable []string          `toml:"repeatable" json:"repeatable"` // methods that may be sent twice
 	Queue      int               `toml:"queue" json:"queue"`           // requests that may wait at an entry
 	Stream     bool              `toml:"stream" json:"stream"`         // answers have no deadline once begun
+	// CustomersOnly has it take requests with a customer's key only.
+	CustomersOnly bool `toml:"customers_only" json:"customers_only"`
 }
 
 // Job is work that runs on the workers of a pool.
@@ -108,6 +122,7 @@
 	Name         string            `toml:"name" json:"name"`
 	Team         string            `toml:"team" json:"team"`
 	Pool         string            `toml:"pool" json:"pool"`
+	Customer     string            `toml:"customer" json:"customer"` // whose job it is, empty for nobody's
 	Class        Class             `toml:"class" json:"class"`
 	Cores        int               `toml:"cores" json:"cores"`
 	MemoryGB     int               `toml:"memory_gb" json:"memory_gb"`
@@ -139,6 +154,7 @@
 // Object is one declarative object; exactly one of its fields is not nil.
 type Object struct {
 	Team        *Team        `json:"team,omitempty"`
+	Customer    *Customer    `json:"customer,omitempty"`
 	Pool        *Pool        `json:"pool,omitempty"`
 	Service     *Service     `json:"service,omitempty"`
 	Job         *Job         `json:"job,omitempty"`
@@ -150,6 +166,8 @@
 	switch {
 	case o.Team != nil:
 		return Ref{KindTeam, o.Team.Name}
+	case o.Customer != nil:
+		return Ref{KindCustomer, o.Customer.Name}
 	case o.Pool != nil:
 		return Ref{KindPool, o.Pool.Name}
 	case o.Service != nil:
@@ -168,6 +186,8 @@
 	switch {
 	case o.Team != nil:
 		return o.Team.Name
+	case o.Customer != nil:
+		return o.Customer.Team
 	case o.Pool != nil:
 		return o.Pool.Team
 	case o.Service != nil:
--- a/models/state/catalog.go
+++ b/models/state/catalog.go
@@ -77,6 +77,12 @@
 	return o.Team
 }
 
+// Customer returns the declared customer, nil for none.
+func (c Catalog) Customer(name string) *manifest.Customer {
+	o, _ := c.Get(manifest.Ref{Kind: manifest.KindCustomer, Name: name})
+	return o.Customer
+}
+
 // Live returns every object that is in force, in order.
 func (c Catalog) Live() []manifest.Object {
 	var objects []manifest.Object
@@ -251,6 +257,9 @@
 		}
 		if o.Job != nil {
 			need(o.Ref(), manifest.Ref{Kind: manifest.KindPool, Name: o.Job.Pool})
+			if o.Job.Customer != "" {
+				need(o.Ref(), manifest.Ref{Kind: manifest.KindCustomer, Name: o.Job.Customer})
+			}
 		}
 	}
 	if len(missing) == 0 {
--- a/models/state/fold_job.go
+++ b/models/state/fold_job.go
@@ -137,6 +137,9 @@
 	if !s.TeamUse(r.Job.Team).Within(team, p.Cores, p.MemoryGB, r.Job.Accelerators) {
 		return errkind.New(errkind.Conflict, "team %s has used up its quota", r.Job.Team)
 	}
+	if !s.CustomerUse(r.Job.Customer).WithinLimit(s.Catalog.Customer(r.Job.Customer), p.Cores, p.MemoryGB, r.Job.Accelerators) {
+		return errkind.New(errkind.Conflict, "customer %s has used up its limit", r.Job.Customer)
+	}
 	return nil
 }
 
--- a/models/state/index_run.go
+++ b/models/state/index_run.go
@@ -125,6 +125,10 @@
 	x.useOn = x.useOn.With(r.Worker, onWorker.with(r, by))
 	x.useOf = x.useOf.With(r.Job.Team, ofTeam.with(r, by))
 	x.teamAt = x.teamAt.With(r.Job.Team, s.Offset)
+	customer := customerKey(r.Job.Customer)
+	ofCustomer, _ := x.useOf.Get(customer)
+	x.useOf = x.useOf.With(customer, ofCustomer.with(r, by))
+	x.teamAt = x.teamAt.With(customer, s.Offset)
 	return s
 }
 
@@ -195,6 +199,17 @@
 	return u
 }
 
+// customerKey is where the use of a customer stands beside those of teams, whose names have
+// no slash.
+func customerKey(name string) string { return "customer/" + name }
+
+// CustomerChangedAt returns the offset after the newest change of what the runs of a customer,
+// "" for nobody's, use, 0 for none.
+func (s State) CustomerChangedAt(name string) uint64 { return s.TeamChangedAt(customerKey(name)) }
+
+// CustomerUse returns the room that the jobs of a customer, "" for nobody's, hold over all pools.
+func (s State) CustomerUse(name string) Use { return s.TeamUse(customerKey(name)) }
+
 // TeamUse returns the room that the jobs of a team hold.
 func (s State) TeamUse(team string) Use {
 	u, _ := s.index.runs.useOf.Get(team)
--- a/models/state/use.go
+++ b/models/state/use.go
@@ -30,6 +30,17 @@
 		u.Accelerators+accelerators <= w.Accelerators
 }
 
+// WithinLimit reports whether a job of the size keeps a customer within its limits, of which
+// 0 is none; nil has none.
+func (u Use) WithinLimit(c *manifest.Customer, cores, memoryGB, accelerators int) bool {
+	if c == nil {
+		return true
+	}
+	return (c.LimitCores == 0 || u.Cores+cores <= c.LimitCores) &&
+		(c.LimitMemoryGB == 0 || u.MemoryGB+memoryGB <= c.LimitMemoryGB) &&
+		(c.LimitAccelerators == 0 || u.Accelerators+accelerators <= c.LimitAccelerators)
+}
+
 // Within reports whether a job of the size keeps the team within its quota.
 func (u Use) Within(t *manifest.Team, cores, memoryGB, accelerators int) bool {
 	return u.Cores+cores <= t.QuotaCores &&
--- a/services/dispatch/dispatcher.go
+++ b/services/dispatch/dispatcher.go
@@ -65,6 +65,7 @@
 	endOnce  sync.Once
 	active   inflight.Counter
 	buffers  sync.Pool
+	keyring  atomic.Pointer[keyring] // nil before the first key
 }
 
 // dialTimeout bounds the time to connect to a target.
--- a/services/dispatch/parse.go
+++ b/services/dispatch/parse.go
@@ -27,6 +27,9 @@
 	if c.service == nil {
 		return errkind.New(errkind.NotFound, "service %q is not declared", service)
 	}
+	if err := c.admit(catalog); err != nil {
+		return err
+	}
 	if err := c.parseTimes(); err != nil {
 		return err
 	}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -249,11 +249,11 @@
 	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
 		p := m.view.pools[name]
 		supply := m.view.supply(name)
-		if p.logged == [2]int{p.need, supply} {
+		if p.logged == [2]int{p.softNeed(), supply} {
 			continue
 		}
-		p.logged = [2]int{p.need, supply}
-		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("supply", supply).
+		p.logged = [2]int{p.softNeed(), supply}
+		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("expected", p.expected).Int("supply", supply).
 			Int("lasting_cpu", p.report.Lasting.CPU).Int("running_cpu", p.report.Running.CPU).Int("waiting_cpu", p.report.Waiting.CPU).
 			Int("arrives_cpu", p.report.Arrives.CPU).Int("presses_cpu", p.report.Presses.CPU).
 			Dur("age", m.Clock.Now().Sub(p.at)).Msg("what a pool needs or has is another")
--- a/services/fleet/need.go
+++ b/services/fleet/need.go
@@ -13,14 +13,16 @@
 
 // poolState is what is known of one pool.
 type poolState struct {
-	report scheduler.Report
-	at     time.Time      // when it was told
-	hard   int            // instances that what is there needs now
-	need   int            // the same and the spare ones
-	level  int            // the same, held for a while after a peak
-	peak   time.Time      // when it last needed as many
-	logged [2]int         // need and supply, as logged last
-	lacked map[string]int // instances lacked by label, as logged last
+	report   scheduler.Report
+	at       time.Time // when it was told
+	rush     rush
+	expected int            // instances that a rush is expected to need that has begun, 0 for no more than it does
+	hard     int            // instances that what is there needs now
+	need     int            // the same and the spare ones
+	level    int            // the same, held for a while after a peak
+	peak     time.Time      // when it last needed as many
+	logged   [2]int         // need and supply, as logged last
+	lacked   map[string]int // instances lacked by label, as logged last
 }
 
 // The numbers of instances that are held for a pool.
@@ -88,10 +90,10 @@
 // needs returns how many instances a pool needs now.
 func (v *view) needs(pool string) int {
 	if p := v.pools[pool]; p != nil {
-		return p.need
+		return p.softNeed()
 	}
 	return 0
 }
 
 func (p *poolState) hardNeed() int { return p.hard }
-func (p *poolState) softNeed() int { return p.need }
+func (p *poolState) softNeed() int { return max(p.need, p.expected) }
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -42,7 +42,10 @@
 	for _, p := range v.pools {
 		hard, soft := needs(p.report, size)
 		p.follow(hard, soft, v.now)
+		comes := shareOf(p.report.Arrives, size)
+		p.rush.follow(float64(hard)-shareOf(p.report.Lasting, size)*spareShare, comes, p.report.Rises, v.now)
 	}
+	v.expect()
 	began := v.maintain()
 	return append(began, v.move()...)
 }
@@ -55,7 +58,7 @@
 // level returns how many instances a pool needs.
 func (v *view) level(pool string) int {
 	if p := v.pools[pool]; p != nil {
-		return p.level
+		return max(p.level, p.expected)
 	}
 	return 0
 }
@@ -73,7 +76,7 @@
 	}
 	for pool, p := range v.pools {
 		for _, i := range v.free(pool) {
-			if v.supply(pool) <= p.level+v.swaps(pool) {
+			if v.supply(pool) <= max(p.level, p.expected)+v.swaps(pool) {
 				break
 			}
 			if !v.spared(pool, i) {
--- a/services/jobs/place.go
+++ b/services/jobs/place.go
@@ -20,6 +20,7 @@
 const (
 	NoRoom      Reason = "no worker has room now"
 	OverQuota   Reason = "the team's quota is used up"
+	OverLimit   Reason = "the customer's limit is used up"
 	NeverFits   Reason = "no worker of the pool is large enough"
 	NoSuchPool  Reason = "the pool has no instance in service"
 	NoSuchTeam  Reason = "the team is not declared"
@@ -105,8 +106,8 @@
 	run state.Run
 }
 
-// inOrder returns the waiting runs of some pools: urgent ones first, then
-// feeds, then batch work by its deadline and its age.
+// inOrder returns the waiting runs of some pools: urgent ones first, then feeds, then batch
+// work by its deadline, by how much of its share its customer uses, and by its age.
 func inOrder(s state.State, pools []string) []pending {
 	var list []pending
 	for _, pool := range pools {
@@ -114,10 +115,16 @@
 			list = append(list, pending{id, r})
 		}
 	}
+	used := make(map[string]float64) // by customer, over its share
+	for _, w := range list {
+		name := w.run.Job.Customer
+		used[name] = float64(s.CustomerUse(name).Cores) / shareOf(s.Catalog.Customer(name))
+	}
 	slices.SortStableFunc(list, func(a, b pending) int {
 		return cmp.Or(
 			cmp.Compare(rank(a.run.Job.Class), rank(b.run.Job.Class)),
 			compareDeadline(a.run.Deadline, b.run.Deadline),
+			cmp.Compare(used[a.run.Job.Customer], used[b.run.Job.Customer]),
 			cmp.Compare(a.run.Submitted, b.run.Submitted),
 			cmp.Compare(a.id, b.id),
 		)
@@ -125,6 +132,14 @@
 	return list
 }
 
+// shareOf returns the share of a customer, 1 for nobody's.
+func shareOf(c *manifest.Customer) float64 {
+	if c == nil || c.Share <= 0 {
+		return manifest.DefaultShare
+	}
+	return c.Share
+}
+
 func rank(c manifest.Class) int {
 	switch c {
 	case manifest.Urgent:
@@ -202,6 +217,8 @@
 		return NeverFits, false
 	case !p.s.TeamUse(job.Team).Within(team, p.coresOf(job), job.MemoryGB, job.Accelerators):
 		return OverQuota, false
+	case !p.s.CustomerUse(job.Customer).WithinLimit(p.s.Catalog.Customer(job.Customer), p.coresOf(job), job.MemoryGB, job.Accelerators):
+		return OverLimit, false
 	}
 	return "", true
 }
--- a/services/jobs/placer.go
+++ b/services/jobs/placer.go
@@ -28,7 +28,9 @@
 	at      uint64 // offset of the state that was looked at
 	waiting map[string]Reason
 	teams   map[string]bool // whose quota keeps runs waiting
-	again   time.Time       // when to look again in any case, zero for never
+
+	customers map[string]bool // whose limits do
+	again     time.Time       // when to look again in any case, zero for never
 }
 
 // Place returns the placements for a state, and remembers the pools in which
@@ -72,17 +74,25 @@
 			return true
 		}
 	}
+	for customer := range seen.customers {
+		if s.CustomerChangedAt(customer) > seen.at {
+			return true
+		}
+	}
 	return false
 }
 
 // look notes why the runs of a pool wait, and what could end that.
 func look(s state.State, pool string, waiting map[string]Reason) seenPool {
-	seen := seenPool{at: s.Offset, waiting: waiting, teams: make(map[string]bool)}
+	seen := seenPool{at: s.Offset, waiting: waiting, teams: make(map[string]bool), customers: make(map[string]bool)}
 	for id, why := range waiting {
 		switch why {
 		case OverQuota:
 			r, _ := s.Runs.Get(id)
 			seen.teams[r.Job.Team] = true
+		case OverLimit:
+			r, _ := s.Runs.Get(id)
+			seen.customers[r.Job.Customer] = true
 		case MakingSpace:
 			seen.lookAgain(s.Now.Add(preemptPatience))
 		}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -102,6 +102,7 @@
 	Workers []WorkerReport      `json:"workers"`
 	Lasting job.Size            `json:"lasting"`          // of the tasks that last, under way or waiting
 	Running job.Size            `json:"running"`          // of the other runs
+	Rises   bool                `json:"rises,omitempty"`  // what arrives surely rises
 	Arrives job.Size            `json:"arrives"`          // that the jobs of the last moments would keep busy if they went on coming
 	Waiting job.Size            `json:"waiting"`          // of the other tasks that may run and have no room
 	Presses job.Size            `json:"presses"`          // the part of it that is needed for all of them to be in time
@@ -125,7 +126,7 @@
 
 // Report returns what the pool tells of itself to who has asked.
 func (p *Pool) Report(asked Cordons, now time.Time) Report {
-	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Slack: seconds(p.slack.value)}
+	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Rises: p.arrivals.rise() > 1, Slack: seconds(p.slack.value)}
 	for id, w := range p.workers {
 		o := WorkerReport{
 			ID: id, Instance: w.info.Instance, Open: w.open(now), Runs: len(w.runs), Used: w.used,
--- a/services/steward/offer.go
+++ b/services/steward/offer.go
@@ -20,9 +20,10 @@
 	// offersAtOnce is how many nodes are asked at a time: where the store turns a third of
 	// all away, one of six can be reached but for one case in 700.
 	offersAtOnce = 6
-	// offerTimeout bounds the question: a node that asks the store anew answers in 10 ms, and
-	// on the store's slow days in 250 ms.
-	offerTimeout = 300 * time.Millisecond
+	// offerTimeout bounds the question where no node is able: one that asks the store anew
+	// answers in 10 ms, and on the store's slow days, when pools must be handed over as well,
+	// in up to half a second.
+	offerTimeout = 800 * time.Millisecond
 	// unableFor is for how long a node is not chosen again that could not take a pool over:
 	// the store's refusals last for seconds.
 	unableFor = 3 * time.Second
