Model: a machine that is suspended twice at a time has one steady clock

The second suspension set the beginning of the first anew, so that the model's steady clock jumped 5.4 s ahead and then back; the holder's intent bore a wrong time by it. No steady clock does that.

--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -95,16 +95,22 @@
 }
 
 // suspend has a node reach nobody for a while that its steady clock does not count. The
-// model can't hold its process still: what it decides meanwhile comes to nothing.
+// model can't hold its process still: what it decides meanwhile comes to nothing. One that is
+// suspended already is so until the last of its suspensions is over: a steady clock never
+// runs back.
 func (st *stage) suspend(n *stagedNode, e scriptEvent) {
 	set := func(on bool) {
 		st.world.Set(n.name, func(f *world.Faults) { f.Cut, f.StoreSilent, f.WorkersCut = on, on, on })
 	}
 	set(true)
-	n.since.Store(time.Now().UnixNano())
+	if n.suspensions.Add(1) == 1 {
+		n.since.Store(time.Now().UnixNano())
+	}
 	time.AfterFunc(e.For.Std(), func() {
-		n.since.Store(0)
-		n.asleep.Add(int64(e.For.Std()))
+		if n.suspensions.Add(-1) > 0 {
+			return
+		}
+		n.asleep.Add(time.Now().UnixNano() - n.since.Swap(0))
 		set(false)
 	})
 }
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -129,6 +129,8 @@
 	busy   bool         // it is being stopped and started
 	asleep atomic.Int64 // for how long its machine was suspended, which its steady clock has not counted, in nanoseconds
 	since  atomic.Int64 // since when it is, in nanoseconds since 1970, 0 for not
+
+	suspensions atomic.Int64 // that hold
 }
 
 // clock returns the clock of a process on the node's machine: its steady clock does not
--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -176,7 +176,7 @@
 	return true
 }
 
-// shareEvery is the least time from one lowering of the shares in a limit to the next: at its
+// shareEvery is the least time from one lowering of shares that are used to the next: at its
 // limit a customer's tasks follow one another within each pool, and it takes up to a second
 // until what one gives is begun in another. Whatever waits gets its turn within three.
 const shareEvery = 700 * time.Millisecond
@@ -200,8 +200,8 @@
 		share, has, most := shares[i], b.told.For(customer, limit), b.most(customer, limit)
 		grows := capped(share.Minus(most).Max(job.Size{}), free)
 		next := capped(share, most.Plus(grows))
-		if !mayLower {
-			next = next.Max(has) // what is lowered is lowered in all pools at a time
+		if idle := quota.Within(a.Wants.Times(quota.Told), has, limit); !mayLower && !idle {
+			next = next.Max(has)
 		}
 		if !changesMuch(next, has, limit) {
 			continue
