--- a/node/random_limit_test.go
+++ b/node/random_limit_test.go
@@ -4,21 +4,14 @@
 package node
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"os"
-	"slices"
-	"strconv"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
 )
 
-// limitSeeds is how many random days with limits are played; YARDBRIDGE_TEST_SEEDS names
-// another number, and YARDBRIDGE_TEST_SEED one seed.
+// limitSeeds is how many random days with limits are played; see randomSeeds.
 const limitSeeds = 20
 
 // failedLimitSeeds are seeds of such days that have failed once; they are played first.
@@ -31,32 +24,7 @@
 // TestRandomLimits plays days on which three pools rush for the same customers, whose limits
 // are lowered and raised beside all kinds of faults. Nobody may ever be above a limit that
 // may be in force, and by the end everything must be done.
-func TestRandomLimits(t *testing.T) {
-	count, only := limitSeeds, os.Getenv("YARDBRIDGE_TEST_SEED")
-	if only != "" {
-		seed, err := strconv.ParseUint(only, 10, 64)
-		assert.NilError(t, err)
-		play(t, limitDay(seed))
-		return
-	}
-	if text := os.Getenv("YARDBRIDGE_TEST_SEEDS"); text != "" {
-		n, err := strconv.Atoi(text)
-		assert.NilError(t, err)
-		count = n
-	}
-	seeds := slices.Clone(failedLimitSeeds)
-	for n := range count {
-		if seed := uint64(n + 1); !slices.Contains(seeds, seed) {
-			seeds = append(seeds, seed)
-		}
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			play(t, limitDay(seed))
-		})
-	}
-}
+func TestRandomLimits(t *testing.T) { playDays(t, failedLimitSeeds, limitSeeds, limitDay) }
 
 // limitDay draws a day with limits. A customer uses at most what its limits let it in some
 // of its pools, and rushes in the others.
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -31,29 +31,32 @@
 
 // TestRandomDays plays days with faults drawn from a seed. All faults are over
 // after healed, and by the end everything must be done that was asked for.
-func TestRandomDays(t *testing.T) {
+func TestRandomDays(t *testing.T) { playDays(t, failedSeeds, randomSeeds, randomDay) }
+
+// playDays plays days that are drawn from seeds: those that have failed once, and the first
+// ones up to a count, unless the environment names another count or one seed.
+func playDays(t *testing.T, failed []uint64, count int, day func(seed uint64) script) {
 	if text := os.Getenv("YARDBRIDGE_TEST_SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
 		assert.NilError(t, err)
-		play(t, randomDay(seed))
+		play(t, day(seed))
 		return
 	}
-	count := randomSeeds
 	if text := os.Getenv("YARDBRIDGE_TEST_SEEDS"); text != "" {
 		n, err := strconv.Atoi(text)
 		assert.NilError(t, err)
 		count = n
 	}
-	seeds := slices.Clone(failedSeeds)
+	seeds := slices.Clone(failed)
 	for n := range count {
-		if seed := uint64(n + 1); !slices.Contains(failedSeeds, seed) {
+		if seed := uint64(n + 1); !slices.Contains(failed, seed) {
 			seeds = append(seeds, seed)
 		}
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, randomDay(seed))
+			play(t, day(seed))
 		})
 	}
 }
--- a/services/scheduler/fair.go
+++ b/services/scheduler/fair.go
@@ -32,7 +32,9 @@
 		p.uses = make(map[string]use)
 	}
 	for customer := range p.allowed.used {
-		p.uses[customer] = p.uses[customer] // one that has just begun counts from here
+		if _, known := p.uses[customer]; !known {
+			p.uses[customer] = use{}
+		}
 	}
 	for customer, u := range p.uses {
 		used := p.allowed.used[customer]
