Lending waits for no pool that is swamped, and nobody keeps less than the standing part where there is room

Now a turn waits 0.15 s, others answer when they can, and a customer keeps its standing part through a change of its limit and gets it back with the next loan.

--- a/services/fleet/lend.go
+++ b/services/fleet/lend.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/quota"
@@ -64,35 +63,60 @@
 	return nil
 }
 
-// allowTimeout bounds a question about allowances: what they lower is kept in one or two
-// appends, each of which takes a quarter of a second on the store's slow days.
-const allowTimeout = time.Second
+// The bounds of questions about allowances.
+const (
+	// allowTimeout bounds one: what it lowers is kept in one or two appends, each of which
+	// takes a quarter of a second on the store's slow days.
+	allowTimeout = time.Second
+	// turnWait is how long a turn waits for answers: an owner that is swamped must not keep
+	// room from the other pools.
+	turnWait = 150 * time.Millisecond
+)
 
 // tellAllowances asks the pools that have not said yet that they have their allowances, or
 // what is wanted of them, and reports whether there were any.
 func (m *Manager) tellAllowances(ctx context.Context) bool {
-	bounded, cancel := context.WithTimeout(ctx, allowTimeout)
-	defer cancel()
 	m.mu.Lock()
-	due := m.lends.Due()
-	questions := make([]quota.Question, len(due))
-	for i, pool := range due {
-		questions[i] = m.lends.Ask(pool)
+	var due []question
+	for _, pool := range m.lends.Due() {
+		if !m.asking[pool] {
+			m.asking[pool] = true
+			due = append(due, question{m, pool, m.lends.Ask(pool)})
+		}
 	}
 	m.mu.Unlock()
-	var asks sync.WaitGroup
-	for i, pool := range due {
-		asks.Go(func() { m.askAllowances(bounded, pool, questions[i]) })
+	answers := make(chan struct{}, len(due))
+	for _, q := range due {
+		go q.run(ctx, answers)
+	}
+	late := m.Clock.After(turnWait)
+	for range due {
+		select {
+		case <-answers:
+		case <-late:
+			return true
+		}
 	}
-	asks.Wait()
 	return len(due) > 0
 }
 
-// askAllowances asks one pool.
-func (m *Manager) askAllowances(ctx context.Context, pool string, q quota.Question) {
-	s, err := m.Allow(ctx, pool, q)
+// question is a question to a pool's owner about its allowances.
+type question struct {
+	m    *Manager
+	pool string
+	ask  quota.Question
+}
+
+// run asks the pool's owner.
+func (q question) run(ctx context.Context, answers chan<- struct{}) {
+	bounded, cancel := context.WithTimeout(ctx, allowTimeout)
+	defer cancel()
+	defer func() { answers <- struct{}{} }()
+	m, pool := q.m, q.pool
+	s, err := m.Allow(bounded, pool, q.ask)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.asking, pool)
 	if err != nil {
 		m.Logger.Debug().Str("event", "allowance").Str("pool", pool).Err(err).Msg("a pool's owner does not answer")
 		return
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -50,6 +50,7 @@
 	asked    uint64        // questions to owners so far
 	view     view
 	lends    lending.Lender
+	asking   map[string]bool   // pools whose owner is being asked about allowances
 	past     map[string]intent // newest order to each instance
 	mu       sync.Mutex
 }
@@ -99,6 +100,7 @@
 	m.Node = node
 	m.done = make(chan struct{})
 	m.reported = make(chan struct{}, 1)
+	m.asking = make(map[string]bool)
 	m.lends = lending.Lender{Epoch: m.Epoch(), Logger: m.Logger}
 	m.past = make(map[string]intent)
 	m.view = view{
--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -96,7 +96,11 @@
 	if !told || !b.heard || a.Held {
 		return job.Size{}
 	}
-	return capped(a.Wants.Times(times), limit).Minus(b.most(customer, limit)).Max(job.Size{})
+	wants := a.Wants.Times(times)
+	if times > 1 {
+		wants = wants.Max(limit.Scale(b.told.Part)) // where there is enough, nobody has less than the standing part
+	}
+	return capped(wants, limit).Minus(b.most(customer, limit)).Max(job.Size{})
 }
 
 // capped returns a size cut off at a limit in the parts in which there is one, and 0 in the
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -161,50 +161,41 @@
 	}
 }
 
-// settleOne has each pool keep what it uses of a customer's. Where that is above the limit
-// together, nothing begins in any until enough has ended.
+// settleOne has each pool keep what it uses of a customer's, or its standing part where that
+// is more and there is room for it. Where what is used is above the limit together, nothing
+// begins in any until enough has ended.
 func (p *plan) settleOne(customer string) {
 	limit := p.limit(customer)
-	used := make(map[string]job.Size, len(p.l.books))
-	var sum job.Size
+	used, keeps := make(map[string]job.Size, len(p.l.books)), make(map[string]job.Size, len(p.l.books))
+	var allUsed, allKept job.Size
 	for name, b := range p.l.books {
 		a, told := b.account(customer)
 		used[name] = a.Used
 		if !told || !a.Held {
 			used[name] = b.most(customer, limit).Max(a.Used)
 		}
-		sum = sum.Plus(used[name])
+		keeps[name] = used[name].Max(limit.Scale(min(b.told.Part, b.bound.Part)))
+		allUsed, allKept = allUsed.Plus(used[name]), allKept.Plus(keeps[name])
 	}
-	if p.standing(limit, used) {
-		for _, b := range p.l.books {
-			b.bound = b.bound.Without(customer)
-			p.tell(b, b.told.Without(customer))
-		}
-		return
+	if !quota.Within(allKept, limit, limit) {
+		keeps = used
 	}
-	fits := quota.Within(sum, limit, limit)
+	begins := quota.Within(allUsed, limit, limit)
 	for name, b := range p.l.books {
 		if !b.heard {
 			continue
 		}
-		keeps := used[name]
-		if !fits {
-			keeps = job.Size{}
+		if standing := limit.Scale(b.told.Part); begins && b.told.Part == b.bound.Part && keeps[name] == standing {
+			b.bound = b.bound.Without(customer)
+			p.tell(b, b.told.Without(customer))
+			continue
 		}
-		b.bound = b.bound.With(customer, used[name])
-		p.tell(b, b.told.With(customer, keeps))
-	}
-}
-
-// standing reports whether what each pool uses is within the part of a limit that it has
-// without being asked for.
-func (p *plan) standing(limit job.Size, used map[string]job.Size) bool {
-	for name, b := range p.l.books {
-		if !b.heard || !quota.Within(used[name], limit.Scale(min(b.told.Part, b.bound.Part)), limit) {
-			return false
+		b.bound = b.bound.With(customer, keeps[name])
+		if !begins {
+			keeps[name] = job.Size{}
 		}
+		p.tell(b, b.told.With(customer, keeps[name]))
 	}
-	return true
 }
 
 // relax takes back what a pool has not used much of for a while, so that it is free when
