--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -146,7 +146,7 @@
 	}
 	p := l.begin(c, now)
 	p.lower()
-	p.part()
+	p.standingParts()
 	p.settle()
 	p.relax()
 	p.lend()
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -77,9 +77,9 @@
 	b.told, b.taken = a, false
 }
 
-// part gives each pool the same part of every limit to have without being asked for. Where
+// standingParts gives each pool the same part of every limit to have without being asked for. Where
 // a pool has come, the others give first.
-func (p *plan) part() {
+func (p *plan) standingParts() {
 	want := 0.0
 	if hasLimits(p.config) {
 		want = standingShare / float64(max(len(p.names), 1))
