Lending: a size cut off at another, who may be lent and who wants much stand once

Found on reading the whole change again; nothing is decided otherwise. - capped was a smaller-of-two of sizes: job.Size has Min beside Max. - Whether a pool may be lent anything, and whether it wants much of what it has, stood two and three times: mayBeLent, wantsMuch. - What all pools lack was summed up three times for one customer in one plan, now once and once with the headroom. - A book knows its pool: each log line looked through all books for its name. - The order of claimants is a place (0, 1, 2) in place of two orders of truth values. - quota.go: Without beside With, Masked beside the other questions about limits. Tests of the package as they were, with the race detector: passed.

--- a/models/job/job.go
+++ b/models/job/job.go
@@ -59,6 +59,11 @@
 	return Size{max(s.CPU, o.CPU), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller of two sizes in each part.
+func (s Size) Min(o Size) Size {
+	return Size{min(s.CPU, o.CPU), min(s.MemoryMB, o.MemoryMB), min(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether the size has room in the other.
 func (s Size) Fits(room Size) bool {
 	return s.CPU <= room.CPU && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
--- a/models/quota/quota.go
+++ b/models/quota/quota.go
@@ -47,18 +47,6 @@
 	return a
 }
 
-// Account is what a pool tells of one customer that has a limit.
-type Account struct {
-	Used  job.Size `json:"used"`  // running, on its way, or being stopped
-	Wants job.Size `json:"wants"` // the same, and what waits to begin
-	Least job.Size `json:"least"` // of what waits, the least that can begin: a task, or a gang
-	// Waits is for how long something has waited for the allowance.
-	Waits time.Duration `json:"waits,omitempty"`
-	// Held says that nothing of it begins until the pool is told allowances that keep a
-	// limit which has been lowered.
-	Held bool `json:"held,omitempty"`
-}
-
 // Without returns allowances in which a customer has the part that all have.
 func (a Allowances) Without(customer string) Allowances {
 	if _, named := a.Of[customer]; !named {
@@ -70,18 +58,16 @@
 	return a
 }
 
-// Masked returns a size with 0 in the parts in which there is no limit.
-func Masked(size, limit job.Size) job.Size {
-	if limit.CPU == 0 {
-		size.CPU = 0
-	}
-	if limit.MemoryMB == 0 {
-		size.MemoryMB = 0
-	}
-	if limit.Accelerators == 0 {
-		size.Accelerators = 0
-	}
-	return size
+// Account is what a pool tells of one customer that has a limit.
+type Account struct {
+	Used  job.Size `json:"used"`  // running, on its way, or being stopped
+	Wants job.Size `json:"wants"` // the same, and what waits to begin
+	Least job.Size `json:"least"` // of what waits, the least that can begin: a task, or a gang
+	// Waits is for how long something has waited for the allowance.
+	Waits time.Duration `json:"waits,omitempty"`
+	// Held says that nothing of it begins until the pool is told allowances that keep a
+	// limit which has been lowered.
+	Held bool `json:"held,omitempty"`
 }
 
 // Told is how many times what it wants must be more than its allowance for a customer's account
@@ -106,6 +92,20 @@
 // Limited reports whether a limit has a part that is one.
 func Limited(limit job.Size) bool { return limit != job.Size{} }
 
+// Masked returns a size with 0 in the parts in which there is no limit.
+func Masked(size, limit job.Size) job.Size {
+	if limit.CPU == 0 {
+		size.CPU = 0
+	}
+	if limit.MemoryMB == 0 {
+		size.MemoryMB = 0
+	}
+	if limit.Accelerators == 0 {
+		size.Accelerators = 0
+	}
+	return size
+}
+
 // Within reports whether a size stays within an allowance in the parts in which there is a
 // limit.
 func Within(size, allowance, limit job.Size) bool {
--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -28,8 +28,8 @@
 			continue
 		}
 		free := p.free(customer, limit)
-		if quota.Within(p.lacks(customer, limit, 1), free, limit) {
-			p.lendFree(customer, limit, free)
+		if lacks := p.lacks(customer, limit, 1); quota.Within(lacks, free, limit) {
+			p.lendFree(customer, limit, lacks, free)
 			continue
 		}
 		p.ask(customer)
@@ -52,9 +52,8 @@
 	told := make(map[string]bool)
 	for _, name := range p.names {
 		b := p.l.books[name]
-		for customer, a := range b.said.Accounts {
-			limit := p.limit(customer)
-			if b.heard && !a.Held && !quota.Within(capped(a.Wants.Times(quota.Told), limit), b.told.For(customer, limit), limit) {
+		for customer := range b.said.Accounts {
+			if b.wantsMuch(customer, p.limit(customer)) {
 				told[customer] = true
 			}
 		}
@@ -62,6 +61,19 @@
 	return slices.Sorted(maps.Keys(told))
 }
 
+// mayBeLent returns a pool's account of a customer, and false where it has told none, or is
+// lent nothing now.
+func (b *book) mayBeLent(customer string) (quota.Account, bool) {
+	a, told := b.account(customer)
+	return a, told && b.heard && !a.Held
+}
+
+// wantsMuch reports whether a pool that may be lent some wants much of what it may use.
+func (b *book) wantsMuch(customer string, limit job.Size) bool {
+	a, may := b.mayBeLent(customer)
+	return may && !quota.Within(a.Wants.Times(quota.Told).Min(limit), b.told.For(customer, limit), limit)
+}
+
 // sum returns what all pools may be using of a customer's.
 func (p *plan) sum(customer string, limit job.Size) job.Size {
 	var sum job.Size
@@ -92,31 +104,25 @@
 
 // lacks returns what a pool wants so many times beyond its bound.
 func (b *book) lacks(customer string, limit job.Size, times int) job.Size {
-	a, told := b.account(customer)
-	if !told || !b.heard || a.Held {
+	a, may := b.mayBeLent(customer)
+	if !may {
 		return job.Size{}
 	}
 	wants := a.Wants.Times(times)
 	if times > 1 {
 		wants = wants.Max(limit.Scale(b.told.Part)) // where there is enough, nobody has less than the standing part
 	}
-	return capped(wants, limit).Minus(b.most(customer, limit)).Max(job.Size{})
+	return wants.Min(limit).Minus(b.most(customer, limit)).Max(job.Size{})
 }
 
-// capped returns a size cut off at a limit in the parts in which there is one, and 0 in the
-// others.
-func capped(size, limit job.Size) job.Size {
-	return job.Size{CPU: min(size.CPU, limit.CPU), MemoryMB: min(size.MemoryMB, limit.MemoryMB), Accelerators: min(size.Accelerators, limit.Accelerators)}
-}
-
-// lendFree lends to each pool what it lacks, and what there is of the headroom.
-func (p *plan) lendFree(customer string, limit, free job.Size) {
-	spare := free.Minus(p.lacks(customer, limit, 1))
-	sum := p.lacks(customer, limit, headroom).Minus(p.lacks(customer, limit, 1))
+// lendFree lends to each pool what it lacks, and what there is of the headroom. All of them
+// lack no more than is free.
+func (p *plan) lendFree(customer string, limit, allLack, free job.Size) {
+	spare := free.Minus(allLack)
+	sum := p.lacks(customer, limit, headroom).Minus(allLack)
 	for _, name := range p.names {
 		b := p.l.books[name]
-		a, told := b.account(customer)
-		if !told || !b.heard || a.Held || quota.Within(capped(a.Wants.Times(quota.Told), limit), b.told.For(customer, limit), limit) {
+		if !b.wantsMuch(customer, limit) {
 			continue
 		}
 		lacks := b.lacks(customer, limit, 1)
@@ -141,7 +147,7 @@
 
 // raise gives a pool a higher bound and the allowance of it.
 func (p *plan) raise(b *book, customer string, limit, size job.Size) {
-	size = capped(size, limit)
+	size = size.Min(limit)
 	if has := b.told.For(customer, limit); !changesMuch(size, has, limit) && (size == has || !b.waitsFor(customer, limit)) {
 		return
 	}
@@ -153,21 +159,12 @@
 func (p *plan) log(customer string, limit job.Size, b *book, outcome string) {
 	a, _ := b.account(customer)
 	now := b.told.For(customer, limit)
-	p.l.Logger.Info().Str("event", "allowance").Str("customer", customer).Str("of", p.nameOf(b)).Int("allowed_cpu", now.CPU).Int("allowed_memory_mb", now.MemoryMB).
+	p.l.Logger.Info().Str("event", "allowance").Str("customer", customer).Str("of", b.pool).Int("allowed_cpu", now.CPU).Int("allowed_memory_mb", now.MemoryMB).
 		Int("used_cpu", a.Used.CPU).Int("used_memory_mb", a.Used.MemoryMB).Int("wants_cpu", a.Wants.CPU).Int("wants_memory_mb", a.Wants.MemoryMB).
 		Int("limit_cpu", limit.CPU).Int("limit_memory_mb", limit.MemoryMB).Dur("age", p.now.Sub(b.since)).Str("outcome", outcome).
 		Msg("a customer's allowance in a pool has changed")
 }
 
-func (p *plan) nameOf(b *book) string {
-	for name, o := range p.l.books {
-		if o == b {
-			return name
-		}
-	}
-	return ""
-}
-
 // allTold reports whether all pools that are heard of have told a customer's account.
 func (p *plan) allTold(customer string) bool {
 	for _, name := range p.names {
@@ -203,12 +200,12 @@
 			continue
 		}
 		share, has, most := shares[i], b.told.For(customer, limit), b.most(customer, limit)
-		grows := capped(share.Minus(most).Max(job.Size{}), free)
-		next := capped(share, most.Plus(grows))
+		grows := share.Minus(most).Max(job.Size{}).Min(free)
+		next := share.Min(most.Plus(grows))
 		if idle := quota.Within(a.Wants.Times(quota.Told), has, limit); !mayLower && !idle {
 			next = next.Max(has)
 		}
-		gives, gets := short && !quota.Within(has, next, limit), next != capped(has, limit) && b.waitsFor(customer, limit)
+		gives, gets := short && !quota.Within(has, next, limit), next != has.Min(limit) && b.waitsFor(customer, limit)
 		if !changesMuch(next, has, limit) && !gives && !gets {
 			continue
 		}
@@ -224,7 +221,7 @@
 // waitsFor reports whether something of a customer waits that a pool's allowance does not bear.
 func (b *book) waitsFor(customer string, limit job.Size) bool {
 	a, told := b.account(customer)
-	return told && !quota.Within(capped(a.Wants, limit), b.told.For(customer, limit), limit)
+	return told && !quota.Within(a.Wants.Min(limit), b.told.For(customer, limit), limit)
 }
 
 // isShort reports whether a pool's share is more than it can be given of what is free: then
@@ -233,7 +230,7 @@
 	var lacks job.Size
 	for i, name := range p.names {
 		if b := p.l.books[name]; b.heard {
-			lacks = lacks.Plus(capped(shares[i], limit).Minus(b.most(customer, limit)).Max(job.Size{}))
+			lacks = lacks.Plus(shares[i].Min(limit).Minus(b.most(customer, limit)).Max(job.Size{}))
 		}
 	}
 	return !quota.Within(lacks, free, limit)
@@ -306,24 +303,18 @@
 // before orders claimants for what is left over: first those that can begin nothing, by how
 // long something has waited there; then those that run more already, so that little is moved.
 func (c claimant) before(o claimant, shares []job.Size) int {
-	none := func(c claimant) bool { return shares[c.index] == job.Size{} }
-	runs := func(c claimant) bool { return shares[c.index].Plus(c.account.Least).Fits(c.account.Used) }
-	return cmp.Or(
-		compareBool(none(c), none(o)),
-		compareBool(!none(c) && runs(c), !none(o) && runs(o)),
-		cmp.Compare(o.account.Waits, c.account.Waits),
-	)
+	return cmp.Or(cmp.Compare(c.turn(shares), o.turn(shares)), cmp.Compare(o.account.Waits, c.account.Waits))
 }
 
-// compareBool orders true before false.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
+// turn returns the claimant's place among the others, lower for earlier.
+func (c claimant) turn(shares []job.Size) int {
+	switch share := shares[c.index]; {
+	case share == job.Size{}:
 		return 0
-	case a:
-		return -1
+	case share.Plus(c.account.Least).Fits(c.account.Used):
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // fits returns how many times a size fits into room, in the parts in which there is a limit.
--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -51,6 +51,7 @@
 
 // book is what is known of one pool.
 type book struct {
+	pool  string
 	bound quota.Allowances     // the most that it may be using; which holder has set it does not matter
 	told  quota.Allowances     // the newest that it is told
 	heard bool                 // it has told which it has, since this holder holds the duty
@@ -80,7 +81,7 @@
 		l.books = make(map[string]*book)
 	}
 	if l.books[pool] == nil {
-		l.books[pool] = &book{since: now}
+		l.books[pool] = &book{pool: pool, since: now}
 	}
 	return l.books[pool]
 }
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -221,7 +221,7 @@
 			case !quota.Within(half, standing, limit):
 				p.tell(b, b.told.With(customer, half))
 			case !quota.Within(has, standing, limit):
-				p.tell(b, b.told.With(customer, capped(has, standing)))
+				p.tell(b, b.told.With(customer, has.Min(standing)))
 			case quota.Within(standing.Minus(has), p.free(customer, limit), limit):
 				b.bound = b.bound.Without(customer)
 				p.tell(b, b.told.Without(customer))
