Limits: a limit raised and lowered again is exceeded; failing tests

The histories drew by the order of a map, so that a seed was another history each time; now pools are gone through by name. Of 20,000 histories 7 fail; their seeds stay. Trace of 19514: limits 305, 1081, 613 in a row, the holder lends by 1081 before any pool knows it, and to all four 613 is no lower limit than the 305 they know: none holds back. Ruled out: what is lent while a pool is held (no pool was), take-overs (none near). TestALimitThatNotAllHaveKnown plays just that: uses 1081 of 613 for good.

--- a/services/lending/lender_test.go
+++ b/services/lending/lender_test.go
@@ -6,7 +6,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,9 +118,13 @@
 	return config.New(version, nil, list, config.Limits{}).WithCustomers(of)
 }
 
+// names returns the names of the pools, in order: a history is the same each time it is played.
+func (s *stage) names() []string { return slices.Sorted(maps.Keys(s.pools)) }
+
 // report has all pools tell what they would with their reports.
 func (s *stage) report() {
-	for name, p := range s.pools {
+	for _, name := range s.names() {
+		p := s.pools[name]
 		if !s.lost() {
 			s.lender.Take(name, p.statement(quota.Question{Epoch: s.lender.Epoch, Accounts: s.lender.Accounts()}), s.now)
 		}
@@ -207,20 +213,29 @@
 	assert.Assert(t, b.used["c0"] >= 790, "%d", b.used["c0"])
 }
 
+// failedHistories are the seeds of histories of 20,000 that have failed: a limit was raised and
+// lowered again within a step or two, and pools that went from the first to the third did not
+// hold back what the holder had lent them by the second.
+var failedHistories = []uint64{5940, 8437, 8563, 11166, 12226, 15157, 19514}
+
 // TestLimitHoldsInHistories plays histories in which messages are lost, holders and owners
 // are replaced, limits change and everybody wants more than there is: what all pools use never
 // grows above the limit.
 func TestLimitHoldsInHistories(t *testing.T) {
 	const histories, steps, customers, pools, limit = 300, 80, 3, 4, 1000
+	seeds := slices.Clone(failedHistories)
 	for seed := range uint64(histories) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		r := rand.New(rand.NewPCG(seed, 1))
 		s := newStage(pools, customers, limit)
 		s.lost = func() bool { return r.IntN(5) == 0 }
 		for n := range steps {
 			s.happen(r, n)
 			s.step(t)
-			for _, p := range s.pools {
-				before := map[string]int{}
+			for _, name := range s.names() {
+				p, before := s.pools[name], map[string]int{}
 				for _, o := range s.config.Customers {
 					before[o.Name] = s.using(o.Name)
 				}
@@ -235,9 +250,44 @@
 	}
 }
 
+// TestALimitThatNotAllHaveKnown: a limit is raised and lowered again, and the holder alone has
+// read the version between. Seen once in CI, alone on the machine, as a history that uses 1,129
+// of 1,111; 4 of 40 plays of 300 histories failed the same way on the code as it had landed.
+// The cause, by a trace of history 19514 (limits 305, 1,081, 613): the holder had lent all of
+// 1,081 to four pools, of which none had known that limit; for them 613 was no lower one, so
+// none held back, and what they used stayed at 1,081.
+func TestALimitThatNotAllHaveKnown(t *testing.T) {
+	const first, between, last, pools = 305, 1081, 613, 4
+	s := newStage(pools, 1, first)
+	rush := func() {
+		s.step(t)
+		for _, name := range s.names() {
+			p := s.pools[name]
+			p.used["c0"] -= p.used["c0"] / 10 // as tasks end
+			p.waiting["c0"] = between
+			p.begin()
+		}
+	}
+	for range 20 {
+		rush()
+	}
+	s.config = configOf(2, pools, 1, between)
+	rush()
+	s.config = configOf(3, pools, 1, last)
+	for _, p := range s.pools {
+		p.configure(s.config)
+	}
+	for n := range 2 * applySteps {
+		rush()
+		assert.Assert(t, s.using("c0") <= last, "step %d: uses %d of %d", n, s.using("c0"), last)
+	}
+	assert.Assert(t, s.using("c0") > last*9/10, "uses %d of %d", s.using("c0"), last)
+}
+
 // happen has something happen before a step.
 func (s *stage) happen(r *rand.Rand, n int) {
-	for _, p := range s.pools {
+	for _, name := range s.names() {
+		p := s.pools[name]
 		for _, o := range s.config.Customers {
 			p.used[o.Name] -= r.IntN(p.used[o.Name]/2 + 1)
 			if r.IntN(3) == 0 {
