Lending: a pool is lent something only while it goes by the holder's configuration

A pool holds back only what was lent by limits that it has known, but the holder lent by limits that no pool had read yet; of such a limit the next one may be lower without any pool's noticing. Change: what a pool is lent, and a higher standing part, wait until its owner has said that it goes by the holder's version of the configuration; settling waits for the same. Ruled out: lending by the lowest limit of the last seconds (a clock would decide); pools that tell all versions they skipped (they can't know them). Cost: for as long as an owner reads a new configuration later than the holder, it is lent nothing.

--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -53,7 +53,7 @@
 	for _, name := range p.names {
 		b := p.l.books[name]
 		for customer := range b.said.Accounts {
-			if b.wantsMuch(customer, p.limit(customer)) {
+			if p.wantsMuch(b, customer, p.limit(customer)) {
 				told[customer] = true
 			}
 		}
@@ -63,14 +63,14 @@
 
 // mayBeLent returns a pool's account of a customer, and false where it has told none, or is
 // lent nothing now.
-func (b *book) mayBeLent(customer string) (quota.Account, bool) {
+func (p *plan) mayBeLent(b *book, customer string) (quota.Account, bool) {
 	a, told := b.account(customer)
-	return a, told && b.heard && !a.Held
+	return a, told && b.follows(p.config.Version) && !a.Held
 }
 
 // wantsMuch reports whether a pool that may be lent some wants much of what it may use.
-func (b *book) wantsMuch(customer string, limit job.Size) bool {
-	a, may := b.mayBeLent(customer)
+func (p *plan) wantsMuch(b *book, customer string, limit job.Size) bool {
+	a, may := p.mayBeLent(b, customer)
 	return may && !quota.Within(a.Wants.Times(quota.Told).Min(limit), b.told.For(customer, limit), limit)
 }
 
@@ -97,14 +97,14 @@
 func (p *plan) lacks(customer string, limit job.Size, times int) job.Size {
 	var sum job.Size
 	for _, name := range p.names {
-		sum = sum.Plus(p.l.books[name].lacks(customer, limit, times))
+		sum = sum.Plus(p.lacksOf(p.l.books[name], customer, limit, times))
 	}
 	return sum
 }
 
-// lacks returns what a pool wants so many times beyond its bound.
-func (b *book) lacks(customer string, limit job.Size, times int) job.Size {
-	a, may := b.mayBeLent(customer)
+// lacksOf returns what a pool wants so many times beyond its bound.
+func (p *plan) lacksOf(b *book, customer string, limit job.Size, times int) job.Size {
+	a, may := p.mayBeLent(b, customer)
 	if !may {
 		return job.Size{}
 	}
@@ -122,11 +122,11 @@
 	sum := p.lacks(customer, limit, headroom).Minus(allLack)
 	for _, name := range p.names {
 		b := p.l.books[name]
-		if !b.wantsMuch(customer, limit) {
+		if !p.wantsMuch(b, customer, limit) {
 			continue
 		}
-		lacks := b.lacks(customer, limit, 1)
-		more := b.lacks(customer, limit, headroom).Minus(lacks)
+		lacks := p.lacksOf(b, customer, limit, 1)
+		more := p.lacksOf(b, customer, limit, headroom).Minus(lacks)
 		p.raise(b, customer, limit, b.most(customer, limit).Plus(lacks).Plus(part(more, sum, spare)))
 	}
 }
@@ -165,10 +165,10 @@
 		Msg("a customer's allowance in a pool has changed")
 }
 
-// allTold reports whether all pools that are heard of have told a customer's account.
+// allTold reports whether all pools that go by the configuration have told a customer's account.
 func (p *plan) allTold(customer string) bool {
 	for _, name := range p.names {
-		if b := p.l.books[name]; b.heard {
+		if b := p.l.books[name]; b.follows(p.config.Version) {
 			if _, told := b.account(customer); !told {
 				return false
 			}
@@ -196,7 +196,7 @@
 	for i, name := range p.names {
 		b := p.l.books[name]
 		a, _ := b.account(customer)
-		if !b.heard || a.Held {
+		if !b.follows(p.config.Version) || a.Held {
 			continue
 		}
 		share, has, most := shares[i], b.told.For(customer, limit), b.most(customer, limit)
@@ -229,7 +229,7 @@
 func (p *plan) isShort(customer string, limit, free job.Size, shares []job.Size) bool {
 	var lacks job.Size
 	for i, name := range p.names {
-		if b := p.l.books[name]; b.heard {
+		if b := p.l.books[name]; b.follows(p.config.Version) {
 			lacks = lacks.Plus(shares[i].Min(limit).Minus(b.most(customer, limit)).Max(job.Size{}))
 		}
 	}
@@ -255,8 +255,8 @@
 func (p *plan) shares(customer string, limit job.Size) []job.Size {
 	wants := make([]job.Size, len(p.names))
 	left := limit
-	for name, b := range p.l.books { // of pools that are not heard of, all that they may use is taken
-		if i := slices.Index(p.names, name); i >= 0 && b.heard {
+	for name, b := range p.l.books { // of pools that go by another configuration, all that they may use is taken
+		if i := slices.Index(p.names, name); i >= 0 && b.follows(p.config.Version) {
 			a, _ := b.account(customer)
 			wants[i] = a.Wants.Max(limit.Scale(b.told.Part * reservePart))
 			continue
--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -166,5 +166,10 @@
 	return a, told
 }
 
+// follows reports whether a pool has told that it goes by a version of the configuration. One
+// that goes by another is lent nothing: of a limit that it never gets to know a lower one may
+// be the next, and it holds back only what was lent by limits that it has known.
+func (b *book) follows(version uint64) bool { return b.heard && b.said.Config == version }
+
 // most returns the most that a pool may be using of a customer's.
 func (b *book) most(customer string, limit job.Size) job.Size { return b.bound.For(customer, limit) }
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -102,7 +102,7 @@
 		case b.told.Part > aim:
 			next.Part = aim
 			p.tell(b, next)
-		case more > 0 && left >= more-tinyPart:
+		case more > 0 && left >= more-tinyPart && b.follows(p.config.Version):
 			left -= more
 			p.pin(b, more)
 			next = b.told
@@ -129,12 +129,12 @@
 const tinyPart = 1e-9
 
 // settle has the pools begin again what they hold since a limit was lowered. Once each of
-// them knows the configuration, what they use tells what there is: it grows no more.
+// them goes by the configuration, what they use tells what there is: it grows no more.
 func (p *plan) settle() {
 	stale := false
 	for _, name := range p.names {
 		b := p.l.books[name]
-		if !b.heard || b.said.Config < p.config.Version {
+		if !b.follows(p.config.Version) {
 			return
 		}
 		stale = stale || b.told.Version < p.config.Version
