A pool's records go to a spare partition while its own does not answer

The rush's last four seconds: 34 of 644 jobs in time. By the owners' append lines three of eight partitions were away from 31.0 s on, those of three of four pools among them; what can't be kept is not begun, and what comes is refused. Ruled out: the climb of the rush (26 to 30 s: 344 of 521 in time or late for the same outage), workers (idle), links, the other partitions of the store (none failed).

--- a/node/node.go
+++ b/node/node.go
@@ -142,6 +142,21 @@
 	return port.Partition{Topic: fmt.Sprintf("keyed.pools%d", slot/parts), Part: slot % parts}
 }
 
+// spareTopics is how many topics hold spare partitions: the store takes 100 topics, and the
+// pools' own are as many.
+const spareTopics = 40
+
+// spare returns where the pool of a slot is kept while its partition does not answer: as far
+// from it as the partitions' numbers allow, since those of one place may be away together.
+// Slots beyond what the store's topics hold have none.
+func (n *Node) spare(slot int) port.Partition {
+	parts := n.Setting.Platform.Partitions
+	if slot/parts >= spareTopics {
+		return port.Partition{}
+	}
+	return port.Partition{Topic: fmt.Sprintf("keyed.spares%d", slot/parts), Part: (slot + parts/2) % parts}
+}
+
 // fleetDuty is the duty for the instances of all pools; a pool has another name.
 const fleetDuty = "!fleet"
 
@@ -159,7 +174,7 @@
 // open returns a tenant for a duty.
 func (n *Node) open(duty string, slot int) *steward.Tenant {
 	logger := n.Logger.With().Str("pool", duty).Logger()
-	j := &journal.Journal{Partition: n.partition(slot), Store: n.Ports.Store, Clock: n.Clock, Logger: logger}
+	j := &journal.Journal{Partition: n.partition(slot), Spare: n.spare(slot), Store: n.Ports.Store, Clock: n.Clock, Logger: logger}
 	if duty == fleetDuty {
 		return n.openFleet(j, logger)
 	}
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -14,6 +14,7 @@
 	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
+	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/standin/world"
 )
 
@@ -21,6 +22,8 @@
 // store-refuses, store-lost, suspend (for one node, or all where none is named), crash, crash-rack,
 // silent, late, hangs, fails, drain, shrink (of a worker, by its place among those of the
 // pool), wave, limits (of the customers, to a share of what they were), orders-lost (of the answers of the control of instances), history,
+// parts-refuse, parts-silent (for all nodes: of the partition of the pool where one is named, else of
+// a share of all that pools and the duty for instances may be kept in),
 // relist (of lives that are over), cancel (of the jobs of a pool), silence (of all open
 // connections between nodes).
 type scriptEvent struct {
@@ -69,6 +72,10 @@
 				st.suspend(n, e)
 			}
 		}
+	case "parts-refuse":
+		st.partsAway(e, world.Refuses)
+	case "parts-silent":
+		st.partsAway(e, world.Silent)
 	case "orders-lost":
 		st.world.LoseOrders(e.Share)
 		time.AfterFunc(e.For.Std(), func() { st.world.LoseOrders(0) })
@@ -94,6 +101,31 @@
 	}
 }
 
+// partsAway has partitions be away for a while.
+func (st *stage) partsAway(e scriptEvent, a world.Absence) {
+	var at Node
+	at.Setting.Platform.Partitions = storeParts
+	var parts []port.Partition
+	if e.Pool != "" {
+		v, _ := st.live().Directory.View()
+		parts = append(parts, at.partition(v.Pools[e.Pool].Slot))
+	} else {
+		st.mu.Lock()
+		for slot := range len(st.script.Pools) + 1 {
+			for _, p := range []port.Partition{at.partition(slot), at.spare(slot)} {
+				if st.random.Float64() < e.Share {
+					parts = append(parts, p)
+				}
+			}
+		}
+		st.mu.Unlock()
+	}
+	for _, p := range parts {
+		st.world.SetAbsent(p, a)
+		time.AfterFunc(e.For.Std(), func() { st.world.SetAbsent(p, world.Present) })
+	}
+}
+
 // suspend has a node reach nobody for a while that its steady clock does not count. The
 // model can't hold its process still: what it decides meanwhile comes to nothing. One that is
 // suspended already is so until the last of its suspensions is over: a steady clock never
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -239,6 +239,9 @@
 	st.world.Configure(st.version, st.queues, st.pools, customers...)
 }
 
+// storeParts is how many partitions each topic of the store has.
+const storeParts = 8
+
 // ticketTime is how long a ticket holds.
 const ticketTime = 3 * time.Second
 
@@ -249,7 +252,7 @@
 	if cores := st.script.Cores; len(cores) > 0 {
 		s.Node.Cores = cores[n.number-1]
 	}
-	s.Listen.NodePort, s.Platform.Partitions = 1, 8
+	s.Listen.NodePort, s.Platform.Partitions = 1, storeParts
 	s.Bounds.LeaseMost = tomlfile.Duration(10 * time.Second)
 	s.Bounds.StopTime = tomlfile.Duration(400 * time.Millisecond)
 	s.Bounds.StatusKept = tomlfile.Duration(120 * time.Second)
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -192,7 +192,7 @@
 			return err
 		}
 		if m.Clock.Now().Sub(m.Journal.Answered()) > confirmAfter {
-			if err := m.Journal.Confirm(ctx); err != nil {
+			if err := m.Journal.Append(ctx, nil); err != nil {
 				return err
 			}
 		}
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -5,104 +5,38 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
-	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // Journal is one process's right to write a partition, from Claim until a higher
-// epoch is seen; its fields are set before that.
+// epoch is seen; its fields are set before that. While the partition does not answer,
+// records are kept in a spare one (spare.go).
 type Journal struct {
 	Partition port.Partition
-	Store     port.Store
-	Clock     clock.Clock
-	Logger    log.Logger
+	// Spare is another partition of the same writer, the zero value for none.
+	Spare  port.Partition
+	Store  port.Store
+	Clock  clock.Clock
+	Logger log.Logger
 
 	calls chan struct{} // holds a token while an append is under way; taken before mu
+	home  partWriter    // of Partition; who holds the token uses it
+	spare spareWriter   // the same, of Spare
 
 	mu        sync.Mutex
-	writer    port.Writer
+	epoch     uint64
 	confirmed time.Time     // when the last append that succeeded was sent
 	answered  time.Time     // when the last append that succeeded was answered
 	took      time.Duration // of that append
 	stuck     time.Time     // since when an append is under way, zero for none
 }
 
-// keyClaim is the key of the claim of the partition's writer; it sorts before
-// all others.
-const keyClaim = "!claim"
-
-// claim is the record of a right to write.
-type claim struct {
-	Epoch uint64 `cbor:"1,keyasint"`
-	Node  string `cbor:"2,keyasint"`
-}
-
-// The pauses before a call is made again that got no answer. A claim is sent
-// until its outcome is known: an epoch that was raised without its writer
-// knowing would leave the partition without one.
-const (
-	claimRetry  = 100 * time.Millisecond
-	appendRetry = 50 * time.Millisecond
-)
-
-// Claim makes this process the writer, unless another claims the partition at
-// the same time, and returns the newest records of all keys.
-func (j *Journal) Claim(ctx context.Context, node string) ([]port.Record, error) {
-	j.calls = make(chan struct{}, 1)
-	page, err := j.Store.Newest(ctx, j.Partition, "")
-	if err != nil {
-		return nil, err
-	}
-	last, err := claimant(page.Records)
-	if err != nil {
-		return nil, err
-	}
-	mine := claim{Epoch: last.Epoch + 1, Node: node}
-	if err := j.fence(ctx, mine); err != nil {
-		return nil, err
-	}
-	records, err := j.readAll(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if by, err := claimant(records); err != nil || by != mine {
-		return nil, errkind.New(errkind.Conflict, "the partition was claimed by %q at epoch %d (%v)", by.Node, by.Epoch, err)
-	}
-	return records, nil
-}
-
-// claimant returns the newest claim among the records, the zero one for none.
-func claimant(records []port.Record) (claim, error) {
-	var c claim
-	for _, r := range records {
-		if r.Key == keyClaim && len(r.Value) > 0 {
-			return c, codec.Unmarshal(r.Value, &c)
-		}
-	}
-	return c, nil
-}
-
-// fence raises the partition's epoch. The first sequence number of the epoch is
-// drawn at random: of two that claim the same epoch only one appends, since the
-// other's sequence number does not follow.
-func (j *Journal) fence(ctx context.Context, c claim) error {
-	value, err := codec.Marshal(c)
-	if err != nil {
-		return err
-	}
-	j.mu.Lock()
-	j.writer = port.Writer{Epoch: c.Epoch, Sequence: uint64(rand.Uint32())}
-	j.mu.Unlock()
-	return j.send(ctx, []port.Record{{Key: keyClaim, Value: value}}, claimRetry, true)
-}
-
 // isFenced reports whether an error says that another process writes.
 func isFenced(err error) bool {
 	return errkind.Is(err, errkind.Fenced) || errkind.Is(err, errkind.Conflict)
@@ -111,19 +45,67 @@
 // Confirm makes sure that this process still is the writer; it keeps nothing, and
 // takes no sequence number, as the store counts only appends with records. An append
 // that was sent after it was asked for tells the same: however many ask at once, the
-// records that wait come after one such call.
+// records that wait come after one such call. The spare partition's answer tells the same as
+// the other's, since nobody is the writer before both are fenced.
 func (j *Journal) Confirm(ctx context.Context) error {
 	asked := j.Clock.Now()
 	select {
 	case j.calls <- struct{}{}:
 	case <-ctx.Done():
-		return errkind.New(errkind.OutcomeUnknown, "the store has not answered in time")
+		return errNoAnswer
 	}
 	defer func() { <-j.calls }()
 	if !j.Confirmed().Before(asked) {
 		return nil
 	}
-	return j.append(ctx, nil)
+	defer j.begin()()
+	return j.ask(ctx)
+}
+
+var errNoAnswer = errkind.New(errkind.OutcomeUnknown, "the store has not answered in time")
+
+// ask sends an append without records, to the spare partition where the other does not answer.
+func (j *Journal) ask(ctx context.Context) error {
+	if err := j.collect(); err != nil {
+		return err
+	}
+	for !j.home.idle() && !j.maySpare() {
+		select {
+		case <-j.home.landed():
+			if err := j.landHome(); err != nil {
+				return err
+			}
+		case <-j.spare.landed():
+			if err := j.landSpare(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return errNoAnswer
+		}
+	}
+	if j.home.idle() {
+		bounded, cancel := ctx, context.CancelFunc(func() {})
+		if j.maySpare() {
+			bounded, cancel = context.WithTimeout(ctx, j.spareAfter())
+		}
+		err := j.send(bounded, j.home.question(appendRetry))
+		cancel()
+		if err == nil || isFenced(err) || ctx.Err() != nil || !j.maySpare() {
+			return err
+		}
+	}
+	return j.send(ctx, j.spare.question(appendRetry))
+}
+
+// begin notes that an append is under way, until the function that it returns is called.
+func (j *Journal) begin() (end func()) {
+	note := func(t time.Time) {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.stuck = t
+	}
+	note(j.Clock.Now())
+	return func() { note(time.Time{}) }
 }
 
 // Stuck returns for how long an append has been under way, 0 for none.
@@ -159,67 +141,113 @@
 
 // Append keeps records, all or none, and returns once they are kept, or with an
 // error of the kind Fenced or Conflict once another process writes. While the
-// store does not answer it goes on until the context ends.
+// store does not answer it goes on until the context ends, which is that of the right
+// to write: what is under way may outlast the call. Without records it only confirms the
+// right, and does what is due for the spare partition.
 func (j *Journal) Append(ctx context.Context, records []port.Record) error {
 	j.calls <- struct{}{}
 	defer func() { <-j.calls }()
-	j.mu.Lock()
-	j.writer.Sequence++
-	j.mu.Unlock()
-	return j.append(ctx, records)
+	defer j.begin()()
+	if err := j.collect(); err != nil {
+		return err
+	}
+	if err := j.checkSpare(ctx); err != nil {
+		return err
+	}
+	var home, spare *pendingAppend // that carry the records
+	for {
+		if home == nil && j.home.idle() {
+			home = j.startHome(ctx, records)
+		}
+		if spare == nil && j.maySpare() && j.isLate(home) {
+			var err error
+			if spare, err = j.startSpare(ctx, records); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-j.home.landed():
+			last := j.home.pending
+			if err := j.landHome(); err != nil || last == home {
+				return err
+			}
+		case <-j.spare.landed():
+			last := j.spare.pending
+			if err := j.landSpare(); err != nil || last == spare {
+				return err
+			}
+		case <-j.lateness(home, spare):
+		case <-ctx.Done():
+			return errNoAnswer
+		}
+	}
 }
 
-// append sends records and notes since when that is under way.
-func (j *Journal) append(ctx context.Context, records []port.Record) error {
-	j.mu.Lock()
-	j.stuck = j.Clock.Now()
-	j.mu.Unlock()
-	err := j.send(ctx, records, appendRetry, false)
-	j.mu.Lock()
-	j.stuck = time.Time{}
-	j.mu.Unlock()
-	return err
+// collect takes note of the outcomes that are known of appends that were under way.
+func (j *Journal) collect() error {
+	if isClosed(j.home.landed()) {
+		if err := j.landHome(); err != nil {
+			return err
+		}
+	}
+	if isClosed(j.spare.landed()) {
+		return j.landSpare()
+	}
+	return nil
+}
+
+// isClosed reports whether a channel is closed; nil is not.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // send appends until the outcome is known. Where it may give up it does so with
 // an append that was refused, unless an earlier sending of the same may be
 // carried out yet.
-func (j *Journal) send(ctx context.Context, records []port.Record, pause time.Duration, mayGiveUp bool) error {
+func (j *Journal) send(ctx context.Context, a *pendingAppend) error {
+	mayGiveUp := a.mayGiveUp
 	for try := 1; ; try++ {
-		j.mu.Lock()
-		w := j.writer
-		j.mu.Unlock()
-		if len(records) == 0 {
-			w.Sequence++
-		}
 		sent := j.Clock.Now()
-		err := j.Store.Append(ctx, j.Partition, w, records)
+		err := j.Store.Append(ctx, a.at, a.writer, a.records)
 		if err == nil {
-			j.mu.Lock()
-			j.confirmed, j.answered = sent, j.Clock.Now()
-			j.took = j.answered.Sub(sent)
-			j.mu.Unlock()
+			j.note(sent)
 			return nil
 		}
-		j.Logger.Warn().Str("event", "append").Str("topic", j.Partition.Topic).Int("part", j.Partition.Part).Uint64("epoch", w.Epoch).
-			Uint64("sequence", w.Sequence).Int("records", len(records)).Int("try", try).Err(err).Msg("records are not known to be kept")
+		j.Logger.Warn().Str("event", "append").Str("topic", a.at.Topic).Int("part", a.at.Part).Uint64("epoch", a.writer.Epoch).
+			Uint64("sequence", a.writer.Sequence).Int("records", len(a.records)).Int("try", try).Err(err).Msg("records are not known to be kept")
 		mayGiveUp = mayGiveUp && !errkind.Is(err, errkind.OutcomeUnknown)
 		if isFenced(err) || mayGiveUp || ctx.Err() != nil {
 			return err
 		}
 		select {
-		case <-j.Clock.After(pause):
+		case <-j.Clock.After(a.pause):
 		case <-ctx.Done():
 			return err
 		}
 	}
 }
 
+// note notes an append that was sent then and has succeeded now.
+func (j *Journal) note(sent time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.answered = j.Clock.Now()
+	j.took = j.answered.Sub(sent)
+	if sent.After(j.confirmed) {
+		j.confirmed = sent
+	}
+}
+
 // Epoch returns the epoch of this process's right.
 func (j *Journal) Epoch() uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.writer.Epoch
+	return j.epoch
 }
 
 // Confirmed returns when an append was sent that has shown that this process
@@ -229,37 +257,3 @@
 	defer j.mu.Unlock()
 	return j.confirmed
 }
-
-// readAll returns the newest records of all keys.
-func (j *Journal) readAll(ctx context.Context) ([]port.Record, error) {
-	var records []port.Record
-	after := ""
-	for {
-		page, err := j.readPage(ctx, after)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
-			return records, nil
-		}
-		after = page.Records[len(page.Records)-1].Key
-	}
-}
-
-// pageTries bounds the readings of one page.
-const pageTries = 20
-
-// readPage reads a page, again where the store does not answer.
-func (j *Journal) readPage(ctx context.Context, after string) (port.Page, error) {
-	for try := 1; ; try++ {
-		page, err := j.Store.Newest(ctx, j.Partition, after)
-		if err == nil || try == pageTries || ctx.Err() != nil {
-			return page, err
-		}
-		select {
-		case <-j.Clock.After(claimRetry):
-		case <-ctx.Done():
-		}
-	}
-}
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -32,7 +32,7 @@
 			return err
 		}
 		if o.Clock.Now().Sub(o.Journal.Answered()) > confirmAfter {
-			if err := o.Journal.Confirm(ctx); err != nil {
+			if err := o.Journal.Append(ctx, nil); err != nil {
 				return err
 			}
 		}
--- a/standin/world/store.go
+++ b/standin/world/store.go
@@ -38,15 +38,35 @@
 	node string
 }
 
+// Absence says how a partition is away for all nodes.
+type Absence int
+
+// The ways in which a partition is away: its calls are refused, or get no answer.
+const (
+	Present Absence = iota
+	Refuses
+	Silent
+)
+
+// SetAbsent has a partition be away, or answer again, for all nodes.
+func (w *World) SetAbsent(p port.Partition, a Absence) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.absent == nil {
+		w.absent = make(map[port.Partition]Absence)
+	}
+	w.absent[p] = a
+}
+
 // reach waits as long as a call takes to get there, and fails where it does not.
-func (s *nodeStore) reach(ctx context.Context) error {
+func (s *nodeStore) reach(ctx context.Context, at port.Partition) error {
 	s.w.mu.Lock()
-	f := *s.w.fault(s.node)
+	f, absence := *s.w.fault(s.node), s.w.absent[at]
 	s.w.mu.Unlock()
-	if f.StoreSilent {
+	if f.StoreSilent || absence == Silent {
 		return silence(ctx, callTimeout)
 	}
-	if f.StoreRefuses {
+	if f.StoreRefuses || absence == Refuses {
 		return errkind.New(errkind.LogUnavailable, "turned away")
 	}
 	select {
@@ -118,7 +138,7 @@
 const repeats = 5
 
 func (s *nodeStore) append(ctx context.Context, at port.Partition, wr port.Writer, records []port.Record) error {
-	if err := s.reach(ctx); err != nil {
+	if err := s.reach(ctx, at); err != nil {
 		return err
 	}
 	return s.answer(ctx, s.w.fencedAppend(at, wr, records))
@@ -146,7 +166,7 @@
 }
 
 func (s *nodeStore) put(ctx context.Context, at port.Partition, records []port.Record) error {
-	if err := s.reach(ctx); err != nil {
+	if err := s.reach(ctx, at); err != nil {
 		return err
 	}
 	s.w.Write(at, records...)
@@ -154,7 +174,7 @@
 }
 
 func (s *nodeStore) appendAt(ctx context.Context, at port.Partition, end uint64, records []port.Record) (uint64, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.reach(ctx, at); err != nil {
 		return 0, err
 	}
 	s.w.mu.Lock()
@@ -173,7 +193,7 @@
 const pageRecords = 500
 
 func (s *nodeStore) newest(ctx context.Context, at port.Partition, after string) (port.Page, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.reach(ctx, at); err != nil {
 		return port.Page{}, err
 	}
 	s.w.mu.Lock()
@@ -194,7 +214,7 @@
 }
 
 func (s *nodeStore) read(ctx context.Context, at port.Partition, from uint64, wait time.Duration) (port.Tail, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.reach(ctx, at); err != nil {
 		return port.Tail{}, err
 	}
 	until := time.After(wait)
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -25,9 +25,10 @@
 	instances  map[string]*instance
 	waves      map[int]*waveWork
 	jobs       map[job.ID]*submitted
-	faults     map[string]*Faults       // by node
-	policies   map[string]time.Duration // how long a ticket holds, by pool
-	ordersLost float64                  // share of the orders to instances that get no answer
+	faults     map[string]*Faults         // by node
+	absent     map[port.Partition]Absence // partitions that are away
+	policies   map[string]time.Duration   // how long a ticket holds, by pool
+	ordersLost float64                    // share of the orders to instances that get no answer
 	lives      int
 	alone      int                   // runs that have waited for the others of their gang in vain
 	limits     map[string][]setLimit // of customers, the oldest first
