Reports and orders to instances on a slow store

A report waits until the cordons asked for are kept, two appends, longer than the 0.4 s that the holder waits; and intents that took longer than 0.5 s to be kept were made anew (546, 617 and 542 ms), again and again. Change: a report waits for 0.1 s and then goes without; a worker counts as empty only once its cordon is kept, as before. An intent's time counts from three times what the last append took, so that its order may go out that much later, and the next holder counts from there. TestReportOnASlowStore: 608 ms before. TestOrdersGoOutOnASlowStore: none went out.

--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -23,7 +23,7 @@
 	Worker   worker.ID `cbor:"2,keyasint"`
 	To       string    `cbor:"3,keyasint"`
 	Wave     int       `cbor:"4,keyasint"`
-	At       int64     `cbor:"5,keyasint"` // milliseconds since 1970
+	At       int64     `cbor:"5,keyasint"` // from which its time counts, in milliseconds since 1970
 	Known    bool      `cbor:"6,keyasint"` // its outcome is
 	From     string    `cbor:"7,keyasint"`
 }
@@ -75,6 +75,7 @@
 func (m *Manager) act(ctx context.Context) error {
 	var due []*action
 	var records []port.Record
+	ahead := intentTimes * m.Journal.Took()
 	for _, name := range slices.Sorted(maps.Keys(m.view.actions)) {
 		a := m.view.actions[name]
 		if a.stage == settling || !m.granted(a) || m.wait(name) > 0 {
@@ -83,7 +84,7 @@
 		if i := m.view.instances[name]; i.Condition != port.Up {
 			continue
 		}
-		r, err := m.intent(a, false)
+		r, err := m.intent(a, false, ahead)
 		if err != nil {
 			return err
 		}
@@ -97,7 +98,7 @@
 	if err := m.Journal.Append(ctx, records); err != nil {
 		return err
 	}
-	if age := m.Clock.Now().Sub(written); age > intentAge {
+	if age := m.Clock.Now().Sub(written); age > intentAge+ahead {
 		m.Logger.Info().Str("event", "order").Int("instances", len(due)).Dur("age", age).Str("outcome", "put off").
 			Msg("intents took too long to be kept and are made anew")
 		return nil
@@ -111,9 +112,15 @@
 	return m.keepDone(ctx, due)
 }
 
-func (m *Manager) intent(a *action, known bool) (port.Record, error) {
+// intentTimes is how many times as long as the last append an intent may take to be kept, beside
+// intentAge: on a slow store it waits for an append that is under way, and then for its own.
+const intentTimes = 3
+
+// intent returns the record of an order that is given so much later than now at the most, and
+// within intentAge.
+func (m *Manager) intent(a *action, known bool, ahead time.Duration) (port.Record, error) {
 	value, err := codec.Marshal(intent{
-		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Date(m.Clock.Now()).UnixMilli(), Known: known, From: a.from,
+		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Date(m.Clock.Now().Add(ahead)).UnixMilli(), Known: known, From: a.from,
 	})
 	return port.Record{Key: keyIntent + a.instance, Value: value}, err
 }
@@ -160,7 +167,7 @@
 		if a.stage == ordered {
 			continue
 		}
-		r, err := m.intent(a, true)
+		r, err := m.intent(a, true, 0)
 		if err != nil {
 			return err
 		}
--- a/services/fleet/order_test.go
+++ b/services/fleet/order_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -49,3 +50,37 @@
 		assert.Assert(t, m.view.actions["i"] != nil, "%s: an order that may be carried out yet is forgotten", refusal)
 	}
 }
+
+// TestOrdersGoOutOnASlowStore: in a rush the store's answers take 70 times as long as usual, so
+// that an intent is kept after 0.6 s. Its order goes out all the same, and the next holder counts
+// from the latest moment at which it could have.
+func TestOrdersGoOutOnASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answer = 600 * time.Millisecond
+		w := world.New(1)
+		ordered := time.Time{}
+		claim := func(node string) *Manager {
+			m := &Manager{
+				Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: w.Store(node), Logger: log.Nop()},
+				Logger:  log.Nop(), Limits: Limits{Repair: time.Second, HolderLease: 3 * time.Second},
+				Instances: port.Instances{Move: func(context.Context, port.Permit, string, string) error {
+					ordered = time.Now()
+					return errkind.New(errkind.OutcomeUnknown, "no answer")
+				}},
+			}
+			assert.NilError(t, m.Claim(t.Context(), node))
+			return m
+		}
+		m := claim("n1")
+		m.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "off", Condition: port.Up}}
+		w.Set("n1", func(f *world.Faults) { f.StoreSlow = answer })
+		for range 2 { // the first shows how slow the store is
+			m.view.actions["i"] = &action{instance: "i", from: "off", to: "p", began: time.Now()}
+			assert.NilError(t, m.act(t.Context()))
+		}
+		assert.Assert(t, !ordered.IsZero(), "no order goes out")
+		next := claim("n2")
+		least := ordered.Add(unsettled - answer).Sub(time.Now())
+		assert.Assert(t, next.wait("i") >= least, "the next holder waits %s, not %s", next.wait("i"), least)
+	})
+}
--- a/services/fleet/rush_test.go
+++ b/services/fleet/rush_test.go
@@ -81,7 +81,9 @@
 	claim := func(node string) *Manager {
 		m := &Manager{
 			Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: w.Store(node), Logger: log.Nop()}, Logger: log.Nop(),
-			Report: func(context.Context, string, scheduler.Cordons) (scheduler.Report, error) { return scheduler.Report{}, nil },
+			Report: func(context.Context, string, scheduler.Cordons) (scheduler.Report, error) {
+				return scheduler.Report{}, nil
+			},
 		}
 		assert.NilError(t, m.Claim(t.Context(), node))
 		m.ask(t.Context(), "a", scheduler.Cordons{})
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -131,6 +131,13 @@
 	return stuck > max(least, slowTimes*j.took)
 }
 
+// Took returns how long the last append took that succeeded.
+func (j *Journal) Took() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.took
+}
+
 // Answered returns when an append was last answered that has shown that this process
 // still was the writer.
 func (j *Journal) Answered() time.Time {
--- a/services/journal/spare.go
+++ b/services/journal/spare.go
@@ -181,11 +181,7 @@
 func (j *Journal) maySpare() bool { return j.spare.mark.InUse && j.spare.fenced && j.spare.idle() }
 
 // spareAfter is how long the home may take to answer: where the store is slow, both are.
-func (j *Journal) spareAfter() time.Duration {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return max(spareLeast, slowTimes*j.took)
-}
+func (j *Journal) spareAfter() time.Duration { return max(spareLeast, slowTimes*j.Took()) }
 
 // isLate reports whether the home takes too long for records: an earlier append is under way
 // there, or theirs has been for a while.
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -397,21 +397,31 @@
 	return o.await(ctx, batch)
 }
 
+// reportWait is how long a report waits for the store to keep the cordons that it was asked for:
+// some appends of 4 ms. On a slow store the report goes without; no worker counts as empty in it
+// whose cordon is not kept, and what the pool needs is known all the same.
+const reportWait = 100 * time.Millisecond
+
 // Report returns what the pool tells of itself, after it has cordoned just the
-// workers that are asked for, and that is kept.
+// workers that are asked for.
 func (o *Owner) Report(ctx context.Context, asked scheduler.Cordons) (scheduler.Report, error) {
-	err := o.keep(ctx, func() (uint64, error) {
+	bounded, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	err := o.keep(bounded, func() (uint64, error) {
 		batch, err := o.pool.Cordon(asked, o.Clock.Now())
 		if err == nil {
 			o.attend()
 		}
 		return batch, err
 	})
-	if err != nil {
+	if err != nil && (bounded.Err() == nil || ctx.Err() != nil) {
 		return scheduler.Report{}, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err := o.live(); err != nil {
+		return scheduler.Report{}, err
+	}
 	return o.pool.Report(asked, o.Clock.Now()), nil
 }
 
--- a/services/owner/submit_test.go
+++ b/services/owner/submit_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -69,3 +70,35 @@
 		<-ended
 	})
 }
+
+// TestReportOnASlowStore: the store's answers take 0.3 s, and the holder of the duty for instances
+// waits 0.4 s for a report. It has one at once, in which no worker is empty whose cordon is not
+// kept yet; in a rush it would learn no need else for as long as the store is slow.
+func TestReportOnASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answer, patience = 300 * time.Millisecond, 200 * time.Millisecond
+		w := world.New(1)
+		id := w.AddWorker("m-1", "p", "r-0", job.Size{CPU: 16000, MemoryMB: 65536})
+		o := open(t, w)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run(ctx) }()
+		o.See(ctx, []worker.Worker{{ID: id, Pool: "p", Instance: "m-1", Address: string(id), Capacity: job.Size{CPU: 16000, MemoryMB: 65536}}}, true)
+		time.Sleep(time.Second)
+		w.Set("n1", func(f *world.Faults) { f.StoreSlow = answer })
+		began, empty := time.Now(), time.Duration(0)
+		for n := uint64(1); empty == 0; n++ {
+			asked := time.Now()
+			r, err := o.Report(ctx, scheduler.Cordons{Epoch: 1, Number: n, Workers: []scheduler.Cordoned{{ID: id}}})
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(asked) <= patience, "a report took %s", time.Since(asked))
+			assert.Equal(t, len(r.Workers), 1)
+			if r.Workers[0].Empty {
+				empty = time.Since(began)
+			}
+		}
+		assert.Assert(t, empty >= answer, "the cordon was kept after %s", empty)
+		cancel()
+		<-ended
+	})
+}
