Crashes: an order that has not reached the run's life holds nothing against its task

Of a start that a later life answers at its first try it is known that the run never began; and a call that may not be made twice went over a kept connection that the far end had ended, which made its outcome unknown. Change: such an answer takes the crash back, also where the life's end was seen by another order; before a call that may not be made twice the connection is looked at (one call of the kernel a start; looks, which may be repeated, cost nothing more). A start whose first order got no answer still counts as one that may have begun.

--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -65,7 +65,7 @@
 // nothing was sent, any other that the call may have been taken.
 func (c *Client) Do(ctx context.Context, r Request, timeout time.Duration) (Response, error) {
 	began := time.Now()
-	ch, err := c.take(ctx)
+	ch, err := c.take(ctx, r)
 	if err != nil {
 		return Response{}, errkind.New(errkind.NoTarget, "%s: %v", c.Address, err)
 	}
@@ -139,24 +139,41 @@
 	}
 }
 
-// take returns an idle channel or a fresh one.
-func (c *Client) take(ctx context.Context) (*channel, error) {
+// take returns an idle channel or a fresh one. Before a call that may not be made twice it is
+// looked whether the far end has ended the channel: the call's outcome would be unknown.
+func (c *Client) take(ctx context.Context, r Request) (*channel, error) {
+	for {
+		ch, err := c.takeIdle()
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case ch == nil:
+			return c.open(ctx)
+		case ch.conn.Silent():
+		case !r.Repeatable && ch.conn.Ended():
+			_ = ch.conn.Close() // nothing is under way on it
+		default:
+			ch.used = true
+			return ch, nil
+		}
+	}
+}
+
+// takeIdle returns an idle channel, nil for none.
+func (c *Client) takeIdle() (*channel, error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.closed {
-		c.mu.Unlock()
 		return nil, errors.New("the client is closed")
 	}
-	for n := len(c.idle); n > 0; n = len(c.idle) {
-		ch := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		if !ch.conn.Silent() {
-			c.mu.Unlock()
-			ch.used = true
-			return ch, nil
-		}
+	n := len(c.idle)
+	if n == 0 {
+		return nil, nil
 	}
-	c.mu.Unlock()
-	return c.open(ctx)
+	ch := c.idle[n-1]
+	c.idle = c.idle[:n-1]
+	return ch, nil
 }
 
 // open returns a fresh channel.
--- a/modules/silence/silence.go
+++ b/modules/silence/silence.go
@@ -4,9 +4,11 @@
 package silence
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -56,6 +58,27 @@
 // Silent reports whether the connection was found silent, and ended for that.
 func (c *Conn) Silent() bool { return c.silent.Load() }
 
+// Ended reports whether the far end has ended a connection on which nothing is waited for, or
+// has sent what nobody has asked for. It costs a call of the kernel, and does not wait.
+func (c *Conn) Ended() bool {
+	raw, has := innermost(c.Conn).(syscall.Conn)
+	if !has {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true // it is closed
+	}
+	ended := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		ended = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		return true
+	})
+	return ended || err != nil
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.end.forget(c)
--- a/services/scheduler/answers.go
+++ b/services/scheduler/answers.go
@@ -18,6 +18,9 @@
 	w := o.Run.at
 	p.stamp++
 	p.heard(w, a, now)
+	if o.starts() && a.Verdict == port.OtherLife && !o.Run.unsure {
+		p.neverBegun(o.Run)
+	}
 	if o.Run.phase == over {
 		return false
 	}
@@ -30,6 +33,13 @@
 	return p.startAnswered(o.Run, a, now)
 }
 
+// neverBegun takes the news that no order for a run has reached the life it was meant for: that
+// was over before, and its end is not held against the run's task.
+func (p *Pool) neverBegun(u *run) {
+	u.sent = false
+	p.takeBackOf(u.at.info.ID, u.ref, func(crash) bool { return true }, "its order has not reached the worker")
+}
+
 func (p *Pool) startAnswered(u *run, a port.Answer, now time.Time) bool {
 	e := p.Logger.Info().Str("event", "start").Str("task", u.name).Int("run", u.number).Str("worker", string(u.at.info.ID)).
 		Str("outcome", string(a.Verdict)).Int("try", u.tries).Dur("kept_for", now.Sub(u.kept)).Dur("sent_for", now.Sub(u.sentAt)).
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -246,19 +246,24 @@
 // takeBack takes a worker's crash back from the tasks it is held against, where allowed.
 func (p *Pool) takeBack(id worker.ID, allowed func(crash) bool, why string) {
 	for _, ref := range p.blamed[id] {
-		_, t := p.open(ref)
-		if t == nil {
-			continue
-		}
-		before := len(t.crashes)
-		t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.worker == id && allowed(c) })
-		if len(t.crashes) == before {
-			continue
-		}
-		p.crashesChange(ref)
-		p.Logger.Info().Str("event", "crash").Str("task", ref.String()).Str("worker", string(id)).Int("crashes", len(t.crashes)).
-			Str("outcome", "taken back").Str("why", why).Msg("a crash is not held against a task any more")
+		p.takeBackOf(id, ref, allowed, why)
+	}
+}
+
+// takeBackOf takes a worker's crash back from one task, where it is held against that and allowed.
+func (p *Pool) takeBackOf(id worker.ID, ref job.TaskRef, allowed func(crash) bool, why string) {
+	_, t := p.open(ref)
+	if t == nil {
+		return
+	}
+	before := len(t.crashes)
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.worker == id && allowed(c) })
+	if len(t.crashes) == before {
+		return
 	}
+	p.crashesChange(ref)
+	p.Logger.Info().Str("event", "crash").Str("task", ref.String()).Str("worker", string(id)).Int("crashes", len(t.crashes)).
+		Str("outcome", "taken back").Str("why", why).Msg("a crash is not held against a task any more")
 }
 
 // confirm takes the news that a worker which was silent until its leases were over has
