--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -50,9 +50,8 @@
 	asked    uint64        // questions to owners so far
 	view     view
 	lends    lending.Lender
-	asking   map[string]bool     // pools whose owner is being asked about allowances
-	past     map[string]intent   // newest order to each instance
-	rushes   map[string]lastRush // of the pools, as kept
+	asking   map[string]bool   // pools whose owner is being asked about allowances
+	past     map[string]intent // newest order to each instance
 	mu       sync.Mutex
 }
 
@@ -67,7 +66,6 @@
 	keyIntent = "i/" // with the instance's name
 	keyWave   = "w/" // with the wave's number
 	keyDone   = "d/" // with the wave's number and the instance's name
-	keyRush   = "r/" // with the pool's name
 )
 
 // The pace of the manager.
@@ -105,7 +103,6 @@
 	m.asking = make(map[string]bool)
 	m.lends = lending.Lender{Epoch: m.Epoch(), Logger: m.Logger}
 	m.past = make(map[string]intent)
-	m.rushes = make(map[string]lastRush)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[bar]bool), repair: m.Limits.Repair,
 	}
@@ -141,13 +138,6 @@
 			}
 			m.past[i.Instance] = i
 		}
-		if name, isRush := strings.CutPrefix(r.Key, keyRush); isRush {
-			var l lastRush
-			if err := codec.Unmarshal(r.Value, &l); err != nil {
-				return err
-			}
-			m.rushes[name] = l
-		}
 		if name, isWave := strings.CutPrefix(r.Key, keyWave); isWave {
 			var at int64
 			if err := codec.Unmarshal(r.Value, &at); err != nil {
@@ -253,9 +243,6 @@
 	if err := m.act(ctx); err != nil {
 		return err
 	}
-	if err := m.keepRushes(ctx); err != nil {
-		return err
-	}
 	return m.tellWaves(ctx)
 }
 
@@ -392,7 +379,7 @@
 	}
 	p := m.view.pools[pool]
 	if p == nil {
-		p = &poolState{rush: rush{lastRush: m.rushes[pool]}}
+		p = &poolState{}
 		m.view.pools[pool] = p
 	}
 	p.report, p.at = r, m.Clock.Now()
--- a/services/fleet/rush.go
+++ b/services/fleet/rush.go
@@ -4,14 +4,8 @@
 package fleet
 
 import (
-	"context"
-	"maps"
 	"math"
-	"slices"
 	"time"
-
-	"github.com/yardbridge/yardbridge/modules/codec"
-	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // A rush shows what it will need only while it climbs, over some three seconds, and each
@@ -35,21 +29,14 @@
 
 // rush is what is known of the rushes of a pool. Needs are in instances.
 type rush struct {
-	lastRush
 	calm  float64   // that what came between rushes kept busy, averaged
 	top   float64   // highest need of the rush under way, 0 for none
+	last  float64   // highest need of the last rush, 0 before the first
+	climb float64   // of that, in times of what came before
 	began time.Time // when the rise under way was first sure, zero for none
 	at    time.Time // when it was followed last
 }
 
-// lastRush is what is learned from a pool's last rush. It is kept in the journal, so that the next
-// holder of the duty expects as much.
-type lastRush struct {
-	_     struct{} `cbor:",toarray"`
-	Last  float64  // highest need, 0 before the first
-	Climb float64  // of that, in times of what came before
-}
-
 // follow takes what a pool needs, whether that surely rises, and what what comes keeps busy.
 func (r *rush) follow(need, comes float64, rises bool, now time.Time) {
 	step := now.Sub(r.at).Seconds()
@@ -69,7 +56,7 @@
 		return
 	}
 	if r.top > rushTimes*max(r.calm, 1) {
-		r.lastRush = lastRush{Last: r.top, Climb: r.top / max(r.calm, leastCalm)}
+		r.last, r.climb = r.top, r.top/max(r.calm, leastCalm)
 	}
 	r.began, r.top = time.Time{}, 0
 }
@@ -82,8 +69,8 @@
 	switch {
 	case r.began.IsZero() || now.Sub(r.began) > expectFor:
 		return 0
-	case r.Last > 0:
-		return r.Last
+	case r.last > 0:
+		return r.last
 	}
 	return min(max(r.calm, leastCalm)*climb, highest)
 }
@@ -106,38 +93,15 @@
 // and how many instances, at the least.
 func (v *view) climbs(pool string) (climb, highest float64) {
 	for name, p := range v.pools {
-		if name == pool || p.rush.Last == 0 {
+		if name == pool || p.rush.last == 0 {
 			continue
 		}
-		if climb == 0 || p.rush.Climb < climb {
-			climb = p.rush.Climb
+		if climb == 0 || p.rush.climb < climb {
+			climb = p.rush.climb
 		}
-		if highest == 0 || p.rush.Last < highest {
-			highest = p.rush.Last
+		if highest == 0 || p.rush.last < highest {
+			highest = p.rush.last
 		}
 	}
 	return climb, highest
 }
-
-// keepRushes keeps what was learned from rushes that are over.
-func (m *Manager) keepRushes(ctx context.Context) error {
-	var records []port.Record
-	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
-		l := m.view.pools[name].rush.lastRush
-		if l == m.rushes[name] {
-			continue
-		}
-		value, err := codec.Marshal(l)
-		if err != nil {
-			return err
-		}
-		records = append(records, port.Record{Key: keyRush + name, Value: value})
-		m.rushes[name] = l
-		m.Logger.Info().Str("event", "rush").Str("of", name).Float64("instances", l.Last).Float64("times", l.Climb).Str("outcome", "over").
-			Msg("a pool's rush is over; the next one is expected to need as much")
-	}
-	if len(records) == 0 {
-		return nil
-	}
-	return m.Journal.Append(ctx, records)
-}
