--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -163,14 +163,15 @@
 	}
 	var home, spare *pendingAppend // that carry the records
 	for {
+		var err error
 		if home == nil && j.home.idle() {
-			home = j.startHome(ctx, records)
+			home, err = j.startHome(ctx, records)
 		}
-		if spare == nil && j.maySpare() && j.isLate(home) {
-			var err error
-			if spare, err = j.startSpare(ctx, records); err != nil {
-				return err
-			}
+		if err == nil && spare == nil && j.maySpare() && j.isLate(home) {
+			spare, err = j.startSpare(ctx, records)
+		}
+		if err != nil {
+			return err
 		}
 		select {
 		case <-j.home.landed():
--- a/services/journal/spare.go
+++ b/services/journal/spare.go
@@ -274,48 +274,46 @@
 // wanted is the mark that is to be kept at home once all is there.
 func (j *Journal) wanted() spareMark {
 	s := &j.spare
-	silent := !s.idle() && j.Clock.Now().Sub(s.pending.began) > spareSilent
+	silent := !s.idle() && j.Clock.Now().Sub(s.pending.began) > max(spareSilent, slowTimes*j.Took())
 	return spareMark{InUse: s.fenced && !silent, Copied: s.session}
 }
 
 // startHome has records kept at home, with what is newer in the spare partition. Where that is
 // too much for one append, a part of it goes alone, and nil is returned.
-func (j *Journal) startHome(ctx context.Context, records []port.Record) *pendingAppend {
-	s := &j.spare
-	if j.Spare == (port.Partition{}) {
+func (j *Journal) startHome(ctx context.Context, records []port.Record) (*pendingAppend, error) {
+	s, m := &j.spare, j.wanted()
+	if j.Spare == (port.Partition{}) || m == s.mark {
 		a := j.home.next(records)
 		j.home.start(ctx, j, a)
-		return a
+		return a, nil
 	}
 	copies, all := s.copies(records)
-	sent := make(map[string]uint64, len(copies))
-	for _, r := range copies {
-		sent[r.Key] = s.newer[r.Key].version
+	if !all {
+		a := j.home.next(copies)
+		a.copies = s.versions(copies)
+		j.home.start(ctx, j, a)
+		return nil, nil
 	}
-	var a *pendingAppend
-	m := j.wanted()
-	switch value, err := codec.Marshal(m); {
-	case err != nil:
-		j.Logger.Error().Str("event", "spare").Err(err).Msg("the mark of the spare partition can't be written")
-		a = j.home.next(records)
-	case !all:
-		a = j.home.next(copies)
-	case m == s.mark && len(copies) == 0:
-		a = j.home.next(records)
-	default:
-		for _, r := range records {
-			sent[r.Key] = s.newer[r.Key].version
-		}
-		a = j.home.next(slices.Concat(copies, records, []port.Record{{Key: keySpare, Value: value}}))
-		a.mark = &m
-		s.mark.InUse = s.mark.InUse && m.InUse
+	value, err := codec.Marshal(m)
+	if err != nil {
+		return nil, err
 	}
-	a.copies = sent
+	a := j.home.next(slices.Concat(copies, records, []port.Record{{Key: keySpare, Value: value}}))
+	a.copies, a.mark = s.versions(copies, records), &m
+	s.mark.InUse = s.mark.InUse && m.InUse // what is on its way out of use is used no more
 	j.home.start(ctx, j, a)
-	if !all {
-		return nil
+	return a, nil
+}
+
+// versions returns which versions of records are newer in the spare partition, by key.
+func (s *spareWriter) versions(lists ...[]port.Record) map[string]uint64 {
+	versions := make(map[string]uint64)
+	for _, r := range slices.Concat(lists...) {
+		if n, has := s.newer[r.Key]; has {
+			versions[r.Key] = n.version
+		}
 	}
-	return a
+	return versions
 }
 
 // copies returns what is newer in the spare partition than at home and not among records
