--- a/services/scheduler/arrival.go
+++ b/services/scheduler/arrival.go
@@ -36,7 +36,6 @@
 // arrivals is how much work comes, as the room that it keeps busy.
 type arrivals struct {
 	usual, quick average
-	ramp         ramp
 }
 
 // average is a mean that forgets what came long ago.
@@ -71,7 +70,6 @@
 	for _, w := range work {
 		cpu += float64(w.size.CPU) * w.seconds
 	}
-	a.ramp.add(now, cpu)
 	for _, of := range []struct {
 		mean *average
 		span time.Duration
@@ -97,21 +95,19 @@
 func (a *arrivals) rate(now time.Time) job.Size {
 	a.usual.fade(usualSpan, now)
 	a.quick.fade(quickSpan, now)
-	return a.usual.room(usualSpan).Scale(a.rise(now))
+	return a.usual.room(usualSpan).Scale(a.rise())
 }
 
 // rise returns how many times what the usual average shows is to be expected.
-func (a *arrivals) rise(now time.Time) float64 {
+func (a *arrivals) rise() float64 {
 	usual, quick := a.usual.cpu/usualSpan.Seconds(), a.quick.cpu/quickSpan.Seconds()
-	if usual <= 0 {
+	errs := errorShare * math.Sqrt(a.quick.squares) / quickSpan.Seconds()
+	if usual <= 0 || quick-usual < surelyRises*errs {
 		return 1
 	}
-	expected := max(usual, a.ramp.expects(now, addTime))
-	if errs := errorShare * math.Sqrt(a.quick.squares) / quickSpan.Seconds(); quick-usual >= surelyRises*errs {
-		slope := (quick - usual) / (usualSpan - quickSpan).Seconds()
-		expected = max(expected, min(quick+slope*(quickSpan+addTime).Seconds(), risesMost*quick))
-	}
-	return expected / usual
+	slope := (quick - usual) / (usualSpan - quickSpan).Seconds()
+	expected := quick + slope*(quickSpan+addTime).Seconds()
+	return min(expected, risesMost*quick) / usual
 }
 
 // room returns the room that the work keeps busy.
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -126,7 +126,7 @@
 
 // Report returns what the pool tells of itself to who has asked.
 func (p *Pool) Report(asked Cordons, now time.Time) Report {
-	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Rises: p.arrivals.rise(now) > 1, Slack: seconds(p.slack.value)}
+	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Rises: p.arrivals.rise() > 1, Slack: seconds(p.slack.value)}
 	for id, w := range p.workers {
 		o := WorkerReport{
 			ID: id, Instance: w.info.Instance, Open: w.open(now), Runs: len(w.runs), Used: w.used,
