--- /dev/null
+++ b/services/steward/tenure.go
@@ -0,0 +1,140 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/directory"
+)
+
+// claim begins to claim a pool unless that is under way.
+func (s *Steward) claim(pool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.running == nil || s.running.Err() != nil || s.Config() == nil || s.owned[pool] != nil || s.claiming[pool] {
+		return
+	}
+	if s.claiming == nil {
+		s.claiming = make(map[string]bool)
+		s.refused = make(map[string]error)
+		s.owned = make(map[string]*Tenant)
+	}
+	s.claiming[pool] = true
+	s.tasks.Add(1)
+	go tenure{s, pool}.run(s.running)
+}
+
+// tenure is the ownership of one pool by this node, from the claim to the end.
+type tenure struct {
+	s    *Steward
+	pool string
+}
+
+// run claims the pool and serves it until it is not owned any more.
+func (t tenure) run(ctx context.Context) {
+	defer t.s.tasks.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o, err := t.claim(ctx)
+	t.s.mu.Lock()
+	delete(t.s.claiming, t.pool)
+	t.s.refused[t.pool] = err
+	if err == nil {
+		o.cancel, o.since = cancel, t.s.Clock.Now()
+		t.s.owned[t.pool] = o
+	}
+	t.s.mu.Unlock()
+	if err != nil {
+		t.s.Logger.Info().Str("event", "claim").Str("pool", t.pool).Err(err).Str("outcome", "not owner").Msg("a pool was not claimed")
+		return
+	}
+	err = o.Run(ctx)
+	t.s.mu.Lock()
+	delete(t.s.owned, t.pool)
+	t.s.mu.Unlock()
+	t.s.Logger.Info().Str("event", "ownership-end").Str("pool", t.pool).Uint64("epoch", o.Epoch()).AnErr("why", err).
+		Msg("a pool is not owned any more")
+}
+
+// claim claims the pool and tells all nodes.
+func (t tenure) claim(ctx context.Context) (*Tenant, error) {
+	self := t.s.Directory.Self
+	slot, err := t.s.Directory.Slot(ctx, t.pool, t.s.Duties(t.s.Config()))
+	if err != nil {
+		return nil, err
+	}
+	o := t.s.Open(t.pool, slot)
+	if err := o.Claim(ctx, self.Name); err != nil {
+		return nil, err
+	}
+	go telling{t.s, directory.Ownership{Pool: t.pool, Slot: slot, Epoch: o.Epoch(), Node: self.Name, Life: self.Life}, o}.run(ctx)
+	return o, nil
+}
+
+// telling publishes an ownership until that has succeeded.
+type telling struct {
+	s         *Steward
+	ownership directory.Ownership
+	tenant    *Tenant
+}
+
+// run publishes the ownership.
+func (t telling) run(ctx context.Context) {
+	for {
+		err := t.s.Directory.Publish(ctx, t.ownership)
+		if err == nil {
+			return
+		}
+		t.s.Logger.Warn().Str("event", "publish").Str("pool", t.ownership.Pool).Err(err).Msg("an ownership could not be told")
+		select {
+		case <-t.s.Clock.After(lookPeriod):
+		case <-t.tenant.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Assume claims a pool at the wish of its owner, and returns the ownership once
+// it is owned here.
+func (s *Steward) Assume(ctx context.Context, pool string) (directory.Ownership, error) {
+	s.claim(pool)
+	for {
+		s.mu.Lock()
+		t, claiming, refused := s.owned[pool], s.claiming[pool], s.refused[pool]
+		s.mu.Unlock()
+		if t != nil {
+			return s.ownership(pool, t), nil
+		}
+		if !claiming && errkind.Is(refused, errkind.LogUnavailable) {
+			return directory.Ownership{}, errkind.New(errkind.LogUnavailable, "pool %s was not claimed: %v", pool, refused)
+		}
+		if !claiming {
+			return directory.Ownership{}, errkind.New(errkind.Fenced, "pool %s was not claimed", pool)
+		}
+		select {
+		case <-s.Clock.After(assumePoll):
+		case <-ctx.Done():
+			return directory.Ownership{}, errkind.New(errkind.OutcomeUnknown, "pool %s is being claimed", pool)
+		}
+	}
+}
+
+// ownership returns what the directory is to say of a duty that this node owns.
+func (s *Steward) ownership(duty string, t *Tenant) directory.Ownership {
+	self := s.Directory.Self
+	o := directory.Ownership{Pool: duty, Epoch: t.Epoch(), Node: self.Name, Life: self.Life}
+	if v, _ := s.Directory.View(); v != nil {
+		o.Slot = v.Pools[duty].Slot
+	}
+	return o
+}
+
+// assumePoll is how often a node that was asked to take a pool over looks
+// whether it has.
+const assumePoll = 5 * time.Millisecond
