--- a/services/fleet/order_test.go
+++ b/services/fleet/order_test.go
@@ -80,7 +80,7 @@
 		}
 		assert.Assert(t, !ordered.IsZero(), "no order goes out")
 		next := claim("n2")
-		least := ordered.Add(unsettled - answer).Sub(time.Now())
+		least := time.Until(ordered.Add(unsettled - answer))
 		assert.Assert(t, next.wait("i") >= least, "the next holder waits %s, not %s", next.wait("i"), least)
 	})
 }
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -103,11 +103,8 @@
 // writer is fenced until the next one has read all: two answers, of which the first is that of
 // the fence. All that the last writer has kept meanwhile is there.
 func TestATakeOverOnASlowStoreIsShort(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, w *world.World) {
 		const keys = 1500
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := world.New(1)
 		last := newJournal(w, "n1")
 		_, err := last.Claim(ctx, "n1")
 		assert.NilError(t, err)
--- a/services/journal/spare_test.go
+++ b/services/journal/spare_test.go
@@ -29,6 +29,15 @@
 	return &Journal{Partition: homeAt, Spare: spareAt, Store: w.Store(node), Logger: log.Nop()}
 }
 
+// inBubble plays a test with a clock of its own, and a context that ends before it does.
+func inBubble(t *testing.T, play func(t *testing.T, ctx context.Context, w *world.World)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		play(t, ctx, world.New(1))
+	})
+}
+
 // values returns what records hold, the journal's own ones left out.
 func values(records []port.Record) map[string]string {
 	kept := make(map[string]string)
@@ -49,10 +58,7 @@
 // before it answers again, and an owner refuses what comes after 0.4 s.
 func TestARushWhileThePartitionIsAway(t *testing.T) {
 	for _, absence := range []world.Absence{world.Refuses, world.Silent} {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			w := world.New(1)
+		inBubble(t, func(t *testing.T, ctx context.Context, w *world.World) {
 			j := newJournal(w, "n1")
 			_, err := j.Claim(ctx, "n1")
 			assert.NilError(t, err)
@@ -97,10 +103,7 @@
 // TestNextWriterReadsTheSpare: a writer is gone while its records are in the spare partition;
 // the next one, which comes as both answer, has them all, and what was taken away is gone.
 func TestNextWriterReadsTheSpare(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := world.New(1)
+	inBubble(t, func(t *testing.T, ctx context.Context, w *world.World) {
 		j := newJournal(w, "n1")
 		_, err := j.Claim(ctx, "n1")
 		assert.NilError(t, err)
@@ -137,10 +140,7 @@
 // answer is lost, and the home goes silent as the spare one answers again: nothing may be kept
 // there any more, since whoever claims the journal does not look there.
 func TestOutOfUseHoldsAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		w := world.New(1)
+	inBubble(t, func(t *testing.T, ctx context.Context, w *world.World) {
 		j := newJournal(w, "n1")
 		_, err := j.Claim(ctx, "n1")
 		assert.NilError(t, err)
