--- a/node/node.go
+++ b/node/node.go
@@ -174,7 +174,7 @@
 // open returns a tenant for a duty.
 func (n *Node) open(duty string, slot int) *steward.Tenant {
 	logger := n.Logger.With().Str("pool", duty).Logger()
-	j := &journal.Journal{Partition: n.partition(slot), Spare: n.spare(slot), Store: n.Ports.Store, Clock: n.Clock, Logger: logger}
+	j := &journal.Journal{Partition: n.partition(slot), Spare: n.spare(slot), Store: n.Ports.Store, Clock: n.Clock, Logger: logger, Count: n.Ports.Count}
 	if duty == fleetDuty {
 		return n.openFleet(j, logger)
 	}
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -24,6 +24,8 @@
 	Store  port.Store
 	Clock  clock.Clock
 	Logger log.Logger
+	// Count adds one to a counter, nil for none.
+	Count func(counter string)
 
 	calls chan struct{} // holds a token while an append is under way; taken before mu
 	home  partWriter    // of Partition; who holds the token uses it
--- a/services/journal/spare.go
+++ b/services/journal/spare.go
@@ -251,6 +251,7 @@
 	if len(s.newer) == 0 && len(records) > 0 {
 		j.Logger.Warn().Str("event", "spare").Str("topic", j.Spare.Topic).Int("part", j.Spare.Part).Uint64("session", s.session.Number).
 			Str("outcome", "used").Msg("the partition does not answer; records go to the spare one")
+		j.count(spareUsed)
 	}
 	a := s.next(wrapped)
 	s.asked = j.Clock.Now()
@@ -362,7 +363,21 @@
 		s.mark = *a.mark
 	}
 	if before > 0 && len(s.newer) == 0 {
+		j.count(spareCopied)
 		j.Logger.Info().Str("event", "spare").Int("records", before).Str("outcome", "copied").Msg("the partition answers again; it has all records")
 	}
 	return nil
 }
+
+// The counters of a journal.
+const (
+	spareUsed   = "spare.used"   // records began to go to a spare partition
+	spareCopied = "spare.copied" // all of them were at home again
+)
+
+// count adds one to a counter.
+func (j *Journal) count(counter string) {
+	if j.Count != nil {
+		j.Count(counter)
+	}
+}
