--- a/services/fleet/tally.go
+++ b/services/fleet/tally.go
@@ -144,12 +144,10 @@
 }
 
 // free returns the instances of a pool that nothing is done to and that may be
-// taken, those that can go soonest first.
+// taken, those with the least to move first.
 func (v *view) free(pool string) []port.Instance { return slices.Clone(v.tally.free[pool]) }
 
-// sortFree sorts instances: those with the fewest tasks that last to be moved first, and of
-// them those that will be empty soonest. In a rush half of the time until an instance comes to the
-// pool that needs it is that until its last run has ended.
+// sortFree sorts instances, those with the least to move first.
 func (v *view) sortFree(list []port.Instance) {
 	var none workerOfAPool
 	runs := make(map[string]*workerOfAPool, len(list))
@@ -158,7 +156,7 @@
 	}
 	slices.SortFunc(list, func(a, b port.Instance) int {
 		x, y := runs[a.Name], runs[b.Name]
-		return cmp.Or(cmp.Compare(x.Lasting, y.Lasting), cmp.Compare(x.EmptyMS, y.EmptyMS), cmp.Compare(x.Runs, y.Runs), cmp.Compare(x.Used.CPU, y.Used.CPU),
+		return cmp.Or(cmp.Compare(x.Lasting, y.Lasting), cmp.Compare(x.Runs, y.Runs), cmp.Compare(x.Used.CPU, y.Used.CPU),
 			cmp.Compare(a.Name, b.Name))
 	})
 }
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -122,9 +122,6 @@
 	Lasting  int       `json:"lasting"` // runs of tasks that last
 	Runs     int       `json:"runs"`    // all runs
 	Used     job.Size  `json:"used"`
-	// EmptyMS is in how many milliseconds the other runs will have ended or been moved, if
-	// nothing is placed there any more.
-	EmptyMS int64 `json:"empty_ms,omitempty"`
 }
 
 // Report returns what the pool tells of itself to who has asked.
@@ -136,7 +133,6 @@
 			Empty: w.cordoned && w.cordonIn <= p.committed && len(w.runs) == 0,
 		}
 		for _, u := range w.runs {
-			o.EmptyMS = max(o.EmptyMS, p.leftOf(u, now).Milliseconds())
 			switch {
 			case u.stray:
 				continue
@@ -312,38 +308,12 @@
 		if w.info.Draining && !w.cordoned || p.mayMiss(s) && p.elsewhere(s, now) {
 			p.stop(u, now, "its worker is to be left")
 		}
-	case p.worthMoving(u, now):
-		p.stop(u, now, "its worker is to be left, and it can go on elsewhere")
-	}
-}
-
-// worthMoving reports whether a run goes on elsewhere rather than end on a worker that is to
-// be left.
-func (p *Pool) worthMoving(u *run, now time.Time) bool {
-	s := u.step()
-	return s.spec.Checkpoints && !s.spec.Gang && p.expectStep(u.job, s)-now.Sub(u.began) > p.Limits.StopTime+moveWorth
-}
-
-// overdueShare is of the time that a run was expected to take how much it may go on where that
-// is over: on the mean of run times whose logarithms scatter by 0.42.
-const overdueShare = 0.25
-
-// leftOf returns in which time a run will have ended, or been moved, on a worker that is to be
-// left; 0 for one that lasts, whose move takes no part of the worker's own time.
-func (p *Pool) leftOf(u *run, now time.Time) time.Duration {
-	switch {
-	case u.stray || u.stopping:
-		return p.Limits.StopTime
-	case u.step().spec.Lasting:
-		return 0
-	case u.phase == running && p.worthMoving(u, now):
-		return p.Limits.StopTime
-	}
-	takes, age := p.expectStep(u.job, u.step()), time.Duration(0)
-	if !u.began.IsZero() {
-		age = now.Sub(u.began)
+	case s.spec.Checkpoints && !s.spec.Gang:
+		left := p.expectStep(u.job, s) - now.Sub(u.began)
+		if left > p.Limits.StopTime+moveWorth {
+			p.stop(u, now, "its worker is to be left, and it can go on elsewhere")
+		}
 	}
-	return max(takes-age, time.Duration(overdueShare*float64(takes)))
 }
 
 // elsewhere reports whether a task of a step has room on an open worker.
