A spare partition is asked every half second whether it answers

By the logs the spare partition of a pool falls silent at 12.0 s, its owner is killed at 13.0 s, and nobody can claim the pool until 18.0 s: the home still says that the spare one is in use, since it was asked every 2 s and counted as silent after 0.4 s. Change: asked every 0.5 s, silent after 0.3 s; 100 calls a second at most for all duties of a deployment together. What is left is 0.8 s in which an owner's end meets a spare partition that has just gone. TestASilentSpareKeepsNobodyFromTheJournal failed before.

--- a/node/node.go
+++ b/node/node.go
@@ -157,6 +157,19 @@
 	return port.Partition{Topic: fmt.Sprintf("keyed.spares%d", slot/parts), Part: (slot + parts/2) % parts}
 }
 
+// spareShare is how much of each second one duty has for asking its spare partition: all together
+// make 100 calls a second at most, of some 1,000 that the store takes.
+const spareShare = 10 * time.Millisecond
+
+// sparePeriod returns how often a duty asks its spare partition whether it answers.
+func (n *Node) sparePeriod() time.Duration {
+	c := n.Gateway.Config()
+	if c == nil {
+		return 0
+	}
+	return time.Duration(len(duties(c))) * spareShare
+}
+
 // fleetDuty is the duty for the instances of all pools; a pool has another name.
 const fleetDuty = "!fleet"
 
@@ -174,7 +187,10 @@
 // open returns a tenant for a duty.
 func (n *Node) open(duty string, slot int) *steward.Tenant {
 	logger := n.Logger.With().Str("pool", duty).Logger()
-	j := &journal.Journal{Partition: n.partition(slot), Spare: n.spare(slot), Store: n.Ports.Store, Clock: n.Clock, Logger: logger, Count: n.Ports.Count}
+	j := &journal.Journal{
+		Partition: n.partition(slot), Spare: n.spare(slot), SparePeriod: n.sparePeriod(), Store: n.Ports.Store, Clock: n.Clock, Logger: logger,
+		Count: n.Ports.Count,
+	}
 	if duty == fleetDuty {
 		return n.openFleet(j, logger)
 	}
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -20,10 +20,13 @@
 type Journal struct {
 	Partition port.Partition
 	// Spare is another partition of the same writer, the zero value for none.
-	Spare  port.Partition
-	Store  port.Store
-	Clock  clock.Clock
-	Logger log.Logger
+	Spare port.Partition
+	// SparePeriod is how often the spare partition is asked whether it answers, 0 for as often
+	// as is of use.
+	SparePeriod time.Duration
+	Store       port.Store
+	Clock       clock.Clock
+	Logger      log.Logger
 	// Count adds one to a counter, nil for none.
 	Count func(counter string)
 
--- a/services/journal/spare.go
+++ b/services/journal/spare.go
@@ -61,11 +61,12 @@
 	// spareLeast is how long the home may take to answer before records go to the spare
 	// partition: the store answers in 4 ms, and an owner refuses what comes after 0.4 s.
 	spareLeast = 200 * time.Millisecond
-	// sparePeriod is how often the spare partition is asked whether it answers: 0.5 calls a
-	// second for each journal.
-	sparePeriod = 2 * time.Second
+	// sparePeriod is how often the spare partition is asked at the most whether it answers. Where
+	// it falls silent and its writer is gone before the mark says so, nobody can claim the
+	// journal until it answers again: for as long as this period and spareSilent.
+	sparePeriod = 500 * time.Millisecond
 	// spareSilent is how long it may take to answer before it is taken out of use.
-	spareSilent = 400 * time.Millisecond
+	spareSilent = 300 * time.Millisecond
 )
 
 // copyBytes is how much is copied home in one append; the store takes 2 MiB, and a batch of
@@ -204,7 +205,7 @@
 	if j.Spare == (port.Partition{}) {
 		return nil
 	}
-	if !s.idle() || s.fenced && j.Clock.Now().Sub(s.asked) < sparePeriod {
+	if !s.idle() || s.fenced && j.Clock.Now().Sub(s.asked) < max(sparePeriod, j.SparePeriod) {
 		return nil
 	}
 	s.asked = j.Clock.Now()
--- a/services/journal/spare_test.go
+++ b/services/journal/spare_test.go
@@ -136,6 +136,35 @@
 	})
 }
 
+// TestASilentSpareKeepsNobodyFromTheJournal: a spare partition falls silent for six seconds, and one
+// second later its writer is gone, in a rush. The home says by then that the spare one is out of
+// use, and the next writer claims the journal at once. Seen on a day of our own (a third of the store
+// away, then two nodes killed): a pool had no owner for five seconds, since its spare partition
+// was asked every two seconds only; its log has twelve claims that the silent one has ended.
+func TestASilentSpareKeepsNobodyFromTheJournal(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, w *world.World) {
+		for start := time.Duration(0); start < time.Second; start += 90 * time.Millisecond {
+			tenancy, gone := context.WithCancel(ctx)
+			j := newJournal(w, "n1")
+			_, err := j.Claim(tenancy, "n1")
+			assert.NilError(t, err)
+			keepFor := func(d time.Duration) {
+				for began := time.Now(); time.Since(began) < d; time.Sleep(rushGap) {
+					assert.NilError(t, j.Append(tenancy, []port.Record{{Key: "k", Value: []byte("1")}}))
+				}
+			}
+			keepFor(time.Second + start)
+			w.SetAbsent(spareAt, world.Silent)
+			keepFor(time.Second)
+			gone()
+			_, err = newJournal(w, "n2").Claim(ctx, "n2")
+			assert.NilError(t, err, "after %s", start)
+			w.SetAbsent(spareAt, world.Present)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // TestOutOfUseHoldsAtOnce: the mark that takes a silent spare partition out of use is kept, its
 // answer is lost, and the home goes silent as the spare one answers again: nothing may be kept
 // there any more, since whoever claims the journal does not look there.
