--- a/services/journal/claim.go
+++ b/services/journal/claim.go
@@ -156,10 +156,7 @@
 // fenced: what was added meanwhile is taken from its history, and all is read again only where
 // that is gone.
 func (j *Journal) readOn(ctx context.Context, before reading) ([]port.Record, error) {
-	newest := make(map[string]port.Record, len(before.records))
-	for _, r := range before.records {
-		newest[r.Key] = r
-	}
+	newest := newestOf(before.records)
 	for from := before.end; ; {
 		var tail port.Tail
 		err := j.again(ctx, func() (err error) {
@@ -173,22 +170,40 @@
 			return nil, err
 		}
 		for _, r := range tail.Records {
-			newest[r.Key] = r
-			if len(r.Value) == 0 {
-				delete(newest, r.Key)
-			}
+			newest.put(r)
 		}
 		if from += uint64(len(tail.Records)); from >= tail.End || len(tail.Records) == 0 {
-			return inOrder(newest), nil
+			return newest.inOrder(), nil
 		}
 	}
 }
 
-// inOrder returns records by their keys.
-func inOrder(newest map[string]port.Record) []port.Record {
-	records := make([]port.Record, 0, len(newest))
-	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		records = append(records, newest[key])
+// newestRecords are the newest records of all keys, by key.
+type newestRecords map[string]port.Record
+
+// newestOf returns records of which each has another key.
+func newestOf(records []port.Record) newestRecords {
+	n := make(newestRecords, len(records))
+	for _, r := range records {
+		n[r.Key] = r
+	}
+	return n
+}
+
+// put adds a newer record; one without a value takes its key away.
+func (n newestRecords) put(r port.Record) {
+	if len(r.Value) == 0 {
+		delete(n, r.Key)
+		return
+	}
+	n[r.Key] = r
+}
+
+// inOrder returns the records in the order of their keys.
+func (n newestRecords) inOrder() []port.Record {
+	records := make([]port.Record, 0, len(n))
+	for _, key := range slices.Sorted(maps.Keys(n)) {
+		records = append(records, n[key])
 	}
 	return records
 }
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -93,13 +93,13 @@
 		if j.maySpare() {
 			bounded, cancel = context.WithTimeout(ctx, j.spareAfter())
 		}
-		err := j.send(bounded, j.home.question(appendRetry))
+		err := j.send(bounded, j.home.question())
 		cancel()
 		if err == nil || isFenced(err) || ctx.Err() != nil || !j.maySpare() {
 			return err
 		}
 	}
-	return j.send(ctx, j.spare.question(appendRetry))
+	return j.send(ctx, j.spare.question())
 }
 
 // begin notes that an append is under way, until the function that it returns is called.
@@ -129,12 +129,11 @@
 
 // StuckFor reports whether an append has been under way for longer than a time, or
 // where the store is slow, for much longer than the one before it took.
-func (j *Journal) StuckFor(least time.Duration) bool {
-	stuck := j.Stuck()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return stuck > max(least, slowTimes*j.took)
-}
+func (j *Journal) StuckFor(least time.Duration) bool { return j.Stuck() > j.patience(least) }
+
+// patience returns how long an append may take: so long at least, and longer where the store
+// is slow.
+func (j *Journal) patience(least time.Duration) time.Duration { return max(least, slowTimes*j.Took()) }
 
 // Took returns how long the last append took that succeeded.
 func (j *Journal) Took() time.Duration {
--- a/services/journal/part_writer.go
+++ b/services/journal/part_writer.go
@@ -66,15 +66,15 @@
 }
 
 // question returns an append without records: it takes no sequence number.
-func (w *partWriter) question(pause time.Duration) *pendingAppend {
-	a := &pendingAppend{at: w.at, writer: w.writer, pause: pause}
+func (w *partWriter) question() *pendingAppend {
+	a := &pendingAppend{at: w.at, writer: w.writer, pause: appendRetry}
 	a.writer.Sequence++
 	return a
 }
 
 // next returns the append of records that follows the last one, or a question for none.
 func (w *partWriter) next(records []port.Record) *pendingAppend {
-	a := w.question(appendRetry)
+	a := w.question()
 	if a.records = records; len(records) > 0 {
 		w.writer.Sequence++
 	}
--- a/services/journal/spare.go
+++ b/services/journal/spare.go
@@ -100,7 +100,7 @@
 func (j *Journal) maySpare() bool { return j.spare.mark.InUse && j.spare.fenced && j.spare.idle() }
 
 // spareAfter is how long the home may take to answer: where the store is slow, both are.
-func (j *Journal) spareAfter() time.Duration { return max(spareLeast, slowTimes*j.Took()) }
+func (j *Journal) spareAfter() time.Duration { return j.patience(spareLeast) }
 
 // isLate reports whether the home takes too long for records: an earlier append is under way
 // there, or theirs has been for a while.
@@ -194,7 +194,7 @@
 // wanted is the mark that is to be kept at home once all is there.
 func (j *Journal) wanted() spareMark {
 	s := &j.spare
-	silent := !s.idle() && j.Clock.Now().Sub(s.pending.began) > max(spareSilent, slowTimes*j.Took())
+	silent := !s.idle() && j.Clock.Now().Sub(s.pending.began) > j.patience(spareSilent)
 	return spareMark{InUse: s.fenced && !silent, Copied: s.session}
 }
 
--- a/services/journal/spare_claim.go
+++ b/services/journal/spare_claim.go
@@ -67,10 +67,7 @@
 
 // merge returns the records at home with those of the spare partition that are newer.
 func (s *spareWriter) merge(home, kept []port.Record) ([]port.Record, error) {
-	newest := make(map[string]port.Record, len(home))
-	for _, r := range home {
-		newest[r.Key] = r
-	}
+	newest := newestOf(home)
 	for _, r := range kept {
 		if r.Key == keyClaim {
 			continue
@@ -83,11 +80,9 @@
 		if !v.Session.after(s.mark.Copied) {
 			continue
 		}
-		s.add(port.Record{Key: r.Key, Value: v.Value})
-		newest[r.Key] = s.newer[r.Key].record
-		if len(v.Value) == 0 {
-			delete(newest, r.Key)
-		}
+		newer := port.Record{Key: r.Key, Value: v.Value}
+		s.add(newer)
+		newest.put(newer)
 	}
-	return inOrder(newest), nil
+	return newest.inOrder(), nil
 }
