Workers' starts are read and told: born in their entries and in their lists of runs

Its entry and its list of runs carry its start by the platform's new term; both are read now, and lines of event=worker tell a start that has changed, with the highest number of an end that is listed against the one that is known. No decision rests on it yet.

--- a/models/worker/listing.go
+++ b/models/worker/listing.go
@@ -39,6 +39,7 @@
 // Listing is one answer of a worker to a look at it.
 type Listing struct {
 	Clock time.Duration // of the worker, which may be slow
+	Born  int64         // when the worker has started, as in Worker
 	Runs  []Run
 	Ends  []End
 }
--- a/models/worker/worker.go
+++ b/models/worker/worker.go
@@ -25,6 +25,7 @@
 	Draining   bool
 	Remaining  time.Duration // at least until it leaves, while it drains
 	Cold       time.Duration // during which it is still slow from its start
+	Born       int64         // when it has started, in milliseconds since 1970 by its machine's time of day; 0 where the platform does not tell
 	Revision   uint64        // of the list's record that said so
 }
 
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -82,6 +82,15 @@
 		w.met = true
 		p.moved = true
 	}
+	if listing.Born != w.born {
+		e := p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int64("born", listing.Born).Int64("born_before", w.born).
+			Int("runs", len(w.runs)).Int("ends", len(listing.Ends)).Int("sequence_before", w.seen)
+		if n := len(listing.Ends); n > 0 {
+			e = e.Int("sequence", listing.Ends[n-1].Sequence)
+		}
+		e.Msg("a worker answers with another start")
+		w.born = listing.Born
+	}
 	p.acquit(w.info.ID)
 	w.lingers = !w.listed
 	w.told = max(w.told, k.ask.Seen)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -33,6 +33,7 @@
 	clockAt  time.Time     // when that answer came
 	heardAt  time.Time     // when an answer came last that this life has given
 	rivals   bool          // other lives of its instance are known
+	born     int64         // when it has started, as it answered last; 0 where it has not told
 	deadline time.Duration // the latest on the worker's clock that was sent
 
 	orderedTo  time.Duration // the latest of those that an order has sent
@@ -139,7 +140,7 @@
 	if w == nil {
 		w = p.addWorker(info)
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Str("instance", info.Instance).
-			Str("address", info.Address).Strs("labels", info.Labels).Uint64("revision", info.Revision).Msg("a worker has come")
+			Str("address", info.Address).Strs("labels", info.Labels).Int64("born", info.Born).Uint64("revision", info.Revision).Msg("a worker has come")
 		p.compare(w)
 		w.listed = true
 		return true
@@ -149,6 +150,10 @@
 			Int("cpu_before", w.info.Capacity.CPU).Int("used_cpu", w.used.CPU).Uint64("revision", info.Revision).Msg("a worker's room has changed")
 		p.moved = true
 	}
+	if info.Born != w.info.Born {
+		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Int64("born", info.Born).Int64("born_before", w.info.Born).
+			Uint64("revision", info.Revision).Msg("a worker is listed with another start")
+	}
 	if info.Draining && !w.info.Draining {
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Dur("remaining", info.Remaining).
 			Uint64("revision", info.Revision).Msg("a worker drains")
