Known red: tasks that are done, or have failed, are begun again after their worker has restarted under its id

The model of the platform has workers that come back under the id that they had: with numbers of ends, clock, highest token and tickets that begin anew, an entry that is written at once or up to 2 s later, at times with a start that is smaller than the one before, and orders that are carried out late by whichever life has the id by then.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -51,6 +51,7 @@
 	Stay      bool              `toml:"stay"`     // no pool may change its owner after the first event
 	Once      bool              `toml:"once"`     // each event has the pools of its node change their owner once, and no others
 	Answer    tomlfile.Duration `toml:"answer"`   // the longest that a call of a caller may take, 0 for no limit
+	Restarts  bool              `toml:"restarts"` // workers that crash come back under their id
 	Gangs     bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
 	GiveUp    int               `toml:"give_up"`  // jobs that may be given up though they could be done, where two workers have crashed under a task
 }
@@ -218,6 +219,9 @@
 	for i := range st.script.Off {
 		st.world.AddInstance(fmt.Sprintf("m-off-%d", i), world.Headroom, fmt.Sprintf("r-%d", i%2), testCapacity)
 	}
+	if st.script.Restarts {
+		st.world.RestartUnderID()
+	}
 	st.configure(1)
 	for i := range st.script.Nodes {
 		n := &stagedNode{name: fmt.Sprintf("n%d", i+1), number: i + 1}
--- a/standin/world/advice.go
+++ b/standin/world/advice.go
@@ -75,5 +75,5 @@
 		return false
 	}
 	at, err := strconv.ParseInt(parts[2], 10, 64)
-	return err == nil && time.Since(time.Unix(0, at)) < valid
+	return err == nil && time.Since(time.Unix(0, at)) < valid && !time.Unix(0, at).Before(o.began)
 }
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -43,9 +43,9 @@
 		switch {
 		case cut:
 		case o.Deaf:
-			o.unheard = append(o.unheard, func() { o.take(token, do) })
+			o.unheard = append(o.unheard, func() { l.w.workers[l.id].take(token, do) })
 		default:
-			time.AfterFunc(o.Late, func() { l.w.carryOut(o, token, do) })
+			time.AfterFunc(o.Late, func() { l.w.carryOut(l.id, token, do) })
 		}
 		l.w.mu.Unlock()
 		_ = silence(ctx, callTimeout)
@@ -55,11 +55,11 @@
 	return o.take(token, do)
 }
 
-// carryOut carries a late order out.
-func (w *World) carryOut(o *Worker, token uint64, do func(o *Worker) port.Verdict) {
+// carryOut carries a late order out, at the life that the worker's id has by then.
+func (w *World) carryOut(id worker.ID, token uint64, do func(o *Worker) port.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !o.over {
+	if o := w.workers[id]; !o.over {
 		o.take(token, do)
 	}
 }
@@ -109,9 +109,13 @@
 	return port.Taken
 }
 
+// leaseMost is the longest lease that a worker adopts; a longer one is cut to it.
+const leaseMost = 10 * time.Second
+
 // extend adopts a deadline, and has what runs end once it is over. The lock is
 // held.
 func (o *Worker) extend(deadline time.Duration) {
+	deadline = min(deadline, o.clock()+leaseMost)
 	if deadline <= o.lease {
 		return
 	}
@@ -189,8 +193,7 @@
 
 // forget drops ends that were taken note of. The lock is held.
 func (o *Worker) forget(seen int) {
-	o.seen = max(o.seen, seen)
-	for len(o.ends) > 0 && o.ends[0].Sequence <= o.seen {
+	for len(o.ends) > 0 && o.ends[0].Sequence <= seen {
 		if o.ends[0].Sequence > o.void {
 			o.w.noted(o.ends[0])
 		}
@@ -200,7 +203,7 @@
 
 // listing returns what runs and what has ended. The lock is held.
 func (o *Worker) listing() worker.Listing {
-	var l worker.Listing
+	l := worker.Listing{Born: o.info.Born}
 	for _, r := range o.runs {
 		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r), Load: int(o.tail(r).Milliseconds())})
 	}
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -36,7 +36,6 @@
 	ended   map[string]int // the newest run that is over, by task
 	ends    []worker.End
 	next    int
-	seen    int
 	void    int       // ends up to this one do not count
 	harmed  time.Time // since when what fills keeps a serving task over its target
 	changed chan struct{}
@@ -68,16 +67,24 @@
 func (w *World) bringUp(i *instance, pool string) worker.ID {
 	w.lives++
 	id := worker.ID(fmt.Sprintf("i-%04d", w.lives))
+	w.list(w.begin(i, pool, id))
+	return id
+}
+
+// begin begins a life of an instance under an id. The lock is held.
+func (w *World) begin(i *instance, pool string, id worker.ID) *Worker {
 	o := &Worker{
 		w: w, began: time.Now(), runs: make(map[string]*running), ended: make(map[string]int), changed: make(chan struct{}),
 		info: worker.Worker{
 			ID: id, Instance: i.name, Pool: pool, Address: "worker-" + string(id), Labels: i.labels, Capacity: i.capacity,
 		},
 	}
+	if w.reborn {
+		o.info.Born = time.Now().UnixMilli()
+	}
 	i.pool, i.condition, i.life = pool, port.Up, id
 	w.workers[id] = o
-	w.list(o)
-	return id
+	return o
 }
 
 // workersAt is where workers are listed.
@@ -112,13 +119,20 @@
 	i := w.instances[o.info.Instance]
 	i.condition, i.life = port.Down, ""
 	time.AfterFunc(listedAfter, func() { w.unlist(id) })
-	time.AfterFunc(down, func() { w.back(i) })
+	time.AfterFunc(down, func() {
+		if !w.startAgain(o) {
+			w.back(i)
+		}
+	})
 }
 
+// unlist removes the entry of a worker, unless it lives.
 func (w *World) unlist(id worker.ID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.partition(workersAt).add([]port.Record{{Key: string(id)}})
+	if w.workers[id].over {
+		w.partition(workersAt).add([]port.Record{{Key: string(id)}})
+	}
 }
 
 // Relist lists all lives again that are over, for a while: what a worker said of
@@ -132,6 +146,10 @@
 			time.AfterFunc(relistedFor, func() { w.unlist(id) })
 		}
 	}
+	for _, o := range w.past {
+		w.list(o)
+		time.AfterFunc(relistedFor, func() { w.relistLiving(o.info.ID) })
+	}
 }
 
 // relistedFor is how long a life that is over stays listed once more.
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -30,6 +30,8 @@
 	policies   map[string]time.Duration   // how long a ticket holds, by pool
 	ordersLost float64                    // share of the orders to instances that get no answer
 	lives      int
+	reborn     bool                  // workers that crash come back under their id
+	past       []*Worker             // lives that are over and whose id another has
 	alone      int                   // runs that have waited for the others of their gang in vain
 	limits     map[string][]setLimit // of customers, the oldest first
 	unread     time.Time             // until when a node could not read the store
