A worker that starts again under its id is told from the start before

Cause: by a new term of the platform a worker may start again under the id that it had, and its numbers of ends, its clock and the highest token that it has seen begin anew. An owner knew a worker by its id alone. It skipped ends up to the number that it had seen before the restart, had the worker forget them unread, found the runs in no list, and began their tasks again.

Evidence: no end of a restarted worker was taken in, all ends of the others were.

What changes: a list of runs tells which start has answered, and a start that differs from the one before gets a state of its own. Until a look with a raised token was answered by it, nothing else is sent: what was on its way to the start before is refused from then on, runs that the next start lists or has ended go on as they are, and the others are over, as a crash. An order without an answer raises the token too, since it may be carried out seconds later. A look has a worker forget ends only where a list of its runs is fresh. Crashes are held against tasks by start, so that a worker's answer takes back only its own; the start under which an owner's runs began is kept for the next owner. Entries in the platform's list may be late, so one with another start only has the worker looked at; a smaller start is not an older one. Tickets and connections end with their start. An owner's token is its epoch and, below that, how often it was raised.

--- a/models/worker/worker.go
+++ b/models/worker/worker.go
@@ -9,14 +9,14 @@
 	"github.com/yardbridge/yardbridge/models/job"
 )
 
-// ID names a worker: one life of an instance. A restart, a move to another pool
-// and a crash end a life; the next one has another name.
+// ID names a worker of an instance. A move to another pool ends it; after a crash the next
+// one may have the same name, and only its start tells them apart.
 type ID string
 
 // Worker is what a worker says of itself in the platform's list.
 type Worker struct {
 	ID         ID
-	Instance   string // the instance that this is a life of
+	Instance   string // the instance that it runs on
 	Pool       string
 	Address    string // IP and port
 	DataCenter string
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -20,6 +20,7 @@
 	port   *port.Link
 	orders chan struct{}
 	look   chan struct{}
+	parent context.Context
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -69,11 +70,15 @@
 func (l *link) give() bool {
 	o := l.owner
 	o.mu.Lock()
+	if l.ctx.Err() != nil {
+		o.mu.Unlock()
+		return false // the next link has what is left
+	}
 	order, has := o.pool.NextOrder(l.id, o.Clock.Now())
 	if o.pool.Changed() {
 		o.poke() // orders that were given up have freed something
 	}
-	if !has || l.ctx.Err() != nil {
+	if !has {
 		o.mu.Unlock()
 		return false
 	}
@@ -157,7 +162,9 @@
 				}
 				continue
 			}
-			l.lookNow(wait)
+			if !l.lookNow(wait) {
+				return
+			}
 			continue
 		}
 		select {
@@ -185,15 +192,19 @@
 	}
 }
 
-// lookNow looks at the worker once.
-func (l *link) lookNow(wait time.Duration) {
+// lookNow looks at the worker once; it returns false once the link is closed.
+func (l *link) lookNow(wait time.Duration) bool {
 	o := l.owner
 	o.mu.Lock()
+	if l.ctx.Err() != nil {
+		o.mu.Unlock()
+		return false
+	}
 	o.isolate()
 	look, ask, known := o.pool.BeginLook(l.id, wait, o.Clock.Now())
 	o.mu.Unlock()
 	if !known {
-		return // the owner is about to end the link
+		return true // the owner is about to end the link
 	}
 	listing, answer := l.port.Look(l.ctx, ask)
 	o.mu.Lock()
@@ -202,4 +213,5 @@
 	o.mu.Unlock()
 	l.wake()
 	o.poke()
+	return true
 }
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -118,8 +118,16 @@
 	o.poke()
 }
 
-// attend wakes the links of workers that there are orders for. The lock is held.
+// attend wakes the links of workers that there are orders for, and opens those anew that are
+// of no use any more. The lock is held.
 func (o *Owner) attend() {
+	for _, id := range o.pool.Relink() {
+		if l := o.links[id]; l != nil {
+			l.close()
+			delete(o.links, id)
+			o.link(l.parent, id)
+		}
+	}
 	for _, id := range o.pool.Attention() {
 		if l := o.links[id]; l != nil {
 			l.wake()
@@ -173,7 +181,7 @@
 	if !known || o.links[id] != nil || ctx.Err() != nil || o.over != nil {
 		return
 	}
-	l := &link{owner: o, id: id, port: o.Workers.Open(w), orders: make(chan struct{}, 1), look: make(chan struct{}, 1)}
+	l := &link{owner: o, id: id, parent: ctx, port: o.Workers.Open(w), orders: make(chan struct{}, 1), look: make(chan struct{}, 1)}
 	o.links[id] = l
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	o.tasks.Add(2)
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -38,6 +38,7 @@
 	Step    job.StepRef
 	Workers []worker.ID
 	step    *stepState
+	asked   []*workerState // the workers' starts that it asks about
 }
 
 // admits reports whether a step may run on a worker as far as its queue's policy
@@ -72,7 +73,10 @@
 	if best == nil {
 		return Question{}, false
 	}
-	q := Question{Step: best.ref, Workers: p.toAsk(best, now), step: best}
+	q := Question{Step: best.ref, step: best, asked: p.toAsk(best, now)}
+	for _, w := range q.asked {
+		q.Workers = append(q.Workers, w.info.ID)
+	}
 	if len(q.Workers) == 0 {
 		best.askAfter = now.Add(askAgain)
 		return Question{}, false
@@ -155,7 +159,7 @@
 
 // toAsk returns the workers to ask about: those that may have room first, without
 // those that are known not to be allowed or that have a ticket.
-func (p *Pool) toAsk(s *stepState, now time.Time) []worker.ID {
+func (p *Pool) toAsk(s *stepState, now time.Time) []*workerState {
 	var list []*workerState
 	for _, w := range p.workers {
 		if !w.open(now) || s.admits(w, now) || s.barred[w.info.ID] {
@@ -169,11 +173,7 @@
 	slices.SortFunc(list, func(a, b *workerState) int {
 		return cmp.Or(cmp.Compare(s.seats(b), s.seats(a)), cmp.Compare(a.info.ID, b.info.ID))
 	})
-	var ids []worker.ID
-	for _, w := range list[:min(askMost, len(list))] {
-		ids = append(ids, w.info.ID)
-	}
-	return ids
+	return list[:min(askMost, len(list))]
 }
 
 // Advised takes the answer to a question.
@@ -194,7 +194,7 @@
 	valid := s.job.queue.Advice
 	for _, t := range tickets {
 		delete(s.barred, t.Worker)
-		if w := p.workers[t.Worker]; w != nil && valid != nil {
+		if w := p.workers[t.Worker]; w != nil && valid != nil && slices.Contains(q.asked, w) {
 			w.tickets[s.ref] = ticket{t.Text, now.Add(valid.Valid)}
 		}
 	}
--- a/services/scheduler/answers.go
+++ b/services/scheduler/answers.go
@@ -18,12 +18,17 @@
 	w := o.Run.at
 	p.stamp++
 	p.heard(w, a, now)
-	if o.starts() && a.Verdict == port.OtherLife && !o.Run.unsure {
+	overtaken := a.Verdict == port.TooLow && o.raised < w.raised // by an order with a higher token of this owner's
+	if o.starts() && (a.Verdict == port.OtherLife || overtaken) && !o.Run.unsure {
 		p.neverBegun(o.Run)
 	}
 	if o.Run.phase == over {
 		return false
 	}
+	if overtaken {
+		p.order(w, o)
+		return false
+	}
 	switch {
 	case o.Stop:
 		return p.stopAnswered(o.Run, a, now)
@@ -37,7 +42,7 @@
 // was over before, and its end is not held against the run's task.
 func (p *Pool) neverBegun(u *run) {
 	u.sent = false
-	p.takeBackOf(u.at.info.ID, u.ref, func(crash) bool { return true }, "its order has not reached the worker")
+	p.takeBackOf(u.at.life(), u.ref, func(crash) bool { return true }, "its order has not reached the worker")
 }
 
 func (p *Pool) startAnswered(u *run, a port.Answer, now time.Time) bool {
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -51,7 +51,7 @@
 
 // crash is a worker that has crashed under a task, as far as is known.
 type crash struct {
-	worker worker.ID
+	worker worker.Life
 	weight float64 // how likely the task was the cause, of 1: a share of what had just begun; 0 for one that had not
 	sure   bool    // the instance has another life; else its worker was silent until its leases were over
 }
@@ -160,11 +160,11 @@
 // hold holds a crash against a task, and reports whether it did: not for one that is done,
 // or twice.
 func (p *Pool) hold(s suspect, e event, now time.Time) bool {
-	t, j, id := s.run.task(), s.run.job, e.at.info.ID
-	if j.state.Final() || t.done || t.crashedOn(id) {
+	t, j, life := s.run.task(), s.run.job, e.at.life()
+	if j.state.Final() || t.done || t.crashedOn(life) {
 		return false
 	}
-	c := crash{worker: id, sure: e.sure}
+	c := crash{worker: life, sure: e.sure}
 	if s.fresh {
 		c.weight = 1 / float64(e.fresh*e.together)
 	}
@@ -173,10 +173,10 @@
 	}
 	t.crashes = append(t.crashes, c)
 	t.suspectSince = now
-	p.blamed[id] = append(p.blamed[id], s.run.ref)
+	p.blamed[life] = append(p.blamed[life], s.run.ref)
 	p.crashesChange(s.run.ref)
 	p.count(crashSuspected)
-	p.Logger.Info().Str("event", "crash").Str("task", s.run.name).Int("run", s.run.number).Str("worker", string(id)).
+	p.Logger.Info().Str("event", "crash").Str("task", s.run.name).Int("run", s.run.number).Str("worker", string(life.ID)).Int64("born", life.Born).
 		Int("crashes", len(t.crashes)).Float64("weight", t.weigh()).Bool("fresh", s.fresh).Int("all_fresh", e.fresh).Int("all", e.runs).
 		Bool("sure", c.sure).Int("together", e.together).Msg("a worker has crashed under a task")
 	return true
@@ -191,18 +191,18 @@
 	}
 	n := 1
 	near := func(o time.Time) bool { return o.Sub(at).Abs() < togetherTime }
-	maps.DeleteFunc(p.downs, func(_ worker.ID, o time.Time) bool { return now.Sub(o) > downsKept })
-	for id, o := range p.downs {
-		if id != w.info.ID && near(o) {
+	maps.DeleteFunc(p.downs, func(_ worker.Life, o time.Time) bool { return now.Sub(o) > downsKept })
+	for life, o := range p.downs {
+		if life != w.life() && near(o) {
 			n++
 		}
 	}
-	for id, o := range p.workers {
-		if _, counted := p.downs[id]; !counted && o != w && len(o.runs) > 0 && !o.silent.IsZero() && near(o.silent) {
+	for _, o := range p.workers {
+		if _, counted := p.downs[o.life()]; !counted && o != w && len(o.runs) > 0 && !o.silent.IsZero() && near(o.silent) {
 			n++
 		}
 	}
-	p.downs[w.info.ID] = at
+	p.downs[w.life()] = at
 	return n
 }
 
@@ -228,8 +228,8 @@
 }
 
 // crashedOn reports whether a crash is held against a task.
-func (t *taskState) crashedOn(id worker.ID) bool {
-	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.worker == id })
+func (t *taskState) crashedOn(life worker.Life) bool {
+	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.worker == life })
 }
 
 // suspected reports whether a task may crash the worker that it is begun on.
@@ -238,44 +238,44 @@
 }
 
 // acquit takes a worker's crash back: it has answered, so it was only cut off.
-func (p *Pool) acquit(id worker.ID) {
-	p.takeBack(id, func(crash) bool { return true }, "its worker answers")
-	delete(p.blamed, id)
+func (p *Pool) acquit(life worker.Life) {
+	p.takeBack(life, func(crash) bool { return true }, "its worker answers")
+	delete(p.blamed, life)
 }
 
 // takeBack takes a worker's crash back from the tasks it is held against, where allowed.
-func (p *Pool) takeBack(id worker.ID, allowed func(crash) bool, why string) {
-	for _, ref := range p.blamed[id] {
-		p.takeBackOf(id, ref, allowed, why)
+func (p *Pool) takeBack(life worker.Life, allowed func(crash) bool, why string) {
+	for _, ref := range p.blamed[life] {
+		p.takeBackOf(life, ref, allowed, why)
 	}
 }
 
 // takeBackOf takes a worker's crash back from one task, where it is held against that and allowed.
-func (p *Pool) takeBackOf(id worker.ID, ref job.TaskRef, allowed func(crash) bool, why string) {
+func (p *Pool) takeBackOf(life worker.Life, ref job.TaskRef, allowed func(crash) bool, why string) {
 	_, t := p.open(ref)
 	if t == nil {
 		return
 	}
 	before := len(t.crashes)
-	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.worker == id && allowed(c) })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.worker == life && allowed(c) })
 	if len(t.crashes) == before {
 		return
 	}
 	p.crashesChange(ref)
-	p.Logger.Info().Str("event", "crash").Str("task", ref.String()).Str("worker", string(id)).Int("crashes", len(t.crashes)).
+	p.Logger.Info().Str("event", "crash").Str("task", ref.String()).Str("worker", string(life.ID)).Int64("born", life.Born).Int("crashes", len(t.crashes)).
 		Str("outcome", "taken back").Str("why", why).Msg("a crash is not held against a task any more")
 }
 
 // confirm takes the news that a worker which was silent until its leases were over has
-// crashed: its instance has another life.
-func (p *Pool) confirm(id worker.ID) {
-	for _, ref := range p.blamed[id] {
+// crashed: its instance has another life, or it has started again.
+func (p *Pool) confirm(life worker.Life) {
+	for _, ref := range p.blamed[life] {
 		_, t := p.open(ref)
 		if t == nil {
 			continue
 		}
 		for i := range t.crashes {
-			if t.crashes[i].worker == id {
+			if t.crashes[i].worker == life {
 				t.crashes[i].sure = true
 			}
 		}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -56,7 +56,7 @@
 	perHost  map[*workerState]int // live runs by worker, where their number is limited
 	asking   bool                 // a question to the advice service is under way
 	askAfter time.Time            // when to ask again
-	barred   map[worker.ID]bool   // workers that the advice service has not named, by life; nil before it was asked
+	barred   map[worker.ID]bool   // workers that the advice service has not named; nil before it was asked
 }
 
 // taskState is one task.
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -8,6 +8,7 @@
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
@@ -18,6 +19,7 @@
 	ask    port.Look
 	sent   time.Time
 	before time.Duration // the worker's latest deadline without it
+	raised uint64        // part of its token
 }
 
 // BeginLook returns the look to send to a worker, and false where the worker is
@@ -29,17 +31,20 @@
 	}
 	p.stamp++
 	w.wantLook = false
-	ask := port.Look{Token: p.Token, Seen: w.kept, Wait: wait}
+	ask := port.Look{Token: p.token(w), Wait: wait}
+	if w.mayForget(now) {
+		ask.Seen = w.kept
+	}
 	before := w.deadline
 	w.extendedBy = 0
-	if w.met && w.silent.IsZero() && len(w.runs) > 0 && !p.Isolated {
+	if w.met && w.silent.IsZero() && !w.unproven && len(w.runs) > 0 && !p.Isolated {
 		ask.Deadline = w.extend(now, p.Limits.Lease)
 		w.extendedBy = p.stamp
 	}
-	if ask.Seen < w.seen {
-		ask.Wait = 0 // it would answer at once with ends that are known
+	if max(ask.Seen, w.told) < w.seen || w.unproven {
+		ask.Wait = 0 // it would answer at once with ends that are known, or has to
 	}
-	return Look{w, p.stamp, ask, now, before}, ask, true
+	return Look{w, p.stamp, ask, now, before, w.raised}, ask, true
 }
 
 // EndLook takes the answer to a look.
@@ -48,8 +53,17 @@
 	if p.workers[w.info.ID] != w {
 		return
 	}
-	p.heard(w, a, now)
 	w.looked = now
+	if a.Verdict == port.Taken && w.born > 0 && listing.Born == 0 {
+		a = port.Answer{Verdict: port.Unknown, Err: errkind.New(errkind.OutcomeUnknown, "a list of runs without the start of its worker")}
+	}
+	if a.Verdict == port.Taken && w.born > 0 && listing.Born != w.born {
+		if w = p.restarted(w, k, listing, now); w == nil {
+			return
+		}
+		w.looked = now
+	}
+	p.heard(w, a, now)
 	switch a.Verdict {
 	case port.Taken:
 	case port.OtherLife:
@@ -62,8 +76,9 @@
 		p.missed(w, a, now)
 		return
 	default:
-		if w.heardAt.After(k.sent) {
+		if w.heardAt.After(k.sent) || a.Verdict == port.TooLow && k.raised < w.raised {
 			w.wantLook = true // it answers other calls
+			p.raise(w)
 			return
 		}
 		p.missed(w, a, now)
@@ -75,23 +90,15 @@
 		w.silent = time.Time{}
 		p.moved = true
 	}
-	if !w.met {
-		// What an earlier owner let run there may have a lease that was sent just
-		// before this look.
-		w.deadline = max(w.deadline, w.clock+p.Limits.Lease)
-		w.met = true
-		p.moved = true
+	if w.unproven && k.raised < w.since {
+		return // it was sent before the worker may have started again
 	}
-	if listing.Born != w.born {
-		e := p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int64("born", listing.Born).Int64("born_before", w.born).
-			Int("runs", len(w.runs)).Int("ends", len(listing.Ends)).Int("sequence_before", w.seen)
-		if n := len(listing.Ends); n > 0 {
-			e = e.Int("sequence", listing.Ends[n-1].Sequence)
-		}
-		e.Msg("a worker answers with another start")
-		w.born = listing.Born
+	p.proven(w)
+	if !w.met {
+		p.meet(w, listing.Born)
 	}
-	p.acquit(w.info.ID)
+	p.acquit(w.life())
+	w.listedAt = now
 	w.lingers = !w.listed
 	w.told = max(w.told, k.ask.Seen)
 	if w.rivals {
@@ -100,6 +107,21 @@
 	p.list(w, k, listing, now)
 }
 
+// meet takes the first answer of a worker. What was let run there before may have a lease that
+// was sent just before this look, and by the clock of an earlier start of the worker, which
+// it cuts to the longest that it adopts.
+func (p *Pool) meet(w *workerState, born int64) {
+	lease := p.Limits.Lease
+	if w.born > 0 {
+		lease = max(lease, p.Limits.LeaseMost)
+	}
+	w.born = born
+	w.deadline = max(w.deadline, w.clock+lease)
+	w.met = true
+	p.judgeLives(w)
+	p.moved = true
+}
+
 // missed notes that a worker did not answer. What was not sent there yet goes
 // elsewhere; what was is kept alive no longer, and has surely ended once its
 // lease has lapsed.
@@ -108,6 +130,7 @@
 		return
 	}
 	w.silent = now
+	p.suspectRestart(w)
 	e := p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).
 		Time("lapses", w.lapses()).Str("outcome", string(a.Verdict))
 	if a.Err != nil {
--- a/services/scheduler/order.go
+++ b/services/scheduler/order.go
@@ -14,6 +14,8 @@
 	Run  *run
 	Stop bool
 	Pace bool
+
+	raised uint64 // part of its token, once it is given
 }
 
 // Start notes that the order to begin a run is sent, and returns it, with a
@@ -25,7 +27,7 @@
 	u.tries++
 	return port.Start{
 		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket.text,
-		Deadline: u.at.ordered(now, startTravel), Token: p.Token,
+		Deadline: u.at.ordered(now, startTravel), Token: p.token(u.at),
 	}
 }
 
@@ -47,10 +49,10 @@
 
 // StopOrder returns the order to end the run.
 func (p *Pool) StopOrder(o Order) port.Stop {
-	return port.Stop{Task: o.Run.name, Number: o.Run.number, Token: p.Token}
+	return port.Stop{Task: o.Run.name, Number: o.Run.number, Token: p.token(o.Run.at)}
 }
 
 // PaceOrder returns the order to let the run work at its share.
 func (p *Pool) PaceOrder(o Order) port.Pace {
-	return port.Pace{Task: o.Run.name, Number: o.Run.number, Percent: o.Run.pace, Token: p.Token}
+	return port.Pace{Task: o.Run.name, Number: o.Run.number, Percent: o.Run.pace, Token: p.token(o.Run.at)}
 }
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -13,6 +13,11 @@
 // order queues an order to a worker.
 func (p *Pool) order(w *workerState, o Order) {
 	w.out = append(w.out, o)
+	p.attend(w)
+}
+
+// attend has a worker among those that there is something for.
+func (p *Pool) attend(w *workerState) {
 	if !w.waiting {
 		w.waiting = true
 		p.out = append(p.out, w.info.ID)
@@ -54,7 +59,7 @@
 // given. A worker that does not answer gets none.
 func (p *Pool) NextOrder(id worker.ID, now time.Time) (Order, bool) {
 	w := p.workers[id]
-	if w == nil || !w.silent.IsZero() {
+	if w == nil || !w.silent.IsZero() || w.unproven {
 		return Order{}, false
 	}
 	var waiting []Order
@@ -70,6 +75,7 @@
 			continue
 		}
 		w.out = append(waiting, w.out...)
+		o.raised = w.raised
 		return o, true
 	}
 	w.out = waiting
@@ -79,7 +85,7 @@
 // HasOrder reports whether an order to a worker waits.
 func (p *Pool) HasOrder(id worker.ID) bool {
 	w := p.workers[id]
-	return w != nil && w.silent.IsZero() && len(w.out) > 0
+	return w != nil && w.silent.IsZero() && !w.unproven && len(w.out) > 0
 }
 
 // Again queues an order once more that got no answer. One order without an answer
@@ -96,6 +102,7 @@
 	}
 	w.doubted = true
 	w.wantLook = true
+	p.raise(w)
 	p.order(w, o)
 }
 
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -15,10 +15,11 @@
 
 // Limits are the bounds under which a pool is scheduled.
 type Limits struct {
-	Lease    time.Duration // of what runs on a worker, from each look at it
-	StopTime time.Duration // the most that a stop takes
-	Keep     time.Duration // how long the state of an ended job is told
-	FarTimes float64       // how much longer a task takes away from its data
+	Lease     time.Duration // of what runs on a worker, from each look at it
+	LeaseMost time.Duration // the longest that a worker adopts
+	StopTime  time.Duration // the most that a stop takes
+	Keep      time.Duration // how long the state of an ended job is told
+	FarTimes  float64       // how much longer a task takes away from its data
 }
 
 // Pool is the state of one pool; it is not safe for concurrent use.
@@ -45,8 +46,13 @@
 	times     map[string]*trend  // what run times are to estimates, by queue
 	images    map[string]*mean   // run times in seconds, by image
 
-	blamed map[worker.ID][]job.TaskRef // tasks against which a worker's crash is held
-	downs  map[worker.ID]time.Time     // since when workers that have crashed were silent, of late
+	blamed map[worker.Life][]job.TaskRef // tasks against which a worker's crash is held
+	downs  map[worker.Life]time.Time     // since when workers that have crashed were silent, of late
+
+	raised uint64              // how often the token of a worker's orders was raised
+	starts map[worker.ID]int64 // which start of a worker has runs, as it is kept or in the batch under way
+	left   []worker.ID         // workers that were forgotten since the last batch
+	relink []worker.ID         // workers to be reached anew
 
 	allowed  allowances
 	uses     map[string]use // of the pool by customer, averaged
@@ -86,8 +92,9 @@
 		cordons: make(map[worker.ID]bool),
 		times:   make(map[string]*trend),
 		images:  make(map[string]*mean),
-		blamed:  make(map[worker.ID][]job.TaskRef),
-		downs:   make(map[worker.ID]time.Time),
+		blamed:  make(map[worker.Life][]job.TaskRef),
+		downs:   make(map[worker.Life]time.Time),
+		starts:  make(map[worker.ID]int64),
 		batch:   1,
 	}
 }
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -18,8 +18,9 @@
 
 // What is kept of a job lies under two keys: its submission, written once, of which only
 // whose job it is stays once it has ended, and its progress, written with each change.
-// Cordoned workers have a key each, and so have the jobs under whose tasks workers have
-// crashed. The pool's allowances have one (allowance.go).
+// Cordoned workers have a key each, and so have the starts of workers with runs (restart.go)
+// and the jobs under whose tasks workers have crashed. The pool's allowances have one
+// (allowance.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -89,6 +90,9 @@
 		b.Records = append(b.Records, cordonRecord(id, p.cordons[id]))
 	}
 	p.recordons = nil
+	if err := p.addStarts(b); err != nil {
+		return nil, err
+	}
 	if p.allowed.changed {
 		r, err := p.allowancesRecord()
 		if err != nil {
@@ -244,6 +248,9 @@
 			p.cordons[worker.ID(id)] = true
 		}
 	}
+	if err := p.restoreStarts(records); err != nil {
+		return err
+	}
 	for _, r := range records {
 		id, isProgress := strings.CutPrefix(r.Key, keyProgress)
 		if !isProgress || len(r.Value) == 0 {
--- a/services/scheduler/record_crash.go
+++ b/services/scheduler/record_crash.go
@@ -20,7 +20,7 @@
 	Round  int
 	Step   int
 	Index  int
-	Worker worker.ID
+	Worker string // its life
 	Weight float64
 	Sure   bool
 }
@@ -61,7 +61,7 @@
 		for i := range r.steps {
 			for t := range r.steps[i].tasks {
 				for _, c := range r.steps[i].tasks[t].crashes {
-					list = append(list, keptCrash{Round: n, Step: i, Index: t, Worker: c.worker, Weight: c.weight, Sure: c.sure})
+					list = append(list, keptCrash{Round: n, Step: i, Index: t, Worker: c.worker.String(), Weight: c.weight, Sure: c.sure})
 				}
 			}
 		}
@@ -81,19 +81,26 @@
 			return errors.Annotatef(err, "crashes of %s", id)
 		}
 		for _, k := range kept {
-			p.restoreCrash(job.ID(id), k)
+			if err := p.restoreCrash(job.ID(id), k); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
-func (p *Pool) restoreCrash(id job.ID, k keptCrash) {
+func (p *Pool) restoreCrash(id job.ID, k keptCrash) error {
 	ref := job.TaskRef{StepRef: job.StepRef{Job: id, Round: k.Round, Step: k.Step}, Index: k.Index}
 	_, t := p.open(ref)
 	if t == nil {
-		return // its job has ended
+		return nil // its job has ended
+	}
+	var life worker.Life
+	if err := life.UnmarshalText([]byte(k.Worker)); err != nil {
+		return errors.Annotatef(err, "crashes of %s", id)
 	}
 	p.jobs[id].crashesStored = true
-	t.crashes = append(t.crashes, crash{worker: k.Worker, weight: k.Weight, sure: k.Sure})
-	p.blamed[k.Worker] = append(p.blamed[k.Worker], ref)
+	t.crashes = append(t.crashes, crash{worker: life, weight: k.Weight, sure: k.Sure})
+	p.blamed[life] = append(p.blamed[life], ref)
+	return nil
 }
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -33,7 +33,6 @@
 	clockAt  time.Time     // when that answer came
 	heardAt  time.Time     // when an answer came last that this life has given
 	rivals   bool          // other lives of its instance are known
-	born     int64         // when it has started, as it answered last; 0 where it has not told
 	deadline time.Duration // the latest on the worker's clock that was sent
 
 	orderedTo  time.Duration // the latest of those that an order has sent
@@ -53,6 +52,15 @@
 	trust      trust
 	sharing    sharing
 	tickets    map[job.StepRef]ticket
+
+	born     int64          // which of its starts has answered last, 0 where that is not known
+	raised   uint64         // part of the token of its orders
+	since    uint64         // the same as it was when the worker may have started again last: answers to earlier looks tell nothing of that
+	unproven bool           // it may have started again: only looks are sent
+	hint     *worker.Worker // newest entry that tells of another start
+	checked  int64          // start that was listed, and is another than the one that has answered
+	listedAt time.Time      // when it has listed its runs last
+	withheld bool           // the last look could have had it forget ends, and has not
 }
 
 // clockSlack is by how much a worker's clock may be slow.
@@ -107,7 +115,7 @@
 
 // open reports whether tasks may be placed there.
 func (w *workerState) open(now time.Time) bool {
-	return w.met && w.listed && w.silent.IsZero() && !w.doubted && !w.leaves() && !w.rests(now)
+	return w.met && w.listed && w.silent.IsZero() && !w.doubted && !w.unproven && !w.leaves() && !w.rests(now)
 }
 
 // leaves reports whether what runs there has to go elsewhere.
@@ -145,15 +153,17 @@
 		w.listed = true
 		return true
 	}
+	if !p.seeStart(w, info) {
+		return false
+	}
+	if info.Address != w.info.Address {
+		p.relink = append(p.relink, info.ID)
+	}
 	if info.Capacity != w.info.Capacity {
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Int("cpu", info.Capacity.CPU).Int("memory_mb", info.Capacity.MemoryMB).
 			Int("cpu_before", w.info.Capacity.CPU).Int("used_cpu", w.used.CPU).Uint64("revision", info.Revision).Msg("a worker's room has changed")
 		p.moved = true
 	}
-	if info.Born != w.info.Born {
-		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Int64("born", info.Born).Int64("born_before", w.info.Born).
-			Uint64("revision", info.Revision).Msg("a worker is listed with another start")
-	}
 	if info.Draining && !w.info.Draining {
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Dur("remaining", info.Remaining).
 			Uint64("revision", info.Revision).Msg("a worker drains")
@@ -172,12 +182,19 @@
 }
 
 func (p *Pool) addWorker(info worker.Worker) *workerState {
-	w := &workerState{info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]ticket)}
-	w.cordoned = p.cordons[info.ID]
+	w := p.newWorker(info)
+	w.born = p.starts[info.ID]
 	p.workers[info.ID] = w
 	return w
 }
 
+// newWorker returns a worker of which nothing is known.
+func (p *Pool) newWorker(info worker.Worker) *workerState {
+	return &workerState{
+		info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]ticket), cordoned: p.cordons[info.ID], raised: p.raised,
+	}
+}
+
 // compare has the lives of one instance looked at, of which one at most goes on.
 // The list does not tell which: what an earlier life said of itself may be listed
 // late.
@@ -232,13 +249,14 @@
 func (p *Pool) dropWorker(w *workerState) {
 	p.forgetStrays(w)
 	delete(p.workers, w.info.ID)
+	p.left = append(p.left, w.info.ID)
 }
 
 // lifeOver ends all that a worker ran: its life is over.
 func (p *Pool) lifeOver(w *workerState, now time.Time, how lifeEnd, why string) {
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Str("why", why).
 		Msg("a worker's life is over")
-	p.confirm(w.info.ID)
+	p.confirm(w.life())
 	p.endRuns(w, now, how, why)
 	p.dropWorker(w)
 	p.moved = true
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -45,7 +45,7 @@
 		case o.Deaf:
 			o.unheard = append(o.unheard, func() { l.w.workers[l.id].take(token, do) })
 		default:
-			time.AfterFunc(o.Late, func() { l.w.carryOut(l.id, token, do) })
+			time.AfterFunc(o.Late, func() { l.w.carryOut(o, token, do) })
 		}
 		l.w.mu.Unlock()
 		_ = silence(ctx, callTimeout)
@@ -55,11 +55,17 @@
 	return o.take(token, do)
 }
 
-// carryOut carries a late order out, at the life that the worker's id has by then.
-func (w *World) carryOut(id worker.ID, token uint64, do func(o *Worker) port.Verdict) {
+// carryOut carries a late order out, at the life that the worker's id has by then. One of which
+// nobody could have told another life anything waits until some other order has come there.
+func (w *World) carryOut(sentTo *Worker, token uint64, do func(o *Worker) port.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o := w.workers[id]; !o.over {
+	o := w.workers[sentTo.info.ID]
+	switch {
+	case o.over:
+	case o != sentTo && o.token == 0:
+		o.early = append(o.early, func() { o.take(token, do) })
+	default:
 		o.take(token, do)
 	}
 }
@@ -71,7 +77,13 @@
 		return port.Answer{Verdict: port.TooLow, Clock: o.clock()}
 	}
 	o.token = token
-	return port.Answer{Verdict: do(o), Clock: o.clock()}
+	a := port.Answer{Verdict: do(o), Clock: o.clock()}
+	early := o.early
+	o.early = nil
+	for _, carryOut := range early {
+		carryOut()
+	}
+	return a
 }
 
 func (l *nodeLink) start(ctx context.Context, s port.Start) port.Answer {
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -40,6 +40,7 @@
 	harmed  time.Time // since when what fills keeps a serving task over its target
 	changed chan struct{}
 	unheard []func() // orders that wait until it hears again
+	early   []func() // orders to an earlier life under its id that have come before any other order
 }
 
 // The times of a worker.
