An order to an instance ends the start that it was given for, not the next one

What callers would see: runs begun a second time beside the first (TWICE), where an instance is maintained and its worker is back under its id before the pool's owner is told that the life before is over.

Cause: the holder of the duty for instances names workers whose lives were ended by an order by id, and repeats that until the instance is back. An owner ended whatever had that id.

Change: a pool's report tells the start of each worker, an order to an instance keeps it with its intent, and the news names it. An owner that knows another start, or none is named, looks at the worker instead. TestAnOrderToAnInstanceEndsItsStartOnly fails before.

--- a/services/fleet/action.go
+++ b/services/fleet/action.go
@@ -23,7 +23,8 @@
 // action is what is to be done to one instance.
 type action struct {
 	instance string
-	worker   worker.ID // the life that it ends, "" for none
+	worker   worker.ID // the worker that it ends, "" for none
+	born     int64     // its start, as its pool's owner has told, 0 for not known
 	from     string    // the pool that the instance is in
 	to       string    // the pool that it moves to, "" for maintenance
 	wave     int       // that it is maintained for
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -16,6 +16,7 @@
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/models/wave"
+	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -164,7 +165,7 @@
 	for name, i := range m.past {
 		if !i.Known {
 			m.view.actions[name] = &action{
-				instance: name, worker: i.Worker, from: i.From, to: i.To, wave: i.Wave, stage: ordered,
+				instance: name, worker: i.Worker, born: i.Born, from: i.From, to: i.To, wave: i.Wave, stage: ordered,
 				began: m.Clock.At(time.UnixMilli(i.At)), sent: m.Clock.At(time.UnixMilli(i.At)),
 			}
 		}
@@ -395,7 +396,7 @@
 		switch {
 		case a.from != pool || a.worker == "":
 		case a.stage == settling && m.ended(a):
-			asked.Over = append(asked.Over, a.worker)
+			asked.Over = append(asked.Over, worker.Life{ID: a.worker, Born: a.born})
 		default:
 			asked.Workers = append(asked.Workers, scheduler.Cordoned{ID: a.worker, Must: a.to == ""})
 		}
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -26,6 +26,7 @@
 	At       int64     `cbor:"5,keyasint"` // from which its time counts, in milliseconds since 1970
 	Known    bool      `cbor:"6,keyasint"` // its outcome is
 	From     string    `cbor:"7,keyasint"`
+	Born     int64     `cbor:"8,keyasint,omitempty"`
 }
 
 // ended reports whether the list shows that the life which an order was given for
@@ -51,6 +52,7 @@
 	}
 	for _, w := range p.report.Workers {
 		if w.ID == a.worker {
+			a.born = w.Born
 			return w.Empty
 		}
 	}
@@ -120,7 +122,7 @@
 // within intentAge.
 func (m *Manager) intent(a *action, known bool, ahead time.Duration) (port.Record, error) {
 	value, err := codec.Marshal(intent{
-		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Date(m.Clock.Now().Add(ahead)).UnixMilli(), Known: known, From: a.from,
+		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.Date(m.Clock.Now().Add(ahead)).UnixMilli(), Known: known, From: a.from, Born: a.born,
 	})
 	return port.Record{Key: keyIntent + a.instance, Value: value}, err
 }
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -24,11 +24,11 @@
 
 // Cordons is what the holder of the duty for instances asks of a pool.
 type Cordons struct {
-	Epoch    uint64      `json:"epoch"`              // of the holder
-	Number   uint64      `json:"number"`             // of the question within the epoch; a later one has a higher
-	Workers  []Cordoned  `json:"workers,omitempty"`  // all that are to be cordoned
-	Over     []worker.ID `json:"over,omitempty"`     // workers whose lives were ended by an order
-	Accounts []string    `json:"accounts,omitempty"` // customers whose accounts are told, whatever they want
+	Epoch    uint64        `json:"epoch"`              // of the holder
+	Number   uint64        `json:"number"`             // of the question within the epoch; a later one has a higher
+	Workers  []Cordoned    `json:"workers,omitempty"`  // all that are to be cordoned
+	Over     []worker.Life `json:"over,omitempty"`     // workers whose lives were ended by an order
+	Accounts []string      `json:"accounts,omitempty"` // customers whose accounts are told, whatever they want
 }
 
 // before reports whether a question was asked before another one.
@@ -117,10 +117,11 @@
 type WorkerReport struct {
 	ID       worker.ID `json:"id"`
 	Instance string    `json:"instance"`
-	Open     bool      `json:"open"`    // tasks may be placed there
-	Empty    bool      `json:"empty"`   // cordoned for good, and nothing runs or begins there
-	Lasting  int       `json:"lasting"` // runs of tasks that last
-	Runs     int       `json:"runs"`    // all runs
+	Born     int64     `json:"born,omitempty"` // its start, 0 where that is not known
+	Open     bool      `json:"open"`           // tasks may be placed there
+	Empty    bool      `json:"empty"`          // cordoned for good, and nothing runs or begins there
+	Lasting  int       `json:"lasting"`        // runs of tasks that last
+	Runs     int       `json:"runs"`           // all runs
 	Used     job.Size  `json:"used"`
 }
 
@@ -129,7 +130,7 @@
 	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), Arrives: p.arrivals.rate(now), Rises: p.arrivals.rise() > 1, Slack: seconds(p.slack.value)}
 	for id, w := range p.workers {
 		o := WorkerReport{
-			ID: id, Instance: w.info.Instance, Open: w.open(now), Runs: len(w.runs), Used: w.used,
+			ID: id, Instance: w.info.Instance, Born: w.born, Open: w.open(now), Runs: len(w.runs), Used: w.used,
 			Empty: w.cordoned && w.cordonIn <= p.committed && len(w.runs) == 0,
 		}
 		for _, u := range w.runs {
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -154,9 +154,9 @@
 		"cut off": func(d *desk, id worker.ID) {
 			d.cutOff(id)
 			d.look(id, worker.Listing{}, heard)
-			d.Over([]worker.ID{id}, d.now) // so that the next turn is another's
+			d.Over([]worker.Life{{ID: id}}, d.now) // so that the next turn is another's
 		},
-		"order": func(d *desk, id worker.ID) { d.Over([]worker.ID{id}, d.now) },
+		"order": func(d *desk, id worker.ID) { d.Over([]worker.Life{{ID: id}}, d.now) },
 		"drains": func(d *desk, id worker.ID) {
 			leaving, _ := d.Worker(id)
 			leaving.Draining = true
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -409,6 +409,22 @@
 	assert.Assert(t, has(d.keep(), keyStart+"w", false))
 }
 
+// TestAnOrderToAnInstanceEndsItsStartOnly guards against a start of a worker that is taken for
+// ended, and whose runs begin elsewhere, since its instance was maintained before.
+func TestAnOrderToAnInstanceEndsItsStartOnly(t *testing.T) {
+	for born, ended := range map[int64]bool{1000: true, 999: false, 0: false} {
+		d := newDesk(t, 1)
+		d.serveAs(1000)
+		d.submit("1", 1)
+		d.Answered(d.give(), heard, d.now)
+		d.Over([]worker.Life{{ID: "w", Born: born}}, d.now)
+		assert.Equal(t, d.workers["w"] == nil, ended, "start %d", born)
+		if !ended {
+			assert.DeepEqual(t, d.Attention(), []worker.ID{"w"})
+		}
+	}
+}
+
 // TestACordonOutlivesARestart guards against placing on a worker whose instance is being
 // emptied, since it has restarted under its id.
 func TestACordonOutlivesARestart(t *testing.T) {
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -273,11 +273,17 @@
 }
 
 // Over takes the news that workers' lives were ended by an order to their
-// instances.
-func (p *Pool) Over(ids []worker.ID, now time.Time) {
-	for _, id := range ids {
-		if w := p.workers[id]; w != nil {
+// instances. One that has another start by now is looked at.
+func (p *Pool) Over(lives []worker.Life, now time.Time) {
+	for _, l := range lives {
+		w := p.workers[l.ID]
+		switch {
+		case w == nil:
+		case l.Born == w.born:
 			p.lifeOver(w, now, endedByOrder, "its instance was moved or maintained")
+		default:
+			p.suspectRestart(w)
+			p.attend(w)
 		}
 	}
 }
