Crashes: what is not known for how long it ran is not explained, what may not have begun convicts nobody

- BUDGET: a task that crashes its workers began for the third time after three crashes.
Two of its crashes fell on runs that had been taken over and not heard of; they weighed nothing and were taken back as explained once another such task was given up.
They are marked and stay.
- LOST: a job was told as failed after one crash beside which its task had just begun, and one of a worker that had not answered its start.
That start alone decides no more.
- A suspect was begun again on the very worker that had crashed under it, which restarts sooner than before under its id; it goes elsewhere where there is room.

Each has a test that fails before: TestACrashThatMayBeATasksOwnIsNotExplained, TestARunThatMayNotHaveBegunConvictsNobody, TestASuspectIsBegunOnAnotherWorker.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -32,6 +32,9 @@
 	// unseenWeight is what a crash weighs that may have been a cut, against one that is
 	// sure, and what the beginning of a run weighs that was not answered.
 	unseenWeight = 0.5
+	// unknownWeight marks a crash under a run of which it is not known for how long it had been
+	// at work: it was taken over, and its worker has not answered since.
+	unknownWeight = 0.001
 	// crashesMost is after how many crashes any task is given up.
 	crashesMost = 4
 	// freshTime is until when a run may be what has crashed its worker, rather than one
@@ -57,7 +60,7 @@
 }
 
 // fresh reports whether the task had just begun.
-func (c crash) fresh() bool { return c.weight > 0 }
+func (c crash) fresh() bool { return c.weight > unknownWeight }
 
 // weigh returns how much all crashes under a task weigh.
 func (t *taskState) weigh() float64 {
@@ -165,11 +168,13 @@
 		return false
 	}
 	c := crash{worker: life, sure: e.sure}
-	if s.fresh {
+	switch {
+	case s.fresh && s.run.began.IsZero():
+		c.weight = unseenWeight / float64(e.fresh*e.together)
+	case s.fresh:
 		c.weight = 1 / float64(e.fresh*e.together)
-	}
-	if s.run.began.IsZero() {
-		c.weight *= unseenWeight
+	case s.run.began.IsZero():
+		c.weight = unknownWeight
 	}
 	t.crashes = append(t.crashes, c)
 	t.suspectSince = now
@@ -207,11 +212,12 @@
 }
 
 // convict gives a task's job up where so many workers have crashed under it that it is
-// held to be their cause, and reports whether it did.
+// held to be their cause, and reports whether it did. A run that may not have begun is not
+// what decides.
 func (p *Pool) convict(s suspect, now time.Time) bool {
 	t := s.run.task()
 	n := len(t.crashes)
-	if n < crashesMost && (n < crashesLeast || !s.fresh || t.weigh() < weightEnough) {
+	if n < crashesMost && (n < crashesLeast || !s.fresh || s.run.began.IsZero() || t.weigh() < weightEnough) {
 		return false
 	}
 	p.count(crashGivenUp)
@@ -223,7 +229,7 @@
 // at work beside it. One that had just begun as well may do the same, and stays suspected.
 func (p *Pool) explain(culprit *taskState) {
 	for _, c := range culprit.crashes {
-		p.takeBack(c.worker, func(o crash) bool { return !o.fresh() }, "explained")
+		p.takeBack(c.worker, func(o crash) bool { return o.weight == 0 }, "explained")
 	}
 }
 
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -326,3 +326,62 @@
 	d.Answered(o, otherLife, d.now)
 	assert.Equal(t, len(o.Run.task().crashes), 1)
 }
+
+// TestACrashThatMayBeATasksOwnIsNotExplained guards against BUDGET: a task that had been taken over
+// when its worker crashed may be the cause, though another under which that worker crashed is
+// given up.
+func TestACrashThatMayBeATasksOwnIsNotExplained(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 1)
+	d.submit("2", 1)
+	a := d.life("a", 1)
+	d.beginAll(a)
+	for _, u := range d.workers[a].runs {
+		u.restored, u.began = true, time.Time{}
+	}
+	d.crash(a)
+	for n := 1; d.state("2") != job.Failed && n < 2*crashesMost; n++ {
+		b := d.life("b", n)
+		d.keep()
+		d.beginAll(b)
+		if d.workers[b].runs["1.0.0.0"] != nil {
+			d.lose(d.workers[b].runs["1.0.0.0"], d.now, "test")
+		}
+		d.crash(b)
+	}
+	assert.Equal(t, d.state("2"), job.Failed)
+	assert.Equal(t, len(d.firstTask("1").crashes), 1)
+}
+
+// TestARunThatMayNotHaveBegunConvictsNobody guards against LOST: a job that could be done is told
+// as failed since a worker crashed under its task and another did before it had taken the start.
+func TestARunThatMayNotHaveBegunConvictsNobody(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 1)
+	a := d.life("a", 1)
+	d.beginAll(a)
+	d.crash(a)
+	b := d.life("b", 1)
+	d.keep()
+	o, _ := d.NextOrder(b, d.now)
+	d.Start(o, d.now)
+	assert.Assert(t, d.Answered(o, port.Answer{Verdict: port.Unknown}, d.now))
+	d.crash(b)
+	assert.Equal(t, len(d.firstTask("1").crashes), 2)
+	assert.Equal(t, d.state("1"), job.Running)
+}
+
+// TestASuspectIsBegunOnAnotherWorker guards against a task that is given up since one worker
+// crashes again and again: it is begun elsewhere where there is room.
+func TestASuspectIsBegunOnAnotherWorker(t *testing.T) {
+	d := newDesk(t, 1)
+	d.submit("1", 1)
+	d.serveAs(1000)
+	d.beginAll("w")
+	d.answer(2000)
+	x := d.life("x", 1)
+	d.now = d.now.Add(time.Second)
+	d.look("w", worker.Listing{Born: 2000}, heard)
+	d.keep()
+	assert.Equal(t, d.firstTask("1").runs[0].at.info.ID, x)
+}
--- a/services/scheduler/suspect.go
+++ b/services/scheduler/suspect.go
@@ -3,7 +3,10 @@
 
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A suspect is a task under which workers have crashed. Where it is begun decides what a
 // further crash tells, and what is lost by it.
@@ -46,6 +49,7 @@
 const (
 	besideRun     = 1  // each run that would be lost with it
 	besideSuspect = 20 // another suspect there, from which it could not be told
+	crashedThere  = 10 // a crash of that worker, which may be the cause itself, is held against the task
 )
 
 // risk returns what counts against beginning a suspect on a worker.
@@ -57,6 +61,9 @@
 	if w.suspects > 0 {
 		against += besideSuspect
 	}
+	if slices.ContainsFunc(t.crashes, func(c crash) bool { return c.worker.ID == w.info.ID }) {
+		against += crashedThere
+	}
 	return against
 }
 
