--- /dev/null
+++ b/node/random_restart_test.go
@@ -0,0 +1,51 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/tomlfile"
+)
+
+// restartSeeds is how many random days with workers that start again under their id are played.
+const restartSeeds = 30
+
+// TestRandomDaysWithRestarts plays random days, and those with tasks that crash their workers,
+// on which workers that crash come back under their id: at once or after seconds, twice in a
+// row, behind a cut, while orders to them are late, and beside all other faults.
+func TestRandomDaysWithRestarts(t *testing.T) { playDays(t, nil, restartSeeds, restartDay) }
+
+// restartDay draws a random day and adds to it.
+func restartDay(seed uint64) script {
+	s := randomDay(seed)
+	if seed%2 == 0 {
+		s = crashDay(seed)
+	}
+	s.GiveUp = innocentMost
+	s.Restarts = true
+	r := rand.New(rand.NewPCG(seed, 4))
+	for range 4 + r.IntN(8) {
+		at := firstFault + time.Duration(r.Int64N(int64(healed-firstFault)))
+		e := scriptEvent{At: tomlfile.Duration(at), Kind: "crash", Pool: s.Pools[r.IntN(2)].Name, Worker: r.IntN(4)}
+		e.For = min(tomlfile.Duration(restartTimes[r.IntN(len(restartTimes))]), tomlfile.Duration(healed-at))
+		s.Events = append(s.Events, e)
+		switch r.IntN(4) {
+		case 0: // once more, as it has just come back
+			e.At += e.For + tomlfile.Duration(time.Duration(r.IntN(300))*time.Millisecond)
+			s.Events = append(s.Events, e)
+		case 1: // orders that are on their way reach the next start
+			late := e
+			late.Kind, late.For = "late", seconds(2)
+			late.At = max(0, e.At-tomlfile.Duration(300*time.Millisecond))
+			s.Events = append(s.Events, late)
+		}
+	}
+	return s
+}
+
+// restartTimes are how long a worker may take to start again.
+var restartTimes = []time.Duration{time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond, time.Second, 3 * time.Second}
