A worker's next start is reached at its own address; the soak has workers that restart

What callers would see: a worker that is used no more, and its instance with it.

Cause: an entry that tells of another start changes nothing before that has answered, and the look went to the address of the start before, where nothing answers. The link was never opened anew for another address either.

Change: while a worker may have started again, looks go to the entry's address and to the known one in turn; the answer of another worker at the entry's address ends nothing. A link is opened anew for another address or start, and what it had under way says nothing of the worker. TestTheNextStartIsReachedAtItsOwnAddress fails before.

--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -208,6 +208,10 @@
 	}
 	listing, answer := l.port.Look(l.ctx, ask)
 	o.mu.Lock()
+	if l.ctx.Err() != nil {
+		o.mu.Unlock()
+		return false // that it got no answer says nothing of the worker
+	}
 	o.pool.EndLook(look, listing, answer, o.Clock.Now())
 	o.attend()
 	o.mu.Unlock()
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -63,6 +63,9 @@
 		}
 		w.looked = now
 	}
+	if a.Verdict != port.Taken && p.tryElsewhere(w, a.Verdict) {
+		return
+	}
 	p.heard(w, a, now)
 	switch a.Verdict {
 	case port.Taken:
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -46,13 +46,15 @@
 	return ids
 }
 
-// Worker returns what is known of a worker, and false for none.
+// Worker returns what is known of a worker, with the address to reach it at, and false for none.
 func (p *Pool) Worker(id worker.ID) (worker.Worker, bool) {
 	w := p.workers[id]
 	if w == nil {
 		return worker.Worker{}, false
 	}
-	return w.info, true
+	info := w.info
+	info.Address = w.address()
+	return info, true
 }
 
 // NextOrder takes the next order to a worker off its queue that is still to be
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -69,6 +70,7 @@
 	n := p.newWorker(w.info)
 	n.info.Draining, n.info.Remaining = false, 0
 	n.listed, n.must, n.cordonIn = w.listed, w.must, w.cordonIn
+	n.info.Address = w.address()
 	if w.hint != nil && w.hint.Born == listing.Born {
 		n.info, n.listed = *w.hint, true
 	}
@@ -80,7 +82,7 @@
 	p.lifeOver(w, now, endedItself, "it has started again")
 	p.workers[n.info.ID] = n
 	p.compare(n)
-	p.relink = append(p.relink, n.info.ID)
+	p.reconnect(n)
 	return n
 }
 
@@ -110,6 +112,13 @@
 	}
 }
 
+// reconnect has a worker reached anew.
+func (p *Pool) reconnect(w *workerState) {
+	if !slices.Contains(p.relink, w.info.ID) {
+		p.relink = append(p.relink, w.info.ID)
+	}
+}
+
 // Relink returns the workers that have started again, or have another address, since it was
 // last asked for: what they are reached through is of no use any more.
 func (p *Pool) Relink() []worker.ID {
@@ -129,6 +138,7 @@
 	}
 	w.hint, w.listed, w.lingers = &info, true, false
 	if info.Born != w.checked {
+		p.reachAt(w, true)
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Int64("born", info.Born).Int64("born_before", w.born).
 			Uint64("revision", info.Revision).Msg("a worker is listed with another start")
 		p.suspectRestart(w)
@@ -145,6 +155,7 @@
 	w.unproven = false
 	if w.hint != nil {
 		w.checked = w.hint.Born
+		p.reachAt(w, false)
 	}
 	p.moved = true
 	if len(w.out) > 0 {
@@ -152,6 +163,38 @@
 	}
 }
 
+// address returns where a worker is reached.
+func (w *workerState) address() string {
+	if w.atHint {
+		return w.hint.Address
+	}
+	return w.info.Address
+}
+
+// reachAt has a worker reached at the address of the entry that tells of another start, or at
+// the one it has answered from.
+func (p *Pool) reachAt(w *workerState, hint bool) {
+	before := w.address()
+	if w.atHint = hint && w.hint != nil; w.address() != before {
+		p.reconnect(w)
+	}
+}
+
+// tryElsewhere has the next look at a worker that may have started again go to its other
+// address, where it has two. It reports whether the answer of another worker has come from the
+// address of an entry, which tells nothing of the start that is known.
+func (p *Pool) tryElsewhere(w *workerState, v port.Verdict) bool {
+	if !w.unproven || w.hint == nil {
+		return false
+	}
+	foreign := w.atHint && v == port.OtherLife
+	p.reachAt(w, !w.atHint)
+	if foreign {
+		w.checked, w.hint, w.wantLook = w.hint.Born, nil, true
+	}
+	return foreign
+}
+
 // judgeLives takes what the first answer of a worker tells of the crashes that are held under
 // its id: the start that answers was only cut off, and others are over.
 func (p *Pool) judgeLives(w *workerState) {
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -261,6 +261,37 @@
 	assert.DeepEqual(t, d.Relink(), []worker.ID{"w"})
 }
 
+// TestTheNextStartIsReachedAtItsOwnAddress guards against a worker that is never reached again: its
+// next start has another address, and nothing answers at the one before. An address of another
+// worker ends nothing.
+func TestTheNextStartIsReachedAtItsOwnAddress(t *testing.T) {
+	d := newDesk(t, 1)
+	d.serveAs(1000)
+	d.submit("1", 1)
+	d.Answered(d.give(), heard, d.now)
+	at := func() string {
+		d.Relink()
+		w, _ := d.Worker("w")
+		return w.Address
+	}
+	next := restartable(2000)
+	next.Address = "b"
+	d.See(next)
+	assert.Equal(t, at(), "b")
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Unreached})
+	assert.Equal(t, at(), "a")
+	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Unreached})
+	assert.Equal(t, at(), "b")
+	d.look("w", worker.Listing{}, otherLife)
+	assert.Equal(t, at(), "a")
+	assert.Equal(t, d.waitingTasks("1"), 0, "another worker ends no run")
+	next.Born = 3000
+	d.See(next)
+	d.answer(3000)
+	assert.Equal(t, at(), "b")
+	assert.Equal(t, d.waitingTasks("1"), 1)
+}
+
 // TestAWorkerThatIsListedAgainIsNotForgotten guards against an instance that nobody uses or
 // maintains any more: its worker was listed no longer, has restarted and is listed again, all
 // while it is not reached.
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -58,6 +58,7 @@
 	since    uint64         // the same as it was when the worker may have started again last: answers to earlier looks tell nothing of that
 	unproven bool           // it may have started again: only looks are sent
 	hint     *worker.Worker // newest entry that tells of another start
+	atHint   bool           // it is reached at the address of that entry
 	checked  int64          // start that was listed, and is another than the one that has answered
 	listedAt time.Time      // when it has listed its runs last
 	withheld bool           // the last look could have had it forget ends, and has not
@@ -157,7 +158,7 @@
 		return false
 	}
 	if info.Address != w.info.Address {
-		p.relink = append(p.relink, info.ID)
+		p.reconnect(w)
 	}
 	if info.Capacity != w.info.Capacity {
 		p.Logger.Info().Str("event", "worker").Str("worker", string(info.ID)).Int("cpu", info.Capacity.CPU).Int("memory_mb", info.Capacity.MemoryMB).
