An entry without a start is another writer's where its worker has told one; a worker listed in another pool is missed

Found by going through each use of a worker's id. An entry that lacks the start which earlier ones of that worker have told may be another writer's, and names no worker to use. An owner passed over entries of other pools, so that a worker which has started again in another pool under its id stayed its own. Starts again are counted (worker.restarted).

--- a/node/entries_test.go
+++ b/node/entries_test.go
@@ -24,7 +24,7 @@
 		if string(r.Value) != "good" {
 			return worker.Worker{}, errors.New("unreadable")
 		}
-		return worker.Worker{ID: worker.ID(r.Key)}, nil
+		return worker.Worker{ID: worker.ID(r.Key), Born: int64(r.Offset)}, nil
 	}
 	good, bad := []byte("good"), []byte("bad")
 	listed := func() []worker.ID { return slices.Sorted(maps.Keys(n.workers)) }
@@ -34,4 +34,9 @@
 	assert.DeepEqual(t, listed(), []worker.ID{"a"})
 	n.list(t.Context(), []port.Record{{Key: "b", Value: good}, {Key: "a", Value: good}, {Key: "a"}}, false)
 	assert.DeepEqual(t, listed(), []worker.ID{"b"})
+	// An entry without a start is another writer's where the worker has told one.
+	n.list(t.Context(), []port.Record{{Key: "b", Value: good, Offset: 7}, {Key: "c", Value: good}}, false)
+	assert.DeepEqual(t, listed(), []worker.ID{"b", "c"})
+	n.list(t.Context(), []port.Record{{Key: "b", Value: good}, {Key: "c", Value: good}}, true)
+	assert.DeepEqual(t, listed(), []worker.ID{"c"})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/wave"
@@ -365,12 +367,12 @@
 // worker to use, and what an earlier one said is told no longer.
 func (n *Node) list(ctx context.Context, records []port.Record, whole bool) {
 	newest := make(map[worker.ID]*worker.Worker, len(records)) // nil for one that is gone
-	for _, r := range records {
-		newest[worker.ID(r.Key)] = n.decodeWorker(r)
-	}
 	var seen []worker.Worker
 	var gone []worker.ID
 	n.mu.Lock()
+	for _, r := range records {
+		newest[worker.ID(r.Key)] = n.decodeWorker(r)
+	}
 	if whole {
 		clear(n.workers)
 	}
@@ -392,12 +394,15 @@
 	}
 }
 
-// decodeWorker returns the worker that an entry names, nil for none.
+// decodeWorker returns the worker that an entry names, nil for none. The lock is held.
 func (n *Node) decodeWorker(r port.Record) *worker.Worker {
 	if len(r.Value) == 0 {
 		return nil
 	}
 	w, err := n.Ports.Feeds.DecodeWorker(r)
+	if err == nil && w.Born == 0 && n.workers[w.ID].Born > 0 {
+		err = errors.Errorf("worker %s: its start is missing, and an earlier entry has told one", w.ID)
+	}
 	if err == nil {
 		w.Revision = r.Offset
 		n.unread.Delete(r.Key)
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -148,6 +148,7 @@
 	present := make(map[worker.ID]bool, len(listed))
 	for _, w := range listed {
 		if w.Pool != o.Pool {
+			o.pool.Miss(w.ID) // it may have started again there under its id
 			continue
 		}
 		present[w.ID] = true
--- /dev/null
+++ b/services/owner/restart_test.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+// TestAWorkerListedInAnotherPoolIsMissed guards against a worker that is used on though its entry
+// names another pool: it has started again there under its id.
+func TestAWorkerListedInAnotherPoolIsMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := open(t, world.New(1))
+		listed := worker.Worker{ID: "i-1", Pool: "p", Instance: "m-1", Address: "a", Capacity: job.Size{CPU: 1000}}
+		o.See(t.Context(), []worker.Worker{listed}, true)
+		listed.Pool = "q"
+		o.See(t.Context(), []worker.Worker{listed}, false)
+		assert.Equal(t, len(o.Peek().Workers), 0)
+	})
+}
+
+// TestALinkIsOpenedAnewForAnotherAddress guards against a worker that is looked at where nothing
+// answers: it has another address by its newest entry. That the calls of the link before got no
+// answer says nothing of it.
+func TestALinkIsOpenedAnewForAnotherAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := open(t, world.New(1))
+		var opened []string
+		o.Workers.Open = func(w worker.Worker) *port.Link {
+			opened = append(opened, w.Address)
+			return &port.Link{
+				Look: func(ctx context.Context, _ port.Look) (worker.Listing, port.Answer) {
+					if w.Address == "b" {
+						return worker.Listing{}, port.Answer{Verdict: port.Taken, Clock: time.Second}
+					}
+					<-ctx.Done()
+					return worker.Listing{}, port.Answer{Verdict: port.Unknown}
+				},
+				Close: func() {},
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run(ctx) }()
+		synctest.Wait()
+		listed := worker.Worker{ID: "i-1", Pool: "p", Instance: "m-1", Address: "a", Capacity: job.Size{CPU: 1000}}
+		o.See(ctx, []worker.Worker{listed}, true)
+		synctest.Wait()
+		listed.Address = "b"
+		o.See(ctx, []worker.Worker{listed}, false)
+		synctest.Wait()
+		assert.DeepEqual(t, opened, []string{"a", "b"})
+		assert.Assert(t, o.pool.Report(scheduler.Cordons{}, o.Clock.Now()).Workers[0].Open)
+		cancel()
+		<-ended
+	})
+}
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -325,6 +325,8 @@
 const (
 	crashSuspected = "crash.suspected" // a crash was held against a task
 	crashGivenUp   = "crash.given-up"  // a job was given up for one
+
+	workerRestarted = "worker.restarted" // a worker has started again under its id
 )
 
 // count adds one to a counter.
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -78,6 +78,7 @@
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int64("born", listing.Born).Int64("born_before", w.born).
 		Int("runs_before", len(w.runs)).Int("runs", len(listing.Runs)).Int("ends", len(listing.Ends)).Int("sequence_before", w.seen).
 		Bool("met", w.met).Uint64("token", p.token(n)).Msg("a worker has started again")
+	p.count(workerRestarted)
 	p.takeOver(w, n, listing, now)
 	p.lifeOver(w, now, endedItself, "it has started again")
 	p.workers[n.info.ID] = n
