A gang that is larger than what other pools leave of its customer's limit begins

Cause: a pool that wants nothing keeps an eighth of its standing part of each limit while others want more than there is. A gang may take the whole limit, as it is refused only beyond that; with 8,000 thousandths as the limit and 250 kept by the other pool, one of more than 7,750 got nothing for ever. It was not counted as waiting since what has waited long at a limit calls for no room.

Ruled out by the logs: a job that was lost at the take-over (its state was told), one without a turn (its customer had waited for its allowance since it came, and that line had no end), a crash.

Change: where no claimant's least fits into what is free, the first that would fit gets what the others keep beyond what they want. Their next task asks for its allowance then, as any does. A customer whose tasks wait has a log line each 5 s, with how long.

--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -291,9 +291,29 @@
 			}
 		}
 	}
+	p.giveReserves(customer, limit, left, shares, short)
 	return shares
 }
 
+// giveReserves gives the first of the claimants whose share does not bear the least that can
+// begin there what other pools keep beyond what they want, where that is enough.
+func (p *plan) giveReserves(customer string, limit, left job.Size, shares []job.Size, short []claimant) {
+	keeps, room := make([]job.Size, len(shares)), left
+	for i, name := range p.names {
+		a, _ := p.l.books[name].account(customer)
+		keeps[i] = shares[i].Min(a.Wants)
+		room = room.Plus(shares[i].Minus(keeps[i]))
+	}
+	for _, c := range short {
+		if quota.Within(c.account.Least, shares[c.index], limit) || !quota.Within(c.account.Least, room.Plus(keeps[c.index]), limit) {
+			continue
+		}
+		copy(shares, keeps)
+		shares[c.index] = c.account.Least
+		return
+	}
+}
+
 // claimant is a pool that wants more than its share.
 type claimant struct {
 	index   int
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -34,6 +34,7 @@
 	used      map[string]job.Size
 	lowered   map[string]uint64    // the version of the configuration in which a customer's limit was last seen lowered
 	heldBack  map[string]time.Time // since when tasks of a customer wait for its allowance and none has begun
+	tellAgain map[string]time.Time // when that is logged again
 	waiting   map[string]bool      // customers of whom tasks were found to wait since endWaits
 }
 
@@ -76,23 +77,32 @@
 // allowances were set before.
 func (p *Pool) held(customer string) bool { return p.allowed.lowered[customer] > p.allowed.set.Version }
 
-// waitsAtLimit notes that a task waits for its customer's allowance; the first is logged.
+// waitToldEvery is the time between two log lines of one customer whose tasks wait.
+const waitToldEvery = 5 * time.Second
+
+// waitsAtLimit notes that a task waits for its customer's allowance; the first is logged, and
+// one each few seconds after.
 func (p *Pool) waitsAtLimit(j *jobState, size job.Size, now time.Time) {
 	c := j.sub.Customer
 	if p.allowed.heldBack == nil {
-		p.allowed.heldBack, p.allowed.waiting = make(map[string]time.Time), make(map[string]bool)
+		p.allowed.heldBack, p.allowed.tellAgain, p.allowed.waiting = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
 	}
 	p.allowed.waiting[c] = true
-	if _, known := p.allowed.heldBack[c]; known {
+	if _, known := p.allowed.heldBack[c]; !known {
+		p.allowed.heldBack[c] = now
+	}
+	if again := p.allowed.tellAgain[c]; now.Before(again) {
+		p.wakeAt(again, now)
 		return
 	}
-	p.allowed.heldBack[c] = now
+	p.allowed.tellAgain[c] = now.Add(waitToldEvery)
+	p.wakeAt(p.allowed.tellAgain[c], now)
 	limit, used := p.limitOf(c), p.allowed.used[c]
 	allowed := p.allowed.set.For(c, limit)
 	p.Logger.Info().Str("event", "limit").Str("customer", c).Str("job", string(j.sub.ID)).Int("task_cpu", size.CPU).Int("task_memory_mb", size.MemoryMB).
 		Int("used_cpu", used.CPU).Int("used_memory_mb", used.MemoryMB).Int("allowed_cpu", allowed.CPU).Int("allowed_memory_mb", allowed.MemoryMB).
 		Int("limit_cpu", limit.CPU).Int("limit_memory_mb", limit.MemoryMB).Bool("held", p.held(c)).Uint64("config", p.version()).
-		Uint64("allowances", p.allowed.set.Version).Str("outcome", "waits").Msg("tasks wait for their customer's allowance in this pool")
+		Dur("waited", now.Sub(p.allowed.heldBack[c])).Uint64("allowances", p.allowed.set.Version).Str("outcome", "waits").Msg("tasks wait for their customer's allowance in this pool")
 }
 
 // begins notes that a task of a customer begins: those that wait have waited since then, so
@@ -122,6 +132,7 @@
 			continue
 		}
 		delete(p.allowed.heldBack, c)
+		delete(p.allowed.tellAgain, c)
 		p.Logger.Info().Str("event", "limit").Str("customer", c).Dur("waited", now.Sub(since)).Str("outcome", "begins").
 			Msg("no task waits for its customer's allowance any more")
 	}
