--- a/services/owner/restart_test.go
+++ b/services/owner/restart_test.go
@@ -22,11 +22,15 @@
 // names another pool: it has started again there under its id.
 func TestAWorkerListedInAnotherPoolIsMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := open(t, world.New(1))
-		listed := worker.Worker{ID: "i-1", Pool: "p", Instance: "m-1", Address: "a", Capacity: job.Size{CPU: 1000}}
-		o.See(t.Context(), []worker.Worker{listed}, true)
+		w := world.New(1)
+		listed := worker.Worker{Pool: "p", Instance: "m-1", Address: "a", Capacity: job.Size{CPU: 1000}}
+		listed.ID = w.AddWorker(listed.Instance, listed.Pool, "r-0", listed.Capacity)
+		o := open(t, w)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		o.See(ctx, []worker.Worker{listed}, true)
 		listed.Pool = "q"
-		o.See(t.Context(), []worker.Worker{listed}, false)
+		o.See(ctx, []worker.Worker{listed}, false)
 		assert.Equal(t, len(o.Peek().Workers), 0)
 	})
 }
