An entry without a start stays unused, however often it is written; entries are decoded without the node's lock

Found by reading the change once more: the first such entry named no worker, and with that the start which an earlier one had told was forgotten, so that the second was used. TestListOfWorkers lists it again, in part and as a whole, and fails before. Which ids have told a start is kept for as long as they are listed. The check had also moved the decoding of all entries under the node's lock; it is before it again.

--- a/node/entries_test.go
+++ b/node/entries_test.go
@@ -19,7 +19,7 @@
 // TestListOfWorkers: of what one reading brings of a worker the newest counts. An entry
 // that can't be read takes away what an earlier one said, and the others hold.
 func TestListOfWorkers(t *testing.T) {
-	n := &Node{Logger: log.Nop(), workers: make(map[worker.ID]worker.Worker)}
+	n := &Node{Logger: log.Nop(), workers: make(map[worker.ID]worker.Worker), starts: make(map[worker.ID]bool)}
 	n.Ports.Feeds.DecodeWorker = func(r port.Record) (worker.Worker, error) {
 		if string(r.Value) != "good" {
 			return worker.Worker{}, errors.New("unreadable")
@@ -37,6 +37,11 @@
 	// An entry without a start is another writer's where the worker has told one.
 	n.list(t.Context(), []port.Record{{Key: "b", Value: good, Offset: 7}, {Key: "c", Value: good}}, false)
 	assert.DeepEqual(t, listed(), []worker.ID{"b", "c"})
-	n.list(t.Context(), []port.Record{{Key: "b", Value: good}, {Key: "c", Value: good}}, true)
-	assert.DeepEqual(t, listed(), []worker.ID{"c"})
+	for _, whole := range []bool{true, false, true} {
+		n.list(t.Context(), []port.Record{{Key: "b", Value: good}, {Key: "c", Value: good}}, whole)
+		assert.DeepEqual(t, listed(), []worker.ID{"c"})
+	}
+	n.list(t.Context(), []port.Record{{Key: "b"}}, false)
+	n.list(t.Context(), []port.Record{{Key: "b", Value: good}}, false)
+	assert.DeepEqual(t, listed(), []worker.ID{"b", "c"}) // its entry was removed meanwhile
 }
--- a/node/node.go
+++ b/node/node.go
@@ -13,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/wave"
@@ -75,6 +73,7 @@
 	newer   *setting.NodeBounds    // the bounds of newer settings, nil for none
 	said    map[string]port.Record // what the operators said last beside the configuration, by key
 	workers map[worker.ID]worker.Worker
+	starts  map[worker.ID]bool      // ids whose entries have told a start, and whether one without has been logged since
 	owners  map[string]*owner.Owner // of pools, by name
 	waves   []wave.Wave
 	stop    bool
@@ -83,7 +82,7 @@
 // New puts a node together; it opens its address for other nodes, but does
 // nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
-	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record), hurry: make(chan struct{}, 1)}
+	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), starts: make(map[worker.ID]bool), owners: make(map[string]*owner.Owner), said: make(map[string]port.Record), hurry: make(chan struct{}, 1)}
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, Found: ports.Found}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, Found: ports.Found}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), Open: ports.Listen}
@@ -367,17 +366,23 @@
 // worker to use, and what an earlier one said is told no longer.
 func (n *Node) list(ctx context.Context, records []port.Record, whole bool) {
 	newest := make(map[worker.ID]*worker.Worker, len(records)) // nil for one that is gone
+	removed := make(map[worker.ID]bool)
+	for _, r := range records {
+		id := worker.ID(r.Key)
+		newest[id], removed[id] = n.decodeWorker(r), len(r.Value) == 0
+	}
 	var seen []worker.Worker
 	var gone []worker.ID
 	n.mu.Lock()
-	for _, r := range records {
-		newest[worker.ID(r.Key)] = n.decodeWorker(r)
-	}
 	if whole {
 		clear(n.workers)
+		maps.DeleteFunc(n.starts, func(id worker.ID, _ bool) bool { _, listed := newest[id]; return !listed })
 	}
 	for id, w := range newest {
-		if w == nil {
+		if removed[id] {
+			delete(n.starts, id)
+		}
+		if w == nil || n.lacksStart(w) {
 			delete(n.workers, id)
 			gone = append(gone, id)
 			continue
@@ -394,15 +399,30 @@
 	}
 }
 
-// decodeWorker returns the worker that an entry names, nil for none. The lock is held.
+// lacksStart reports whether an entry does not tell the start of its worker though an earlier
+// one has, since that was last removed. The lock is held.
+func (n *Node) lacksStart(w *worker.Worker) bool {
+	logged, known := n.starts[w.ID]
+	switch {
+	case w.Born > 0:
+		n.starts[w.ID] = false
+		return false
+	case !known:
+		return false
+	case !logged:
+		n.starts[w.ID] = true
+		n.Logger.Error().Str("event", "worker").Str("worker", string(w.ID)).Uint64("offset", w.Revision).Str("outcome", "not used").
+			Msg("an entry lacks the start that its worker has told before, and names no worker to use")
+	}
+	return true
+}
+
+// decodeWorker returns the worker that an entry names, nil for none.
 func (n *Node) decodeWorker(r port.Record) *worker.Worker {
 	if len(r.Value) == 0 {
 		return nil
 	}
 	w, err := n.Ports.Feeds.DecodeWorker(r)
-	if err == nil && w.Born == 0 && n.workers[w.ID].Born > 0 {
-		err = errors.Errorf("worker %s: its start is missing, and an earlier entry has told one", w.ID)
-	}
 	if err == nil {
 		w.Revision = r.Offset
 		n.unread.Delete(r.Key)
