Reading once more: what a look has forgotten is decided in one place, and tests share what they begin with

mayForget answered and changed what it had answered; BeginLook keeps that now. An attend after an answer woke a link that wakes itself. Nothing is worked out about reserves where nobody is short. Behaviour is as it was.

--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -298,6 +298,9 @@
 // giveReserves gives the first of the claimants whose share does not bear the least that can
 // begin there what other pools keep beyond what they want, where that is enough.
 func (p *plan) giveReserves(customer string, limit, left job.Size, shares []job.Size, short []claimant) {
+	if len(short) == 0 {
+		return
+	}
 	keeps, room := make([]job.Size, len(shares)), left
 	for i, name := range p.names {
 		a, _ := p.l.books[name].account(customer)
--- a/services/scheduler/look.go
+++ b/services/scheduler/look.go
@@ -32,8 +32,10 @@
 	p.stamp++
 	w.wantLook = false
 	ask := port.Look{Token: p.token(w), Wait: wait}
-	if w.mayForget(now) {
-		ask.Seen = w.kept
+	if w.told < w.kept && !w.unproven && w.silent.IsZero() {
+		if w.withheld = !w.mayForget(now); !w.withheld {
+			ask.Seen = w.kept
+		}
 	}
 	before := w.deadline
 	w.extendedBy = 0
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -159,9 +159,6 @@
 		p.reachAt(w, false)
 	}
 	p.moved = true
-	if len(w.out) > 0 {
-		p.attend(w)
-	}
 }
 
 // address returns where a worker is reached.
@@ -218,15 +215,7 @@
 // mayForget reports whether a look may have a worker forget the ends that are kept. One look
 // in two may at least, so that ends are forgotten whatever a look takes.
 func (w *workerState) mayForget(now time.Time) bool {
-	switch {
-	case w.told >= w.kept || w.unproven || !w.silent.IsZero():
-		return false
-	case w.withheld || len(w.runs) == 0 || now.Sub(w.listedAt) <= forgetWithin:
-		w.withheld = false
-		return true
-	}
-	w.withheld = true
-	return false
+	return w.withheld || len(w.runs) == 0 || now.Sub(w.listedAt) <= forgetWithin
 }
 
 // keyStart begins the keys under which it is kept which start of a worker has the pool's runs;
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -54,15 +54,23 @@
 	return order
 }
 
+// newDeskWithRun returns a desk on which the start 1000 of the worker "w" has taken run 1 of the
+// only task of job "1".
+func newDeskWithRun(t *testing.T) *desk {
+	t.Helper()
+	d := newDesk(t, 1)
+	d.serveAs(1000)
+	d.submit("1", 1)
+	d.Answered(d.give(), heard, d.now)
+	return d
+}
+
 // TestDoneAfterARestartIsNotBegunAgain guards against TWICE: the numbers of ends begin anew
 // with a worker's start, and an end of a number that was seen before it counts all the same.
 func TestDoneAfterARestartIsNotBegunAgain(t *testing.T) {
 	for name, born := range map[string]int64{"later": 2000, "its time of day was set back": 500} {
 		t.Run(name, func(t *testing.T) {
-			d := newDesk(t, 1)
-			d.serveAs(1000)
-			d.submit("1", 1)
-			d.Answered(d.give(), heard, d.now)
+			d := newDeskWithRun(t)
 			d.answer(1000, worker.End{Sequence: 1, Task: "1.0.0.0", Number: 1, How: worker.Done})
 			d.keep()
 			d.answer(born)
@@ -192,10 +200,7 @@
 // TestARunToBeStoppedIsStoppedAtTheNextStart guards against a run that goes on at a worker's
 // next start after its stop was sent to the one before.
 func TestARunToBeStoppedIsStoppedAtTheNextStart(t *testing.T) {
-	d := newDesk(t, 1)
-	d.serveAs(1000)
-	d.submit("1", 1)
-	d.Answered(d.give(), heard, d.now)
+	d := newDeskWithRun(t)
 	_, err := d.Cancel("1", d.now)
 	assert.NilError(t, err)
 	d.keep()
@@ -208,10 +213,7 @@
 // TestAStopRefusedForItsTokenIsSentAgain guards against a run that is taken for stopped though
 // its stop was overtaken by a look with a higher token.
 func TestAStopRefusedForItsTokenIsSentAgain(t *testing.T) {
-	d := newDesk(t, 1)
-	d.serveAs(1000)
-	d.submit("1", 1)
-	d.Answered(d.give(), heard, d.now)
+	d := newDeskWithRun(t)
 	_, err := d.Cancel("1", d.now)
 	assert.NilError(t, err)
 	d.keep()
@@ -265,10 +267,7 @@
 // next start has another address, and nothing answers at the one before. An address of another
 // worker ends nothing.
 func TestTheNextStartIsReachedAtItsOwnAddress(t *testing.T) {
-	d := newDesk(t, 1)
-	d.serveAs(1000)
-	d.submit("1", 1)
-	d.Answered(d.give(), heard, d.now)
+	d := newDeskWithRun(t)
 	at := func() string {
 		d.Relink()
 		w, _ := d.Worker("w")
@@ -296,10 +295,7 @@
 // maintains any more: its worker was listed no longer, has restarted and is listed again, all
 // while it is not reached.
 func TestAWorkerThatIsListedAgainIsNotForgotten(t *testing.T) {
-	d := newDesk(t, 1)
-	d.serveAs(1000)
-	d.submit("1", 1)
-	d.Answered(d.give(), heard, d.now)
+	d := newDeskWithRun(t)
 	d.look("w", worker.Listing{}, port.Answer{Verdict: port.Unknown})
 	d.Miss("w")
 	d.See(restartable(2000))
@@ -312,10 +308,7 @@
 // TestAListWithoutItsStartIsNotTaken guards against an answer that can't be told from that of
 // another start, where the worker has told its start before.
 func TestAListWithoutItsStartIsNotTaken(t *testing.T) {
-	d := newDesk(t, 1)
-	d.serveAs(1000)
-	d.submit("1", 1)
-	d.Answered(d.give(), heard, d.now)
+	d := newDeskWithRun(t)
 	d.look("w", worker.Listing{}, heard)
 	assert.Equal(t, d.waitingTasks("1"), 0)
 	assert.Assert(t, !d.workers["w"].silent.IsZero())
@@ -371,10 +364,7 @@
 func TestAWorkerThatWasSilentAndComesBack(t *testing.T) {
 	for born, crashes := range map[int64]int{1000: 0, 2000: 1} {
 		for name, listed := range map[string]bool{"listed": true, "listed no longer": false} {
-			d := newDesk(t, 1)
-			d.serveAs(1000)
-			d.submit("1", 1)
-			d.Answered(d.give(), heard, d.now)
+			d := newDeskWithRun(t)
 			if !listed {
 				d.Miss("w")
 			}
@@ -444,10 +434,7 @@
 // ended, and whose runs begin elsewhere, since its instance was maintained before.
 func TestAnOrderToAnInstanceEndsItsStartOnly(t *testing.T) {
 	for born, ended := range map[int64]bool{1000: true, 999: false, 0: false} {
-		d := newDesk(t, 1)
-		d.serveAs(1000)
-		d.submit("1", 1)
-		d.Answered(d.give(), heard, d.now)
+		d := newDeskWithRun(t)
 		d.Over([]worker.Life{{ID: "w", Born: born}}, d.now)
 		assert.Equal(t, d.workers["w"] == nil, ended, "start %d", born)
 		if !ended {
