--- a/node/script_test.go
+++ b/node/script_test.go
@@ -496,7 +496,7 @@
 	if n := st.world.Alone(); st.script.Gangs && n > 0 {
 		st.t.Errorf("GANG: %d runs have waited for the others of their gang in vain", n)
 	}
-	owners := st.owners()
+	owners, gaveUp := st.owners(), st.gaveUpLasting()
 	st.judgeOwners()
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -511,7 +511,7 @@
 		}
 	}
 	for _, number := range st.script.Complete {
-		if !st.world.Told(number) && !st.mayStand(number) {
+		if !st.world.Told(number) && !gaveUp {
 			st.t.Errorf("wave %d is not told as completed; begun: %v", number, st.world.Begun(number))
 		}
 	}
@@ -522,11 +522,38 @@
 	return st.script.GiveUp > 0 && st.world.MayGiveUp(ref.Job)
 }
 
-// mayStand reports whether a wave can't go on: what still runs of a job that lasts and was
-// given up serves until its caller cancels, and none of it may be ended beside those that are
-// away for good.
-func (st *stage) mayStand(wave int) bool {
-	return len(st.world.Begun(wave)) > 0 && slices.ContainsFunc(st.lasting, st.mayHaveGivenUp)
+// gaveUpLasting reports whether a job that lasts and may be given up is told as failed. A wave may
+// stand then: what still runs of it serves until its caller cancels, and none may be ended beside
+// those that are away for good.
+func (st *stage) gaveUpLasting() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	n := st.live()
+	if n == nil {
+		return false
+	}
+	for id, pool := range st.mayFailLasting() {
+		if state, err := n.Gateway.State(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id, ""); err == nil && state == job.Failed {
+			return true
+		}
+	}
+	return false
+}
+
+// mayFailLasting returns the jobs that last and may have been given up, with their pools. Such
+// jobs of scripts are nobody's.
+func (st *stage) mayFailLasting() map[job.ID]string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	list := make(map[job.ID]string)
+	for _, ref := range st.lasting {
+		for pool, open := range st.open {
+			if _, in := open[ref.Job]; in && st.mayHaveGivenUp(ref) {
+				list[ref.Job] = pool
+			}
+		}
+	}
+	return list
 }
 
 // judgeJobs looks whether each job has ended as it must, once all who wait for one have
