Model: a fault of a node that ends does not end another one, and processes on resumed machines know the time

Cause: the model, not a node. The end of "store-silent" set StoreUnresponsive back while the machine was still suspended. Suspended nodes, whose clock stands still, then claimed the role and wrote intents some 4 s too early.

Ruled out: an intent that was not among the restored records; a wait that is too short.

--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -69,8 +69,8 @@
 	case "cut", "store-silent", "store-refuses", "store-lost", "workers-cut":
 		for i, n := range st.nodes {
 			if e.Node == 0 || e.Node == i+1 {
-				st.world.SetFaults(n.name, func(f *world.Faults) { setFault(f, e, true) })
-				time.AfterFunc(e.For.Std(), func() { st.world.SetFaults(n.name, func(f *world.Faults) { setFault(f, e, false) }) })
+				st.countFault(n, e, 1)
+				time.AfterFunc(e.For.Std(), func() { st.countFault(n, e, -1) })
 			}
 		}
 	case "suspend":
@@ -134,22 +134,15 @@
 }
 
 // suspend disconnects a node for a while that its steady clock does not count. The model can't stop
-// its process: what it decides meanwhile has no effect. A node that is suspended already stays so
-// until the last of its suspensions ends: a steady clock never runs backwards.
+// its process: what it decides meanwhile has no effect. It is connected again just after its clock
+// has moved on.
 func (st *scenario) suspend(n *scenarioNode, e scriptEvent) {
-	set := func(on bool) {
-		st.world.SetFaults(n.name, func(f *world.Faults) { f.PeersCut, f.StoreUnresponsive, f.WorkersCut = on, on, on })
-	}
-	set(true)
-	if n.suspensions.Add(1) == 1 {
-		n.suspendedAt.Store(time.Now().UnixNano())
-	}
+	n.suspension.begin()
+	st.countFault(n, e, 1)
 	time.AfterFunc(e.For.Std(), func() {
-		if n.suspensions.Add(-1) > 0 {
-			return
-		}
-		n.suspendedFor.Add(time.Now().UnixNano() - n.suspendedAt.Swap(0))
-		set(false)
+		n.suspension.end()
+		time.Sleep(time.Microsecond)
+		st.countFault(n, e, -1)
 	})
 }
 
@@ -176,22 +169,26 @@
 	})
 }
 
-func setFault(f *world.Faults, e scriptEvent, on bool) {
-	switch e.Kind {
-	case "cut":
-		f.PeersCut = on
-	case "store-silent":
-		f.StoreUnresponsive = on
-	case "store-refuses":
-		f.StoreUnavailable = on
-	case "workers-cut":
-		f.WorkersCut = on
-	case "store-lost":
-		f.StoreLostResponses = 0
-		if on {
+// countFault adds a fault to those in force at a node, or removes it, and applies what is in force:
+// a fault that ends does not end another one.
+func (st *scenario) countFault(n *scenarioNode, e scriptEvent, by int) {
+	st.world.SetFaults(n.name, func(f *world.Faults) {
+		if n.faults == nil {
+			n.faults = make(map[string]int)
+		}
+		n.faults[e.Kind] += by
+		suspended := n.faults["suspend"] > 0
+		f.PeersCut = suspended || n.faults["cut"] > 0
+		f.WorkersCut = suspended || n.faults["workers-cut"] > 0
+		f.StoreUnresponsive = suspended || n.faults["store-silent"] > 0
+		f.StoreUnavailable = n.faults["store-refuses"] > 0
+		if e.Kind == "store-lost" {
 			f.StoreLostResponses = e.Share
 		}
-	}
+		if n.faults["store-lost"] == 0 {
+			f.StoreLostResponses = 0
+		}
+	})
 }
 
 // restartNode ends a node, after a hand-over if it is stopped, and starts it again after a while.
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,30 +120,65 @@
 
 // scenarioNode is one node of a scenario; its Node is replaced when it is killed.
 type scenarioNode struct {
-	name         string
-	number       int // from 1
-	mu           sync.Mutex
-	node         *Node
-	cancel       context.CancelFunc
-	stopped      chan struct{}
-	busy         bool         // it is being stopped and started
-	suspendedFor atomic.Int64 // how long its machine was suspended, which its steady clock has not counted, in nanoseconds
-	suspendedAt  atomic.Int64 // since when it is suspended, in nanoseconds since 1970, 0 for not
+	name       string
+	number     int // from 1
+	mu         sync.Mutex
+	node       *Node
+	cancel     context.CancelFunc
+	stopped    chan struct{}
+	busy       bool           // it is being stopped and started
+	faults     map[string]int // the faults in force, by kind; changed while the model changes the node's faults
+	suspension suspension
+}
+
+// suspension is for how long a machine has been suspended.
+type suspension struct {
+	mu    sync.Mutex
+	count int           // suspensions in force
+	since time.Time     // when the first of them began
+	total time.Duration // of those that have ended
+}
+
+// begin begins a suspension; a machine that is suspended already stays so until the last one ends.
+func (s *suspension) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count++; s.count == 1 {
+		s.since = time.Now()
+	}
+}
+
+// end ends a suspension.
+func (s *suspension) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count--; s.count == 0 {
+		s.total += time.Since(s.since)
+	}
+}
 
-	suspensions atomic.Int64 // in force
+// active reports whether the machine is suspended.
+func (s *suspension) active() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count > 0
+}
+
+// lost returns for how long the machine has been suspended, which its steady clock does not count.
+func (s *suspension) lost() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count > 0 {
+		return s.total + time.Since(s.since)
+	}
+	return s.total
 }
 
 // clock returns the clock of a process on the node's machine: its steady clock does not count the
-// time during which the machine was suspended.
+// time during which the machine is suspended from now on.
 func (n *scenarioNode) clock(t *testing.T) clock.Clock {
-	began := time.Now()
-	steady := func() time.Time {
-		lost := time.Duration(n.suspendedFor.Load())
-		if suspendedAt := n.suspendedAt.Load(); suspendedAt > 0 {
-			lost += time.Since(time.Unix(0, suspendedAt))
-		}
-		return time.Now().Add(-lost)
-	}
+	began, before := time.Now(), n.suspension.lost()
+	steady := func() time.Time { return time.Now().Add(before - n.suspension.lost()) }
 	s, err := clock.NewSuspendAware(func() (time.Duration, error) { return time.Since(began), nil }, steady, func(time.Duration, error) {})
 	assert.NilError(t, err)
 	s.CheckInterval = time.Nanosecond
@@ -310,7 +344,7 @@
 		n.mu.Lock()
 		node := n.node
 		n.mu.Unlock()
-		if node != nil && node.Ready() && n.suspendedAt.Load() == 0 {
+		if node != nil && node.Ready() && !n.suspension.active() {
 			return node
 		}
 	}
@@ -373,7 +407,7 @@
 func (st *scenario) suspended(node *Node) bool {
 	for _, n := range st.nodes {
 		n.mu.Lock()
-		is := n.node == node && n.suspendedAt.Load() > 0
+		is := n.node == node && n.suspension.active()
 		n.mu.Unlock()
 		if is {
 			return true
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -183,7 +183,8 @@
 			other.expireLease() // its timer may fire late
 		}
 		if r := other.runs[s.Task]; r != nil && !other.gone {
-			w.violation("TWICE: %s starts %s run %d while run %d is on %s", node, s.Task, s.Number, r.number, other.info.ID)
+			w.violation("TWICE: %s starts %s run %d while run %d is on %s for %s, whose incarnation is %s old, token %d, newest end %d",
+				node, s.Task, s.Number, r.number, other.info.ID, time.Since(r.startedAt), time.Since(other.startedAt), other.token, other.lastSequence)
 		}
 	}
 }
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -90,9 +90,9 @@
 	return w.faults[node]
 }
 
-// violation records a violation of a rule. The caller holds w.mu.
+// violation records a violation of a rule and its time. The caller holds w.mu.
 func (w *World) violation(format string, args ...any) {
-	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+	w.violations = append(w.violations, fmt.Sprintf(format, args...)+time.Now().Format(" (at 15:04:05.000)"))
 }
 
 // Violations returns the recorded violations.
