Fleet: the next holder waits by its own clock, whatever the time of day says

What callers would see: two holders order one instance within the lease (ONE): an instance is taken down twice.

Clocks of the users' machines may be set forward or back by seconds and stay so.

Why it works: nothing of an earlier holder is persisted after the claim of the next one, and an order follows its intent within intentAge. So the wait counts from the claim, by one clock. By how much an intent was dated ahead on a slow store is persisted with it, as a new optional field.

TestNextHolderWaitsWhateverTheTimeOfDay failed before: "clock set by -6s: the next holder waits -2.016s only". A clock 6 s ahead made it wait 10 s instead of 4.

Logs: `claim` counts the restored intents, and `order` with outcome "put off" tells the age and the wait of each that is waited for.

Price: after a change of the holder, an instance ordered within the last 19 s may wait up to 3.5 s longer.

--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -46,6 +46,8 @@
 	// RequestReport requests a pool's report from its owner and sends it the cordons.
 	RequestReport func(ctx context.Context, pool string, cordons scheduler.CordonRequest) (scheduler.Report, error)
 
+	claimedAt time.Time // when the role was claimed, so that no earlier holder persists anything
+
 	done     chan struct{}
 	reported chan struct{} // signals that the pools have reported
 	requests uint64        // requests to owners so far
@@ -77,11 +79,13 @@
 	reportTimeout = 400 * time.Millisecond
 	// unsettled is how long an order with an unknown outcome may still take effect.
 	unsettled = 8 * time.Second
-	// intentAge is the maximum age of an intent when its order is sent: another holder waits from
-	// the intent's time until it may send orders to the instance.
+	// intentAge is the maximum age of an intent when its order is sent.
 	intentAge = 500 * time.Millisecond
-	// clockSkew is the maximum difference between the clocks of two nodes.
-	clockSkew = 500 * time.Millisecond
+	// orderTransit is the maximum time from sending an order until the platform receives it.
+	orderTransit = 500 * time.Millisecond
+	// maxClockError is the maximum difference between the times of day of two nodes: clocks may be
+	// set forward or back by seconds.
+	maxClockError = 15 * time.Second
 	// settleTime is how long a completed order may take to appear in the list.
 	settleTime = 15 * time.Second
 	// noEffectAfter is the time after which an instance that the list still shows in the same
@@ -97,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	m.Node = node
+	m.Node, m.claimedAt = node, m.Clock.Now()
 	m.done = make(chan struct{})
 	m.reported = make(chan struct{}, 1)
 	m.querying = make(map[string]bool)
@@ -110,7 +114,8 @@
 		return err
 	}
 	m.Logger.Info().Str("event", "claim").Uint64("epoch", m.Epoch()).Int("records", len(records)).Str("outcome", "holder").
-		Msg("role for instances claimed")
+		Int("intents", len(m.orders)).Msg("role for instances claimed")
+	m.logWaits()
 	return nil
 }
 
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -27,6 +27,7 @@
 	OutcomeKnown bool      `cbor:"6,keyasint"` // the order's outcome is known
 	From         string    `cbor:"7,keyasint"`
 	StartedAt    int64     `cbor:"8,keyasint,omitempty"`
+	Ahead        int64     `cbor:"9,keyasint,omitempty"` // by how much At is later than the time of writing, in milliseconds
 }
 
 // ended reports whether the list shows that the incarnation for which an order was sent has ended.
@@ -59,18 +60,44 @@
 	return false
 }
 
-// wait returns how long the order to an instance must wait because an earlier holder has sent it
-// one.
+// wait returns how long the order to an instance must wait because an earlier holder may have sent
+// it one. The earlier holder sent it soon after its intent was persisted, and nothing of it was
+// persisted after the claim of this holder. So the time since the claim decides: times of day of
+// other nodes only show which intents are much older.
 func (m *Manager) wait(name string) time.Duration {
 	i, has := m.orders[name]
 	if !has {
 		return 0
 	}
-	least := m.Limits.HolderLease + clockSkew + intentAge
+	least := m.Limits.HolderLease + orderTransit + intentAge
 	if !i.OutcomeKnown {
 		least = max(least, unsettled)
 	}
-	return least - m.Clock.Now().Sub(m.Clock.FromWallTime(time.UnixMilli(i.At)))
+	now := m.Clock.Now()
+	if m.intentAge(i, now) >= least+maxClockError {
+		return 0
+	}
+	return least + time.Duration(i.Ahead)*time.Millisecond - now.Sub(m.claimedAt)
+}
+
+// intentAge returns the time since the start of an intent's time limits by the times of day of its
+// writer and of this node.
+func (m *Manager) intentAge(i intent, now time.Time) time.Duration {
+	return now.Sub(m.Clock.FromWallTime(time.UnixMilli(i.At)))
+}
+
+// logWaits logs the restored intents for which orders have to wait.
+func (m *Manager) logWaits() {
+	for _, name := range slices.Sorted(maps.Keys(m.orders)) {
+		wait := m.wait(name)
+		if wait <= 0 {
+			continue
+		}
+		i := m.orders[name]
+		m.Logger.Info().Str("event", "order").Str("instance", name).Str("to", i.To).Int("wave", i.Wave).Bool("known", i.OutcomeKnown).
+			Dur("age", m.intentAge(i, m.Clock.Now())).Dur("wait", wait).Str("outcome", "put off").
+			Msg("an earlier holder may have sent an order to the instance")
+	}
 }
 
 // act sends the orders that may be sent, after their intents are persisted.
@@ -124,6 +151,7 @@
 func (m *Manager) intent(a *action, known bool, ahead time.Duration) (port.Record, error) {
 	value, err := codec.Marshal(intent{
 		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.WallTime(m.Clock.Now().Add(ahead)).UnixMilli(), OutcomeKnown: known, From: a.from, StartedAt: a.startedAt,
+		Ahead: ahead.Milliseconds(),
 	})
 	return port.Record{Key: keyIntent + a.instance, Value: value}, err
 }
--- a/services/fleet/order_test.go
+++ b/services/fleet/order_test.go
@@ -85,3 +85,32 @@
 		assert.Assert(t, next.wait("i") >= least, "the next holder waits %s, not %s", next.wait("i"), least)
 	})
 }
+
+// TestNextHolderWaitsWhateverTheTimeOfDay guards against two holders that send orders to an instance
+// within the lease (ONE). The clock of the first was set back or forward by seconds, so that its
+// intent seems older or younger than it is.
+func TestNextHolderWaitsWhateverTheTimeOfDay(t *testing.T) {
+	for _, step := range []time.Duration{0, -6 * time.Second, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			w := world.New(1)
+			claim := func(node string, now func() time.Time) *Manager {
+				m := &Manager{
+					Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: w.Store(node), Logger: log.Nop()},
+					Logger:  log.Nop(), Limits: Limits{MaintenanceTime: time.Second, HolderLease: 3 * time.Second}, Clock: clock.Clock{NowFunc: now},
+					Instances: port.Instances{Move: func(context.Context, port.Issuer, string, string) error { return nil }},
+				}
+				assert.NilError(t, m.Claim(t.Context(), node))
+				return m
+			}
+			m := claim("n1", func() time.Time { return time.Now().Add(step) })
+			m.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "off", Condition: port.Up}}
+			m.view.actions["i"] = &action{instance: "i", from: "off", to: "p", began: time.Now()}
+			assert.NilError(t, m.act(t.Context()))
+			ordered := time.Now()
+			next := claim("n2", time.Now)
+			wait := next.wait("i")
+			assert.Assert(t, wait >= time.Until(ordered.Add(m.Limits.HolderLease)), "clock set by %s: the next holder waits %s only", step, wait)
+			assert.Assert(t, wait <= m.Limits.HolderLease+time.Second, "clock set by %s: the next holder waits %s", step, wait)
+		})
+	}
+}
