Lending: a new holder continues with the allowances in force, not with older ones that are persisted

Cause: a pool reports its persisted allowances, but says by those in force whether a customer is paused. After a limit was lowered, pool beta had accepted number 59 for it and not persisted it yet; the role for instances changed; the new holder read number 57 (10,110 of what had been 12,000), found nobody paused, and set the same again for the new configuration. The logs show it: number 59 has 1 customer, number 2 of epoch 2 has 2 again, and north is allowed 10,110 from then on.

Ruled out: exchange of what ends for what starts above a limit (the pool went by its allowance), an allowance that could not be written (59 was accepted), runs of restarted workers not counted (`limit` lines count 9,460).

Why it works: the report also has the allowances in force where they are not persisted. Histories in services/lending missed it: their pools persist at once.

TestNextHolderKeepsALoweredAllowance failed before: "the pool may use 10000 of 8000". The first report of each pool to a holder is logged.

--- a/models/quota/quota.go
+++ b/models/quota/quota.go
@@ -84,10 +84,13 @@
 
 // Report is what a pool reports of its allowances.
 type Report struct {
-	OwnerEpoch    uint64             `json:"owner"`              // epoch of the pool's owner
-	ConfigVersion uint64             `json:"config"`             // version that is in force there
-	Allowances    Allowances         `json:"allowed"`            // the newest persisted ones; if the querying holder has set them, only their identification
-	Accounts      map[string]Account `json:"accounts,omitempty"` // of customers that were queried, that may not begin anything, or whose demand is near their allowance
+	OwnerEpoch    uint64     `json:"owner"`   // epoch of the pool's owner
+	ConfigVersion uint64     `json:"config"`  // version that is in force there
+	Allowances    Allowances `json:"allowed"` // the newest persisted ones; if the querying holder has set them, only their identification
+	// Current are the allowances in force, nil if they are the persisted ones or were set by the
+	// querying holder.
+	Current  *Allowances        `json:"current,omitempty"`
+	Accounts map[string]Account `json:"accounts,omitempty"` // of customers that were queried, that may not begin anything, or whose demand is near their allowance
 }
 
 // HasLimit reports whether any dimension has a limit.
--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -133,6 +133,11 @@
 	b.report, b.lastContact = s, now
 	if !b.reported {
 		b.sent, b.reported, b.confirmed = s.Allowances, true, true
+		if s.Current != nil { // its reductions count once the pool has persisted them
+			b.sent, b.confirmed = *s.Current, false
+		}
+		l.Logger.Info().Str("event", "allowance").Str("of", pool).Uint64("owner", s.OwnerEpoch).Uint64("epoch", b.sent.Epoch).Uint64("number", b.sent.Revision).
+			Uint64("config", b.sent.Version).Bool("persisted", b.confirmed).Str("outcome", "reported").Msg("first report of a pool to this holder")
 		return
 	}
 	b.confirmed = s.Allowances.Epoch == b.sent.Epoch && s.Allowances.Revision == b.sent.Revision
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -171,6 +171,9 @@
 	if s.Allowances.Epoch == q.Epoch {
 		s.Allowances.ByCustomer = nil
 	}
+	if current := p.allowances.current; current.Epoch != q.Epoch && p.allowances.persisted.OlderThan(current) {
+		s.Current = &current
+	}
 	return s
 }
 
