Scheduler: restored runs of a failed job may be serving and are not stopped

Cause: when a job fails, tasks that serve go on until its caller cancels. Which ones serve was decided by what this owner had seen running. n2 had just taken the pool over: the run was restored and its worker not heard of yet, so it was stopped beside the one that was away.

That the job failed is allowed: four workers crashed under one task within 0.7 to 3.7 s of its starts.

Why it works: a run that was restored, or whose start was ordered, is treated as one that may serve. One that was never ordered is released as before.

Elsewhere: evacuation stops only runs seen at work and counts all others of a step as away.

--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -287,10 +287,11 @@
 
 // keepsServing reports whether a run belongs to a step with a limit on voluntary disruptions. Such
 // tasks of a failed job keep serving users until its caller cancels the job or it is forgotten: the
-// failed task does not come back, so stopping another one would exceed the limit.
+// failed task does not come back, so stopping another one would exceed the limit. A run of an
+// earlier owner, or whose start was ordered, may be serving even if its worker has not listed it yet.
 func (u *run) keepsServing() bool {
 	s := u.step().spec
-	return s.LongRunning && s.MaxUnavailable > 0 && u.phase == running
+	return s.LongRunning && s.MaxUnavailable > 0 && (u.phase == running || u.sent || u.restored)
 }
 
 // forgetEndedJobs removes ended jobs whose retention is over.
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -27,12 +27,13 @@
 // testPool is a pool with a clock that a test sets.
 type testPool struct {
 	*Pool
-	t   *testing.T
-	now time.Time
+	t       *testing.T
+	now     time.Time
+	journal testJournal // everything persisted
 }
 
 func newTestPool(t *testing.T, token uint64) *testPool {
-	d := &testPool{New("p", token, testLimits, log.Nop()), t, time.Unix(1000, 0)}
+	d := &testPool{New("p", token, testLimits, log.Nop()), t, time.Unix(1000, 0), testJournal{}}
 	d.Configure(testConfig)
 	return d
 }
@@ -73,6 +74,9 @@
 		return nil
 	}
 	d.Committed(b, d.now)
+	for _, r := range b.Records {
+		d.journal[r.Key] = r
+	}
 	return b.Records
 }
 
