Scheduler: where tasks have failed, and which workers are unhealthy, outlives a change of the owner

Without a take-over, the second attempt could go where the first had just failed: only the last one waited.

Why it works: failedOn of tasks ("f/") and the health of workers ("h/") are persisted when they change, with the batch that has the end of the run, and restored. Every attempt after the first waits up to 2 s for a worker without a failure of the task, if one suits it. A worker that restarts stays on trial, as its fault may have gone with the restart: one task at a time until one is done.

Failed before, each without its part: TestNextOwnerRetriesElsewhere "1 (int) != 0 (int): the task is tried again where it has failed", TestNextOwnerKeepsAWorkerEjected "4 (int) != 0 (int): a task is placed on an ejected worker", TestRetryAvoidsTheFailingWorker, TestHealthOfAnUnlistedWorkerIsRemoved (records that stay forever).

--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -37,49 +37,67 @@
 	return now.Before(w.health.ejectedUntil) || w.health.onTrial && len(w.runs) > w.longRunningRuns
 }
 
-// noteFailure records that a run failed on its worker.
-func (p *Pool) noteFailure(u *run, now time.Time) {
-	t, w := u.task(), u.worker
+// noteFailure records that a run of a task failed on a worker.
+func (p *Pool) noteFailure(j *jobState, t *taskState, w *workerState, name string, now time.Time) {
 	t.failedAt = now
-	if !slices.Contains(t.failedOn, w.info.ID) {
-		t.failedOn = append(t.failedOn, w.info.ID)
-	}
-	if u.job.failedOn == nil {
-		u.job.failedOn = make(map[worker.ID]bool)
-	}
-	u.job.failedOn[w.info.ID] = true
+	t.noteFailedOn(w.info.ID)
+	j.noteFailedOn(w.info.ID)
+	j.failuresChanged = true
 	if w.health.failed == nil {
 		w.health.failed = make(map[*jobState]bool)
 	}
-	w.health.failed[u.job] = true
+	w.health.failed[j] = true
+	p.markHealthChanged(w)
 	strikes := 0
-	for j := range w.health.failed {
-		if len(j.failedOn) == 1 {
+	for o := range w.health.failed {
+		if len(o.failedOn) == 1 {
 			strikes++
 		}
 	}
-	if strikes >= strikesToEject || w.health.onTrial && len(u.job.failedOn) == 1 {
-		p.eject(w, min(max(2*w.health.ejectedFor, firstEjection), maxEjection), now, "different jobs fail there", u)
+	if strikes >= strikesToEject || w.health.onTrial && len(j.failedOn) == 1 {
+		p.eject(w, min(max(2*w.health.ejectedFor, firstEjection), maxEjection), now, "different jobs fail there", name)
 	}
 }
 
 // noteRefusal records that a worker refused an order.
 func (p *Pool) noteRefusal(u *run, v port.Result, now time.Time) {
 	if v == port.Refused {
-		p.eject(u.worker, max(u.worker.health.ejectedFor, refusalEjection), now, "it refuses orders", u)
+		p.eject(u.worker, max(u.worker.health.ejectedFor, refusalEjection), now, "it refuses orders", u.name)
 	}
 }
 
 // eject ejects a worker for a while.
-func (p *Pool) eject(w *workerState, duration time.Duration, now time.Time, reason string, u *run) {
+func (p *Pool) eject(w *workerState, duration time.Duration, now time.Time, reason, task string) {
 	w.health.ejectedFor, w.health.ejectedUntil, w.health.onTrial = duration, now.Add(duration), true
 	p.schedulePlan(w.health.ejectedUntil, now)
-	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("jobs", len(w.health.failed)).Str("task", u.name).
+	p.markHealthChanged(w)
+	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("jobs", len(w.health.failed)).Str("task", task).
 		Dur("rest", duration).Str("why", reason).Msg("worker ejected")
 }
 
+// noteFailedOn records that a task has failed on a worker.
+func (t *taskState) noteFailedOn(id worker.ID) {
+	if !slices.Contains(t.failedOn, id) {
+		t.failedOn = append(t.failedOn, id)
+	}
+}
+
+// noteFailedOn records that a task of a job has failed on a worker.
+func (j *jobState) noteFailedOn(id worker.ID) {
+	if j.failedOn == nil {
+		j.failedOn = make(map[worker.ID]bool)
+	}
+	j.failedOn[id] = true
+}
+
 // clearFailures clears the failures of a worker.
-func (w *workerState) clearFailures() { w.health = health{} }
+func (p *Pool) clearFailures(w *workerState) {
+	if w.health.isZero() {
+		return
+	}
+	w.health = health{}
+	p.markHealthChanged(w)
+}
 
 // Costs of a worker for a task that has failed.
 const (
@@ -99,15 +117,29 @@
 	return cost
 }
 
-// lastAttemptDelay is how long a task with one attempt left waits for a worker on which it has not
-// failed. A worker that fails all its runs would use up all attempts within a second; nothing may
-// wait for 3 s while there is free capacity.
-const lastAttemptDelay = 2 * time.Second
+// retryElsewhereDelay is how long a task that has failed waits for a worker on which it has not. A
+// worker that fails all its runs would use up all attempts within a second; nothing may wait for 3 s
+// while there is free capacity.
+const retryElsewhereDelay = 2 * time.Second
 
-// savesLastAttempt reports whether a task must not use its last attempt on a worker on which it has
-// failed.
-func (t *taskState) savesLastAttempt(w *workerState, j *jobState, now time.Time) bool {
-	return t.onLastAttempt(j) && now.Sub(t.failedAt) < lastAttemptDelay && slices.Contains(t.failedOn, w.info.ID)
+// retriesElsewhere reports whether a task must not use an attempt now on a worker on which it has
+// failed: the last attempt waits even if there is no other worker yet.
+func (p *Pool) retriesElsewhere(c candidate, t *taskState, now time.Time) bool {
+	if t.failures == 0 || now.Sub(t.failedAt) >= retryElsewhereDelay {
+		return false
+	}
+	return t.onLastAttempt(c.job) || p.othersSuit(c.step, t, now)
+}
+
+// othersSuit reports whether a task could run on a worker on which it has not failed, once there is
+// capacity.
+func (p *Pool) othersSuit(s *stepState, t *taskState, now time.Time) bool {
+	for _, w := range p.workers {
+		if !slices.Contains(t.failedOn, w.info.ID) && s.suits(w, now) && s.spec.Reservation().FitsIn(w.info.Capacity) {
+			return true
+		}
+	}
+	return false
 }
 
 // onLastAttempt reports whether the next failure of a task, which has failed before, fails its job.
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -26,7 +26,9 @@
 	objective     time.Duration // latency objective of the job
 	remainingWork float64       // remaining core-seconds
 
-	failedOn map[worker.ID]bool // workers on which its tasks have failed
+	failedOn          map[worker.ID]bool // workers on which its tasks have failed
+	failuresChanged   bool               // failedOn of its tasks differs from what is persisted
+	failuresPersisted bool               // failedOn of a task is persisted, or in the batch in progress
 
 	crashesChanged   bool // crashes attributed to its tasks differ from what is persisted
 	crashesPersisted bool // crashes attributed to its tasks are persisted, or in the batch in progress
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -37,6 +37,7 @@
 	p.ExpireLeases(now)
 	p.withholdAll(now)
 	p.forgetEndedJobs(now)
+	p.dropStaleHealth(now)
 	p.evacuate(now)
 	if !p.needsPlan && (p.planAt.IsZero() || now.Before(p.planAt)) {
 		return p.planAt
@@ -164,7 +165,7 @@
 		}
 		if w == nil {
 			p.schedulePlan(t.suspectSince.Add(maxSeparation), now)
-			p.schedulePlan(t.failedAt.Add(lastAttemptDelay), now)
+			p.schedulePlan(t.failedAt.Add(retryElsewhereDelay), now)
 			continue
 		}
 		u := p.planRun(c.job, c.step, i, w, now)
@@ -195,11 +196,12 @@
 func (p *Pool) chooseWorker(c candidate, t *taskState, now time.Time, skip func(*workerState) bool) *workerState {
 	var best *workerState
 	var bestScore float64
+	elsewhere := p.retriesElsewhere(c, t, now)
 	for _, w := range p.workers {
 		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || w.health.onTrial && t.onLastAttempt(c.job) {
 			continue
 		}
-		if t.savesLastAttempt(w, c.job, now) || t.keepApart(w, now) {
+		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) {
 			continue
 		}
 		score := p.score(c.step, w) - t.failureCost(w) - t.suspectCost(w)
@@ -213,20 +215,21 @@
 // canRun reports whether a task of a step may run on a worker now.
 func (p *Pool) canRun(s *stepState, w *workerState, now time.Time) bool {
 	switch {
-	case !w.schedulable(now), !s.spec.Reservation().FitsIn(w.free()):
-		return false
-	case !s.allowedOn(w, now):
+	case !s.suits(w, now), !s.spec.Reservation().FitsIn(w.free()):
 		return false
 	case p.reserved[w] && p.reservedFor != s && !s.spec.LongRunning:
 		return false
-	case s.spec.Label != "" && !w.info.HasLabel(s.spec.Label):
-		return false
 	case s.spec.MaxPerWorker > 0 && s.runsByWorker[w] >= s.spec.MaxPerWorker:
 		return false
 	}
 	return true
 }
 
+// suits reports whether a worker may run tasks of a step, with enough free capacity.
+func (s *stepState) suits(w *workerState, now time.Time) bool {
+	return w.schedulable(now) && s.allowedOn(w, now) && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label))
+}
+
 // Score bonuses of a worker; its used share, which counts too, is at most 1.
 const (
 	dataLocalityBonus = 4 // the worker is near the task's data
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -121,6 +121,9 @@
 		lease = max(lease, p.Limits.MaxLease)
 	}
 	w.startedAt = startedAt
+	if w.healthOf > 0 && w.healthOf != startedAt {
+		w.health = w.health.carryOver()
+	}
 	w.latestDeadline = max(w.latestDeadline, w.clock+lease)
 	w.hasResponded = true
 	p.resolveCrashes(w)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -49,10 +49,14 @@
 	attributed    map[worker.Incarnation][]job.TaskRef // tasks to which the crash of a worker is attributed
 	recentCrashes map[worker.Incarnation]time.Time     // time since which recently crashed workers had been unresponsive
 
-	tokenRaises     uint64              // how often the token of a worker's orders was raised
-	persistedStarts map[worker.ID]int64 // incarnation of each worker with runs, as persisted or in the batch in progress
-	removedWorkers  []worker.ID         // removed since the last batch
-	toReconnect     []worker.ID         // workers that need a new connection
+	tokenRaises     uint64                     // how often the token of a worker's orders was raised
+	persistedStarts map[worker.ID]int64        // incarnation of each worker with runs, as persisted or in the batch in progress
+	persistedHealth map[worker.ID]bool         // workers whose health is persisted, or in the batch in progress
+	changedHealth   []worker.ID                // health changed since the last batch
+	restoredHealth  map[worker.ID]healthRecord // by earlier owners, of workers that are not listed yet
+	restoredAt      time.Time                  // when the state of earlier owners was restored
+	removedWorkers  []worker.ID                // removed since the last batch
+	toReconnect     []worker.ID                // workers that need a new connection
 
 	allowances      allowances
 	usageByCustomer map[string]usage // averaged use of the pool, by customer
@@ -95,6 +99,8 @@
 		attributed:      make(map[worker.Incarnation][]job.TaskRef),
 		recentCrashes:   make(map[worker.Incarnation]time.Time),
 		persistedStarts: make(map[worker.ID]int64),
+		persistedHealth: make(map[worker.ID]bool),
+		restoredHealth:  make(map[worker.ID]healthRecord),
 		batch:           1,
 	}
 }
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -19,7 +19,8 @@
 // A job has two keys: its submission, which is written once and reduced to the job's customer when
 // the job ends, and its progress, which is written with each change. Each cordoned worker has a
 // key, and so has each worker with runs, for its start time (restart.go), and each job with crashes
-// attributed to its tasks. The pool's allowances have one key (allowance.go).
+// attributed to its tasks. Jobs with failed tasks and unhealthy workers have keys as well
+// (record_health.go). The pool's allowances have one key (allowance.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -89,6 +90,9 @@
 		b.Records = append(b.Records, cordonRecord(id, p.cordons[id]))
 	}
 	p.changedCordons = nil
+	if err := p.addHealth(b); err != nil {
+		return nil, err
+	}
 	if err := p.addStarts(b); err != nil {
 		return nil, err
 	}
@@ -137,6 +141,9 @@
 		return err
 	}
 	b.Records = append(b.Records, port.Record{Key: keyProgress + id, Value: data})
+	if err := b.addFailures(j); err != nil {
+		return err
+	}
 	return b.addCrashes(j)
 }
 
@@ -267,6 +274,12 @@
 	if err := p.restoreCrashes(records); err != nil {
 		return err
 	}
+	if err := p.restoreFailures(records, now); err != nil {
+		return err
+	}
+	if err := p.restoreHealth(records, now); err != nil {
+		return err
+	}
 	if err := p.restoreAllowances(records); err != nil {
 		return err
 	}
--- /dev/null
+++ b/services/scheduler/record_health.go
@@ -0,0 +1,250 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// Where tasks have failed, and which workers are unhealthy, is persisted: the next owner would
+// otherwise use up the remaining attempts of a task where it has failed before.
+const (
+	keyFailures = "f/" // followed by the job's name
+	keyHealth   = "h/" // followed by the worker's name
+)
+
+// failureRecord is the persisted form of the workers on which a task has failed.
+type failureRecord struct {
+	Round   int         `cbor:"1,keyasint"`
+	Step    int         `cbor:"2,keyasint"`
+	Index   int         `cbor:"3,keyasint"`
+	Workers []worker.ID `cbor:"4,keyasint"`
+}
+
+// healthRecord is the persisted form of a worker's health.
+type healthRecord struct {
+	Failed     []job.ID `cbor:"1,keyasint"`           // jobs that have failed there since its last success
+	Only       []job.ID `cbor:"2,keyasint,omitempty"` // subset of them that has failed nowhere else
+	EjectedFor int64    `cbor:"3,keyasint,omitempty"` // length of the last ejection, in milliseconds
+	Until      int64    `cbor:"4,keyasint,omitempty"` // end of the ejection, in milliseconds since 1970
+	OnTrial    bool     `cbor:"5,keyasint,omitempty"`
+	StartedAt  int64    `cbor:"6,keyasint,omitempty"` // start time of the worker's incarnation, 0 if unknown
+}
+
+// addFailures adds the workers on which a job's tasks have failed to the batch if they have changed,
+// and removes them when the job ends.
+func (b *Batch) addFailures(j *jobState) error {
+	if !j.failuresChanged && !(j.failuresPersisted && j.state.Final()) {
+		return nil
+	}
+	j.failuresChanged = false
+	failures := j.failureRecords()
+	if len(failures) == 0 && !j.failuresPersisted {
+		return nil
+	}
+	r := port.Record{Key: keyFailures + string(j.sub.ID)}
+	if j.failuresPersisted = len(failures) > 0; j.failuresPersisted {
+		data, err := codec.Marshal(failures)
+		if err != nil {
+			return err
+		}
+		r.Value = data
+	}
+	b.Records = append(b.Records, r)
+	return nil
+}
+
+// failureRecords returns where the open tasks of a job have failed, nothing for a job that has ended.
+func (j *jobState) failureRecords() []failureRecord {
+	if j.state.Final() {
+		return nil
+	}
+	var list []failureRecord
+	for n, r := range j.rounds {
+		if r == nil {
+			continue
+		}
+		for i := range r.steps {
+			for t := range r.steps[i].tasks {
+				if o := &r.steps[i].tasks[t]; len(o.failedOn) > 0 && !o.done {
+					list = append(list, failureRecord{Round: n, Step: i, Index: t, Workers: o.failedOn})
+				}
+			}
+		}
+	}
+	return list
+}
+
+// restoreFailures restores where tasks have failed under earlier owners. Their next attempts look
+// for other workers as if they had failed just now.
+func (p *Pool) restoreFailures(records []port.Record, now time.Time) error {
+	for _, r := range records {
+		id, isFailures := strings.CutPrefix(r.Key, keyFailures)
+		if !isFailures || len(r.Value) == 0 {
+			continue
+		}
+		var failures []failureRecord
+		if err := codec.Unmarshal(r.Value, &failures); err != nil {
+			return errors.Annotatef(err, "decode failures of %s", id)
+		}
+		for _, f := range failures {
+			ref := job.TaskRef{StepRef: job.StepRef{Job: job.ID(id), Round: f.Round, Step: f.Step}, Index: f.Index}
+			s, t := p.openTask(ref)
+			if t == nil {
+				continue // its job has ended
+			}
+			s.job.failuresPersisted = true
+			t.failedOn, t.failedAt = f.Workers, now
+			for _, w := range f.Workers {
+				s.job.noteFailedOn(w)
+			}
+		}
+	}
+	return nil
+}
+
+// markHealthChanged marks a worker's health as changed, so that the next batch persists it.
+func (p *Pool) markHealthChanged(w *workerState) {
+	if !slices.Contains(p.changedHealth, w.info.ID) {
+		p.changedHealth = append(p.changedHealth, w.info.ID)
+	}
+}
+
+// addHealth adds the changed health of workers to the batch.
+func (p *Pool) addHealth(b *Batch) error {
+	for _, id := range p.removedWorkers {
+		if p.workers[id] == nil && p.persistedHealth[id] {
+			delete(p.persistedHealth, id)
+			b.Records = append(b.Records, port.Record{Key: keyHealth + string(id)})
+		}
+	}
+	for _, id := range p.changedHealth {
+		w := p.workers[id]
+		if w == nil {
+			continue
+		}
+		r := port.Record{Key: keyHealth + string(id)}
+		switch healthy := w.health.isZero(); {
+		case healthy && !p.persistedHealth[id]:
+			continue
+		case healthy:
+			delete(p.persistedHealth, id)
+		default:
+			data, err := codec.Marshal(w.healthRecord(p))
+			if err != nil {
+				return err
+			}
+			r.Value = data
+			p.persistedHealth[id] = true
+		}
+		b.Records = append(b.Records, r)
+	}
+	p.changedHealth = nil
+	return nil
+}
+
+// isZero reports whether nothing is held against a worker.
+func (h *health) isZero() bool { return len(h.failed) == 0 && !h.onTrial && h.ejectedFor == 0 }
+
+// healthRecord returns the persisted form of a worker's health.
+func (w *workerState) healthRecord(p *Pool) healthRecord {
+	r := healthRecord{EjectedFor: w.health.ejectedFor.Milliseconds(), OnTrial: w.health.onTrial, StartedAt: w.startedAt}
+	if !w.health.ejectedUntil.IsZero() {
+		r.Until = p.Clock.WallTime(w.health.ejectedUntil).UnixMilli()
+	}
+	for j := range w.health.failed {
+		r.Failed = append(r.Failed, j.sub.ID)
+		if len(j.failedOn) == 1 {
+			r.Only = append(r.Only, j.sub.ID)
+		}
+	}
+	slices.Sort(r.Failed)
+	slices.Sort(r.Only)
+	return r
+}
+
+// restoreHealth restores the health of workers as known to earlier owners. It applies to a worker
+// once it is added.
+func (p *Pool) restoreHealth(records []port.Record, now time.Time) error {
+	p.restoredAt = now
+	for _, r := range records {
+		id, isHealth := strings.CutPrefix(r.Key, keyHealth)
+		if !isHealth || len(r.Value) == 0 {
+			continue
+		}
+		var h healthRecord
+		if err := codec.Unmarshal(r.Value, &h); err != nil {
+			return errors.Annotatef(err, "decode health of worker %s", id)
+		}
+		p.persistedHealth[worker.ID(id)] = true
+		p.restoredHealth[worker.ID(id)] = h
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
+		p.applyRestoredHealth(p.workers[id])
+	}
+	return nil
+}
+
+// staleHealthAfter is how long after the take-over the health of a worker that is not listed is
+// kept: entries of the platform's list may be missing for seconds.
+const staleHealthAfter = 30 * time.Second
+
+// dropStaleHealth removes the restored health of workers that are not listed any more.
+func (p *Pool) dropStaleHealth(now time.Time) {
+	if len(p.restoredHealth) == 0 || now.Sub(p.restoredAt) < staleHealthAfter {
+		return
+	}
+	p.removedWorkers = slices.AppendSeq(p.removedWorkers, maps.Keys(p.restoredHealth))
+	clear(p.restoredHealth)
+}
+
+// applyRestoredHealth applies the health that an earlier owner has persisted to a worker.
+func (p *Pool) applyRestoredHealth(w *workerState) {
+	h, has := p.restoredHealth[w.info.ID]
+	if !has {
+		return
+	}
+	delete(p.restoredHealth, w.info.ID)
+	w.health = health{ejectedFor: time.Duration(h.EjectedFor) * time.Millisecond, onTrial: h.OnTrial}
+	if h.Until > 0 {
+		// The earlier owner's time of day may be wrong: an ejection lasts no longer than it did there.
+		w.health.ejectedUntil = p.Clock.FromWallTime(time.UnixMilli(h.Until))
+		if latest := p.restoredAt.Add(w.health.ejectedFor); w.health.ejectedUntil.After(latest) {
+			w.health.ejectedUntil = latest
+		}
+	}
+	w.healthOf = h.StartedAt
+	for _, id := range h.Failed {
+		j := p.jobs[id]
+		if j == nil {
+			continue
+		}
+		if w.health.failed == nil {
+			w.health.failed = make(map[*jobState]bool)
+		}
+		w.health.failed[j] = true
+		if slices.Contains(h.Only, id) {
+			j.noteFailedOn(w.info.ID)
+		}
+	}
+	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("jobs", len(w.health.failed)).Bool("on_trial", w.health.onTrial).
+		Time("until", w.health.ejectedUntil).Msg("health of a worker restored")
+}
+
+// carryOver returns what a worker's health tells of its next incarnation, which has to show that it
+// works but is not ejected: the fault may have ended with the restart.
+func (h health) carryOver() health {
+	h.ejectedUntil = time.Time{}
+	return h
+}
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -171,7 +171,7 @@
 		return false
 	}
 	s.markGangDone(t)
-	u.worker.clearFailures()
+	p.clearFailures(u.worker)
 	if !u.restored && u.number == 1 && !u.startedAt.IsZero() {
 		p.recordRunTime(u.job, s, now.Sub(u.startedAt))
 	}
@@ -213,7 +213,7 @@
 		t.notBefore = now.Add(longRunningRestartDelay)
 		return
 	}
-	p.noteFailure(u, now)
+	p.noteFailure(u.job, t, u.worker, u.name, now)
 	p.countFailure(u.job, t, u.name, now)
 }
 
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -77,6 +77,7 @@
 		n.info, n.listed = *w.otherEntry, true
 	}
 	n.startedAt, n.checkedStart, n.tokenRaises, n.provenFromRaises = listing.StartedAt, w.startedAt, w.tokenRaises, w.provenFromRaises
+	n.health = w.health.carryOver()
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int64("born", listing.StartedAt).Int64("born_before", w.startedAt).
 		Int("runs_before", len(w.runs)).Int("runs", len(listing.Runs)).Int("ends", len(listing.Ends)).Int("sequence_before", w.lastEnd).
 		Bool("met", w.hasResponded).Uint64("token", p.token(n)).Msg("worker restarted")
--- a/services/scheduler/takeover_memory_test.go
+++ b/services/scheduler/takeover_memory_test.go
@@ -36,6 +36,92 @@
 	d.poll(id, worker.PollResult{}, accepted)
 }
 
+// failAll starts what is placed on a worker and has it fail; it returns the tasks.
+func (d *testPool) failAll(id worker.ID) []string {
+	d.t.Helper()
+	started := d.startAll(id)
+	var l worker.PollResult
+	for i, task := range started {
+		l.Ends = append(l.Ends, worker.EndedRun{Sequence: d.workers[id].lastEnd + i + 1, Task: task, Number: d.workers[id].runs[task].number, Reason: worker.Failed})
+	}
+	d.poll(id, l, accepted)
+	return started
+}
+
+// TestNextOwnerRetriesElsewhere guards against a job that is reported as failed although it could be
+// completed (LOST): its task has failed on a worker, and the next owner of the pool uses the
+// remaining attempts there, while another worker is well but full for now.
+func TestNextOwnerRetriesElsewhere(t *testing.T) {
+	first := newTestPool(t, 1)
+	first.submit("1", 1)
+	first.listWorker("a")
+	assert.DeepEqual(t, first.failAll("a"), []string{"1.0.0.0"})
+
+	second := first.nextOwner()
+	second.listWorker("a")
+	second.listWorker("b")
+	second.workers["b"].used = second.workers["b"].info.Capacity
+	second.now = second.now.Add(time.Second)
+	assert.Equal(t, len(second.startAll("a")), 0, "the task is tried again where it has failed")
+	second.workers["b"].used = job.Size{}
+	second.needsPlan = true
+	assert.DeepEqual(t, second.startAll("b"), []string{"1.0.0.0"})
+}
+
+// TestNextOwnerKeepsAWorkerEjected guards against the same failure with a worker that fails all: it
+// was ejected, and the next owner of the pool must not place tasks there before the ejection ends,
+// and then one at a time, also if the worker has restarted meanwhile.
+func TestNextOwnerKeepsAWorkerEjected(t *testing.T) {
+	first := newTestPool(t, 1)
+	first.submit("1", 1)
+	first.submit("2", 1)
+	first.listWorker("a")
+	first.failAll("a")
+	assert.Assert(t, first.workers["a"].ejected(first.now))
+
+	second := first.nextOwner()
+	second.submit("3", 2)
+	second.listWorker("a")
+	assert.Equal(t, len(second.startAll("a")), 0, "a task is placed on an ejected worker")
+	second.now = second.now.Add(firstEjection)
+	assert.Equal(t, len(second.startAll("a")), 1, "a worker on trial gets one task")
+
+	third := second.nextOwner()
+	third.listWorker("a")
+	assert.Assert(t, third.workers["a"].health.onTrial)
+	third.clearFailures(third.workers["a"])
+	third.persist()
+	assert.Equal(t, len(first.journal[keyHealth+"a"].Value), 0, "the health of a worker that works is persisted")
+}
+
+// TestHealthOfAnUnlistedWorkerIsRemoved guards against records of unhealthy workers that are kept
+// forever.
+func TestHealthOfAnUnlistedWorkerIsRemoved(t *testing.T) {
+	first := newTestPool(t, 1)
+	first.submit("1", 1)
+	first.submit("2", 1)
+	first.listWorker("a")
+	first.failAll("a")
+	second := first.nextOwner()
+	second.now = second.now.Add(staleHealthAfter)
+	second.persist()
+	assert.Equal(t, len(first.journal[keyHealth+"a"].Value), 0)
+}
+
+// TestRetryAvoidsTheFailingWorker guards against a job that fails on one worker only while others
+// are well: the second attempt does not go where the first has failed if another worker suits it.
+func TestRetryAvoidsTheFailingWorker(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.submit("1", 1)
+	d.listWorker("a")
+	assert.DeepEqual(t, d.failAll("a"), []string{"1.0.0.0"})
+	d.listWorker("b")
+	d.workers["b"].used = d.workers["b"].info.Capacity
+	assert.DeepEqual(t, d.startAll("a"), []string(nil))
+	d.now = d.now.Add(retryElsewhereDelay)
+	assert.Equal(t, len(d.startAll("a")), 1, "the task waits too long")
+}
+
 // newTestPoolWithServingTasks returns a pool with a job of two long-running tasks, of which one may
 // be unavailable, on the workers "a" and "b".
 func newTestPoolWithServingTasks(t *testing.T) *testPool {
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -50,6 +50,7 @@
 	persistedEnd      int           // newest end persisted
 	acknowledgedEnd   int           // newest end that the worker was told to discard
 	health            health
+	healthOf          int64 // start time of the incarnation that its restored health is of, 0 if unknown
 	cpuSharing        cpuSharing
 	tickets           map[job.StepRef]ticket
 
@@ -185,6 +186,7 @@
 	w := p.newWorker(info)
 	w.startedAt = p.persistedStarts[info.ID]
 	p.workers[info.ID] = w
+	p.applyRestoredHealth(w)
 	return w
 }
 
