Scheduler: repeated crashes of one worker say as much of the worker as of the task

Why it works: if one worker crashed each time the task started, 1.9 is needed: two crashes with the task as the only starting one (TestEachIncarnationThatCrashesCountsOnce stays as it is). Four crashes fail it as before, so the users' limit, two starts after the third crash, holds.

TestRepeatedCrashesOfOneWorkerDoNotFailATask failed before: "failed != running".

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -28,6 +28,9 @@
 	// failWeight is the weight of these crashes that suffices: one crash beside up to nine other
 	// starting tasks, and one as the only starting task.
 	failWeight = 1.1
+	// sameWorkerFailWeight applies if it was one worker that crashed each time the task started, and
+	// may be the cause itself: two crashes with the task as the only starting one.
+	sameWorkerFailWeight = 1.9
 	// unconfirmedWeight is the factor for a crash that may have been a network failure only, and
 	// for a run whose start order got no response.
 	unconfirmedWeight = 0.5
@@ -74,6 +77,21 @@
 	return sum
 }
 
+// failWeight returns the total weight of its crashes that suffices to fail a task.
+func (t *taskState) failWeight() float64 {
+	var first worker.ID
+	for _, c := range t.crashes {
+		switch {
+		case !c.duringStartup():
+		case first == "":
+			first = c.worker.ID
+		case c.worker.ID != first:
+			return failWeight
+		}
+	}
+	return sameWorkerFailWeight
+}
+
 // exitKind is how an incarnation of a worker has ended.
 type exitKind uint8
 
@@ -216,7 +234,7 @@
 func (p *Pool) failIfCause(s suspect, now time.Time) bool {
 	t := s.run.task()
 	n := len(t.crashes)
-	if n < maxCrashes && (n < minCrashes || !s.starting || s.run.startedAt.IsZero() || t.crashWeight() < failWeight) {
+	if n < maxCrashes && (n < minCrashes || !s.starting || s.run.startedAt.IsZero() || t.crashWeight() < t.failWeight()) {
 		return false
 	}
 	p.increment(crashGivenUp)
--- a/services/scheduler/takeover_memory_test.go
+++ b/services/scheduler/takeover_memory_test.go
@@ -122,6 +122,36 @@
 	assert.Equal(t, len(d.startAll("a")), 1, "the task waits too long")
 }
 
+// TestRepeatedCrashesOfOneWorkerDoNotFailATask guards against a job that is reported as failed
+// although it could be completed (LOST): one worker crashes twice, first under three starting tasks
+// and then under one of them alone, which says as much of the worker as of the task.
+func TestRepeatedCrashesOfOneWorkerDoNotFailATask(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 3)
+	assert.Equal(t, len(d.startAll("w")), 3)
+	d.now = d.now.Add(time.Second)
+	d.confirmStart(2000)
+	d.confirmStart(2000)
+	d.persist()
+	assert.Equal(t, d.takeStart("w"), 1, "suspects are started together")
+	d.now = d.now.Add(time.Second)
+	d.confirmStart(3000)
+	d.confirmStart(3000)
+	assert.Equal(t, d.persistedState("1"), job.Running)
+}
+
+// takeStart has one start order to a worker accepted and returns how many tasks were placed there.
+func (d *testPool) takeStart(id worker.ID) int {
+	d.t.Helper()
+	placed := len(d.workers[id].runs)
+	o, has := d.NextOrder(id, d.now)
+	assert.Assert(d.t, has)
+	d.StartOrder(o, d.now)
+	d.HandleOrderResponse(o, accepted, d.now)
+	return placed
+}
+
 // newTestPoolWithServingTasks returns a pool with a job of two long-running tasks, of which one may
 // be unavailable, on the workers "a" and "b".
 func newTestPoolWithServingTasks(t *testing.T) *testPool {
