Scheduler: for how long long-running tasks have been at work outlives a change of the owner

Cause: an owner clears a task that it has seen at work for three seconds. A restored run had no known age, so three of the crashes had the weight 0.001, and four crashes of any weight fail a task. Owners changed more often than a run was seen for three seconds.

Why it works: since when a run of a long-running task has been at work is persisted on its worker's clock, which the next owner reads as well, and so is that it has been for three seconds ("r/"). Owners continue each other's observation. A crash under a cleared run is attributed to nobody; one under a run that was seen at work is no longer of unknown weight.

TestLongRunningTaskIsProvenAcrossOwners failed before: "the crash is attributed to a task that had been running for long".

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -34,8 +34,8 @@
 	// unconfirmedWeight is the factor for a crash that may have been a network failure only, and
 	// for a run whose start order got no response.
 	unconfirmedWeight = 0.5
-	// unknownWeight marks a crash under a run whose running time is not known: it was restored from
-	// an earlier owner's records, and its worker has not responded since.
+	// unknownWeight marks a crash under a run that may have just started: it was restored from an
+	// earlier owner's records, which do not show it working, and its worker has not responded since.
 	unknownWeight = 0.001
 	// maxCrashes is the number of crashes after which any task is failed.
 	maxCrashes = 4
@@ -136,7 +136,7 @@
 // provenBy reports whether a run of a long-running task had been running long enough to be cleared
 // of crashing its worker.
 func (u *run) provenBy(at time.Time) bool {
-	return u.step().spec.LongRunning && u.percent >= fullPercent && !u.startedAt.IsZero() && at.Sub(u.startedAt) >= provenAfter
+	return u.proven || u.step().spec.LongRunning && u.percent >= fullPercent && !u.startedAt.IsZero() && at.Sub(u.startedAt) >= provenAfter
 }
 
 // attributeCrash attributes a crash to the tasks of a worker, whose runs are over, and fails those
@@ -190,7 +190,7 @@
 		c.weight = unconfirmedWeight / float64(e.starting*e.correlated)
 	case s.starting:
 		c.weight = 1 / float64(e.starting*e.correlated)
-	case s.run.startedAt.IsZero():
+	case s.run.startedAt.IsZero() && !s.run.seenWorking:
 		c.weight = unknownWeight
 	}
 	t.crashes = append(t.crashes, c)
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -28,6 +28,7 @@
 
 	failedOn          map[worker.ID]bool // workers on which its tasks have failed
 	failuresChanged   bool               // failedOn of its tasks differs from what is persisted
+	runningPersisted  bool               // runs that have been seen working are persisted, or in the batch in progress
 	failuresPersisted bool               // failedOn of a task is persisted, or in the batch in progress
 
 	crashesChanged   bool // crashes attributed to its tasks differ from what is persisted
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -193,9 +193,7 @@
 		u.phase = running
 		u.unconfirmed = false
 		u.ackSeq = p.eventSeq
-		if u.startedAt.IsZero() {
-			u.startedAt = now
-		}
+		u.noteRunning(now)
 		p.noteStarted(u, now)
 	}
 	if r.Percent != u.percent {
@@ -205,6 +203,7 @@
 	if r.Checkpoint != "" {
 		u.checkpoint = r.Checkpoint
 	}
+	p.noteWorking(u, now)
 	p.clearIfProven(u, now)
 }
 
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -55,6 +55,7 @@
 	changedHealth   []worker.ID                // health changed since the last batch
 	restoredHealth  map[worker.ID]healthRecord // by earlier owners, of workers that are not listed yet
 	restoredAt      time.Time                  // when the state of earlier owners was restored
+	changedRunning  []*jobState                // jobs whose working runs have changed since the last batch
 	removedWorkers  []worker.ID                // removed since the last batch
 	toReconnect     []worker.ID                // workers that need a new connection
 
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -19,8 +19,8 @@
 // A job has two keys: its submission, which is written once and reduced to the job's customer when
 // the job ends, and its progress, which is written with each change. Each cordoned worker has a
 // key, and so has each worker with runs, for its start time (restart.go), and each job with crashes
-// attributed to its tasks. Jobs with failed tasks and unhealthy workers have keys as well
-// (record_health.go). The pool's allowances have one key (allowance.go).
+// attributed to its tasks. Jobs with failed tasks, jobs with working long-running tasks and unhealthy
+// workers have keys as well (record_health.go, record_running.go). The pool's allowances have one key (allowance.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -93,6 +93,9 @@
 	if err := p.addHealth(b); err != nil {
 		return nil, err
 	}
+	if err := p.addRunning(b); err != nil {
+		return nil, err
+	}
 	if err := p.addStarts(b); err != nil {
 		return nil, err
 	}
@@ -141,6 +144,7 @@
 		return err
 	}
 	b.Records = append(b.Records, port.Record{Key: keyProgress + id, Value: data})
+	b.removeRunning(j)
 	if err := b.addFailures(j); err != nil {
 		return err
 	}
@@ -274,6 +278,9 @@
 	if err := p.restoreCrashes(records); err != nil {
 		return err
 	}
+	if err := p.restoreRunning(records); err != nil {
+		return err
+	}
 	if err := p.restoreFailures(records, now); err != nil {
 		return err
 	}
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -61,7 +61,7 @@
 		u.ackSeq = p.eventSeq
 		if u.phase == ordered {
 			u.phase = running
-			u.startedAt = now
+			u.noteRunning(now)
 			u.progressedAt = now
 			p.noteStarted(u, now)
 		}
--- a/services/scheduler/takeover_memory_test.go
+++ b/services/scheduler/takeover_memory_test.go
@@ -187,3 +187,21 @@
 	_, stops := second.takeOrders("a")
 	assert.Equal(t, stops, 0, "a serving task is stopped")
 }
+
+// TestLongRunningTaskIsProvenAcrossOwners guards against a long-running job that is reported as
+// failed for crashes of other causes (LOST): its task has been running for long, and the pool's
+// owners change more often than that.
+func TestLongRunningTaskIsProvenAcrossOwners(t *testing.T) {
+	d := newTestPoolWithServingTasks(t)
+	clock := accepted.Clock
+	for range 4 {
+		d.now, clock = d.now.Add(time.Second), clock+time.Second
+		d.listRuns("a", clock)
+		d = d.nextOwner()
+		d.poll("b", worker.PollResult{}, port.Response{Result: port.Unknown})
+	}
+	task := slices.Collect(maps.Keys(d.workers["a"].runs))[0]
+	u := d.workers["a"].runs[task]
+	d.poll("a", worker.PollResult{}, otherIncarnation) // this owner has not heard from the crashed worker
+	assert.Equal(t, len(u.task().crashes), 0, "the crash is attributed to a task that had been running for long")
+}
