Limits: a gang that waits for its customer's limit is not starved by smaller tasks

Cause: `limit` lines show used 2,800 to 4,500 of an allowance of 3,600 to 4,700 for two minutes, gangs of 5,142 to 5,924, a limit of 8,000. In a pool, a gang that does not fit was passed over, and smaller tasks took what became free. Between pools, the limit was shared out in multiples of the smallest task that waits, so a pool with small tasks always kept some.

Ruled out: no room (11,000 free), owners replaced too often (one from 12:08:35 on).

Why it works: after 5 s no other task of the customer starts in that pool until the gang can, for at most 6 s; if that was in vain, the next hold comes after twice as long, as what other pools run may never leave enough. The pool reports the gang as the least that can start. A pool in which nothing has started for a second and whose share does not cover the least that can gets that first, the one that has waited longest before others.

Failed before: TestGangIsNotStarvedAtTheLimit "the gang has not started", TestStarvedGangGetsItsShare "the gang's pool has 0 of 8000 after 40 steps"; TestHoldForAGangEnds fails without the end of the hold ("nothing runs in 349 of 400 steps"). Logs: `limit` with outcome "held"; counter limit.held.

--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -271,9 +271,18 @@
 // shareWholeTasks shares out the remaining part of a limit in multiples of whole tasks, where a
 // pool wants more than its share: a part smaller than the waiting task is useless.
 func (p *plan) shareWholeTasks(customer string, limit, left job.Size, wants []job.Size) []job.Size {
+	first, size := p.longestStarved(customer, limit, left, shareSizes(left, wants))
+	if first >= 0 {
+		left, wants[first] = left.Minus(size), job.Size{}
+	}
 	shares := shareSizes(left, wants)
 	var short []claimant
 	for i, name := range p.names {
+		if i == first {
+			left = left.Minus(shares[i])
+			shares[i] = shares[i].Plus(size)
+			continue
+		}
 		a, _ := p.l.states[name].account(customer)
 		if a.MinStart != (job.Size{}) && !quota.Within(wants[i], shares[i], limit) {
 			shares[i] = a.MinStart.Times(fits(a.MinStart, shares[i], limit))
@@ -297,6 +306,24 @@
 	return shares
 }
 
+// starvedAfter is how long nothing may have started in a pool whose share does not cover what can
+// start there, until it gets that before the limit is shared out.
+const starvedAfter = time.Second
+
+// longestStarved returns the index of the pool that has waited longest for more than its share, and
+// the least that can start there; a negative index for none.
+func (p *plan) longestStarved(customer string, limit, left job.Size, shares []job.Size) (index int, size job.Size) {
+	index, longest := -1, starvedAfter
+	for i, name := range p.names {
+		a, _ := p.l.states[name].account(customer)
+		if a.WaitTime < longest || quota.Within(a.MinStart, shares[i], limit) || !quota.Within(a.MinStart, left, limit) {
+			continue
+		}
+		index, size, longest = i, a.MinStart, a.WaitTime
+	}
+	return index, size
+}
+
 // assignReserves assigns the reserves that other pools keep beyond their demand to the first
 // claimant whose share does not cover the smallest task that can start there, if they are enough
 // for it.
--- a/services/lending/lender_test.go
+++ b/services/lending/lender_test.go
@@ -28,6 +28,9 @@
 	waiting map[string]int
 	config  *config.Config
 	lowered map[string]uint64
+
+	minStart int           // least that can start, 0 for any
+	waitTime time.Duration // how long nothing has started
 }
 
 func (p *pool) configure(c *config.Config) {
@@ -67,7 +70,7 @@
 	for _, o := range p.config.Customers {
 		a := quota.Account{Used: job.Size{CPU: p.used[o.Name]}, Demand: job.Size{CPU: p.used[o.Name] + p.waiting[o.Name]}, Paused: p.lowered[o.Name] > p.set.Version}
 		if p.waiting[o.Name] > 0 {
-			a.MinStart.CPU = 1
+			a.MinStart.CPU, a.WaitTime = max(p.minStart, 1), p.waitTime
 		}
 		requested := false
 		for _, name := range q.Accounts {
@@ -421,3 +424,22 @@
 		}
 	}
 }
+
+// TestStarvedGangGetsItsShare guards against a gang that waits for its customer's limit without end
+// (LOST): small tasks of the customer follow one another in another pool, and the gang is larger
+// than what their demand leaves of the limit.
+func TestStarvedGangGetsItsShare(t *testing.T) {
+	s := newSim(2, 1, 8000)
+	const gang = 5142
+	small, other := s.pools["p0"], s.pools["p1"]
+	other.waiting["c0"], other.minStart = gang, gang
+	for n := 0; other.set.For("c0", job.Size{CPU: 8000}).CPU < gang; n++ {
+		assert.Assert(t, n < 40, "the gang's pool has %d of 8000 after %d steps", other.set.For("c0", job.Size{CPU: 8000}).CPU, n)
+		small.used["c0"] = max(small.used["c0"]-1500, 0) // one task ends
+		small.waiting["c0"] = 20000
+		small.begin()
+		other.waitTime = time.Duration(n) * 120 * time.Millisecond
+		s.step(t)
+		assert.Assert(t, s.using("c0") <= 8000)
+	}
+}
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -32,10 +32,11 @@
 	changed      bool             // since the last batch
 	reducedBatch uint64           // batch that carries the newest reduction
 	used         map[string]job.Size
-	loweredIn    map[string]uint64    // version of the configuration in which a customer's limit was last lowered
-	waitingSince map[string]time.Time // since when tasks of a customer wait for its allowance without any starting
-	logAgainAt   map[string]time.Time // earliest time of the next log line about that
-	stillWaiting map[string]bool      // customers with tasks found waiting since the last endWaiting
+	loweredIn    map[string]uint64     // version of the configuration in which a customer's limit was last lowered
+	waitingSince map[string]time.Time  // since when tasks of a customer wait for its allowance without any starting
+	logAgainAt   map[string]time.Time  // earliest time of the next log line about that
+	stillWaiting map[string]bool       // customers with tasks found waiting since the last endWaiting
+	heldFor      map[string]*stepState // gangs for which the other tasks of their customers wait, as of the last plan
 }
 
 // addUse adds to what a customer has running.
@@ -79,6 +80,65 @@
 	return p.allowances.loweredIn[customer] > p.allowances.current.Version
 }
 
+// Smaller tasks of a customer use what becomes free of its allowance before it is enough for a gang.
+const (
+	// gangLimitWait is how long a gang waits beside them. It doubles with each hold after which the
+	// gang could not start: what other pools use may never leave enough.
+	gangLimitWait = 5 * time.Second
+	// gangHoldTime is how long no other task of the customer starts then in the pool: runs have to
+	// end here and in other pools, and what they used has to be lent.
+	gangHoldTime = 6 * time.Second
+	// maxGangHolds is the number of holds after which gangLimitWait doubles no more.
+	maxGangHolds = 5
+)
+
+// holdForGangs finds, for each customer, the gang that has waited longest for the allowance and for
+// which the other tasks of the customer wait.
+func (p *Pool) holdForGangs(list []candidate, now time.Time) {
+	held := make(map[string]*stepState)
+	for _, c := range list {
+		s, customer := c.step, c.job.sub.Customer
+		if s.limitedSince.IsZero() {
+			continue
+		}
+		limit := p.limitOf(customer)
+		if !quota.HasLimit(limit) || !quota.Within(s.startSize(), limit, limit) {
+			continue // the limit was changed since
+		}
+		begins := s.limitedSince.Add(gangLimitWait << min(s.holds, maxGangHolds))
+		ends := begins.Add(gangHoldTime)
+		p.schedulePlan(begins, now)
+		p.schedulePlan(ends, now)
+		if !now.Before(ends) {
+			s.limitedSince = now
+			s.holds++
+		}
+		if now.Before(begins) || !now.Before(ends) {
+			continue
+		}
+		if o := held[customer]; o == nil || s.limitedSince.Before(o.limitedSince) {
+			held[customer] = s
+		}
+	}
+	for customer, s := range held {
+		if p.allowances.heldFor[customer] != s {
+			p.Logger.Info().Str("event", "limit").Str("customer", customer).Str("job", string(s.ref.Job)).Int("step", s.ref.Step).
+				Int("task_cpu", s.startSize().CPU).Int("used_cpu", p.allowances.used[customer].CPU).Dur("waited", now.Sub(s.limitedSince)).
+				Int("holds", s.holds).Str("outcome", "held").Msg("tasks of a customer wait until a gang can start")
+			p.increment(limitHeld)
+		}
+	}
+	p.allowances.heldFor = held
+}
+
+// startSize returns the least that can start of a step: a task, or its gang.
+func (s *stepState) startSize() job.Size {
+	if s.spec.Gang {
+		return s.spec.Size.Times(len(s.tasks))
+	}
+	return s.spec.Size
+}
+
 // waitLogInterval is the time between log lines about one customer's waiting tasks.
 const waitLogInterval = 5 * time.Second
 
@@ -247,11 +307,8 @@
 
 // add adds the waiting tasks of a step.
 func (w *waitingDemand) add(s *stepState) {
-	one := s.spec.Size
-	w.total = w.total.Plus(one.Times(s.waiting))
-	if s.spec.Gang {
-		one = one.Times(len(s.tasks))
-	}
+	w.total = w.total.Plus(s.spec.Size.Times(s.waiting))
+	one := s.startSize()
 	if w.smallest == (job.Size{}) || one.CPU < w.smallest.CPU || one.CPU == w.smallest.CPU && one.MemoryMB < w.smallest.MemoryMB {
 		w.smallest = one
 	}
@@ -271,6 +328,12 @@
 			waiting[j.sub.Customer] = sum
 		}
 	}
+	for customer, s := range p.allowances.heldFor {
+		if sum, waits := waiting[customer]; waits {
+			sum.smallest = s.startSize()
+			waiting[customer] = sum
+		}
+	}
 	return waiting
 }
 
--- a/services/scheduler/allowance_test.go
+++ b/services/scheduler/allowance_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/quota"
+	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/lending"
 )
@@ -47,3 +49,75 @@
 		d.persist()
 	}
 }
+
+// submitFor submits a job of the customer "c", of one step or one gang.
+func (d *testPool) submitFor(id job.ID, count int, gang bool) {
+	d.Submit(job.Submission{ID: id, Queue: "h/q/", Customer: "c", Steps: []job.Step{{Count: count, Size: job.Size{CPU: 1000}, Estimate: time.Second, Gang: gang}}}, d.now)
+}
+
+// TestGangIsNotStarvedAtTheLimit guards against a gang that is accepted and not begun for minutes
+// (LOST): smaller tasks of its customer use what becomes free of the allowance before it is enough
+// for the gang.
+func TestGangIsNotStarvedAtTheLimit(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.Configure(withLimit(2, 4000))
+	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: 4000}}})
+	d.listWorker("a")
+	d.listWorker("b")
+	d.submitFor("small", 100, false)
+	d.startAll("a")
+	d.startAll("b")
+	d.submitFor("gang", 3, true)
+	for n := 0; d.jobs["gang"].activeRuns == 0; n++ {
+		assert.Assert(t, n < 20, "the gang has not started")
+		d.now = d.now.Add(500 * time.Millisecond)
+		d.finishOne()
+		d.startAll("a")
+		d.startAll("b")
+	}
+	d.finishOne()
+	d.startAll("a")
+	assert.Assert(t, d.jobs["small"].activeRuns > 0, "the other tasks stay held")
+}
+
+// TestHoldForAGangEnds guards against a customer whose tasks wait without end for a gang that its
+// allowance never permits.
+func TestHoldForAGangEnds(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.Configure(withLimit(2, 4000))
+	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: 2000}}})
+	d.listWorker("a")
+	d.submitFor("gang", 3, true)
+	d.submitFor("small", 1000, false)
+	held := 0
+	for range 400 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.startAll("a")
+		if len(d.workers["a"].runs) == 0 {
+			held++
+		}
+		d.finishOne()
+	}
+	assert.Assert(t, held > 0 && held < 150, "nothing runs in %d of 400 steps", held)
+}
+
+// finishOne has one run end as done.
+func (d *testPool) finishOne() {
+	d.t.Helper()
+	for id, w := range d.workers {
+		var ended string
+		var l worker.PollResult
+		for name, u := range w.runs {
+			if ended == "" && u.phase == running {
+				ended = name
+				l.Ends = []worker.EndedRun{{Sequence: w.lastEnd + 1, Task: name, Number: u.number, Reason: worker.Done}}
+				continue
+			}
+			l.Runs = append(l.Runs, worker.Run{Task: name, Number: u.number})
+		}
+		if ended != "" {
+			d.poll(id, l, accepted)
+			return
+		}
+	}
+}
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -346,6 +346,7 @@
 	crashGivenUp   = "crash.given-up"  // a job was failed for its crashes
 
 	workerRestarted = "worker.restarted" // a worker has restarted under the same ID
+	limitHeld       = "limit.held"       // tasks of a customer began to wait for one of its gangs
 )
 
 // increment adds one to a counter.
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -57,6 +57,8 @@
 	done          int
 	runTimes      mean                 // run times of its finished tasks, in seconds
 	runsByWorker  map[*workerState]int // active runs by worker, where their number is limited
+	limitedSince  time.Time            // since when a gang waits for its customer's allowance, zero for not
+	holds         int                  // how often other tasks were held for the gang in vain
 	advicePending bool                 // a request to the advice service is in progress
 	adviceRetryAt time.Time            // earliest time of the next advice request
 	excluded      map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -48,7 +48,9 @@
 	p.withholdAll(now)
 	p.pruneActive()
 	p.updateUsage(now)
-	p.placeAll(p.candidates(now), now)
+	list := p.candidates(now)
+	p.holdForGangs(list, now)
+	p.placeAll(list, now)
 	p.endWaiting(now)
 	p.placedCPU = p.usedCPU()
 	for _, w := range p.workers {
@@ -176,10 +178,15 @@
 // withinAllowance reports whether the customer's allowance permits this many tasks of a step to
 // start together.
 func (p *Pool) withinAllowance(c candidate, tasks int, now time.Time) bool {
-	size := c.step.spec.Size.Times(tasks)
-	if p.allowsStart(c.job.sub.Customer, size) {
+	size, customer := c.step.spec.Size.Times(tasks), c.job.sub.Customer
+	held := p.allowances.heldFor[customer]
+	if (held == nil || held == c.step) && p.allowsStart(customer, size) {
+		c.step.limitedSince, c.step.holds = time.Time{}, 0
 		return true
 	}
+	if c.step.spec.Gang && c.step.limitedSince.IsZero() && !p.paused(customer) {
+		c.step.limitedSince = now
+	}
 	p.noteWaiting(c.job, size, now)
 	return false
 }
