Fleet: the age of an earlier holder's intent is known by that holder's clock, not only from the claim on

The first form ("the next holder waits by its own clock") made each instance that had been ordered within the last 19 s wait 4 s from the claim on. In a surge these are all instances: after each change of the holder nothing moved for 4 s.

Now an intent has its time on the clock of its holder, in milliseconds since its claim, and each append of a holder carries the time on that clock. The next holder knows from both how much older than the last append an intent is, and by its own clock what has passed since its claim, which came later. No time of day is compared. Without other appends a holder confirms its role twice a second instead of once, so that an intent counts as at most half a second younger than it is.

--- a/services/fleet/action.go
+++ b/services/fleet/action.go
@@ -31,6 +31,7 @@
 	stage     stage
 	began     time.Time
 	sent      time.Time // when its order was last sent
+	putOff    bool      // it was logged that its order has to wait for an earlier holder's
 	unknown   time.Time // when an attempt of its order last ended with an unknown outcome
 }
 
--- a/services/fleet/lend.go
+++ b/services/fleet/lend.go
@@ -54,7 +54,7 @@
 			return err
 		}
 		if len(records) > 0 {
-			if err := m.Journal.Append(ctx, records); err != nil {
+			if err := m.append(ctx, records); err != nil {
 				return err
 			}
 		}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -46,7 +46,8 @@
 	// RequestReport requests a pool's report from its owner and sends it the cordons.
 	RequestReport func(ctx context.Context, pool string, cordons scheduler.CordonRequest) (scheduler.Report, error)
 
-	claimedAt time.Time // when the role was claimed, so that no earlier holder persists anything
+	claimedAt  time.Time // when the role was claimed; no earlier holder persists anything after that
+	lastHolder lastSeen  // of the last holder
 
 	done     chan struct{}
 	reported chan struct{} // signals that the pools have reported
@@ -69,13 +70,15 @@
 	keyIntent = "i/" // followed by the instance's name
 	keyWave   = "w/" // followed by the wave's number
 	keyDone   = "d/" // followed by the wave's number and the instance's name
+
+	keyLastSeen = "t" // the time on the holder's clock
 )
 
 // Time constants of the manager.
 const (
 	period        = 120 * time.Millisecond // from one plan to the next
 	listTimeout   = time.Second
-	confirmAfter  = time.Second // without an append, until the store is asked to confirm that the role is still held
+	confirmAfter  = 500 * time.Millisecond // without an append, until the store is asked to confirm that the role is still held
 	reportTimeout = 400 * time.Millisecond
 	// unsettled is how long an order with an unknown outcome may still take effect.
 	unsettled = 8 * time.Second
@@ -83,9 +86,6 @@
 	intentAge = 500 * time.Millisecond
 	// orderTransit is the maximum time from sending an order until the platform receives it.
 	orderTransit = 500 * time.Millisecond
-	// maxClockError is the maximum difference between the times of day of two nodes: clocks may be
-	// set forward or back by seconds.
-	maxClockError = 15 * time.Second
 	// settleTime is how long a completed order may take to appear in the list.
 	settleTime = 15 * time.Second
 	// noEffectAfter is the time after which an instance that the list still shows in the same
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	m.Node, m.claimedAt = node, m.Clock.Now()
+	m.Node, m.claimedAt, m.lastHolder = node, m.Clock.Now(), lastSeen{}
 	m.done = make(chan struct{})
 	m.reported = make(chan struct{}, 1)
 	m.querying = make(map[string]bool)
@@ -115,7 +115,6 @@
 	}
 	m.Logger.Info().Str("event", "claim").Uint64("epoch", m.Epoch()).Int("records", len(records)).Str("outcome", "holder").
 		Int("intents", len(m.orders)).Msg("role for instances claimed")
-	m.logWaits()
 	return nil
 }
 
@@ -143,6 +142,11 @@
 			}
 			m.orders[i.Instance] = i
 		}
+		if r.Key == keyLastSeen {
+			if err := codec.Unmarshal(r.Value, &m.lastHolder); err != nil {
+				return err
+			}
+		}
 		if name, isWave := strings.CutPrefix(r.Key, keyWave); isWave {
 			var at int64
 			if err := codec.Unmarshal(r.Value, &at); err != nil {
@@ -197,7 +201,7 @@
 			return err
 		}
 		if m.Clock.Now().Sub(m.Journal.LastResponse()) > confirmAfter {
-			if err := m.Journal.Append(ctx, nil); err != nil {
+			if err := m.append(ctx, nil); err != nil {
 				return err
 			}
 		}
@@ -296,7 +300,7 @@
 		if err != nil {
 			return err
 		}
-		if err := m.Journal.Append(ctx, []port.Record{{Key: keyWave + strconv.Itoa(o.Number), Value: value}}); err != nil {
+		if err := m.append(ctx, []port.Record{{Key: keyWave + strconv.Itoa(o.Number), Value: value}}); err != nil {
 			return err
 		}
 		m.view.waves = append(m.view.waves, &waveState{Wave: o, seen: now, done: make(map[string]bool)})
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -27,7 +27,15 @@
 	OutcomeKnown bool      `cbor:"6,keyasint"` // the order's outcome is known
 	From         string    `cbor:"7,keyasint"`
 	StartedAt    int64     `cbor:"8,keyasint,omitempty"`
-	Ahead        int64     `cbor:"9,keyasint,omitempty"` // by how much At is later than the time of writing, in milliseconds
+	Epoch        uint64    `cbor:"9,keyasint,omitempty"`  // of the holder that wrote it
+	Since        int64     `cbor:"10,keyasint,omitempty"` // At on the holder's own clock, in milliseconds since its claim
+}
+
+// lastSeen is the record of a holder's own clock, which each of its appends carries. The times of day
+// of two nodes may differ by seconds, so the age of an intent is known from its holder's clock only.
+type lastSeen struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	Since int64  `cbor:"2,keyasint"` // milliseconds since its claim
 }
 
 // ended reports whether the list shows that the incarnation for which an order was sent has ended.
@@ -61,9 +69,7 @@
 }
 
 // wait returns how long the order to an instance must wait because an earlier holder may have sent
-// it one. The earlier holder sent it soon after its intent was persisted, and nothing of it was
-// persisted after the claim of this holder. So the time since the claim decides: times of day of
-// other nodes only show which intents are much older.
+// it one.
 func (m *Manager) wait(name string) time.Duration {
 	i, has := m.orders[name]
 	if !has {
@@ -73,33 +79,52 @@
 	if !i.OutcomeKnown {
 		least = max(least, unsettled)
 	}
+	return least - m.minAge(i)
+}
+
+// minAge returns the minimum time since the start of an earlier holder's intent: what the clock of the
+// last holder shows from there to its last append, and what this node's clock shows since its claim,
+// which came after that. An intent without an epoch is from an earlier version.
+func (m *Manager) minAge(i intent) time.Duration {
 	now := m.Clock.Now()
-	if m.intentAge(i, now) >= least+maxClockError {
-		return 0
-	}
-	return least + time.Duration(i.Ahead)*time.Millisecond - now.Sub(m.claimedAt)
+	sinceClaim := now.Sub(m.claimedAt)
+	switch {
+	case i.Epoch == 0:
+		return now.Sub(m.Clock.FromWallTime(time.UnixMilli(i.At)))
+	case i.Epoch == m.lastHolder.Epoch:
+		return time.Duration(m.lastHolder.Since-i.Since)*time.Millisecond + sinceClaim
+	case i.Epoch < m.lastHolder.Epoch:
+		return time.Duration(m.lastHolder.Since)*time.Millisecond + sinceClaim
+	}
+	return sinceClaim
 }
 
-// intentAge returns the time since the start of an intent's time limits by the times of day of its
-// writer and of this node.
-func (m *Manager) intentAge(i intent, now time.Time) time.Duration {
-	return now.Sub(m.Clock.FromWallTime(time.UnixMilli(i.At)))
+// mustWait reports whether the order of an action must wait for an earlier holder's, and logs that
+// once.
+func (m *Manager) mustWait(a *action) bool {
+	wait := m.wait(a.instance)
+	if wait > 0 && !a.putOff {
+		a.putOff = true
+		i := m.orders[a.instance]
+		m.Logger.Info().Str("event", "order").Str("instance", a.instance).Uint64("epoch", i.Epoch).Bool("known", i.OutcomeKnown).
+			Dur("age", m.minAge(i)).Dur("wait", wait).Str("outcome", "put off").Msg("an earlier holder may have sent an order to the instance")
+	}
+	return wait > 0
 }
 
-// logWaits logs the restored intents for which orders have to wait.
-func (m *Manager) logWaits() {
-	for _, name := range slices.Sorted(maps.Keys(m.orders)) {
-		wait := m.wait(name)
-		if wait <= 0 {
-			continue
-		}
-		i := m.orders[name]
-		m.Logger.Info().Str("event", "order").Str("instance", name).Str("to", i.To).Int("wave", i.Wave).Bool("known", i.OutcomeKnown).
-			Dur("age", m.intentAge(i, m.Clock.Now())).Dur("wait", wait).Str("outcome", "put off").
-			Msg("an earlier holder may have sent an order to the instance")
+// append persists records together with the time on this holder's clock; without records it only
+// confirms the role.
+func (m *Manager) append(ctx context.Context, records []port.Record) error {
+	value, err := codec.Marshal(lastSeen{Epoch: m.Epoch(), Since: m.sinceClaim(m.Clock.Now())})
+	if err != nil {
+		return err
 	}
+	return m.Journal.Append(ctx, append(records, port.Record{Key: keyLastSeen, Value: value}))
 }
 
+// sinceClaim returns a time in milliseconds since this holder's claim.
+func (m *Manager) sinceClaim(at time.Time) int64 { return at.Sub(m.claimedAt).Milliseconds() }
+
 // act sends the orders that may be sent, after their intents are persisted.
 func (m *Manager) act(ctx context.Context) error {
 	var due []*action
@@ -107,7 +132,7 @@
 	ahead := intentTimes * m.Journal.LastDuration()
 	for _, name := range slices.Sorted(maps.Keys(m.view.actions)) {
 		a := m.view.actions[name]
-		if a.stage == settling || !m.mayOrder(a) || m.wait(name) > 0 {
+		if a.stage == settling || !m.mayOrder(a) || m.mustWait(a) {
 			continue
 		}
 		if i := m.view.instances[name]; i.Condition != port.Up {
@@ -124,7 +149,7 @@
 		return nil
 	}
 	written := m.Clock.Now()
-	if err := m.Journal.Append(ctx, records); err != nil {
+	if err := m.append(ctx, records); err != nil {
 		return err
 	}
 	if age := m.Clock.Now().Sub(written); age > intentAge+ahead {
@@ -149,9 +174,10 @@
 // intent returns the record of an order. Its time limits start at the given time ahead of now,
 // which the append of the record may take, and the order is sent within intentAge after that.
 func (m *Manager) intent(a *action, known bool, ahead time.Duration) (port.Record, error) {
+	at := m.Clock.Now().Add(ahead)
 	value, err := codec.Marshal(intent{
-		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.WallTime(m.Clock.Now().Add(ahead)).UnixMilli(), OutcomeKnown: known, From: a.from, StartedAt: a.startedAt,
-		Ahead: ahead.Milliseconds(),
+		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.WallTime(at).UnixMilli(), OutcomeKnown: known, From: a.from,
+		StartedAt: a.startedAt, Epoch: m.Epoch(), Since: m.sinceClaim(at),
 	})
 	return port.Record{Key: keyIntent + a.instance, Value: value}, err
 }
@@ -217,5 +243,5 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return m.Journal.Append(ctx, records)
+	return m.append(ctx, records)
 }
