--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -46,8 +46,8 @@
 	// RequestReport requests a pool's report from its owner and sends it the cordons.
 	RequestReport func(ctx context.Context, pool string, cordons scheduler.CordonRequest) (scheduler.Report, error)
 
-	claimedAt  time.Time // when the role was claimed; no earlier holder persists anything after that
-	lastHolder lastSeen  // of the last holder
+	claimedAt  time.Time  // when the role was claimed; no earlier holder persists anything after that
+	lastHolder holderTime // of the last holder
 
 	done     chan struct{}
 	reported chan struct{} // signals that the pools have reported
@@ -71,7 +71,7 @@
 	keyWave   = "w/" // followed by the wave's number
 	keyDone   = "d/" // followed by the wave's number and the instance's name
 
-	keyLastSeen = "t" // the time on the holder's clock
+	keyHolderTime = "t" // the time on the holder's clock
 )
 
 // Time constants of the manager.
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	m.Node, m.claimedAt, m.lastHolder = node, m.Clock.Now(), lastSeen{}
+	m.Node, m.claimedAt, m.lastHolder = node, m.Clock.Now(), holderTime{}
 	m.done = make(chan struct{})
 	m.reported = make(chan struct{}, 1)
 	m.querying = make(map[string]bool)
@@ -142,7 +142,7 @@
 			}
 			m.orders[i.Instance] = i
 		}
-		if r.Key == keyLastSeen {
+		if r.Key == keyHolderTime {
 			if err := codec.Unmarshal(r.Value, &m.lastHolder); err != nil {
 				return err
 			}
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -31,9 +31,9 @@
 	Since        int64     `cbor:"10,keyasint,omitempty"` // At on the holder's own clock, in milliseconds since its claim
 }
 
-// lastSeen is the record of a holder's own clock, which each of its appends carries. The times of day
+// holderTime is the record of a holder's own clock, which each of its appends carries. The times of day
 // of two nodes may differ by seconds, so the age of an intent is known from its holder's clock only.
-type lastSeen struct {
+type holderTime struct {
 	Epoch uint64 `cbor:"1,keyasint"`
 	Since int64  `cbor:"2,keyasint"` // milliseconds since its claim
 }
@@ -115,11 +115,11 @@
 // append persists records together with the time on this holder's clock; without records it only
 // confirms the role.
 func (m *Manager) append(ctx context.Context, records []port.Record) error {
-	value, err := codec.Marshal(lastSeen{Epoch: m.Epoch(), Since: m.sinceClaim(m.Clock.Now())})
+	value, err := codec.Marshal(holderTime{Epoch: m.Epoch(), Since: m.sinceClaim(m.Clock.Now())})
 	if err != nil {
 		return err
 	}
-	return m.Journal.Append(ctx, append(records, port.Record{Key: keyLastSeen, Value: value}))
+	return m.Journal.Append(ctx, append(records, port.Record{Key: keyHolderTime, Value: value}))
 }
 
 // sinceClaim returns a time in milliseconds since this holder's claim.
