Scheduler: a long-running task counts as serving only by a recent list of its worker

Cause: the owner's machine was suspended for 4.9 s; meanwhile the worker of two tasks of the step crashed and restarted. Half a second after the machine was resumed the owner evacuated another task: it took the two for serving, as their worker was not known to be unresponsive and had not been polled yet. The log has "it has restarted" for that worker 10 ms after the stop.

Why it works: a task serves if its worker has listed it within two seconds; such workers are polled once a second. After a suspension nothing is stopped before the next lists.

TestStopWaitsForARecentListOfTheOtherTask failed before: "a serving task is stopped, and the other one was last seen 5 s ago".

--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -284,7 +284,7 @@
 		onWorker[u.step()]++
 	}
 	for s, n := range onWorker {
-		if s.unavailable(nil)+n > max(s.spec.MaxUnavailable, 1) {
+		if s.unavailable(nil, now)+n > max(s.spec.MaxUnavailable, 1) {
 			return
 		}
 	}
@@ -304,7 +304,7 @@
 	s := u.step()
 	switch {
 	case s.spec.LongRunning:
-		if w.info.Draining && !w.cordoned || p.mayDisrupt(s) && p.fitsElsewhere(s, now) {
+		if w.info.Draining && !w.cordoned || p.mayDisrupt(s, now) && p.fitsElsewhere(s, now) {
 			p.stopRun(u, now, "its worker is being evacuated")
 		}
 	case s.spec.Checkpointing && !s.spec.Gang:
@@ -326,27 +326,33 @@
 }
 
 // mayDisrupt reports whether one more task of a long-running step may be disrupted voluntarily.
-func (p *Pool) mayDisrupt(s *stepState) bool {
-	return s.unavailable(nil) < max(s.spec.MaxUnavailable, 1)
+func (p *Pool) mayDisrupt(s *stepState, now time.Time) bool {
+	return s.unavailable(nil, now) < max(s.spec.MaxUnavailable, 1)
 }
 
 // unavailable returns how many tasks of a long-running step are not known to be serving, not
 // counting one task, nil for none.
-func (s *stepState) unavailable(without *taskState) int {
+func (s *stepState) unavailable(without *taskState, now time.Time) int {
 	n := 0
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t != without && !t.serving() {
+		if t := &s.tasks[i]; t != without && !t.serving(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// serving reports whether a long-running task is known to serve; it is not on an unresponsive
-// worker.
-func (t *taskState) serving() bool {
+// servingFreshFor is the maximum age of a worker's list of runs for a task on it to count as serving. A
+// worker with long-running tasks is polled once a second; after a suspension of this node's machine
+// the newest list is older.
+const servingFreshFor = 2 * time.Second
+
+// serving reports whether a long-running task is known to serve: its worker is responsive and has
+// listed it recently.
+func (t *taskState) serving(now time.Time) bool {
 	for _, u := range t.runs {
-		if u.phase == running && !u.stopping && u.percent >= fullPercent && u.worker.unresponsiveSince.IsZero() {
+		w := u.worker
+		if u.phase == running && !u.stopping && u.percent >= fullPercent && w.unresponsiveSince.IsZero() && now.Sub(w.listedAt) <= servingFreshFor {
 			return true
 		}
 	}
--- a/services/scheduler/evacuate_test.go
+++ b/services/scheduler/evacuate_test.go
@@ -117,3 +117,20 @@
 	order, has := d.NextOrder("a", d.now)
 	assert.Assert(t, has && order.Stop)
 }
+
+// TestStopWaitsForARecentListOfTheOtherTask guards against a serving task that is stopped beside one
+// that is away (AVAIL): the owner's machine was suspended, and the worker of the other task has
+// crashed meanwhile without having been polled since.
+func TestStopWaitsForARecentListOfTheOtherTask(t *testing.T) {
+	d := newTestPoolWithLongRunning(t)
+	here, other := d.runOnA()
+	d.now = d.now.Add(5 * time.Second)
+	d.reportRunning("a")
+	d.reportRunning("c")
+	d.cordons["a"], d.workers["a"].cordoned = true, true
+	d.persist()
+	assert.Assert(t, !here.stopping, "a serving task is stopped, and the other one was last seen 5 s ago")
+	d.reportRunning(other)
+	d.persist()
+	assert.Assert(t, here.stopping)
+}
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -152,7 +152,7 @@
 // mustWait reports whether an order to stop a long-running task must wait, though an earlier try of
 // it may still be carried out: since the stop was decided, so many other tasks of its step have
 // become unavailable that this one must keep running. Its worker stays, and polls check again.
-func (o Order) mustWait() bool {
+func (o Order) mustWait(now time.Time) bool {
 	u := o.Run
 	if !o.Stop || u.orphan || u.job.state.Final() || u.worker.info.Draining {
 		return false
@@ -161,5 +161,5 @@
 	if !s.spec.LongRunning || u.phase != running || u.percent < fullPercent {
 		return false
 	}
-	return s.unavailable(u.task()) >= max(s.spec.MaxUnavailable, 1)
+	return s.unavailable(u.task(), now) >= max(s.spec.MaxUnavailable, 1)
 }
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -73,7 +73,7 @@
 		if !o.Valid() {
 			continue
 		}
-		if o.mustWait() {
+		if o.mustWait(now) {
 			deferred = append(deferred, o)
 			continue
 		}
