Limits: long-running tasks do not wait for a gang of their customer

What callers would see: a long-running task that ended during a hold stays away for up to 6 s (LOST).

Why it works: long-running tasks are placed first and within the allowance, as without a hold. The gang may have to wait for another hold.

TestHoldForAGangSparesLongRunningTasks failed before: nothing starts.

--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -93,7 +93,7 @@
 )
 
 // holdForGangs finds, for each customer, the gang that has waited longest for the allowance and for
-// which the other tasks of the customer wait.
+// which the other tasks of the customer wait, except long-running ones, which serve users.
 func (p *Pool) holdForGangs(list []candidate, now time.Time) {
 	held := make(map[string]*stepState)
 	for _, c := range list {
--- a/services/scheduler/allowance_test.go
+++ b/services/scheduler/allowance_test.go
@@ -80,6 +80,21 @@
 	assert.Assert(t, d.jobs["small"].activeRuns > 0, "the other tasks stay held")
 }
 
+// TestHoldForAGangSparesLongRunningTasks guards against a long-running task that is away for the time of
+// a hold (LOST): it starts again although a gang of its customer waits for the limit.
+func TestHoldForAGangSparesLongRunningTasks(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.Configure(withLimit(2, 4000))
+	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: 2000}}})
+	d.listWorker("a")
+	d.submitFor("gang", 3, true)
+	d.persist()
+	d.now = d.now.Add(gangLimitWait)
+	d.Submit(job.Submission{ID: "lasting", Queue: "h/q/", Customer: "c", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, LongRunning: true}}}, d.now)
+	d.submitFor("small", 1, false)
+	assert.DeepEqual(t, d.startAll("a"), []string{"lasting.0.0.0"})
+}
+
 // TestHoldForAGangEnds guards against a customer whose tasks wait without end for a gang that its
 // allowance never permits.
 func TestHoldForAGangEnds(t *testing.T) {
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -180,7 +180,7 @@
 func (p *Pool) withinAllowance(c candidate, tasks int, now time.Time) bool {
 	size, customer := c.step.spec.Size.Times(tasks), c.job.sub.Customer
 	held := p.allowances.heldFor[customer]
-	if (held == nil || held == c.step) && p.allowsStart(customer, size) {
+	if (held == nil || held == c.step || c.step.spec.LongRunning) && p.allowsStart(customer, size) {
 		c.step.limitedSince, c.step.holds = time.Time{}, 0
 		return true
 	}
