Scheduler: a new owner extends leases by the configured time, not by the longest that a worker accepts

Cause: a new owner assumes that a worker may hold the longest lease that it accepts. The assumption stood in the field that each later poll takes its deadline from, never a smaller one, so that the second poll of a new owner really gave that lease, 10 s. The next owner reserves for the configured lease: two changes of the owner within ten seconds, with the workers out of reach, and it starts again what still runs.

Ruled out: a poll that arrived after the cut; a restart (the incarnation is 26 s old).

Why it works: a worker never shortens a lease, so sending a smaller deadline changes nothing that is in force; and no owner gives more than the configured lease.

TestNewOwnerExtendsByItsLeaseOnly failed before: "1m50s (request.Deadline) != 1m44s".

--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -461,3 +461,18 @@
 	assert.Assert(t, !d.workers["w"].schedulable(d.now) && !d.workers["w"].maintenanceSince.IsZero())
 	assert.Assert(t, d.Report(request, d.now).Workers[0].Empty)
 }
+
+// TestNewOwnerExtendsByItsLeaseOnly guards against a task that runs twice (TWICE): a new owner assumes
+// that a run may have the longest lease that the worker accepts, and must not give it that lease. The
+// next owner would start the task again before it is over.
+func TestNewOwnerExtendsByItsLeaseOnly(t *testing.T) {
+	d := newTestPoolWithRun(t)
+	n := d.nextOwner()
+	n.Limits.MaxLease = 10 * time.Second
+	n.UpdateWorker(workerStartedAt(1000))
+	listing := worker.PollResult{StartedAt: 1000, Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}
+	n.poll("w", listing, accepted)
+	_, request, _ := n.BeginPoll("w", 0, n.now)
+	assert.Equal(t, request.Deadline, accepted.Clock+testLimits.Lease)
+	assert.Assert(t, !n.workers["w"].leasesExpireAt().Before(n.now.Add(n.Limits.MaxLease)), "the longest lease is not reserved for")
+}
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -81,10 +81,12 @@
 	return w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
 }
 
-// extendDeadline returns the deadline of a lease that starts now, and records it as sent.
+// extendDeadline returns the deadline of a lease that starts now, and records it as sent. A later
+// deadline that may be in force is not sent: the next owner counts on leases of this length.
 func (w *workerState) extendDeadline(now time.Time, lease time.Duration) time.Duration {
-	w.latestDeadline = max(w.latestDeadline, w.clockNow(now)+lease)
-	return w.latestDeadline
+	deadline := w.clockNow(now) + lease
+	w.latestDeadline = max(w.latestDeadline, deadline)
+	return deadline
 }
 
 // startDeadline returns the deadline after which the worker refuses a start order, and records it
