--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -105,18 +105,7 @@
 		if !quota.HasLimit(limit) || !quota.Within(s.startSize(), limit, limit) {
 			continue // the limit was changed since
 		}
-		begins := s.limitedSince.Add(gangLimitWait << min(s.holds, maxGangHolds))
-		ends := begins.Add(gangHoldTime)
-		p.schedulePlan(begins, now)
-		p.schedulePlan(ends, now)
-		if !now.Before(ends) {
-			s.limitedSince = now
-			s.holds++
-		}
-		if now.Before(begins) || !now.Before(ends) {
-			continue
-		}
-		if o := held[customer]; o == nil || s.limitedSince.Before(o.limitedSince) {
+		if o := held[customer]; p.holdsFor(s, now) && (o == nil || s.limitedSince.Before(o.limitedSince)) {
 			held[customer] = s
 		}
 	}
@@ -131,6 +120,21 @@
 	p.allowances.heldFor = held
 }
 
+// holdsFor reports whether other tasks may be held for a gang now. After a hold in vain the gang waits
+// anew.
+func (p *Pool) holdsFor(s *stepState, now time.Time) bool {
+	begins := s.limitedSince.Add(gangLimitWait << min(s.holds, maxGangHolds))
+	ends := begins.Add(gangHoldTime)
+	p.schedulePlan(begins, now)
+	p.schedulePlan(ends, now)
+	if !now.Before(ends) {
+		s.limitedSince = now
+		s.holds++
+		return false
+	}
+	return !now.Before(begins)
+}
+
 // startSize returns the least that can start of a step: a task, or its gang.
 func (s *stepState) startSize() job.Size {
 	if s.spec.Gang {
--- a/services/scheduler/allowance_test.go
+++ b/services/scheduler/allowance_test.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// newTestPoolAtLimit returns a pool with the worker "a", in which the customer "c" may use a part of its
+// limit of four cores.
+func newTestPoolAtLimit(t *testing.T, cpu int) *testPool {
+	d := newTestPool(t, 1)
+	d.Configure(withLimit(2, 4000))
+	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: cpu}}})
+	d.listWorker("a")
+	return d
+}
+
 // submitFor submits a job of the customer "c", of one step or one gang.
 func (d *testPool) submitFor(id job.ID, count int, gang bool) {
 	d.Submit(job.Submission{ID: id, Queue: "h/q/", Customer: "c", Steps: []job.Step{{Count: count, Size: job.Size{CPU: 1000}, Estimate: time.Second, Gang: gang}}}, d.now)
@@ -59,10 +69,7 @@
 // (LOST): smaller tasks of its customer use what becomes free of the allowance before it is enough
 // for the gang.
 func TestGangIsNotStarvedAtTheLimit(t *testing.T) {
-	d := newTestPool(t, 1)
-	d.Configure(withLimit(2, 4000))
-	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: 4000}}})
-	d.listWorker("a")
+	d := newTestPoolAtLimit(t, 4000)
 	d.listWorker("b")
 	d.submitFor("small", 100, false)
 	d.startAll("a")
@@ -83,10 +90,7 @@
 // TestHoldForAGangSparesLongRunningTasks guards against a long-running task that is away for the time of
 // a hold (LOST): it starts again although a gang of its customer waits for the limit.
 func TestHoldForAGangSparesLongRunningTasks(t *testing.T) {
-	d := newTestPool(t, 1)
-	d.Configure(withLimit(2, 4000))
-	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: 2000}}})
-	d.listWorker("a")
+	d := newTestPoolAtLimit(t, 2000)
 	d.submitFor("gang", 3, true)
 	d.persist()
 	d.now = d.now.Add(gangLimitWait)
@@ -98,10 +102,7 @@
 // TestHoldForAGangEnds guards against a customer whose tasks wait without end for a gang that its
 // allowance never permits.
 func TestHoldForAGangEnds(t *testing.T) {
-	d := newTestPool(t, 1)
-	d.Configure(withLimit(2, 4000))
-	d.SetAllowances(quota.Allowances{Epoch: 1, Revision: 1, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: 2000}}})
-	d.listWorker("a")
+	d := newTestPoolAtLimit(t, 2000)
 	d.submitFor("gang", 3, true)
 	d.submitFor("small", 1000, false)
 	held := 0
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -311,7 +311,7 @@
 // markCrashesChanged marks the crashes attributed to a task as changed.
 func (p *Pool) markCrashesChanged(ref job.TaskRef) {
 	j := p.jobs[ref.Job]
-	j.crashesChanged = true
+	j.crashes.changed = true
 	p.markDirty(j)
 }
 
--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -42,7 +42,7 @@
 	t.failedAt = now
 	t.noteFailedOn(w.info.ID)
 	j.noteFailedOn(w.info.ID)
-	j.failuresChanged = true
+	j.failures.changed = true
 	if w.health.failed == nil {
 		w.health.failed = make(map[*jobState]bool)
 	}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -26,13 +26,11 @@
 	objective     time.Duration // latency objective of the job
 	remainingWork float64       // remaining core-seconds
 
-	failedOn          map[worker.ID]bool // workers on which its tasks have failed
-	failuresChanged   bool               // failedOn of its tasks differs from what is persisted
-	runningPersisted  bool               // runs that have been seen working are persisted, or in the batch in progress
-	failuresPersisted bool               // failedOn of a task is persisted, or in the batch in progress
+	failedOn map[worker.ID]bool // workers on which its tasks have failed
 
-	crashesChanged   bool // crashes attributed to its tasks differ from what is persisted
-	crashesPersisted bool // crashes attributed to its tasks are persisted, or in the batch in progress
+	crashes  jobRecord // of the crashes attributed to its tasks
+	failures jobRecord // of where its tasks have failed
+	running  jobRecord // of its runs that have been seen working
 
 	activeRuns int // runs in progress
 	dirty      bool
@@ -135,15 +133,8 @@
 // runs returns the job's runs in progress.
 func (j *jobState) runs() []*run {
 	var list []*run
-	for _, r := range j.rounds {
-		if r == nil {
-			continue
-		}
-		for i := range r.steps {
-			for t := range r.steps[i].tasks {
-				list = append(list, r.steps[i].tasks[t].runs...)
-			}
-		}
+	for _, t := range j.tasks() {
+		list = append(list, t.runs...)
 	}
 	return list
 }
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -20,7 +20,8 @@
 // the job ends, and its progress, which is written with each change. Each cordoned worker has a
 // key, and so has each worker with runs, for its start time (restart.go), and each job with crashes
 // attributed to its tasks. Jobs with failed tasks, jobs with working long-running tasks and unhealthy
-// workers have keys as well (record_health.go, record_running.go). The pool's allowances have one key (allowance.go).
+// workers have keys as well (record_health.go, record_running.go). The pool's allowances have one key
+// (allowance.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -144,11 +145,13 @@
 		return err
 	}
 	b.Records = append(b.Records, port.Record{Key: keyProgress + id, Value: data})
-	b.removeRunning(j)
-	if err := b.addFailures(j); err != nil {
+	if err := addJobRecord(b, j, &j.running, keyRunning, j.runningRecords); err != nil {
 		return err
 	}
-	return b.addCrashes(j)
+	if err := addJobRecord(b, j, &j.failures, keyFailures, j.failureRecords); err != nil {
+		return err
+	}
+	return addJobRecord(b, j, &j.crashes, keyCrashes, j.crashRecords)
 }
 
 // addSubmission adds the persisted part of a job's submission to the batch if it has changed.
@@ -240,16 +243,11 @@
 // capacity stays reserved until their worker has responded, for reserveFor at most.
 func (p *Pool) Restore(records []port.Record, now time.Time, reserveFor time.Duration) error {
 	submissions := make(map[job.ID]job.Submission)
-	for _, r := range records {
-		id, isSubmission := strings.CutPrefix(r.Key, keySubmission)
-		if !isSubmission || len(r.Value) == 0 {
-			continue
-		}
-		var s job.Submission
-		if err := codec.Unmarshal(r.Value, &s); err != nil {
-			return errors.Annotatef(err, "decode submission %s", id)
-		}
+	if err := eachRecord(records, keySubmission, "submission", func(id string, s job.Submission) error {
 		submissions[job.ID(id)] = s
+		return nil
+	}); err != nil {
+		return err
 	}
 	for _, r := range records {
 		if id, isCordon := strings.CutPrefix(r.Key, keyCordon); isCordon && len(r.Value) > 0 {
@@ -259,21 +257,16 @@
 	if err := p.restoreStarts(records); err != nil {
 		return err
 	}
-	for _, r := range records {
-		id, isProgress := strings.CutPrefix(r.Key, keyProgress)
-		if !isProgress || len(r.Value) == 0 {
-			continue
-		}
-		var d progress
-		if err := codec.Unmarshal(r.Value, &d); err != nil {
-			return errors.Annotatef(err, "decode progress %s", id)
-		}
+	if err := eachRecord(records, keyProgress, "progress", func(id string, d progress) error {
 		s, has := submissions[job.ID(id)]
 		if !has && !d.State.Final() {
 			return errors.Errorf("job %s is %s but has no submission", id, d.State)
 		}
 		s.ID = job.ID(id)
 		p.restoreJob(s, d, now, reserveFor)
+		return nil
+	}); err != nil {
+		return err
 	}
 	if err := p.restoreCrashes(records); err != nil {
 		return err
--- a/services/scheduler/record_health.go
+++ b/services/scheduler/record_health.go
@@ -6,11 +6,8 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/codec"
@@ -42,45 +39,12 @@
 	StartedAt  int64    `cbor:"6,keyasint,omitempty"` // start time of the worker's incarnation, 0 if unknown
 }
 
-// addFailures adds the workers on which a job's tasks have failed to the batch if they have changed,
-// and removes them when the job ends.
-func (b *Batch) addFailures(j *jobState) error {
-	if !j.failuresChanged && !(j.failuresPersisted && j.state.Final()) {
-		return nil
-	}
-	j.failuresChanged = false
-	failures := j.failureRecords()
-	if len(failures) == 0 && !j.failuresPersisted {
-		return nil
-	}
-	r := port.Record{Key: keyFailures + string(j.sub.ID)}
-	if j.failuresPersisted = len(failures) > 0; j.failuresPersisted {
-		data, err := codec.Marshal(failures)
-		if err != nil {
-			return err
-		}
-		r.Value = data
-	}
-	b.Records = append(b.Records, r)
-	return nil
-}
-
-// failureRecords returns where the open tasks of a job have failed, nothing for a job that has ended.
+// failureRecords returns where the open tasks of a job have failed.
 func (j *jobState) failureRecords() []failureRecord {
-	if j.state.Final() {
-		return nil
-	}
 	var list []failureRecord
-	for n, r := range j.rounds {
-		if r == nil {
-			continue
-		}
-		for i := range r.steps {
-			for t := range r.steps[i].tasks {
-				if o := &r.steps[i].tasks[t]; len(o.failedOn) > 0 && !o.done {
-					list = append(list, failureRecord{Round: n, Step: i, Index: t, Workers: o.failedOn})
-				}
-			}
+	for ref, t := range j.tasks() {
+		if len(t.failedOn) > 0 && !t.done {
+			list = append(list, failureRecord{Round: ref.Round, Step: ref.Step, Index: ref.Index, Workers: t.failedOn})
 		}
 	}
 	return list
@@ -89,29 +53,20 @@
 // restoreFailures restores where tasks have failed under earlier owners. Their next attempts look
 // for other workers as if they had failed just now.
 func (p *Pool) restoreFailures(records []port.Record, now time.Time) error {
-	for _, r := range records {
-		id, isFailures := strings.CutPrefix(r.Key, keyFailures)
-		if !isFailures || len(r.Value) == 0 {
-			continue
-		}
-		var failures []failureRecord
-		if err := codec.Unmarshal(r.Value, &failures); err != nil {
-			return errors.Annotatef(err, "decode failures of %s", id)
-		}
+	return eachRecord(records, keyFailures, "failures of", func(id string, failures []failureRecord) error {
 		for _, f := range failures {
-			ref := job.TaskRef{StepRef: job.StepRef{Job: job.ID(id), Round: f.Round, Step: f.Step}, Index: f.Index}
-			s, t := p.openTask(ref)
+			s, t := p.openTask(job.TaskRef{StepRef: job.StepRef{Job: job.ID(id), Round: f.Round, Step: f.Step}, Index: f.Index})
 			if t == nil {
 				continue // its job has ended
 			}
-			s.job.failuresPersisted = true
+			s.job.failures.persisted = true
 			t.failedOn, t.failedAt = f.Workers, now
 			for _, w := range f.Workers {
 				s.job.noteFailedOn(w)
 			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // markHealthChanged marks a worker's health as changed, so that the next batch persists it.
@@ -178,17 +133,12 @@
 // once it is added.
 func (p *Pool) restoreHealth(records []port.Record, now time.Time) error {
 	p.restoredAt = now
-	for _, r := range records {
-		id, isHealth := strings.CutPrefix(r.Key, keyHealth)
-		if !isHealth || len(r.Value) == 0 {
-			continue
-		}
-		var h healthRecord
-		if err := codec.Unmarshal(r.Value, &h); err != nil {
-			return errors.Annotatef(err, "decode health of worker %s", id)
-		}
-		p.persistedHealth[worker.ID(id)] = true
-		p.restoredHealth[worker.ID(id)] = h
+	err := eachRecord(records, keyHealth, "health of worker", func(id string, h healthRecord) error {
+		p.persistedHealth[worker.ID(id)], p.restoredHealth[worker.ID(id)] = true, h
+		return nil
+	})
+	if err != nil {
+		return err
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
 		p.applyRestoredHealth(p.workers[id])
--- a/services/scheduler/record_running.go
+++ b/services/scheduler/record_running.go
@@ -5,13 +5,9 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/yardbridge/yardbridge/models/job"
-	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
@@ -41,7 +37,7 @@
 	if u.seenWorking && u.proven == proven {
 		return
 	}
-	u.seenWorking, u.proven = true, proven
+	u.seenWorking, u.proven, u.job.running.changed = true, proven, true
 	if !slices.Contains(p.changedRunning, u.job) {
 		p.changedRunning = append(p.changedRunning, u.job)
 	}
@@ -50,28 +46,14 @@
 // addRunning adds the changed records of runs that have been seen working to the batch.
 func (p *Pool) addRunning(b *Batch) error {
 	for _, j := range p.changedRunning {
-		if j.state.Final() {
-			continue // removed when the job ended
-		}
-		data, err := codec.Marshal(j.runningRecords())
-		if err != nil {
+		if err := addJobRecord(b, j, &j.running, keyRunning, j.runningRecords); err != nil {
 			return err
 		}
-		j.runningPersisted = true
-		b.Records = append(b.Records, port.Record{Key: keyRunning + string(j.sub.ID), Value: data})
 	}
 	p.changedRunning = nil
 	return nil
 }
 
-// removeRunning removes the record of a job that has ended.
-func (b *Batch) removeRunning(j *jobState) {
-	if j.runningPersisted && j.state.Final() {
-		j.runningPersisted = false
-		b.Records = append(b.Records, port.Record{Key: keyRunning + string(j.sub.ID)})
-	}
-}
-
 // runningRecords returns the runs of a job that have been seen working.
 func (j *jobState) runningRecords() []runningRecord {
 	var list []runningRecord
@@ -87,29 +69,21 @@
 
 // restoreRunning restores since when runs of earlier owners have been working.
 func (p *Pool) restoreRunning(records []port.Record) error {
-	for _, r := range records {
-		id, isRunning := strings.CutPrefix(r.Key, keyRunning)
-		if !isRunning || len(r.Value) == 0 {
-			continue
-		}
-		var list []runningRecord
-		if err := codec.Unmarshal(r.Value, &list); err != nil {
-			return errors.Annotatef(err, "decode runs of %s", id)
-		}
+	return eachRecord(records, keyRunning, "runs of", func(id string, list []runningRecord) error {
 		for _, k := range list {
 			s, t := p.openTask(job.TaskRef{StepRef: job.StepRef{Job: job.ID(id), Round: k.Round, Step: k.Step}, Index: k.Index})
 			if t == nil {
 				continue // its job has ended
 			}
-			s.job.runningPersisted = true
+			s.job.running.persisted = true
 			for _, u := range t.runs {
 				if u.number == k.Number {
 					u.seenWorking, u.proven, u.startedClock = true, k.Proven, time.Duration(k.Started)*time.Millisecond
 				}
 			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // noteRunning records when a run was first seen running. If an earlier owner has persisted since
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -5,11 +5,8 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/services/port"
@@ -250,16 +247,8 @@
 
 // restoreStarts restores the start times of the workers that have runs of an earlier owner.
 func (p *Pool) restoreStarts(records []port.Record) error {
-	for _, r := range records {
-		id, isStart := strings.CutPrefix(r.Key, keyStart)
-		if !isStart || len(r.Value) == 0 {
-			continue
-		}
-		var startedAt int64
-		if err := codec.Unmarshal(r.Value, &startedAt); err != nil {
-			return errors.Annotatef(err, "decode start time of worker %s", id)
-		}
+	return eachRecord(records, keyStart, "start time of worker", func(id string, startedAt int64) error {
 		p.persistedStarts[worker.ID(id)] = startedAt
-	}
-	return nil
+		return nil
+	})
 }
--- a/services/scheduler/takeover_memory_test.go
+++ b/services/scheduler/takeover_memory_test.go
@@ -48,6 +48,16 @@
 	return started
 }
 
+// newTestPoolWithEjectedWorker returns a pool in which two jobs have failed on the worker "a".
+func newTestPoolWithEjectedWorker(t *testing.T) *testPool {
+	d := newTestPool(t, 1)
+	d.submit("1", 1)
+	d.submit("2", 1)
+	d.listWorker("a")
+	d.failAll("a")
+	return d
+}
+
 // TestNextOwnerRetriesElsewhere guards against a job that is reported as failed although it could be
 // completed (LOST): its task has failed on a worker, and the next owner of the pool uses the
 // remaining attempts there, while another worker is well but full for now.
@@ -72,11 +82,7 @@
 // was ejected, and the next owner of the pool must not place tasks there before the ejection ends,
 // and then one at a time, also if the worker has restarted meanwhile.
 func TestNextOwnerKeepsAWorkerEjected(t *testing.T) {
-	first := newTestPool(t, 1)
-	first.submit("1", 1)
-	first.submit("2", 1)
-	first.listWorker("a")
-	first.failAll("a")
+	first := newTestPoolWithEjectedWorker(t)
 	assert.Assert(t, first.workers["a"].ejected(first.now))
 
 	second := first.nextOwner()
@@ -97,11 +103,7 @@
 // TestHealthOfAnUnlistedWorkerIsRemoved guards against records of unhealthy workers that are kept
 // forever.
 func TestHealthOfAnUnlistedWorkerIsRemoved(t *testing.T) {
-	first := newTestPool(t, 1)
-	first.submit("1", 1)
-	first.submit("2", 1)
-	first.listWorker("a")
-	first.failAll("a")
+	first := newTestPoolWithEjectedWorker(t)
 	second := first.nextOwner()
 	second.now = second.now.Add(staleHealthAfter)
 	second.persist()
