Scheduler: workers are emptied, only data centres are evacuated

`evacuate` in the scheduler moved runs off cordoned and draining workers; the operators' evacuation of a data centre, which comes next, neither stops nor moves what runs. The two would have had one word.

--- a/services/fleet/counts.go
+++ b/services/fleet/counts.go
@@ -144,10 +144,10 @@
 }
 
 // free returns the instances of a pool that have no action and are available for one, those with
-// the least to evacuate first.
+// the least to move off them first.
 func (v *view) free(pool string) []port.Instance { return slices.Clone(v.counts.free[pool]) }
 
-// sortFree sorts instances, those with the least to evacuate first.
+// sortFree sorts instances, those with the least to move off them first.
 func (v *view) sortFree(list []port.Instance) {
 	var none reportedWorker
 	runs := make(map[string]*reportedWorker, len(list))
--- a/services/fleet/even.go
+++ b/services/fleet/even.go
@@ -71,7 +71,7 @@
 	return float64(max(v.supply(pool)+more-lasting, 0)) / float64(max(p.hard-lasting, 1))
 }
 
-// emptiest returns the instance of a pool with the least to evacuate and without long-running
+// emptiest returns the instance of a pool with the least to move off it and without long-running
 // tasks, which would only move to other instances of the same pool.
 func (v *view) emptiest(from, to string) (port.Instance, bool) {
 	for _, i := range v.counts.free[from] {
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -86,7 +86,7 @@
 // needsAdvice reports whether a step needs tickets for more workers.
 func (p *Pool) needsAdvice(r *roundState, step int, now time.Time) bool {
 	s := &r.steps[step]
-	wanted := s.waiting + s.evacuatingRuns()
+	wanted := s.waiting + s.leavingRuns()
 	if s.advicePending || wanted == 0 || now.Before(s.adviceRetryAt) || !p.dueWithinLead(r, step, now) {
 		return false
 	}
@@ -99,13 +99,13 @@
 	return slots < wanted+spareTickets
 }
 
-// evacuatingRuns returns how many tasks of a long-running step run on workers that are being
-// evacuated.
-func (s *stepState) evacuatingRuns() int {
+// leavingRuns returns how many tasks of a long-running step run on workers that are being
+// emptied.
+func (s *stepState) leavingRuns() int {
 	n := 0
 	for t := range s.tasks {
 		for _, u := range s.tasks[t].runs {
-			if s.spec.LongRunning && u.worker.evacuating() {
+			if s.spec.LongRunning && u.worker.leaving() {
 				n++
 			}
 		}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -251,19 +251,19 @@
 	}
 }
 
-// evacuate moves runs off the workers that must be emptied. Long-running tasks are stopped one at a
+// emptyWorkers moves runs off the workers that must be emptied. Long-running tasks are stopped one at a
 // time, so that no more than the permitted number of a step are unavailable, and continue
 // elsewhere; runs with checkpoints are stopped if they would run for longer than a move takes.
-func (p *Pool) evacuate(now time.Time) {
+func (p *Pool) emptyWorkers(now time.Time) {
 	for _, w := range p.workers {
-		if !w.evacuating() || !w.unresponsiveSince.IsZero() {
+		if !w.leaving() || !w.unresponsiveSince.IsZero() {
 			continue
 		}
 		for _, u := range w.runs {
-			p.evacuateRun(w, u, now)
+			p.moveRun(w, u, now)
 		}
 		if w.maintenanceOverdue(now) {
-			p.evacuateLongRunning(w, now)
+			p.stopLongRunningRuns(w, now)
 		}
 	}
 }
@@ -272,10 +272,10 @@
 // stopped for their instance's maintenance.
 const maintenanceGrace = 5 * time.Second
 
-// evacuateLongRunning stops the long-running tasks on a worker together, if that is permitted for all
+// stopLongRunningRuns stops the long-running tasks on a worker together, if that is permitted for all
 // of them: one that stayed would delay the maintenance of the instance, and so the return of the
 // others.
-func (p *Pool) evacuateLongRunning(w *workerState, now time.Time) {
+func (p *Pool) stopLongRunningRuns(w *workerState, now time.Time) {
 	onWorker := make(map[*stepState]int)
 	for _, u := range w.runs {
 		if u.orphan || u.stopping || !u.step().spec.LongRunning || u.phase != running {
@@ -297,7 +297,7 @@
 // stopping it takes for a move to be worthwhile.
 const minMoveGain = 1500 * time.Millisecond
 
-func (p *Pool) evacuateRun(w *workerState, u *run, now time.Time) {
+func (p *Pool) moveRun(w *workerState, u *run, now time.Time) {
 	if u.phase != running || u.stopping || u.orphan {
 		return
 	}
@@ -305,12 +305,12 @@
 	switch {
 	case s.spec.LongRunning:
 		if w.info.Draining && !w.cordoned || p.mayDisrupt(s, now) && p.fitsElsewhere(s, now) {
-			p.stopRun(u, now, "its worker is being evacuated")
+			p.stopRun(u, now, "its worker is being emptied")
 		}
 	case s.spec.Checkpointing && !s.spec.Gang:
 		remaining := p.expectedStepTime(u.job, s) - now.Sub(u.startedAt)
 		if remaining > p.Limits.StopTime+minMoveGain {
-			p.stopRun(u, now, "its worker is being evacuated, and it can continue elsewhere")
+			p.stopRun(u, now, "its worker is being emptied, and it can continue elsewhere")
 		}
 	}
 }
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -37,7 +37,7 @@
 	case now.Sub(u.persistedAt) > u.startWindow(now):
 		return "its order has waited too long"
 	case u.worker.info.Draining, u.worker.cordoned && !u.step().spec.Gang:
-		return "its worker is being evacuated"
+		return "its worker is being emptied"
 	case !u.ticket.expiresAt.IsZero() && !now.Before(u.ticket.expiresAt):
 		return "its ticket has expired"
 	case u.worker.overcommitted():
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -38,7 +38,7 @@
 	p.withholdAll(now)
 	p.forgetEndedJobs(now)
 	p.dropStaleHealth(now)
-	p.evacuate(now)
+	p.emptyWorkers(now)
 	if !p.needsPlan && (p.planAt.IsZero() || now.Before(p.planAt)) {
 		return p.planAt
 	}
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -41,7 +41,7 @@
 	orderUnanswered   bool          // no response since an order timed out
 	restoredRunsEndAt time.Time     // when all runs of an earlier owner have ended, unless it has responded
 	pending           bool          // it is among the pending workers
-	cordoned          bool          // nothing is placed there, and movable runs are evacuated
+	cordoned          bool          // nothing is placed there, and movable runs leave it
 	cordonBatch       uint64        // batch that carries the newest cordon change
 	maintenanceSince  time.Time     // since when its instance needs maintenance, zero if it does not
 	pollWanted        bool          // a poll is requested
@@ -118,11 +118,11 @@
 
 // schedulable reports whether tasks may be placed on the worker.
 func (w *workerState) schedulable(now time.Time) bool {
-	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.restartSuspected && !w.evacuating() && !w.ejected(now)
+	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.restartSuspected && !w.leaving() && !w.ejected(now)
 }
 
-// evacuating reports whether the runs on the worker have to move elsewhere.
-func (w *workerState) evacuating() bool { return w.info.Draining || w.cordoned }
+// leaving reports whether the runs on the worker have to move elsewhere.
+func (w *workerState) leaving() bool { return w.info.Draining || w.cordoned }
 
 // dropTicket removes a ticket that was not accepted.
 func (w *workerState) dropTicket(s job.StepRef) { delete(w.tickets, s) }
