Evacuations of data centres are heeded

Cause: no code read the operators' record.

Each node now follows these records like the configuration and passes the list with the offset up to which it was read to the pools that it owns. Placing and orders that were not sent yet leave such workers out, what runs there goes on, and the role for instances counts none of them as supply. Records of another node (for nodes that the store refuses) replace a node's own as a whole if that node has read further; before, they were merged by key, which can't show that a record was taken away. Evacuations apply before the first configuration, from which on a node claims pools.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -105,6 +105,7 @@
 	}
 	meter.Gauge("pools.owned", n.OwnedPools)
 	meter.Gauge("config.version", n.ConfigVersion)
+	meter.Gauge("data_centers.evacuated", n.EvacuatedDataCenters)
 	p := &nodeProcess{node: n, setting: s, logger: logger, meter: meter}
 	return p, p.open()
 }
--- a/node/catch_up.go
+++ b/node/catch_up.go
@@ -18,19 +18,21 @@
 // probeResponse is a node's response to a probe: its incarnation, and how far it has read.
 type probeResponse struct {
 	Incarnation uint64 `json:"life"`
-	Version     uint64 `json:"version,omitempty"` // of its configuration
-	End         uint64 `json:"end,omitempty"`     // offset up to which it has read the directory
+	Version     uint64 `json:"version,omitempty"`   // of its configuration
+	Operators   uint64 `json:"operators,omitempty"` // offset up to which it has read the operators' records
+	End         uint64 `json:"end,omitempty"`       // offset up to which it has read the directory
 }
 
 // nodeState is what a node knows that others may have missed.
 type nodeState struct {
-	Config    *config.Config  `json:"config"`    // as parsed: it holds hashes of the customers' keys only
-	Operators []port.Record   `json:"operators"` // other records of the operators
-	Directory *directory.View `json:"directory"`
+	Config       *config.Config  `json:"config"`        // as parsed: it holds hashes of the customers' keys only
+	Operators    []port.Record   `json:"operators"`     // all other records of the operators
+	OperatorsEnd uint64          `json:"operators_end"` // offset up to which these were read
+	Directory    *directory.View `json:"directory"`
 }
 
 func (n *Node) onProbe(context.Context, empty) (any, error) {
-	a := probeResponse{Incarnation: n.Directory.Self.Incarnation}
+	a := probeResponse{Incarnation: n.Directory.Self.Incarnation, Operators: n.operators.readUpTo()}
 	if c := n.Gateway.Config(); c != nil {
 		a.Version = c.Version
 	}
@@ -42,12 +44,9 @@
 
 func (n *Node) onCatchUp(context.Context, empty) (any, error) {
 	v, _ := n.Directory.View()
-	a := nodeState{Config: n.Gateway.Config(), Directory: v}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range n.operatorRecords {
-		a.Operators = append(a.Operators, r)
-	}
+	a := nodeState{Directory: v}
+	a.Operators, a.OperatorsEnd = n.operators.list()
+	a.Config = n.Gateway.Config() // applied after the records with which it was read
 	return a, nil
 }
 
@@ -80,7 +79,8 @@
 
 // behind reports whether another node has read further while this one does not reach the store.
 func (n *Node) behind(a probeResponse) bool {
-	if c := n.Gateway.Config(); c != nil && a.Version > c.Version && n.operatorFeed.Age() > staleAfter {
+	c := n.Gateway.Config()
+	if c != nil && (a.Version > c.Version || a.Operators > n.operators.readUpTo()) && n.operatorFeed.Age() > staleAfter {
 		return true
 	}
 	v, _ := n.Directory.View()
@@ -121,10 +121,10 @@
 	if err != nil {
 		return
 	}
+	c.n.applyOperators(a.Operators, a.OperatorsEnd, true)
 	if a.Config != nil {
 		c.n.configure(config.New(a.Config.Version, a.Config.Queues, a.Config.Pools, a.Config.Limits).WithCustomers(a.Config.Customers))
 	}
-	c.n.applyOperators(a.Operators, false)
 	if a.Directory != nil {
 		c.n.Directory.Merge(a.Directory)
 	}
--- a/node/dump.go
+++ b/node/dump.go
@@ -7,13 +7,14 @@
 
 // Dump is the state of a node as the node sees it, for troubleshooting.
 type Dump struct {
-	Node    string                      `json:"node"`
-	Ready   bool                        `json:"ready"`
-	Version int64                       `json:"config_version"` // 0 before the first
-	Owners  map[string]string           `json:"owners"`         // node by pool
-	Owned   map[string]scheduler.Report `json:"owned"`          // this node's pools, by name
-	Workers int                         `json:"workers"`        // listed by the platform
-	Waves   int                         `json:"waves"`
+	Node      string                      `json:"node"`
+	Ready     bool                        `json:"ready"`
+	Version   int64                       `json:"config_version"` // 0 before the first
+	Owners    map[string]string           `json:"owners"`         // node by pool
+	Owned     map[string]scheduler.Report `json:"owned"`          // this node's pools, by name
+	Workers   int                         `json:"workers"`        // listed by the platform
+	Waves     int                         `json:"waves"`
+	Evacuated []string                    `json:"evacuated"` // data centres under evacuation
 }
 
 // Dump returns the current state of the node.
@@ -30,9 +31,10 @@
 	for _, o := range n.ownerList() {
 		d.Owned[o.Pool] = o.Peek()
 	}
+	d.Waves, d.Evacuated = len(n.operators.waveList()), n.operators.evacuations().DataCenters
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	d.Workers, d.Waves = len(n.workers), len(n.waves)
+	d.Workers = len(n.workers)
 	return d
 }
 
@@ -47,3 +49,6 @@
 	}
 	return int64(c.Version)
 }
+
+// EvacuatedDataCenters returns how many data centres are under evacuation.
+func (n *Node) EvacuatedDataCenters() int64 { return int64(len(n.operators.evacuations().DataCenters)) }
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
-	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -66,23 +65,22 @@
 	server      *noderpc.Server
 
 	operatorFeed      follow.Follower
+	operators         operatorRecords
 	unreadable        sync.Map     // names of entries of the workers that have been logged as unreadable
 	catchingUp        atomic.Bool  // a catch-up request to another node is in progress
 	lastProbeResponse atomic.Int64 // when another node last responded to a probe, in nanoseconds since 1970
 
-	mu              sync.Mutex
-	newerBounds     *setting.NodeBounds    // bounds of newer settings, nil for none
-	operatorRecords map[string]port.Record // newest records of the operators apart from the configuration, by key
-	workers         map[worker.ID]worker.Worker
-	knownStarts     map[worker.ID]bool      // ids whose entries have stated a start time, and whether an entry without one has been logged since
-	owners          map[string]*owner.Owner // of pools, by name
-	waves           []wave.Wave
-	stopping        bool
+	mu          sync.Mutex
+	newerBounds *setting.NodeBounds // bounds of newer settings, nil for none
+	workers     map[worker.ID]worker.Worker
+	knownStarts map[worker.ID]bool      // ids whose entries have stated a start time, and whether an entry without one has been logged since
+	owners      map[string]*owner.Owner // of pools, by name
+	stopping    bool
 }
 
 // New assembles a node; it listens on its address for other nodes, but does nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
-	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), knownStarts: make(map[worker.ID]bool), owners: make(map[string]*owner.Owner), operatorRecords: make(map[string]port.Record), wakeWorkers: make(chan struct{}, 1)}
+	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), knownStarts: make(map[worker.ID]bool), owners: make(map[string]*owner.Owner), wakeWorkers: make(chan struct{}, 1)}
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), OpenListener: ports.Listen}
@@ -224,7 +222,7 @@
 	m := &fleet.Manager{
 		Journal: j, Instances: n.Ports.Instances, Clock: n.Clock, Logger: logger,
 		Limits: fleet.Limits{MaintenanceTime: b.MaintenanceTime.Std(), HolderLease: b.HolderLease.Std()},
-		Config: n.Gateway.Config, Waves: n.waveList, RequestReport: n.report, UpdateAllowances: n.updateAllowances,
+		Config: n.Gateway.Config, Waves: n.operators.waveList, Evacuated: n.operators.evacuations, RequestReport: n.report, UpdateAllowances: n.updateAllowances,
 		ReportWave: func(ctx context.Context, wave int, done bool) error {
 			return n.Ports.Feeds.ReportWave(ctx, n.Ports.Store, wave, done)
 		},
@@ -265,73 +263,13 @@
 	if c := n.Gateway.Config(); c != nil {
 		o.Configure(c)
 	}
+	o.SetEvacuated(n.operators.evacuations())
 	n.mu.Lock()
 	list := slices.Collect(maps.Values(n.workers))
 	n.mu.Unlock()
 	o.UpdateWorkers(ctx, list, true)
 }
 
-// waveList returns the waves that the operators have requested.
-func (n *Node) waveList() []wave.Wave {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.Clone(n.waves)
-}
-
-// setWave adds or replaces a wave of the operators.
-func (n *Node) setWave(w wave.Wave) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	at := slices.IndexFunc(n.waves, func(o wave.Wave) bool { return o.Number == w.Number })
-	if at >= 0 {
-		n.waves[at] = w
-		return
-	}
-	n.waves = append(n.waves, w)
-}
-
-// followOperators follows the operators' records.
-func (n *Node) followOperators(ctx context.Context) {
-	f := &n.operatorFeed
-	f.Store, f.Partition, f.Clock, f.Logger = n.Ports.Store, n.Ports.Feeds.Operators, n.Clock, n.Logger
-	f.Wait, f.Apply = operatorsWait, n.applyOperators
-	f.Run(ctx)
-}
-
-// applyOperators applies records of the operators.
-func (n *Node) applyOperators(records []port.Record, _ bool) {
-	for _, r := range records {
-		c, err := n.Ports.Feeds.DecodeConfig(r)
-		if err != nil {
-			n.Logger.Error().Str("event", "config").Uint64("offset", r.Offset).Err(err).Msg("configuration can't be read and is skipped")
-			continue
-		}
-		if c != nil {
-			n.configure(c)
-			continue
-		}
-		n.keepRecord(r)
-		w, isWave, err := n.Ports.Feeds.DecodeWave(r)
-		if err != nil {
-			n.Logger.Error().Str("event", "wave").Uint64("offset", r.Offset).Err(err).Msg("wave can't be read and is skipped")
-			continue
-		}
-		if isWave {
-			n.setWave(w)
-		}
-	}
-}
-
-// keepRecord keeps a record of the operators for nodes that can't read it themselves. Of a
-// configuration only the parsed form is kept, since its record contains the customers' keys.
-func (n *Node) keepRecord(r port.Record) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if r.Offset >= n.operatorRecords[r.Key].Offset {
-		n.operatorRecords[r.Key] = r
-	}
-}
-
 func (n *Node) configure(c *config.Config) {
 	if !n.Gateway.ApplyConfig(c) {
 		return
@@ -348,7 +286,7 @@
 	f := follow.Follower{
 		Store: n.Ports.Store, Partition: n.Ports.Feeds.Workers, Clock: n.Clock, Logger: n.Logger,
 		Gap: func() time.Duration { return workersGap }, Wake: n.wakeWorkers, Idle: n.ownsNoPool,
-		Apply: func(records []port.Record, complete bool) { n.applyWorkers(ctx, records, complete) },
+		Apply: func(records []port.Record, _ uint64, complete bool) { n.applyWorkers(ctx, records, complete) },
 	}
 	f.Run(ctx)
 }
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -30,7 +30,8 @@
 //     is named, otherwise a share of all partitions that pools and the role for instances may be
 //     written to), history (old records are dropped);
 //   - wave, limits (of the customers, to a share of the original ones), orders-lost (a share of the
-//     responses of instance control), relist (of ended incarnations), cancel (of the jobs of a pool),
+//     responses of instance control), evacuate (the data centre of the rack with the number that Worker
+//     states), relist (of ended incarnations), cancel (of the jobs of a pool),
 //     silence (of all open connections between nodes).
 type scriptEvent struct {
 	At     tomlfile.Duration `toml:"at"`
@@ -90,6 +91,10 @@
 		st.world.RelistEnded()
 	case "wave":
 		st.wave(e)
+	case "evacuate":
+		dataCenter := world.DataCenter(fmt.Sprintf("r-%d", e.Worker))
+		st.world.Evacuate(dataCenter)
+		time.AfterFunc(e.For.Std(), func() { st.world.EndEvacuation(dataCenter) })
 	case "limits":
 		st.configure(e.Share)
 	case "history":
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -166,7 +166,7 @@
 }
 
 // apply applies records to a new view.
-func (d *Directory) apply(records []port.Record, complete bool) {
+func (d *Directory) apply(records []port.Record, _ uint64, complete bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := &View{Nodes: make(map[string]Node), Pools: make(map[string]Ownership)}
--- a/services/fleet/counts.go
+++ b/services/fleet/counts.go
@@ -24,6 +24,8 @@
 	swaps    map[string]bool                // pools with such an instance
 	reported map[poolWorker]*reportedWorker // workers as reported by their pools' owners
 	free     map[string][]port.Instance
+	// evacuated are the instances that would be free, but are in data centres under evacuation.
+	evacuated map[string][]port.Instance
 }
 
 // poolRack identifies the instances of one pool in one rack.
@@ -39,7 +41,7 @@
 func (v *view) count() {
 	t := &counts{
 		supply: make(map[string]int), racks: make(map[poolRack]int), due: make(map[string]bool), swaps: make(map[string]bool),
-		reported: make(map[poolWorker]*reportedWorker), free: make(map[string][]port.Instance), leaving: make(map[string]int),
+		reported: make(map[poolWorker]*reportedWorker), free: make(map[string][]port.Instance), evacuated: make(map[string][]port.Instance), leaving: make(map[string]int),
 	}
 	v.counts = t
 	for _, a := range v.actions {
@@ -65,22 +67,32 @@
 		if i.Condition == port.Up && t.due[name] {
 			t.swaps[i.Pool] = true
 		}
-		if pool, counts := serves(i, v.actions[name]); counts {
+		if pool, counts := v.serves(i, v.actions[name]); counts {
 			t.supply[pool]++
 		}
 		t.racks[poolRack{poolOf(i, v.actions[name]), rack(i)}]++
-		if v.isFree(name, i) {
-			t.free[i.Pool] = append(t.free[i.Pool], i)
+		if !v.isFree(name, i) {
+			continue
 		}
+		if v.evacuated.Has(i.DataCenter) {
+			t.evacuated[i.Pool] = append(t.evacuated[i.Pool], i)
+			continue
+		}
+		t.free[i.Pool] = append(t.free[i.Pool], i)
 	}
-	for pool := range t.free {
-		v.sortFree(t.free[pool])
+	for _, lists := range []map[string][]port.Instance{t.free, t.evacuated} {
+		for pool := range lists {
+			v.sortFree(lists[pool])
+		}
 	}
 }
 
-// serves returns the pool that an instance serves or is about to, false for none.
-func serves(i port.Instance, a *action) (string, bool) {
+// serves returns the pool that an instance serves or is about to, false for none: nothing starts in a
+// data centre under evacuation.
+func (v *view) serves(i port.Instance, a *action) (string, bool) {
 	switch {
+	case v.evacuated.Has(i.DataCenter):
+		return "", false
 	case a != nil && a.to != "":
 		return a.to, true
 	case a != nil && a.stage == emptying:
@@ -103,17 +115,19 @@
 // add adds an action to the plan.
 func (v *view) add(a *action) {
 	i, t := v.instances[a.instance], v.counts
-	if pool, counts := serves(i, v.actions[a.instance]); counts {
+	if pool, counts := v.serves(i, v.actions[a.instance]); counts {
 		t.supply[pool]--
 	}
 	t.racks[poolRack{poolOf(i, v.actions[a.instance]), rack(i)}]--
 	v.actions[a.instance] = a
 	t.leaving[a.from] += btoi(a.leaves())
-	if pool, counts := serves(i, a); counts {
+	if pool, counts := v.serves(i, a); counts {
 		t.supply[pool]++
 	}
 	t.racks[poolRack{poolOf(i, a), rack(i)}]++
-	t.free[i.Pool] = slices.DeleteFunc(t.free[i.Pool], func(o port.Instance) bool { return o.Name == a.instance })
+	for _, lists := range []map[string][]port.Instance{t.free, t.evacuated} {
+		lists[i.Pool] = slices.DeleteFunc(lists[i.Pool], func(o port.Instance) bool { return o.Name == a.instance })
+	}
 }
 
 // supply returns how many instances serve a pool or are about to.
@@ -123,7 +137,7 @@
 func (v *view) supplyOf(pool string, match func(port.Instance) bool) int {
 	n := 0
 	for name, i := range v.instances {
-		if of, counts := serves(i, v.actions[name]); counts && of == pool && match(i) {
+		if of, counts := v.serves(i, v.actions[name]); counts && of == pool && match(i) {
 			n++
 		}
 	}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/models/worker"
@@ -39,6 +40,8 @@
 	Config func() *config.Config
 	// Waves returns the maintenance waves that the operators have requested.
 	Waves func() []wave.Wave
+	// Evacuated returns the data centres under evacuation; nil for none.
+	Evacuated func() evacuation.List
 	// ReportWave reports to the operators that a wave is running or done.
 	ReportWave func(ctx context.Context, wave int, done bool) error
 	// UpdateAllowances queries a pool's owner for its quota report and may send it new allowances.
@@ -239,6 +242,9 @@
 	}
 	m.view.now = m.Clock.Now()
 	m.view.headroom = c.Headroom()
+	if m.Evacuated != nil {
+		m.view.evacuated = m.Evacuated()
+	}
 	m.settle()
 	m.collectReports(ctx, c)
 	began := m.view.plan()
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/services/port"
 )
@@ -17,6 +18,7 @@
 	instances       map[string]port.Instance
 	pools           map[string]*poolState
 	headroom        string // the pool whose instances are off, "" for none
+	evacuated       evacuation.List
 	waves           []*waveState
 	actions         map[string]*action  // by instance
 	maintenanceTime time.Duration       // duration of a maintenance
@@ -47,6 +49,7 @@
 	}
 	v.expect()
 	began := v.maintain()
+	began = append(began, v.takeOut()...)
 	return append(began, v.move()...)
 }
 
@@ -90,6 +93,26 @@
 	return began
 }
 
+// takeOut begins moves of idle instances in data centres under evacuation to the pool whose instances
+// are off: they serve no pool until the evacuation ends.
+func (v *view) takeOut() []*action {
+	var began []*action
+	if v.headroom == "" {
+		return nil
+	}
+	for pool := range v.pools {
+		for _, i := range slices.Clone(v.counts.evacuated[pool]) {
+			if w := v.worker(i); w == nil || w.Runs > 0 {
+				continue
+			}
+			a := v.begin(i, v.headroom, 0)
+			v.add(a)
+			began = append(began, a)
+		}
+	}
+	return began
+}
+
 // fill begins moves to the pools that lack instances by the given need, from the pool whose
 // instances are off and from pools with more than that need.
 func (v *view) fill(need func(*poolState) int) []*action {
--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -39,7 +39,8 @@
 )
 
 // maintain begins maintenance for the instances of waves: first those that are off, then those that
-// their pool can spare, and any instance if the time is short.
+// their pool can spare, and any instance if the time is short. No pool needs those in data centres
+// under evacuation.
 func (v *view) maintain() []*action {
 	var began []*action
 	for _, w := range v.waves {
@@ -55,18 +56,19 @@
 		short := v.short(w, left)
 		spare := v.spare()
 		for _, pool := range v.poolsOf(left) {
-			for _, i := range v.free(pool) {
+			for _, i := range append(slices.Clone(v.counts.evacuated[pool]), v.free(pool)...) {
 				if slots == 0 || !due[i.Name] {
 					continue
 				}
-				if !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
+				needed := !v.evacuated.Has(i.DataCenter)
+				if needed && !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
 					break
 				}
 				a := v.begin(i, "", w.Number)
 				v.add(a)
 				began = append(began, a)
 				slots--
-				spare--
+				spare -= btoi(needed)
 			}
 		}
 	}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -33,9 +33,10 @@
 	// Idle reports whether nobody needs the partition now: then nothing is read until a wake-up,
 	// and everything after it. Nil means never.
 	Idle func() bool
-	// Apply receives records in the order of the partition. If complete is true they are the newest
-	// records of all keys, and other keys no longer exist.
-	Apply func(records []port.Record, complete bool)
+	// Apply receives records in the order of the partition, and the offset up to which it has been
+	// read with them. If complete is true they are the newest records of all keys, and other keys no
+	// longer exist.
+	Apply func(records []port.Record, end uint64, complete bool)
 
 	failingSince time.Time    // since when reads fail
 	lastRead     atomic.Int64 // when the last successful read was, in nanoseconds since 1970
@@ -98,7 +99,7 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 	f.succeeded()
-	f.Apply(records, true)
+	f.Apply(records, from, true)
 	return from, nil
 }
 
@@ -117,8 +118,9 @@
 	if len(tail.Records) == 0 {
 		return from, nil
 	}
-	f.Apply(tail.Records, false)
-	return tail.Records[len(tail.Records)-1].Offset + 1, nil
+	end := tail.Records[len(tail.Records)-1].Offset + 1
+	f.Apply(tail.Records, end, false)
+	return end, nil
 }
 
 // failed logs the first of consecutive failures and pauses.
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -38,7 +38,7 @@
 				},
 			},
 			Logger: log.Nop(), Gap: func() time.Duration { return 250 * time.Millisecond }, Wake: wake, Idle: idle.Load,
-			Apply: func(_ []port.Record, complete bool) { applied <- complete },
+			Apply: func(_ []port.Record, _ uint64, complete bool) { applied <- complete },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
@@ -138,6 +139,11 @@
 	o.change(func(p *scheduler.Pool, _ time.Time) { p.Configure(c) })
 }
 
+// SetEvacuated passes the data centres under evacuation to the pool.
+func (o *Owner) SetEvacuated(l evacuation.List) {
+	o.change(func(p *scheduler.Pool, _ time.Time) { p.SetEvacuated(l) })
+}
+
 // UpdateWorkers passes entries of the platform's worker list to the pool; complete means that the
 // list contains every worker.
 func (o *Owner) UpdateWorkers(ctx context.Context, listed []worker.Worker, complete bool) {
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -95,7 +95,8 @@
 	return r
 }
 
-// Report is what a pool reports of its workers and of the capacity it needs.
+// Report is what a pool reports of its workers and of the capacity it needs. What runs in data centres
+// under evacuation needs no capacity elsewhere as long as it runs.
 type Report struct {
 	Epoch       uint64              `json:"epoch"`
 	Workers     []WorkerReport      `json:"workers"`
@@ -127,6 +128,7 @@
 // Report returns the pool's report, in response to a request.
 func (p *Pool) Report(request CordonRequest, now time.Time) Report {
 	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), ArrivalLoad: p.arrivals.rate(now), Rising: p.arrivals.growth() > 1, Slack: seconds(p.slack.value)}
+	var evacuated job.Size // of long-running tasks in data centres under evacuation
 	for id, w := range p.workers {
 		o := WorkerReport{
 			ID: id, Instance: w.info.Instance, StartedAt: w.startedAt, Open: w.schedulable(now), Runs: len(w.runs), Used: w.used,
@@ -138,6 +140,10 @@
 				continue
 			case u.step().spec.LongRunning:
 				o.Lasting++
+				if w.evacuated {
+					evacuated = evacuated.Plus(u.size)
+				}
+			case w.evacuated:
 			case u.step().spec.Label == "":
 				r.Running = r.Running.Plus(u.size)
 			}
@@ -150,6 +156,7 @@
 	for _, j := range p.active {
 		p.addDemand(j, now, &r)
 	}
+	r.Lasting = r.Lasting.Minus(evacuated)
 	r.Quota = p.QuotaReport(quota.Query{Epoch: request.Epoch, Accounts: request.Accounts}, now)
 	if p.maintenanceStuck(now) {
 		r.MinWorkers = max(r.MinWorkers, p.schedulableWorkers(now)+1)
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -38,6 +38,8 @@
 		return "its order has waited too long"
 	case u.worker.info.Draining, u.worker.cordoned && !u.step().spec.Gang:
 		return "its worker is being emptied"
+	case u.worker.evacuated:
+		return "its data centre is under evacuation"
 	case !u.ticket.expiresAt.IsZero() && !now.Before(u.ticket.expiresAt):
 		return "its ticket has expired"
 	case u.worker.overcommitted():
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
@@ -37,6 +38,7 @@
 	Increment func(counter string)
 
 	config            *config.Config
+	evacuated         evacuation.List // no task starts in these data centres
 	jobs              map[job.ID]*jobState
 	active            []*jobState // unfinished jobs, in order of arrival
 	workers           map[worker.ID]*workerState
@@ -120,6 +122,19 @@
 	p.needsPlan = true
 }
 
+// SetEvacuated applies a newer list of the data centres under evacuation: what runs there continues,
+// and no task starts there.
+func (p *Pool) SetEvacuated(l evacuation.List) {
+	if l.End < p.evacuated.End {
+		return
+	}
+	p.evacuated = l
+	for _, w := range p.workers {
+		w.evacuated = l.Has(w.info.DataCenter)
+	}
+	p.needsPlan = true
+}
+
 // queueOf returns the queue of a job, or its previous one where the newest configuration does not
 // have it.
 func (p *Pool) queueOf(j *jobState) config.Queue {
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -43,6 +43,7 @@
 	pending           bool          // it is among the pending workers
 	cordoned          bool          // nothing is placed there, and movable runs leave it
 	cordonBatch       uint64        // batch that carries the newest cordon change
+	evacuated         bool          // its data centre is under evacuation
 	maintenanceSince  time.Time     // since when its instance needs maintenance, zero if it does not
 	pollWanted        bool          // a poll is requested
 	polledAt          time.Time     // when the last poll ended
@@ -118,7 +119,7 @@
 
 // schedulable reports whether tasks may be placed on the worker.
 func (w *workerState) schedulable(now time.Time) bool {
-	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.restartSuspected && !w.leaving() && !w.ejected(now)
+	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.restartSuspected && !w.leaving() && !w.evacuated && !w.ejected(now)
 }
 
 // leaving reports whether the runs on the worker have to move elsewhere.
@@ -172,7 +173,7 @@
 			Uint64("revision", info.Revision).Msg("worker draining")
 		p.needsPlan = true
 	}
-	w.info = info
+	w.info, w.evacuated = info, p.evacuated.Has(info.DataCenter)
 	w.listed, w.respondedUnlisted = true, false
 	return false
 }
@@ -196,6 +197,7 @@
 func (p *Pool) newWorker(info worker.Worker) *workerState {
 	return &workerState{
 		info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]ticket), cordoned: p.cordons[info.ID], tokenRaises: p.tokenRaises,
+		evacuated: p.evacuated.Has(info.DataCenter),
 	}
 }
 
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -145,6 +145,7 @@
 	if s.Spec != j.submission.Spec {
 		w.violation("UNASKED: %s starts %s with another specification", node, s.Task)
 	}
+	w.checkEvacuation(node, o, s.Task)
 	w.checkDuplicate(node, j, step, s)
 	w.checkOrder(node, j, ref, step, s)
 	w.checkCrashes(node, j, s)
--- a/standin/world/check_test.go
+++ b/standin/world/check_test.go
@@ -38,6 +38,24 @@
 			time.Sleep(cancelBound + time.Millisecond)
 			w.SetFaults("n1", func(f *Faults) { f.IsolatedUntil = time.Now().Add(time.Second) })
 		}, ""},
+		{"soon after an evacuation", func(w *World) {
+			w.Evacuate("dc-r-1")
+			time.Sleep(evacuationBound - 2*orderTime)
+		}, ""},
+		{"long after an evacuation, which was repeated", func(w *World) {
+			w.Evacuate("dc-r-1")
+			time.Sleep(evacuationBound)
+			w.Evacuate("dc-r-1")
+		}, "EVAC"},
+		{"after the evacuation of another data centre", func(w *World) {
+			w.Evacuate("dc-r-2")
+			time.Sleep(2 * evacuationBound)
+		}, ""},
+		{"after the end of an evacuation", func(w *World) {
+			w.Evacuate("dc-r-1")
+			time.Sleep(2 * evacuationBound)
+			w.EndEvacuation("dc-r-1")
+		}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/standin/world/feed.go
+++ b/standin/world/feed.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/wave"
@@ -23,6 +25,8 @@
 const (
 	keyConfig = "config"
 	keyWave   = "wave"
+
+	evacuationPrefix = "evacuate/"
 )
 
 // configRecord is a configuration as the model's operators write it.
@@ -61,6 +65,37 @@
 	w.Write(operatorsPartition, port.Record{Key: keyWave, Value: encode(v)})
 }
 
+// evacuationBound is how long after its acknowledgement an evacuation may not be in force yet.
+const evacuationBound = 5 * time.Second
+
+// Evacuate puts a data centre under evacuation as an operator.
+func (w *World) Evacuate(dataCenter string) {
+	w.Write(operatorsPartition, port.Record{Key: evacuationPrefix + dataCenter, Value: []byte("{}")})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.evacuations[dataCenter].IsZero() {
+		w.evacuations[dataCenter] = time.Now()
+	}
+}
+
+// EndEvacuation takes an evacuation back as an operator.
+func (w *World) EndEvacuation(dataCenter string) {
+	w.mu.Lock()
+	delete(w.evacuations, dataCenter)
+	w.mu.Unlock()
+	w.Write(operatorsPartition, port.Record{Key: evacuationPrefix + dataCenter})
+}
+
+// checkEvacuation checks that a worker on which a task starts is not in a data centre under
+// evacuation, unless its node may not know of that. The caller holds w.mu.
+func (w *World) checkEvacuation(node string, o *Worker, task string) {
+	since := w.evacuations[o.info.DataCenter]
+	if since.IsZero() || time.Since(since) < evacuationBound || w.mayBeUnread(since) || w.fault(node).isolated() {
+		return
+	}
+	w.violation("EVAC: %s starts %s on %s %s after the evacuation of %s", node, task, o.info.ID, time.Since(since), o.info.DataCenter)
+}
+
 // Feeds returns the records that operators and workers write, as the services read them.
 func (w *World) Feeds() port.Feeds {
 	return port.Feeds{
@@ -80,6 +115,13 @@
 			}
 			return v, true, codec.Unmarshal(r.Value, &v)
 		},
+		DecodeEvacuation: func(r port.Record) (string, error) {
+			dataCenter, isEvacuation := strings.CutPrefix(r.Key, evacuationPrefix)
+			if !isEvacuation {
+				return "", nil
+			}
+			return dataCenter, nil
+		},
 		DecodeWorker: func(r port.Record) (worker.Worker, error) {
 			var v worker.Worker
 			return v, codec.Unmarshal(r.Value, &v)
--- a/standin/world/instance.go
+++ b/standin/world/instance.go
@@ -21,6 +21,7 @@
 	pool      string
 	condition port.Condition
 	labels    []string
+	center    string // its data centre
 	capacity  job.Size
 	workerID  worker.ID // "" while it is off or down
 	wave      int       // the wave for which it is down
@@ -44,8 +45,11 @@
 	holderLease  = 3 * time.Second
 )
 
+// DataCenter returns the data centre of a rack: each rack is in one of its own.
+func DataCenter(rack string) string { return "dc-" + rack }
+
 func newInstance(name, rack string, capacity job.Size) *instance {
-	return &instance{name: name, labels: []string{"a", rack}, capacity: capacity}
+	return &instance{name: name, labels: []string{"a", rack}, center: DataCenter(rack), capacity: capacity}
 }
 
 // AddInstance adds an instance that is off, in the pool of such instances.
@@ -112,7 +116,7 @@
 	for _, n := range slices.Sorted(maps.Keys(w.instances)) {
 		i := w.instances[n]
 		list = append(list, port.Instance{
-			Name: i.name, Pool: i.pool, Condition: i.condition, Labels: i.labels, Capacity: i.capacity, Worker: i.workerID,
+			Name: i.name, Pool: i.pool, Condition: i.condition, DataCenter: i.center, Labels: i.labels, Capacity: i.capacity, Worker: i.workerID,
 		})
 	}
 	return list
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -78,7 +78,7 @@
 	o := &Worker{
 		w: w, startedAt: time.Now(), runs: make(map[string]*running), lastEnded: make(map[string]int), changed: make(chan struct{}),
 		info: worker.Worker{
-			ID: id, Instance: i.name, Pool: pool, Address: "worker-" + string(id), Labels: i.labels, Capacity: i.capacity,
+			ID: id, Instance: i.name, Pool: pool, Address: "worker-" + string(id), DataCenter: i.center, Labels: i.labels, Capacity: i.capacity,
 		},
 	}
 	if w.sameIDRestarts {
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -35,6 +35,7 @@
 	pastWorkers    []*Worker                  // ended incarnations whose id another one has
 	gangTimeouts   int                        // runs that timed out waiting for other members of their gang
 	limits         map[string][]customerLimit // of customers, the oldest first
+	evacuations    map[string]time.Time       // since when data centres have been under evacuation
 	unreadUntil    time.Time                  // the last time a node could not read the store
 	violations     []string
 	network        network
@@ -68,6 +69,7 @@
 		jobs:           make(map[job.ID]*jobRecord),
 		faults:         make(map[string]*Faults),
 		ticketValidity: make(map[string]time.Duration),
+		evacuations:    make(map[string]time.Time),
 	}
 }
 
