Fleet: the time of a plan does not grow with the product of moves and instances

What callers saw: on a fleet of 6,001 instances, work at the beginning of a turn began a second late. Among the causes: the plan of a surge. Each move looked at all instances that are off, and removed its own from a list by copying it.

The instances that are off are grouped by rack and kind and ordered by a heap for each pool that needs some; lists of free instances are not changed, what has an action is skipped; counts by label follow each action.

The order of preference is the same: not due for maintenance, then the rack with the fewest instances of the pool, then the name.

--- a/services/fleet/counts.go
+++ b/services/fleet/counts.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/yardbridge/yardbridge/models/job"
@@ -23,9 +24,14 @@
 	due      map[string]bool                // instances with pending wave maintenance
 	swaps    map[string]bool                // pools with such an instance
 	reported map[poolWorker]*reportedWorker // workers as reported by their pools' owners
-	free     map[string][]port.Instance
+	// incarnations is how many workers of an instance its pool's owner has reported.
+	incarnations map[poolInstance]int
+	free         map[string]*freeList // instances without an action that are available for one, by pool
 	// evacuated are the instances that would be free, but are in data centres under evacuation.
-	evacuated map[string][]port.Instance
+	evacuated map[string]*freeList
+	groups    []*sourceGroup      // of the instances that are off, nil until they are needed
+	sources   map[string]*sources // of the pools that needed any
+	labelled  map[poolLabel]int   // instances that serve a pool or are about to, by the labels that pools need
 }
 
 // poolRack identifies the instances of one pool in one rack.
@@ -34,6 +40,9 @@
 // poolWorker identifies a worker of a pool.
 type poolWorker struct{ pool, worker string }
 
+// poolInstance identifies an instance in a pool.
+type poolInstance struct{ pool, instance string }
+
 // reportedWorker is the report of a pool's owner on a worker.
 type reportedWorker = scheduler.WorkerReport
 
@@ -41,18 +50,14 @@
 func (v *view) count() {
 	t := &counts{
 		supply: make(map[string]int), racks: make(map[poolRack]int), due: make(map[string]bool), swaps: make(map[string]bool),
-		reported: make(map[poolWorker]*reportedWorker), free: make(map[string][]port.Instance), evacuated: make(map[string][]port.Instance), leaving: make(map[string]int),
+		free: make(map[string]*freeList), evacuated: make(map[string]*freeList), leaving: make(map[string]int),
+		sources: make(map[string]*sources), labelled: v.neededLabels(),
 	}
 	v.counts = t
 	for _, a := range v.actions {
 		t.leaving[a.from] += btoi(a.leaves())
 	}
-	for pool, p := range v.pools {
-		for i := range p.report.Workers {
-			w := &p.report.Workers[i]
-			t.reported[poolWorker{pool, string(w.ID)}] = w
-		}
-	}
+	v.countReported()
 	for _, w := range v.waves {
 		for _, name := range w.Instances {
 			if !w.done[name] {
@@ -60,31 +65,99 @@
 			}
 		}
 	}
-	for name, i := range v.instances {
+	for _, name := range v.sortedNames() {
+		i := v.instances[name]
 		if t.smallest == (job.Size{}) || i.Capacity.CPU < t.smallest.CPU {
 			t.smallest = i.Capacity
 		}
 		if i.Condition == port.Up && t.due[name] {
 			t.swaps[i.Pool] = true
 		}
-		if pool, counts := v.serves(i, v.actions[name]); counts {
-			t.supply[pool]++
+		v.countServing(i, v.actions[name], 1)
+		if v.isFree(name, i) {
+			v.listsFor(i)[i.Pool] = v.listsFor(i)[i.Pool].with(i)
 		}
-		t.racks[poolRack{poolOf(i, v.actions[name]), rack(i)}]++
-		if !v.isFree(name, i) {
-			continue
+	}
+	for _, lists := range []map[string]*freeList{t.free, t.evacuated} {
+		for pool, l := range lists {
+			if pool != v.headroom {
+				v.sortFree(l.instances)
+			}
 		}
-		if v.evacuated.Has(i.DataCenter) {
-			t.evacuated[i.Pool] = append(t.evacuated[i.Pool], i)
-			continue
+	}
+}
+
+// with returns the list with an instance more.
+func (l *freeList) with(i port.Instance) *freeList {
+	if l == nil {
+		l = &freeList{}
+	}
+	l.instances = append(l.instances, i)
+	return l
+}
+
+// sortedNames returns the names of the instances in order.
+func (v *view) sortedNames() []string {
+	if v.names == nil {
+		return slices.Sorted(maps.Keys(v.instances))
+	}
+	return v.names
+}
+
+// listsFor returns the lists in which an instance is counted if it is free.
+func (v *view) listsFor(i port.Instance) map[string]*freeList {
+	if v.evacuated.Has(i.DataCenter) {
+		return v.counts.evacuated
+	}
+	return v.counts.free
+}
+
+// countServing adds an instance to the counts of where it serves, or removes it.
+func (v *view) countServing(i port.Instance, a *action, by int) {
+	t := v.counts
+	if pool, counts := v.serves(i, a); counts {
+		t.supply[pool] += by
+		for _, label := range i.Labels {
+			if _, needed := t.labelled[poolLabel{pool, label}]; needed {
+				t.labelled[poolLabel{pool, label}] += by
+			}
 		}
-		t.free[i.Pool] = append(t.free[i.Pool], i)
 	}
-	for _, lists := range []map[string][]port.Instance{t.free, t.evacuated} {
-		for pool := range lists {
-			v.sortFree(lists[pool])
+	t.racks[poolRack{poolOf(i, a), rack(i)}] += by
+}
+
+// poolLabel is a label that tasks of a pool need.
+type poolLabel struct{ pool, label string }
+
+// neededLabels returns the labels that the tasks of pools need, with a count of 0 each.
+func (v *view) neededLabels() map[poolLabel]int {
+	labels := make(map[poolLabel]int)
+	for pool, p := range v.pools {
+		for label := range p.report.Labels {
+			labels[poolLabel{pool, label}] = 0
+		}
+	}
+	return labels
+}
+
+// countReported indexes the workers that the pools' owners have reported last.
+func (v *view) countReported() {
+	if v.counts == nil {
+		v.counts = &counts{}
+	}
+	n := 0
+	for _, p := range v.pools {
+		n += len(p.report.Workers)
+	}
+	reported, incarnations := make(map[poolWorker]*reportedWorker, n), make(map[poolInstance]int, n)
+	for pool, p := range v.pools {
+		for i := range p.report.Workers {
+			w := &p.report.Workers[i]
+			reported[poolWorker{pool, string(w.ID)}] = w
+			incarnations[poolInstance{pool, w.Instance}]++
 		}
 	}
+	v.counts.reported, v.counts.incarnations = reported, incarnations
 }
 
 // serves returns the pool that an instance serves or is about to, false for none: nothing starts in a
@@ -115,35 +188,18 @@
 // add adds an action to the plan.
 func (v *view) add(a *action) {
 	i, t := v.instances[a.instance], v.counts
-	if pool, counts := v.serves(i, v.actions[a.instance]); counts {
-		t.supply[pool]--
+	if l := v.listsFor(i)[i.Pool]; l != nil && v.actions[a.instance] == nil {
+		l.taken++
 	}
-	t.racks[poolRack{poolOf(i, v.actions[a.instance]), rack(i)}]--
+	v.countServing(i, v.actions[a.instance], -1)
 	v.actions[a.instance] = a
 	t.leaving[a.from] += btoi(a.leaves())
-	if pool, counts := v.serves(i, a); counts {
-		t.supply[pool]++
-	}
-	t.racks[poolRack{poolOf(i, a), rack(i)}]++
-	for _, lists := range []map[string][]port.Instance{t.free, t.evacuated} {
-		lists[i.Pool] = slices.DeleteFunc(lists[i.Pool], func(o port.Instance) bool { return o.Name == a.instance })
-	}
+	v.countServing(i, a, 1)
 }
 
 // supply returns how many instances serve a pool or are about to.
 func (v *view) supply(pool string) int { return v.counts.supply[pool] }
 
-// supplyOf returns how many of these instances match a condition.
-func (v *view) supplyOf(pool string, match func(port.Instance) bool) int {
-	n := 0
-	for name, i := range v.instances {
-		if of, counts := v.serves(i, v.actions[name]); counts && of == pool && match(i) {
-			n++
-		}
-	}
-	return n
-}
-
 // worker returns the owner's report on an instance's worker, nil for none.
 func (v *view) worker(i port.Instance) *reportedWorker {
 	if w := v.counts.reported[poolWorker{i.Pool, string(i.Worker)}]; w != nil && w.Instance == i.Name {
@@ -157,10 +213,6 @@
 	return i.Condition == port.Up && v.actions[name] == nil && (i.Worker == "" || v.worker(i) != nil)
 }
 
-// free returns the instances of a pool that have no action and are available for one, those with
-// the least to move off them first.
-func (v *view) free(pool string) []port.Instance { return slices.Clone(v.counts.free[pool]) }
-
 // sortFree sorts instances, those with the least to move off them first.
 func (v *view) sortFree(list []port.Instance) {
 	var none reportedWorker
--- a/services/fleet/even.go
+++ b/services/fleet/even.go
@@ -74,7 +74,7 @@
 // emptiest returns the instance of a pool with the least to move off it and without long-running
 // tasks, which would only move to other instances of the same pool.
 func (v *view) emptiest(from, to string) (port.Instance, bool) {
-	for _, i := range v.counts.free[from] {
+	for i := range v.each(v.counts.free[from]) {
 		if w := v.worker(i); w != nil && w.Lasting == 0 && v.allowed(i, to) && v.canSpare(from, i) {
 			return i, true
 		}
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -15,7 +15,9 @@
 // view is the input of a plan.
 type view struct {
 	now             time.Time
+	listedAt        time.Time // when the reading of the instances began
 	instances       map[string]port.Instance
+	names           []string // of the instances, in order; nil if they are not sorted yet
 	pools           map[string]*poolState
 	headroom        string // the pool whose instances are off, "" for none
 	evacuated       evacuation.List
@@ -101,7 +103,7 @@
 		return nil
 	}
 	for pool := range v.pools {
-		for _, i := range slices.Clone(v.counts.evacuated[pool]) {
+		for i := range v.each(v.counts.evacuated[pool]) {
 			if w := v.worker(i); w == nil || w.Runs > 0 {
 				continue
 			}
@@ -161,7 +163,7 @@
 	if !needed {
 		return 0
 	}
-	return max(instances(capacity, v.smallest()), 1) - v.supplyOf(pool, func(i port.Instance) bool { return has(i, label) })
+	return max(instances(capacity, v.smallest()), 1) - v.counts.labelled[poolLabel{pool, label}]
 }
 
 // canSpare reports whether a pool can spare an instance with regard to its labels.
@@ -194,19 +196,11 @@
 // findSource returns the instance to move to a pool, with a label unless that is "": an instance
 // that is off, otherwise one that another pool does not need now.
 func (v *view) findSource(pool, label string, need func(*poolState) int) (port.Instance, bool) {
-	var best port.Instance
-	found := false
-	for _, i := range v.counts.free[v.headroom] {
-		if v.headroom == "" || !v.allowed(i, pool) || label != "" && !has(i, label) {
-			continue
-		}
-		if !found || v.better(pool, i, best) {
-			best, found = i, true
+	if v.headroom != "" {
+		if i, found := v.findOffWith(pool, label); found {
+			return i, true
 		}
 	}
-	if found {
-		return best, true
-	}
 	from, most := "", 0
 	for other, p := range v.pools {
 		more := v.supply(other) - need(p) - keepFrom
@@ -214,7 +208,7 @@
 			from, most = other, more
 		}
 	}
-	for _, i := range v.counts.free[from] {
+	for i := range v.each(v.counts.free[from]) {
 		if v.allowed(i, pool) && v.canSpare(from, i) && (label == "" || has(i, label)) {
 			return i, true
 		}
@@ -222,6 +216,21 @@
 	return port.Instance{}, false
 }
 
+// findOffWith returns the instance that is off and suits a pool best, with a label unless that is "".
+func (v *view) findOffWith(pool, label string) (port.Instance, bool) {
+	if label == "" {
+		return v.findOff(pool)
+	}
+	var best port.Instance
+	found := false
+	for i := range v.each(v.counts.free[v.headroom]) {
+		if v.allowed(i, pool) && has(i, label) && (!found || v.better(pool, i, best)) {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
 // allowed reports whether an instance may be moved to a pool, as far as is known.
 func (v *view) allowed(i port.Instance, pool string) bool {
 	return !v.barred[barredMove{kind(i), pool}]
--- a/services/fleet/plan_test.go
+++ b/services/fleet/plan_test.go
@@ -191,11 +191,15 @@
 		r := rand.New(rand.NewPCG(seed, 1))
 		v := fleetView(r, true, r.IntN(200))
 		v.plan()
-		updated := v.counts
+		updated, free := v.counts, make(map[string][]string)
+		for _, pool := range []string{"off", "p0", "p1", "p2", "p3"} {
+			free[pool] = names(v.free(pool))
+			assert.Equal(t, v.freeCount(pool), len(free[pool]))
+		}
 		v.count()
 		for _, pool := range []string{"off", "p0", "p1", "p2", "p3"} {
 			assert.Equal(t, updated.supply[pool], v.counts.supply[pool], "seed %d, %s", seed, pool)
-			assert.DeepEqual(t, names(updated.free[pool]), names(v.counts.free[pool]))
+			assert.DeepEqual(t, free[pool], names(v.free(pool)))
 		}
 		for at, n := range v.counts.racks {
 			assert.Equal(t, updated.racks[at], n, "seed %d, %v", seed, at)
@@ -210,3 +214,47 @@
 	}
 	return all
 }
+
+// largeFleetView returns a fleet of 6,000 instances in four pools and the pool whose instances are off:
+// all are in the four pools, or all but a few of each are off and the first pool needs a number more.
+func largeFleetView(assigned bool, surge int) *view {
+	const instances, perRack, kept = 6000, 8, 40
+	v := fleetView(rand.New(rand.NewPCG(1, 1)), false, surge)
+	v.instances, v.waves = make(map[string]port.Instance, instances), nil
+	for _, p := range v.pools {
+		p.report.Workers, p.peakAt, p.level = nil, v.now, 5
+	}
+	for n := range instances {
+		pool := fmt.Sprint("p", n%fleetPools)
+		i := port.Instance{
+			Name: fmt.Sprintf("m-%04d", n), Pool: "off", Condition: port.Up, Labels: []string{"kind-a", fmt.Sprint("r-", n/perRack)}, Capacity: fleetSize,
+		}
+		if assigned || n < kept*fleetPools {
+			i.Pool, i.Worker = pool, worker.ID("w-"+i.Name)
+			r := &v.pools[pool].report
+			r.Workers = append(r.Workers, scheduler.WorkerReport{ID: i.Worker, Instance: i.Name, Open: true, Empty: true})
+		}
+		v.instances[i.Name] = i
+	}
+	return v
+}
+
+// BenchmarkPlanOfALargeFleet plans for 6,000 instances: at rest, in a surge that needs 1,000 more, and
+// when all that are idle leave their pools.
+func BenchmarkPlanOfALargeFleet(b *testing.B) {
+	for _, c := range []struct {
+		name     string
+		assigned bool
+		surge    int
+	}{{"rest", false, 0}, {"surge", false, 1000}, {"leave", true, 0}} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				v := largeFleetView(c.assigned, c.surge)
+				v.now = v.now.Add(10 * time.Second)
+				b.StartTimer()
+				v.plan()
+			}
+		})
+	}
+}
--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -56,7 +56,7 @@
 		short := v.short(w, left)
 		spare := v.spare()
 		for _, pool := range v.poolsOf(left) {
-			for _, i := range append(slices.Clone(v.counts.evacuated[pool]), v.free(pool)...) {
+			for _, i := range append(slices.Collect(v.each(v.counts.evacuated[pool])), v.free(pool)...) {
 				if slots == 0 || !due[i.Name] {
 					continue
 				}
@@ -112,7 +112,7 @@
 // spare returns how many instances no pool needs. In a surge there are none and a wave gives way: a
 // maintained instance arrives two seconds later.
 func (v *view) spare() int {
-	spare := len(v.counts.free[v.headroom])
+	spare := v.freeCount(v.headroom)
 	for pool, p := range v.pools {
 		spare += v.supply(pool) - p.need
 	}
