Fleet: the list of instances is read beside the plans, and orders are paced

Two causes, both one loop: - each plan first read the whole list, 31 pages one after the other, half a second; - 5,145 moves before traffic were all sent at once, and again with each plan: 14,660 of 20,437 responses said "too many requests". A plan waited for all of them.

An order counts as settled only by a list whose reading began after its response, and "no effect" is judged by that time too; a list from before would show instances in maintenance as up, and more would be taken down at once than is allowed. An order to an instance waits while its pool's owner reports two workers of it. Readings and orders are spaced by the platform's rates, which the settings now carry; what a pool lacks goes first, then maintenance, then instances that are only taken out.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -95,7 +95,7 @@
 		Store:          meter.Store(store.Port()),
 		Feeds:          platform.Feeds(),
 		Workers:        meter.Workers(workers.Port()),
-		Instances:      meter.Instances(c.instances(s.Platform.Instances).Port()),
+		Instances:      meter.Instances(c.instances(s.Platform).Port()),
 		Advisor:        meter.Advisor((&platform.Advisor{Client: c.to("advice", s.Platform.Advice)}).Port()),
 		OnUnresponsive: func(_ string, after time.Duration) { nodeFound(1, after) },
 		Count:          meter.Count,
--- a/cmd/node_clients.go
+++ b/cmd/node_clients.go
@@ -9,6 +9,8 @@
 
 	"github.com/yardbridge/yardbridge/modules/httpconn"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/ratelimit"
+	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/platform"
 	"github.com/yardbridge/yardbridge/services/measure"
 )
@@ -30,10 +32,10 @@
 }
 
 // instances returns the instance control at an address. Rows of its list that can't be parsed are
-// counted, and only the first is logged, since the list is read eight times a second.
-func (c platformClients) instances(address string) *platform.Instances {
+// counted, and only the first is logged, since the list is read several times a second.
+func (c platformClients) instances(s setting.NodePlatform) *platform.Instances {
 	var first sync.Once
-	return &platform.Instances{Client: c.to("instances", address), OnUnreadable: func(err error) {
+	return &platform.Instances{Client: c.to("instances", s.Instances), Readings: ratelimit.Limiter{PerSecond: s.InstanceReadings}, OnUnreadable: func(err error) {
 		c.meter.Count("instances.unread")
 		first.Do(func() {
 			c.logger.Error().Str("event", "instances").Err(err).Str("outcome", "passed over").Msg("a row of the instance list can't be parsed")
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -45,6 +45,9 @@
 	Instances  string `toml:"instances"`  // IP and port of the instance API
 	Advice     string `toml:"advice"`     // IP and port, "" for none
 	Partitions int    `toml:"partitions"` // of a topic
+	// Calls that the instance API accepts from all nodes together, 0 for no limit.
+	InstanceReadings float64 `toml:"instance_readings_per_s"`
+	InstanceOrders   float64 `toml:"instance_orders_per_s"`
 }
 
 // NodeBounds are the time bounds that the platform and the operators require of a node.
@@ -83,6 +86,14 @@
 	if n.Node.LinkMbps < 0 {
 		c.addProblem("node", 0, "link_mbps", "%v is not allowed; allowed is 0 for unknown, or more", n.Node.LinkMbps)
 	}
+	for _, rate := range []struct {
+		key   string
+		value float64
+	}{{"instance_readings_per_s", n.Platform.InstanceReadings}, {"instance_orders_per_s", n.Platform.InstanceOrders}} {
+		if !(rate.value >= 0) {
+			c.addProblem("platform", 0, rate.key, "%v is not allowed; allowed is 0 for no limit, or more", rate.value)
+		}
+	}
 	c.checkAddress("listen", "callers", n.Listen.Callers)
 	c.checkAddress("listen", "ready", n.Listen.Ready)
 	c.checkAddress("platform", "store", n.Platform.Store)
--- a/services/fleet/action.go
+++ b/services/fleet/action.go
@@ -31,14 +31,16 @@
 	stage     stage
 	began     time.Time
 	sent      time.Time // when its order was last sent
+	settledAt time.Time // when its order was reported as done
 	putOff    bool      // it was logged that its order has to wait for an earlier holder's
 	unknown   time.Time // when an attempt of its order last ended with an unknown outcome
 }
 
-// finished reports whether the list shows that a completed order has taken effect.
-func (a *action) finished(i port.Instance) bool {
+// finished reports whether the list, whose reading began at a time, shows that a completed order has
+// taken effect.
+func (a *action) finished(i port.Instance, listedAt time.Time) bool {
 	switch {
-	case a.stage != settling || i.Condition != port.Up:
+	case a.stage != settling || i.Condition != port.Up || !listedAt.After(a.settledAt):
 		return false
 	case a.to != "":
 		return i.Pool == a.to
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -21,6 +21,7 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/ratelimit"
 	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/services/lending"
 	"github.com/yardbridge/yardbridge/services/port"
@@ -55,17 +56,20 @@
 	done     chan struct{}
 	reported chan struct{} // signals that the pools have reported
 	requests uint64        // requests to owners so far
+	list     lister
 	view     view
+	limiter  ratelimit.Limiter
 	lender   lending.Lender
 	querying map[string]bool   // pools with an allowance query in progress
 	orders   map[string]intent // newest order to each instance
 	mu       sync.Mutex
 }
 
-// Limits are the time limits of orders to instances.
+// Limits are the limits of orders to instances.
 type Limits struct {
 	MaintenanceTime time.Duration // duration of a maintenance
 	HolderLease     time.Duration // minimum time between orders of two holders to one instance
+	OrdersPerSecond float64       // orders that the platform accepts from all nodes together, 0 for no limit
 }
 
 // Prefixes of the keys in the manager's journal.
@@ -80,7 +84,6 @@
 // Time constants of the manager.
 const (
 	period        = 120 * time.Millisecond // from one plan to the next
-	listTimeout   = time.Second
 	confirmAfter  = 500 * time.Millisecond // without an append, until the store is asked to confirm that the role is still held
 	reportTimeout = 400 * time.Millisecond
 	// unsettled is how long an order with an unknown outcome may still take effect.
@@ -108,6 +111,8 @@
 	m.done = make(chan struct{})
 	m.reported = make(chan struct{}, 1)
 	m.querying = make(map[string]bool)
+	m.list.m = m
+	m.limiter = ratelimit.Limiter{PerSecond: m.Limits.OrdersPerSecond, Clock: m.Clock}
 	m.lender = lending.Lender{Epoch: m.Epoch(), Logger: m.Logger}
 	m.orders = make(map[string]intent)
 	m.view = view{
@@ -190,9 +195,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	loop := allowanceLoop{m, make(chan error, 1)}
 	go loop.run(ctx)
+	var listing sync.WaitGroup
+	listing.Go(func() { m.list.run(ctx) })
 	err := m.steps(ctx, loop.ended)
 	cancel()
 	<-loop.ended
+	listing.Wait()
 	return err
 }
 
@@ -228,18 +236,12 @@
 	if err := m.acceptWaves(ctx); err != nil {
 		return err
 	}
-	bounded, cancel := context.WithTimeout(ctx, listTimeout)
-	list, err := m.Instances.List(bounded)
-	cancel()
-	if err != nil {
-		m.Logger.Warn().Str("event", "instances").Err(err).Msg("instance list can't be read")
+	list := m.list.newest()
+	if list.instances == nil {
 		m.collectReports(ctx, c)
 		return nil
 	}
-	m.view.instances = make(map[string]port.Instance, len(list))
-	for _, i := range list {
-		m.view.instances[i.Name] = i
-	}
+	m.view.instances, m.view.names, m.view.listedAt = list.instances, list.names, list.readAt
 	m.view.now = m.Clock.Now()
 	m.view.headroom = c.Headroom()
 	if m.Evacuated != nil {
@@ -324,9 +326,9 @@
 		i, there := m.view.instances[name]
 		switch {
 		case !there:
-		case a.finished(i):
+		case a.finished(i, m.view.listedAt):
 		case a.stage == settling && m.view.now.Sub(a.sent) > settleTime:
-		case a.stage == settling && !m.ended(a) && m.view.now.Sub(a.sent) > noEffectAfter:
+		case a.stage == settling && !m.ended(a) && m.view.listedAt.Sub(a.sent) > noEffectAfter:
 		case a.stage == ordered && i.Condition == port.Up && i.Worker != a.worker && a.to == "":
 			// The order may have been carried out, or the instance has crashed. It is sent again
 			// for the new incarnation. A maintenance that was already done gets a response that
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -4,8 +4,8 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -50,7 +50,7 @@
 const fresh = period
 
 // mayOrder reports whether an action's order may be sent: its instance has no worker, or its pool's
-// owner has just reported the worker as empty.
+// owner has just reported the worker as empty, and no other worker of the instance.
 func (m *Manager) mayOrder(a *action) bool {
 	if a.worker == "" {
 		return true
@@ -59,13 +59,12 @@
 	if p == nil || m.Clock.Now().Sub(p.reportedAt) > fresh {
 		return false
 	}
-	for _, w := range p.report.Workers {
-		if w.ID == a.worker {
-			a.startedAt = w.StartedAt
-			return w.Empty
-		}
+	w := m.view.counts.reported[poolWorker{a.from, string(a.worker)}]
+	if w == nil || !w.Empty || m.view.counts.incarnations[poolInstance{a.from, a.instance}] > 1 {
+		return false
 	}
-	return false
+	a.startedAt = w.StartedAt
+	return true
 }
 
 // wait returns how long the order to an instance must wait because an earlier holder may have sent
@@ -125,24 +124,43 @@
 // sinceClaim returns a time in milliseconds since this holder's claim.
 func (m *Manager) sinceClaim(at time.Time) int64 { return at.Sub(m.claimedAt).Milliseconds() }
 
+// dueOrders returns the actions whose orders are to be sent now, as many as the platform accepts: first
+// those that bring a pool what it needs, then maintenance, and last what only takes instances out.
+func (m *Manager) dueOrders() []*action {
+	m.view.countReported()
+	var due []*action
+	for name, a := range m.view.actions {
+		if a.stage != settling && m.view.instances[name].Condition == port.Up && m.mayOrder(a) && !m.mustWait(a) {
+			due = append(due, a)
+		}
+	}
+	slices.SortFunc(due, func(a, b *action) int {
+		return cmp.Or(cmp.Compare(m.view.rank(a), m.view.rank(b)), cmp.Compare(a.instance, b.instance))
+	})
+	return due[:m.limiter.Take(len(due))]
+}
+
+// rank returns the order in which the orders of actions are sent.
+func (v *view) rank(a *action) int {
+	switch a.to {
+	case "":
+		return 1
+	case v.headroom:
+		return 2
+	}
+	return 0
+}
+
 // act sends the orders that may be sent, after their intents are persisted.
 func (m *Manager) act(ctx context.Context) error {
-	var due []*action
 	var records []port.Record
 	ahead := intentTimes * m.Journal.LastDuration()
-	for _, name := range slices.Sorted(maps.Keys(m.view.actions)) {
-		a := m.view.actions[name]
-		if a.stage == settling || !m.mayOrder(a) || m.mustWait(a) {
-			continue
-		}
-		if i := m.view.instances[name]; i.Condition != port.Up {
-			continue
-		}
+	due := m.dueOrders()
+	for _, a := range due {
 		r, err := m.intent(a, false, ahead)
 		if err != nil {
 			return err
 		}
-		due = append(due, a)
 		records = append(records, r)
 	}
 	if len(due) == 0 {
@@ -198,7 +216,7 @@
 	defer m.mu.Unlock()
 	switch {
 	case err == nil:
-		a.stage = settling
+		a.stage, a.settledAt = settling, m.Clock.Now()
 	case errkind.Is(err, errkind.OutcomeUnknown):
 		a.unknown = m.Clock.Now() // the next plan sends it again; an order that is already done gets a response that reports it as done
 	case errkind.Is(err, errkind.Overloaded):
