Ownership: nodes that start again claim their pools before they register

Cause: each node that starts registers with one append to the directory's partition, which takes appends in turn, 4 ms each; a pool's next owner can be told only once the entry of its last one has changed, its claim is published behind the other registrations, and neighbours take nodes that have not registered yet for gone, with an append each. This grows with the nodes: 2.3 s at 585, 4 s at 1,000, where the store refuses appends that wait for more than 2 s.

A node that starts and is still named as the owner of pools claims these at once, and then registers, with its pools in the same append. Until then the earlier entries hold, whose addresses callers' nodes use, so calls reach the owner. Other nodes that start again spread their registrations over 4 ms times the nodes. A neighbour that answers as a later incarnation is not removed for 3 s and 5 ms for each node. A pool whose owner lived for less than ten seconds is not claimed so: it may be what kills it.

Ruled out: more partitions for the directory, since each node would follow each of them.

--- a/node/node.go
+++ b/node/node.go
@@ -99,6 +99,7 @@
 		Directory: n.Directory, Clock: c, Logger: logger,
 		Config: n.Gateway.Config, Roles: roles, Open: n.openRole, ProbeTakeOver: n.offer, RequestTakeOver: n.takeOver,
 	}
+	n.Directory.Reclaim = n.Ownership.Reclaim
 	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, ProbeVia: n.probeVia}
 	return n, nil
 }
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -51,6 +51,7 @@
 	MoveOnce    bool              `toml:"once"`     // each event makes the pools of its node change their owner once, and no others
 	MaxResponse tomlfile.Duration `toml:"answer"`   // the longest that a call of a caller may take, 0 for no limit
 	Restarts    bool              `toml:"restarts"` // workers that crash restart under the same id
+	AppendTime  tomlfile.Duration `toml:"-"`        // that each partition of the store takes for an append, one after the other
 	Gangs       bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
 	GiveUp      int               `toml:"give_up"`  // jobs that may be given up although they could be done, where two workers have crashed under a task
 }
@@ -253,6 +254,7 @@
 	for i := range st.script.Off {
 		st.world.AddInstance(fmt.Sprintf("m-off-%d", i), world.Headroom, fmt.Sprintf("r-%d", i%2), testCapacity)
 	}
+	st.world.SetAppendTime(st.script.AppendTime.Std())
 	if st.script.Restarts {
 		st.world.RestartWithSameID()
 	}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -84,6 +85,9 @@
 	Clock  clock.Clock
 	Logger log.Logger
 	Self   Node
+	// Reclaim is called once, before this incarnation of the node registers, with the first view; nil
+	// for nothing to do.
+	Reclaim func(ctx context.Context, v *View)
 
 	mu      sync.Mutex
 	view    *View
@@ -285,17 +289,27 @@
 // keepRegistered registers this node, and does so again if its entry is gone. If a later
 // incarnation of the node is registered, this one has been replaced.
 func (d *Directory) keepRegistered(ctx context.Context) {
+	retry, reclaimed := registerRetry, false
 	for ctx.Err() == nil {
 		v, changed := d.View()
+		if v != nil && !reclaimed && d.Reclaim != nil {
+			reclaimed = true
+			d.Reclaim(ctx, v)
+			d.spreadRegistration(ctx, v)
+			continue
+		}
 		if v != nil && !d.isLeaving() && v.Nodes[d.Self.Name].Incarnation < d.Self.Incarnation {
 			if err := d.register(ctx); err != nil {
 				d.Logger.Warn().Str("event", "directory").Err(err).Msg("could not register this node")
 				changed = nil
+			} else {
+				retry = registerRetry
 			}
 		}
 		var again <-chan time.Time
 		if changed == nil {
-			again = d.Clock.After(registerRetry)
+			again = d.Clock.After(retry/2 + rand.N(retry))
+			retry = min(2*retry, maxRegisterRetry)
 		}
 		select {
 		case <-changed:
@@ -305,15 +319,57 @@
 	}
 }
 
-// registerRetry is the pause after a failed registration.
-const registerRetry = 200 * time.Millisecond
+// registrationSpacing is the time in which an append to the directory is done.
+const registrationSpacing = 4 * time.Millisecond
+
+// spreadRegistration waits for a random time before a node that has started again registers, so that the
+// registrations of many such nodes do not hold up other changes: others reach it by its earlier entry.
+// A node that owns pools does not wait.
+func (d *Directory) spreadRegistration(ctx context.Context, v *View) {
+	if _, known := v.Nodes[d.Self.Name]; !known || len(d.ownPools()) > 0 {
+		return
+	}
+	select {
+	case <-d.Clock.After(rand.N(time.Duration(len(v.Nodes)) * registrationSpacing)):
+	case <-ctx.Done():
+	}
+}
+
+// The mean pause after a failed registration, which doubles up to a maximum: where many nodes start
+// together, their registrations wait for each other at the store.
+const (
+	registerRetry    = 200 * time.Millisecond
+	maxRegisterRetry = 3200 * time.Millisecond
+)
 
+// register writes this node's entry, and with it those of the pools that it owns: if they came later,
+// other nodes would claim these pools in between.
 func (d *Directory) register(ctx context.Context) error {
 	value, err := codec.Marshal(d.Self)
 	if err != nil {
 		return err
 	}
-	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyNode + d.Self.Name, Value: value}})
+	records := []port.Record{{Key: keyNode + d.Self.Name, Value: value}}
+	for _, o := range d.ownPools() {
+		r, err := o.record()
+		if err != nil {
+			return err
+		}
+		records = append(records, r)
+	}
+	return d.Store.Put(ctx, Partition, records)
+}
+
+// ownPools returns the pools that this incarnation of the node owns.
+func (d *Directory) ownPools() []Ownership {
+	v, _ := d.View()
+	var own []Ownership
+	for _, o := range v.Pools {
+		if o.Node == d.Self.Name && o.Incarnation == d.Self.Incarnation {
+			own = append(own, o)
+		}
+	}
+	return own
 }
 
 func (d *Directory) isLeaving() bool {
@@ -335,14 +391,32 @@
 	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyNode + name}})
 }
 
-// Publish announces an ownership to all nodes.
+// Publish announces an ownership to all nodes, once this node is registered: an ownership of an
+// unregistered incarnation counts as none. The registration announces it as well.
 func (d *Directory) Publish(ctx context.Context, o Ownership) error {
 	d.Observe(o)
-	value, err := codec.Marshal(o)
+	for {
+		v, changed := d.View()
+		if d.isLeaving() || v != nil && v.Nodes[d.Self.Name].Incarnation >= d.Self.Incarnation {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errkind.New(errkind.LogUnavailable, "this node is not registered yet")
+		}
+	}
+	r, err := o.record()
 	if err != nil {
 		return err
 	}
-	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyPool + o.Pool, Value: value}})
+	return d.Store.Put(ctx, Partition, []port.Record{r})
+}
+
+// record returns the entry of an ownership.
+func (o Ownership) record() (port.Record, error) {
+	value, err := codec.Marshal(o)
+	return port.Record{Key: keyPool + o.Pool, Value: value}, err
 }
 
 // AssignSlot returns the slot of a pool's partition, and assigns the lowest free slots to all of
@@ -367,11 +441,11 @@
 		if name == pool {
 			slot = o.Slot
 		}
-		value, err := codec.Marshal(o)
+		r, err := o.record()
 		if err != nil {
 			return 0, err
 		}
-		records = append(records, port.Record{Key: keyPool + name, Value: value})
+		records = append(records, r)
 	}
 	_, err := d.Store.AppendAt(ctx, Partition, v.End, records)
 	return slot, err
--- a/services/monitor/monitor.go
+++ b/services/monitor/monitor.go
@@ -24,6 +24,8 @@
 	Probe func(ctx context.Context, n directory.Node) (uint64, error)
 	// ProbeVia makes one node probe another.
 	ProbeVia func(ctx context.Context, helper, n directory.Node) error
+
+	restarted map[string]time.Time // since when another incarnation of a node responds
 }
 
 // The timing of probes. A failed node is detected after two failed probes in a row and a
@@ -35,6 +37,11 @@
 	probeTimeout      = 250 * time.Millisecond
 	helpTimeout       = 400 * time.Millisecond
 	maxMisses         = 2 // failed probes in a row before helpers probe the node
+
+	// How long a node that has started again may take to register, by the number of nodes: an append to
+	// the directory takes 4 ms.
+	registrationTime        = 3 * time.Second
+	registrationTimePerNode = 5 * time.Millisecond
 )
 
 // Run probes until the context ends.
@@ -73,7 +80,7 @@
 // check probes a node and removes it from the directory if it is gone.
 func (m *Monitor) check(ctx context.Context, v *directory.View, n directory.Node, failed map[string]int) {
 	err := m.probe(ctx, n)
-	if err == nil {
+	if err == nil || m.mayRegister(v, n, err) {
 		delete(failed, n.Name)
 		return
 	}
@@ -92,11 +99,31 @@
 		Msg("no helper reaches the node; it is removed from the directory")
 }
 
+// mayRegister reports whether a failed probe shows that a node has just started again and may still
+// register: where many nodes start together, their registrations wait for each other at the store.
+func (m *Monitor) mayRegister(v *directory.View, n directory.Node, err error) bool {
+	if !errkind.Is(err, errkind.Gone) {
+		delete(m.restarted, n.Name)
+		return false
+	}
+	now := m.Clock.Now()
+	if m.restarted == nil {
+		m.restarted = make(map[string]time.Time)
+	}
+	if m.restarted[n.Name].IsZero() {
+		m.restarted[n.Name] = now
+	}
+	return now.Sub(m.restarted[n.Name]) < registrationTime+time.Duration(len(v.Nodes))*registrationTimePerNode
+}
+
 // probe returns nil if a node responds and is the known incarnation.
 func (m *Monitor) probe(ctx context.Context, n directory.Node) error {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	incarnation, err := m.Probe(bounded, n)
+	if err == nil && incarnation == n.Incarnation {
+		delete(m.restarted, n.Name)
+	}
 	if err == nil && incarnation != n.Incarnation {
 		err = errkind.New(errkind.Gone, "another incarnation of the node responds: %d", incarnation)
 	}
--- /dev/null
+++ b/services/ownership/reclaim.go
@@ -0,0 +1,68 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ownership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/yardbridge/yardbridge/services/directory"
+)
+
+// Where all processes of a large fleet are killed together, their registrations wait for each other at
+// the store for seconds, and no node can tell who is to own which pool before that. The directory still
+// names the owners from before, whose addresses callers' nodes use, so these nodes claim their pools
+// again at once.
+
+const (
+	// reclaimWithin bounds how long a node that starts claims its pools before it registers.
+	reclaimWithin = 1500 * time.Millisecond
+	// reclaimAfter is how long the earlier incarnation must have lived: a pool that kills its owner
+	// again and again has to move.
+	reclaimAfter = 10 * time.Second
+	// reclaimPoll is how often a node that starts checks whether it has a configuration.
+	reclaimPoll = 10 * time.Millisecond
+)
+
+// Reclaim claims the roles that an earlier incarnation of this node owned by the directory.
+func (s *Manager) Reclaim(ctx context.Context, v *directory.View) {
+	var roles []string
+	now := s.Clock.WallTime(s.Clock.Now())
+	for role, o := range v.Pools {
+		n := v.Nodes[o.Node]
+		lived := now.Sub(time.Unix(0, int64(o.Incarnation))) //nolint:gosec // a time
+		if o.Node == s.Directory.Self.Name && o.Incarnation < s.Directory.Self.Incarnation && n.Incarnation == o.Incarnation && lived >= reclaimAfter {
+			roles = append(roles, role)
+		}
+	}
+	if len(roles) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reclaimWithin)
+	defer cancel()
+	for !s.isReady() {
+		select {
+		case <-s.Clock.After(reclaimPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+	var claims sync.WaitGroup
+	for _, role := range roles {
+		claims.Go(func() {
+			_, err := s.TakeOver(ctx, role)
+			s.Logger.Info().Str("event", "claim").Str("pool", role).Uint64("epoch_before", v.Pools[role].Epoch).AnErr("err", err).
+				Str("outcome", "reclaimed").Msg("this node owned the pool before it started, and has tried to claim it again")
+		})
+	}
+	claims.Wait()
+}
+
+// isReady reports whether this node can claim roles.
+func (s *Manager) isReady() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running != nil && s.Config() != nil
+}
--- a/standin/world/store.go
+++ b/standin/world/store.go
@@ -21,11 +21,47 @@
 	epoch    uint64
 	sequence uint64
 	changed  chan struct{}
+	freeAt   time.Time // when the appends that wait have been done
 }
 
 // storeTime is how long a call to the store takes.
 const storeTime = 4 * time.Millisecond
 
+// maxAppendWait is the wait from which on a partition refuses appends.
+const maxAppendWait = 2 * time.Second
+
+// SetAppendTime makes each partition take its appends in turn, each in the given time; without it
+// appends do not wait for each other.
+func (w *World) SetAppendTime(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.appendTime = d
+}
+
+// turn waits until a partition takes an append.
+func (s *nodeStore) turn(ctx context.Context, at port.Partition) error {
+	s.w.mu.Lock()
+	p, now := s.w.partition(at), time.Now()
+	wait := max(p.freeAt.Sub(now), 0)
+	if s.w.appendTime == 0 {
+		s.w.mu.Unlock()
+		return nil
+	}
+	if wait > maxAppendWait {
+		s.w.mu.Unlock()
+		return errkind.New(errkind.LogUnavailable, "too many appends wait")
+	}
+	wait += s.w.appendTime
+	p.freeAt = now.Add(wait)
+	s.w.mu.Unlock()
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "the caller has gone away")
+	}
+}
+
 // Store returns the store as a node reaches it.
 func (w *World) Store(node string) port.Store {
 	s := &nodeStore{w, node}
@@ -142,6 +178,9 @@
 	if err := s.reach(ctx, at); err != nil {
 		return err
 	}
+	if err := s.turn(ctx, at); err != nil {
+		return err
+	}
 	return s.result(ctx, s.w.fencedAppend(at, wr, records))
 }
 
@@ -170,6 +209,9 @@
 	if err := s.reach(ctx, at); err != nil {
 		return err
 	}
+	if err := s.turn(ctx, at); err != nil {
+		return err
+	}
 	s.w.Write(at, records...)
 	return s.result(ctx, nil)
 }
@@ -178,6 +220,9 @@
 	if err := s.reach(ctx, at); err != nil {
 		return 0, err
 	}
+	if err := s.turn(ctx, at); err != nil {
+		return 0, err
+	}
 	s.w.mu.Lock()
 	p := s.w.partition(at)
 	if p.end() != end {
