Store: readings at rest wait longer, and a node that lags asks another one sooner

A reading without a record doubles the wait of the next, from 0.7 and 1 s up to half of the shorter of two bounds that the settings now carry: the time after which a node whose connections were fine must act, and that in which a configuration must be in force (2.5 s on the fleet, 1 s on the first sites: 0.8 readings a second for each node there). Half, since a connection that has fallen silent is found only when the reading is due. After a record the next reading waits for the shortest time again: one that arrives while a reading begins may be returned by the next one only.

So "not read for 2 s" says nothing any more. A node now asks another for what it has missed once probes have shown for 0.5 s that it lags behind; before, a node that the store refused waited for 2 s.

--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -62,6 +62,8 @@
 	UnavailableAfter    tomlfile.Duration `toml:"notice_time"`  // a long-running task counts as unavailable after this long
 	HolderLease         tomlfile.Duration `toml:"holder_lease"` // least time between the orders of two role holders for one instance
 	MaxInterferenceTime tomlfile.Duration `toml:"harm_time"`    // the longest that backfill tasks may degrade a serving one
+	ContactTime         tomlfile.Duration `toml:"contact_time"` // a node whose connections were fine for this long must act on what is acknowledged, 0 if not set
+	ConfigTime          tomlfile.Duration `toml:"config_time"`  // until a configuration must be in force, 0 if not set
 	CPUShareDelay       tomlfile.Duration `toml:"pace_time"`    // until a CPU share takes effect
 }
 
@@ -119,6 +121,13 @@
 	maxPartitions = 1 << 16
 )
 
+// MaxReadWait returns how long a read of the store may wait for new records: a connection that has
+// fallen silent is found by then, in half of the shorter of the times after which the node must act on
+// what is acknowledged. It is 0 if these are not set.
+func (n *Node) MaxReadWait() time.Duration {
+	return min(n.Bounds.ContactTime, n.Bounds.ConfigTime).Std() / 2
+}
+
 // PeerAddress returns the IP and port for other nodes.
 func (n *Node) PeerAddress() string {
 	return net.JoinHostPort(n.Node.Address, strconv.Itoa(n.Listen.NodePort))
--- a/node/catch_up.go
+++ b/node/catch_up.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
@@ -73,18 +74,53 @@
 // isolatedAfter is how long no other node may have responded until this one counts as isolated.
 const isolatedAfter = time.Second
 
-// staleAfter is how old this node's own reading must be before other nodes are queried: two
-// readings of the store.
-const staleAfter = 2 * time.Second
+// behindFor is how long this node must have lacked what another node has read until it requests that
+// from there: two readings of the store by two nodes return at different times.
+const behindFor = 500 * time.Millisecond
 
-// behind reports whether another node has read further while this one does not reach the store.
-func (n *Node) behind(a probeResponse) bool {
-	c := n.Gateway.Config()
-	if c != nil && (a.Version > c.Version || a.Operators > n.operators.readUpTo()) && n.operatorFeed.Age() > staleAfter {
-		return true
+// position is how far a node has read what it follows.
+type position struct {
+	version   uint64 // of the configuration
+	operators uint64 // offset in the operators' records
+	directory uint64 // offset in the directory
+}
+
+// isBehind reports whether a position is behind another one in anything.
+func (p position) isBehind(o position) bool {
+	return p.version < o.version || p.operators < o.operators || p.directory < o.directory
+}
+
+// lag is the position of another node that this node was behind of when it learned of it.
+type lag struct {
+	mu    sync.Mutex
+	ahead position
+	since time.Time // zero for no lag
+}
+
+// lasts reports whether a node has been behind for behindFor, given its position and another node's.
+func (l *lag) lasts(own, other position, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since.IsZero() || !own.isBehind(l.ahead) {
+		l.ahead, l.since = other, now
 	}
+	return own.isBehind(other) && now.Sub(l.since) >= behindFor
+}
+
+// position returns how far this node has read, false before the first reading of everything.
+func (n *Node) position() (position, bool) {
+	c := n.Gateway.Config()
 	v, _ := n.Directory.View()
-	return v != nil && a.End > v.End && n.Directory.Age() > staleAfter
+	if c == nil || v == nil {
+		return position{}, false
+	}
+	return position{c.Version, n.operators.readUpTo(), v.End}, true
+}
+
+// behind reports whether this node has lacked for some time what another node has read.
+func (n *Node) behind(a probeResponse) bool {
+	own, has := n.position()
+	return has && n.lag.lasts(own, position{a.Version, a.Operators, a.End}, n.Clock.Now())
 }
 
 // refreshAfter is how old this node's own reading of the directory must be before it requests the
--- a/node/limits.go
+++ b/node/limits.go
@@ -12,6 +12,6 @@
 
 // The timing of reads of the store.
 const (
-	operatorsWait = 700 * time.Millisecond // how long a read waits for new records; see followWait in services/directory
+	operatorsWait = 700 * time.Millisecond // how long a read waits for new records at least; see followWait in services/directory
 	workersGap    = 250 * time.Millisecond // pause between reads; workers write every 1.5 s, and the records of one pause are read together
 )
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 
 	operatorFeed      follow.Follower
 	operators         operatorRecords
+	lag               lag
 	unreadable        sync.Map     // names of entries of the workers that have been logged as unreadable
 	catchingUp        atomic.Bool  // a catch-up request to another node is in progress
 	lastProbeResponse atomic.Int64 // when another node last responded to a probe, in nanoseconds since 1970
@@ -94,6 +95,7 @@
 			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter, LinkMbps: s.Node.LinkMbps,
 		},
 	}
+	n.Directory.MaxWait = s.MaxReadWait()
 	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote, OnOutdated: n.refreshFrom}
 	n.Ownership = &ownership.Manager{
 		Directory: n.Directory, Clock: c, Logger: logger,
--- a/node/operators.go
+++ b/node/operators.go
@@ -67,7 +67,7 @@
 func (n *Node) followOperators(ctx context.Context) {
 	f := &n.operatorFeed
 	f.Store, f.Partition, f.Clock, f.Logger = n.Ports.Store, n.Ports.Feeds.Operators, n.Clock, n.Logger
-	f.Wait, f.Apply = operatorsWait, n.applyOperators
+	f.Wait, f.MaxWait, f.Apply = operatorsWait, n.Setting.MaxReadWait(), n.applyOperators
 	f.Run(ctx)
 }
 
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -85,6 +85,8 @@
 	Clock  clock.Clock
 	Logger log.Logger
 	Self   Node
+	// MaxWait is how long a read waits for new records while there are none, 0 for followWait.
+	MaxWait time.Duration
 	// Reclaim is called once, before this incarnation of the node registers, with the first view; nil
 	// for nothing to do.
 	Reclaim func(ctx context.Context, v *View)
@@ -97,7 +99,7 @@
 	follower follow.Follower
 }
 
-// followWait is how long a read of the directory waits for new records. A record that arrives while
+// followWait is how long a read of the directory waits for new records at least. A record that arrives while
 // a read begins was observed to be returned by the next read only.
 const followWait = time.Second
 
@@ -105,7 +107,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	f := &d.follower
 	f.Store, f.Partition, f.Clock, f.Logger = d.Store, Partition, d.Clock, d.Logger
-	f.Wait, f.Gap, f.Apply = followWait, d.followGap, d.apply
+	f.Wait, f.MaxWait, f.Gap, f.Apply = followWait, d.MaxWait, d.followGap, d.apply
 	go d.keepRegistered(ctx)
 	f.Run(ctx)
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -23,8 +23,11 @@
 	Partition port.Partition
 	Clock     clock.Clock
 	Logger    log.Logger
-	// Wait is how long a read waits for a record; 0 reads at each Gap.
-	Wait time.Duration
+	// Wait is how long a read waits for a record; 0 reads at each Gap. Each read without one doubles
+	// the wait of the next, up to MaxWait if that is higher: a record that arrives while a read begins
+	// may be returned by the next one only, and another record often follows soon.
+	Wait    time.Duration
+	MaxWait time.Duration
 	// Gap returns the pause between reads; records that arrive in it are read together. Nil means
 	// no pause.
 	Gap func() time.Duration
@@ -38,8 +41,9 @@
 	// longer exist.
 	Apply func(records []port.Record, end uint64, complete bool)
 
-	failingSince time.Time    // since when reads fail
-	lastRead     atomic.Int64 // when the last successful read was, in nanoseconds since 1970
+	wait         time.Duration // of the next read
+	failingSince time.Time     // since when reads fail
+	lastRead     atomic.Int64  // when the last successful read was, in nanoseconds since 1970
 }
 
 // Age returns how long ago the last successful read was.
@@ -99,6 +103,7 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 	f.succeeded()
+	f.wait = f.Wait
 	f.Apply(records, from, true)
 	return from, nil
 }
@@ -106,8 +111,9 @@
 // readTail reads the records from an offset on and returns the offset to continue from. A failed
 // read is retried from there.
 func (f *Follower) readTail(ctx context.Context, from uint64) (uint64, error) {
-	tail, err := f.Store.Read(ctx, f.Partition, from, f.Wait)
+	tail, err := f.Store.Read(ctx, f.Partition, from, f.wait)
 	if err != nil {
+		f.wait = f.Wait
 		if !errkind.Is(err, errkind.Gone) {
 			f.failed(ctx, err)
 			err = nil
@@ -116,8 +122,10 @@
 	}
 	f.succeeded()
 	if len(tail.Records) == 0 {
+		f.wait = max(f.Wait, min(2*f.wait, f.MaxWait))
 		return from, nil
 	}
+	f.wait = f.Wait
 	end := tail.Records[len(tail.Records)-1].Offset + 1
 	f.Apply(tail.Records, end, false)
 	return end, nil
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -66,3 +66,46 @@
 		<-ended
 	})
 }
+
+// TestReadsAtRestWaitLonger guards against calls to the store that grow with the nodes although nothing
+// changes: reads without a record wait up to the maximum, and the read after a record waits for the
+// shortest time, since a record that arrives while a read begins may be returned by the next one only.
+func TestReadsAtRestWaitLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var waits []time.Duration
+		record := make(chan struct{}, 1)
+		f := Follower{
+			Store: port.Store{
+				Newest: func(context.Context, port.Partition, string) (port.Page, error) { return port.Page{End: 1}, nil },
+				Read: func(ctx context.Context, _ port.Partition, from uint64, wait time.Duration) (port.Tail, error) {
+					waits = append(waits, wait)
+					select {
+					case <-record:
+						return port.Tail{Records: []port.Record{{Key: "k", Offset: from}}, End: from + 1}, nil
+					case <-time.After(wait):
+					case <-ctx.Done():
+					}
+					return port.Tail{End: from}, nil
+				},
+			},
+			Logger: log.Nop(), Wait: 700 * time.Millisecond, MaxWait: 2500 * time.Millisecond,
+			Apply: func([]port.Record, uint64, bool) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(60 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, waits[:4], []time.Duration{700 * time.Millisecond, 1400 * time.Millisecond, 2500 * time.Millisecond, 2500 * time.Millisecond})
+		assert.Assert(t, len(waits) <= 26, "%d reads in a minute", len(waits))
+		before := len(waits)
+		record <- struct{}{}
+		synctest.Wait()
+		assert.DeepEqual(t, waits[before:], []time.Duration{700 * time.Millisecond})
+		cancel()
+		<-ended
+	})
+}
