Directory: nodes that come or go are logged together

A reading now logs one line with the count, the first eight names and the number of registered nodes: what it brings together, some lines a node at a start of all.

--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -212,18 +213,19 @@
 	if d.view != nil {
 		last = *d.view
 	}
+	var present, absent []string
 	for name, n := range next.Nodes {
 		if last.Nodes[name] != n {
-			d.Logger.Info().Str("event", "directory").Str("node", name).Str("address", n.Address).Uint64("life", n.Incarnation).
-				Uint64("end", next.End).Str("outcome", "present").Msg("node is registered")
+			present = append(present, name)
 		}
 	}
-	for name, n := range last.Nodes {
-		if _, present := next.Nodes[name]; !present {
-			d.Logger.Info().Str("event", "directory").Str("node", name).Uint64("life", n.Incarnation).
-				Uint64("end", next.End).Str("outcome", "absent").Msg("node is no longer registered")
+	for name := range last.Nodes {
+		if _, is := next.Nodes[name]; !is {
+			absent = append(absent, name)
 		}
 	}
+	d.logNodes(next, present, "present", "nodes are registered")
+	d.logNodes(next, absent, "absent", "nodes are no longer registered")
 	for pool, o := range next.Pools {
 		if last.Pools[pool] != o {
 			d.Logger.Info().Str("event", "directory").Str("of", pool).Int("slot", o.Slot).Uint64("epoch", o.Epoch).
@@ -232,6 +234,33 @@
 	}
 }
 
+// loggedNodes is how many names a log line contains: where all nodes start together, each would
+// otherwise log each.
+const loggedNodes = 8
+
+// logNodes logs which nodes have come or gone, some of them by name.
+func (d *Directory) logNodes(next *View, names []string, outcome, message string) {
+	if len(names) == 0 {
+		return
+	}
+	slices.Sort(names)
+	incarnations := make([]uint64, 0, loggedNodes)
+	named := names[:min(len(names), loggedNodes)]
+	for _, name := range named {
+		incarnations = append(incarnations, max(next.Nodes[name].Incarnation, d.incarnation(name)))
+	}
+	d.Logger.Info().Str("event", "directory").Int("count", len(names)).Strs("nodes", named).Uints64("lives", incarnations).
+		Int("registered", len(next.Nodes)).Uint64("end", next.End).Str("outcome", outcome).Msg(message)
+}
+
+// incarnation returns the incarnation of a node in the newest view, 0 for none. The lock is held.
+func (d *Directory) incarnation(name string) uint64 {
+	if d.view == nil {
+		return 0
+	}
+	return d.view.Nodes[name].Incarnation
+}
+
 // applyRecord applies one record to a view that is being built.
 func (v *View) applyRecord(r port.Record) error {
 	if name, isNode := strings.CutPrefix(r.Key, keyNode); isNode {
