Gateway: a query without a response is answered 503, not 504

A query changes nothing, so that "not run" is true of it, and its caller may repeat it: it is told when to come back. Submissions and cancels without a response stay of unknown outcome.

--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -97,12 +97,23 @@
 
 // State returns the state of a job that is reported to a customer.
 func (g *Gateway) State(ctx context.Context, q *config.Queue, id job.ID, customer string) (job.State, error) {
-	return callAnyOwner(ctx, g, q, func(ctx context.Context, h *PoolHandler) (job.State, error) { return h.State(ctx, id, customer) })
+	state, err := callAnyOwner(ctx, g, q, func(ctx context.Context, h *PoolHandler) (job.State, error) { return h.State(ctx, id, customer) })
+	return state, queryError(err)
 }
 
 // Pending returns the number of a queue's jobs that have not started.
 func (g *Gateway) Pending(ctx context.Context, q *config.Queue) (int, error) {
-	return call(ctx, g, q.Pool, func(ctx context.Context, h *PoolHandler) (int, error) { return h.Pending(ctx, q.Key()) })
+	n, err := call(ctx, g, q.Pool, func(ctx context.Context, h *PoolHandler) (int, error) { return h.Pending(ctx, q.Key()) })
+	return n, queryError(err)
+}
+
+// queryError returns the error of a query: it changes nothing, so that one without a response has not
+// run, and may be repeated.
+func queryError(err error) error {
+	if errkind.Is(err, errkind.OutcomeUnknown) {
+		return errkind.New(errkind.NoTarget, "no response to a query: %v", err)
+	}
+	return err
 }
 
 // callAnyOwner calls the owner of a queue's pool and, if that does not know the job, the owners of
