Fleet: the spare instances of a pool follow the size of the fleet

Five were chosen on fleets of 350 to 540.

A pool whose jobs can't wait keeps 1.5% of all instances free, at least five (90 on the fleet, five at 350, eight at 540); one whose jobs can wait a fifth of that. While half of the part beyond the least ones is free no instance comes, and those there stay, so that variations by chance move nothing. Waves and pools that lack instances still get all beyond the least ones.

--- a/services/fleet/need.go
+++ b/services/fleet/need.go
@@ -18,7 +18,8 @@
 	surge       surge
 	expected    int            // instances that the current surge is expected to need, 0 for no expectation
 	hard        int            // instances needed for the current load
-	need        int            // hard plus spare instances
+	low         int            // hard plus the least spare instances
+	need        int            // hard plus spare instances, as many as the pool is to have
 	level       int            // the need, kept for a while after a peak
 	peakAt      time.Time      // when the need last reached the level
 	logged      [2]int         // need and supply in the last log message
@@ -28,27 +29,39 @@
 // Parameters of the number of instances that a pool needs.
 const (
 	spareShare   = 1.1                     // multiple of the used or requested capacity
-	maxSpare     = 5.0                     // spare instances of a pool whose jobs can't wait
-	minSpare     = 1.0                     // spare instances of a pool whose jobs can wait
+	maxSpare     = 5.0                     // least spare instances of a pool whose jobs can't wait
+	minSpare     = 1.0                     // least spare instances of a pool whose jobs can wait
+	spareOfFleet = 0.015                   // spare instances of a pool whose jobs can't wait, as a share of all instances, if that is more
 	urgentSlack  = 1500 * time.Millisecond // slack of jobs that can't wait: an instance takes longer to arrive
 	patientSlack = 3 * time.Second         // slack of jobs that can wait
 	keepFrom     = 1                       // instances that a pool keeps beyond its need when others get instances from it
 	keepLevel    = 3 * time.Second         // after a peak; a move there and back takes as long
 )
 
-// needs returns how many instances of a size a pool needs for work that can still complete in time,
-// excluding instances with labels, and how many it needs including spare instances and overdue
-// work. Overdue work takes no instance from work that can still be in time. Tasks that must run
-// apart leave most of their instances free, which serve as spare ones.
-func needs(r scheduler.Report, size job.Size) (hard, soft int) {
+// needs is how many instances a pool needs.
+type needs struct {
+	hard int // for work that can still complete in time, excluding instances with labels
+	low  int // including the least spare instances, and overdue work
+	high int // including all spare instances, and overdue work
+}
+
+// needsOf returns how many instances of a size a pool needs, in a fleet of a number of instances.
+// Overdue work takes no instance from work that can still be in time. Tasks that must run apart leave
+// most of their instances free, which serve as spare ones.
+func needsOf(r scheduler.Report, size job.Size, fleet int) needs {
 	used := r.Lasting.Plus(r.Running.Max(r.ArrivalLoad)).Plus(r.Required)
 	share := shareOf(used, size) * spareShare
-	more := max(spareFor(r.Slack), shareOf(r.Overdue, size))
-	return max(int(math.Ceil(share)), r.MinWorkers), max(int(math.Ceil(share+more)), r.MinWorkers)
+	least, overdue := spareFor(r.Slack), shareOf(r.Overdue, size)
+	most := max(least, least/maxSpare*spareOfFleet*float64(fleet))
+	return needs{
+		hard: max(int(math.Ceil(share)), r.MinWorkers),
+		low:  max(int(math.Ceil(share+max(least, overdue))), r.MinWorkers),
+		high: max(int(math.Ceil(share+max(most, overdue))), r.MinWorkers),
+	}
 }
 
-// spareFor returns how many instances a pool needs to keep free, so that a surge of jobs with the
-// given slack finds capacity until more instances arrive.
+// spareFor returns the least number of instances that a pool needs to keep free, so that a surge of
+// jobs with the given slack finds capacity until more instances arrive.
 func spareFor(slack time.Duration) float64 {
 	if slack == 0 {
 		return maxSpare
@@ -75,27 +88,34 @@
 	return share
 }
 
-// follow updates the level of a pool, which has a number of instances, with a new need. On its
-// first plan a holder does not know the last peak, and a pool whose owner changed at the same time
-// does not know the arrival rate: the pool's instances are kept as after a peak.
-func (p *poolState) follow(hard, n, has int, now time.Time) {
-	p.hard, p.need = hard, n
+// refillShare is the part of the spare instances beyond the least ones that may be in use before a
+// pool gets more: each instance that moves for a chance variation moves back soon.
+const refillShare = 0.5
+
+// follow updates the level of a pool, which has a number of instances, with new needs. On its first plan
+// a holder does not know the last peak, and a pool whose owner changed at the same time does not know
+// the arrival rate: the pool's instances are kept as after a peak.
+func (p *poolState) follow(n needs, has int, now time.Time) {
+	p.hard, p.low, p.need = n.hard, n.low, n.high
+	if refill := n.low + int(math.Ceil(float64(n.high-n.low)*(1-refillShare))); has >= refill {
+		p.need = min(max(has, n.low), n.high)
+	}
 	if p.peakAt.IsZero() {
-		p.level, p.peakAt = max(n, has), now
+		p.level, p.peakAt = max(p.need, has), now
 	}
-	if n >= p.level {
-		p.level, p.peakAt = n, now
+	if p.need >= p.level {
+		p.level, p.peakAt = p.need, now
 		return
 	}
 	if now.Sub(p.peakAt) > keepLevel {
-		p.level, p.peakAt = n, now
+		p.level, p.peakAt = p.need, now
 	}
 }
 
-// needs returns how many instances a pool needs now.
+// needs returns how many instances a pool must keep now.
 func (v *view) needs(pool string) int {
 	if p := v.pools[pool]; p != nil {
-		return p.softNeed()
+		return max(p.low, p.expected)
 	}
 	return 0
 }
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -44,10 +44,10 @@
 	v.count()
 	size := v.smallest()
 	for name, p := range v.pools {
-		hard, soft := needs(p.report, size)
-		p.follow(hard, soft, v.supply(name), v.now)
+		n := needsOf(p.report, size, len(v.instances))
+		p.follow(n, v.supply(name), v.now)
 		arrivals := shareOf(p.report.ArrivalLoad, size)
-		p.surge.follow(float64(hard)-shareOf(p.report.Lasting, size)*spareShare, arrivals, p.report.Rising, v.now)
+		p.surge.follow(float64(n.hard)-shareOf(p.report.Lasting, size)*spareShare, arrivals, p.report.Rising, v.now)
 	}
 	v.expect()
 	began := v.maintain()
--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -114,7 +114,7 @@
 func (v *view) spare() int {
 	spare := v.freeCount(v.headroom)
 	for pool, p := range v.pools {
-		spare += v.supply(pool) - p.need
+		spare += v.supply(pool) - p.low
 	}
 	return spare
 }
