Scheduler: a crash that may have come at any time says little of its task

"Just started" was judged by the last contact with the worker, however long the owner made none afterwards: 3.3 s of a suspended machine (weight 0.5), 1 s of a poll and an order that waited (0.25); the second crash, as the only starting task, made 1.5 and 1.25, and 1.1 fails a job.

A crash found 0.6 s or more after the last contact counts a twentieth. All their assertions are as before.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -37,6 +37,12 @@
 	// unknownWeight marks a crash under a run that may have just started: it was restored from an
 	// earlier owner's records, which do not show it working, and its worker has not responded since.
 	unknownWeight = 0.001
+	// unobservedWeight is the factor for a crash at an unknown time within unobservedAfter or more from
+	// the last contact with the worker: the task may have been running for long by then, or be done. One
+	// such crash and one as the only starting task do not fail it.
+	unobservedWeight = 0.05
+	// unobservedAfter is more than a poll of a worker with a suspect takes to find it unresponsive.
+	unobservedAfter = 600 * time.Millisecond
 	// maxCrashes is the number of crashes after which any task is failed.
 	maxCrashes = 4
 	// startupTime is how long after its start a run may be the cause of a crash, rather than one
@@ -146,7 +152,9 @@
 	if len(list) == 0 {
 		return
 	}
-	e := crashEvent{worker: w, confirmed: kind == exitConfirmed, runs: len(list), correlated: p.countCorrelated(w, now)}
+	e := crashEvent{
+		worker: w, confirmed: kind == exitConfirmed, runs: len(list), correlated: p.countCorrelated(w, now), unobserved: w.unobservedFor(now),
+	}
 	knownSuspect := false
 	for _, s := range list {
 		if s.starting {
@@ -172,9 +180,28 @@
 type crashEvent struct {
 	worker     *workerState
 	confirmed  bool
-	runs       int // runs that the worker had
-	starting   int // runs that had just started
-	correlated int // workers that became unresponsive together
+	runs       int           // runs that the worker had
+	starting   int           // runs that had just started
+	correlated int           // workers that became unresponsive together
+	unobserved time.Duration // the time in which the worker may have crashed
+}
+
+// unobservedFor returns the time from the last contact with a worker until it was found unresponsive, or
+// until now.
+func (w *workerState) unobservedFor(now time.Time) time.Duration {
+	if !w.unresponsiveSince.IsZero() {
+		now = w.unresponsiveSince
+	}
+	return now.Sub(w.lastContact)
+}
+
+// factor returns the factor for the weight of a crash under a run that had just started by the last
+// contact.
+func (e crashEvent) factor() float64 {
+	if e.unobserved >= unobservedAfter {
+		return unobservedWeight
+	}
+	return 1
 }
 
 // recordCrash attributes a crash to a task, and reports whether it did: not for a task that is
@@ -187,9 +214,9 @@
 	c := crash{worker: incarnation, confirmed: e.confirmed}
 	switch {
 	case s.starting && s.run.startedAt.IsZero():
-		c.weight = unconfirmedWeight / float64(e.starting*e.correlated)
+		c.weight = unconfirmedWeight * e.factor() / float64(e.starting*e.correlated)
 	case s.starting:
-		c.weight = 1 / float64(e.starting*e.correlated)
+		c.weight = e.factor() / float64(e.starting*e.correlated)
 	case s.run.startedAt.IsZero() && !s.run.seenWorking:
 		c.weight = unknownWeight
 	}
@@ -200,7 +227,7 @@
 	p.increment(crashSuspected)
 	p.Logger.Info().Str("event", "crash").Str("task", s.run.name).Int("run", s.run.number).Str("worker", string(incarnation.ID)).Int64("born", incarnation.StartedAt).
 		Int("crashes", len(t.crashes)).Float64("weight", t.crashWeight()).Bool("fresh", s.starting).Int("all_fresh", e.starting).Int("all", e.runs).
-		Bool("sure", c.confirmed).Int("together", e.correlated).Msg("worker crashed while running a task")
+		Bool("sure", c.confirmed).Int("together", e.correlated).Dur("unobserved", e.unobserved).Msg("worker crashed while running a task")
 	return true
 }
 
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -46,8 +46,18 @@
 	}
 }
 
-// crash has a later incarnation of its instance respond for a worker, some seconds later.
+// crash has the next poll of a worker not reach it, and some seconds later another incarnation of its
+// instance respond.
 func (d *testPool) crash(id worker.ID) {
+	d.t.Helper()
+	d.now = d.now.Add(pollGap)
+	d.poll(id, worker.PollResult{}, port.Response{Result: port.Unreachable})
+	d.crashUnobserved(id)
+}
+
+// crashUnobserved has another incarnation of its instance respond for a worker, some seconds after the
+// last contact.
+func (d *testPool) crashUnobserved(id worker.ID) {
 	d.t.Helper()
 	d.now = d.now.Add(3 * time.Second)
 	d.poll(id, worker.PollResult{}, otherIncarnation)
@@ -387,3 +397,21 @@
 	d.persist()
 	assert.Equal(t, d.firstTask("1").runs[0].worker.info.ID, x)
 }
+
+// TestUnobservedCrashSaysLittle guards against a job that is failed for two crashes of which one came at
+// an unknown time: the owner's machine was suspended just after the task had started, or the worker
+// crashed while a poll of it waited. The task may have been running for long, or be done. A task that
+// does crash its workers fails with the next one that is observed.
+func TestUnobservedCrashSaysLittle(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.submit("1", 1)
+	id := d.addIncarnation("a", 0)
+	assert.DeepEqual(t, d.startAll(id), []string{"1.0.0.0"})
+	d.crashUnobserved(id)
+	for n, want := range []job.State{job.Running, job.Failed} {
+		id := d.addIncarnation("b", n)
+		assert.DeepEqual(t, d.startAll(id), []string{"1.0.0.0"})
+		d.crash(id)
+		assert.Equal(t, d.persistedState("1"), want, "after %d observed crashes", n+1)
+	}
+}
