--- a/cmd/node.go
+++ b/cmd/node.go
@@ -106,6 +106,8 @@
 	meter.Gauge("pools.owned", n.OwnedPools)
 	meter.Gauge("config.version", n.ConfigVersion)
 	meter.Gauge("data_centers.evacuated", n.EvacuatedDataCenters)
+	meter.Gauge("workers.listed", n.ListedWorkers)
+	meter.Gauge("nodes.registered", n.RegisteredNodes)
 	p := &nodeProcess{node: n, setting: s, logger: logger, meter: meter}
 	return p, p.open()
 }
--- a/node/dump.go
+++ b/node/dump.go
@@ -52,3 +52,19 @@
 
 // EvacuatedDataCenters returns how many data centres are under evacuation.
 func (n *Node) EvacuatedDataCenters() int64 { return int64(len(n.operators.evacuations().DataCenters)) }
+
+// ListedWorkers returns how many workers of all pools the node keeps, 0 if it owns no pool.
+func (n *Node) ListedWorkers() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return int64(len(n.workers))
+}
+
+// RegisteredNodes returns how many nodes the directory shows.
+func (n *Node) RegisteredNodes() int64 {
+	v, _ := n.Directory.View()
+	if v == nil {
+		return 0
+	}
+	return int64(len(v.Nodes))
+}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -249,7 +249,9 @@
 	}
 	m.settle()
 	m.collectReports(ctx, c)
+	planned := m.Clock.Now()
 	began := m.view.plan()
+	m.view.planTime = m.Clock.Now().Sub(planned)
 	m.logCapacity()
 	for _, a := range began {
 		m.Logger.Info().Str("event", "action").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
@@ -275,7 +277,8 @@
 		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("expected", p.expected).Int("supply", supply).
 			Int("lasting_cpu", p.report.Lasting.CPU).Int("running_cpu", p.report.Running.CPU).Int("waiting_cpu", p.report.Waiting.CPU).
 			Int("arrives_cpu", p.report.ArrivalLoad.CPU).Int("presses_cpu", p.report.Required.CPU).
-			Dur("age", m.Clock.Now().Sub(p.reportedAt)).Msg("a pool's need or supply has changed")
+			Dur("age", m.Clock.Now().Sub(p.reportedAt)).Dur("list_age", m.Clock.Now().Sub(m.view.listedAt)).Int("instances", len(m.view.instances)).
+			Dur("plan_time", m.view.planTime).Msg("a pool's need or supply has changed")
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
 		m.logLabels(name, m.view.pools[name])
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -15,7 +15,8 @@
 // view is the input of a plan.
 type view struct {
 	now             time.Time
-	listedAt        time.Time // when the reading of the instances began
+	listedAt        time.Time     // when the reading of the instances began
+	planTime        time.Duration // that the newest plan took
 	instances       map[string]port.Instance
 	names           []string // of the instances, in order; nil if they are not sorted yet
 	pools           map[string]*poolState
