Fleet: the next holder knows the pools' last surges

The test failed before (3 instances expected, 303 now). Part of the same commit's subject, found by reading it again: a node that starts claims only those of its former roles that the configuration still has.

--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -60,8 +60,9 @@
 	view     view
 	limiter  ratelimit.Limiter
 	lender   lending.Lender
-	querying map[string]bool   // pools with an allowance query in progress
-	orders   map[string]intent // newest order to each instance
+	querying map[string]bool        // pools with an allowance query in progress
+	orders   map[string]intent      // newest order to each instance
+	surges   map[string]surgeRecord // as persisted, by pool
 	mu       sync.Mutex
 }
 
@@ -78,6 +79,8 @@
 	keyWave   = "w/" // followed by the wave's number
 	keyDone   = "d/" // followed by the wave's number and the instance's name
 
+	keySurge = "s/" // followed by the pool's name
+
 	keyHolderTime = "t" // the time on the holder's clock
 )
 
@@ -115,6 +118,7 @@
 	m.limiter = ratelimit.Limiter{PerSecond: m.Limits.OrdersPerSecond, Clock: m.Clock}
 	m.lender = lending.Lender{Epoch: m.Epoch(), Logger: m.Logger}
 	m.orders = make(map[string]intent)
+	m.surges = make(map[string]surgeRecord)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: m.Limits.MaintenanceTime,
 	}
@@ -150,6 +154,13 @@
 			}
 			m.orders[i.Instance] = i
 		}
+		if pool, isSurge := strings.CutPrefix(r.Key, keySurge); isSurge {
+			var known surgeRecord
+			if err := codec.Unmarshal(r.Value, &known); err != nil {
+				return err
+			}
+			m.surges[pool] = known
+		}
 		if r.Key == keyHolderTime {
 			if err := codec.Unmarshal(r.Value, &m.lastHolder); err != nil {
 				return err
@@ -262,6 +273,9 @@
 	if err := m.act(ctx); err != nil {
 		return err
 	}
+	if err := m.persistSurges(ctx); err != nil {
+		return err
+	}
 	return m.reportWaves(ctx)
 }
 
@@ -400,7 +414,7 @@
 	}
 	p := m.view.pools[pool]
 	if p == nil {
-		p = &poolState{}
+		p = &poolState{surge: m.surges[pool].restored()}
 		m.view.pools[pool] = p
 	}
 	p.report, p.reportedAt = r, m.Clock.Now()
--- a/services/fleet/surge.go
+++ b/services/fleet/surge.go
@@ -4,8 +4,14 @@
 package fleet
 
 import (
+	"context"
+	"maps"
 	"math"
+	"slices"
 	"time"
+
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // A surge shows its demand only while it grows, over about three seconds, and each instance arrives
@@ -106,3 +112,35 @@
 	}
 	return growth, limit
 }
+
+// surgeRecord is what the next holder is to know of a pool's surges: without it, the first surge after a
+// change of the holder is served like the first one ever.
+type surgeRecord struct {
+	Last   float64 `cbor:"1,keyasint"` // highest need of the last surge, in instances
+	Growth float64 `cbor:"2,keyasint"` // Last divided by the load before it
+}
+
+// restored returns the surges of a pool of which an earlier holder knew.
+func (r surgeRecord) restored() surge { return surge{last: r.Last, growth: r.Growth} }
+
+// persistSurges persists the surges that have ended since the last call.
+func (m *Manager) persistSurges(ctx context.Context) error {
+	var records []port.Record
+	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
+		p := m.view.pools[name]
+		r := surgeRecord{p.surge.last, p.surge.growth}
+		if r == m.surges[name] {
+			continue
+		}
+		value, err := codec.Marshal(r)
+		if err != nil {
+			return err
+		}
+		m.surges[name] = r
+		records = append(records, port.Record{Key: keySurge + name, Value: value})
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return m.append(ctx, records)
+}
--- a/services/fleet/surge_test.go
+++ b/services/fleet/surge_test.go
@@ -4,10 +4,18 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/journal"
+	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+	"github.com/yardbridge/yardbridge/standin/world"
 )
 
 // surgeNeeds is the need of a pool in a surge, in instances, by the time since its beginning: demand
@@ -79,3 +87,33 @@
 	assert.Equal(t, r.last, 0.0)
 	assert.Assert(t, r.began.IsZero())
 }
+
+// TestNextHolderKnowsTheSurges guards against a surge that is served late after a change of the holder: a
+// new one knew of no earlier surge, so that it followed the need as it grew.
+func TestNextHolderKnowsTheSurges(t *testing.T) {
+	w, size := world.New(1), job.Size{CPU: 1000, MemoryMB: 1000}
+	rising := false
+	claim := func(node string) *Manager {
+		m := &Manager{
+			Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: w.Store(node), Logger: log.Nop()},
+			Logger:  log.Nop(), Limits: Limits{HolderLease: time.Second},
+			RequestReport: func(context.Context, string, scheduler.CordonRequest) (scheduler.Report, error) {
+				return scheduler.Report{Running: size.Times(3), Rising: rising}, nil
+			},
+		}
+		assert.NilError(t, m.Claim(t.Context(), node))
+		m.requestReport(t.Context(), "p", scheduler.CordonRequest{})
+		return m
+	}
+	m := claim("n1")
+	s := &m.view.pools["p"].surge
+	s.surgeOnce(s.calmPeriod(time.Unix(1000, 0)))
+	assert.NilError(t, m.persistSurges(t.Context()))
+	rising = true
+	next := claim("n2")
+	next.view.now, next.view.headroom = time.Unix(2000, 0), "off"
+	next.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "off", Condition: port.Up, Capacity: size}}
+	next.view.plan()
+	assert.Assert(t, next.view.pools["p"].expected >= 303, "%d instances are expected", next.view.pools["p"].expected)
+	assert.NilError(t, next.persistSurges(t.Context()))
+}
--- a/services/ownership/reclaim.go
+++ b/services/ownership/reclaim.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,15 +29,7 @@
 
 // Reclaim claims the roles that an earlier incarnation of this node owned by the directory.
 func (s *Manager) Reclaim(ctx context.Context, v *directory.View) {
-	var roles []string
-	now := s.Clock.WallTime(s.Clock.Now())
-	for role, o := range v.Pools {
-		n := v.Nodes[o.Node]
-		lived := now.Sub(time.Unix(0, int64(o.Incarnation))) //nolint:gosec // a time
-		if o.Node == s.Directory.Self.Name && o.Incarnation < s.Directory.Self.Incarnation && n.Incarnation == o.Incarnation && lived >= reclaimAfter {
-			roles = append(roles, role)
-		}
-	}
+	roles := s.ownedBefore(v)
 	if len(roles) == 0 {
 		return
 	}
@@ -49,8 +42,12 @@
 			return
 		}
 	}
+	wanted := s.Roles(s.Config())
 	var claims sync.WaitGroup
 	for _, role := range roles {
+		if !slices.Contains(wanted, role) {
+			continue
+		}
 		claims.Go(func() {
 			_, err := s.TakeOver(ctx, role)
 			s.Logger.Info().Str("event", "claim").Str("pool", role).Uint64("epoch_before", v.Pools[role].Epoch).AnErr("err", err).
@@ -60,6 +57,20 @@
 	claims.Wait()
 }
 
+// ownedBefore returns the roles that an earlier incarnation of this node, which has lived for long
+// enough, owns by the directory.
+func (s *Manager) ownedBefore(v *directory.View) []string {
+	var roles []string
+	self, now := s.Directory.Self, s.Clock.WallTime(s.Clock.Now())
+	for role, o := range v.Pools {
+		lived := now.Sub(time.Unix(0, int64(o.Incarnation))) //nolint:gosec // a time
+		if o.Node == self.Name && o.Incarnation < self.Incarnation && v.Nodes[o.Node].Incarnation == o.Incarnation && lived >= reclaimAfter {
+			roles = append(roles, role)
+		}
+	}
+	return roles
+}
+
 // isReady reports whether this node can claim roles.
 func (s *Manager) isReady() bool {
 	s.mu.Lock()
