--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -107,6 +107,8 @@
 	c.checkRange("platform", "partitions", n.Platform.Partitions, maxPartitions)
 	c.checkMin("bounds", "lease_most", n.Bounds.MaxLease, time.Millisecond)
 	c.checkMin("bounds", "grace", n.Bounds.ShutdownGrace, time.Millisecond)
+	c.checkMin("bounds", "contact_time", n.Bounds.ContactTime, 0)
+	c.checkMin("bounds", "config_time", n.Bounds.ConfigTime, 0)
 	return c.problems
 }
 
--- /dev/null
+++ b/modules/setting/node_test.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// nodeFile is a settings file of a node without the optional settings.
+const nodeFile = `[node]
+name = "n1"
+address = "10.0.0.1"
+[listen]
+callers = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+node_port = 7000
+[platform]
+store = "10.0.0.9:80"
+instances = "10.0.0.8:80"
+partitions = 8
+[bounds]
+lease_most = "10s"
+grace = "6s"
+`
+
+// TestOptionalNodeSettings checks the settings that a platform may leave out: the rates of the instance
+// API, and the bounds by which readings of the store may wait.
+func TestOptionalNodeSettings(t *testing.T) {
+	n, err := ParseNode("node.toml", nodeFile)
+	assert.NilError(t, err)
+	assert.Equal(t, n.MaxReadWait(), time.Duration(0))
+	assert.Equal(t, n.Platform.InstanceOrders, 0.0)
+	n, err = ParseNode("node.toml", strings.Replace(nodeFile, "[bounds]", "instance_orders_per_s = 64.0\n[bounds]\ncontact_time = \"6000ms\"\nconfig_time = \"5000ms\"", 1))
+	assert.NilError(t, err)
+	assert.Equal(t, n.MaxReadWait(), 2500*time.Millisecond)
+	assert.Equal(t, n.Platform.InstanceOrders, 64.0)
+	for _, bad := range []string{"instance_orders_per_s = -1.0\n[bounds]", "instance_readings_per_s = nan\n[bounds]", "[bounds]\ncontact_time = \"-1s\"", "[bounds]\nconfig_time = \"-1s\""} {
+		_, err := ParseNode("node.toml", strings.Replace(nodeFile, "[bounds]", bad, 1))
+		assert.ErrorContains(t, err, "is not allowed; allowed is", bad)
+	}
+}
