Rate limit: all calls that a service accepts in a second may go at once

Cause: the limiter gave a sixth of a second's calls at once, so that the first orders of a surge, which the platform would have taken together, were spread over a second.

--- a/modules/ratelimit/ratelimit.go
+++ b/modules/ratelimit/ratelimit.go
@@ -11,21 +11,18 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 )
 
-// Shares of the rate that a service accepts. Together they are at most one, so that no second has more
-// calls than the service accepts, whenever that second begins.
-const (
-	steadyShare = 0.8  // permits a second
-	burstShare  = 0.15 // permits that may be unused
-)
+// window is the time in which a service accepts its number of calls, and a reserve: calls that are sent
+// a second apart may arrive closer together.
+const window = time.Second + 50*time.Millisecond
 
-// Limiter gives permits for calls to a service. The zero value gives as many as are wanted.
+// Limiter gives permits for calls to a service: in each window as many as the service accepts in a second,
+// at once if that many are wanted. The zero value gives as many as are wanted.
 type Limiter struct {
 	PerSecond float64 // calls a second that the service accepts, 0 for no limit
 	Clock     clock.Clock
 
-	mu      sync.Mutex
-	permits float64
-	at      time.Time // when permits was computed
+	mu    sync.Mutex
+	given []time.Time // when permits were given within the last window, oldest first
 }
 
 // Take takes up to a number of permits and returns how many it got.
@@ -35,18 +32,24 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, most := l.Clock.Now(), max(l.PerSecond*burstShare, 1)
-	if l.at.IsZero() {
-		l.permits = most
-	} else {
-		l.permits = min(most, l.permits+now.Sub(l.at).Seconds()*l.PerSecond*steadyShare)
+	now := l.Clock.Now()
+	l.forget(now)
+	n := min(wanted, max(int(l.PerSecond), 1)-len(l.given))
+	for range n {
+		l.given = append(l.given, now)
 	}
-	l.at = now
-	n := min(wanted, int(l.permits))
-	l.permits -= float64(n)
 	return n
 }
 
+// forget drops the permits that were given before the window. The lock is held.
+func (l *Limiter) forget(now time.Time) {
+	past := 0
+	for past < len(l.given) && now.Sub(l.given[past]) >= window {
+		past++
+	}
+	l.given = append(l.given[:0], l.given[past:]...)
+}
+
 // Wait waits for a permit, or for the context to end.
 func (l *Limiter) Wait(ctx context.Context) error {
 	for l.Take(1) == 0 {
@@ -63,5 +66,8 @@
 func (l *Limiter) untilNext() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(time.Duration((1-l.permits)/(l.PerSecond*steadyShare)*float64(time.Second)), time.Millisecond)
+	if len(l.given) == 0 {
+		return 0
+	}
+	return max(window-l.Clock.Now().Sub(l.given[0]), time.Millisecond)
 }
--- a/modules/ratelimit/ratelimit_test.go
+++ b/modules/ratelimit/ratelimit_test.go
@@ -12,8 +12,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestNoSecondHasMoreThanTheRate guards against bursts that the service refuses: after a pause as well
-// as under constant demand, no second has more permits than the rate.
+// TestNoSecondHasMoreThanTheRate guards against calls that the service refuses, and against calls that
+// wait although it would accept them: after a pause as well as under constant demand no second has more
+// permits than the rate, and after a pause all of them are given at once, as the first orders of a surge
+// need them.
 func TestNoSecondHasMoreThanTheRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := Limiter{PerSecond: 64}
@@ -25,8 +27,11 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
-		for range 500 {
-			for range l.Take(1000) {
+		assert.Equal(t, l.Take(0), 0)
+		for n := range 500 {
+			got := l.Take(1000)
+			assert.Assert(t, n > 0 || got == 64, "%d permits at once after a pause", got)
+			for range got {
 				taken = append(taken, time.Now())
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -44,11 +49,11 @@
 func TestWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l, began := Limiter{PerSecond: 10}, time.Now()
-		for range 17 {
+		for range 30 {
 			assert.NilError(t, l.Wait(t.Context()))
 		}
 		took := time.Since(began)
-		assert.Assert(t, took > 1900*time.Millisecond && took < 2100*time.Millisecond, "%s", took)
+		assert.Assert(t, took >= 2*time.Second && took < 2200*time.Millisecond, "%s", took)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
 		assert.Assert(t, l.Wait(ctx) != nil)
