Scheduler: maintenance that waits for other tasks requests no worker

The holder's lines show its need as the number of its workers plus one in each plan. A long-running task on a worker whose instance must be maintained had waited for five seconds, and the pool's owner asked for one worker more than it had, for as long as that lasted; but the task waited for another one of its step that was away, and workers with room were there.

Ruled out: the older list of instances, whose age was 0.2 s there, and orders, none of which was refused.

--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -165,11 +165,17 @@
 }
 
 // maintenanceStuck reports whether long-running tasks on a worker whose instance must be maintained
-// have found no place elsewhere for too long: another worker may help.
+// have found no place elsewhere for too long: another worker may help. It does not where they only wait
+// for other tasks of their step.
 func (p *Pool) maintenanceStuck(now time.Time) bool {
 	for _, w := range p.workers {
-		if w.maintenanceOverdue(now) {
-			return true
+		if !w.maintenanceOverdue(now) {
+			continue
+		}
+		for _, u := range w.runs {
+			if !u.orphan && u.step().spec.LongRunning && !p.fitsElsewhere(u.step(), now) {
+				return true
+			}
 		}
 	}
 	return false
--- a/services/scheduler/cordon_test.go
+++ b/services/scheduler/cordon_test.go
@@ -30,6 +30,28 @@
 	assert.Equal(t, d.Report(CordonRequest{}, d.now).MinWorkers, before+1)
 }
 
+// TestMaintenanceThatWaitsForOtherTasksRequestsNoWorker guards against a pool that keeps all its
+// instances, and one more, throughout a wave while other pools lack some: a long-running task on a
+// worker whose instance must be maintained may not be stopped beside another one of its step that is
+// away, although a free worker has the capacity for it.
+func TestMaintenanceThatWaitsForOtherTasksRequestsNoWorker(t *testing.T) {
+	d := newTestPoolWithLongRunning(t)
+	here, other := d.runOnA()
+	assert.Assert(t, here != nil)
+	d.now = d.now.Add(maintenanceGrace)
+	d.poll("a", worker.PollResult{Runs: []worker.Run{{Task: here.name, Number: here.number, Percent: 100}}}, accepted)
+	cordon(d, CordonRequest{Workers: []CordonedWorker{{ID: "a", MaintenanceRequired: true}}})
+	for name, u := range d.workers[other].runs {
+		d.poll(other, worker.PollResult{Runs: []worker.Run{{Task: name, Number: u.number, Percent: 50}}}, accepted)
+	}
+	d.persist()
+	before := d.Report(CordonRequest{}, d.now).MinWorkers
+	d.now = d.now.Add(maintenanceGrace + time.Second)
+	d.persist()
+	assert.Assert(t, !here.stopping && d.workers["a"].maintenanceOverdue(d.now))
+	assert.Equal(t, d.Report(CordonRequest{}, d.now).MinWorkers, before)
+}
+
 func cordon(d *testPool, request CordonRequest) {
 	d.t.Helper()
 	_, err := d.Cordon(request, d.now)
