Directory: a node that owned pools registers at once

Nodes that start again spread their registrations; one that is named as the owner of a pool but does not claim it waited too, and only its registration tells others that the pool needs an owner.

--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -79,6 +79,16 @@
 	return n, o, known && present && n.Incarnation == o.Incarnation
 }
 
+// owns reports whether an incarnation of a node owns a pool.
+func (v *View) owns(name string) bool {
+	for _, o := range v.Pools {
+		if o.Node == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Directory is one node's view of the directory, and its entry there; its fields are set before
 // Run.
 type Directory struct {
@@ -355,9 +365,10 @@
 
 // spreadRegistration waits for a random time before a node that has started again registers, so that the
 // registrations of many such nodes do not hold up other changes: others reach it by its earlier entry.
-// A node that owns pools does not wait.
+// A node that owns pools, or did before, does not wait: its registration tells who owns them, or that
+// they need another owner.
 func (d *Directory) spreadRegistration(ctx context.Context, v *View) {
-	if _, known := v.Nodes[d.Self.Name]; !known || len(d.ownPools()) > 0 {
+	if _, known := v.Nodes[d.Self.Name]; !known || v.owns(d.Self.Name) {
 		return
 	}
 	select {
