--- a/services/directory/directory_test.go
+++ b/services/directory/directory_test.go
@@ -45,15 +45,21 @@
 			go d.keepRegistered(child)
 			defer cancel()
 		}
-		synctest.Wait()
-		assert.Equal(t, len(registered), 1, "registered at once")
-		assert.Equal(t, registered["n-0"], time.Duration(0), "a node that owned a pool waits")
+		count := func() int {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return len(registered)
+		}
+		assert.Equal(t, count(), 1, "registered at once")
+		mu.Lock()
+		after, first := registered["n-0"]
+		mu.Unlock()
+		assert.Assert(t, first && after == 0, "a node that owned a pool waits")
 		time.Sleep(nodes * registrationSpacing / 2)
-		synctest.Wait()
-		half := len(registered)
+		half := count()
 		assert.Assert(t, half > nodes/3 && half < nodes*2/3, "%d nodes", half)
 		time.Sleep(nodes * registrationSpacing)
-		synctest.Wait()
-		assert.Equal(t, len(registered), nodes)
+		assert.Equal(t, count(), nodes)
 	})
 }
