--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -40,6 +40,32 @@
 	}
 }
 
+// TestQueryWithoutResponseMayBeRepeated guards against queries that are answered with an unknown outcome,
+// after which a caller may not ask again: a query has no effect. A submission and a cancel may have one.
+func TestQueryWithoutResponseMayBeRepeated(t *testing.T) {
+	lost := errkind.New(errkind.OutcomeUnknown, "the connection was lost")
+	g := &Gateway{Directory: &directory.Directory{}}
+	g.Local = func(string) *PoolHandler {
+		return &PoolHandler{
+			Submit:  func(context.Context, job.Submission) error { return lost },
+			State:   func(context.Context, job.ID, string) (job.State, error) { return "", lost },
+			Cancel:  func(context.Context, job.ID, string) error { return lost },
+			Pending: func(context.Context, string) (int, error) { return 0, lost },
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*retryPause)
+	defer cancel()
+	q := &config.Queue{Pool: "p"}
+	_, stateErr := g.State(ctx, q, "1", "")
+	_, pendingErr := g.Pending(ctx, q)
+	for _, err := range []error{stateErr, pendingErr} {
+		assert.Assert(t, errkind.Is(err, errkind.NoTarget), "%v", err)
+	}
+	for _, err := range []error{g.Submit(ctx, q, job.Submission{ID: "1"}), g.Cancel(ctx, q, "1", "")} {
+		assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+	}
+}
+
 // TestResubmittedJobOfMovedQueueRunsOnce checks that a job which is submitted again after its queue
 // has moved to another pool does not start in the new pool if the previous one has accepted it.
 func TestResubmittedJobOfMovedQueueRunsOnce(t *testing.T) {
--- a/services/ownership/reclaim.go
+++ b/services/ownership/reclaim.go
@@ -50,8 +50,12 @@
 		}
 		claims.Go(func() {
 			_, err := s.TakeOver(ctx, role)
+			outcome := "reclaimed"
+			if err != nil {
+				outcome = "not owner"
+			}
 			s.Logger.Info().Str("event", "claim").Str("pool", role).Uint64("epoch_before", v.Pools[role].Epoch).AnErr("err", err).
-				Str("outcome", "reclaimed").Msg("this node owned the pool before it started, and has tried to claim it again")
+				Str("outcome", outcome).Msg("this node owned the pool before it started, and has tried to claim it again")
 		})
 	}
 	claims.Wait()
