Node: the follower of the operators' records needs no field, the model's append time is set once

The follower's age was read by the check for lag, which goes by positions now; the field was left. The test of a large fleet set the time of an append twice.

--- a/node/large_test.go
+++ b/node/large_test.go
@@ -25,10 +25,8 @@
 func TestAllNodesOfALargeFleetRestart(t *testing.T) {
 	const nodes, away, appendTime = 80, 500 * time.Millisecond, 30 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		s := script{Nodes: nodes, Off: 2, Pools: []scriptPool{{"alpha", 4, 2, false}, {"beta", 4, 2, false}}}
+		s := script{Nodes: nodes, Off: 2, AppendTime: tomlfile.Duration(appendTime), Pools: []scriptPool{{"alpha", 4, 2, false}, {"beta", 4, 2, false}}}
 		st := &scenario{t: t, script: s, world: world.New(1), began: time.Now(), jobOwners: make(map[string]map[job.ID]string), random: rand.New(rand.NewPCG(1, 1))}
-		st.world.SetAppendTime(appendTime)
-		st.script.AppendTime = tomlfile.Duration(appendTime)
 		st.build()
 		time.Sleep(30 * time.Second)
 		before := st.owners()
--- a/node/node.go
+++ b/node/node.go
@@ -64,7 +64,6 @@
 	probes      *noderpc.Client // separate, so that no other call delays a probe
 	server      *noderpc.Server
 
-	operatorFeed      follow.Follower
 	operators         operatorRecords
 	lag               lag
 	unreadable        sync.Map     // names of entries of the workers that have been logged as unreadable
--- a/node/operators.go
+++ b/node/operators.go
@@ -12,6 +12,7 @@
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/wave"
+	"github.com/yardbridge/yardbridge/services/follow"
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
@@ -65,9 +66,10 @@
 
 // followOperators follows the operators' records.
 func (n *Node) followOperators(ctx context.Context) {
-	f := &n.operatorFeed
-	f.Store, f.Partition, f.Clock, f.Logger = n.Ports.Store, n.Ports.Feeds.Operators, n.Clock, n.Logger
-	f.Wait, f.MaxWait, f.Apply = operatorsWait, n.Setting.MaxReadWait(), n.applyOperators
+	f := follow.Follower{
+		Store: n.Ports.Store, Partition: n.Ports.Feeds.Operators, Clock: n.Clock, Logger: n.Logger,
+		Wait: operatorsWait, MaxWait: n.Setting.MaxReadWait(), Apply: n.applyOperators,
+	}
 	f.Run(ctx)
 }
 
