Capacity: a pool's capacity over the next seconds as an immutable value

What callers saw: in a surge half of the fleet's capacity was unused while work waited, and each part of the scheduler, the holder of the role for instances and the rejection of jobs guessed by itself how much there is and will be.

models/capacity holds one value for all of them: what serves, what is free, what becomes free as runs end, what is on its way and what the fleet could still bring, the parts reported by other nodes weighted by their age. The owner's outlook has only its own workers so far; the fields of the holder's request are there and not filled. No behaviour changes.

--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/capacity"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/models/worker"
@@ -29,6 +30,10 @@
 	Workers  []CordonedWorker     `json:"workers,omitempty"`  // complete list of workers to cordon
 	Ended    []worker.Incarnation `json:"over,omitempty"`     // incarnations of workers that were ended by an order
 	Accounts []string             `json:"accounts,omitempty"` // customers whose accounts are reported in any case
+	// Arriving is the capacity on its way to the pool, by when it will serve.
+	Arriving []capacity.Change `json:"arriving,omitempty"`
+	// Potential is the capacity that the fleet can bring to the pool if it is requested now.
+	Potential []capacity.Change `json:"potential,omitempty"`
 }
 
 // olderThan reports whether a request was made before another one.
