Lending: a limit is shared by the shapes of what pools demand

What callers saw: a customer with a limit of 10,488 cores that wanted 25,200 could use 2,750 in all pools together, while most of the fleet was unused (a flood of one customer, tasks of unlike shapes).

Cause: a pool that wanted more than its share got a multiple of the smallest waiting task, so both dimensions of the share had that task's ratio and the one that was not scarce was cut.

Now a pool gets of the other dimension what goes with its scarce one by the shape of its demand, in four rounds, and only then what is left by dimension. Kept: a share in which not even the smallest waiting task can start is useless and goes to another pool.

--- a/services/lending/lend.go
+++ b/services/lending/lend.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -265,17 +264,17 @@
 		}
 		left = left.Minus(b.boundFor(customer, limit))
 	}
-	return p.shareWholeTasks(customer, limit, left, wants)
+	return p.shareUsably(customer, limit, left, wants)
 }
 
-// shareWholeTasks shares out the remaining part of a limit in multiples of whole tasks, where a
-// pool wants more than its share: a part smaller than the waiting task is useless.
-func (p *plan) shareWholeTasks(customer string, limit, left job.Size, wants []job.Size) []job.Size {
-	first, size := p.longestStarved(customer, limit, left, shareSizes(left, wants))
+// shareUsably shares out the remaining part of a limit. A share in which not even the smallest waiting
+// task of a pool can start is useless: it goes to another pool.
+func (p *plan) shareUsably(customer string, limit, left job.Size, wants []job.Size) []job.Size {
+	first, size := p.longestStarved(customer, limit, left, shareByShape(left, wants))
 	if first >= 0 {
 		left, wants[first] = left.Minus(size), job.Size{}
 	}
-	shares := shareSizes(left, wants)
+	shares := shareByShape(left, wants)
 	var short []claimant
 	for i, name := range p.names {
 		if i == first {
@@ -285,7 +284,9 @@
 		}
 		a, _ := p.l.states[name].account(customer)
 		if a.MinStart != (job.Size{}) && !quota.Within(wants[i], shares[i], limit) {
-			shares[i] = a.MinStart.Times(fits(a.MinStart, shares[i], limit))
+			if !quota.Within(a.MinStart, shares[i], limit) {
+				shares[i] = job.Size{}
+			}
 			short = append(short, claimant{i, a})
 		}
 		left = left.Minus(shares[i])
@@ -370,16 +371,37 @@
 	return 2
 }
 
-// fits returns how many times a size fits into the free capacity, in the dimensions that have a
-// limit.
-func fits(size, capacity, limit job.Size) int {
-	n := math.MaxInt32
-	for _, part := range [][3]int{{size.CPU, capacity.CPU, limit.CPU}, {size.MemoryMB, capacity.MemoryMB, limit.MemoryMB}, {size.Accelerators, capacity.Accelerators, limit.Accelerators}} {
-		if part[2] > 0 && part[0] > 0 {
-			n = min(n, part[1]/part[0])
+// shapeRounds is how often what pools cannot use of their shares is shared out again. Each time more than
+// half of it finds a use where tasks of two pools are scarce in different dimensions.
+const shapeRounds = 4
+
+// shareByShape shares out a size by demand. Of a dimension that is not scarce for a pool, it gets what
+// goes with its share of the scarce one by the shape of its demand, and the rest goes to pools of which
+// it is the scarce one. What nobody needs by that is shared out in the end, since the tasks of a pool
+// differ in shape.
+func shareByShape(size job.Size, wants []job.Size) []job.Size {
+	shares, wants, left := make([]job.Size, len(wants)), slices.Clone(wants), size
+	for range shapeRounds {
+		for i, share := range shareSizes(left, wants) {
+			usable := wants[i].Scale(fraction(share, wants[i])).Min(share)
+			shares[i], wants[i], left = shares[i].Plus(usable), wants[i].Minus(usable), left.Minus(usable)
+		}
+	}
+	for i, share := range shareSizes(left, wants) {
+		shares[i] = shares[i].Plus(share)
+	}
+	return shares
+}
+
+// fraction returns the part of a demand that a share covers in each dimension, at most 1.
+func fraction(share, wants job.Size) float64 {
+	least := 1.0
+	for _, d := range [][2]int{{share.CPU, wants.CPU}, {share.MemoryMB, wants.MemoryMB}, {share.Accelerators, wants.Accelerators}} {
+		if d[1] > 0 {
+			least = min(least, float64(d[0])/float64(d[1]))
 		}
 	}
-	return n
+	return least
 }
 
 // shareSizes shares out a size by demand, each dimension separately.
