Scheduler: workers that crash together say nothing of a task that was not starting

Cause: four crashes of any weight fail a task. A crash that several workers have together has a common cause, and a run that had been running, or was restored with an unknown start, is no evidence against its task. Such a crash is not attributed any more; one during a start is, with its share of the weight, and so is one of a single worker.

TestWorkersThatCrashTogetherFailNoJob failed before, on the fourth crash, in both cases.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -204,11 +204,15 @@
 	return 1
 }
 
+// saysNothing reports whether a crash under a run says nothing of its task: several workers crashed
+// together, and nobody saw the run start just before. What they have in common is the likely cause.
+func (e crashEvent) saysNothing(s suspect) bool { return e.correlated > 1 && !s.starting }
+
 // recordCrash attributes a crash to a task, and reports whether it did: not for a task that is
-// done, nor for a crash that is recorded already.
+// done, nor for a crash that says nothing of it or is recorded already.
 func (p *Pool) recordCrash(s suspect, e crashEvent, now time.Time) bool {
 	t, j, incarnation := s.run.task(), s.run.job, e.worker.incarnation()
-	if j.state.Final() || t.done || t.crashedOn(incarnation) {
+	if j.state.Final() || t.done || t.crashedOn(incarnation) || e.saysNothing(s) {
 		return false
 	}
 	c := crash{worker: incarnation, confirmed: e.confirmed}
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -415,3 +415,38 @@
 		assert.Equal(t, d.persistedState("1"), want, "after %d observed crashes", n+1)
 	}
 }
+
+// TestWorkersThatCrashTogetherFailNoJob guards against a job that is reported as failed although it could
+// be completed (violation LOST): each of its tasks loses four workers, each time in one moment with
+// another worker, and had been running for a while, or was restored and its start is unknown.
+func TestWorkersThatCrashTogetherFailNoJob(t *testing.T) {
+	for name, seen := range map[string]bool{"running": true, "restored": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestPool(t, 1)
+			d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, MaxPerWorker: 1}}}, d.now)
+			for n := range maxCrashes + 1 {
+				ids := []worker.ID{d.addIncarnation("a", n), d.addIncarnation("b", n)}
+				for _, id := range ids {
+					assert.Equal(t, len(d.startAll(id)), 1, "incarnation %d", n)
+				}
+				d.now = d.now.Add(time.Second)
+				for _, id := range ids {
+					for task, u := range d.workers[id].runs {
+						if u.restored = !seen; u.restored {
+							u.startedAt = time.Time{}
+						} else {
+							d.poll(id, worker.PollResult{Runs: []worker.Run{{Task: task, Number: u.number}}}, accepted)
+						}
+					}
+				}
+				for _, id := range ids {
+					d.poll(id, worker.PollResult{}, port.Response{Result: port.Unreachable})
+				}
+				for _, id := range ids {
+					d.crashUnobserved(id)
+				}
+			}
+			assert.Equal(t, d.persistedState("1"), job.Running)
+		})
+	}
+}
