Scheduler: a step that waits says for what

What callers and operators saw: a job that was accepted and reported as queued for a minute, with no line in the owner's log about it (a gang beside its customer's limit).

A plan now logs, after three seconds and then every five, what the step waits for that has waited longest without a line: capacity, workers, label, ticket, allowance, a lowered limit, a gang, the members of its gang, a retry, or separation from suspects; at most two lines a second for a pool, however much waits. No decision changes.

--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -56,6 +56,8 @@
 	runTimes      mean                 // run times of its finished tasks, in seconds
 	runsByWorker  map[*workerState]int // active runs by worker, where their number is limited
 	limitedSince  time.Time            // since when a gang waits for its customer's allowance, zero for not
+	waitingSince  time.Time            // since when tasks of it wait, as of the last plan; zero for not
+	waitLogAt     time.Time            // when that is logged next
 	holds         int                  // how often other tasks were held for the gang in vain
 	advicePending bool                 // a request to the advice service is in progress
 	adviceRetryAt time.Time            // earliest time of the next advice request
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -52,6 +52,7 @@
 	p.holdForGangs(list, now)
 	p.placeAll(list, now)
 	p.endWaiting(now)
+	p.logWaiting(list, now)
 	p.placedCPU = p.usedCPU()
 	for _, w := range p.workers {
 		p.schedulePlan(w.health.ejectedUntil, now)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -81,6 +81,7 @@
 	planAt         time.Time             // when to plan even if nothing changes, zero for never
 	reservedFor    *stepState            // step for whose gang this plan reserves workers, nil for none
 	reserved       map[*workerState]bool // the reserved workers
+	waitLogAt      time.Time             // earliest time of the next log line about a waiting step
 	noRoom         []job.Size            // of tasks for which this plan has found no worker with the capacity
 	pendingWorkers []worker.ID           // workers marked for processing since PendingWorkers was last called
 }
