--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -205,8 +205,11 @@
 }
 
 // saysNothing reports whether a crash under a run says nothing of its task: several workers crashed
-// together, and nobody saw the run start just before. What they have in common is the likely cause.
-func (e crashEvent) saysNothing(s suspect) bool { return e.correlated > 1 && !s.starting }
+// together, and the run had been seen running for longer than a start takes. What they have in common is
+// the likely cause. A restored run may have been starting, so its crash counts.
+func (e crashEvent) saysNothing(s suspect) bool {
+	return e.correlated > 1 && !s.starting && (!s.run.startedAt.IsZero() || s.run.seenWorking)
+}
 
 // recordCrash attributes a crash to a task, and reports whether it did: not for a task that is
 // done, nor for a crash that says nothing of it or is recorded already.
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -418,35 +418,49 @@
 
 // TestWorkersThatCrashTogetherFailNoJob guards against a job that is reported as failed although it could
 // be completed (violation LOST): each of its tasks loses four workers, each time in one moment with
-// another worker, and had been running for a while, or was restored and its start is unknown.
+// another worker, after it had been running for a while.
 func TestWorkersThatCrashTogetherFailNoJob(t *testing.T) {
-	for name, seen := range map[string]bool{"running": true, "restored": false} {
-		t.Run(name, func(t *testing.T) {
-			d := newTestPool(t, 1)
-			d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, MaxPerWorker: 1}}}, d.now)
-			for n := range maxCrashes + 1 {
-				ids := []worker.ID{d.addIncarnation("a", n), d.addIncarnation("b", n)}
-				for _, id := range ids {
-					assert.Equal(t, len(d.startAll(id)), 1, "incarnation %d", n)
-				}
-				d.now = d.now.Add(time.Second)
-				for _, id := range ids {
-					for task, u := range d.workers[id].runs {
-						if u.restored = !seen; u.restored {
-							u.startedAt = time.Time{}
-						} else {
-							d.poll(id, worker.PollResult{Runs: []worker.Run{{Task: task, Number: u.number}}}, accepted)
-						}
-					}
-				}
-				for _, id := range ids {
-					d.poll(id, worker.PollResult{}, port.Response{Result: port.Unreachable})
-				}
-				for _, id := range ids {
-					d.crashUnobserved(id)
-				}
+	d := newTestPool(t, 1)
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, MaxPerWorker: 1}}}, d.now)
+	for n := range maxCrashes + 1 {
+		d.crashTogether(n, true)
+	}
+	assert.Equal(t, d.persistedState("1"), job.Running)
+}
+
+// TestRestoredRunsThatCrashTogetherCount guards against a task that is started too often after crashes
+// (violation BUDGET): the runs were restored, so that they may have been starting each time.
+func TestRestoredRunsThatCrashTogetherCount(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 1000}, MaxPerWorker: 1}}}, d.now)
+	for n := range maxCrashes {
+		d.crashTogether(n, false)
+	}
+	assert.Equal(t, d.persistedState("1"), job.Failed)
+}
+
+// crashTogether starts the two tasks of a job on two workers, which crash in one moment a second later.
+// The runs have been seen running, or were restored and have not.
+func (d *testPool) crashTogether(n int, seen bool) {
+	d.t.Helper()
+	ids := []worker.ID{d.addIncarnation("a", n), d.addIncarnation("b", n)}
+	for _, id := range ids {
+		assert.Equal(d.t, len(d.startAll(id)), 1, "incarnation %d", n)
+	}
+	d.now = d.now.Add(time.Second)
+	for _, id := range ids {
+		for task, u := range d.workers[id].runs {
+			if u.restored = !seen; u.restored {
+				u.startedAt = time.Time{}
+			} else {
+				d.poll(id, worker.PollResult{Runs: []worker.Run{{Task: task, Number: u.number}}}, accepted)
 			}
-			assert.Equal(t, d.persistedState("1"), job.Running)
-		})
+		}
+	}
+	for _, id := range ids {
+		d.poll(id, worker.PollResult{}, port.Response{Result: port.Unreachable})
+	}
+	for _, id := range ids {
+		d.crashUnobserved(id)
 	}
 }
