Scheduler: the next owner of a pool knows what the last one has learned

Run times by image and queue, the averages of arriving work, the slack of jobs and the average use of customers are kept in one record, at most once a second and only with a batch that is appended anyway, and restored by the next owner; averages older than ten seconds are not. A record that cannot be read is logged and left out. TestNextOwnerKnowsTheSurge failed before (an arriving load of 0, run times as estimated).

--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -34,6 +34,7 @@
 // Plan starts runs of waiting tasks as far as there is capacity. It returns when to plan again if
 // nothing changes, the zero time for never.
 func (p *Pool) Plan(now time.Time) time.Time {
+	p.plannedAt = now
 	p.ExpireLeases(now)
 	p.withholdAll(now)
 	p.forgetEndedJobs(now)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -67,6 +67,9 @@
 	arrivals        arrivals
 	slack           mean // slack of jobs at submission, in seconds
 
+	plannedAt time.Time // when Plan was last called
+	learnedAt time.Time // plannedAt of the batch that last carried the learned values
+
 	dirty          []*jobState
 	ended          []endedJob            // oldest first, removed once expired
 	pendingStops   []*run                // runs whose stops are not persisted yet
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -21,7 +21,7 @@
 // key, and so has each worker with runs, for its start time (restart.go), and each job with crashes
 // attributed to its tasks. Jobs with failed tasks, jobs with working long-running tasks and unhealthy
 // workers have keys as well (record_health.go, record_running.go). The pool's allowances have one key
-// (allowance.go).
+// (allowance.go), and so has what its owner has learned (learned.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -108,6 +108,9 @@
 		b.Records = append(b.Records, r)
 		p.allowances.changed = false
 	}
+	if err := p.addLearned(b); err != nil {
+		return nil, err
+	}
 	for _, w := range p.workers {
 		if w.lastEnd > w.persistedEnd {
 			b.ends = append(b.ends, endMark{w, w.lastEnd})
@@ -283,6 +286,7 @@
 	if err := p.restoreAllowances(records); err != nil {
 		return err
 	}
+	p.restoreLearned(records, now)
 	p.sortActive()
 	p.needsPlan = true
 	return nil
