Fleet: owners are told what is on its way to their pools and what the fleet can bring

An instance counted as had from the decision on, and a pool's owner knew of none before its worker was listed. The holder of the role for instances now computes after each plan, for each pool, when each instance on its way serves: the time until its worker is empty, then the time of a move or maintenance as observed so far; and what is off or can be spared elsewhere, divided by what pools lack.

The lines 'capacity' and gauges tell serving, on their way and promised apart.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -108,6 +108,9 @@
 	meter.Gauge("data_centers.evacuated", n.EvacuatedDataCenters)
 	meter.Gauge("workers.listed", n.ListedWorkers)
 	meter.Gauge("nodes.registered", n.RegisteredNodes)
+	meter.Gauge("instances.serving", func() int64 { return int64(n.InstanceProgress().Serving) })
+	meter.Gauge("instances.on_way", func() int64 { return int64(n.InstanceProgress().OnWay) })
+	meter.Gauge("instances.promised", func() int64 { return int64(n.InstanceProgress().Promised) })
 	p := &nodeProcess{node: n, setting: s, logger: logger, meter: meter}
 	return p, p.open()
 }
--- a/node/dump.go
+++ b/node/dump.go
@@ -3,7 +3,10 @@
 
 package node
 
-import "github.com/yardbridge/yardbridge/services/scheduler"
+import (
+	"github.com/yardbridge/yardbridge/services/fleet"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
 
 // Dump is the state of a node as the node sees it, for troubleshooting.
 type Dump struct {
@@ -53,6 +56,15 @@
 // EvacuatedDataCenters returns how many data centres are under evacuation.
 func (n *Node) EvacuatedDataCenters() int64 { return int64(len(n.operators.evacuations().DataCenters)) }
 
+// InstanceProgress returns how far the instances of all pools are, zeros unless this node holds the role
+// for instances.
+func (n *Node) InstanceProgress() fleet.Progress {
+	if p := n.progress.Load(); p != nil {
+		return *p
+	}
+	return fleet.Progress{}
+}
+
 // ListedWorkers returns how many workers of all pools the node keeps, 0 if it owns no pool.
 func (n *Node) ListedWorkers() int64 {
 	n.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -66,9 +66,10 @@
 
 	operators         operatorRecords
 	lag               lag
-	unreadable        sync.Map     // names of entries of the workers that have been logged as unreadable
-	catchingUp        atomic.Bool  // a catch-up request to another node is in progress
-	lastProbeResponse atomic.Int64 // when another node last responded to a probe, in nanoseconds since 1970
+	unreadable        sync.Map                       // names of entries of the workers that have been logged as unreadable
+	catchingUp        atomic.Bool                    // a catch-up request to another node is in progress
+	progress          atomic.Pointer[fleet.Progress] // of all pools' instances, while this node holds that role
+	lastProbeResponse atomic.Int64                   // when another node last responded to a probe, in nanoseconds since 1970
 
 	mu          sync.Mutex
 	newerBounds *setting.NodeBounds // bounds of newer settings, nil for none
@@ -228,8 +229,13 @@
 		ReportWave: func(ctx context.Context, wave int, done bool) error {
 			return n.Ports.Feeds.ReportWave(ctx, n.Ports.Store, wave, done)
 		},
+		OnProgress: func(p fleet.Progress) { n.progress.Store(&p) },
 	}
-	return &ownership.RoleRunner{Claim: m.Claim, Run: m.Run, Stuck: j.IsStuck, Epoch: m.Epoch, Done: m.Done}
+	run := func(ctx context.Context) error {
+		defer n.progress.Store(&fleet.Progress{})
+		return m.Run(ctx)
+	}
+	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -49,6 +49,8 @@
 	UpdateAllowances func(ctx context.Context, pool string, q quota.Query) (quota.Report, error)
 	// RequestReport requests a pool's report from its owner and sends it the cordons.
 	RequestReport func(ctx context.Context, pool string, cordons scheduler.CordonRequest) (scheduler.Report, error)
+	// OnProgress is told after each plan how far the instances of all pools are; nil for no call.
+	OnProgress func(Progress)
 
 	claimedAt  time.Time  // when the role was claimed; no earlier holder persists anything after that
 	lastHolder holderTime // of the last holder
@@ -121,6 +123,7 @@
 	m.surges = make(map[string]surgeRecord)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: m.Limits.MaintenanceTime,
+		ordersPerSecond: m.Limits.OrdersPerSecond,
 	}
 	if err := m.restore(records); err != nil {
 		return err
@@ -264,6 +267,9 @@
 	began := m.view.plan()
 	m.view.planTime = m.Clock.Now().Sub(planned)
 	m.logCapacity()
+	if m.OnProgress != nil {
+		m.OnProgress(m.view.progress())
+	}
 	for _, a := range began {
 		m.Logger.Info().Str("event", "action").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
 			Str("to", a.to).Int("wave", a.wave).Int("level", m.view.level(a.to)).Int("supply", m.view.supply(a.to)).
@@ -279,20 +285,21 @@
 	return m.reportWaves(ctx)
 }
 
-// logCapacity logs each pool's need and supply when they have changed.
+// logCapacity logs each pool's need, its supply and what serves of it when they have changed.
 func (m *Manager) logCapacity() {
 	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
 		p := m.view.pools[name]
-		supply := m.view.supply(name)
-		if p.logged == [2]int{p.softNeed(), supply} {
+		supply, of := m.view.supply(name), m.view.prospects[name]
+		if p.logged == (capacityLogged{p.softNeed(), supply, of.Serving}) {
 			continue
 		}
-		p.logged = [2]int{p.softNeed(), supply}
+		p.logged = capacityLogged{p.softNeed(), supply, of.Serving}
 		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("expected", p.expected).Int("supply", supply).
+			Int("serving", of.Serving).Int("on_way", of.OnWay).Int("promised", of.Promised).Interface("arriving", of.arriving).Interface("potential", of.potential).
 			Int("lasting_cpu", p.report.Lasting.CPU).Int("running_cpu", p.report.Running.CPU).Int("waiting_cpu", p.report.Waiting.CPU).
 			Int("arrives_cpu", p.report.ArrivalLoad.CPU).Int("presses_cpu", p.report.Required.CPU).
 			Dur("age", m.Clock.Now().Sub(p.reportedAt)).Dur("list_age", m.Clock.Now().Sub(m.view.listedAt)).Int("instances", len(m.view.instances)).
-			Dur("plan_time", m.view.planTime).Msg("a pool's need or supply has changed")
+			Dur("plan_time", m.view.planTime).Msg("a pool's need, its supply or what serves of it has changed")
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.view.pools)) {
 		m.logLabels(name, m.view.pools[name])
@@ -426,6 +433,7 @@
 func (m *Manager) cordons(pool string) scheduler.CordonRequest {
 	m.requests++
 	request := scheduler.CordonRequest{Epoch: m.Epoch(), Number: m.requests}
+	request.Arriving, request.Potential = m.view.told(pool, m.Clock.Now())
 	for _, a := range m.view.actions {
 		switch {
 		case a.from != pool || a.worker == "":
--- a/services/fleet/need.go
+++ b/services/fleet/need.go
@@ -16,16 +16,19 @@
 	report      scheduler.Report
 	reportedAt  time.Time // when the report was received
 	surge       surge
-	expected    int            // instances that the current surge is expected to need, 0 for no expectation
-	hard        int            // instances needed for the current load
-	low         int            // hard plus the least spare instances
-	need        int            // hard plus spare instances, as many as the pool is to have
-	level       int            // the need, kept for a while after a peak
-	peakAt      time.Time      // when the need last reached the level
-	logged      [2]int         // need and supply in the last log message
+	expected    int       // instances that the current surge is expected to need, 0 for no expectation
+	hard        int       // instances needed for the current load
+	low         int       // hard plus the least spare instances
+	need        int       // hard plus spare instances, as many as the pool is to have
+	level       int       // the need, kept for a while after a peak
+	peakAt      time.Time // when the need last reached the level
+	logged      capacityLogged
 	loggedLacks map[string]int // instances lacked by label in the last log message
 }
 
+// capacityLogged is the numbers of instances in the last log message of a pool's capacity.
+type capacityLogged struct{ need, supply, serving int }
+
 // Parameters of the number of instances that a pool needs.
 const (
 	spareShare   = 1.1                     // multiple of the used or requested capacity
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -27,6 +27,11 @@
 	maintenanceTime time.Duration       // duration of a maintenance
 	barred          map[barredMove]bool // moves that the platform rejects
 	counts          *counts             // of the current or the newest plan
+
+	ordersPerSecond     float64               // that the platform accepts, 0 for no limit
+	coming              map[string]arrival    // instances on their way to pools, by name
+	moves, maintenances observed              // from an order until its instance serves
+	prospects           map[string]*prospects // by pool, of the newest plan
 }
 
 // barredMove is a move that the platform rejects: instances of a kind to a pool.
@@ -53,7 +58,9 @@
 	v.expect()
 	began := v.maintain()
 	began = append(began, v.takeOut()...)
-	return append(began, v.move()...)
+	began = append(began, v.move()...)
+	v.foresee()
+	return began
 }
 
 // begin returns a new action on an instance.
