Ownership: on a slow store a role stays where it is

What callers saw: with a store 47 times as slow for 4 s the role for instances changed hands twice within a second, and each new holder's appends failed; 1,123 cores ran while 4,200 waited.

Cause: an append longer than 0.7 s counts as stuck where the one before took 4 ms, and any node that the store answered at all was then asked to take the role over. The request ended after 1 s while that node was still claiming it, so that the next node was asked as well.

The answer to a probe now carries how long the store took, always measured by a reading. A role whose appends are stuck goes only to a node whose reading was eight times as fast as its append has been waiting: a store that turns away this node alone answers the others in a hundredth of that. A request to take over may take eight times as long as the probe. Nodes that stop hand over as before.

node/testdata/store_slow.toml failed before: each of three roles moved. Ruled out: a longer time until an append counts as stuck (a node that is turned away would be replaced later; store_turns_many_away, store_turns_each_away and turned_away hold their times as before).

--- a/node/node.go
+++ b/node/node.go
@@ -215,7 +215,7 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, Epoch: o.Epoch, Done: o.Done}
+	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: o.Epoch, Done: o.Done}
 }
 
 // openFleet returns the runner that manages instances.
@@ -229,7 +229,7 @@
 			return n.Ports.Feeds.ReportWave(ctx, n.Ports.Store, wave, done)
 		},
 	}
-	return &ownership.RoleRunner{Claim: m.Claim, Run: m.Run, Stuck: j.IsStuck, Epoch: m.Epoch, Done: m.Done}
+	return &ownership.RoleRunner{Claim: m.Claim, Run: m.Run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -121,31 +121,32 @@
 	return empty{}, err
 }
 
-// maxContactAge is how long ago the store may have responded to this node for it to be considered
-// able to take a pool over; after that the store is queried again.
-const maxContactAge = 50 * time.Millisecond
+// offerResult is the response to an offer.
+type offerResult struct {
+	Took time.Duration `json:"took"` // that the store took to respond to the node
+}
 
-// onOffer returns nothing if the store responds to this node, and otherwise an error.
+// onOffer returns how long the store takes to respond to this node, or an error if it does not.
 func (n *Node) onOffer(ctx context.Context, _ empty) (any, error) {
 	v, _ := n.Directory.View()
 	if v == nil || n.Gateway.Config() == nil {
 		return nil, errkind.New(errkind.Stopping, "node %s has not read the directory and the configuration yet", n.Setting.Node.Name)
 	}
-	if n.Directory.Age() < maxContactAge {
-		return empty{}, nil
-	}
+	began := n.Clock.Now()
 	if _, err := n.Ports.Store.Newest(ctx, directory.Partition, lastKey); err != nil {
 		return nil, errkind.New(errkind.LogUnavailable, "the store does not respond to node %s: %v", n.Setting.Node.Name, err)
 	}
-	return empty{}, nil
+	return offerResult{n.Clock.Now().Sub(began)}, nil
 }
 
 // lastKey sorts after all keys of the directory: a reading of the keys after it returns nothing,
 // and shows that the store responds.
 const lastKey = "~"
 
-func (n *Node) offer(ctx context.Context, o directory.Node) error {
-	return n.client.Call(ctx, o.Address, methodOffer, empty{}, &empty{})
+func (n *Node) offer(ctx context.Context, o directory.Node) (time.Duration, error) {
+	var r offerResult
+	err := n.client.Call(ctx, o.Address, methodOffer, empty{}, &r)
+	return r.Took, err
 }
 
 func (n *Node) onTakeOver(ctx context.Context, a poolRequest) (any, error) {
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -26,7 +26,8 @@
 //   - for a worker, by its index among those of the pool: crash, silent, late, hangs, fails, drain,
 //     shrink (to a share of its capacity); crash-rack crashes the workers of a pool in the rack with
 //     the number that Worker states;
-//   - for the store as all nodes see it: parts-refuse, parts-silent (the partition of the pool if one
+//   - for the store as all nodes see it: store-slow (a call takes as long as Within states, an append
+//     three times as long, one after the other in each partition), parts-refuse, parts-silent (the partition of the pool if one
 //     is named, otherwise a share of all partitions that pools and the role for instances may be
 //     written to), history (old records are dropped);
 //   - wave, limits (of the customers, to a share of the original ones), orders-lost (a share of the
@@ -67,6 +68,8 @@
 				go st.restartNode(n, e)
 			}
 		}
+	case "store-slow":
+		st.slowStore(e)
 	case "cut", "store-silent", "store-refuses", "store-lost", "workers-cut":
 		for i, n := range st.nodes {
 			if e.Node == 0 || e.Node == i+1 {
@@ -113,6 +116,24 @@
 	}
 }
 
+// slowAppendFactor is how many times as long as other calls an append to a slow store takes.
+const slowAppendFactor = 3
+
+// slowStore makes the store slow for all nodes for a while.
+func (st *scenario) slowStore(e scriptEvent) {
+	slow := func(d time.Duration) {
+		for _, n := range st.nodes {
+			st.world.SetFaults(n.name, func(f *world.Faults) { f.StoreLatency = d })
+		}
+	}
+	slow(e.Within.Std())
+	st.world.SetAppendTime((slowAppendFactor - 1) * e.Within.Std())
+	time.AfterFunc(e.For.Std(), func() {
+		slow(0)
+		st.world.SetAppendTime(st.script.AppendTime.Std())
+	})
+}
+
 // partitionsAway makes partitions unavailable for a while.
 func (st *scenario) partitionsAway(e scriptEvent, a world.Outage) {
 	var at Node
--- a/services/ownership/hand_over.go
+++ b/services/ownership/hand_over.go
@@ -98,17 +98,62 @@
 	return t == nil || !s.leaving && !t.Stuck(stuckAfter)
 }
 
-// takeOverTimeout bounds the request to one node to take a pool over.
+// isStuck reports whether a role is handed over because its appends are stuck.
+func (s *Manager) isStuck(role string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.owned[role]
+	return t != nil && !s.leaving && t.Stuck(stuckAfter)
+}
+
+// takeOverTimeout bounds the request to one node to take a pool over, where the store is not slow. The
+// next node is asked after it, which moves the pool once more if the first one was only slow.
 const takeOverTimeout = time.Second
 
+// clearlyFaster is how many times as fast as the append in progress the store must respond to another
+// node for that node to get a role whose appends are stuck. A probe is one reading of the store, which
+// takes a third of an append, and a hand-over takes two appends. On a store that is slow for all nodes
+// the role stays; one that refuses this node responds to the others in a hundredth of stuckAfter.
+const clearlyFaster = 8
+
+// takeOverSteps is how many times as long as a probe a take-over may take: it reads the store three
+// times and appends to it once.
+const takeOverSteps = 8
+
+// keepFaster returns the nodes that the store serves clearly faster than this one, whose append for a
+// role is stuck.
+func (s *Manager) keepFaster(role string, able []ableNode) []ableNode {
+	s.mu.Lock()
+	t := s.owned[role]
+	s.mu.Unlock()
+	if t == nil {
+		return nil
+	}
+	pending := t.PendingFor()
+	faster := slices.DeleteFunc(slices.Clone(able), func(o ableNode) bool { return o.took*clearlyFaster >= pending })
+	if len(faster) == 0 && len(able) > 0 {
+		s.Logger.Info().Str("event", "hand-over").Str("pool", role).Dur("pending", pending).Dur("probe", able[0].took).
+			Str("outcome", "stays").Msg("the store serves no other node clearly faster")
+	}
+	return faster
+}
+
 // handOver asks the nodes that the store serves, the best first, to take a pool over, and reports
 // whether one has. If none of the nodes probed together gets a response, the store is down for all
 // of them, and whichever node is probed when it recovers would get the pool. So no other nodes are
-// probed, and the next check probes the best ones again as long as the store does not respond.
+// probed, and the next check probes the best ones again as long as the store does not respond. A pool
+// whose appends are stuck goes only to a node that the store serves clearly faster.
 func (s *Manager) handOver(ctx context.Context, v *directory.View, pool string, successors []string) bool {
+	stuck := s.isStuck(pool)
 	for len(successors) > 0 {
 		n := min(len(successors), probesAtOnce)
 		able := s.able(ctx, v, successors[:n])
+		if stuck && s.resolved(pool) {
+			return false
+		}
+		if stuck {
+			able = s.keepFaster(pool, able)
+		}
 		if s.handOverTo(ctx, v, pool, able) {
 			return true
 		}
@@ -121,9 +166,10 @@
 }
 
 // handOverTo asks nodes that the store serves, one after the other, to take a pool over.
-func (s *Manager) handOverTo(ctx context.Context, v *directory.View, pool string, able []string) bool {
-	for _, name := range able {
-		bounded, cancel := context.WithTimeout(ctx, takeOverTimeout)
+func (s *Manager) handOverTo(ctx context.Context, v *directory.View, pool string, able []ableNode) bool {
+	for _, to := range able {
+		name := to.name
+		bounded, cancel := context.WithTimeout(ctx, max(takeOverTimeout, takeOverSteps*to.took))
 		o, err := s.RequestTakeOver(bounded, v.Nodes[name], pool)
 		cancel()
 		if err == nil {
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -23,8 +23,10 @@
 	Claim func(ctx context.Context, node string) error // makes this node the owner
 	Run   func(ctx context.Context) error              // runs until this node is no longer the owner
 	Stuck func(least time.Duration) bool               // whether an append has been in progress for this long, or longer if the store is slow
-	Epoch func() uint64
-	Done  func() <-chan struct{} // closed once this node is no longer the owner
+	// PendingFor returns how long an append has been in progress, 0 for none.
+	PendingFor func() time.Duration
+	Epoch      func() uint64
+	Done       func() <-chan struct{} // closed once this node is no longer the owner
 
 	cancel      context.CancelFunc // ends Run
 	handingOver bool               // another node is being asked to take the role over, or has taken it over
@@ -45,8 +47,8 @@
 	// Open returns a role runner, not yet claimed, for a role whose partition is in a slot.
 	Open func(role string, slot int) *RoleRunner
 	// ProbeTakeOver asks another node whether it could take a pool over, that is, whether the store
-	// responds to it.
-	ProbeTakeOver func(ctx context.Context, n directory.Node) error
+	// responds to it, and returns how long the store took.
+	ProbeTakeOver func(ctx context.Context, n directory.Node) (time.Duration, error)
 	// RequestTakeOver asks another node to take a pool over.
 	RequestTakeOver func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
 
--- a/services/ownership/offer.go
+++ b/services/ownership/offer.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/services/directory"
@@ -36,36 +35,43 @@
 type probe struct {
 	s       *Manager
 	node    directory.Node
+	took    time.Duration
 	err     error
 	results chan<- *probe
 }
 
 // run sends the request.
 func (o *probe) run(ctx context.Context) {
-	o.err = o.s.ProbeTakeOver(ctx, o.node)
+	o.took, o.err = o.s.ProbeTakeOver(ctx, o.node)
 	o.results <- o
 }
 
+// ableNode is a node that the store serves.
+type ableNode struct {
+	name string
+	took time.Duration // the store's response to it
+}
+
 // able returns those of the given nodes that the store serves, in the same order. It does not wait
 // for unresponsive nodes once one has succeeded.
-func (s *Manager) able(ctx context.Context, v *directory.View, names []string) []string {
+func (s *Manager) able(ctx context.Context, v *directory.View, names []string) []ableNode {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	results := make(chan *probe, len(names))
 	for _, name := range names {
 		go (&probe{s: s, node: v.Nodes[name], results: results}).run(bounded)
 	}
-	able, received := make(map[string]bool), 0
+	took, received := make(map[string]time.Duration), 0
 	for received < len(names) {
 		var grace <-chan time.Time
-		if len(able) > 0 {
+		if len(took) > 0 {
 			grace = s.Clock.After(probeGrace)
 		}
 		select {
 		case o := <-results:
 			received++
 			if o.err == nil {
-				able[o.node.Name] = true
+				took[o.node.Name] = o.took
 				continue
 			}
 			s.Logger.Info().Str("event", "offer").Str("to", o.node.Name).Err(o.err).Str("outcome", "unable").Msg("a node can't take a pool over now")
@@ -74,7 +80,13 @@
 			received = len(names)
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !able[name] })
+	var able []ableNode
+	for _, name := range names {
+		if d, is := took[name]; is {
+			able = append(able, ableNode{name, d})
+		}
+	}
+	return able
 }
 
 // setUnable records that a node can't take a pool over for now.
@@ -106,7 +118,7 @@
 func (q succession) run(ctx context.Context) {
 	defer q.s.tasks.Done()
 	able := q.s.able(ctx, q.v, q.preceding)
-	q.s.Logger.Info().Str("event", "heir").Str("pool", q.pool).Strs("before", q.preceding).Strs("able", able).Msg("a pool has no owner; the preceding successors were probed")
+	q.s.Logger.Info().Str("event", "heir").Str("pool", q.pool).Strs("before", q.preceding).Int("able", len(able)).Msg("a pool has no owner; the preceding successors were probed")
 	if len(able) == 0 && ctx.Err() == nil {
 		q.s.claim(q.pool)
 	}
