--- a/node/node.go
+++ b/node/node.go
@@ -216,7 +216,7 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, Epoch: o.Epoch, Done: o.Done}
+	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: o.Epoch, Done: o.Done}
 }
 
 // openFleet returns the runner that manages instances.
@@ -235,7 +235,7 @@
 		defer n.progress.Store(&fleet.Progress{})
 		return m.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, Epoch: m.Epoch, Done: m.Done}
+	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
