Admission: the types of a decision whether a job is accepted

What a submission asks, what the scheduler knows when it does, and the decision with the time until such a job would be in time, which the promises of a return are made from. No caller yet.

--- /dev/null
+++ b/services/admission/admission.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/capacity"
+	"github.com/yardbridge/yardbridge/models/job"
+)
+
+// Request is a job that is submitted.
+type Request struct {
+	Job       job.ID
+	Customer  string
+	Queue     string
+	Work      capacity.Work // of all its tasks
+	Latest    time.Duration // the longest wait after which it is in time
+	Remaining time.Duration // the caller's remaining time, 0 for unknown
+}
+
+// Lane is capacity and the work on it that concerns a job.
+type Lane struct {
+	Outlook capacity.Outlook
+	// Ahead is the work that is done before the job.
+	Ahead capacity.Work
+	// Behind is accepted work that is done after the job, in the order of the waits after which it is
+	// still in time.
+	Behind []Due
+}
+
+// Due is work that is in time after a wait of at most Latest.
+type Due struct {
+	Latest time.Duration
+	Work   capacity.Work
+}
+
+// State is what is known of a pool when a job is submitted; it is immutable.
+type State struct {
+	// Share is the pool's capacity, with the work that concerns the job within its customer's share.
+	Share Lane
+	// Limit is the capacity that the customer's limit and allowance permit, with the customer's own
+	// work. Its zero value means no limit.
+	Limit Lane
+	// FleetKnown reports whether the role for instances has told what it brings and could bring.
+	FleetKnown bool
+	// FleetAge is the age of that report.
+	FleetAge time.Duration
+	// OverloadWait is the wait of a job that arrives at a pool which counts as overloaded since much work
+	// has been overdue for long, 0 for another pool.
+	OverloadWait time.Duration
+}
+
+// Reason says why a job is accepted or refused.
+type Reason string
+
+// Reasons of a decision.
+const (
+	InTime     Reason = "in-time"    // it is expected to end in time
+	Exempt     Reason = "exempt"     // known, long-running and repeated jobs have their own terms
+	Overloaded Reason = "overloaded" // the pool counts as overloaded, and the job would wait for too long
+	Late       Reason = "late"       // it would wait for too long for what comes before it
+	Displaces  Reason = "displaces"  // accepted work would be late by it
+	OverLimit  Reason = "over-limit" // it would wait for too long within its customer's limit
+)
+
+// Decision says whether a job is accepted.
+type Decision struct {
+	Accepted bool
+	Reason   Reason
+	Wait     time.Duration // the expected wait of the job
+	// After is, for a refusal, the time until such a job would be in time; capacity.Never if none is
+	// known.
+	After time.Duration
+}
+
+// Policy is a way to decide; a policy keeps no state.
+type Policy struct {
+	Name   string
+	Decide func(Request, State) Decision
+}
