Scheduler: a pool's outlook knows when its runs end and what the fleet brings

Pool.Outlook had the pool's own workers only: what runs counted as lost, and nothing was known of instances on their way. It now has the workers on which tasks may be placed less what long-running tasks hold there, the ends of runs by their expected times (one that takes longer gets a tenth of that), and the capacity that the holder of the role for instances told with its last cordon request, by the request's age. Workers under a cordon, in data centres under evacuation and ejected ones are no capacity. A pool whose owner was told nothing has its own workers.

It is computed after a plan, at most every 10 us for each worker and run, and at least every 250 ms.

Reports tell of each worker when it would be empty, for the choice of the instances that go to other pools.

--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -48,7 +48,8 @@
 	if request.olderThan(p.lastCordonRequest) {
 		return 0, errkind.New(errkind.Conflict, "a newer request was received: epoch %d, number %d", p.lastCordonRequest.Epoch, p.lastCordonRequest.Number)
 	}
-	p.lastCordonRequest = CordonRequest{Epoch: request.Epoch, Number: request.Number}
+	p.lastCordonRequest = CordonRequest{Epoch: request.Epoch, Number: request.Number, Arriving: request.Arriving, Potential: request.Potential}
+	p.cordonsReceivedAt = now
 	p.EndIncarnations(request.Ended, now)
 	newest := uint64(0)
 	wanted := make(map[worker.ID]bool, len(request.Workers))
@@ -128,6 +129,8 @@
 	Lasting   int       `json:"lasting"`        // number of runs of long-running tasks
 	Runs      int       `json:"runs"`           // number of all runs
 	Used      job.Size  `json:"used"`
+	// EmptyAfter is the expected time until it is empty if nothing more is placed there.
+	EmptyAfter time.Duration `json:"empties,omitempty"`
 }
 
 // Report returns the pool's report, in response to a request.
@@ -137,7 +140,7 @@
 	for id, w := range p.workers {
 		o := WorkerReport{
 			ID: id, Instance: w.info.Instance, StartedAt: w.startedAt, Open: w.schedulable(now), Runs: len(w.runs), Used: w.used,
-			Empty: w.cordoned && w.cordonBatch <= p.committed && len(w.runs) == 0,
+			Empty: w.cordoned && w.cordonBatch <= p.committed && len(w.runs) == 0, EmptyAfter: p.emptyAfter(w, now),
 		}
 		for _, u := range w.runs {
 			switch {
--- a/services/scheduler/outlook.go
+++ b/services/scheduler/outlook.go
@@ -10,13 +10,113 @@
 	"github.com/yardbridge/yardbridge/models/job"
 )
 
-// Outlook returns the pool's capacity over the next seconds.
+// outlookCache is the newest outlook by a pool's own workers.
+type outlookCache struct {
+	outlook capacity.Outlook
+	plan    uint64 // number of the plan after which it was computed, 0 for none
+	counted int    // workers and runs that were counted
+}
+
+// How long the outlook by a pool's own workers is used before it is computed anew.
+const (
+	// outlookSpacing is the least time between two computations for each worker and run of the pool, in
+	// steps of outlookStep: they take some hundredths of a core at most, however many tasks start.
+	outlookSpacing = 10 * time.Microsecond
+	outlookStep    = 5 * time.Millisecond
+	// maxOutlookAge is the age from which an outlook is computed anew in any case.
+	maxOutlookAge = 250 * time.Millisecond
+)
+
+// Outlook returns the pool's capacity over the next seconds: what serves and is free, what becomes free
+// as runs end, and what the holder of the role for instances has reported last. Long-running tasks
+// hold theirs, so it is not capacity for other work.
 func (p *Pool) Outlook(now time.Time) capacity.Outlook {
+	c := &p.outlook
+	age := now.Sub(c.outlook.At())
+	spacing := (time.Duration(c.counted) * outlookSpacing).Truncate(outlookStep)
+	if age >= maxOutlookAge || c.plan != p.plans+1 && age >= spacing {
+		*c = p.computeOutlook(now)
+	}
+	request, received := p.lastCordonRequest, now.Sub(p.cordonsReceivedAt)
+	return c.outlook.WithArrivals(request.Arriving, received).WithPotential(request.Potential, received)
+}
+
+func (p *Pool) computeOutlook(now time.Time) outlookCache {
+	counted := len(p.workers)
 	var serving, free job.Size
+	ends := make(map[time.Duration]job.Size)
 	for _, w := range p.workers {
-		if w.schedulable(now) {
-			serving, free = serving.Plus(w.info.Capacity), free.Plus(w.free())
+		if !w.schedulable(now) {
+			continue
+		}
+		counted += len(w.runs)
+		size := w.effectiveCapacity(now)
+		free = free.Plus(w.free().Max(job.Size{}))
+		for _, u := range w.runs {
+			switch {
+			case u.orphan:
+			case u.step().spec.LongRunning:
+				size = size.Minus(u.size)
+			default:
+				after := endStep(p.remainingTime(u, now))
+				ends[after] = ends[after].Plus(u.size)
+			}
+		}
+		serving = serving.Plus(size.Max(job.Size{}))
+	}
+	changes := make([]capacity.Change, 0, len(ends))
+	for after, size := range ends {
+		changes = append(changes, capacity.Change{After: after, Size: size})
+	}
+	return outlookCache{capacity.New(now, serving, free).WithEnds(changes), p.plans + 1, counted}
+}
+
+// effectiveCapacity returns the capacity of a worker at the speed that it has now.
+func (w *workerState) effectiveCapacity(time.Time) job.Size { return w.info.Capacity }
+
+// overduePart is the time that a run is expected to take still once it has taken longer than expected,
+// as a fraction of that: the run times of alike tasks differ by a tenth or two.
+const overduePart = 0.1
+
+// minRemaining is the least time that a run is expected to take still, since its end must be learned.
+const minRemaining = 20 * time.Millisecond
+
+// remainingTime returns how long a run is expected to take still. One that has not started takes all of
+// its time.
+func (p *Pool) remainingTime(u *run, now time.Time) time.Duration {
+	expected := p.expectedStepTime(u.job, u.step())
+	return max(expected-u.age(now), time.Duration(overduePart*float64(expected)), minRemaining)
+}
+
+// endStep rounds a time up, the coarser the longer it is, so that the ends of thousands of runs are few
+// changes.
+func endStep(after time.Duration) time.Duration {
+	step := 50 * time.Millisecond
+	for after > 40*step {
+		step *= 2
+	}
+	return (after + step - 1).Truncate(step)
+}
+
+// emptyAfter returns how long a worker takes to become empty if nothing more is placed there: until its
+// last run ends or has been stopped to continue elsewhere. Long-running tasks move one at a time.
+func (p *Pool) emptyAfter(w *workerState, now time.Time) time.Duration {
+	longest, moves := time.Duration(0), 0
+	for _, u := range w.runs {
+		if u.orphan || u.stopping {
+			longest = max(longest, p.Limits.StopTime)
+			continue
+		}
+		spec := u.step().spec
+		if spec.LongRunning {
+			moves++
+			continue
+		}
+		remaining := p.remainingTime(u, now)
+		if spec.Checkpointing && !spec.Gang {
+			remaining = min(remaining, p.Limits.StopTime+minMoveGain)
 		}
+		longest = max(longest, remaining)
 	}
-	return capacity.New(now, serving, free)
+	return max(longest, time.Duration(moves)*p.Limits.StopTime)
 }
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -43,6 +43,7 @@
 		return p.planAt
 	}
 	p.needsPlan, p.planAt = false, time.Time{}
+	p.plans++
 	p.reserved, p.reservedFor, p.noRoom = nil, nil, nil
 	p.ExpireLeases(now)
 	p.withholdAll(now)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -42,9 +42,12 @@
 	jobs              map[job.ID]*jobState
 	active            []*jobState // unfinished jobs, in order of arrival
 	workers           map[worker.ID]*workerState
-	cordons           map[worker.ID]bool     // persisted, or in the batch under construction
-	changedCordons    []worker.ID            // cordon changed since the last batch
-	lastCordonRequest CordonRequest          // newest request applied, without its lists
+	cordons           map[worker.ID]bool // persisted, or in the batch under construction
+	changedCordons    []worker.ID        // cordon changed since the last batch
+	lastCordonRequest CordonRequest      // newest request applied, without its lists of workers and accounts
+	cordonsReceivedAt time.Time          // when that was
+	outlook           outlookCache
+	plans             uint64                 // plans made so far
 	runTimesByQueue   map[string]*regression // relation of run times to estimates, by queue
 	runTimesByImage   map[string]*mean       // run times in seconds, by image
 
