Admission: ways to accept jobs side by side

What callers saw: a pool with more work than it can do accepted nearly everything and ended it late. The rule that stood waits for four seconds of much overdue work and then counts processor time alone; it knows neither the waits of jobs nor what is on its way.

Added, behind one decision: what stands; expected completion by the pool's outlook, the work of the waiting tasks in the order in which a plan places them, and each customer's share and limit; credits by measured waits; a limit of jobs under way for each queue by whether jobs end in time.

Until the holder of the role for instances has reported, it decides as before; a deployment without customers has the rule that stood.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -17,6 +17,7 @@
 	Queue     string
 	Work      capacity.Work // of all its tasks
 	Latest    time.Duration // the longest wait after which it is in time
+	Useful    time.Duration // the longest wait after which it is of some value
 	Remaining time.Duration // the caller's remaining time, 0 for unknown
 }
 
@@ -47,17 +48,30 @@
 	FleetKnown bool
 	// FleetAge is the age of that report.
 	FleetAge time.Duration
-	// OverloadWait is the wait of a job that arrives at a pool which counts as overloaded since much work
-	// has been overdue for long, 0 for another pool.
+	// StartDelay is by how much the starts of runs take longer than the longest wait allows for, as they do
+	// on a slow store.
+	StartDelay time.Duration
+	// Overloaded means that much work has been overdue for long.
+	Overloaded bool
+	// OverloadWait is the expected wait of the job if the pool counts as overloaded.
 	OverloadWait time.Duration
 }
 
+// Ahead returns the work ahead that a reason is about.
+func (s State) Ahead(r Reason) capacity.Work {
+	if r == OverLimit {
+		return s.Limit.Ahead
+	}
+	return s.Share.Ahead
+}
+
 // Reason says why a job is accepted or refused.
 type Reason string
 
 // Reasons of a decision.
 const (
 	InTime     Reason = "in-time"    // it is expected to end in time
+	Brought    Reason = "brought"    // the fleet is bringing what it needs, and it is late by no more than that takes
 	Exempt     Reason = "exempt"     // known, long-running and repeated jobs have their own terms
 	Overloaded Reason = "overloaded" // the pool counts as overloaded, and the job would wait for too long
 	Late       Reason = "late"       // it would wait for too long for what comes before it
@@ -75,8 +89,13 @@
 	After time.Duration
 }
 
-// Policy is a way to decide; a policy keeps no state.
+// Policy is a way to decide.
 type Policy struct {
 	Name   string
 	Decide func(Request, State) Decision
+	// TimelyFirst means that what can be in time is done before all that cannot: what was accepted keeps
+	// its place.
+	TimelyFirst bool
+	// Observe is called with what is measured of accepted jobs; nil for not.
+	Observe func(Observation)
 }
--- a/services/owner/claim.go
+++ b/services/owner/claim.go
@@ -29,7 +29,7 @@
 	o.links = make(map[worker.ID]*link)
 	o.waiting = make(map[uint64][]chan struct{})
 	o.pool = scheduler.New(o.Pool, o.Epoch(), o.Limits, o.Logger)
-	o.pool.Increment, o.pool.Clock = o.Count, o.Clock
+	o.pool.Increment, o.pool.Clock, o.pool.SelectPolicy = o.Count, o.Clock, o.SelectPolicy
 	if err := o.pool.Restore(records, o.Clock.Now(), o.Limits.Lease+ownerOverlap); err != nil {
 		return err
 	}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/services/scheduler"
@@ -33,6 +34,8 @@
 	Logger  log.Logger
 	// Count increments a counter; nil for none.
 	Count func(counter string)
+	// SelectPolicy returns the policy by which jobs are accepted; nil selects the default.
+	SelectPolicy func(hasCustomers bool) admission.Policy
 	// NoPeers reports whether no other node responds; nil for never.
 	NoPeers func() bool
 
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -7,8 +7,10 @@
 	"context"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/capacity"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/admission"
 )
 
 // Time limits for a store that does not respond. It usually responds in 4 ms, and takes up to 60
@@ -21,7 +23,7 @@
 // Submit accepts a job and returns once it is persisted. While the store does not respond, a job
 // that is in no append is rejected at once: it certainly was not persisted.
 func (o *Owner) Submit(ctx context.Context, s job.Submission) error {
-	batch, err := o.submit(s)
+	batch, err := o.submit(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -56,7 +58,7 @@
 }
 
 // submit accepts a job and returns the batch that contains it.
-func (o *Owner) submit(s job.Submission) (uint64, error) {
+func (o *Owner) submit(ctx context.Context, s job.Submission) (uint64, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.checkOwned(); err != nil {
@@ -76,14 +78,48 @@
 			Msg("job rejected: tasks that start together exceed its customer's limit")
 		return 0, errkind.New(errkind.Infeasible, "step %d: the tasks that start together exceed the limit of running tasks of customer %s", step, s.Customer)
 	}
-	if excess := o.pool.ExcessWait(s, o.Clock.Now()); excess > 0 {
-		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("full", excess).Str("outcome", "refused").
-			Msg("job rejected: it would not complete in time")
-		return 0, errkind.NewRetry(errkind.Overloaded, excess, "the pool is full; a job submitted now would be %s late", excess.Round(time.Millisecond))
+	if err := o.admit(ctx, s); err != nil {
+		return 0, err
 	}
 	return o.pool.Submit(s, o.Clock.Now()), nil
 }
 
+// admit returns an error if the pool does not accept a job. The lock is held.
+func (o *Owner) admit(ctx context.Context, s job.Submission) error {
+	now, remaining := o.Clock.Now(), time.Duration(0)
+	if end, bounded := ctx.Deadline(); bounded {
+		remaining = time.Until(end)
+	}
+	request, state, d := o.pool.Admit(s, remaining, now)
+	if d.Accepted {
+		o.count("admission.accepted." + string(d.Reason))
+		return nil
+	}
+	o.count("admission.refused." + string(d.Reason))
+	ahead := state.Ahead(d.Reason)
+	o.Logger.Info().Str("event", "admission").Str("job", string(s.ID)).Str("queue", s.Queue).Str("customer", s.Customer).
+		Float64("ahead_cpu_s", ahead.CPU).Float64("ahead_memory_mb_s", ahead.MemoryMB).Float64("own_cpu_s", request.Work.CPU).
+		Dur("wait", d.Wait).Dur("slack", request.Latest).Dur("after", d.After).Dur("outlook_age", now.Sub(state.Share.Outlook.At())).
+		Bool("fleet_known", state.FleetKnown).Dur("fleet_age", state.FleetAge).Str("why", string(d.Reason)).Str("outcome", "refused").
+		Msg("job rejected: it would not complete in time")
+	return refusal(request, d)
+}
+
+// refusal returns the error for a job that is not accepted, with the time until a return.
+func refusal(_ admission.Request, d admission.Decision) error {
+	if d.After == capacity.Never {
+		return errkind.New(errkind.Overloaded, "the pool is full, and it is not known when a job such as this would be in time")
+	}
+	return errkind.NewRetry(errkind.Overloaded, d.After, "the pool is full; a job submitted now would be %s late", d.After.Round(time.Millisecond))
+}
+
+// count increments a counter.
+func (o *Owner) count(counter string) {
+	if o.Count != nil {
+		o.Count(counter)
+	}
+}
+
 // withdraw removes a job that is in no append yet.
 func (o *Owner) withdraw(id job.ID) bool {
 	o.mu.Lock()
--- /dev/null
+++ b/services/scheduler/admission.go
@@ -0,0 +1,129 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/models/quota"
+	"github.com/yardbridge/yardbridge/services/admission"
+)
+
+// selectPolicy selects the policy by the configuration.
+func (p *Pool) selectPolicy() {
+	hasCustomers := p.config != nil && len(p.config.Customers) > 0
+	if p.SelectPolicy == nil {
+		p.policy = admission.Select(admission.Auto, hasCustomers)
+		return
+	}
+	p.policy = p.SelectPolicy(hasCustomers)
+}
+
+// Admit decides whether a job is accepted now, and returns what was known. Jobs with long-running
+// tasks and repeated ones are accepted on their own terms, and a known job always.
+func (p *Pool) Admit(s job.Submission, remaining time.Duration, now time.Time) (admission.Request, admission.State, admission.Decision) {
+	if p.policy.Decide == nil {
+		p.selectPolicy()
+	}
+	if p.Has(s.ID) || s.HasLongRunning() || s.RepeatCount > 0 {
+		return admission.Request{}, admission.State{}, admission.Decision{Accepted: true, Reason: admission.Exempt}
+	}
+	j := p.newJob(s, now)
+	p.updateObjective(j)
+	request := admission.Request{
+		Job: s.ID, Customer: s.Customer, Queue: s.Queue, Work: p.waitingWork(j, now), Latest: j.latestStart.Sub(now), Useful: j.latestUsefulStart().Sub(now), Remaining: remaining,
+	}
+	state := p.admissionState(j, now)
+	return request, state, p.policy.Decide(request, state)
+}
+
+// admissionState returns what is known of the pool as far as it concerns a job that arrives now.
+func (p *Pool) admissionState(j *jobState, now time.Time) admission.State {
+	state := admission.State{FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded, OverloadWait: p.overloadWait(j.sub.Customer, now)}
+	if !p.policy.TimelyFirst {
+		return state
+	}
+	customer := j.sub.Customer
+	shares := p.customerShares(customer, now)
+	own, all := p.concerning(j, shares, now)
+	outlook, age := p.Outlook(now), now.Sub(p.backlog.at)
+	state.StartDelay = max(seconds(p.startDelay.value)-stepOverhead, 0)
+	state.Share = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
+	if part := outlook.Scale(shares.usable); shares.usable < 1 && (shares.above[customer] || part.TimeFor(own.total()) > usageSpan) {
+		state.Share = admission.Lane{Outlook: part, Ahead: own.ahead, Behind: own.due(age)}
+	}
+	if most := p.usableLimit(j.sub.Customer, now); most != (job.Size{}) {
+		state.Limit = admission.Lane{Outlook: outlook.CappedAt(most), Ahead: own.ahead, Behind: own.due(age)}
+	}
+	return state
+}
+
+// customerShares is how a pool is shared at a moment, as seen by one customer.
+type customerShares struct {
+	usable float64         // fraction of the pool that is the customer's to use
+	above  map[string]bool // the customers that use more than their shares
+}
+
+// customerShares returns how the pool is shared. What others have used lately is theirs, up to their
+// shares; who has used less than its share comes first, until its use has risen.
+func (p *Pool) customerShares(customer string, now time.Time) customerShares {
+	weights := p.weightOf(customer)
+	for other := range p.usageByCustomer {
+		if other != customer {
+			weights += p.weightOf(other)
+		}
+	}
+	size, others, above := p.schedulableCapacity(now), 0.0, make(map[string]bool)
+	for other := range p.usageByCustomer {
+		used, share := p.shareOf(other, size), p.weightOf(other)/weights
+		above[other] = used >= share
+		if other != customer {
+			others += min(used, share)
+		}
+	}
+	return customerShares{max(p.weightOf(customer)/weights, 1-others), above}
+}
+
+// usableLimit returns what a customer's limit lets it use in the pool, zero for no limit. What the pool
+// is lent grows within half a second; if the customer's tasks have waited for longer, that is all.
+func (p *Pool) usableLimit(customer string, now time.Time) job.Size {
+	limit := p.limitOf(customer)
+	if !quota.HasLimit(limit) || p.waitedAtLimit(customer, now) <= limitWaitCounted {
+		return limit
+	}
+	return p.allowances.current.For(customer, limit)
+}
+
+// fleetReportAge is the age from which a report of the holder of the role for instances says nothing
+// of what it brings.
+const fleetReportAge = 3 * time.Second
+
+// fleetKnown reports whether the holder of the role for instances has told lately what it brings and
+// could bring.
+func (p *Pool) fleetKnown(now time.Time) bool {
+	return !p.cordonsReceivedAt.IsZero() && now.Sub(p.cordonsReceivedAt) < fleetReportAge
+}
+
+// Counters of admission.
+const (
+	admittedInTime = "admission.ended.in-time"
+	admittedLate   = "admission.ended.late"
+)
+
+// countEnd counts whether an accepted job has ended in time.
+func (p *Pool) countEnd(j *jobState, now time.Time) {
+	if j.sub.HasLongRunning() || j.sub.RepeatCount > 0 || j.state == job.Cancelled {
+		return
+	}
+	inTime := j.state == job.Completed && now.Sub(j.accepted) <= j.objective
+	if p.policy.Observe != nil {
+		p.policy.Observe(admission.Observation{Queue: j.sub.Queue, Customer: j.sub.Customer, At: now, Ended: true, InTime: inTime})
+	}
+	if j.state == job.Completed && now.Sub(j.accepted) <= j.objective {
+		p.increment(admittedInTime)
+		return
+	}
+	p.increment(admittedLate)
+}
--- /dev/null
+++ b/services/scheduler/backlog.go
@@ -0,0 +1,158 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/capacity"
+	"github.com/yardbridge/yardbridge/services/admission"
+)
+
+// backlog is the work of waiting tasks whose jobs can still be in time.
+type backlog struct {
+	at      time.Time
+	counted int // jobs that were counted
+	work    map[backlogKey]capacity.Work
+}
+
+// slot returns the number of the step in which a latest start lies.
+func (b *backlog) slot(latestStart time.Time) int64 {
+	return int64(latestStart.Sub(b.at) / backlogStep)
+}
+
+// backlogKey is what the order of work depends on: the customer, the priority, and the latest start in
+// steps of backlogStep.
+type backlogKey struct {
+	customer    string
+	priority    int
+	latestStart int64
+}
+
+// How finely the backlog is kept.
+const (
+	// backlogStep is the step of the latest starts.
+	backlogStep = 100 * time.Millisecond
+	// backlogSpacing is the least time between two counts for each job that was counted: they take some
+	// hundredths of a core at most. What arrives in between is added.
+	backlogSpacing = 10 * time.Microsecond
+	// minBacklogSpacing is the least time between two counts.
+	minBacklogSpacing = 20 * time.Millisecond
+)
+
+// currentBacklog returns the backlog.
+func (p *Pool) currentBacklog(now time.Time) *backlog {
+	b := &p.backlog
+	if b.work != nil && now.Sub(b.at) < max(minBacklogSpacing, time.Duration(b.counted)*backlogSpacing) {
+		return b
+	}
+	*b = backlog{at: now, work: make(map[backlogKey]capacity.Work)}
+	for _, j := range p.active {
+		p.addBacklog(j, now)
+	}
+	return b
+}
+
+// addBacklog adds a job's waiting tasks to the backlog. Work that cannot be in time any more comes after
+// all that can.
+func (p *Pool) addBacklog(j *jobState, now time.Time) {
+	if p.backlog.work == nil || j.state.Final() || now.After(j.latestStart) {
+		return
+	}
+	p.backlog.counted++
+	if work := p.waitingWork(j, now); work != (capacity.Work{}) {
+		key := backlogKey{j.sub.Customer, j.queue.Priority, p.backlog.slot(j.latestStart)}
+		p.backlog.work[key] = p.backlog.work[key].Plus(work)
+	}
+}
+
+// waitingWork returns the work of a job's waiting tasks, in the rounds that are due.
+func (p *Pool) waitingWork(j *jobState, now time.Time) capacity.Work {
+	var work capacity.Work
+	for n, r := range j.rounds {
+		if j.sub.RepeatCount > 0 && now.Before(p.due(j, n)) {
+			break
+		}
+		for i := range j.sub.Steps {
+			spec, waiting, each := &j.sub.Steps[i], j.sub.Steps[i].Count, time.Duration(0)
+			if spec.LongRunning {
+				continue
+			}
+			if r == nil {
+				each = p.expectedRunTime(j.sub.Queue, spec)
+			} else if waiting = r.steps[i].waiting; waiting > 0 {
+				each = p.expectedStepTime(j, &r.steps[i])
+			}
+			work = work.Plus(capacity.WorkOf(spec.Reservation().Times(waiting), each+p.runOverhead()))
+		}
+	}
+	return work
+}
+
+// endDelay is the time from the end of a run until its capacity is used by another one, beside what
+// the start of that one takes.
+const endDelay = 30 * time.Millisecond
+
+// runOverhead returns how much longer than it runs a task occupies its capacity: its start is persisted
+// and sent first, which takes long on a slow store.
+func (p *Pool) runOverhead() time.Duration { return seconds(p.startDelay.value) + endDelay }
+
+// customerWork is the part of the backlog of one customer, or of all.
+type customerWork struct {
+	ahead  capacity.Work
+	behind map[int64]capacity.Work // by the latest start
+}
+
+// add adds work that comes before a job or after it.
+func (c *customerWork) add(w capacity.Work, slot int64, before bool) {
+	if before {
+		c.ahead = c.ahead.Plus(w)
+		return
+	}
+	if c.behind == nil {
+		c.behind = make(map[int64]capacity.Work)
+	}
+	c.behind[slot] = c.behind[slot].Plus(w)
+}
+
+// total returns all of the work.
+func (c *customerWork) total() capacity.Work {
+	sum := c.ahead
+	for _, w := range c.behind {
+		sum = sum.Plus(w)
+	}
+	return sum
+}
+
+// concerning returns the parts of the backlog that concern a job: of its customer, and of all customers.
+// Work of a lower priority gives way, and that of customers above their shares to those below.
+func (p *Pool) concerning(j *jobState, shares customerShares, now time.Time) (own, all customerWork) {
+	b := p.currentBacklog(now)
+	slot, priority := b.slot(j.latestStart), j.queue.Priority
+	for key, work := range b.work {
+		if key.priority > priority || shares.above[key.customer] && !shares.above[j.sub.Customer] {
+			continue
+		}
+		before := key.priority < priority || key.latestStart <= slot
+		all.add(work, key.latestStart, before)
+		if key.customer == j.sub.Customer {
+			own.add(work, key.latestStart, before)
+		}
+	}
+	return own, all
+}
+
+// due returns the work behind, in order of the waits after which it is in time. The backlog has the
+// given age.
+func (c *customerWork) due(age time.Duration) []admission.Due {
+	var list []admission.Due
+	for slot, work := range c.behind {
+		latest := time.Duration(slot+1)*backlogStep - age
+		list = append(list, admission.Due{Latest: latest, Work: work})
+	}
+	slices.SortFunc(list, func(a, b admission.Due) int { return cmp.Compare(a.Latest, b.Latest) })
+	return list
+}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -165,6 +165,7 @@
 	p.active = append(p.active, j)
 	p.updateObjective(j)
 	p.addArrival(j, now)
+	p.addBacklog(j, now)
 	if !s.HasLongRunning() && s.RepeatCount == 0 {
 		p.slack.add(j.latestStart.Sub(now).Seconds())
 	}
@@ -266,6 +267,7 @@
 			p.stopRun(u, now, "job "+string(state))
 		}
 	}
+	p.countEnd(j, now)
 	p.markDirty(j)
 	p.ended = append(p.ended, endedJob{j.sub.ID, now.Add(p.Limits.Retention)})
 	p.needsPlan = true
--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -3,11 +3,7 @@
 
 package scheduler
 
-import (
-	"time"
-
-	"github.com/yardbridge/yardbridge/models/job"
-)
+import "time"
 
 // overloadBacklog is how many seconds of work for all its workers must be overdue for a pool to
 // count as overloaded. In a surge whose late jobs can all be rescued nothing is overdue. When
@@ -25,12 +21,22 @@
 // within two seconds and take another two for the work that waited for them.
 const overloadDelay = 4 * time.Second
 
+// order is the order in which a plan places candidates of one priority.
+type order struct {
+	overloaded  bool // the pool counts as overloaded
+	timelyFirst bool // what can be in time comes before all that cannot
+}
+
 // rank returns the place of a candidate by its urgency; lower comes first. If the pool is
 // overloaded, jobs that have started are finished first while they are of value: abandoning them
 // half done for others would waste the capacity they used.
-func (c candidate) rank(overloaded bool) int {
+func (c candidate) rank(o order) int {
 	switch {
-	case !overloaded || c.urgency == longRunning || c.urgency == overdue:
+	case o.timelyFirst && c.urgency == timely:
+		return int(expiring)
+	case o.timelyFirst && c.urgency == expiring:
+		return int(timely)
+	case o.timelyFirst || !o.overloaded || c.urgency == longRunning || c.urgency == overdue:
 		return int(c.urgency)
 	case c.job.started:
 		return int(expiring)
@@ -43,8 +49,8 @@
 // compareInRank compares candidates of one rank: those with the earliest latest start come first.
 // If the pool is overloaded, jobs that have not started are taken in the opposite order: otherwise
 // each would end just too late, one after the other.
-func (c candidate) compareInRank(o candidate, overloaded bool) int {
-	if overloaded && !c.job.started && !o.job.started {
+func (c candidate) compareInRank(o candidate, by order) int {
+	if by.overloaded && !by.timelyFirst && !c.job.started && !o.job.started {
 		return o.job.latestStart.Compare(c.job.latestStart)
 	}
 	return c.job.latestStart.Compare(o.job.latestStart)
@@ -91,18 +97,14 @@
 	return !now.After(j.latestStart) || j.started && !now.After(j.latestUsefulStart())
 }
 
-// ExcessWait returns by how much the expected wait of a job that arrives now exceeds the longest
-// wait after which it can finish in time, 0 if it can be accepted. It is positive for an overloaded
-// pool only: work that waits in a surge is done by instances that are still to be added.
-func (p *Pool) ExcessWait(s job.Submission, now time.Time) time.Duration {
-	if !p.overloaded || p.Has(s.ID) || s.HasLongRunning() || s.RepeatCount > 0 {
+// overloadWait returns the expected wait of a job that arrives at an overloaded pool. In another pool,
+// work that waits in a surge is done by instances that are still to be added.
+func (p *Pool) overloadWait(customer string, now time.Time) time.Duration {
+	if !p.overloaded {
 		return 0
 	}
-	j := p.newJob(s, now)
-	p.updateObjective(j)
 	const thousandths = 1000
-	wait := seconds(p.workAhead(s.Customer, now) * thousandths / float64(max(p.schedulableCPU(now), 1)))
-	return max(wait-j.latestStart.Sub(now), 0)
+	return seconds(p.workAhead(customer, now) * thousandths / float64(max(p.schedulableCPU(now), 1)))
 }
 
 // workAhead returns the core-seconds of work that come before a new job of a customer. Within its
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -78,11 +78,12 @@
 		list = p.runnableSteps(j, now, list)
 	}
 	p.overloaded = p.detectOverload(list, now)
+	by := order{overloaded: p.overloaded, timelyFirst: p.policy.TimelyFirst && p.fleetKnown(now)}
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			cmp.Compare(a.rank(p.overloaded), b.rank(p.overloaded)),
-			a.compareInRank(b, p.overloaded),
+			cmp.Compare(a.rank(by), b.rank(by)),
+			a.compareInRank(b, by),
 		)
 	})
 	return list
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -12,6 +12,7 @@
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/admission"
 )
 
 // Limits are the limits under which a pool is scheduled.
@@ -36,6 +37,8 @@
 	Clock clock.Clock
 	// Increment adds one to a counter; nil disables counting.
 	Increment func(counter string)
+	// SelectPolicy returns the policy by which jobs are accepted; nil selects the default.
+	SelectPolicy func(hasCustomers bool) admission.Policy
 
 	config            *config.Config
 	evacuated         evacuation.List // no task starts in these data centres
@@ -69,6 +72,9 @@
 	usageUpdatedAt  time.Time        // last update of the averages
 	arrivals        arrivals
 	slack           mean // slack of jobs at submission, in seconds
+	startDelay      mean // from the plan of a run until its start is known, in seconds
+	policy          admission.Policy
+	backlog         backlog
 
 	dirty          []*jobState
 	ended          []endedJob            // oldest first, removed once expired
@@ -119,6 +125,7 @@
 	}
 	p.noteLimits(c)
 	p.config = c
+	p.selectPolicy()
 	for _, j := range p.active {
 		j.queue = p.queueOf(j)
 		p.updateObjective(j)
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/services/admission"
 )
 
 // phase is the progress of a run.
@@ -42,6 +43,7 @@
 	stopAccepted bool      // its worker has accepted the stop
 	ackSeq       uint64    // sequence of the newest response about it
 	startedAt    time.Time
+	plannedAt    time.Time // zero for a run of an earlier owner
 	ticket       ticket    // zero where none is needed
 	percent      int       // completed work, as listed last
 	progressedAt time.Time // when percent last changed
@@ -83,7 +85,7 @@
 	ref := job.TaskRef{StepRef: s.ref, Index: index}
 	u := &run{
 		job: j, ref: ref, name: ref.String(), number: t.number, worker: w, size: s.spec.Reservation(),
-		batch: p.batch, cpuShare: fullPercent, progressedAt: now, ticket: w.tickets[s.ref], suspected: t.suspected(),
+		batch: p.batch, cpuShare: fullPercent, progressedAt: now, plannedAt: now, ticket: w.tickets[s.ref], suspected: t.suspected(),
 	}
 	p.attach(u)
 	p.allowances.noteStart(j.sub.Customer, now)
@@ -172,10 +174,17 @@
 }
 
 // noteStarted records that a task of a job has started.
-func (p *Pool) noteStarted(u *run, _ time.Time) {
+func (p *Pool) noteStarted(u *run, now time.Time) {
 	if u.job.started {
 		return
 	}
+	if !u.plannedAt.IsZero() {
+		p.startDelay.add(now.Sub(u.plannedAt).Seconds())
+		u.plannedAt = time.Time{}
+	}
+	if !u.job.started && p.policy.Observe != nil && !u.job.sub.HasLongRunning() && u.job.sub.RepeatCount == 0 {
+		p.policy.Observe(admission.Observation{Queue: u.job.sub.Queue, Customer: u.job.sub.Customer, At: now, Wait: now.Sub(u.job.accepted), Latest: u.job.latestStart.Sub(u.job.accepted)})
+	}
 	u.job.started = true
 	if u.job.state == job.Queued {
 		u.job.state = job.Running
