Admission: expected completion stays, beside what stood

The two controllers go. Both could be kept for each customer, and would then learn from few jobs each; not tried.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -96,6 +96,4 @@
 	// TimelyFirst means that what can be in time is done before all that cannot: what was accepted keeps
 	// its place.
 	TimelyFirst bool
-	// Observe is called with what is measured of accepted jobs; nil for not.
-	Observe func(Observation)
 }
--- a/services/owner/admission_test.go
+++ b/services/owner/admission_test.go
@@ -283,10 +283,7 @@
 // can: it serves each pattern by each way to admit jobs, and checks the aims for expected completion.
 func TestWaysToAdmit(t *testing.T) {
 	for _, p := range patterns() {
-		for _, open := range []func() admission.Policy{
-			func() admission.Policy { return admission.Overload }, func() admission.Policy { return admission.Completion }, admission.Lateness, admission.QueueLimit,
-		} {
-			way := open()
+		for _, way := range []admission.Policy{admission.Overload, admission.Completion} {
 			t.Run(p.name+"/"+way.Name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					counts, room := servePattern(t, p, way)
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -118,10 +118,7 @@
 		return
 	}
 	inTime := j.state == job.Completed && now.Sub(j.accepted) <= j.objective
-	if p.policy.Observe != nil {
-		p.policy.Observe(admission.Observation{Queue: j.sub.Queue, Customer: j.sub.Customer, At: now, Ended: true, InTime: inTime})
-	}
-	if j.state == job.Completed && now.Sub(j.accepted) <= j.objective {
+	if inTime {
 		p.increment(admittedInTime)
 		return
 	}
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
-	"github.com/yardbridge/yardbridge/services/admission"
 )
 
 // phase is the progress of a run.
@@ -182,9 +181,6 @@
 		p.startDelay.add(now.Sub(u.plannedAt).Seconds())
 		u.plannedAt = time.Time{}
 	}
-	if !u.job.started && p.policy.Observe != nil && !u.job.sub.HasLongRunning() && u.job.sub.RepeatCount == 0 {
-		p.policy.Observe(admission.Observation{Queue: u.job.sub.Queue, Customer: u.job.sub.Customer, At: now, Wait: now.Sub(u.job.accepted), Latest: u.job.latestStart.Sub(u.job.accepted)})
-	}
 	u.job.started = true
 	if u.job.state == job.Queued {
 		u.job.state = job.Running
