Admission: promises of a return to refused callers

Cause: the time told follows the excess of the moment, which is the same for all who are refused then, and first calls take the room before those that come back.

A book in the owner's memory promises each refused caller a whole second of its own: the first one, from the time at which the job would be in time, whose room holds its work beside what is promised there, after the customer's earlier promises and by its share of the pool. A job that comes in its second with the same id is accepted without being asked again. Promises that are due within a second count as work ahead of first calls, by the part of the customer's promises that are kept. Retry-After of a promise is stated as it is, without the random part.

Ruled out: reserving the whole work of promises.

A caller whose time limit ends before any second is told deadline-passed without a time. The kind is one that a gateway turns into an unknown outcome where an earlier attempt got no response; infeasible is passed on as it is. Off unless Owner.Returns is set.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -109,6 +109,10 @@
 	kinds := errkind.Kinds()
 	if n := int(e.Code - firstErrorCode); n >= 0 && n < len(kinds) {
 		var after time.Duration
+		var exact exactRetry
+		if e.Data != nil && json.Unmarshal(*e.Data, &exact) == nil {
+			return errkind.NewExact(kinds[n], exact.After, "%s", e.Message)
+		}
 		if e.Data != nil && json.Unmarshal(*e.Data, &after) == nil && after > 0 {
 			return errkind.NewRetry(kinds[n], after, "%s", e.Message)
 		}
@@ -121,8 +125,17 @@
 func codeOf(err error) *jsonrpc2.Error {
 	e := errkind.Of(err)
 	response := &jsonrpc2.Error{Code: firstErrorCode + int64(e.Kind), Message: e.Message}
-	if e.RetryAfter > 0 {
+	switch {
+	case e.Exact:
+		response.SetError(exactRetry{e.RetryAfter})
+	case e.RetryAfter > 0:
 		response.SetError(e.RetryAfter)
 	}
 	return response
 }
+
+// exactRetry is the data of an error response whose time is of one caller alone, 0 for none; other times
+// are sent as a number.
+type exactRetry struct {
+	After time.Duration `json:"after"`
+}
--- a/modules/errkind/errkind.go
+++ b/modules/errkind/errkind.go
@@ -121,7 +121,8 @@
 type Error struct {
 	Kind       Kind
 	Message    string
-	RetryAfter time.Duration // 0 selects the default of the kind
+	RetryAfter time.Duration // 0 selects the default of the kind, unless it is exact
+	Exact      bool          // RetryAfter is for this caller alone: it is stated as it is, and not at all if 0
 }
 
 // Error returns the kind's name and the message.
@@ -137,6 +138,12 @@
 	return errors.Trace(&Error{Kind: k, Message: fmt.Sprintf(format, args...), RetryAfter: after})
 }
 
+// NewExact returns an error of the kind that states the time until a retry as it is, in whole seconds, or
+// states none if it is 0. Other times are stated with a random part, so that callers do not retry together.
+func NewExact(k Kind, after time.Duration, format string, args ...any) error {
+	return errors.Trace(&Error{Kind: k, Message: fmt.Sprintf(format, args...), RetryAfter: after, Exact: true})
+}
+
 // Of returns the *Error in err's chain, an Internal one if there is none, and nil for nil.
 func Of(err error) *Error {
 	if err == nil {
@@ -162,7 +169,7 @@
 
 // RetryDelay returns the time until a retry, 0 for none.
 func (e *Error) RetryDelay() time.Duration {
-	if e.RetryAfter > 0 {
+	if e.RetryAfter > 0 || e.Exact {
 		return e.RetryAfter
 	}
 	return e.Kind.Response().RetryAfter
--- a/modules/errkind/errkind_test.go
+++ b/modules/errkind/errkind_test.go
@@ -46,6 +46,20 @@
 	assert.Equal(t, strings.TrimSpace(w.Body.String()), `{"error":"overloaded","message":"full","outcome":"not-run","request_id":"r1"}`)
 }
 
+// TestExactTimeIsStatedAsItIs guards against callers that come at another second than the one kept for
+// them, and against a time to come back for those that have none.
+func TestExactTimeIsStatedAsItIs(t *testing.T) {
+	for range 100 {
+		w := httptest.NewRecorder()
+		Write(w, "r1", errors.Annotate(NewExact(Overloaded, 7*time.Second, "full"), "somewhere"))
+		assert.Equal(t, w.Header().Get("Retry-After"), "7")
+	}
+	w := httptest.NewRecorder()
+	Write(w, "r1", NewExact(DeadlinePassed, 0, "too late"))
+	assert.Equal(t, len(w.Header().Values("Retry-After")), 0)
+	assert.Equal(t, w.Header().Get(HeaderOutcome), string(NotRun))
+}
+
 func TestOtherErrorsAreInternal(t *testing.T) {
 	assert.Equal(t, Of(errors.New("x")).Kind, Internal)
 	assert.Assert(t, Of(nil) == nil)
--- a/modules/errkind/response.go
+++ b/modules/errkind/response.go
@@ -31,7 +31,7 @@
 		header.Set("WWW-Authenticate", bearer.Scheme)
 	}
 	if after := e.RetryDelay(); after > 0 {
-		header.Set("Retry-After", strconv.Itoa(retrySeconds(after)))
+		header.Set("Retry-After", strconv.Itoa(e.retrySeconds(after)))
 	}
 	w.WriteHeader(row.Status)
 	body := struct {
@@ -46,8 +46,11 @@
 
 // retrySeconds returns the whole seconds for the Retry-After header, which has no
 // fractions: up to twice the time, at random, so that callers that were refused together do
-// not retry together.
-func retrySeconds(d time.Duration) int {
+// not retry together. An exact time is of one caller alone.
+func (e *Error) retrySeconds(d time.Duration) int {
 	seconds := int((d + time.Second - 1) / time.Second)
+	if e.Exact {
+		return seconds
+	}
 	return seconds + rand.IntN(seconds+1)
 }
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -12,6 +12,7 @@
 	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/services/admission/returns"
 	"github.com/yardbridge/yardbridge/services/directory"
 	"github.com/yardbridge/yardbridge/services/gateway"
 	"github.com/yardbridge/yardbridge/services/owner"
@@ -40,6 +41,8 @@
 	Queue    string `json:"queue,omitempty"`
 	Customer string `json:"customer,omitempty"` // on whose behalf the call is made
 	Data     []byte `json:"data,omitempty"`     // an encoded submission
+	// Remaining is how long the caller of a submission still waits, 0 if it states no time limit.
+	Remaining time.Duration `json:"remaining,omitempty"`
 }
 
 // reportRequest sends cordons to the owner of a pool and requests the pool's report.
@@ -86,6 +89,9 @@
 	if err := codec.Unmarshal(a.Data, &s); err != nil {
 		return nil, errkind.New(errkind.BadRequest, "can't decode submission: %v", err)
 	}
+	if a.Remaining > 0 {
+		ctx = returns.WithTimeLimit(ctx, time.Now().Add(a.Remaining))
+	}
 	return empty{}, o.Submit(ctx, s)
 }
 
@@ -177,7 +183,7 @@
 			if err != nil {
 				return err
 			}
-			return call(ctx, methodSubmit, poolRequest{Pool: pool, Data: data}, &empty{})
+			return call(ctx, methodSubmit, poolRequest{Pool: pool, Data: data, Remaining: returns.Remaining(ctx)}, &empty{})
 		},
 		State: func(ctx context.Context, id job.ID, by string) (job.State, error) {
 			var state job.State
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/admission/returns"
 	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/services/scheduler"
@@ -35,6 +36,9 @@
 	Count func(counter string)
 	// NoPeers reports whether no other node responds; nil for never.
 	NoPeers func() bool
+	// Returns reports whether refused callers are promised the second in which they may come back; nil
+	// for never.
+	Returns func() bool
 
 	changed   chan struct{} // signals that there may be changes to plan or to persist
 	adviceDue chan struct{} // signals that there may be advice to request
@@ -46,6 +50,7 @@
 	links     map[worker.ID]*link
 	persisted uint64                     // newest batch that is persisted
 	waiting   map[uint64][]chan struct{} // by the batch that is waited for
+	promises  returns.Book               // to refused callers
 	endReason error                      // why the pool is no longer owned
 }
 
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -21,7 +21,7 @@
 // Submit accepts a job and returns once it is persisted. While the store does not respond, a job
 // that is in no append is rejected at once: it certainly was not persisted.
 func (o *Owner) Submit(ctx context.Context, s job.Submission) error {
-	batch, err := o.submit(s)
+	batch, err := o.submit(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 }
 
 // submit accepts a job and returns the batch that contains it.
-func (o *Owner) submit(s job.Submission) (uint64, error) {
+func (o *Owner) submit(ctx context.Context, s job.Submission) (uint64, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.checkOwned(); err != nil {
@@ -76,10 +76,8 @@
 			Msg("job rejected: tasks that start together exceed its customer's limit")
 		return 0, errkind.New(errkind.Infeasible, "step %d: the tasks that start together exceed the limit of running tasks of customer %s", step, s.Customer)
 	}
-	if excess := o.pool.ExcessWait(s, o.Clock.Now()); excess > 0 {
-		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("full", excess).Str("outcome", "refused").
-			Msg("job rejected: it would not complete in time")
-		return 0, errkind.NewRetry(errkind.Overloaded, excess, "the pool is full; a job submitted now would be %s late", excess.Round(time.Millisecond))
+	if err := o.admit(ctx, s); err != nil {
+		return 0, err
 	}
 	return o.pool.Submit(s, o.Clock.Now()), nil
 }
