--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/capacity"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/services/admission"
@@ -21,45 +22,74 @@
 	p.policy = p.SelectPolicy(hasCustomers)
 }
 
-// Admit decides whether a job is accepted now, and returns what was known. Jobs with long-running
-// tasks and repeated ones are accepted on their own terms, and a known job always.
-func (p *Pool) Admit(s job.Submission, remaining time.Duration, now time.Time) (admission.Request, admission.State, admission.Decision) {
+// KeepsPlaces reports whether jobs that were accepted keep their places.
+func (p *Pool) KeepsPlaces() bool { return p.currentPolicy().TimelyFirst }
+
+// currentPolicy returns the policy by which jobs are accepted.
+func (p *Pool) currentPolicy() admission.Policy {
 	if p.policy.Decide == nil {
 		p.selectPolicy()
 	}
+	return p.policy
+}
+
+// AdmissionRequest returns a job as the decision whether it is accepted needs it. It returns false for jobs
+// that are accepted on their own terms: known ones, repeated ones and those with long-running tasks.
+func (p *Pool) AdmissionRequest(s job.Submission, remaining time.Duration, now time.Time) (admission.Request, bool) {
 	if p.Has(s.ID) || s.HasLongRunning() || s.RepeatCount > 0 {
-		return admission.Request{}, admission.State{}, admission.Decision{Accepted: true, Reason: admission.Exempt}
+		return admission.Request{}, false
 	}
 	j := p.newJob(s, now)
 	p.updateObjective(j)
-	request := admission.Request{
+	return admission.Request{
 		Job: s.ID, Customer: s.Customer, Queue: s.Queue, Work: p.waitingWork(j, now), Latest: j.latestStart.Sub(now), Useful: j.latestUsefulStart().Sub(now), Remaining: remaining,
-	}
-	state := p.admissionState(j, now)
-	return request, state, p.policy.Decide(request, state)
+	}, true
+}
+
+// Admit decides whether a job is accepted now, and returns what was known. Work that is reserved for
+// promised returns, by customer, comes before it.
+func (p *Pool) Admit(s job.Submission, r admission.Request, reserved map[string]capacity.Work, now time.Time) (admission.State, admission.Decision) {
+	j := p.newJob(s, now)
+	p.updateObjective(j)
+	state := p.admissionState(j, reserved, now)
+	return state, p.currentPolicy().Decide(r, state)
 }
 
 // admissionState returns what is known of the pool as far as it concerns a job that arrives now.
-func (p *Pool) admissionState(j *jobState, now time.Time) admission.State {
-	state := admission.State{FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded, OverloadWait: p.overloadWait(j.sub.Customer, now)}
-	if !p.policy.TimelyFirst {
+func (p *Pool) admissionState(j *jobState, reserved map[string]capacity.Work, now time.Time) admission.State {
+	customer := j.sub.Customer
+	state := admission.State{
+		FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded || len(reserved) > 0,
+		OverloadWait: p.overloadWait(customer, reserved, now),
+	}
+	if !p.currentPolicy().TimelyFirst {
 		return state
 	}
-	customer := j.sub.Customer
 	shares := p.customerShares(customer, now)
 	own, all := p.concerning(j, shares, now)
+	for other, work := range reserved {
+		if !shares.above[other] || shares.above[customer] {
+			all.ahead = all.ahead.Plus(work)
+		}
+	}
+	own.ahead = own.ahead.Plus(reserved[customer])
 	outlook, age := p.Outlook(now), now.Sub(p.backlog.at)
 	state.StartDelay = max(seconds(p.startDelay.value)-stepOverhead, 0)
 	state.Share = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
 	if part := outlook.Scale(shares.usable); shares.usable < 1 && (shares.above[customer] || part.TimeFor(own.total()) > usageSpan) {
 		state.Share = admission.Lane{Outlook: part, Ahead: own.ahead, Behind: own.due(age)}
 	}
-	if most := p.usableLimit(j.sub.Customer, now); most != (job.Size{}) {
+	if most := p.usableLimit(customer, now); most != (job.Size{}) {
 		state.Limit = admission.Lane{Outlook: outlook.CappedAt(most), Ahead: own.ahead, Behind: own.due(age)}
 	}
 	return state
 }
 
+// UsablePart returns the part of the pool that is a customer's to use.
+func (p *Pool) UsablePart(customer string, now time.Time) float64 {
+	return p.customerShares(customer, now).usable
+}
+
 // customerShares is how a pool is shared at a moment, as seen by one customer.
 type customerShares struct {
 	usable float64         // fraction of the pool that is the customer's to use
--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -3,7 +3,11 @@
 
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/models/capacity"
+)
 
 // overloadBacklog is how many seconds of work for all its workers must be overdue for a pool to
 // count as overloaded. In a surge whose late jobs can all be rescued nothing is overdue. When
@@ -97,14 +101,23 @@
 	return !now.After(j.latestStart) || j.started && !now.After(j.latestUsefulStart())
 }
 
-// overloadWait returns the expected wait of a job that arrives at an overloaded pool. In another pool,
-// work that waits in a surge is done by instances that are still to be added.
-func (p *Pool) overloadWait(customer string, now time.Time) time.Duration {
-	if !p.overloaded {
+// overloadWait returns the expected wait of a job that arrives at an overloaded pool, or at one with
+// promised returns. In another pool, work that waits in a surge is done by instances that are still to be
+// added.
+func (p *Pool) overloadWait(customer string, reserved map[string]capacity.Work, now time.Time) time.Duration {
+	if !p.overloaded && len(reserved) == 0 {
 		return 0
 	}
 	const thousandths = 1000
-	return seconds(p.workAhead(customer, now) * thousandths / float64(max(p.schedulableCPU(now), 1)))
+	ahead := p.workAhead(customer, now) * thousandths
+	if len(reserved) > 0 {
+		all := 0.0
+		for _, work := range reserved {
+			all += work.CPU
+		}
+		ahead += min(all, reserved[customer].CPU/p.UsablePart(customer, now))
+	}
+	return seconds(ahead / float64(max(p.schedulableCPU(now), 1)))
 }
 
 // workAhead returns the core-seconds of work that come before a new job of a customer. Within its
