Admission: a setting selects the policy, and free capacity counts

Setting [admission] policy: "auto" (default), "overload", "completion"; another value is refused with file, line, key and what is allowed. With auto, a deployment whose configuration names no customers goes on by the rule that stood.

Jobs that fit in what is free, or becomes free within the planned wait, were refused: expected waits by the amount of work alone took four free cores with two waiting core-seconds for a wait of 0.6 s (TestLateWorkComesLast found it). The wait is now at most the time after which all that waits fits in what is free.

Tests: the log line, the counters, the time until a return, displaced work, limits, shares, own terms and a silent fleet.

--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -6,7 +6,9 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
@@ -14,11 +16,12 @@
 
 // Node holds the settings of a node process.
 type Node struct {
-	Node     NodeInfo     `toml:"node"`
-	Listen   NodeListen   `toml:"listen"`
-	Platform NodePlatform `toml:"platform"`
-	Bounds   NodeBounds   `toml:"bounds"`
-	Log      Log          `toml:"log"`
+	Node      NodeInfo      `toml:"node"`
+	Listen    NodeListen    `toml:"listen"`
+	Platform  NodePlatform  `toml:"platform"`
+	Bounds    NodeBounds    `toml:"bounds"`
+	Admission NodeAdmission `toml:"admission"`
+	Log       Log           `toml:"log"`
 }
 
 // NodeInfo identifies the node and describes its resources.
@@ -67,9 +70,23 @@
 	CPUShareDelay       tomlfile.Duration `toml:"pace_time"`    // until a CPU share takes effect
 }
 
+// NodeAdmission configures which jobs a pool accepts.
+type NodeAdmission struct {
+	Policy string `toml:"policy"` // one of the admission policies
+}
+
+// The admission policies.
+const (
+	AdmissionAuto       = "auto"       // by completion where the configuration names customers, by overload elsewhere
+	AdmissionOverload   = "overload"   // all jobs, until much work has been overdue for long
+	AdmissionCompletion = "completion" // jobs that are expected to end in time
+)
+
+var admissionPolicies = []string{AdmissionAuto, AdmissionOverload, AdmissionCompletion}
+
 // ParseNode parses and checks the settings file of a node.
 func ParseNode(file, data string) (Node, error) {
-	var n Node
+	n := Node{Admission: NodeAdmission{AdmissionAuto}}
 	problems, isTOML := tomlfile.Decode(file, data, &n)
 	if !isTOML {
 		return n, problems.Err()
@@ -109,6 +126,9 @@
 	c.checkMin("bounds", "grace", n.Bounds.ShutdownGrace, time.Millisecond)
 	c.checkMin("bounds", "contact_time", n.Bounds.ContactTime, 0)
 	c.checkMin("bounds", "config_time", n.Bounds.ConfigTime, 0)
+	if !slices.Contains(admissionPolicies, n.Admission.Policy) {
+		c.addProblem("admission", 0, "policy", "%q is not allowed; allowed are %s", n.Admission.Policy, strings.Join(admissionPolicies, ", "))
+	}
 	return c.problems
 }
 
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -44,3 +44,18 @@
 		assert.ErrorContains(t, err, "is not allowed; allowed is", bad)
 	}
 }
+
+// TestAdmissionPolicySetting guards against a misspelt policy that is taken for another one: it is refused
+// with its file, line and key, and what is allowed.
+func TestAdmissionPolicySetting(t *testing.T) {
+	n, err := ParseNode("node.toml", nodeFile)
+	assert.NilError(t, err)
+	assert.Equal(t, n.Admission.Policy, AdmissionAuto)
+	for _, policy := range admissionPolicies {
+		n, err := ParseNode("node.toml", nodeFile+"[admission]\npolicy = \""+policy+"\"\n")
+		assert.NilError(t, err)
+		assert.Equal(t, n.Admission.Policy, policy)
+	}
+	_, err = ParseNode("node.toml", nodeFile+"[admission]\npolicy = \"complete\"\n")
+	assert.ErrorContains(t, err, `node.toml:16: admission.policy: "complete" is not allowed; allowed are auto, overload, completion`)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/setting"
+	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/directory"
 	"github.com/yardbridge/yardbridge/services/fleet"
 	"github.com/yardbridge/yardbridge/services/follow"
@@ -70,12 +71,12 @@
 	catchingUp        atomic.Bool  // a catch-up request to another node is in progress
 	lastProbeResponse atomic.Int64 // when another node last responded to a probe, in nanoseconds since 1970
 
-	mu          sync.Mutex
-	newerBounds *setting.NodeBounds // bounds of newer settings, nil for none
-	workers     map[worker.ID]worker.Worker
-	knownStarts map[worker.ID]bool      // ids whose entries have stated a start time, and whether an entry without one has been logged since
-	owners      map[string]*owner.Owner // of pools, by name
-	stopping    bool
+	mu           sync.Mutex
+	newerSetting *setting.Node // settings read since the start, nil for none
+	workers      map[worker.ID]worker.Worker
+	knownStarts  map[worker.ID]bool      // ids whose entries have stated a start time, and whether an entry without one has been logged since
+	owners       map[string]*owner.Owner // of pools, by name
+	stopping     bool
 }
 
 // New assembles a node; it listens on its address for other nodes, but does nothing else yet.
@@ -201,13 +202,14 @@
 
 // openPool returns the runner that schedules a pool.
 func (n *Node) openPool(pool string, j *journal.Journal, logger log.Logger) *ownership.RoleRunner {
-	b := n.bounds()
+	b, policy := n.bounds(), n.newestSetting().Admission.Policy
 	o := &owner.Owner{
 		Pool: pool, Journal: j, Workers: n.Ports.Workers, Advisor: n.Ports.Advisor,
 		Limits: scheduler.Limits{
 			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown,
 		},
 		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count,
+		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
 	}
 	run := func(ctx context.Context) error {
 		n.setOwner(pool, o)
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -15,17 +15,26 @@
 	Job       job.ID
 	Customer  string
 	Queue     string
-	Work      capacity.Work // of all its tasks
+	Load      Load          // of all its tasks
 	Latest    time.Duration // the longest wait after which it is in time
 	Useful    time.Duration // the longest wait after which it is of some value
 	Remaining time.Duration // the caller's remaining time, 0 for unknown
 }
 
+// Load is work that waits.
+type Load struct {
+	Work capacity.Work // of the tasks, with the time for which they occupy capacity
+	Size job.Size      // of the tasks, if all of them ran
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load { return Load{l.Work.Plus(o.Work), l.Size.Plus(o.Size)} }
+
 // Lane is capacity and the work on it that concerns a job.
 type Lane struct {
 	Outlook capacity.Outlook
-	// Ahead is the work that is done before the job.
-	Ahead capacity.Work
+	// Ahead is what is done before the job.
+	Ahead Load
 	// Behind is accepted work that is done after the job, in the order of the waits after which it is
 	// still in time.
 	Behind []Due
@@ -34,7 +43,7 @@
 // Due is work that is in time after a wait of at most Latest.
 type Due struct {
 	Latest time.Duration
-	Work   capacity.Work
+	Load   Load
 }
 
 // State is what is known of a pool when a job is submitted; it is immutable.
@@ -58,7 +67,7 @@
 }
 
 // Ahead returns the work ahead that a reason is about.
-func (s State) Ahead(r Reason) capacity.Work {
+func (s State) Ahead(r Reason) Load {
 	if r == OverLimit {
 		return s.Limit.Ahead
 	}
@@ -89,7 +98,7 @@
 	After time.Duration
 }
 
-// Policy is a way to decide.
+// Policy is a way to decide; it keeps no state.
 type Policy struct {
 	Name   string
 	Decide func(Request, State) Decision
--- a/services/admission/completion.go
+++ b/services/admission/completion.go
@@ -8,12 +8,13 @@
 
 	"github.com/yardbridge/yardbridge/models/capacity"
 	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/setting"
 )
 
 // Completion accepts a job if it is expected to end in time by the capacity over the next seconds, and
 // if the accepted work that comes after it stays in time. Until the role for instances has told what the
 // fleet can bring, it decides as Overload does.
-var Completion = Policy{Name: "completion", Decide: decideByCompletion, TimelyFirst: true}
+var Completion = Policy{Name: setting.AdmissionCompletion, Decide: decideByCompletion, TimelyFirst: true}
 
 // usableCapacity is the part of a pool's capacity that does work: between the end of a run and the
 // start of the next one, its end is reported and the start is persisted and sent.
@@ -24,12 +25,12 @@
 const plannedPart = 0.5
 
 func decideByCompletion(r Request, s State) Decision {
-	if !s.FleetKnown || s.Share.Outlook.TimeFor(r.Work) == capacity.Never {
+	if !s.FleetKnown || s.Share.Outlook.TimeFor(r.Load.Work) == capacity.Never {
 		return decideByOverload(r, s)
 	}
 	r.Latest -= s.StartDelay
 	d := s.Share.decide(r, Late)
-	if !d.Accepted || s.Limit.Outlook.TimeFor(r.Work) == capacity.Never {
+	if !d.Accepted || s.Limit.Outlook.TimeFor(r.Load.Work) == capacity.Never {
 		return d
 	}
 	if limited := s.Limit.decide(r, OverLimit); !limited.Accepted {
@@ -40,21 +41,20 @@
 
 // decide decides by one lane; late is the reason if the job would wait for too long.
 func (l Lane) decide(r Request, late Reason) Decision {
-	o := l.Outlook.Scale(usableCapacity)
-	work, longest := l.Ahead.Plus(r.Work), partOf(r.Latest, plannedPart)
-	if o.TimeFor(r.Work) > r.Latest {
+	load, longest := l.Ahead.Plus(r.Load), partOf(r.Latest, plannedPart)
+	if timeFor(l.Outlook, r.Load) > r.Latest {
 		// It is not in time on an idle pool either: it must be of some value after what comes before it.
-		work, longest = l.Ahead, partOf(r.Useful, plannedPart)
+		load, longest = l.Ahead, partOf(r.Useful, plannedPart)
 	}
-	wait := o.TimeFor(work)
-	if l.Ahead == (capacity.Work{}) {
-		longest = max(longest, wait) // nothing is gained by a return
+	wait := timeFor(l.Outlook, load)
+	if l.Ahead == (Load{}) || fits(l.Outlook, load, longest) {
+		wait = min(wait, longest) // nothing is gained by a return
 	}
-	over := max(excess(wait, longest), l.displaces(o, r.Work, plannedPart))
+	over := max(excess(wait, longest), l.displaces(l.Outlook, r.Load, plannedPart))
 	switch {
 	case over == 0:
 		return Decision{Accepted: true, Reason: InTime, Wait: wait}
-	case l.comes(r, work):
+	case l.comes(r, load):
 		return Decision{Accepted: true, Reason: Brought, Wait: wait}
 	case wait > longest:
 		return Decision{Reason: late, Wait: wait, After: over}
@@ -62,15 +62,23 @@
 	return Decision{Reason: Displaces, Wait: wait, After: over}
 }
 
+// timeFor returns how long a pool with an outlook takes for a load.
+func timeFor(o capacity.Outlook, l Load) time.Duration {
+	return o.Scale(usableCapacity).TimeFor(l.Work)
+}
+
+// fits reports whether a load fits in what is free after a time, so that all of it has started by then.
+func fits(o capacity.Outlook, l Load, after time.Duration) bool { return l.Size.FitsIn(o.Free(after)) }
+
 // comes reports whether the job, and what it displaces, would be in time if what is on its way and what
 // the fleet can bring were there already, and the job is of value if it waits for that.
-func (l Lane) comes(r Request, work capacity.Work) bool {
-	o := l.Outlook.Scale(usableCapacity)
-	if o.Arriving() == (job.Size{}) && o.Potential() == (job.Size{}) || o.TimeFor(work) > r.Useful {
+func (l Lane) comes(r Request, load Load) bool {
+	o := l.Outlook
+	if o.Arriving() == (job.Size{}) && o.Potential() == (job.Size{}) || timeFor(o, load) > r.Useful {
 		return false
 	}
 	all := capacity.New(o.At(), o.Serving(capacity.Never), o.Free(capacity.Never))
-	return all.TimeFor(work) <= r.Latest && l.displaces(all, r.Work, 1) == 0
+	return timeFor(all, load) <= r.Latest && l.displaces(all, r.Load, 1) == 0
 }
 
 // partOf returns a part of a duration.
@@ -78,12 +86,13 @@
 
 // displaces returns by how much accepted work that ends within a part of its longest wait would exceed
 // that after more work, 0 for not.
-func (l Lane) displaces(o capacity.Outlook, work capacity.Work, part float64) time.Duration {
+func (l Lane) displaces(o capacity.Outlook, more Load, part float64) time.Duration {
 	before, over := l.Ahead, time.Duration(0)
 	for _, d := range l.Behind {
-		before = before.Plus(d.Work)
-		if longest := partOf(d.Latest, part); o.TimeFor(before) <= longest {
-			over = max(over, excess(o.TimeFor(before.Plus(work)), longest))
+		before = before.Plus(d.Load)
+		longest := partOf(d.Latest, part)
+		if all := before.Plus(more); timeFor(o, before) <= longest && !fits(o, all, longest) {
+			over = max(over, excess(timeFor(o, all), longest))
 		}
 	}
 	return over
--- a/services/admission/overload.go
+++ b/services/admission/overload.go
@@ -3,9 +3,11 @@
 
 package admission
 
+import "github.com/yardbridge/yardbridge/modules/setting"
+
 // Overload accepts every job until the pool counts as overloaded, and from then on those that end in
 // time.
-var Overload = Policy{Name: "overload", Decide: decideByOverload}
+var Overload = Policy{Name: setting.AdmissionOverload, Decide: decideByOverload}
 
 func decideByOverload(r Request, s State) Decision {
 	if s.Overloaded && s.OverloadWait > r.Latest {
--- a/services/owner/admission_test.go
+++ b/services/owner/admission_test.go
@@ -4,9 +4,11 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +21,7 @@
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/scheduler"
 	"github.com/yardbridge/yardbridge/standin/world"
@@ -152,7 +155,7 @@
 // tells the pool what is on its way and what could come.
 func (l *trial) serveFleet(stop <-chan struct{}) {
 	const period = 125 * time.Millisecond
-	began, added, open := time.Now(), 0, 0
+	began, added, open := time.Now(), 0, -patternWorkers
 	var due []time.Time // when each requested instance serves
 	for n := uint64(1); ; n++ {
 		select {
@@ -169,7 +172,10 @@
 			l.room += float64((patternWorkers+added)*instanceSize.CPU) / 1000 * period.Seconds()
 		}
 		request := scheduler.CordonRequest{Epoch: 1, Number: n}
-		for _, at := range due[open:] {
+		if open < 0 {
+			request.Arriving = []capacity.Change{{Size: instanceSize.Times(-open)}}
+		}
+		for _, at := range due[max(open, 0):] {
 			request.Arriving = append(request.Arriving, capacity.Change{After: time.Until(at), Size: instanceSize})
 		}
 		if free := l.instances - len(due); free > 0 {
@@ -185,8 +191,7 @@
 				open++
 			}
 		}
-		open = max(open, 0)
-		for len(due) < min(l.instances, open+report.Waiting.CPU/instanceSize.CPU) {
+		for len(due) < min(l.instances, max(open, 0)+report.Waiting.CPU/instanceSize.CPU) {
 			due = append(due, time.Now().Add(arrivalTime))
 		}
 	}
@@ -266,7 +271,7 @@
 	return byQueue, all
 }
 
-// patterns returns the loads by which ways to admit jobs are compared.
+// patterns returns the patterns of load.
 func patterns() []pattern {
 	list := []pattern{}
 	for _, times := range []float64{0.5, 1, 1.5, 2.5, 4} {
@@ -279,24 +284,48 @@
 	)
 }
 
-// TestWaysToAdmit guards against a pool that accepts what it cannot finish in time, or refuses what it
-// can: it serves each pattern by each way to admit jobs, and checks the aims for expected completion.
-func TestWaysToAdmit(t *testing.T) {
+// TestAdmissionByLoad guards against a pool that accepts what it cannot finish in time, or refuses what it
+// can, under each pattern of load.
+func TestAdmissionByLoad(t *testing.T) {
 	for _, p := range patterns() {
-		for _, way := range []admission.Policy{admission.Overload, admission.Completion} {
-			t.Run(p.name+"/"+way.Name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					counts, room := servePattern(t, p, way)
-					logResults(t, p, counts, room)
-					if way.Name == admission.Completion.Name {
-						checkAims(t, p, counts, room)
-					}
-				})
+		t.Run(p.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				counts, room := servePattern(t, p, admission.Completion)
+				logResults(t, p, counts, room)
+				checkAims(t, p, counts, room)
 			})
-		}
+		})
 	}
 }
 
+// TestRefusalIsLoggedAndCounted guards against refusals that an operator cannot trace to their cause, and
+// against a return that is not told to the caller.
+func TestRefusalIsLoggedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := open(t, world.New(1))
+		var lines bytes.Buffer
+		logger, err := log.New(&lines, "info", "n1")
+		assert.NilError(t, err)
+		counts := make(map[string]int)
+		o.Logger, o.Count = logger, func(counter string) { counts[counter]++ }
+		decision := admission.Decision{Reason: admission.Late, Wait: 5 * time.Second, After: 3 * time.Second}
+		o.pool.SelectPolicy = func(bool) admission.Policy {
+			return admission.Policy{Decide: func(admission.Request, admission.State) admission.Decision { return decision }}
+		}
+		refused := errkind.Of(o.Submit(t.Context(), submission("1")))
+		assert.Equal(t, refused.Kind, errkind.Overloaded)
+		assert.Equal(t, refused.RetryDelay(), 3*time.Second)
+		assert.Equal(t, strings.Count(lines.String(), "\n"), 1)
+		for _, field := range []string{`"event":"admission"`, `"job":"1"`, `"queue":"h/q/"`, `"wait":5000`, `"after":3000`, `"why":"late"`, `"fleet_known":false`} {
+			assert.Assert(t, strings.Contains(lines.String(), field), "%s: %s", field, lines.String())
+		}
+		decision = admission.Decision{Accepted: true, Reason: admission.InTime}
+		_, err = o.submit(t.Context(), submission("1"))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, counts, map[string]int{"admission.refused.late": 1, "admission.accepted.in-time": 1})
+	})
+}
+
 // logResults logs a line for all, and one for each customer.
 func logResults(t *testing.T, p pattern, counts map[string]map[string]*results, room float64) {
 	byQueue, all := total(counts)
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -15,7 +15,7 @@
 func (p *Pool) selectPolicy() {
 	hasCustomers := p.config != nil && len(p.config.Customers) > 0
 	if p.SelectPolicy == nil {
-		p.policy = admission.Select(admission.Auto, hasCustomers)
+		p.policy = admission.Select("", hasCustomers)
 		return
 	}
 	p.policy = p.SelectPolicy(hasCustomers)
@@ -33,7 +33,7 @@
 	j := p.newJob(s, now)
 	p.updateObjective(j)
 	request := admission.Request{
-		Job: s.ID, Customer: s.Customer, Queue: s.Queue, Work: p.waitingWork(j, now), Latest: j.latestStart.Sub(now), Useful: j.latestUsefulStart().Sub(now), Remaining: remaining,
+		Job: s.ID, Customer: s.Customer, Queue: s.Queue, Load: p.waitingLoad(j, now), Latest: j.latestStart.Sub(now), Useful: j.latestUsefulStart().Sub(now), Remaining: remaining,
 	}
 	state := p.admissionState(j, now)
 	return request, state, p.policy.Decide(request, state)
@@ -51,7 +51,7 @@
 	outlook, age := p.Outlook(now), now.Sub(p.backlog.at)
 	state.StartDelay = max(seconds(p.startDelay.value)-stepOverhead, 0)
 	state.Share = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
-	if part := outlook.Scale(shares.usable); shares.usable < 1 && (shares.above[customer] || part.TimeFor(own.total()) > usageSpan) {
+	if part := outlook.Scale(shares.usable); shares.usable < 1 && (shares.above[customer] || part.TimeFor(own.total().Work) > usageSpan) {
 		state.Share = admission.Lane{Outlook: part, Ahead: own.ahead, Behind: own.due(age)}
 	}
 	if most := p.usableLimit(j.sub.Customer, now); most != (job.Size{}) {
@@ -100,10 +100,17 @@
 // of what it brings.
 const fleetReportAge = 3 * time.Second
 
-// fleetKnown reports whether the holder of the role for instances has told lately what it brings and
-// could bring.
+// noteFleet records whether the holder of the role for instances tells what it brings and could bring.
+func (p *Pool) noteFleet(request CordonRequest) {
+	if len(request.Arriving)+len(request.Potential) > 0 {
+		p.fleetToldIn = request.Epoch
+	}
+}
+
+// fleetKnown reports whether the holder of the role for instances has reported lately. One that has told
+// of no capacity since it holds the role may not know yet what there is.
 func (p *Pool) fleetKnown(now time.Time) bool {
-	return !p.cordonsReceivedAt.IsZero() && now.Sub(p.cordonsReceivedAt) < fleetReportAge
+	return p.fleetToldIn > 0 && p.fleetToldIn == p.lastCordonRequest.Epoch && now.Sub(p.cordonsReceivedAt) < fleetReportAge
 }
 
 // Counters of admission.
--- /dev/null
+++ b/services/scheduler/admission_test.go
@@ -0,0 +1,151 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/models/capacity"
+	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/services/admission"
+)
+
+// newTestPoolByCompletion returns a pool of four cores that accepts jobs by completion. Jobs of its
+// queues are in time within 1.5 times their run time plus 1 s; those of the urgent one come first.
+func newTestPoolByCompletion(t *testing.T) *testPool {
+	d := newTestPool(t, 1)
+	queues := []config.Queue{
+		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Priority: 1, Stretch: 1.5, BaseObjective: time.Second},
+		{Name: "urgent", Host: "h", PathPrefix: "/urgent/", Pool: "p", Stretch: 1.5, BaseObjective: time.Second},
+	}
+	d.Configure(config.New(2, queues, []config.Pool{{Name: "p"}}, config.Limits{}).WithCustomers([]config.Customer{{Name: "c"}}))
+	d.registerWorker()
+	d.hearFleet()
+	return d
+}
+
+// hearFleet has the holder of the role for instances report that little is on its way.
+func (d *testPool) hearFleet() {
+	d.t.Helper()
+	_, err := d.Cordon(CordonRequest{Epoch: 1, Number: d.lastCordonRequest.Number + 1, Arriving: []capacity.Change{{Size: job.Size{CPU: 1}}}}, d.now)
+	assert.NilError(d.t, err)
+}
+
+// aSecond returns a job of one task of a core for a second.
+func aSecond(id, queue string) job.Submission {
+	return job.Submission{ID: job.ID(id), Queue: "h/" + queue + "/", Customer: "c", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Second}}}
+}
+
+// admit asks whether a job is accepted, and submits it if it is.
+func (d *testPool) admit(s job.Submission) admission.Decision {
+	_, _, decision := d.Admit(s, 0, d.now)
+	if decision.Accepted {
+		d.Submit(s, d.now)
+	}
+	return decision
+}
+
+// fill submits jobs until one is refused, and returns the number of accepted ones.
+func (d *testPool) fill() int {
+	for n := range 1000 {
+		if !d.admit(aSecond(fmt.Sprint("fill-", n), "q")).Accepted {
+			return n
+		}
+	}
+	d.t.Fatal("nothing is refused")
+	return 0
+}
+
+// TestFullPoolRefusesAtOnce guards against a pool that accepts more than it can finish in time while its
+// plan does not find anything overdue yet.
+func TestFullPoolRefusesAtOnce(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	n := d.fill()
+	assert.Assert(t, n > 0 && n < 10, "%d jobs of a core-second accepted by four cores, to be done in 2.5 s each", n)
+	decision := d.admit(aSecond("1", "q"))
+	assert.Equal(t, decision.Reason, admission.Late)
+	assert.Assert(t, decision.After > 0 && decision.After < time.Second, "%s", decision.After)
+}
+
+// TestOwnTerms guards against refusals of jobs that no waiting work concerns: known ones, repeated and
+// long-running ones, and urgent ones of a higher priority than what is ahead.
+func TestOwnTerms(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	d.fill()
+	assert.Equal(t, d.admit(aSecond("fill-0", "q")).Reason, admission.Exempt)
+	repeated, lasting := aSecond("1", "q"), aSecond("2", "q")
+	repeated.RepeatCount, repeated.FirstDue = 2, d.now
+	lasting.Steps[0].LongRunning = true
+	assert.Equal(t, d.admit(repeated).Reason, admission.Exempt)
+	assert.Equal(t, d.admit(lasting).Reason, admission.Exempt)
+	assert.Equal(t, d.admit(aSecond("3", "urgent")).Reason, admission.InTime)
+	assert.Assert(t, !d.admit(aSecond("4", "q")).Accepted)
+}
+
+// TestSilentFleetRefusesNothingNew guards against refusals by an outlook that is not kept up: the holder of
+// the role for instances has gone, or another one has told nothing yet.
+func TestSilentFleetRefusesNothingNew(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	d.fill()
+	assert.Assert(t, !d.admit(aSecond("1", "q")).Accepted)
+	_, err := d.Cordon(CordonRequest{Epoch: 2, Number: 1}, d.now)
+	assert.NilError(t, err)
+	assert.Assert(t, d.admit(aSecond("1", "q")).Accepted)
+
+	d = newTestPoolByCompletion(t)
+	d.fill()
+	d.lastCordonRequest.Number++
+	d.cordonsReceivedAt = d.now.Add(-fleetReportAge)
+	assert.Assert(t, d.admit(aSecond("1", "q")).Accepted)
+}
+
+// TestLateWorkComesLast guards against accepted work that loses its place to what cannot be in time any
+// more, and against late work that is dropped.
+func TestLateWorkComesLast(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	for n := range 4 {
+		d.Submit(aSecond(fmt.Sprint("late-", n), "q"), d.now)
+	}
+	late := d.jobs["late-0"]
+	d.now = late.latestUsefulStart().Add(-expiringMargin / 2)
+	d.hearFleet()
+	for n := range 3 {
+		assert.Assert(t, d.admit(aSecond(fmt.Sprint("new-", n), "q")).Accepted)
+	}
+	d.Plan(d.now)
+	assert.Equal(t, late.urgency(&late.rounds[0].steps[0], d.now), expiring)
+	for n := range 3 {
+		assert.Equal(t, d.jobs[job.ID(fmt.Sprint("new-", n))].activeRuns, 1, "new-%d", n)
+	}
+	started := 0
+	for n := range 4 {
+		started += d.jobs[job.ID(fmt.Sprint("late-", n))].activeRuns
+	}
+	assert.Equal(t, started, 1)
+}
+
+// TestSharesOfAdmission guards against a flood of one customer that takes the place of others, and against
+// a customer within its share that waits for the flood.
+func TestSharesOfAdmission(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	d.usageByCustomer = map[string]usage{"flood": {cpu: 4000}}
+	d.usageUpdatedAt = d.now
+	flood := func(n int) job.Submission {
+		s := aSecond(fmt.Sprint("flood-", n), "q")
+		s.Customer = "flood"
+		return s
+	}
+	n := 0
+	for d.admit(flood(n)).Accepted {
+		n++
+	}
+	assert.Assert(t, n > 0 && n < 10, "%d", n)
+	assert.Equal(t, d.admit(aSecond("1", "q")).Reason, admission.InTime)
+	assert.Assert(t, !d.admit(flood(n)).Accepted)
+}
--- a/services/scheduler/backlog.go
+++ b/services/scheduler/backlog.go
@@ -16,7 +16,7 @@
 type backlog struct {
 	at      time.Time
 	counted int // jobs that were counted
-	work    map[backlogKey]capacity.Work
+	loads   map[backlogKey]admission.Load
 }
 
 // slot returns the number of the step in which a latest start lies.
@@ -46,10 +46,10 @@
 // currentBacklog returns the backlog.
 func (p *Pool) currentBacklog(now time.Time) *backlog {
 	b := &p.backlog
-	if b.work != nil && now.Sub(b.at) < max(minBacklogSpacing, time.Duration(b.counted)*backlogSpacing) {
+	if b.loads != nil && now.Sub(b.at) < max(minBacklogSpacing, time.Duration(b.counted)*backlogSpacing) {
 		return b
 	}
-	*b = backlog{at: now, work: make(map[backlogKey]capacity.Work)}
+	*b = backlog{at: now, loads: make(map[backlogKey]admission.Load)}
 	for _, j := range p.active {
 		p.addBacklog(j, now)
 	}
@@ -59,19 +59,19 @@
 // addBacklog adds a job's waiting tasks to the backlog. Work that cannot be in time any more comes after
 // all that can.
 func (p *Pool) addBacklog(j *jobState, now time.Time) {
-	if p.backlog.work == nil || j.state.Final() || now.After(j.latestStart) {
+	if p.backlog.loads == nil || j.state.Final() || now.After(j.latestStart) {
 		return
 	}
 	p.backlog.counted++
-	if work := p.waitingWork(j, now); work != (capacity.Work{}) {
+	if load := p.waitingLoad(j, now); load != (admission.Load{}) {
 		key := backlogKey{j.sub.Customer, j.queue.Priority, p.backlog.slot(j.latestStart)}
-		p.backlog.work[key] = p.backlog.work[key].Plus(work)
+		p.backlog.loads[key] = p.backlog.loads[key].Plus(load)
 	}
 }
 
-// waitingWork returns the work of a job's waiting tasks, in the rounds that are due.
-func (p *Pool) waitingWork(j *jobState, now time.Time) capacity.Work {
-	var work capacity.Work
+// waitingLoad returns the load of a job's waiting tasks, in the rounds that are due.
+func (p *Pool) waitingLoad(j *jobState, now time.Time) admission.Load {
+	var load admission.Load
 	for n, r := range j.rounds {
 		if j.sub.RepeatCount > 0 && now.Before(p.due(j, n)) {
 			break
@@ -86,10 +86,11 @@
 			} else if waiting = r.steps[i].waiting; waiting > 0 {
 				each = p.expectedStepTime(j, &r.steps[i])
 			}
-			work = work.Plus(capacity.WorkOf(spec.Reservation().Times(waiting), each+p.runOverhead()))
+			size := spec.Reservation().Times(waiting)
+			load = load.Plus(admission.Load{Work: capacity.WorkOf(size, each+p.runOverhead()), Size: size})
 		}
 	}
-	return work
+	return load
 }
 
 // endDelay is the time from the end of a run until its capacity is used by another one, beside what
@@ -100,58 +101,57 @@
 // and sent first, which takes long on a slow store.
 func (p *Pool) runOverhead() time.Duration { return seconds(p.startDelay.value) + endDelay }
 
-// customerWork is the part of the backlog of one customer, or of all.
-type customerWork struct {
-	ahead  capacity.Work
-	behind map[int64]capacity.Work // by the latest start
+// customerLoad is the part of the backlog of one customer, or of all.
+type customerLoad struct {
+	ahead  admission.Load
+	behind map[int64]admission.Load // by the latest start
 }
 
-// add adds work that comes before a job or after it.
-func (c *customerWork) add(w capacity.Work, slot int64, before bool) {
+// add adds a load that comes before a job or after it.
+func (c *customerLoad) add(l admission.Load, slot int64, before bool) {
 	if before {
-		c.ahead = c.ahead.Plus(w)
+		c.ahead = c.ahead.Plus(l)
 		return
 	}
 	if c.behind == nil {
-		c.behind = make(map[int64]capacity.Work)
+		c.behind = make(map[int64]admission.Load)
 	}
-	c.behind[slot] = c.behind[slot].Plus(w)
+	c.behind[slot] = c.behind[slot].Plus(l)
 }
 
-// total returns all of the work.
-func (c *customerWork) total() capacity.Work {
+// total returns all of the load.
+func (c *customerLoad) total() admission.Load {
 	sum := c.ahead
-	for _, w := range c.behind {
-		sum = sum.Plus(w)
+	for _, l := range c.behind {
+		sum = sum.Plus(l)
 	}
 	return sum
 }
 
 // concerning returns the parts of the backlog that concern a job: of its customer, and of all customers.
 // Work of a lower priority gives way, and that of customers above their shares to those below.
-func (p *Pool) concerning(j *jobState, shares customerShares, now time.Time) (own, all customerWork) {
+func (p *Pool) concerning(j *jobState, shares customerShares, now time.Time) (own, all customerLoad) {
 	b := p.currentBacklog(now)
 	slot, priority := b.slot(j.latestStart), j.queue.Priority
-	for key, work := range b.work {
+	for key, load := range b.loads {
 		if key.priority > priority || shares.above[key.customer] && !shares.above[j.sub.Customer] {
 			continue
 		}
 		before := key.priority < priority || key.latestStart <= slot
-		all.add(work, key.latestStart, before)
+		all.add(load, key.latestStart, before)
 		if key.customer == j.sub.Customer {
-			own.add(work, key.latestStart, before)
+			own.add(load, key.latestStart, before)
 		}
 	}
 	return own, all
 }
 
-// due returns the work behind, in order of the waits after which it is in time. The backlog has the
-// given age.
-func (c *customerWork) due(age time.Duration) []admission.Due {
+// due returns the load behind, in order of the waits after which it is in time. The backlog has the given
+// age.
+func (c *customerLoad) due(age time.Duration) []admission.Due {
 	var list []admission.Due
-	for slot, work := range c.behind {
-		latest := time.Duration(slot+1)*backlogStep - age
-		list = append(list, admission.Due{Latest: latest, Work: work})
+	for slot, load := range c.behind {
+		list = append(list, admission.Due{Latest: time.Duration(slot+1)*backlogStep - age, Load: load})
 	}
 	slices.SortFunc(list, func(a, b admission.Due) int { return cmp.Compare(a.Latest, b.Latest) })
 	return list
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -50,6 +50,7 @@
 	}
 	p.lastCordonRequest = CordonRequest{Epoch: request.Epoch, Number: request.Number, Arriving: request.Arriving, Potential: request.Potential}
 	p.cordonsReceivedAt = now
+	p.noteFleet(request)
 	p.EndIncarnations(request.Ended, now)
 	newest := uint64(0)
 	wanted := make(map[worker.ID]bool, len(request.Workers))
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -75,6 +75,7 @@
 	startDelay      mean // from the plan of a run until its start is known, in seconds
 	policy          admission.Policy
 	backlog         backlog
+	fleetToldIn     uint64 // epoch of the holder of the role for instances that last told what it brings, 0 for none
 
 	dirty          []*jobState
 	ended          []endedJob            // oldest first, removed once expired
