--- a/services/owner/returns.go
+++ b/services/owner/returns.go
@@ -24,7 +24,7 @@
 
 // returnRequest returns a job as the book of promises has it.
 func (o *Owner) returnRequest(r admission.Request, part float64) returns.Request {
-	return returns.Request{Job: r.Job, Customer: r.Customer, Share: part, Work: r.Work, Remaining: r.Remaining}
+	return returns.Request{Job: r.Job, Customer: r.Customer, Share: part, Work: r.Load.Work, Remaining: r.Remaining}
 }
 
 // redeem reports whether a caller has returned in its second and the pool has capacity for its job.
