Fleet: instances are balanced although the best served pool has none to give

It goes on with the next best served pool.

TestBalancePassesOverPoolsWithoutInstancesToGive fails without it.

--- a/services/fleet/even.go
+++ b/services/fleet/even.go
@@ -23,14 +23,16 @@
 // lack instances and no other instances are available.
 func (v *view) balance() []*action {
 	var began []*action
+	without := make(map[string]bool) // pools without an instance to give
 	for {
-		from, to := v.unbalanced()
+		from, to := v.unbalanced(without)
 		if to == "" {
 			return began
 		}
 		i, found := v.emptiest(from, to)
 		if !found {
-			return began
+			without[from] = true
+			continue
 		}
 		a := v.begin(i, to, 0)
 		v.add(a)
@@ -38,8 +40,9 @@
 	}
 }
 
-// unbalanced returns the source and the destination pool of the next move, "" for none.
-func (v *view) unbalanced() (from, to string) {
+// unbalanced returns the source and the destination pool of the next move, "" for none. Pools without an
+// instance to give are no sources.
+func (v *view) unbalanced(without map[string]bool) (from, to string) {
 	least, most := 0.0, 0.0
 	for pool, p := range v.pools {
 		if v.supply(pool) >= p.hard {
@@ -50,7 +53,7 @@
 		}
 	}
 	for pool := range v.pools {
-		if pool == to || v.counts.leaving[pool] >= max(1, int(balancePart*float64(v.supply(pool)))) {
+		if pool == to || without[pool] || v.counts.leaving[pool] >= max(1, int(balancePart*float64(v.supply(pool)))) {
 			continue
 		}
 		if s := v.served(pool, -1); from == "" || s > most || s == most && pool < from {
--- a/services/fleet/outlook_test.go
+++ b/services/fleet/outlook_test.go
@@ -161,3 +161,24 @@
 	assert.NilError(t, err)
 	t.Logf("%d bytes of prospects; %d bytes of a worker, %d with the time until it is empty", len(message), len(report), len(longer))
 }
+
+// TestBalancePassesOverPoolsWithoutInstancesToGive guards against a surge that gets nothing while another
+// pool has far more than its part: the pool that is served best has long-running tasks on each of its
+// workers, apart from each other, and gives none.
+func TestBalancePassesOverPoolsWithoutInstancesToGive(t *testing.T) {
+	v := prospectsView(make([]time.Duration, 100), make([]time.Duration, 10), 0)
+	v.pools["rest"] = &poolState{report: scheduler.Report{Lasting: fleetSize, MinWorkers: 10}}
+	for n := range 10 {
+		i := port.Instance{Name: fmt.Sprint("rest", n), Pool: "rest", Condition: port.Up, Capacity: fleetSize, Worker: worker.ID(fmt.Sprint("w-rest", n))}
+		v.instances[i.Name] = i
+		r := &v.pools["rest"].report
+		r.Workers = append(r.Workers, scheduler.WorkerReport{ID: i.Worker, Instance: i.Name, Open: true, Lasting: 1})
+	}
+	v.pools["a"].report.Running = fleetSize.Times(100)
+	v.pools["b"].report.Required = fleetSize.Times(100)
+	moves := 0
+	for _, a := range v.plan() {
+		moves += btoi(a.from == "a" && a.to == "b")
+	}
+	assert.Assert(t, moves >= 20, "%d instances move", moves)
+}
