Workers: the time at which a cold worker will be warm, by this node's clock

A worker's entry states for how much longer it is slow from its start. The value was read and used nowhere. Entries repeat, so a reading may not count anew: the time is kept from the reading that first stated it, a remaining time that has risen means that the worker has turned cold again, an older entry read again changes nothing, and a restart under the same id begins anew.

Ruled out: the start time plus the warm-up, which is by another machine's clock and wrong for a worker that turns cold later.

--- a/models/worker/worker.go
+++ b/models/worker/worker.go
@@ -25,6 +25,8 @@
 	Draining   bool
 	Remaining  time.Duration // minimum time until it leaves, while it drains
 	WarmUp     time.Duration `cbor:"Cold"` // during which it is still slow after its start
+	ColdSince  time.Time     `cbor:"-"`    // by this node's clock, when it was first read that it is cold
+	WarmAt     time.Time     `cbor:"-"`    // by this node's clock, when it will be or became warm; zero if it has not been cold
 	StartedAt  int64         `cbor:"Born"` // start time, in milliseconds since 1970 by its machine's clock; 0 if the platform does not report it
 	Revision   uint64        // offset of the entry in the list
 }
--- a/node/node.go
+++ b/node/node.go
@@ -314,9 +314,11 @@
 	}
 	var current []worker.Worker
 	var removedIDs []worker.ID
+	now := n.Clock.Now()
 	n.mu.Lock()
+	before := n.workers
 	if complete {
-		clear(n.workers)
+		n.workers = make(map[worker.ID]worker.Worker, len(newest))
 		maps.DeleteFunc(n.knownStarts, func(id worker.ID, _ bool) bool { _, listed := newest[id]; return !listed })
 	}
 	for id, w := range newest {
@@ -328,8 +330,13 @@
 			removedIDs = append(removedIDs, id)
 			continue
 		}
-		n.workers[id] = *w
-		current = append(current, *w)
+		var earlier *worker.Worker
+		if known, has := before[id]; has {
+			earlier = &known
+		}
+		read := w.WithWarmUp(earlier, now)
+		n.workers[id] = read
+		current = append(current, read)
 	}
 	n.mu.Unlock()
 	for _, o := range n.ownerList() {
