Scheduler: cold workers get a growing share, and tasks that would be late there go elsewhere

Callers saw urgent jobs late after workers came back cold: those were taken for warm ones, and the run times on them spoiled what is expected of images and queues.

Now the pool learns by which factor tasks take longer on cold workers (prior 1.5, 1 to 5), keeps such runs out of the expected run times, expects the time by what is left of the warm-up, and gives a cold worker a share of its capacity that grows from the setting [placement] slow_start (0.5) to 1, against the mean of all. A task that can wait takes a cold worker that is used less than the others, any other a warm one where one has room, and one that would be late on a cold worker waits if a warm one is expected to be free in time. Nothing changes where no worker is cold.

--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -19,6 +19,8 @@
 	Platform NodePlatform `toml:"platform"`
 	Bounds   NodeBounds   `toml:"bounds"`
 	Log      Log          `toml:"log"`
+
+	Placement NodePlacement `toml:"placement"`
 }
 
 // NodeInfo identifies the node and describes its resources.
@@ -50,6 +52,22 @@
 	InstanceOrders   float64 `toml:"instance_orders_per_s"`
 }
 
+// NodePlacement holds how tasks are placed on workers.
+type NodePlacement struct {
+	SlowStart *float64 `toml:"slow_start"` // share of its capacity that a cold worker gets at its start, 1 for all of it; nil for the default
+}
+
+// defaultSlowStart is the share of its capacity that a cold worker gets at its start.
+const defaultSlowStart = 0.5
+
+// StartShare returns the share of its capacity that a cold worker gets at its start.
+func (p *NodePlacement) StartShare() float64 {
+	if p.SlowStart == nil {
+		return defaultSlowStart
+	}
+	return *p.SlowStart
+}
+
 // NodeBounds are the time bounds that the platform and the operators require of a node.
 type NodeBounds struct {
 	MaxLease            tomlfile.Duration `toml:"lease_most"`   // longest lease of the runs on a worker
@@ -109,6 +127,9 @@
 	c.checkMin("bounds", "grace", n.Bounds.ShutdownGrace, time.Millisecond)
 	c.checkMin("bounds", "contact_time", n.Bounds.ContactTime, 0)
 	c.checkMin("bounds", "config_time", n.Bounds.ConfigTime, 0)
+	if s := n.Placement.StartShare(); !(s >= 0 && s <= 1) {
+		c.addProblem("placement", 0, "slow_start", "%v is not allowed; allowed is 0 to 1", s)
+	}
 	return c.problems
 }
 
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -28,6 +28,20 @@
 grace = "6s"
 `
 
+// TestSlowStartSetting guards against a share of cold workers that is not checked, or whose default
+// replaces a share of 0.
+func TestSlowStartSetting(t *testing.T) {
+	for text, want := range map[string]float64{"": 0.5, "[placement]\nslow_start = 0.0": 0, "[placement]\nslow_start = 1.0": 1, "[placement]\nslow_start = 0.3": 0.3} {
+		n, err := ParseNode("node.toml", nodeFile+text)
+		assert.NilError(t, err)
+		assert.Equal(t, n.Placement.StartShare(), want)
+	}
+	for _, bad := range []string{"-0.1", "1.1", "nan"} {
+		_, err := ParseNode("node.toml", nodeFile+"[placement]\nslow_start = "+bad)
+		assert.ErrorContains(t, err, "is not allowed; allowed is 0 to 1", bad)
+	}
+}
+
 // TestOptionalNodeSettings checks the settings that a platform may leave out: the rates of the instance
 // API, and the bounds by which readings of the store may wait.
 func TestOptionalNodeSettings(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -205,7 +205,7 @@
 	o := &owner.Owner{
 		Pool: pool, Journal: j, Workers: n.Ports.Workers, Advisor: n.Ports.Advisor,
 		Limits: scheduler.Limits{
-			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown,
+			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown, SlowStart: n.Setting.Placement.StartShare(),
 		},
 		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count,
 	}
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -133,7 +133,7 @@
 		}
 		for t := range previous.tasks {
 			for _, u := range previous.tasks[t].runs {
-				remaining := p.expectedStepTime(previous.job, previous) - now.Sub(u.startedAt)
+				remaining := p.remainingTime(u, now)
 				if u.phase != running || remaining > adviceLead+previous.job.queue.Advice.CallTime {
 					return false
 				}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -326,7 +326,7 @@
 			p.stopRun(u, now, "its worker is being emptied")
 		}
 	case s.spec.Checkpointing && !s.spec.Gang:
-		remaining := p.expectedStepTime(u.job, s) - now.Sub(u.startedAt)
+		remaining := p.remainingTime(u, now)
 		if remaining > p.Limits.StopTime+minMoveGain {
 			p.stopRun(u, now, "its worker is being emptied, and it can continue elsewhere")
 		}
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -377,6 +377,8 @@
 	crashGivenUp   = "crash.given-up"  // a job was failed for its crashes
 
 	workerRestarted = "worker.restarted" // a worker has restarted under the same ID
+	workerCold      = "worker.cold"      // a worker is slow from its start
+	placedCold      = "place.cold"       // a task was placed on a cold worker
 	limitHeld       = "limit.held"       // tasks of a customer began to wait for one of its gangs
 )
 
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -48,6 +48,7 @@
 	p.withholdAll(now)
 	p.pruneActive()
 	p.updateUsage(now)
+	p.beginSlowStart(now)
 	list := p.candidates(now)
 	p.holdForGangs(list, now)
 	p.placeAll(list, now)
@@ -170,6 +171,9 @@
 			p.schedulePlan(t.failedAt.Add(retryElsewhereDelay), now)
 			continue
 		}
+		if p.awaitsWarm(c, t, w, now) {
+			continue
+		}
 		u := p.planRun(c.job, c.step, i, w, now)
 		p.logPlacement(c, u, now)
 	}
@@ -193,9 +197,12 @@
 
 func (p *Pool) logPlacement(c candidate, u *run, now time.Time) {
 	free := u.worker.free()
+	if u.worker.info.Cold(now) {
+		p.increment(placedCold)
+	}
 	p.Logger.Info().Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Uint64("batch", p.batch).Uint8("urgency", uint8(c.urgency)).Dur("slack", c.job.latestStart.Sub(now)).
-		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Msg("task placed")
+		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Bool("cold", u.worker.info.Cold(now)).Msg("task placed")
 }
 
 // chooseWorker returns the best worker for a task of a step, nil if none has capacity. Workers for
@@ -214,7 +221,7 @@
 		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) {
 			continue
 		}
-		score := p.score(c.step, w) - t.failureCost(w) - t.suspectCost(w)
+		score := p.score(c.step, w) + p.coldScore(c, w, now) - t.failureCost(w) - t.suspectCost(w)
 		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
@@ -251,7 +258,7 @@
 // canRun reports whether a task of a step may run on a worker now.
 func (p *Pool) canRun(s *stepState, w *workerState, now time.Time) bool {
 	switch {
-	case !s.suits(w, now), !s.spec.Reservation().FitsIn(w.free()):
+	case !s.suits(w, now), !p.hasRoom(w, s.spec.Reservation(), job.Size{}, now):
 		return false
 	case p.reserved[w] && p.reservedFor != s && !s.spec.LongRunning:
 		return false
@@ -399,7 +406,7 @@
 		w := p.chooseWorker(c, &c.step.tasks[i], now, func(w *workerState) bool {
 			limit := c.step.spec.MaxPerWorker
 			return rack != "" && !w.info.HasLabel(rack) || limit > 0 && c.step.runsByWorker[w]+count[w] >= limit ||
-				!size.Plus(taken[w]).FitsIn(w.free())
+				!p.hasRoom(w, size, taken[w], now)
 		})
 		if w == nil {
 			return nil
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -173,7 +173,7 @@
 	s.markGangDone(t)
 	p.clearFailures(u.worker)
 	if !u.restored && u.number == 1 && !u.startedAt.IsZero() {
-		p.recordRunTime(u.job, s, now.Sub(u.startedAt))
+		p.learnRunTime(u, now)
 	}
 	for _, o := range slices.Clone(t.runs) {
 		if o != u {
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -68,6 +68,7 @@
 	}
 	n := p.newWorker(w.info)
 	n.info.Draining, n.info.Remaining = false, 0
+	n.info.WarmUp, n.info.ColdSince, n.info.WarmAt = 0, time.Time{}, time.Time{}
 	n.listed, n.maintenanceSince, n.cordonBatch = w.listed, w.maintenanceSince, w.cordonBatch
 	n.info.Address = w.address()
 	if w.otherEntry != nil && w.otherEntry.StartedAt == listing.StartedAt {
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -64,6 +64,9 @@
 	checkedStart     int64          // start time that was listed but does not belong to the incarnation that responded
 	listedAt         time.Time      // when it last listed its runs
 	ackWithheld      bool           // the last poll could have acknowledged ends, but did not
+
+	slowdown  *slowdown // of cold workers of its pool
+	warmNoted bool      // it has been logged that it is warm
 }
 
 // maxClockDrift is how much slower than this node's clock a worker's clock may run.
@@ -155,6 +158,7 @@
 			Str("address", info.Address).Strs("labels", info.Labels).Int64("born", info.StartedAt).Uint64("revision", info.Revision).Msg("worker added")
 		p.pollIncarnations(w)
 		w.listed = true
+		p.noteWarmUp(w, worker.Worker{})
 		return true
 	}
 	if !p.checkStart(w, info) {
@@ -173,8 +177,10 @@
 			Uint64("revision", info.Revision).Msg("worker draining")
 		p.needsPlan = true
 	}
+	before := w.info
 	w.info, w.evacuated = info, p.evacuated.Has(info.DataCenter)
 	w.listed, w.respondedUnlisted = true, false
+	p.noteWarmUp(w, before)
 	return false
 }
 
@@ -197,7 +203,7 @@
 func (p *Pool) newWorker(info worker.Worker) *workerState {
 	return &workerState{
 		info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]ticket), cordoned: p.cordons[info.ID], tokenRaises: p.tokenRaises,
-		evacuated: p.evacuated.Has(info.DataCenter),
+		evacuated: p.evacuated.Has(info.DataCenter), slowdown: &p.slowdown,
 	}
 }
 
