Scheduler: what is left of a run of an earlier owner follows from its progress

A new owner took runs of an earlier one for just started when their workers were first polled, so that their ends were expected up to a whole run time too late: work moves off workers that are emptied, and the advice service is asked, by these ends. The list of runs says how much of its work each has done; a run of a minute at 75 percent is now expected to end after 15 s (60 s before), and after 14 s a second later.

What counts for crashes (the start of a run as it is known) is unchanged.

--- a/services/scheduler/cold.go
+++ b/services/scheduler/cold.go
@@ -77,9 +77,14 @@
 	return until.Sub(from) - cold + time.Duration(float64(cold)/w.slowdown.factor())
 }
 
-// remainingTime returns how long a run whose start is known is expected to run on.
+// remainingTime returns how long a run that its worker has listed is expected to run on. The start of a
+// run of an earlier owner is not known, but how much of its work is done.
 func (p *Pool) remainingTime(u *run, now time.Time) time.Duration {
-	return u.worker.timeFor(p.expectedStepTime(u.job, u.step())-u.worker.workDone(u.startedAt, now), now)
+	work, since := p.expectedStepTime(u.job, u.step()), u.startedAt
+	if u.restored && !u.step().spec.LongRunning {
+		work, since = work*time.Duration(fullPercent-u.percent)/fullPercent, u.progressedAt
+	}
+	return u.worker.timeFor(work-u.worker.workDone(since, now), now)
 }
 
 // effectiveCapacity returns the capacity of a worker with the speed that it has now.
