--- a/node/node.go
+++ b/node/node.go
@@ -207,7 +207,7 @@
 	o := &owner.Owner{
 		Pool: pool, Journal: j, Workers: n.Ports.Workers, Advisor: n.Ports.Advisor,
 		Limits: scheduler.Limits{
-			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown,
+			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown, SlowStart: n.Setting.Placement.StartShare(),
 		},
 		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
@@ -322,9 +322,11 @@
 	}
 	var current []worker.Worker
 	var removedIDs []worker.ID
+	now := n.Clock.Now()
 	n.mu.Lock()
+	before := n.workers
 	if complete {
-		clear(n.workers)
+		n.workers = make(map[worker.ID]worker.Worker, len(newest))
 		maps.DeleteFunc(n.knownStarts, func(id worker.ID, _ bool) bool { _, listed := newest[id]; return !listed })
 	}
 	for id, w := range newest {
@@ -336,8 +338,13 @@
 			removedIDs = append(removedIDs, id)
 			continue
 		}
-		n.workers[id] = *w
-		current = append(current, *w)
+		var earlier *worker.Worker
+		if known, has := before[id]; has {
+			earlier = &known
+		}
+		read := w.WithWarmUp(earlier, now)
+		n.workers[id] = read
+		current = append(current, read)
 	}
 	n.mu.Unlock()
 	for _, o := range n.ownerList() {
