Fleet: stuck orders are no capacity, and most of what arrives is told on time

While the platform was away (24.5 to 32.5 s) 17 to 38 instances were promised with each plan anew, as each try of an order counted from then; orders count from their first try now, and those that are due and not sent for three seconds are no capacity. And a list with many instances at one time became one change at the time of the last of them (17 instances within two seconds told, 77 came): a part ended at its last instance, and the next one, with the same time, joined it with all that follow. The change is by its part of the list or its time.

--- a/services/fleet/outlook.go
+++ b/services/fleet/outlook.go
@@ -34,7 +34,8 @@
 type arrival struct {
 	pool       string
 	maintained bool      // by a maintenance, else by a move
-	since      time.Time // when its order was sent, zero while its worker is being emptied
+	since      time.Time // when its order was first sent, zero before
+	dueSince   time.Time // since when its order is due, as its worker is empty, and was not sent; zero for not
 	ordered    bool      // since is known, and not only when it was first seen
 }
 
@@ -90,8 +91,21 @@
 			continue
 		}
 		c := arrival{pool: pool, maintained: a.to == ""}
-		if a.stage != emptying {
-			c.since, c.ordered = a.sent, true
+		before := v.coming[name]
+		if before.pool != c.pool || before.maintained != c.maintained {
+			before = arrival{}
+		}
+		switch {
+		case a.stage != emptying:
+			c.since, c.ordered = before.since, true
+			if !before.ordered {
+				c.since = a.sent
+			}
+		case v.emptyAfter(v.instances[name]) == 0:
+			c.dueSince = before.dueSince
+			if c.dueSince.IsZero() {
+				c.dueSince = v.now
+			}
 		}
 		next[name] = c
 	}
@@ -142,7 +156,11 @@
 func (v *view) servesAfter(name string, c arrival) (time.Duration, bool) {
 	takes := v.serveTime(c.maintained)
 	if c.since.IsZero() {
-		return v.emptyAfter(v.instances[name]) + takes, true
+		late := time.Duration(0)
+		if !c.dueSince.IsZero() {
+			late = v.now.Sub(c.dueSince)
+		}
+		return v.emptyAfter(v.instances[name]) + takes, late <= arrivalGiveUp
 	}
 	remaining := takes - v.now.Sub(c.since)
 	return max(remaining, minArrivalTime), remaining > -arrivalGiveUp
@@ -260,16 +278,21 @@
 // maxChanges is how many changes of its capacity a pool's owner is told of.
 const maxChanges = 8
 
+// changeStep is the step to which the times of changes are rounded up.
+const changeStep = 50 * time.Millisecond
+
 // summarize returns a few changes in place of many, none of them earlier than the capacity that it
 // stands for.
 func summarize(list []capacity.Change) []capacity.Change {
+	for n := range list {
+		list[n].After = (list[n].After + changeStep - 1).Truncate(changeStep)
+	}
 	slices.SortFunc(list, func(a, b capacity.Change) int { return int(a.After - b.After) })
 	var few []capacity.Change
 	for n, c := range list {
-		c.After = c.After.Round(time.Millisecond)
 		last := len(few) - 1
-		group := func(n int) int { return n * maxChanges / len(list) }
-		if last >= 0 && (few[last].After == c.After || group(n) == group(n-1)) {
+		// A change stands for its part of the list at least, and for all that come at its time.
+		if last >= 0 && (few[last].After == c.After || n*maxChanges < (last+1)*len(list)) {
 			few[last] = capacity.Change{After: c.After, Size: few[last].Size.Plus(c.Size)}
 			continue
 		}
--- a/services/fleet/outlook_test.go
+++ b/services/fleet/outlook_test.go
@@ -110,6 +110,46 @@
 	assert.Equal(t, v.serveTime(false), typicalMoveTime+time.Duration(observedWeight*float64(3*time.Second+arrivalGiveUp-typicalMoveTime)))
 }
 
+// TestStuckOrdersAreNoCapacity guards against instances that are promised again with each plan while their
+// orders are not carried out: a platform that is away answers none, and a holder that is cut off from the
+// store sends none.
+func TestStuckOrdersAreNoCapacity(t *testing.T) {
+	v := prospectsView([]time.Duration{0, 0}, []time.Duration{0}, 0)
+	v.actions["a0"] = &action{instance: "a0", worker: "w-a0", from: "a", to: "b"}
+	v.actions["a1"] = &action{instance: "a1", worker: "w-a1", from: "a", to: "b", stage: ordered, sent: v.now}
+	began := v.now
+	for v.now.Sub(began) <= typicalMoveTime+arrivalGiveUp+period {
+		v.actions["a1"].sent = v.now
+		v.count()
+		v.foresee()
+		if v.now.Sub(began) < arrivalGiveUp {
+			assert.Equal(t, sum(v.prospects["b"].arriving, time.Hour), 2.0)
+		}
+		v.now = v.now.Add(period)
+	}
+	assert.Equal(t, sum(v.prospects["b"].arriving, time.Hour), 0.0)
+}
+
+// TestSummaryKeepsWhenMostArrives guards against capacity that is told as late as the last of many
+// instances: those that arrive at the same time are one change, and the others at most as many as a
+// message carries.
+func TestSummaryKeepsWhenMostArrives(t *testing.T) {
+	var list []capacity.Change
+	for n := range 100 {
+		after := 1900 * time.Millisecond
+		if n >= 60 {
+			after += time.Duration(n-60) * 25 * time.Millisecond
+		}
+		list = append(list, capacity.Change{After: after, Size: fleetSize})
+	}
+	few := summarize(list)
+	assert.Assert(t, len(few) <= maxChanges, "%d changes", len(few))
+	assert.Equal(t, sum(few, 1900*time.Millisecond), 61.0)
+	assert.Assert(t, sum(few, 2500*time.Millisecond) >= 73, "%v", few)
+	assert.Equal(t, sum(few, 3*time.Second), 100.0)
+	assert.Equal(t, sum(few, 1800*time.Millisecond), 0.0)
+}
+
 // TestPotentialIsDividedByWhatPoolsLack guards against instances that are promised to several pools at
 // once, and against a pool that is told of none while some are free.
 func TestPotentialIsDividedByWhatPoolsLack(t *testing.T) {
