Admission: a return before the caller's time limit, and less room kept idle for returns

Causes: a return at the limit itself cannot be answered in time, and the promise took the customer's turn; the work of returns due within a second held first calls back although the pool is idle until they come. Now an answer's time (100 ms) is left before the limit, work counts as ahead 100 ms before it is due, and a job may use the rest of a second's room and go on in the next.

--- a/services/admission/returns/book.go
+++ b/services/admission/returns/book.go
@@ -29,11 +29,14 @@
 	// lateTolerance is how much later than promised a caller may come. One that has come early is told the
 	// rest of its time in whole seconds, so that it comes up to a second late.
 	lateTolerance = 1250 * time.Millisecond
+	// answerTime is the time from a return until its answer has arrived.
+	answerTime = 100 * time.Millisecond
 	// rememberMissed is how long a missed promise is remembered, so that a late return can be told from a
 	// first call.
 	rememberMissed = 5 * time.Second
-	// dueSoon is the time before a promised return from which its work counts as ahead of others.
-	dueSoon = time.Second
+	// dueSoon is the time before a promised return from which its work counts as ahead of others. What it
+	// takes in the time until then would be idle for its sake.
+	dueSoon = 100 * time.Millisecond
 	// overdue is the time after a promised return from which its work counts no longer.
 	overdue = 250 * time.Millisecond
 )
@@ -52,6 +55,13 @@
 // within their shares, and for the time between two runs on a worker.
 const promisedPart = 0.8
 
+// minFirstPart is the least part of a job's work, or of what a second takes of it, that fits in the second
+// of its return.
+const minFirstPart = 0.5
+
+// roundingError is a part of a job's work that counts as none.
+const roundingError = 1e-9
+
 // workSlack is by how much the work of a returning job may exceed the promised one: expected run times
 // change in the meantime.
 const workSlack = 1.25
@@ -192,15 +202,19 @@
 	if c.count >= maxOfCustomer {
 		return Promise{Result: NoSecond, After: Horizon}
 	}
-	for after := max(wholeSeconds(earliest), time.Second); after <= Horizon; after += time.Second {
+	for after := max(wholeSeconds(min(earliest, 2*Horizon)), time.Second); after <= Horizon; after += time.Second {
 		at := now.Add(after)
-		if at.Unix() < c.next.Unix() || !b.fits(r.Work, at.Unix(), room, now) {
+		if at.Unix() < c.next.Unix() {
+			continue
+		}
+		parts := b.fit(r.Work, at.Unix(), room, now)
+		if parts == nil {
 			continue
 		}
 		if r.endsBefore(after) {
 			return Promise{Result: LimitEnds}
 		}
-		b.add(&promise{job: r.Job, customer: r.Customer, work: r.Work, at: at}, c, room, now)
+		b.add(&promise{job: r.Job, customer: r.Customer, work: r.Work, parts: parts, at: at}, c)
 		c.advance(r, time.Unix(at.Unix(), 0), room)
 		return Promise{After: after, InSecond: b.seconds[at.Unix()].promised}
 	}
@@ -210,8 +224,10 @@
 	return Promise{Result: NoSecond, After: Horizon}
 }
 
-// endsBefore reports whether the caller's time limit ends before a time from now.
-func (r *Request) endsBefore(after time.Duration) bool { return r.Remaining > 0 && r.Remaining < after }
+// endsBefore reports whether the caller's time limit ends before a return after a time can be answered.
+func (r *Request) endsBefore(after time.Duration) bool {
+	return r.Remaining > 0 && r.Remaining < after+answerTime
+}
 
 // Redeem returns how a call relates to the promises. A promise that is kept is used up, and the call is to
 // be accepted. A job of another customer, or one with more work than was promised, is unknown.
@@ -273,40 +289,59 @@
 // Len returns how many promises the book holds.
 func (b *Book) Len() int { return len(b.promises) }
 
-// fits reports whether the room of a second, and of those after it for a job that exceeds a second's
-// room, suffices for a job beside what is promised.
-func (b *Book) fits(work capacity.Work, unix int64, room capacity.Outlook, now time.Time) bool {
-	for range maxSpan {
+// fit divides work over a second and those after it by the room that they have beside what is promised. It
+// returns nothing if less than half of the work, or of what a second takes, fits in the first, or if it is
+// interrupted.
+func (b *Book) fit(work capacity.Work, unix int64, room capacity.Outlook, now time.Time) []capacity.Work {
+	var parts []capacity.Work
+	for left := 1.0; len(parts) < maxSpan; unix++ {
 		limit := roomOf(unix, room, now)
-		part := work.Min(limit)
-		if s := b.seconds[unix]; s != nil && exceeds(s.promised.Plus(part), limit) {
-			return false
+		free := limit
+		if s := b.seconds[unix]; s != nil {
+			free = less(limit, s.promised)
+		}
+		part := min(left, partIn(work, free))
+		least := 0.0
+		if parts == nil {
+			least = min(minFirstPart, minFirstPart*partIn(work, limit))
+		}
+		if part <= least {
+			return nil
 		}
-		if work = less(work, part); work == (capacity.Work{}) {
-			return true
+		parts = append(parts, work.Scale(part))
+		if left -= part; left < roundingError {
+			return parts
 		}
-		unix++
 	}
-	return false
+	return nil
 }
 
-// add adds a promise that fits.
-func (b *Book) add(p *promise, c *customer, room capacity.Outlook, now time.Time) {
+// partIn returns which part of work fits in free room, 1 at most.
+func partIn(work, free capacity.Work) float64 {
+	part := 1.0
+	for _, of := range [][2]float64{{work.CPU, free.CPU}, {work.MemoryMB, free.MemoryMB}, {work.Accelerators, free.Accelerators}} {
+		if of[0] > of[1] {
+			part = min(part, of[1]/of[0])
+		}
+	}
+	return part
+}
+
+// add adds a promise.
+func (b *Book) add(p *promise, c *customer) {
 	if b.promises == nil {
 		b.promises, b.seconds, b.customers = make(map[job.ID]*promise), make(map[int64]*second), make(map[string]*customer)
 	}
 	b.promises[p.job], b.customers[p.customer] = p, c
 	c.count++
 	first := p.at.Unix()
-	for unix, left := first, p.work; unix == first || left != (capacity.Work{}); unix++ {
-		s := b.seconds[unix]
+	for n, part := range p.parts {
+		s := b.seconds[first+int64(n)]
 		if s == nil {
 			s = &second{}
-			b.seconds[unix] = s
+			b.seconds[first+int64(n)] = s
 		}
-		part := left.Min(roomOf(unix, room, now))
-		p.parts = append(p.parts, part)
-		s.promised, left = s.promised.Plus(part), less(left, part)
+		s.promised = s.promised.Plus(part)
 	}
 	b.seconds[first].promises = append(b.seconds[first].promises, p)
 }
--- a/services/admission/returns/book_test.go
+++ b/services/admission/returns/book_test.go
@@ -178,6 +178,17 @@
 	assert.Equal(t, b.Promise(r, 0, room, start).Result, Promised)
 }
 
+// TestTimeThatIsNotKnownIsNotPromised guards against promises for a job of which nobody knows when it would
+// be in time, and for one that the room never takes.
+func TestTimeThatIsNotKnownIsNotPromised(t *testing.T) {
+	var b Book
+	assert.Equal(t, b.Promise(request(1, "a"), capacity.Never, room, start), Promise{Result: NoSecond, After: Horizon})
+	memory := request(2, "a")
+	memory.Work.MemoryMB = 1
+	assert.Equal(t, b.Promise(memory, 0, room, start), Promise{Result: NoSecond, After: Horizon})
+	assert.Equal(t, b.Len(), 0)
+}
+
 // TestReleasedPlaceIsPromisedAgain guards against places that stay taken after their job was accepted
 // otherwise.
 func TestReleasedPlaceIsPromisedAgain(t *testing.T) {
@@ -204,3 +215,18 @@
 		assert.Equal(t, Remaining(ctx), time.Duration(1))
 	})
 }
+
+// BenchmarkPromise refuses a job with a full book, as an owner does for each call of a flood.
+func BenchmarkPromise(b *testing.B) {
+	var book Book
+	large := capacity.New(start, job.Size{CPU: 1e6}, job.Size{})
+	for i := range maxPromises {
+		book.Promise(request(i, fmt.Sprint(i%5)), 0, large, start)
+	}
+	for n := 0; b.Loop(); n++ {
+		r := request(maxPromises+n, "0")
+		book.Redeem(r, start)
+		book.Reserved("0", start)
+		book.Promise(r, 0, large, start)
+	}
+}
--- a/services/owner/returns_test.go
+++ b/services/owner/returns_test.go
@@ -30,13 +30,20 @@
 type manner int
 
 const (
-	leave manner = iota // nothing
-	obey                // they come back after Retry-After, with the same id
-	flood               // they submit the same work with a new id, at once and again and again
+	leave   manner = iota // nothing
+	obey                  // they come back after Retry-After, with the same id
+	flood                 // they submit the same work with a new id, at once and again and again
+	limited               // as obey, within callerLimit of their first call
 )
 
-// floodGap is the time between two submissions of a caller that floods.
-const floodGap = 50 * time.Millisecond
+// callerLimit is the time limit of callers that state one.
+const callerLimit = 3 * time.Second
+
+// A caller that floods submits again and again, with a gap, for a time.
+const (
+	floodGap = 50 * time.Millisecond
+	floodFor = 5 * time.Second
+)
 
 // served counts the callers of one manner.
 type served struct {
@@ -130,10 +137,13 @@
 
 // call submits a job, and again after a refusal as callers of its manner do.
 func (u *surge) call(m manner, s job.Submission) {
-	until := time.Now().Add(5 * time.Second)
+	first, ctx := time.Now(), u.t.Context()
+	if m == limited {
+		ctx = returns.WithTimeLimit(ctx, first.Add(callerLimit))
+	}
 	for try := 0; ; try++ {
 		began := time.Now()
-		err := u.owner.Submit(u.t.Context(), s)
+		err := u.owner.Submit(ctx, s)
 		u.add(m, func(v *served) { v.tries++ })
 		if err == nil {
 			u.await(m, s.ID, began, try > 0)
@@ -146,7 +156,9 @@
 		switch {
 		case m == obey && try < maxReturns && after > 0:
 			time.Sleep(after + 10*time.Millisecond)
-		case m == flood && time.Now().Before(until):
+		case m == limited && after > 0 && time.Since(first)+after < callerLimit:
+			time.Sleep(after + 10*time.Millisecond)
+		case m == flood && time.Since(first) < floodFor:
 			time.Sleep(floodGap)
 			s = u.job()
 		default:
@@ -205,12 +217,24 @@
 	})
 }
 
+// TestCallersWithATimeLimitAreInTimeAfterTheirReturn guards against callers that come back in vain before
+// they give up. Pattern: three times the load for 24 s,
+// then a thirteenth of it; each caller gives up 3 s after its first call.
+func TestCallersWithATimeLimitAreInTimeAfterTheirReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		without := serveSurge(t, 24*time.Second, false, limited).by[limited]
+		with := serveSurge(t, 24*time.Second, true, limited).by[limited]
+		assert.Assert(t, with.returnedInTime > 2*without.returnedInTime, "%+v, without promises %+v", with, without)
+		assert.Assert(t, with.inTime*100 > without.inTime*85, "%+v, without promises %+v", with, without)
+	})
+}
+
 // TestPlacesOfCallersThatLeaveAreUsed guards against capacity that is kept for callers who do not come
-// back. Pattern: as above, and nobody comes back.
+// back. Pattern: three times the load for 24 s, and nobody comes back.
 func TestPlacesOfCallersThatLeaveAreUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		without := serveSurge(t, 40*time.Second, false, leave).by[leave]
-		with := serveSurge(t, 40*time.Second, true, leave).by[leave]
+		without := serveSurge(t, 24*time.Second, false, leave).by[leave]
+		with := serveSurge(t, 24*time.Second, true, leave).by[leave]
 		assert.Assert(t, with.inTime*100 > without.inTime*85, "%d, without promises %d", with.inTime, without.inTime)
 	})
 }
