--- a/services/admission/returns/book_test.go
+++ b/services/admission/returns/book_test.go
@@ -224,7 +224,7 @@
 	for n := 0; b.Loop(); n++ {
 		r := request(maxPromises+n, "0")
 		book.Redeem(r, start)
-		book.Reserved("0", start)
+		book.Reserved(start)
 		book.Promise(r, 0, large, start)
 	}
 }
