--- a/services/admission/returns/book_test.go
+++ b/services/admission/returns/book_test.go
@@ -216,17 +216,19 @@
 	})
 }
 
-// BenchmarkPromise refuses a job with a full book, as an owner does for each call of a flood.
+// BenchmarkPromise refuses a job with a full book whose promises are all due, as an owner does for each call
+// of a flood.
 func BenchmarkPromise(b *testing.B) {
 	var book Book
 	large := capacity.New(start, job.Size{CPU: 1e6}, job.Size{})
 	for i := range maxPromises {
 		book.Promise(request(i, fmt.Sprint(i%5)), 0, large, start)
 	}
+	due := start.Add(time.Second)
 	for n := 0; b.Loop(); n++ {
 		r := request(maxPromises+n, "0")
-		book.Redeem(r, start)
-		book.Reserved("0", start)
-		book.Promise(r, 0, large, start)
+		book.Redeem(r, due)
+		book.Reserved("0", due)
+		book.Promise(r, 0, large, due)
 	}
 }
