--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -30,8 +30,8 @@
 //     is named, otherwise a share of all partitions that pools and the role for instances may be
 //     written to), history (old records are dropped);
 //   - wave, limits (of the customers, to a share of the original ones), orders-lost (a share of the
-//     responses of instance control), evacuate (the data centre of the rack with the number that Worker
-//     states), relist (of ended incarnations), cancel (of the jobs of a pool),
+//     responses of instance control), evacuate and cold (the data centre of the rack with the number that
+//     Worker states), relist (of ended incarnations), cancel (of the jobs of a pool),
 //     silence (of all open connections between nodes).
 type scriptEvent struct {
 	At     tomlfile.Duration `toml:"at"`
@@ -95,6 +95,8 @@
 		dataCenter := world.DataCenter(fmt.Sprintf("r-%d", e.Worker))
 		st.world.Evacuate(dataCenter)
 		time.AfterFunc(e.For.Std(), func() { st.world.EndEvacuation(dataCenter) })
+	case "cold":
+		st.world.TurnCold(world.DataCenter(fmt.Sprintf("r-%d", e.Worker)), e.For.Std())
 	case "limits":
 		st.configure(e.Share)
 	case "history":
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -209,6 +209,11 @@
 
 // runScript runs a script with a fake clock of its own.
 func runScript(t *testing.T, s script) {
+	watchScript(t, s, func(*scenario) { time.Sleep(s.Until.Std()) })
+}
+
+// watchScript runs a script for as long as a function that watches it.
+func watchScript(t *testing.T, s script, watch func(st *scenario)) {
 	synctest.Test(t, func(t *testing.T) {
 		st := &scenario{
 			t: t, script: s, world: world.New(s.Seed), began: time.Now(), jobOwners: make(map[string]map[job.ID]string),
@@ -222,7 +227,7 @@
 		for _, e := range s.Events {
 			time.AfterFunc(e.At.Std(), func() { st.applyEvent(e) })
 		}
-		time.Sleep(s.Until.Std())
+		watch(st)
 		st.verify()
 		cancel()
 		for _, n := range st.nodes {
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -37,6 +37,7 @@
 	ends           []worker.EndedRun
 	lastSequence   int
 	voidEnds       int       // ends up to this sequence number are never acknowledged
+	coldUntil      time.Time // until when it is slow from its start
 	harmedSince    time.Time // since when backfill tasks keep a serving task over its latency objective
 	changed        chan struct{}
 	deferred       []func() // orders that wait until the fault ends
@@ -94,6 +95,7 @@
 
 // writeEntry writes a worker's own entry. The caller holds w.mu.
 func (w *World) writeEntry(o *Worker) {
+	o.info.WarmUp = max(time.Until(o.coldUntil), 0)
 	w.partition(workersPartition).add([]port.Record{{Key: string(o.info.ID), Value: encodeWorker(o.info)}})
 }
 
@@ -263,10 +265,45 @@
 		return 0
 	case o.Slowdown > 0:
 		return 1 / o.Slowdown
+	case time.Now().Before(o.coldUntil):
+		return 1 / coldSlowdown
 	}
 	return 1
 }
 
+// coldSlowdown is the factor by which work takes longer on a cold worker.
+const coldSlowdown = 2.5
+
+// TurnCold makes the workers of a data centre slow for a while, which they state in their entries.
+func (w *World) TurnCold(dataCenter string, lasts time.Duration) {
+	for _, id := range w.workersIn(dataCenter) {
+		w.ChangeWorker(id, func(o *Worker) {
+			o.coldUntil = time.Now().Add(lasts)
+			w.writeEntry(o)
+		})
+		time.AfterFunc(lasts, func() {
+			w.ChangeWorker(id, func(o *Worker) {
+				if !o.gone {
+					w.writeEntry(o)
+				}
+			})
+		})
+	}
+}
+
+// workersIn returns the running workers of a data centre.
+func (w *World) workersIn(dataCenter string) []worker.ID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []worker.ID
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if o := w.workers[id]; !o.gone && o.info.DataCenter == dataCenter {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // expireLease ends all runs if the lease has expired; ends that were not acknowledged by
 // then never are. The caller holds w.mu.
 func (o *Worker) expireLease() {
