--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -56,6 +56,7 @@
 
 // NodePlacement holds how tasks are placed on workers.
 type NodePlacement struct {
+	Ahead     string   `toml:"ahead"`      // PlaceAheadAuto, the default, or PlaceAheadOff
 	SlowStart *float64 `toml:"slow_start"` // share of its capacity that a cold worker gets at its start, 1 for all of it; nil for the default
 }
 
@@ -101,6 +102,12 @@
 
 var admissionPolicies = []string{AdmissionAuto, AdmissionOverload, AdmissionCompletion}
 
+// Whether tasks are placed on workers that will have room soon.
+const (
+	PlaceAheadAuto = "auto" // while the store is slow
+	PlaceAheadOff  = "off"
+)
+
 // ParseNode parses and checks the settings file of a node.
 func ParseNode(file, data string) (Node, error) {
 	n := Node{Admission: NodeAdmission{AdmissionAuto}}
@@ -139,6 +146,9 @@
 	}
 	c.checkRange("listen", "node_port", n.Listen.NodePort, maxPort)
 	c.checkRange("platform", "partitions", n.Platform.Partitions, maxPartitions)
+	if a := n.Placement.Ahead; a != "" && a != PlaceAheadAuto && a != PlaceAheadOff {
+		c.addProblem("placement", 0, "ahead", "%q is not allowed; allowed are %q and %q", a, PlaceAheadAuto, PlaceAheadOff)
+	}
 	c.checkMin("bounds", "lease_most", n.Bounds.MaxLease, time.Millisecond)
 	c.checkMin("bounds", "grace", n.Bounds.ShutdownGrace, time.Millisecond)
 	c.checkMin("bounds", "contact_time", n.Bounds.ContactTime, 0)
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -73,3 +73,14 @@
 	_, err = ParseNode("node.toml", nodeFile+"[admission]\npolicy = \"complete\"\n")
 	assert.ErrorContains(t, err, `node.toml:16: admission.policy: "complete" is not allowed; allowed are auto, overload, completion`)
 }
+
+// TestPlaceAheadSetting guards against a misspelt setting that leaves placing ahead turned on.
+func TestPlaceAheadSetting(t *testing.T) {
+	for _, ahead := range []string{PlaceAheadAuto, PlaceAheadOff} {
+		n, err := ParseNode("node.toml", nodeFile+"[placement]\nahead = \""+ahead+"\"\n")
+		assert.NilError(t, err)
+		assert.Equal(t, n.Placement.Ahead, ahead)
+	}
+	_, err := ParseNode("node.toml", nodeFile+"[placement]\nahead = \"of\"\n")
+	assert.ErrorContains(t, err, `allowed are "auto" and "off"`)
+}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -23,6 +23,7 @@
 	Retention    time.Duration // how long the state of a finished job stays available
 	RemoteFactor float64       // factor by which a task takes longer away from its data
 	SlowStart    float64       // share of its capacity that a cold worker gets at its start
+	NoAhead      bool          // nothing is placed ahead while the store is slow
 }
 
 // Pool is the state of one pool; it is not safe for concurrent use.
@@ -70,6 +71,7 @@
 
 	slowdown        slowdown // of cold workers
 	slowStart       slowStart
+	ahead           ahead
 	allowances      allowances
 	usageByCustomer map[string]usage // averaged use of the pool, by customer
 	usageUpdatedAt  time.Time        // last update of the averages
