--- a/services/scheduler/ahead.go
+++ b/services/scheduler/ahead.go
@@ -213,8 +213,9 @@
 	w := u.worker
 	w.held = slices.DeleteFunc(w.held, func(o *run) bool { return o == u })
 	u.held = false
+	u.step().held--
 	w.used = w.used.Plus(u.size)
-	u.progressedAt = now
+	u.progressedAt, u.plannedAt = now, now
 	p.Logger.Info().Str("event", "ahead").Str("task", u.name).Int("run", u.number).Str("worker", string(w.info.ID)).
 		Dur("held", now.Sub(u.heldSince)).Dur("confirmed", now.Sub(p.ahead.confirmedAt)).Str("outcome", "sent").Msg("held order is sent")
 	p.increment(aheadSent)
--- a/services/scheduler/backlog.go
+++ b/services/scheduler/backlog.go
@@ -83,7 +83,7 @@
 			}
 			if r == nil {
 				each = p.expectedRunTime(j.sub.Queue, spec)
-			} else if waiting = r.steps[i].waiting; waiting > 0 {
+			} else if waiting = r.steps[i].waiting + r.steps[i].held; waiting > 0 {
 				each = p.expectedStepTime(j, &r.steps[i])
 			}
 			size := spec.Reservation().Times(waiting)
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -52,6 +52,7 @@
 	spec          *job.Step
 	tasks         []taskState
 	waiting       int // tasks that are not done and have no run
+	held          int // runs placed ahead whose workers have no room yet
 	done          int
 	runTimes      mean                 // run times of its finished tasks, in seconds
 	runsByWorker  map[*workerState]int // active runs by worker, where their number is limited
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -120,6 +120,7 @@
 	}
 	u.worker.runs[u.name] = u
 	if u.held {
+		s.held++
 		u.worker.held = append(u.worker.held, u)
 	} else {
 		u.worker.used = u.worker.used.Plus(u.size)
@@ -159,6 +160,7 @@
 	}
 	delete(u.worker.runs, u.name)
 	if u.held {
+		s.held--
 		u.worker.held = slices.DeleteFunc(u.worker.held, func(o *run) bool { return o == u })
 	} else {
 		u.worker.used = u.worker.used.Minus(u.size)
