Admission: all customers' work counts, and room is kept for those within their shares

Each customer was asked against its own share, with the others' work left out where they were above theirs; with many customers, whose use moves around small shares, the parts add up to more than the pool. And with instances always on their way to some pool, the rule for what the fleet is bringing applied without end.

Now one account of all customers' work decides, and the part of a job's longest wait that is planned for goes by what its customer uses of its share: 0.7 for none, 0.4 for its share, 0.1 for twice that. The difference stays free for the others, so a flood finds the pool full before they do. Instances on their way alone no longer excuse more than the planned part; instances that could still be requested do.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -48,11 +48,13 @@
 
 // State is what is known of a pool when a job is submitted; it is immutable.
 type State struct {
-	// Share is the pool's capacity, with the work that concerns the job within its customer's share.
-	Share Lane
+	// Pool is the pool's capacity, with the work of all customers.
+	Pool Lane
 	// Limit is the capacity that the customer's limit and allowance permit, with the customer's own
 	// work. Its zero value means no limit.
 	Limit Lane
+	// ShareUsed is what the customer has used of the pool lately, as a multiple of its share.
+	ShareUsed float64
 	// FleetKnown reports whether the role for instances has told what it brings and could bring.
 	FleetKnown bool
 	// FleetAge is the age of that report.
@@ -71,7 +73,7 @@
 	if r == OverLimit {
 		return s.Limit.Ahead
 	}
-	return s.Share.Ahead
+	return s.Pool.Ahead
 }
 
 // Reason says why a job is accepted or refused.
--- a/services/admission/completion.go
+++ b/services/admission/completion.go
@@ -20,37 +20,58 @@
 // start of the next one, its end is reported and the start is persisted and sent.
 const usableCapacity = 0.9
 
-// plannedPart is the part of a job's longest wait that is planned for it. The rest is for what is not
-// foreseen: run times differ from what is expected, and other customers submit work.
-const plannedPart = 0.5
+// The parts of the longest wait of jobs that are planned for. The rest is for what is not foreseen: run
+// times differ from what is expected, and later jobs come first.
+const (
+	// partOfNewcomer is the part for a customer that has used nothing of the pool lately: what it submits
+	// is placed first.
+	partOfNewcomer = 0.7
+	// plannedPart is the part for a customer that uses its share of the pool.
+	plannedPart = 0.4
+	// partAboveShare is the part for a customer that uses twice its share or more: the difference stays
+	// free for the others.
+	partAboveShare = 0.1
+	// keptPart is the part that accepted work keeps.
+	keptPart = 0.5
+)
 
 func decideByCompletion(r Request, s State) Decision {
-	if !s.FleetKnown || s.Share.Outlook.TimeFor(r.Load.Work) == capacity.Never {
+	if !s.FleetKnown || s.Pool.Outlook.TimeFor(r.Load.Work) == capacity.Never {
 		return decideByOverload(r, s)
 	}
 	r.Latest -= s.StartDelay
-	d := s.Share.decide(r, Late)
+	d := s.Pool.decide(r, plannedFor(s.ShareUsed), Late)
 	if !d.Accepted || s.Limit.Outlook.TimeFor(r.Load.Work) == capacity.Never {
 		return d
 	}
-	if limited := s.Limit.decide(r, OverLimit); !limited.Accepted {
+	if limited := s.Limit.decide(r, plannedPart, OverLimit); !limited.Accepted {
 		return limited
 	}
 	return d
 }
 
-// decide decides by one lane; late is the reason if the job would wait for too long.
-func (l Lane) decide(r Request, late Reason) Decision {
-	load, longest := l.Ahead.Plus(r.Load), partOf(r.Latest, plannedPart)
+// plannedFor returns the part of the longest wait that is planned for a customer by what it uses of its
+// share.
+func plannedFor(shareUsed float64) float64 {
+	if shareUsed < 1 {
+		return partOfNewcomer - shareUsed*(partOfNewcomer-plannedPart)
+	}
+	return plannedPart - min(shareUsed-1, 1)*(plannedPart-partAboveShare)
+}
+
+// decide decides by one lane. The job may wait for a part of its longest wait; late is the reason if it
+// would for more.
+func (l Lane) decide(r Request, part float64, late Reason) Decision {
+	load, longest := l.Ahead.Plus(r.Load), partOf(r.Latest, part)
 	if timeFor(l.Outlook, r.Load) > r.Latest {
 		// It is not in time on an idle pool either: it must be of some value after what comes before it.
-		load, longest = l.Ahead, partOf(r.Useful, plannedPart)
+		load, longest = l.Ahead, partOf(r.Useful, part)
 	}
 	wait := timeFor(l.Outlook, load)
 	if l.Ahead == (Load{}) || fits(l.Outlook, load, longest) {
 		wait = min(wait, longest) // nothing is gained by a return
 	}
-	over := max(excess(wait, longest), l.displaces(l.Outlook, r.Load, plannedPart))
+	over := max(excess(wait, longest), l.displaces(l.Outlook, r.Load, keptPart))
 	switch {
 	case over == 0:
 		return Decision{Accepted: true, Reason: InTime, Wait: wait}
@@ -78,7 +99,11 @@
 		return false
 	}
 	all := capacity.New(o.At(), o.Serving(capacity.Never), o.Free(capacity.Never))
-	return timeFor(all, load) <= r.Latest && l.displaces(all, r.Load, 1) == 0
+	part := plannedPart
+	if o.Potential() != (job.Size{}) {
+		part = 1
+	}
+	return timeFor(all, load) <= partOf(r.Latest, part) && l.displaces(all, r.Load, part) == 0
 }
 
 // partOf returns a part of a duration.
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -99,7 +99,7 @@
 	ahead := state.Ahead(d.Reason).Work
 	o.Logger.Info().Str("event", "admission").Str("job", string(s.ID)).Str("queue", s.Queue).Str("customer", s.Customer).
 		Float64("ahead_cpu_s", ahead.CPU).Float64("ahead_memory_mb_s", ahead.MemoryMB).Float64("own_cpu_s", request.Load.Work.CPU).
-		Dur("wait", d.Wait).Dur("slack", request.Latest).Dur("after", d.After).Dur("outlook_age", now.Sub(state.Share.Outlook.At())).
+		Dur("wait", d.Wait).Dur("slack", request.Latest).Dur("after", d.After).Dur("outlook_age", now.Sub(state.Pool.Outlook.At())).
 		Bool("fleet_known", state.FleetKnown).Dur("fleet_age", state.FleetAge).Str("why", string(d.Reason)).Str("outcome", "refused").
 		Msg("job rejected: it would not complete in time")
 	return refusal(request, d)
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -46,44 +46,27 @@
 		return state
 	}
 	customer := j.sub.Customer
-	shares := p.customerShares(customer, now)
-	own, all := p.concerning(j, shares, now)
+	own, all := p.concerning(j, now)
 	outlook, age := p.Outlook(now), now.Sub(p.backlog.at)
 	state.StartDelay = max(seconds(p.startDelay.value)-stepOverhead, 0)
-	state.Share = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
-	if part := outlook.Scale(shares.usable); shares.usable < 1 && (shares.above[customer] || part.TimeFor(own.total().Work) > usageSpan) {
-		state.Share = admission.Lane{Outlook: part, Ahead: own.ahead, Behind: own.due(age)}
-	}
-	if most := p.usableLimit(j.sub.Customer, now); most != (job.Size{}) {
+	state.ShareUsed = p.shareUsed(customer, now)
+	state.Pool = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
+	if most := p.usableLimit(customer, now); most != (job.Size{}) {
 		state.Limit = admission.Lane{Outlook: outlook.CappedAt(most), Ahead: own.ahead, Behind: own.due(age)}
 	}
 	return state
 }
 
-// customerShares is how a pool is shared at a moment, as seen by one customer.
-type customerShares struct {
-	usable float64         // fraction of the pool that is the customer's to use
-	above  map[string]bool // the customers that use more than their shares
-}
-
-// customerShares returns how the pool is shared. What others have used lately is theirs, up to their
-// shares; who has used less than its share comes first, until its use has risen.
-func (p *Pool) customerShares(customer string, now time.Time) customerShares {
+// shareUsed returns what a customer has used of the pool lately, as a multiple of its share among those
+// who have used any.
+func (p *Pool) shareUsed(customer string, now time.Time) float64 {
 	weights := p.weightOf(customer)
 	for other := range p.usageByCustomer {
 		if other != customer {
 			weights += p.weightOf(other)
 		}
 	}
-	size, others, above := p.schedulableCapacity(now), 0.0, make(map[string]bool)
-	for other := range p.usageByCustomer {
-		used, share := p.shareOf(other, size), p.weightOf(other)/weights
-		above[other] = used >= share
-		if other != customer {
-			others += min(used, share)
-		}
-	}
-	return customerShares{max(p.weightOf(customer)/weights, 1-others), above}
+	return p.shareOf(customer, p.schedulableCapacity(now)) * weights / p.weightOf(customer)
 }
 
 // usableLimit returns what a customer's limit lets it use in the pool, zero for no limit. What the pool
--- a/services/scheduler/backlog.go
+++ b/services/scheduler/backlog.go
@@ -119,22 +119,13 @@
 	c.behind[slot] = c.behind[slot].Plus(l)
 }
 
-// total returns all of the load.
-func (c *customerLoad) total() admission.Load {
-	sum := c.ahead
-	for _, l := range c.behind {
-		sum = sum.Plus(l)
-	}
-	return sum
-}
-
 // concerning returns the parts of the backlog that concern a job: of its customer, and of all customers.
-// Work of a lower priority gives way, and that of customers above their shares to those below.
-func (p *Pool) concerning(j *jobState, shares customerShares, now time.Time) (own, all customerLoad) {
+// Work of a lower priority gives way.
+func (p *Pool) concerning(j *jobState, now time.Time) (own, all customerLoad) {
 	b := p.currentBacklog(now)
 	slot, priority := b.slot(j.latestStart), j.queue.Priority
 	for key, load := range b.loads {
-		if key.priority > priority || shares.above[key.customer] && !shares.above[j.sub.Customer] {
+		if key.priority > priority {
 			continue
 		}
 		before := key.priority < priority || key.latestStart <= slot
