--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -21,6 +21,7 @@
 	Platform  NodePlatform  `toml:"platform"`
 	Bounds    NodeBounds    `toml:"bounds"`
 	Admission NodeAdmission `toml:"admission"`
+	Placement NodePlacement `toml:"placement"`
 	Log       Log           `toml:"log"`
 }
 
@@ -53,6 +54,22 @@
 	InstanceOrders   float64 `toml:"instance_orders_per_s"`
 }
 
+// NodePlacement holds how tasks are placed on workers.
+type NodePlacement struct {
+	SlowStart *float64 `toml:"slow_start"` // share of its capacity that a cold worker gets at its start, 1 for all of it; nil for the default
+}
+
+// defaultSlowStart is the share of its capacity that a cold worker gets at its start.
+const defaultSlowStart = 0.5
+
+// StartShare returns the share of its capacity that a cold worker gets at its start.
+func (p *NodePlacement) StartShare() float64 {
+	if p.SlowStart == nil {
+		return defaultSlowStart
+	}
+	return *p.SlowStart
+}
+
 // NodeBounds are the time bounds that the platform and the operators require of a node.
 type NodeBounds struct {
 	MaxLease            tomlfile.Duration `toml:"lease_most"`   // longest lease of the runs on a worker
@@ -129,6 +146,9 @@
 	if !slices.Contains(admissionPolicies, n.Admission.Policy) {
 		c.addProblem("admission", 0, "policy", "%q is not allowed; allowed are %s", n.Admission.Policy, strings.Join(admissionPolicies, ", "))
 	}
+	if s := n.Placement.StartShare(); !(s >= 0 && s <= 1) {
+		c.addProblem("placement", 0, "slow_start", "%v is not allowed; allowed is 0 to 1", s)
+	}
 	return c.problems
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -67,9 +67,10 @@
 
 	operators         operatorRecords
 	lag               lag
-	unreadable        sync.Map     // names of entries of the workers that have been logged as unreadable
-	catchingUp        atomic.Bool  // a catch-up request to another node is in progress
-	lastProbeResponse atomic.Int64 // when another node last responded to a probe, in nanoseconds since 1970
+	unreadable        sync.Map                       // names of entries of the workers that have been logged as unreadable
+	catchingUp        atomic.Bool                    // a catch-up request to another node is in progress
+	progress          atomic.Pointer[fleet.Progress] // of all pools' instances, while this node holds that role
+	lastProbeResponse atomic.Int64                   // when another node last responded to a probe, in nanoseconds since 1970
 
 	mu           sync.Mutex
 	newerSetting *setting.Node // settings read since the start, nil for none
@@ -206,7 +207,7 @@
 	o := &owner.Owner{
 		Pool: pool, Journal: j, Workers: n.Ports.Workers, Advisor: n.Ports.Advisor,
 		Limits: scheduler.Limits{
-			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown,
+			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown, SlowStart: n.Setting.Placement.StartShare(),
 		},
 		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
@@ -217,7 +218,7 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, Epoch: o.Epoch, Done: o.Done}
+	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: o.Epoch, Done: o.Done}
 }
 
 // openFleet returns the runner that manages instances.
@@ -230,8 +231,13 @@
 		ReportWave: func(ctx context.Context, wave int, done bool) error {
 			return n.Ports.Feeds.ReportWave(ctx, n.Ports.Store, wave, done)
 		},
+		OnProgress: func(p fleet.Progress) { n.progress.Store(&p) },
 	}
-	return &ownership.RoleRunner{Claim: m.Claim, Run: m.Run, Stuck: j.IsStuck, Epoch: m.Epoch, Done: m.Done}
+	run := func(ctx context.Context) error {
+		defer n.progress.Store(&fleet.Progress{})
+		return m.Run(ctx)
+	}
+	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
@@ -316,9 +322,11 @@
 	}
 	var current []worker.Worker
 	var removedIDs []worker.ID
+	now := n.Clock.Now()
 	n.mu.Lock()
+	before := n.workers
 	if complete {
-		clear(n.workers)
+		n.workers = make(map[worker.ID]worker.Worker, len(newest))
 		maps.DeleteFunc(n.knownStarts, func(id worker.ID, _ bool) bool { _, listed := newest[id]; return !listed })
 	}
 	for id, w := range newest {
@@ -330,8 +338,13 @@
 			removedIDs = append(removedIDs, id)
 			continue
 		}
-		n.workers[id] = *w
-		current = append(current, *w)
+		var earlier *worker.Worker
+		if known, has := before[id]; has {
+			earlier = &known
+		}
+		read := w.WithWarmUp(earlier, now)
+		n.workers[id] = read
+		current = append(current, read)
 	}
 	n.mu.Unlock()
 	for _, o := range n.ownerList() {
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -11,6 +11,7 @@
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/admission"
+	"github.com/yardbridge/yardbridge/services/admission/returns"
 )
 
 // Time limits for a store that does not respond. It usually responds in 4 ms, and takes up to 60
@@ -84,15 +85,27 @@
 	return o.pool.Submit(s, o.Clock.Now()), nil
 }
 
-// admit returns an error if the pool does not accept a job. The lock is held.
+// admit returns an error if the pool does not accept a job. A caller that returns in the second that it
+// was promised is not asked again. The lock is held.
 func (o *Owner) admit(ctx context.Context, s job.Submission) error {
-	now, remaining := o.Clock.Now(), time.Duration(0)
-	if end, bounded := ctx.Deadline(); bounded {
-		remaining = time.Until(end)
+	now := o.Clock.Now()
+	request, asked := o.pool.AdmissionRequest(s, returns.Remaining(ctx), now)
+	if !asked {
+		o.count("admission.accepted." + string(admission.Exempt))
+		return nil
+	}
+	promises := o.keepsPromises()
+	if promises && o.redeem(request, now) {
+		return nil
 	}
-	request, state, d := o.pool.Admit(s, remaining, now)
+	var reserved map[string]capacity.Work
+	if promises {
+		reserved = o.promises.Reserved(now)
+	}
+	state, d := o.pool.Admit(s, request, reserved, now)
 	if d.Accepted {
 		o.count("admission.accepted." + string(d.Reason))
+		o.promises.Release(s.ID)
 		return nil
 	}
 	o.count("admission.refused." + string(d.Reason))
@@ -102,11 +115,14 @@
 		Dur("wait", d.Wait).Dur("slack", request.Latest).Dur("after", d.After).Dur("outlook_age", now.Sub(state.Pool.Outlook.At())).
 		Bool("fleet_known", state.FleetKnown).Dur("fleet_age", state.FleetAge).Str("why", string(d.Reason)).Str("outcome", "refused").
 		Msg("job rejected: it would not complete in time")
-	return refusal(request, d)
+	if promises {
+		return o.promise(request, state, d, now)
+	}
+	return refusal(d)
 }
 
 // refusal returns the error for a job that is not accepted, with the time until a return.
-func refusal(_ admission.Request, d admission.Decision) error {
+func refusal(d admission.Decision) error {
 	if d.After == capacity.Never {
 		return errkind.New(errkind.Overloaded, "the pool is full, and it is not known when a job such as this would be in time")
 	}
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/capacity"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/quota"
 	"github.com/yardbridge/yardbridge/services/admission"
@@ -21,32 +22,54 @@
 	p.policy = p.SelectPolicy(hasCustomers)
 }
 
-// Admit decides whether a job is accepted now, and returns what was known. Jobs with long-running
-// tasks and repeated ones are accepted on their own terms, and a known job always.
-func (p *Pool) Admit(s job.Submission, remaining time.Duration, now time.Time) (admission.Request, admission.State, admission.Decision) {
+// KeepsPlaces reports whether jobs that were accepted keep their places.
+func (p *Pool) KeepsPlaces() bool { return p.currentPolicy().TimelyFirst }
+
+// currentPolicy returns the policy by which jobs are accepted.
+func (p *Pool) currentPolicy() admission.Policy {
 	if p.policy.Decide == nil {
 		p.selectPolicy()
 	}
+	return p.policy
+}
+
+// AdmissionRequest returns a job as the decision whether it is accepted needs it. It returns false for jobs
+// that are accepted on their own terms: known ones, repeated ones and those with long-running tasks.
+func (p *Pool) AdmissionRequest(s job.Submission, remaining time.Duration, now time.Time) (admission.Request, bool) {
 	if p.Has(s.ID) || s.HasLongRunning() || s.RepeatCount > 0 {
-		return admission.Request{}, admission.State{}, admission.Decision{Accepted: true, Reason: admission.Exempt}
+		return admission.Request{}, false
 	}
 	j := p.newJob(s, now)
 	p.updateObjective(j)
-	request := admission.Request{
+	return admission.Request{
 		Job: s.ID, Customer: s.Customer, Queue: s.Queue, Load: p.waitingLoad(j, now), Latest: j.latestStart.Sub(now), Useful: j.latestUsefulStart().Sub(now), Remaining: remaining,
-	}
-	state := p.admissionState(j, now)
-	return request, state, p.policy.Decide(request, state)
+	}, true
+}
+
+// Admit decides whether a job is accepted now, and returns what was known. Work that is reserved for
+// promised returns, by customer, comes before it.
+func (p *Pool) Admit(s job.Submission, r admission.Request, reserved map[string]capacity.Work, now time.Time) (admission.State, admission.Decision) {
+	j := p.newJob(s, now)
+	p.updateObjective(j)
+	state := p.admissionState(j, reserved, now)
+	return state, p.currentPolicy().Decide(r, state)
 }
 
 // admissionState returns what is known of the pool as far as it concerns a job that arrives now.
-func (p *Pool) admissionState(j *jobState, now time.Time) admission.State {
-	state := admission.State{FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded, OverloadWait: p.overloadWait(j.sub.Customer, now)}
-	if !p.policy.TimelyFirst {
+func (p *Pool) admissionState(j *jobState, reserved map[string]capacity.Work, now time.Time) admission.State {
+	customer := j.sub.Customer
+	state := admission.State{
+		FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded || len(reserved) > 0,
+		OverloadWait: p.overloadWait(customer, reserved, now),
+	}
+	if !p.currentPolicy().TimelyFirst {
 		return state
 	}
-	customer := j.sub.Customer
 	own, all := p.concerning(j, now)
+	for _, work := range reserved {
+		all.ahead = all.ahead.Plus(promisedLoad(work))
+	}
+	own.ahead = own.ahead.Plus(promisedLoad(reserved[customer]))
 	outlook, age := p.Outlook(now), now.Sub(p.backlog.at)
 	state.StartDelay = max(seconds(p.startDelay.value)-stepOverhead, 0)
 	state.ShareUsed = p.shareUsed(customer, now)
@@ -57,16 +80,40 @@
 	return state
 }
 
-// shareUsed returns what a customer has used of the pool lately, as a multiple of its share among those
-// who have used any.
-func (p *Pool) shareUsed(customer string, now time.Time) float64 {
+// promisedLoad returns the load of work that is promised a return, as of tasks that take a second.
+func promisedLoad(w capacity.Work) admission.Load {
+	return admission.Load{Work: w, Size: job.Size{CPU: int(w.CPU), MemoryMB: int(w.MemoryMB), Accelerators: int(w.Accelerators)}}
+}
+
+// UsablePart returns the part of the pool that is a customer's to use: what others have used lately is
+// theirs, up to their shares.
+func (p *Pool) UsablePart(customer string, now time.Time) float64 {
+	weights := p.activeWeights(customer)
+	size, others := p.schedulableCapacity(now), 0.0
+	for other := range p.usageByCustomer {
+		if other != customer {
+			others += min(p.shareOf(other, size), p.weightOf(other)/weights)
+		}
+	}
+	return max(p.weightOf(customer)/weights, 1-others)
+}
+
+// activeWeights returns the sum of the weights of a customer and of those that have used any of the pool
+// lately.
+func (p *Pool) activeWeights(customer string) float64 {
 	weights := p.weightOf(customer)
 	for other := range p.usageByCustomer {
 		if other != customer {
 			weights += p.weightOf(other)
 		}
 	}
-	return p.shareOf(customer, p.schedulableCapacity(now)) * weights / p.weightOf(customer)
+	return weights
+}
+
+// shareUsed returns what a customer has used of the pool lately, as a multiple of its share among those
+// who have used any.
+func (p *Pool) shareUsed(customer string, now time.Time) float64 {
+	return p.shareOf(customer, p.schedulableCapacity(now)) * p.activeWeights(customer) / p.weightOf(customer)
 }
 
 // usableLimit returns what a customer's limit lets it use in the pool, zero for no limit. What the pool
--- a/services/scheduler/admission_test.go
+++ b/services/scheduler/admission_test.go
@@ -44,7 +44,10 @@
 
 // admit asks whether a job is accepted, and submits it if it is.
 func (d *testPool) admit(s job.Submission) admission.Decision {
-	_, _, decision := d.Admit(s, 0, d.now)
+	decision := admission.Decision{Accepted: true, Reason: admission.Exempt}
+	if request, asked := d.AdmissionRequest(s, 0, d.now); asked {
+		_, decision = d.Admit(s, request, nil, d.now)
+	}
 	if decision.Accepted {
 		d.Submit(s, d.now)
 	}
--- a/services/scheduler/outlook.go
+++ b/services/scheduler/outlook.go
@@ -58,7 +58,7 @@
 			case u.step().spec.LongRunning:
 				size = size.Minus(u.size)
 			default:
-				after := endStep(p.remainingTime(u, now))
+				after := endStep(p.timeUntilEnd(u, now))
 				ends[after] = ends[after].Plus(u.size)
 			}
 		}
@@ -71,9 +71,6 @@
 	return outlookCache{capacity.New(now, serving, free).WithEnds(changes), p.plans + 1, counted}
 }
 
-// effectiveCapacity returns the capacity of a worker at the speed that it has now.
-func (w *workerState) effectiveCapacity(time.Time) job.Size { return w.info.Capacity }
-
 // overduePart is the time that a run is expected to take still once it has taken longer than expected,
 // as a fraction of that: the run times of alike tasks differ by a tenth or two.
 const overduePart = 0.1
@@ -81,11 +78,15 @@
 // minRemaining is the least time that a run is expected to take still, since its end must be learned.
 const minRemaining = 20 * time.Millisecond
 
-// remainingTime returns how long a run is expected to take still. One that has not started takes all of
-// its time.
-func (p *Pool) remainingTime(u *run, now time.Time) time.Duration {
+// timeUntilEnd returns how long a run is expected to occupy its capacity still. One that has not started
+// takes all of its time.
+func (p *Pool) timeUntilEnd(u *run, now time.Time) time.Duration {
 	expected := p.expectedStepTime(u.job, u.step())
-	return max(expected-u.age(now), time.Duration(overduePart*float64(expected)), minRemaining)
+	remaining := u.worker.timeFor(expected, now)
+	if !u.startedAt.IsZero() || u.restored {
+		remaining = p.remainingTime(u, now)
+	}
+	return max(remaining, time.Duration(overduePart*float64(expected)), minRemaining)
 }
 
 // endStep rounds a time up, the coarser the longer it is, so that the ends of thousands of runs are few
@@ -112,7 +113,7 @@
 			moves++
 			continue
 		}
-		remaining := p.remainingTime(u, now)
+		remaining := p.timeUntilEnd(u, now)
 		if spec.Checkpointing && !spec.Gang {
 			remaining = min(remaining, p.Limits.StopTime+minMoveGain)
 		}
