--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -85,6 +85,9 @@
 	return o.pool.Submit(s, o.Clock.Now()), nil
 }
 
+// thousandths is the number of thousandths of a core in a core.
+const thousandths = 1000
+
 // admit returns an error if the pool does not accept a job. A caller that returns in the second that it
 // was promised is not asked again. The lock is held.
 func (o *Owner) admit(ctx context.Context, s job.Submission) error {
@@ -111,7 +114,7 @@
 	o.count("admission.refused." + string(d.Reason))
 	ahead := state.Ahead(d.Reason).Work
 	o.Logger.Info().Str("event", "admission").Str("job", string(s.ID)).Str("queue", s.Queue).Str("customer", s.Customer).
-		Float64("ahead_cpu_s", ahead.CPU).Float64("ahead_memory_mb_s", ahead.MemoryMB).Float64("own_cpu_s", request.Load.Work.CPU).
+		Float64("ahead_cpu_s", ahead.CPU/thousandths).Float64("ahead_memory_mb_s", ahead.MemoryMB).Float64("own_cpu_s", request.Load.Work.CPU/thousandths).
 		Dur("wait", d.Wait).Dur("slack", request.Latest).Dur("after", d.After).Dur("outlook_age", now.Sub(state.Pool.Outlook.At())).
 		Bool("fleet_known", state.FleetKnown).Dur("fleet_age", state.FleetAge).Str("why", string(d.Reason)).Str("outcome", "refused").
 		Msg("job rejected: it would not complete in time")
