--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -65,55 +65,55 @@
 	if !p.currentPolicy().TimelyFirst {
 		return state
 	}
-	shares := p.customerShares(customer, now)
-	own, all := p.concerning(j, shares, now)
-	for other, work := range reserved {
-		if !shares.above[other] || shares.above[customer] {
-			all.ahead = all.ahead.Plus(admission.Load{Work: work})
-		}
+	own, all := p.concerning(j, now)
+	for _, work := range reserved {
+		all.ahead = all.ahead.Plus(promisedLoad(work))
 	}
-	own.ahead = own.ahead.Plus(admission.Load{Work: reserved[customer]})
+	own.ahead = own.ahead.Plus(promisedLoad(reserved[customer]))
 	outlook, age := p.Outlook(now), now.Sub(p.backlog.at)
 	state.StartDelay = max(seconds(p.startDelay.value)-stepOverhead, 0)
-	state.Share = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
-	if part := outlook.Scale(shares.usable); shares.usable < 1 && (shares.above[customer] || part.TimeFor(own.total().Work) > usageSpan) {
-		state.Share = admission.Lane{Outlook: part, Ahead: own.ahead, Behind: own.due(age)}
-	}
+	state.ShareUsed = p.shareUsed(customer, now)
+	state.Pool = admission.Lane{Outlook: outlook, Ahead: all.ahead, Behind: all.due(age)}
 	if most := p.usableLimit(customer, now); most != (job.Size{}) {
 		state.Limit = admission.Lane{Outlook: outlook.CappedAt(most), Ahead: own.ahead, Behind: own.due(age)}
 	}
 	return state
 }
 
-// UsablePart returns the part of the pool that is a customer's to use.
-func (p *Pool) UsablePart(customer string, now time.Time) float64 {
-	return p.customerShares(customer, now).usable
+// promisedLoad returns the load of work that is promised a return, as of tasks that take a second.
+func promisedLoad(w capacity.Work) admission.Load {
+	return admission.Load{Work: w, Size: job.Size{CPU: int(w.CPU), MemoryMB: int(w.MemoryMB), Accelerators: int(w.Accelerators)}}
 }
 
-// customerShares is how a pool is shared at a moment, as seen by one customer.
-type customerShares struct {
-	usable float64         // fraction of the pool that is the customer's to use
-	above  map[string]bool // the customers that use more than their shares
-}
-
-// customerShares returns how the pool is shared. What others have used lately is theirs, up to their
-// shares; who has used less than its share comes first, until its use has risen.
-func (p *Pool) customerShares(customer string, now time.Time) customerShares {
-	weights := p.weightOf(customer)
+// UsablePart returns the part of the pool that is a customer's to use: what others have used lately is
+// theirs, up to their shares.
+func (p *Pool) UsablePart(customer string, now time.Time) float64 {
+	weights := p.activeWeights(customer)
+	size, others := p.schedulableCapacity(now), 0.0
 	for other := range p.usageByCustomer {
 		if other != customer {
-			weights += p.weightOf(other)
+			others += min(p.shareOf(other, size), p.weightOf(other)/weights)
 		}
 	}
-	size, others, above := p.schedulableCapacity(now), 0.0, make(map[string]bool)
+	return max(p.weightOf(customer)/weights, 1-others)
+}
+
+// activeWeights returns the sum of the weights of a customer and of those that have used any of the pool
+// lately.
+func (p *Pool) activeWeights(customer string) float64 {
+	weights := p.weightOf(customer)
 	for other := range p.usageByCustomer {
-		used, share := p.shareOf(other, size), p.weightOf(other)/weights
-		above[other] = used >= share
 		if other != customer {
-			others += min(used, share)
+			weights += p.weightOf(other)
 		}
 	}
-	return customerShares{max(p.weightOf(customer)/weights, 1-others), above}
+	return weights
+}
+
+// shareUsed returns what a customer has used of the pool lately, as a multiple of its share among those
+// who have used any.
+func (p *Pool) shareUsed(customer string, now time.Time) float64 {
+	return p.shareOf(customer, p.schedulableCapacity(now)) * p.activeWeights(customer) / p.weightOf(customer)
 }
 
 // usableLimit returns what a customer's limit lets it use in the pool, zero for no limit. What the pool
