Scheduler: lines about cold workers are bounded, and the mean use is summed once for each plan

While workers are cold a plan wrote a line about the shares each time, and a task that waits for a warm worker one in each plan: up to hundreds a second. Now the shares have a line a second for each pool, a step that waits one line. The mean use of all workers was summed for each cold worker and task, which grows with the square of the pool; it is kept for the plan, with what it has placed.

--- a/services/scheduler/cold.go
+++ b/services/scheduler/cold.go
@@ -139,6 +139,8 @@
 type slowStart struct {
 	cold      int     // number of cold workers on which tasks may be placed
 	meanShare float64 // mean share of all workers, by capacity
+	capacity  int     // of these workers, in thousandths of a core
+	used      int     // by runs on them, those placed in this plan included
 	releases  []release
 	claimed   job.Size // size of the tasks that wait for releases
 }
@@ -149,13 +151,16 @@
 	size  job.Size
 }
 
+// slowStartLogGap is the least time between two lines about the shares of a pool.
+const slowStartLogGap = time.Second
+
 // slowStartStep is the time after which the shares of cold workers are computed again.
 const slowStartStep = 250 * time.Millisecond
 
 // beginSlowStart computes the shares of the workers for a plan.
 func (p *Pool) beginSlowStart(now time.Time) {
 	p.slowStart = slowStart{meanShare: 1}
-	capacity, shares := 0.0, 0.0
+	shares := 0.0
 	for _, w := range p.workers {
 		if !w.info.Cold(now) && !w.info.WarmAt.IsZero() && !w.warmNoted {
 			w.warmNoted = true
@@ -168,14 +173,19 @@
 		if w.info.Cold(now) {
 			p.slowStart.cold++
 		}
-		capacity += float64(w.info.Capacity.CPU)
+		p.slowStart.capacity += w.info.Capacity.CPU
+		p.slowStart.used += w.used.CPU
 		shares += float64(w.info.Capacity.CPU) * p.ownShare(w, now)
 	}
 	if p.slowStart.cold == 0 {
 		return
 	}
-	p.slowStart.meanShare = shares / capacity
+	p.slowStart.meanShare = shares / float64(max(p.slowStart.capacity, 1))
 	p.schedulePlan(now.Add(slowStartStep), now)
+	if now.Sub(p.slowStartLoggedAt) < slowStartLogGap {
+		return
+	}
+	p.slowStartLoggedAt = now
 	p.Logger.Info().Str("event", "slow-start").Int("cold", p.slowStart.cold).Int("workers", len(p.workers)).Float64("mean_share", p.slowStart.meanShare).
 		Float64("factor", p.slowdown.factor()).Msg("some workers are cold")
 }
@@ -225,7 +235,7 @@
 	}
 	expected := max(p.expectedStepTime(c.job, c.step), time.Millisecond)
 	extra := w.timeFor(expected, now) - expected
-	if c.canWait(patience*extra, now) && float64(w.used.CPU) < p.share(w, now)*p.meanUse(now)*float64(w.info.Capacity.CPU) {
+	if c.canWait(patience*extra, now) && float64(w.used.CPU) < p.share(w, now)*p.slowStart.meanUse()*float64(w.info.Capacity.CPU) {
 		return coldPreference
 	}
 	return -coldCost - slowCost*float64(extra)/float64(expected)
@@ -237,15 +247,7 @@
 }
 
 // meanUse returns the part of the capacity of all workers that is in use.
-func (p *Pool) meanUse(now time.Time) float64 {
-	used, capacity := 0, 0
-	for _, w := range p.workers {
-		if w.schedulable(now) {
-			used, capacity = used+w.used.CPU, capacity+w.info.Capacity.CPU
-		}
-	}
-	return float64(used) / float64(max(capacity, 1))
-}
+func (s *slowStart) meanUse() float64 { return float64(s.used) / float64(max(s.capacity, 1)) }
 
 // awaitsWarm reports whether a task waits for a warm worker rather than run on the cold one that was
 // chosen: it would be late there, and the capacity of a warm worker is expected to become free in time
@@ -263,6 +265,10 @@
 		return false
 	}
 	p.schedulePlan(now.Add(after), now)
+	if c.step.awaitedWarm {
+		return true
+	}
+	c.step.awaitedWarm = true
 	p.Logger.Info().Str("event", "wait").Str("job", string(c.job.sub.ID)).Int("step", c.step.ref.Step).Str("worker", string(w.info.ID)).Uint64("batch", p.batch).
 		Dur("slack", c.job.latestStart.Sub(now)).Dur("free_after", after).Msg("task waits for a warm worker")
 	return true
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -59,6 +59,7 @@
 	holds         int                  // how often other tasks were held for the gang in vain
 	advicePending bool                 // a request to the advice service is in progress
 	adviceRetryAt time.Time            // earliest time of the next advice request
+	awaitedWarm   bool                 // it has been logged that a task waits for a warm worker
 	excluded      map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
 }
 
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -175,6 +175,7 @@
 			continue
 		}
 		u := p.planRun(c.job, c.step, i, w, now)
+		p.slowStart.used += u.size.CPU
 		p.logPlacement(c, u, now)
 	}
 }
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -62,13 +62,14 @@
 	removedWorkers  []worker.ID                // removed since the last batch
 	toReconnect     []worker.ID                // workers that need a new connection
 
-	slowdown        slowdown // of cold workers
-	slowStart       slowStart
-	allowances      allowances
-	usageByCustomer map[string]usage // averaged use of the pool, by customer
-	usageUpdatedAt  time.Time        // last update of the averages
-	arrivals        arrivals
-	slack           mean // slack of jobs at submission, in seconds
+	slowdown          slowdown // of cold workers
+	slowStart         slowStart
+	slowStartLoggedAt time.Time // when the shares were last logged
+	allowances        allowances
+	usageByCustomer   map[string]usage // averaged use of the pool, by customer
+	usageUpdatedAt    time.Time        // last update of the averages
+	arrivals          arrivals
+	slack             mean // slack of jobs at submission, in seconds
 
 	dirty          []*jobState
 	ended          []endedJob            // oldest first, removed once expired
