--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -52,6 +52,7 @@
 	spec          *job.Step
 	tasks         []taskState
 	waiting       int // tasks that are not done and have no run
+	held          int // runs placed ahead whose workers have no room yet
 	done          int
 	runTimes      mean                 // run times of its finished tasks, in seconds
 	runsByWorker  map[*workerState]int // active runs by worker, where their number is limited
@@ -61,6 +62,7 @@
 	holds         int                  // how often other tasks were held for the gang in vain
 	advicePending bool                 // a request to the advice service is in progress
 	adviceRetryAt time.Time            // earliest time of the next advice request
+	awaitedWarm   bool                 // it has been logged that a task waits for a warm worker
 	excluded      map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
 }
 
--- a/services/scheduler/outlook.go
+++ b/services/scheduler/outlook.go
@@ -54,7 +54,7 @@
 		free = free.Plus(w.free().Max(job.Size{}))
 		for _, u := range w.runs {
 			switch {
-			case u.orphan:
+			case u.orphan, u.held:
 			case u.step().spec.LongRunning:
 				size = size.Minus(u.size)
 			default:
@@ -104,6 +104,9 @@
 func (p *Pool) emptyAfter(w *workerState, now time.Time) time.Duration {
 	longest, moves := time.Duration(0), 0
 	for _, u := range w.runs {
+		if u.held {
+			continue // it is released when its worker is to be emptied
+		}
 		if u.orphan || u.stopping {
 			longest = max(longest, p.Limits.StopTime)
 			continue
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -37,6 +37,7 @@
 	p.plannedAt = now
 	p.ExpireLeases(now)
 	p.withholdAll(now)
+	p.reviewHeld(now)
 	p.forgetEndedJobs(now)
 	p.dropStaleHealth(now)
 	p.emptyWorkers(now)
@@ -45,7 +46,7 @@
 	}
 	p.needsPlan, p.planAt = false, time.Time{}
 	p.plans++
-	p.reserved, p.reservedFor, p.noRoom = nil, nil, nil
+	p.reserved, p.reservedFor, p.noRoom, p.ahead.noRoom = nil, nil, nil, nil
 	p.ExpireLeases(now)
 	p.withholdAll(now)
 	p.pruneActive()
@@ -167,6 +168,9 @@
 			continue
 		}
 		w := p.chooseWorker(c, t, now, nil)
+		if w == nil && p.placeAhead(c, i, now) {
+			continue
+		}
 		if w == nil && t.failures == 0 && !t.suspected() {
 			return
 		}
@@ -179,6 +183,7 @@
 			continue
 		}
 		u := p.planRun(c.job, c.step, i, w, now)
+		p.slowStart.used += u.size.CPU
 		p.logPlacement(c, u, now)
 	}
 }
@@ -206,7 +211,7 @@
 	}
 	p.Logger.Info().Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Uint64("batch", p.batch).Uint8("urgency", uint8(c.urgency)).Dur("slack", c.job.latestStart.Sub(now)).
-		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Bool("cold", u.worker.info.Cold(now)).Msg("task placed")
+		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Bool("ahead", u.held).Bool("cold", u.worker.info.Cold(now)).Msg("task placed")
 }
 
 // chooseWorker returns the best worker for a task of a step, nil if none has capacity. Workers for
@@ -266,6 +271,8 @@
 		return false
 	case p.reserved[w] && p.reservedFor != s && !s.spec.LongRunning:
 		return false
+	case len(w.held) > 0 && !s.spec.LongRunning && !s.spec.Reservation().FitsIn(w.free().Minus(w.heldFor(s.job.queue.Priority))):
+		return false
 	case s.spec.MaxPerWorker > 0 && s.runsByWorker[w] >= s.spec.MaxPerWorker:
 		return false
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -23,6 +23,7 @@
 	Retention    time.Duration // how long the state of a finished job stays available
 	RemoteFactor float64       // factor by which a task takes longer away from its data
 	SlowStart    float64       // share of its capacity that a cold worker gets at its start
+	NoAhead      bool          // nothing is placed ahead while the store is slow
 }
 
 // Pool is the state of one pool; it is not safe for concurrent use.
@@ -68,17 +69,19 @@
 	removedWorkers  []worker.ID                // removed since the last batch
 	toReconnect     []worker.ID                // workers that need a new connection
 
-	slowdown        slowdown // of cold workers
-	slowStart       slowStart
-	allowances      allowances
-	usageByCustomer map[string]usage // averaged use of the pool, by customer
-	usageUpdatedAt  time.Time        // last update of the averages
-	arrivals        arrivals
-	slack           mean // slack of jobs at submission, in seconds
-	startDelay      mean // from the plan of a run until its start is known, in seconds
-	policy          admission.Policy
-	backlog         backlog
-	fleetToldIn     uint64 // epoch of the holder of the role for instances that last told what it brings, 0 for none
+	slowdown          slowdown // of cold workers
+	slowStart         slowStart
+	slowStartLoggedAt time.Time // when the shares were last logged
+	ahead             ahead
+	allowances        allowances
+	usageByCustomer   map[string]usage // averaged use of the pool, by customer
+	usageUpdatedAt    time.Time        // last update of the averages
+	arrivals          arrivals
+	slack             mean // slack of jobs at submission, in seconds
+	startDelay        mean // from the plan of a run until its start is known, in seconds
+	policy            admission.Policy
+	backlog           backlog
+	fleetToldIn       uint64 // epoch of the holder of the role for instances that last told what it brings, 0 for none
 
 	plannedAt time.Time // when Plan was last called
 	learnedAt time.Time // plannedAt of the batch that last carried the learned values
