Fleet: instances that are empty soonest go first to other pools

An instance with one long task went before one with two that are about to end. Free instances are ordered by the time until their worker is expected to be empty, after the number of long-running tasks and before that of runs.

The move itself binds: 1.65 s in the log, 0.81 s until empty, 0.02 s to the first task.

--- a/services/fleet/counts.go
+++ b/services/fleet/counts.go
@@ -213,7 +213,8 @@
 	return i.Condition == port.Up && v.actions[name] == nil && (i.Worker == "" || v.worker(i) != nil)
 }
 
-// sortFree sorts instances, those with the least to move off them first.
+// sortFree sorts instances, those with the fewest long-running tasks to move off them first, then those that
+// are empty soonest.
 func (v *view) sortFree(list []port.Instance) {
 	var none reportedWorker
 	runs := make(map[string]*reportedWorker, len(list))
@@ -222,7 +223,7 @@
 	}
 	slices.SortFunc(list, func(a, b port.Instance) int {
 		x, y := runs[a.Name], runs[b.Name]
-		return cmp.Or(cmp.Compare(x.Lasting, y.Lasting), cmp.Compare(x.Runs, y.Runs), cmp.Compare(x.Used.CPU, y.Used.CPU),
+		return cmp.Or(cmp.Compare(x.Lasting, y.Lasting), cmp.Compare(x.EmptyAfter, y.EmptyAfter), cmp.Compare(x.Runs, y.Runs), cmp.Compare(x.Used.CPU, y.Used.CPU),
 			cmp.Compare(a.Name, b.Name))
 	})
 }
