Scheduler: the lines of placements are as before where no worker is cold

Each line of a placement said whether its worker is cold; now only those on cold workers do, so that deployments without them write what they wrote.

--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -198,12 +198,14 @@
 
 func (p *Pool) logPlacement(c candidate, u *run, now time.Time) {
 	free := u.worker.free()
+	e := p.Logger.Info()
 	if u.worker.info.Cold(now) {
+		e = e.Bool("cold", true)
 		p.increment(placedCold)
 	}
-	p.Logger.Info().Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
+	e.Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Uint64("batch", p.batch).Uint8("urgency", uint8(c.urgency)).Dur("slack", c.job.latestStart.Sub(now)).
-		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Bool("cold", u.worker.info.Cold(now)).Msg("task placed")
+		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Msg("task placed")
 }
 
 // chooseWorker returns the best worker for a task of a step, nil if none has capacity. Workers for
