--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -104,7 +104,7 @@
 type Policy struct {
 	Name   string
 	Decide func(Request, State) Decision
-	// TimelyFirst means that what can be in time is done before all that cannot: what was accepted keeps
-	// its place.
-	TimelyFirst bool
+	// KeepsPlaces means that what was accepted keeps its place: refused callers are promised a second, and a
+	// pool that counts as overloaded does not change the order of its work.
+	KeepsPlaces bool
 }
--- a/services/admission/completion.go
+++ b/services/admission/completion.go
@@ -14,7 +14,7 @@
 // Completion accepts a job if it is expected to end in time by the capacity over the next seconds, and
 // if the accepted work that comes after it stays in time. Until the role for instances has told what the
 // fleet can bring, it decides as Overload does.
-var Completion = Policy{Name: setting.AdmissionCompletion, Decide: decideByCompletion, TimelyFirst: true}
+var Completion = Policy{Name: setting.AdmissionCompletion, Decide: decideByCompletion, KeepsPlaces: true}
 
 // usableCapacity is the part of a pool's capacity that does work: between the end of a run and the
 // start of the next one, its end is reported and the start is persisted and sent.
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -23,7 +23,7 @@
 }
 
 // KeepsPlaces reports whether jobs that were accepted keep their places.
-func (p *Pool) KeepsPlaces() bool { return p.currentPolicy().TimelyFirst }
+func (p *Pool) KeepsPlaces() bool { return p.currentPolicy().KeepsPlaces }
 
 // currentPolicy returns the policy by which jobs are accepted.
 func (p *Pool) currentPolicy() admission.Policy {
@@ -62,7 +62,7 @@
 		FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded || len(reserved) > 0,
 		OverloadWait: p.overloadWait(customer, reserved, now),
 	}
-	if !p.currentPolicy().TimelyFirst {
+	if !p.currentPolicy().KeepsPlaces {
 		return state
 	}
 	own, all := p.concerning(j, now)
--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -25,22 +25,12 @@
 // within two seconds and take another two for the work that waited for them.
 const overloadDelay = 4 * time.Second
 
-// order is the order in which a plan places candidates of one priority.
-type order struct {
-	overloaded  bool // the pool counts as overloaded
-	timelyFirst bool // what can be in time comes before all that cannot
-}
-
 // rank returns the place of a candidate by its urgency; lower comes first. If the pool is
 // overloaded, jobs that have started are finished first while they are of value: abandoning them
 // half done for others would waste the capacity they used.
-func (c candidate) rank(o order) int {
+func (c candidate) rank(overloaded bool) int {
 	switch {
-	case o.timelyFirst && c.urgency == timely:
-		return int(expiring)
-	case o.timelyFirst && c.urgency == expiring:
-		return int(timely)
-	case o.timelyFirst || !o.overloaded || c.urgency == longRunning || c.urgency == overdue:
+	case !overloaded || c.urgency == longRunning || c.urgency == overdue:
 		return int(c.urgency)
 	case c.job.started:
 		return int(expiring)
@@ -53,8 +43,8 @@
 // compareInRank compares candidates of one rank: those with the earliest latest start come first.
 // If the pool is overloaded, jobs that have not started are taken in the opposite order: otherwise
 // each would end just too late, one after the other.
-func (c candidate) compareInRank(o candidate, by order) int {
-	if by.overloaded && !by.timelyFirst && !c.job.started && !o.job.started {
+func (c candidate) compareInRank(o candidate, overloaded bool) int {
+	if overloaded && !c.job.started && !o.job.started {
 		return o.job.latestStart.Compare(c.job.latestStart)
 	}
 	return c.job.latestStart.Compare(o.job.latestStart)
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -82,12 +82,12 @@
 		list = p.runnableSteps(j, now, list)
 	}
 	p.overloaded = p.detectOverload(list, now)
-	by := order{overloaded: p.overloaded, timelyFirst: p.policy.TimelyFirst && p.fleetKnown(now)}
+	overloaded := p.overloaded && !(p.KeepsPlaces() && p.fleetKnown(now))
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			cmp.Compare(a.rank(by), b.rank(by)),
-			a.compareInRank(b, by),
+			cmp.Compare(a.rank(overloaded), b.rank(overloaded)),
+			a.compareInRank(b, overloaded),
 		)
 	})
 	return list
