--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -110,7 +110,7 @@
 
 // ParseNode parses and checks the settings file of a node.
 func ParseNode(file, data string) (Node, error) {
-	n := Node{Admission: NodeAdmission{AdmissionAuto}}
+	n := Node{Admission: NodeAdmission{AdmissionOverload}}
 	problems, isTOML := tomlfile.Decode(file, data, &n)
 	if !isTOML {
 		return n, problems.Err()
--- a/services/admission/returns/book.go
+++ b/services/admission/returns/book.go
@@ -287,6 +287,9 @@
 	return work
 }
 
+// Has reports whether a job has a promise.
+func (b *Book) Has(id job.ID) bool { return b.promises[id] != nil }
+
 // Len returns how many promises the book holds.
 func (b *Book) Len() int { return len(b.promises) }
 
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -119,6 +119,9 @@
 		Bool("fleet_known", state.FleetKnown).Dur("fleet_age", state.FleetAge).Str("why", string(d.Reason)).Str("outcome", "refused").
 		Msg("job rejected: it would not complete in time")
 	if promises {
+		if d.Reason != admission.OverLimit && !o.promises.Has(s.ID) {
+			o.pool.NoteRefused(s, now)
+		}
 		return o.promise(request, state, d, now)
 	}
 	return refusal(d)
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -55,6 +55,10 @@
 	return state, p.currentPolicy().Decide(r, state)
 }
 
+// NoteRefused counts the work of a job that was refused as arriving: otherwise a pool that refuses for want of
+// instances would ask for none.
+func (p *Pool) NoteRefused(s job.Submission, now time.Time) { p.addArrival(p.newJob(s, now), now) }
+
 // admissionState returns what is known of the pool as far as it concerns a job that arrives now.
 func (p *Pool) admissionState(j *jobState, reserved map[string]capacity.Work, now time.Time) admission.State {
 	customer := j.sub.Customer
--- a/services/scheduler/admission_test.go
+++ b/services/scheduler/admission_test.go
@@ -108,6 +108,23 @@
 	assert.Assert(t, d.admit(aSecond("1", "q")).Accepted)
 }
 
+// TestRefusedWorkIsDemand guards against a pool that refuses for want of instances and asks for none, since
+// what it refuses is not seen as arriving work.
+func TestRefusedWorkIsDemand(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	d.fill()
+	before := d.Report(CordonRequest{}, d.now).ArrivalLoad.CPU
+	const refused = 20
+	for n := range refused {
+		s := aSecond(fmt.Sprint("refused-", n), "q")
+		assert.Assert(t, !d.admit(s).Accepted)
+		d.NoteRefused(s, d.now)
+	}
+	after := d.Report(CordonRequest{}, d.now).ArrivalLoad.CPU
+	assert.Assert(t, after > 3*before, "%d before, %d after", before, after)
+	assert.Equal(t, len(d.active), len(d.jobs))
+}
+
 // TestWorkWithoutValueComesLast guards against accepted work that loses its place to what is of no value
 // any more, and against such work that is dropped.
 func TestWorkWithoutValueComesLast(t *testing.T) {
--- a/services/scheduler/cold.go
+++ b/services/scheduler/cold.go
@@ -269,7 +269,7 @@
 		return true
 	}
 	c.step.awaitedWarm = true
-	p.Logger.Info().Str("event", "wait").Str("job", string(c.job.sub.ID)).Int("step", c.step.ref.Step).Str("worker", string(w.info.ID)).Uint64("batch", p.batch).
+	p.Logger.Info().Str("event", "await-warm").Str("job", string(c.job.sub.ID)).Int("step", c.step.ref.Step).Str("worker", string(w.info.ID)).Uint64("batch", p.batch).
 		Dur("slack", c.job.latestStart.Sub(now)).Dur("free_after", after).Msg("task waits for a warm worker")
 	return true
 }
