Admission: a decision scales its outlook once, and merges no lists

The same decisions: the lists are in order already, so they are merged as they are read. Two comparisons of times use cmp.Compare as elsewhere.

--- a/models/capacity/outlook.go
+++ b/models/capacity/outlook.go
@@ -4,6 +4,8 @@
 package capacity
 
 import (
+	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -141,7 +143,7 @@
 		return 0
 	}
 	rate, from := float64(of(o.serving)), time.Duration(0)
-	for _, c := range sorted(slices.Concat(o.arrivals, o.potential)) {
+	for c := range o.added() {
 		if step := (c.After - from).Seconds(); step > 0 {
 			if rate*step >= work {
 				break
@@ -157,6 +159,23 @@
 	return from + time.Duration(work/rate*float64(time.Second))
 }
 
+// added yields the capacity that is added, in order of time.
+func (o Outlook) added() iter.Seq[Change] {
+	return func(yield func(Change) bool) {
+		arrivals, potential := o.arrivals, o.potential
+		for len(arrivals)+len(potential) > 0 {
+			next := &arrivals
+			if len(arrivals) == 0 || len(potential) > 0 && potential[0].After < arrivals[0].After {
+				next = &potential
+			}
+			if !yield((*next)[0]) {
+				return
+			}
+			*next = (*next)[1:]
+		}
+	}
+}
+
 // sorted returns the changes in order of time.
 func sorted(list []Change) []Change {
 	if slices.IsSortedFunc(list, compare) {
@@ -167,7 +186,7 @@
 	return list
 }
 
-func compare(a, b Change) int { return int(a.After - b.After) }
+func compare(a, b Change) int { return cmp.Compare(a.After, b.After) }
 
 // aged returns changes that were reported some time ago as of now.
 func aged(list []Change, age time.Duration) []Change {
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -141,3 +141,22 @@
 		assert.Assert(t, !Completion.Decide(r, s).Accepted, "%v", c.used)
 	}
 }
+
+// BenchmarkCompletion decides on a job behind much accepted work, with capacity on its way: the owner of a
+// pool in a surge does so for each call, under its lock.
+func BenchmarkCompletion(b *testing.B) {
+	var changes []capacity.Change
+	for n := range 8 {
+		changes = append(changes, capacity.Change{After: time.Duration(n) * 300 * time.Millisecond, Size: cores(4)})
+	}
+	s := state(5)
+	s.Pool.Outlook = ten.WithEnds(changes).WithArrivals(changes, 0).WithPotential(changes, 0)
+	for n := range 60 {
+		s.Pool.Behind = append(s.Pool.Behind, Due{time.Duration(n) * 100 * time.Millisecond, load(0.2)})
+	}
+	s.Limit = s.Pool
+	b.ReportAllocs()
+	for b.Loop() {
+		Completion.Decide(aSecond, s)
+	}
+}
--- a/services/admission/completion.go
+++ b/services/admission/completion.go
@@ -62,12 +62,13 @@
 // decide decides by one lane. The job may wait for a part of its longest wait; late is the reason if it
 // would for more.
 func (l Lane) decide(r Request, part float64, late Reason) Decision {
+	usable := l.Outlook.Scale(usableCapacity)
 	load, longest := l.Ahead.Plus(r.Load), partOf(r.Latest, part)
-	if timeFor(l.Outlook, r.Load) > r.Latest {
+	if usable.TimeFor(r.Load.Work) > r.Latest {
 		// It is not in time on an idle pool either: it must be of some value after what comes before it.
 		load, longest = l.Ahead, partOf(r.Useful, part)
 	}
-	wait := timeFor(l.Outlook, load)
+	wait := usable.TimeFor(load.Work)
 	if l.Ahead == (Load{}) || fits(l.Outlook, load, longest) {
 		wait = min(wait, longest) // nothing is gained by a return
 	}
@@ -83,11 +84,6 @@
 	return Decision{Reason: Displaces, Wait: wait, After: over}
 }
 
-// timeFor returns how long a pool with an outlook takes for a load.
-func timeFor(o capacity.Outlook, l Load) time.Duration {
-	return o.Scale(usableCapacity).TimeFor(l.Work)
-}
-
 // fits reports whether a load fits in what is free after a time, so that all of it has started by then.
 func fits(o capacity.Outlook, l Load, after time.Duration) bool { return l.Size.FitsIn(o.Free(after)) }
 
@@ -95,7 +91,7 @@
 // the fleet can bring were there already, and the job is of value if it waits for that.
 func (l Lane) comes(r Request, load Load) bool {
 	o := l.Outlook
-	if o.Arriving() == (job.Size{}) && o.Potential() == (job.Size{}) || timeFor(o, load) > r.Useful {
+	if o.Arriving() == (job.Size{}) && o.Potential() == (job.Size{}) || o.Scale(usableCapacity).TimeFor(load.Work) > r.Useful {
 		return false
 	}
 	all := capacity.New(o.At(), o.Serving(capacity.Never), o.Free(capacity.Never))
@@ -103,7 +99,7 @@
 	if o.Potential() != (job.Size{}) {
 		part = 1
 	}
-	return timeFor(all, load) <= partOf(r.Latest, part) && l.displaces(all, r.Load, part) == 0
+	return all.Scale(usableCapacity).TimeFor(load.Work) <= partOf(r.Latest, part) && l.displaces(all, r.Load, part) == 0
 }
 
 // partOf returns a part of a duration.
@@ -112,12 +108,12 @@
 // displaces returns by how much accepted work that ends within a part of its longest wait would exceed
 // that after more work, 0 for not.
 func (l Lane) displaces(o capacity.Outlook, more Load, part float64) time.Duration {
-	before, over := l.Ahead, time.Duration(0)
+	usable, before, over := o.Scale(usableCapacity), l.Ahead, time.Duration(0)
 	for _, d := range l.Behind {
 		before = before.Plus(d.Load)
 		longest := partOf(d.Latest, part)
-		if all := before.Plus(more); timeFor(o, before) <= longest && !fits(o, all, longest) {
-			over = max(over, excess(timeFor(o, all), longest))
+		if all := before.Plus(more); usable.TimeFor(before.Work) <= longest && !fits(o, all, longest) {
+			over = max(over, excess(usable.TimeFor(all.Work), longest))
 		}
 	}
 	return over
--- a/services/admission/select.go
+++ b/services/admission/select.go
@@ -5,7 +5,7 @@
 
 import "github.com/yardbridge/yardbridge/modules/setting"
 
-// Select returns the policy of a setting, which is "" for its default.
+// Select returns the policy of a setting; "" selects as setting.AdmissionAuto does.
 func Select(name string, hasCustomers bool) Policy {
 	if name == setting.AdmissionCompletion || name != setting.AdmissionOverload && hasCustomers {
 		return Completion
--- a/services/fleet/outlook.go
+++ b/services/fleet/outlook.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -287,7 +288,7 @@
 	for n := range list {
 		list[n].After = (list[n].After + changeStep - 1).Truncate(changeStep)
 	}
-	slices.SortFunc(list, func(a, b capacity.Change) int { return int(a.After - b.After) })
+	slices.SortFunc(list, func(a, b capacity.Change) int { return cmp.Compare(a.After, b.After) })
 	var few []capacity.Change
 	for n, c := range list {
 		last := len(few) - 1
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -35,7 +35,8 @@
 	Logger  log.Logger
 	// Count increments a counter; nil for none.
 	Count func(counter string)
-	// SelectPolicy returns the policy by which jobs are accepted; nil selects the default.
+	// SelectPolicy returns the policy by which jobs are accepted; nil selects by the customers of
+	// the configuration.
 	SelectPolicy func(hasCustomers bool) admission.Policy
 	// NoPeers reports whether no other node responds; nil for never.
 	NoPeers func() bool
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -39,7 +39,8 @@
 	Clock clock.Clock
 	// Increment adds one to a counter; nil disables counting.
 	Increment func(counter string)
-	// SelectPolicy returns the policy by which jobs are accepted; nil selects the default.
+	// SelectPolicy returns the policy by which jobs are accepted; nil selects by the customers of
+	// the configuration.
 	SelectPolicy func(hasCustomers bool) admission.Policy
 
 	config            *config.Config
