Admission: a job that arrives is prepared once for its decision

The request, the decision and the count of refused work each built the job's state and its critical path anew, in every submission. One value, Arrival, carries it through. No decision changes. A shortcut past the policy for pools that are not overloaded was tried and taken back: it decided in the owner what is the policy's to decide (TestRefusalIsLoggedAndCounted).

--- a/services/owner/returns_test.go
+++ b/services/owner/returns_test.go
@@ -254,8 +254,7 @@
 // refuseFor has an owner refuse a job that would be in time after a while. The owner's lock is held.
 func refuseFor(ctx context.Context, o *Owner, s job.Submission, after time.Duration) error {
 	now := time.Now()
-	r, _ := o.pool.AdmissionRequest(s, returns.Remaining(ctx), now)
-	return o.promise(r, admission.State{}, admission.Decision{Reason: admission.Late, After: after}, now)
+	return o.promise(o.pool.Arrive(s, returns.Remaining(ctx), now).Request, admission.State{}, admission.Decision{Reason: admission.Late, After: after}, now)
 }
 
 // TestNextOwnerServesReturningCallers guards against callers that are turned away because the owner that
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -91,13 +91,13 @@
 // admit returns an error if the pool does not accept a job. A caller that returns in the second that it
 // was promised is not asked again. The lock is held.
 func (o *Owner) admit(ctx context.Context, s job.Submission) error {
-	now := o.Clock.Now()
-	request, asked := o.pool.AdmissionRequest(s, returns.Remaining(ctx), now)
-	if !asked {
+	if o.pool.OnOwnTerms(s) {
 		o.count("admission.accepted." + string(admission.Exempt))
 		return nil
 	}
-	promises := o.keepsPromises()
+	now, promises := o.Clock.Now(), o.keepsPromises()
+	arrival := o.pool.Arrive(s, returns.Remaining(ctx), now)
+	request := arrival.Request
 	if promises && o.redeem(request, now) {
 		return nil
 	}
@@ -105,7 +105,7 @@
 	if promises {
 		reserved = o.promises.Reserved(now)
 	}
-	state, d := o.pool.Admit(s, request, reserved, now)
+	state, d := o.pool.Admit(arrival, reserved, now)
 	if d.Accepted {
 		o.count("admission.accepted." + string(d.Reason))
 		o.promises.Release(s.ID)
@@ -120,7 +120,7 @@
 		Msg("job rejected: it would not complete in time")
 	if promises {
 		if d.Reason != admission.OverLimit && !o.promises.Has(s.ID) {
-			o.pool.NoteRefused(s, now)
+			o.pool.NoteRefused(arrival, now)
 		}
 		return o.promise(request, state, d, now)
 	}
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -33,31 +33,37 @@
 	return p.policy
 }
 
-// AdmissionRequest returns a job as the decision whether it is accepted needs it. It returns false for jobs
-// that are accepted on their own terms: known ones, repeated ones and those with long-running tasks.
-func (p *Pool) AdmissionRequest(s job.Submission, remaining time.Duration, now time.Time) (admission.Request, bool) {
-	if p.Has(s.ID) || s.HasLongRunning() || s.RepeatCount > 0 {
-		return admission.Request{}, false
-	}
+// OnOwnTerms reports whether a job is accepted without a decision: a known one, a repeated one, or one with
+// long-running tasks.
+func (p *Pool) OnOwnTerms(s job.Submission) bool {
+	return p.Has(s.ID) || s.HasLongRunning() || s.RepeatCount > 0
+}
+
+// Arrival is a job that is submitted, as the decision whether it is accepted needs it.
+type Arrival struct {
+	admission.Request
+	job *jobState
+}
+
+// Arrive returns a job that is submitted, whose caller still waits for a time, 0 for unknown.
+func (p *Pool) Arrive(s job.Submission, remaining time.Duration, now time.Time) Arrival {
 	j := p.newJob(s, now)
 	p.updateObjective(j)
-	return admission.Request{
+	return Arrival{admission.Request{
 		Job: s.ID, Customer: s.Customer, Queue: s.Queue, Load: p.waitingLoad(j, now), Latest: j.latestStart.Sub(now), Useful: j.latestUsefulStart().Sub(now), Remaining: remaining,
-	}, true
+	}, j}
 }
 
 // Admit decides whether a job is accepted now, and returns what was known. Work that is reserved for
 // promised returns, by customer, comes before it.
-func (p *Pool) Admit(s job.Submission, r admission.Request, reserved map[string]capacity.Work, now time.Time) (admission.State, admission.Decision) {
-	j := p.newJob(s, now)
-	p.updateObjective(j)
-	state := p.admissionState(j, reserved, now)
-	return state, p.currentPolicy().Decide(r, state)
+func (p *Pool) Admit(a Arrival, reserved map[string]capacity.Work, now time.Time) (admission.State, admission.Decision) {
+	state := p.admissionState(a.job, reserved, now)
+	return state, p.currentPolicy().Decide(a.Request, state)
 }
 
 // NoteRefused counts the work of a job that was refused as arriving: otherwise a pool that refuses for want of
 // instances would ask for none.
-func (p *Pool) NoteRefused(s job.Submission, now time.Time) { p.addArrival(p.newJob(s, now), now) }
+func (p *Pool) NoteRefused(a Arrival, now time.Time) { p.addArrival(a.job, now) }
 
 // admissionState returns what is known of the pool as far as it concerns a job that arrives now.
 func (p *Pool) admissionState(j *jobState, reserved map[string]capacity.Work, now time.Time) admission.State {
--- a/services/scheduler/admission_test.go
+++ b/services/scheduler/admission_test.go
@@ -45,8 +45,8 @@
 // admit asks whether a job is accepted, and submits it if it is.
 func (d *testPool) admit(s job.Submission) admission.Decision {
 	decision := admission.Decision{Accepted: true, Reason: admission.Exempt}
-	if request, asked := d.AdmissionRequest(s, 0, d.now); asked {
-		_, decision = d.Admit(s, request, nil, d.now)
+	if !d.OnOwnTerms(s) {
+		_, decision = d.Admit(d.Arrive(s, 0, d.now), nil, d.now)
 	}
 	if decision.Accepted {
 		d.Submit(s, d.now)
@@ -118,7 +118,7 @@
 	for n := range refused {
 		s := aSecond(fmt.Sprint("refused-", n), "q")
 		assert.Assert(t, !d.admit(s).Accepted)
-		d.NoteRefused(s, d.now)
+		d.NoteRefused(d.Arrive(s, 0, d.now), d.now)
 	}
 	after := d.Report(CordonRequest{}, d.now).ArrivalLoad.CPU
 	assert.Assert(t, after > 3*before, "%d before, %d after", before, after)
