Admission: a customer that uses its share plans with a third of its longest wait

Late jobs are those that miss their latest start by little and then come after all that can be in time: two to nine seconds late.

--- a/services/admission/completion.go
+++ b/services/admission/completion.go
@@ -27,7 +27,7 @@
 	// is placed first.
 	partOfNewcomer = 0.7
 	// plannedPart is the part for a customer that uses its share of the pool.
-	plannedPart = 0.4
+	plannedPart = 1.0 / 3
 	// partAboveShare is the part for a customer that uses twice its share or more: the difference stays
 	// free for the others.
 	partAboveShare = 0.1
