Rollout: a call that failed is made again before an entry is named as lagging

Cause: the apply makes one call to each entry, which waits there for the position. All calls to an entry share a connection, and one whose probe of 0.4 s gets no response closes it, so that the apply's call fails although both entries run.

The call is made again every 0.2 s within the same bound of 10 s. An entry whose address refuses connections is still named at once. Ruled out: the limits of the script (it has none, it prints what the apply told) and of the log.

TestFailedCallIsNoLag and TestUnreachableEntryIsNamed fail before.

--- a/adapters/peerrpc/client.go
+++ b/adapters/peerrpc/client.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -142,9 +143,12 @@
 }
 
 // AwaitMark waits for a limited time until an entry has folded the log up to a mark, and returns
-// whether it has.
+// whether it has. The error is of kind NotFound if nothing listens at the entry's address.
 func (c *Client) AwaitMark(ctx context.Context, entry string, m state.Position) (bool, error) {
 	var a AwaitMarkResponse
 	err := c.call(ctx, entry, methodAwaitMark, m, &a)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, errkind.New(errkind.NotFound, "entry %s does not listen: %s", entry, err)
+	}
 	return a.Reached, err
 }
--- a/services/rollout/confirmation.go
+++ b/services/rollout/confirmation.go
@@ -7,8 +7,10 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/yardbridge/yardbridge/models/state"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 )
 
 // confirmation waits until every entry has folded the log up to a position. It may begin before the
@@ -65,15 +67,35 @@
 	position state.Position
 }
 
+// retryPause is the time between a call that failed and the next one, as long as an entry that is
+// short of processors takes to answer a probe.
+const retryPause = 200 * time.Millisecond
+
 func (a entryRequest) run(ctx context.Context) {
 	defer a.c.group.Done()
 	bounded, cancel := context.WithTimeout(ctx, waitLimit)
 	defer cancel()
-	reached, err := a.c.v.Reached(bounded, a.entry, a.position)
-	if err == nil && reached {
+	if a.reached(bounded) {
 		return
 	}
 	a.c.mu.Lock()
 	defer a.c.mu.Unlock()
 	a.c.lagging = append(a.c.lagging, a.entry)
 }
+
+// reached reports whether the entry reaches the position in time. A call that fails tells nothing of
+// the entry: it fails together with other calls on its connection. It is made again, unless nothing
+// listens at the entry's address.
+func (a entryRequest) reached(ctx context.Context) bool {
+	for {
+		reached, err := a.c.v.Reached(ctx, a.entry, a.position)
+		if err == nil || errkind.Is(err, errkind.NotFound) {
+			return reached
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/services/rollout/rollout.go
+++ b/services/rollout/rollout.go
@@ -31,7 +31,7 @@
 	// the position of the batch that contains the record; sent must not block.
 	Propose func(ctx context.Context, r record.Record, sent func(state.Position)) error
 	// Reached waits for a limited time until an entry has folded the log up to a position, and
-	// returns whether it has.
+	// returns whether it has. An error of kind NotFound means that no such entry is running.
 	Reached func(ctx context.Context, entry string, m state.Position) (bool, error)
 }
 
--- a/services/rollout/rollout_test.go
+++ b/services/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -99,6 +100,46 @@
 	assert.DeepEqual(t, result.Lagging, []string{"c"})
 }
 
+// TestFailedCallIsNoLag guards against an apply that names an entry as lagging because its connection was
+// closed: on a busy machine a probe gets no response in time, and all calls on its connection fail.
+func TestFailedCallIsNoLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig("a", "b", "c")
+		reached, failures := r.Reached, 2
+		r.Reached = func(ctx context.Context, entry string, m state.Position) (bool, error) {
+			if entry == "b" && failures > 0 {
+				failures--
+				return false, errkind.New(errkind.Internal, "the connection is closed")
+			}
+			return reached(ctx, entry, m)
+		}
+		result, err := r.Apply(t.Context(), aTeam(0))
+		assert.NilError(t, err)
+		assert.Assert(t, result.InForce, "lagging: %v", result.Lagging)
+	})
+}
+
+// TestUnreachableEntryIsNamed guards against an apply that never ends, or takes longer than it may, while
+// all calls to an entry fail, and against one that waits for an entry that is not running.
+func TestUnreachableEntryIsNamed(t *testing.T) {
+	for kind, want := range map[errkind.Kind]time.Duration{errkind.Internal: waitLimit, errkind.NotFound: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig("a", "b", "c")
+			reached, began := r.Reached, time.Now()
+			r.Reached = func(ctx context.Context, entry string, m state.Position) (bool, error) {
+				if entry == "c" {
+					return false, errkind.New(kind, "no connection")
+				}
+				return reached(ctx, entry, m)
+			}
+			result, err := r.Apply(t.Context(), aTeam(0))
+			assert.NilError(t, err)
+			assert.DeepEqual(t, result.Lagging, []string{"c"})
+			assert.Equal(t, time.Since(began), want)
+		})
+	}
+}
+
 func TestEntryThatJoinsMeanwhileGetsARequest(t *testing.T) {
 	r := newRig("a", "b")
 	propose := r.Propose
