Processes: messages between them are encoded and decoded once

Lengths that are wrong take no memory.

No check changed; the handlers of two tests of rpcconn lost a parameter that they did not use.

--- a/adapters/noderpc/client.go
+++ b/adapters/noderpc/client.go
@@ -77,7 +77,7 @@
 }
 
 // writeTimeout is the longest time for a write. A peer that has disappeared without closing the
-// connection reads nothing any more, and the jsonrpc2 library holds its lock during a write:
+// connection reads nothing any more, and package rpcconn holds a lock during a write:
 // without a limit, every other call to that peer would wait, whatever its own timeout.
 const writeTimeout = 400 * time.Millisecond
 
--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -61,7 +61,7 @@
 }
 
 // handle handles one call.
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 	method := s.Methods[r.Method]
 	if method == nil || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -60,7 +60,7 @@
 }
 
 // handle handles one message.
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 	h := s.Handlers
 	switch r.Method {
 	case methodExchange:
--- a/modules/rpcconn/client.go
+++ b/modules/rpcconn/client.go
@@ -39,18 +39,13 @@
 type peer struct {
 	client      *Client
 	address     string
-	rpc         *jsonrpc2.Conn
+	rpc         *conn
 	conn        *silence.Conn
 	endpoint    silence.Endpoint
 	retryPolicy silence.RetryPolicy
 	probing     atomic.Bool // a new connection is being opened to check this one
 }
 
-// noHandler rejects all calls: on a client's connection only the client makes calls.
-var noHandler = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
-})
-
 // pingTimeout bounds the ping on a new connection. A running peer responds within a few
 // milliseconds, and one short of CPU time within 0.2 s.
 const pingTimeout = 400 * time.Millisecond
@@ -66,7 +61,7 @@
 	w := p.watch(ctx, began)
 	err = p.rpc.Call(ctx, method, params, result)
 	w.end()
-	if _, responded := err.(*jsonrpc2.Error); err == nil || responded { //nolint:errorlint // the library returns it as it is
+	if _, responded := err.(*jsonrpc2.Error); err == nil || responded { //nolint:errorlint // Call returns it as it is
 		p.retryPolicy.RecordResponse(began, 0)
 		return err
 	}
@@ -144,8 +139,7 @@
 	}
 	p := &peer{client: c, address: address}
 	p.conn = p.endpoint.Track(raw)
-	stream := jsonrpc2.NewBufferedStream(p.conn, jsonrpc2.VarintObjectCodec{})
-	p.rpc = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noHandler, jsonrpc2.SetLogger(c.Logger))
+	p.rpc = newConn(context.WithoutCancel(ctx), p.conn, nil, c.Logger) // only the client makes calls on it
 	return p, nil
 }
 
--- a/modules/rpcconn/client_test.go
+++ b/modules/rpcconn/client_test.go
@@ -76,7 +76,7 @@
 		defer h.mu.Unlock()
 		h.conns = append(h.conns, c)
 		return c, nil
-	}, Handle: func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	}, Handle: func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 		h.calls.Add(1)
 		if r.Method == "hold" {
 			<-h.release
--- /dev/null
+++ b/modules/rpcconn/conn.go
@@ -0,0 +1,270 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rpcconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	stderrors "errors"
+	"io"
+	"math"
+	"strconv"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/yardbridge/yardbridge/modules/log"
+)
+
+// errClosed is the error of a call on a connection that is closed.
+var errClosed = stderrors.New("connection is closed")
+
+// conn exchanges JSON-RPC 2.0 messages on a stream, each after its length. It has the messages of
+// package jsonrpc2 on the wire; parameters and results are encoded and decoded once and not copied
+// through maps, which would take most of the processor time of a short call.
+type conn struct {
+	stream io.ReadWriteCloser
+	handle Handler // nil rejects all calls of the peer
+	logger *log.Logger
+
+	sending sync.Mutex // is held during a write
+
+	mu           sync.Mutex
+	pending      map[uint64]chan *message // calls that wait, by their number
+	last         uint64                   // number of the newest call
+	closed       bool
+	disconnected chan struct{}
+}
+
+// message is a call, a notification (a call without an ID) or a response.
+type message struct {
+	ID     json.RawMessage `json:"id"`
+	Method *string         `json:"method"`
+	Params json.RawMessage `json:"params"`
+	Result json.RawMessage `json:"result"`
+	Error  *jsonrpc2.Error `json:"error"`
+}
+
+// newConn returns a connection that reads until it is closed.
+func newConn(ctx context.Context, stream io.ReadWriteCloser, handle Handler, logger *log.Logger) *conn {
+	c := &conn{stream: stream, handle: handle, logger: logger, pending: make(map[uint64]chan *message), disconnected: make(chan struct{})}
+	go c.run(ctx)
+	return c
+}
+
+// run reads messages until the connection ends.
+func (c *conn) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reader := bufio.NewReader(c.stream)
+	for {
+		m, err := readMessage(reader)
+		if err != nil {
+			_ = c.end(err)
+			return
+		}
+		if m.Method != nil {
+			go c.serve(ctx, m)
+		} else {
+			c.respond(m)
+		}
+	}
+}
+
+// firstBuffer is the size of the buffer for a message until its content has arrived: a length that
+// is wrong must not take memory.
+const firstBuffer = 64 << 10
+
+// readMessage reads one message.
+func readMessage(reader *bufio.Reader) (*message, error) {
+	length, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return nil, err
+	}
+	var data bytes.Buffer
+	data.Grow(int(min(length, firstBuffer)))
+	if _, err := io.CopyN(&data, reader, int64(min(length, math.MaxInt64))); err != nil {
+		return nil, err
+	}
+	m := new(message)
+	if err := json.Unmarshal(data.Bytes(), m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// serve handles a call of the peer and sends the response.
+func (c *conn) serve(ctx context.Context, m *message) {
+	r := &jsonrpc2.Request{Method: *m.Method, Notif: len(m.ID) == 0}
+	if m.Params != nil {
+		r.Params = &m.Params
+	}
+	var result any
+	err := error(&jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound})
+	if c.handle != nil {
+		result, err = c.handle(ctx, r)
+	}
+	if r.Notif {
+		if err != nil {
+			c.logger.Printf("handling of notification %q: %v", r.Method, err)
+		}
+		return
+	}
+	if err := c.write(response(m.ID, result, err)); err != nil {
+		c.logger.Printf("response %s to %q: %v", m.ID, r.Method, err)
+	}
+}
+
+// response encodes a response.
+func response(id json.RawMessage, result any, err error) []byte {
+	var data []byte
+	if err == nil {
+		data, err = json.Marshal(result)
+	}
+	name := `,"result":`
+	if err != nil {
+		e, ok := err.(*jsonrpc2.Error) //nolint:errorlint // handlers return it as it is
+		if !ok {
+			e = &jsonrpc2.Error{Message: err.Error()}
+		}
+		name = `,"error":`
+		data, _ = json.Marshal(e) // its data is encoded already
+	}
+	text := make([]byte, 0, len(data)+len(id)+len(name)+32)
+	text = append(append(text, `{"jsonrpc":"2.0","id":`...), id...)
+	return append(append(append(text, name...), data...), '}')
+}
+
+// write writes one message.
+func (c *conn) write(text []byte) error {
+	frame := binary.AppendUvarint(make([]byte, 0, len(text)+binary.MaxVarintLen64), uint64(len(text)))
+	frame = append(frame, text...)
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	if c.isClosed() {
+		return errClosed
+	}
+	_, err := c.stream.Write(frame)
+	if err != nil && c.isClosed() {
+		return errClosed
+	}
+	return err
+}
+
+// respond passes a response to the call that waits for it.
+func (c *conn) respond(m *message) {
+	id, err := strconv.ParseUint(string(m.ID), 10, 64)
+	c.mu.Lock()
+	waiting := c.pending[id]
+	delete(c.pending, id)
+	c.mu.Unlock()
+	if err != nil || waiting == nil {
+		c.logger.Printf("response %q belongs to no call", m.ID)
+		return
+	}
+	waiting <- m
+}
+
+// request encodes a call, or a notification if its id is 0.
+func request(id uint64, method string, params any) ([]byte, error) {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return nil, err
+	}
+	name, err := json.Marshal(method)
+	if err != nil {
+		return nil, err
+	}
+	text := make([]byte, 0, len(data)+len(name)+64)
+	text = append(text, `{"jsonrpc":"2.0"`...)
+	if id > 0 {
+		text = strconv.AppendUint(append(text, `,"id":`...), id, 10)
+	}
+	text = append(append(text, `,"method":`...), name...)
+	return append(append(append(text, `,"params":`...), data...), '}'), nil
+}
+
+// Call calls a method of the peer and waits for its response; what the peer refuses is returned as a
+// *jsonrpc2.Error. The context is looked at once the call is written.
+func (c *conn) Call(ctx context.Context, method string, params, result any) error {
+	waiting := make(chan *message, 1)
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return errClosed
+	}
+	c.last++
+	id := c.last
+	c.pending[id] = waiting
+	c.mu.Unlock()
+	text, err := request(id, method, params)
+	if err == nil {
+		err = c.write(text)
+	}
+	if err != nil {
+		c.mu.Lock()
+		delete(c.pending, id)
+		c.mu.Unlock()
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case m, ok := <-waiting:
+		switch {
+		case !ok:
+			return errClosed
+		case m.Error != nil:
+			return m.Error
+		case result == nil || len(m.Result) == 0:
+			return nil
+		}
+		return json.Unmarshal(m.Result, result)
+	}
+}
+
+// Notify sends a notification.
+func (c *conn) Notify(_ context.Context, method string, params any) error {
+	text, err := request(0, method, params)
+	if err != nil {
+		return err
+	}
+	return c.write(text)
+}
+
+// DisconnectNotify returns a channel that is closed once the connection is.
+func (c *conn) DisconnectNotify() <-chan struct{} { return c.disconnected }
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// Close closes the connection; the calls that wait fail.
+func (c *conn) Close() error { return c.end(nil) }
+
+// end closes the connection and logs the cause, unless it ended as connections do.
+func (c *conn) end(cause error) error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return errClosed
+	}
+	c.closed = true
+	for id, waiting := range c.pending {
+		close(waiting)
+		delete(c.pending, id)
+	}
+	close(c.disconnected)
+	c.mu.Unlock()
+	err := c.stream.Close()
+	if cause != nil && !stderrors.Is(cause, io.EOF) && !stderrors.Is(cause, io.ErrUnexpectedEOF) {
+		c.logger.Printf("protocol error: %v", cause)
+	}
+	return err
+}
--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -16,7 +16,7 @@
 )
 
 // Handler handles one call.
-type Handler func(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error)
+type Handler func(ctx context.Context, r *jsonrpc2.Request) (any, error)
 
 // Server serves the connections of a listener.
 type Server struct {
@@ -82,8 +82,7 @@
 		return
 	}
 	conn = idleConn{conn, cmp.Or(c.s.IdleTimeout, defaultIdleTimeout)}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(c.s.handle)), jsonrpc2.SetLogger(c.s.Logger))
+	rpc := newConn(ctx, conn, c.s.handle, c.s.Logger)
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -99,11 +98,11 @@
 }
 
 // handle responds to pings and passes other calls to the handler.
-func (s *Server) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 	if r.Method == methodPing {
 		return struct{}{}, nil
 	}
-	return s.Handle(ctx, conn, r)
+	return s.Handle(ctx, r)
 }
 
 // idleConn is a connection whose reads time out when it is idle for too long.
--- a/modules/rpcconn/server_test.go
+++ b/modules/rpcconn/server_test.go
@@ -28,7 +28,7 @@
 	if s.Wrap == nil {
 		s.Wrap = func(_ context.Context, raw net.Conn) (net.Conn, error) { return raw, nil }
 	}
-	s.Handle = func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return struct{}{}, nil }
+	s.Handle = func(context.Context, *jsonrpc2.Request) (any, error) { return struct{}{}, nil }
 	go s.Run(ctx, l)
 	return l.Addr().String()
 }
--- a/modules/rpcconn/watch.go
+++ b/modules/rpcconn/watch.go
@@ -80,7 +80,7 @@
 	return err == nil || w.peer.conn.ReadCount() != w.reads
 }
 
-// ping checks whether the peer responds. The library checks the context only after it has
+// ping checks whether the peer responds. A call checks the context only after it has
 // written the ping, and on a connection whose writes block that ends only when the
 // connection is closed.
 func (p *peer) ping(ctx context.Context, limit time.Duration) error {
