Ownership: a node owns what its limits carry, by cores, memory, descriptors and link

Nodes were ranked as owners by cores and link alone. At 1,000 nodes a pool of 3,000 workers takes 10,048 descriptors; a node with most cores and 4,100 owned it all the same and would have refused its connections, while one with 16,384 stood by.

What roles take is a formula (models/resource, docs/CAPACITY.md). A node registers its descriptors and memory, from its settings or the process's limits; unknown counts as enough. The size of a role is published with its ownership, and only where some node can carry another number of such roles at it, since every node reads each change. The append is conditional on the directory being unchanged: an unconditional one of an owner that was replaced wrote over the later owner's entry (TestSizeIsNotPublishedOverALaterOwner fails with it). A node that has outgrown its limits hands roles over.

Where all limits suffice the owners are those of before, also after losses of nodes (TestOwnersStayAsLongAsAllLimitsSuffice, six fleets of 6 to 98 nodes). With descriptors left out of the ranking TestOwnersCarryTheirPools, TestNodeShortOfOneLimitOwnsNothing, TestPoolsOfOneNodeAddUp and TestNearestNodeOwnsWhatNoneCarries fail.

Also: memory_mb = 0 had set a memory limit of 0, so that the collector ran without end; it now sets none.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -18,9 +18,11 @@
 	"github.com/yardbridge/yardbridge/modules/httpconn"
 	"github.com/yardbridge/yardbridge/modules/httpserve"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/oslimit"
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/node"
 	"github.com/yardbridge/yardbridge/platform"
+	"github.com/yardbridge/yardbridge/services/directory"
 	"github.com/yardbridge/yardbridge/services/measure"
 )
 
@@ -56,7 +58,9 @@
 		return errors.Trace(err)
 	}
 	c.signals.use(logger)
-	debug.SetMemoryLimit(int64(float64(s.Node.MemoryMB<<20) * memoryLimitShare))
+	if s.Node.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Node.MemoryMB<<20) * memoryLimitShare))
+	}
 	p, err := openNode(s, logger)
 	if err != nil {
 		return err
@@ -73,6 +77,16 @@
 	return nil
 }
 
+// useProcessLimits takes the limits that the settings don't state from the process.
+func useProcessLimits(n *directory.Node) {
+	if n.Descriptors == 0 {
+		n.Descriptors = oslimit.Descriptors()
+	}
+	if n.MemoryMB == 0 {
+		n.MemoryMB = oslimit.MemoryMB()
+	}
+}
+
 // nodeProcess is one node and its listeners.
 type nodeProcess struct {
 	node    *node.Node
@@ -103,6 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
+	useProcessLimits(&n.Directory.Self)
 	meter.Gauge("pools.owned", n.OwnedPools)
 	meter.Gauge("config.version", n.ConfigVersion)
 	meter.Gauge("data_centers.evacuated", n.EvacuatedDataCenters)
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -32,7 +32,9 @@
 	Address    string  `toml:"address"` // IP at which other nodes reach it
 	Cores      float64 `toml:"cores"`   // CPU capacity: its share of each core, times the number of cores
 	MemoryMB   int64   `toml:"memory_mb"`
-	LinkMbps   float64 `toml:"link_mbps"` // of its network link, 0 if unknown
+	// Descriptors is how many descriptors the process may have open, 0 for its own limit.
+	Descriptors int     `toml:"descriptors"`
+	LinkMbps    float64 `toml:"link_mbps"` // of its network link, 0 if unknown
 }
 
 // NodeListen holds the addresses on which a node listens.
@@ -129,6 +131,12 @@
 	if n.Node.LinkMbps < 0 {
 		c.addProblem("node", 0, "link_mbps", "%v is not allowed; allowed is 0 for unknown, or more", n.Node.LinkMbps)
 	}
+	if d := n.Node.Descriptors; d < 0 || d > maxDescriptors {
+		c.addProblem("node", 0, "descriptors", "%d is not allowed; allowed is 0 for the limit of the process, to %d", d, maxDescriptors)
+	}
+	if n.Node.MemoryMB < 0 {
+		c.addProblem("node", 0, "memory_mb", "%d is not allowed; allowed is 0 for the limit of the process, or more", n.Node.MemoryMB)
+	}
 	for _, rate := range []struct {
 		key   string
 		value float64
@@ -171,6 +179,8 @@
 const (
 	maxPort       = 65535
 	maxPartitions = 1 << 16
+	// maxDescriptors is the highest number of descriptors that a process can be given on any system.
+	maxDescriptors = 1 << 30
 )
 
 // MaxReadWait returns how long a read of the store may wait for new records: a connection that has
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// TestNodeLimitSettings guards against limits of a node that are not checked: a negative one would count as
+// unknown.
+func TestNodeLimitSettings(t *testing.T) {
+	with := func(text string) string { return strings.Replace(nodeFile, "[listen]", text+"\n[listen]", 1) }
+	n, err := ParseNode("node.toml", with("descriptors = 4100\nmemory_mb = 284"))
+	assert.NilError(t, err)
+	assert.Equal(t, n.Node.Descriptors, 4100)
+	for _, bad := range []string{"descriptors = -1", "descriptors = 2000000000", "memory_mb = -1"} {
+		_, err := ParseNode("node.toml", with(bad))
+		assert.ErrorContains(t, err, "is not allowed; allowed is 0 for the limit of the process", bad)
+	}
+}
+
 // TestAdmissionPolicySetting guards against a misspelt policy that is taken for another one: it is refused
 // with its file, line and key, and what is allowed.
 func TestAdmissionPolicySetting(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/resource"
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -93,7 +94,7 @@
 		Store: ports.Store, Clock: c, Logger: logger,
 		Self: directory.Node{
 			Name: s.Node.Name, Address: s.PeerAddress(), Incarnation: uint64(c.Now().UnixNano()),
-			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter, LinkMbps: s.Node.LinkMbps,
+			Cores: s.Node.Cores, DataCenter: s.Node.DataCenter, LinkMbps: s.Node.LinkMbps, MemoryMB: s.Node.MemoryMB, Descriptors: s.Node.Descriptors,
 		},
 	}
 	n.Directory.MaxWait = s.MaxReadWait()
@@ -101,6 +102,7 @@
 	n.Ownership = &ownership.Manager{
 		Directory: n.Directory, Clock: c, Logger: logger,
 		Config: n.Gateway.Config, Roles: roles, Open: n.openRole, ProbeTakeOver: n.offer, RequestTakeOver: n.takeOver,
+		Demand: demand,
 	}
 	n.Directory.Reclaim = n.Ownership.Reclaim
 	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, ProbeVia: n.probeVia}
@@ -188,6 +190,14 @@
 	return list
 }
 
+// demand returns what a role of a size takes.
+func demand(role string, size int) resource.Roles {
+	if role == fleetRole {
+		return resource.Roles{Count: 1, Instances: size}
+	}
+	return resource.Roles{Count: 1, Workers: size}
+}
+
 // openRole returns the runner of a role.
 func (n *Node) openRole(role string, slot int) *ownership.RoleRunner {
 	logger := n.Logger.With().Str("pool", role).Logger()
@@ -219,7 +229,7 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: o.Epoch, Done: o.Done}
+	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
 }
 
 // openFleet returns the runner that manages instances.
@@ -238,7 +248,7 @@
 		defer n.progress.Store(&fleet.Progress{})
 		return m.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done}
+	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done, Size: m.Size}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -36,6 +36,7 @@
 	Seed        uint64            `toml:"seed"`
 	Nodes       int               `toml:"nodes"`
 	Cores       []float64         `toml:"cores"`  // of the nodes, one each if omitted
+	Descriptors []int             `toml:"-"`      // of the nodes, unknown if omitted
 	Owners      []int             `toml:"owners"` // nodes that may own pools at the end, any if omitted
 	Off         int               `toml:"off"`    // instances that are off
 	Waves       bool              `toml:"-"`      // a wave was requested
@@ -298,6 +299,9 @@
 	if cores := st.script.Cores; len(cores) > 0 {
 		s.Node.Cores = cores[n.number-1]
 	}
+	if descriptors := st.script.Descriptors; len(descriptors) > 0 {
+		s.Node.Descriptors = descriptors[n.number-1]
+	}
 	s.Listen.NodePort, s.Platform.Partitions = 1, storeParts
 	s.Bounds.MaxLease = tomlfile.Duration(10 * time.Second)
 	s.Bounds.StopTime = tomlfile.Duration(400 * time.Millisecond)
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/resource"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/errkind"
@@ -36,6 +37,13 @@
 	Cores       float64 `cbor:"4,keyasint"`
 	DataCenter  string  `cbor:"5,keyasint"`
 	LinkMbps    float64 `cbor:"6,keyasint,omitempty"` // of its network link, 0 if not set
+	MemoryMB    int64   `cbor:"7,keyasint,omitempty"` // of the process, 0 if unknown
+	Descriptors int     `cbor:"8,keyasint,omitempty"` // that the process may have open, 0 if unknown
+}
+
+// Limits returns the node's limits.
+func (n Node) Limits() resource.Amount {
+	return resource.Amount{Cores: n.Cores, MemoryMB: float64(n.MemoryMB), Descriptors: float64(n.Descriptors), LinkMbps: n.LinkMbps}
 }
 
 // coresPerMbit is the CPU load in cores that corresponds to a megabit per second: a run takes some
@@ -62,6 +70,9 @@
 	Epoch       uint64 `cbor:"3,keyasint"`
 	Node        string `cbor:"4,keyasint"`             // "" for none yet
 	Incarnation uint64 `cbor:"5,keyasint" json:"Life"` // of the node's process
+	// Size is how many workers the pool has had at most, or instances for the role that decides on these, as
+	// published when other nodes could carry it; 0 if unknown.
+	Size int `cbor:"6,keyasint,omitempty"`
 }
 
 // View is the content of the directory at one time; it is immutable.
@@ -455,6 +466,17 @@
 	return d.Store.Put(ctx, Partition, []port.Record{r})
 }
 
+// PublishSize announces the size of a role that this node owns, unless a record was added to the directory
+// since it was read up to an offset: it might tell of a later owner.
+func (d *Directory) PublishSize(ctx context.Context, o Ownership, end uint64) error {
+	r, err := o.record()
+	if err != nil {
+		return err
+	}
+	_, err = d.Store.AppendAt(ctx, Partition, end, []port.Record{r})
+	return err
+}
+
 // record returns the entry of an ownership.
 func (o Ownership) record() (port.Record, error) {
 	value, err := codec.Marshal(o)
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -136,6 +136,9 @@
 // Epoch returns the fencing token of orders.
 func (m *Manager) Epoch() uint64 { return m.Journal.Epoch() }
 
+// Size returns the number of instances of all pools, 0 before they were first read.
+func (m *Manager) Size() int { return len(m.list.newest().instances) }
+
 // Done returns a channel that is closed once the role is no longer held.
 func (m *Manager) Done() <-chan struct{} { return m.done }
 
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// Size returns the number of workers of the pool.
+func (o *Owner) Size() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.links)
+}
+
 // Done returns a channel that is closed once the pool is no longer owned.
 func (o *Owner) Done() <-chan struct{} { return o.done }
 
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -71,7 +71,11 @@
 	if err := o.Claim(ctx, self.Name); err != nil {
 		return nil, err
 	}
-	go publication{t.s, directory.Ownership{Pool: t.pool, Slot: slot, Epoch: o.Epoch(), Node: self.Name, Incarnation: self.Incarnation}, o}.run(ctx)
+	claimed := directory.Ownership{Pool: t.pool, Slot: slot, Epoch: o.Epoch(), Node: self.Name, Incarnation: self.Incarnation}
+	if v, _ := t.s.Directory.View(); v != nil {
+		claimed.Size = v.Pools[t.pool].Size
+	}
+	go publication{t.s, claimed, o}.run(ctx)
 	return o, nil
 }
 
@@ -130,7 +134,7 @@
 	self := s.Directory.Self
 	o := directory.Ownership{Pool: role, Epoch: t.Epoch(), Node: self.Name, Incarnation: self.Incarnation}
 	if v, _ := s.Directory.View(); v != nil {
-		o.Slot = v.Pools[role].Slot
+		o.Slot, o.Size = v.Pools[role].Slot, v.Pools[role].Size
 	}
 	return o
 }
--- a/services/ownership/hand_over.go
+++ b/services/ownership/hand_over.go
@@ -78,7 +78,7 @@
 			others.Nodes[name] = n
 		}
 	}
-	successors := rankSuccessors(&others, pools)
+	successors := s.ranking(&others).successors(pools)
 	var group sync.WaitGroup
 	for _, pool := range pools {
 		group.Go(func() {
--- a/services/ownership/improve.go
+++ b/services/ownership/improve.go
@@ -5,73 +5,80 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/resource"
 	"github.com/yardbridge/yardbridge/services/directory"
 )
 
 // A pool may be owned by a node with little capacity because no better one was present: many nodes
 // had been killed, or the store recovered when that node was probed. The pool moves once a much
-// better node is present.
+// better node is present. It also moves if the roles of its owner have outgrown the limits of that node,
+// and another node carries it or comes clearly nearer.
 
 // Conditions for moving a role to a better node.
 const (
 	// muchBetter is how many times the capacity per role another node must have. A take-over stops
 	// a pool for about 0.2 s, and nodes whose capacity differs less can handle the same surge.
 	muchBetter = 3
+	// clearlyNearer is how many times as far this node must exceed its limits as the other node would with
+	// the role, where that one can't carry it either.
+	clearlyNearer = 1.25
 	// provenAfter is how long the other node must have been present and this node must have owned
 	// the role: a node that is being restarted is about to exit.
 	provenAfter = 3 * time.Second
 )
 
-// improve hands over one role to a much better node, if there is one.
+// improve hands over one role to a better node, if there is one.
 func (s *Manager) improve(ctx context.Context, v *directory.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving || len(s.owned) == 0 {
 		return
 	}
-	now, owns := s.Clock.Now(), countRoles(v)
-	self := v.Nodes[s.Directory.Self.Name]
-	own := float64(len(s.owned)) / self.Capacity()
-	best := s.best(v, owns, now)
-	if best == "" || load(v.Nodes[best], owns[best])*muchBetter > own {
-		return
-	}
-	for role, t := range s.owned {
+	now, r := s.Clock.Now(), s.ranking(v)
+	own := r.candidate(s.Directory.Self.Name, resource.Roles{})
+	for _, role := range slices.Sorted(maps.Keys(s.owned)) {
+		t := s.owned[role]
 		if t.handingOver || now.Sub(t.claimedAt) < provenAfter || t.Stuck(0) {
 			continue
 		}
+		best, found := s.best(r, role, now)
+		if !found || !best.muchBetterThan(own) {
+			continue
+		}
 		t.handingOver = true
 		s.tasks.Add(1)
-		go improveTask{s, v, role, best}.run(ctx)
+		go improveTask{s, v, role, best.name}.run(ctx)
 		return
 	}
 }
 
-// best returns the other node with the most capacity for one more role, "" for none.
-func (s *Manager) best(v *directory.View, owns map[string]int, now time.Time) string {
-	best, least := "", 0.0
-	for name, n := range v.Nodes {
-		if name == s.Directory.Self.Name || s.isUnable(name, now) || s.Clock.WallTime(now).Sub(time.Unix(0, int64(n.Incarnation))) < provenAfter { //nolint:gosec // a time
-			continue
-		}
-		if l := load(n, owns[name]); best == "" || l < least || l == least && name < best {
-			best, least = name, l
-		}
+// muchBetterThan reports whether a role should move to a candidate from its owner, which has its own load
+// and excess with the role.
+func (c candidate) muchBetterThan(owner candidate) bool {
+	carries := c.excess == 1 || c.excess*clearlyNearer <= owner.excess
+	if c.excess < owner.excess && carries {
+		return true
 	}
-	return best
+	return c.excess <= owner.excess && c.load*muchBetter <= owner.load
 }
 
-// countRoles returns how many roles each node owns.
-func countRoles(v *directory.View) map[string]int {
-	owns := make(map[string]int)
-	for role := range v.Pools {
-		if n, _, present := v.Owner(role); present {
-			owns[n.Name]++
+// best returns the best other node for one more role, false for none.
+func (s *Manager) best(r *ranking, role string, now time.Time) (best candidate, found bool) {
+	takes := r.needs(role)
+	for name, n := range r.v.Nodes {
+		if name == s.Directory.Self.Name || s.isUnable(name, now) || s.Clock.WallTime(now).Sub(time.Unix(0, int64(n.Incarnation))) < provenAfter { //nolint:gosec // a time
+			continue
+		}
+		c := r.candidate(name, takes)
+		if order := c.compare(best); !found || order < 0 || order == 0 && name < best.name {
+			best, found = c, true
 		}
 	}
-	return owns
+	return best, found
 }
 
 // improveTask hands over a role to a better node.
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -4,7 +4,6 @@
 package ownership
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -12,9 +11,9 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/config"
+	"github.com/yardbridge/yardbridge/models/resource"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
-	"github.com/yardbridge/yardbridge/modules/rendezvous"
 	"github.com/yardbridge/yardbridge/services/directory"
 )
 
@@ -27,8 +26,13 @@
 	PendingFor func() time.Duration
 	Epoch      func() uint64
 	Done       func() <-chan struct{} // closed once this node is no longer the owner
+	// Size returns the pool's workers, or the instances of all pools for the role that decides on these; nil
+	// for unknown.
+	Size func() int
 
 	cancel      context.CancelFunc // ends Run
+	peak        peak               // of the size
+	publishing  bool               // the size is being published
 	handingOver bool               // another node is being asked to take the role over, or has taken it over
 	claimedAt   time.Time          // when it was claimed
 }
@@ -46,6 +50,8 @@
 	Roles func(c *config.Config) []string
 	// Open returns a role runner, not yet claimed, for a role whose partition is in a slot.
 	Open func(role string, slot int) *RoleRunner
+	// Demand returns what a role of a size takes; nil for a pool with as many workers.
+	Demand func(role string, size int) resource.Roles
 	// ProbeTakeOver asks another node whether it could take a pool over, that is, whether the store
 	// responds to it, and returns how long the store took.
 	ProbeTakeOver func(ctx context.Context, n directory.Node) (time.Duration, error)
@@ -61,6 +67,7 @@
 	probed   map[string]time.Time // the value of unowned for which the preceding successors were last probed
 	unable   map[string]time.Time // until when a node is not chosen because it could not take a pool over
 	leaving  bool
+	short    string // limit that the roles of this node exceed most, as logged, "" for none
 	tasks    sync.WaitGroup
 }
 
@@ -129,9 +136,10 @@
 	}
 	s.endReplaced(v)
 	s.handOverStuck(ctx, v)
+	s.publishSizes(ctx, v)
 	s.improve(ctx, v)
 	pools := s.unownedPools(c, v)
-	successors := rankSuccessors(v, pools)
+	successors := s.ranking(v).successors(pools)
 	for _, pool := range pools {
 		_, known := v.Pools[pool]
 		if !known && !settled {
@@ -189,43 +197,3 @@
 	defer s.mu.Unlock()
 	return s.Clock.Now().Sub(s.unowned[pool])
 }
-
-// rankSuccessors returns for each pool without an owner the nodes that may own it, the best first:
-// those that own the fewest pools relative to their processors. All nodes compute the same result
-// from the same view.
-func rankSuccessors(v *directory.View, pools []string) map[string][]string {
-	owns := countRoles(v)
-	names := make([]string, 0, len(v.Nodes))
-	for name := range v.Nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	successors := make(map[string][]string, len(pools))
-	for _, pool := range pools {
-		ranked := slices.Clone(names)
-		first := rendezvous.Owner(pool, names)
-		slices.SortStableFunc(ranked, func(a, b string) int {
-			return cmp.Or(
-				cmp.Compare(load(v.Nodes[a], owns[a]), load(v.Nodes[b], owns[b])),
-				cmp.Compare(btoi(a != first), btoi(b != first)),
-			)
-		})
-		successors[pool] = ranked
-		if len(ranked) > 0 {
-			owns[ranked[0]]++
-		}
-	}
-	return successors
-}
-
-// load returns a node's load with one more pool, relative to its processors and link.
-func load(n directory.Node, owns int) float64 {
-	return float64(owns+1) / n.Capacity()
-}
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
