Ownership: not all roles in one data centre

Owners and the holder of the role for instances were chosen by capacity, and among equals by hash: the loss of one data centre could take all of them together, and did wherever the best nodes are in one.

Where all other roles are in one data centre, a node elsewhere does that carries the role, unless the best one has three times its capacity per role; from there on a role moves to the better node in any case, so neither rule undoes the other. After losses that brought all roles into one data centre the last one by name moves, and no other.

The capacity of the owners stays as it was on fleets with equal nodes (TestOwnersStayAsLongAsAllLimitsSuffice is unchanged).

--- a/services/ownership/improve.go
+++ b/services/ownership/improve.go
@@ -16,7 +16,8 @@
 // A pool may be owned by a node with little capacity because no better one was present: many nodes
 // had been killed, or the store recovered when that node was probed. The pool moves once a much
 // better node is present. It also moves if the roles of its owner have outgrown the limits of that node,
-// and another node carries it or comes clearly nearer.
+// and another node carries it or comes clearly nearer. If all roles have come into one data centre, one of
+// them moves to another.
 
 // Conditions for moving a role to a better node.
 const (
@@ -47,6 +48,9 @@
 		}
 		best, found := s.best(r, role, now)
 		if !found || !best.muchBetterThan(own) {
+			best, found = s.elsewhere(r, role, own, now)
+		}
+		if !found {
 			continue
 		}
 		t.handingOver = true
@@ -68,13 +72,37 @@
 
 // best returns the best other node for one more role, false for none.
 func (s *Manager) best(r *ranking, role string, now time.Time) (best candidate, found bool) {
-	takes := r.needs(role)
+	for _, c := range s.others(r, role, now) {
+		if order := c.compare(best); !found || order < 0 || order == 0 && c.name < best.name {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// others returns the other nodes as owners of one more role, those that are proven and were able to take one
+// over.
+func (s *Manager) others(r *ranking, role string, now time.Time) []candidate {
+	takes, list := r.needs(role), make([]candidate, 0, len(r.v.Nodes))
 	for name, n := range r.v.Nodes {
 		if name == s.Directory.Self.Name || s.isUnable(name, now) || s.Clock.WallTime(now).Sub(time.Unix(0, int64(n.Incarnation))) < provenAfter { //nolint:gosec // a time
 			continue
 		}
-		c := r.candidate(name, takes)
-		if order := c.compare(best); !found || order < 0 || order == 0 && name < best.name {
+		list = append(list, r.candidate(name, takes))
+	}
+	return list
+}
+
+// elsewhere returns a node in another data centre for a role, false for none. There is one only for the last
+// role by name, so that one owner alone moves its role, and only if there are others.
+func (s *Manager) elsewhere(r *ranking, role string, own candidate, now time.Time) (best candidate, found bool) {
+	if role != r.last || r.rolesIn[r.onlyDataCenter()] < 2 {
+		return best, false
+	}
+	list := s.others(r, role, now)
+	least := leastLoad(append(list, own))
+	for _, c := range list {
+		if r.spreads(c, least) && (!found || c.compare(best) < 0 || c.compare(best) == 0 && c.name < best.name) {
 			best, found = c, true
 		}
 	}
--- a/services/ownership/size_test.go
+++ b/services/ownership/size_test.go
@@ -19,7 +19,7 @@
 	"github.com/yardbridge/yardbridge/standin/world"
 )
 
-// sizeFixture is a node that owns the role "p" of a size, in a fleet of 40 nodes.
+// sizeFixture is a node that owns the role "p" of a size.
 type sizeFixture struct {
 	t       *testing.T
 	store   port.Store
@@ -31,8 +31,13 @@
 }
 
 func newSizeFixture(t *testing.T, nodes directory.Node) *sizeFixture {
+	pools := map[string]directory.Ownership{"p": {Pool: "p", Epoch: 3, Node: "n0000", Incarnation: 1}}
+	return newFixture(t, fleetOf(pools, nodeClass{40, nodes}))
+}
+
+// newFixture returns the node n0000 of a fleet.
+func newFixture(t *testing.T, v *directory.View) *sizeFixture {
 	f := &sizeFixture{t: t}
-	v := fleetOf(nil, nodeClass{40, nodes})
 	store := world.New(1).Store("n0000")
 	var records []port.Record
 	put := func(key string, of any) {
@@ -43,7 +48,9 @@
 	for name, n := range v.Nodes {
 		put("n/"+name, n)
 	}
-	put("o/p", directory.Ownership{Pool: "p", Epoch: 3, Node: "n0000", Incarnation: 1})
+	for role, o := range v.Pools {
+		put("o/"+role, o)
+	}
 	assert.NilError(t, store.Put(t.Context(), directory.Partition, records))
 	f.store = store
 	counted := store
