Fleet: owners report what has changed to the holder of the role for instances

The holder names the newest report that it has applied, and the owner sends what has changed since that one: a response that was lost, or not used, leaves no gap, and its changes come with the next. All workers are sent at the first contact, to another holder, by another owner, and after a gap. A late response is not used. When a worker is expected to be empty is kept as a time on the owner's clock, so that it is no change as long as it holds to 50 ms, and no delay of a response shifts it. An owner or holder of the earlier version sends or gets full reports.

2,000 random histories without a difference from full reports; 60 run as a test. Eight wrong versions fail a test: no check of the base, of the owner's epoch, of late reports of this owner or an earlier one, changes told once only, since the last report sent, removed workers forgotten early, a full report added to what was known, no full report after a gap.

--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -425,9 +425,15 @@
 	p := m.view.pools[pool]
 	if p == nil {
 		p = &poolState{surge: m.surges[pool].restored()}
-		m.view.pools[pool] = p
 	}
-	p.report, p.reportedAt = r, m.Clock.Now()
+	full, usable := p.reported.apply(r)
+	if !usable {
+		m.Logger.Info().Str("event", "report").Str("pool", pool).Uint64("epoch", r.Epoch).Uint64("number", r.Number).Uint64("base", r.Base).
+			Str("outcome", "not used").Msg("a pool's report is outdated, or an earlier one was not received")
+		return
+	}
+	m.view.pools[pool] = p
+	p.report, p.reportedAt = full, m.Clock.Now()
 	m.lender.ApplyReport(pool, r.Quota, p.reportedAt)
 }
 
@@ -435,7 +441,10 @@
 // those whose incarnations have ended.
 func (m *Manager) cordons(pool string) scheduler.CordonRequest {
 	m.requests++
-	request := scheduler.CordonRequest{Epoch: m.Epoch(), Number: m.requests}
+	request := scheduler.CordonRequest{Epoch: m.Epoch(), Number: m.requests, Since: &scheduler.ReportPosition{}}
+	if p := m.view.pools[pool]; p != nil {
+		*request.Since = p.reported.at
+	}
 	request.Arriving, request.Potential = m.view.told(pool, m.Clock.Now())
 	for _, a := range m.view.actions {
 		switch {
--- a/services/fleet/need.go
+++ b/services/fleet/need.go
@@ -14,6 +14,7 @@
 // poolState is the known state of one pool.
 type poolState struct {
 	report      scheduler.Report
+	reported    poolReport
 	reportedAt  time.Time // when the report was received
 	surge       surge
 	expected    int       // instances that the current surge is expected to need, 0 for no expectation
--- a/services/owner/report.go
+++ b/services/owner/report.go
@@ -77,5 +77,5 @@
 func (o *Owner) Peek() scheduler.Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pool.Report(scheduler.CordonRequest{}, o.Clock.Now())
+	return o.pool.FullReport(scheduler.CordonRequest{}, o.Clock.Now())
 }
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -34,6 +34,8 @@
 	Arriving []capacity.Change `json:"arriving,omitempty"`
 	// Potential is the capacity that the fleet can bring to the pool if it is requested now.
 	Potential []capacity.Change `json:"potential,omitempty"`
+	// Since is the newest report that the holder has; nil for a holder that takes full reports only.
+	Since *ReportPosition `json:"since,omitempty"`
 }
 
 // olderThan reports whether a request was made before another one.
@@ -106,6 +108,10 @@
 // under evacuation needs no capacity elsewhere as long as it runs.
 type Report struct {
 	Epoch       uint64              `json:"epoch"`
+	Number      uint64              `json:"number,omitempty"`  // of the report within the epoch, ascending; 0 if it is not numbered
+	Base        uint64              `json:"base,omitempty"`    // number of the report since which the workers have changed; 0 for all workers
+	At          time.Duration       `json:"at,omitempty"`      // when it was made, since the first one of the epoch
+	Removed     []worker.ID         `json:"removed,omitempty"` // workers that are in the pool no more since then
 	Workers     []WorkerReport      `json:"workers"`
 	Lasting     job.Size            `json:"lasting"`          // demand of long-running tasks, running or waiting
 	Running     job.Size            `json:"running"`          // use of the other runs
@@ -134,8 +140,18 @@
 	EmptyAfter time.Duration `json:"empties,omitempty"`
 }
 
-// Report returns the pool's report, in response to a request.
+// Report returns the pool's report, in response to a request, with all workers or those that have changed
+// since the report that the request names.
 func (p *Pool) Report(request CordonRequest, now time.Time) Report {
+	r := p.FullReport(request, now)
+	if request.Since == nil {
+		return r
+	}
+	return p.reports.Shorten(r, *request.Since, now)
+}
+
+// FullReport returns the pool's report with all workers.
+func (p *Pool) FullReport(request CordonRequest, now time.Time) Report {
 	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), ArrivalLoad: p.arrivals.rate(now), Rising: p.arrivals.growth() > 1, Slack: seconds(p.slack.value)}
 	var evacuated job.Size // of long-running tasks in data centres under evacuation
 	for id, w := range p.workers {
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -52,6 +52,7 @@
 	changedCordons    []worker.ID        // cordon changed since the last batch
 	lastCordonRequest CordonRequest      // newest request applied, without its lists of workers and accounts
 	cordonsReceivedAt time.Time          // when that was
+	reports           ReportLog
 	outlook           outlookCache
 	plans             uint64                 // plans made so far
 	runTimesByQueue   map[string]*regression // relation of run times to estimates, by queue
