Node: calls and bytes between nodes by method, as metrics

What an owner sends to the holder of the role for instances, to the lender and to callers' nodes could not be told apart: the metrics had counters of calls to the platform alone. node.METHOD.calls, .bytes-received and .bytes-sent count what a node answers. A result is encoded once for its size and checked once more by the library; it is not sent twice.

--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -26,6 +26,10 @@
 	// OpenListener opens a listener at an address; nil opens one over TCP.
 	OpenListener func(address string) (net.Listener, error)
 
+	// OnCall is called after each call with its method and the bytes of its parameters and its result; it may
+	// be nil.
+	OnCall func(method string, received, sent int)
+
 	listener net.Listener
 }
 
@@ -67,8 +71,21 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
 	result, err := method(ctx, *r.Params)
+	if err != nil {
+		s.count(r, 0)
+		return nil, codeOf(err)
+	}
+	encoded, err := json.Marshal(result)
 	if err != nil {
 		return nil, codeOf(err)
 	}
-	return result, nil
+	s.count(r, len(encoded))
+	return json.RawMessage(encoded), nil
+}
+
+// count reports a call to OnCall.
+func (s *Server) count(r *jsonrpc2.Request, sent int) {
+	if s.OnCall != nil {
+		s.OnCall(r.Method, len(*r.Params), sent)
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,8 @@
 	OnUnresponsive func(address string, after time.Duration)
 	// Count increments a counter; nil counts nothing.
 	Count func(counter string)
+	// Add adds an amount to a counter; nil counts nothing.
+	Add func(counter string, amount int64)
 }
 
 // Node is one node; New creates it and Run starts it.
@@ -86,7 +88,7 @@
 	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), knownStarts: make(map[worker.ID]bool), owners: make(map[string]*owner.Owner), wakeWorkers: make(chan struct{}, 1)}
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
-	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), OpenListener: ports.Listen}
+	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), OpenListener: ports.Listen, OnCall: n.countCall}
 	if _, err := n.server.Listen(s.PeerAddress()); err != nil {
 		return nil, err
 	}
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// countCall counts a call of another node, and its bytes, by its method.
+func (n *Node) countCall(method string, received, sent int) {
+	if n.Ports.Add == nil {
+		return
+	}
+	n.Ports.Add("node."+method+".calls", 1)
+	n.Ports.Add("node."+method+".bytes-received", int64(received))
+	n.Ports.Add("node."+method+".bytes-sent", int64(sent))
+}
+
 // ownedPool returns the owner of a pool on this node.
 func (n *Node) ownedPool(pool string) (*owner.Owner, error) {
 	o := n.owner(pool)
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -118,6 +118,24 @@
 	jobOwners   map[string]map[job.ID]string // customer of each job, by pool
 	failed      []string
 	givenUp     int
+	counters    map[string]int64 // sums of all nodes
+}
+
+// add adds to a counter.
+func (st *scenario) add(counter string, amount int64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.counters == nil {
+		st.counters = make(map[string]int64)
+	}
+	st.counters[counter] += amount
+}
+
+// counter returns the value of a counter.
+func (st *scenario) counter(name string) int64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.counters[name]
 }
 
 // scenarioNode is one node of a scenario; its Node is replaced when it is killed.
@@ -311,7 +329,7 @@
 	w := st.world
 	ports := Ports{
 		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(), Advisor: w.Advisor(),
-		Listen: w.Listen, Dial: w.Dial(n.name),
+		Listen: w.Listen, Dial: w.Dial(n.name), Add: st.add,
 	}
 	logger := log.Nop()
 	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
--- a/services/measure/meter.go
+++ b/services/measure/meter.go
@@ -27,13 +27,16 @@
 func New() *Meter { return &Meter{registry: gometrics.NewRegistry()} }
 
 // Count adds one to a counter.
-func (m *Meter) Count(name string) {
+func (m *Meter) Count(name string) { m.Add(name, 1) }
+
+// Add adds an amount to a counter.
+func (m *Meter) Add(name string, amount int64) {
 	if m == nil {
 		return
 	}
 	counter, is := m.registry.GetOrRegister(name, gometrics.NewCounter).(gometrics.Counter)
 	if is {
-		counter.Inc(1)
+		counter.Inc(amount)
 	}
 }
 
