--- a/node/script_test.go
+++ b/node/script_test.go
@@ -36,6 +36,7 @@
 	Seed        uint64            `toml:"seed"`
 	Nodes       int               `toml:"nodes"`
 	Cores       []float64         `toml:"cores"`  // of the nodes, one each if omitted
+	Descriptors []int             `toml:"-"`      // of the nodes, unknown if omitted
 	Owners      []int             `toml:"owners"` // nodes that may own pools at the end, any if omitted
 	Off         int               `toml:"off"`    // instances that are off
 	Waves       bool              `toml:"-"`      // a wave was requested
@@ -117,6 +118,24 @@
 	jobOwners   map[string]map[job.ID]string // customer of each job, by pool
 	failed      []string
 	givenUp     int
+	counters    map[string]int64 // sums of all nodes
+}
+
+// add adds to a counter.
+func (st *scenario) add(counter string, amount int64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.counters == nil {
+		st.counters = make(map[string]int64)
+	}
+	st.counters[counter] += amount
+}
+
+// counter returns the value of a counter.
+func (st *scenario) counter(name string) int64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.counters[name]
 }
 
 // scenarioNode is one node of a scenario; its Node is replaced when it is killed.
@@ -299,6 +318,9 @@
 	if cores := st.script.Cores; len(cores) > 0 {
 		s.Node.Cores = cores[n.number-1]
 	}
+	if descriptors := st.script.Descriptors; len(descriptors) > 0 {
+		s.Node.Descriptors = descriptors[n.number-1]
+	}
 	s.Listen.NodePort, s.Platform.Partitions = 1, storeParts
 	s.Bounds.MaxLease = tomlfile.Duration(10 * time.Second)
 	s.Bounds.StopTime = tomlfile.Duration(400 * time.Millisecond)
@@ -308,7 +330,7 @@
 	w := st.world
 	ports := Ports{
 		Store: w.Store(n.name), Feeds: w.Feeds(), Workers: w.Workers(n.name), Instances: w.Instances(), Advisor: w.Advisor(),
-		Listen: w.Listen, Dial: w.Dial(n.name),
+		Listen: w.Listen, Dial: w.Dial(n.name), Add: st.add,
 	}
 	logger := log.Nop()
 	if os.Getenv("YARDBRIDGE_TEST_LOG") != "" {
--- a/services/ownership/manager_test.go
+++ b/services/ownership/manager_test.go
@@ -17,12 +17,12 @@
 // owner at every change of the directory, and with 500 nodes ranking them for no pool took a sixth of
 // all processor time of a random day.
 func TestOwnedPoolsNeedNoRanks(t *testing.T) {
-	v := &directory.View{Nodes: make(map[string]directory.Node)}
+	s, v := &Manager{}, &directory.View{Nodes: make(map[string]directory.Node)}
 	for i := range 1000 {
 		v.Nodes[fmt.Sprint(i)] = directory.Node{Cores: 1}
 	}
-	assert.Equal(t, testing.AllocsPerRun(20, func() { rankSuccessors(v, nil) }), 0.0)
-	ranked := rankSuccessors(v, []string{"a", "b"})
+	assert.Equal(t, testing.AllocsPerRun(20, func() { s.rankSuccessors(v, nil) }), 0.0)
+	ranked := s.rankSuccessors(v, []string{"a", "b"})
 	assert.Equal(t, len(ranked["a"]), 1000)
 	assert.Assert(t, ranked["a"][0] != ranked["b"][0])
 }
