--- a/adapters/noderpc/server_test.go
+++ b/adapters/noderpc/server_test.go
@@ -31,14 +31,14 @@
 		OnCall: func(method string, received, sent int) { calls = append(calls, call{method, received, sent}) },
 	}
 	params := json.RawMessage(`[1,2]`)
-	result, err := s.handle(t.Context(), nil, &jsonrpc2.Request{Method: "double", Params: &params})
+	result, err := s.handle(t.Context(), &jsonrpc2.Request{Method: "double", Params: &params})
 	assert.NilError(t, err)
 	encoded, err := json.Marshal(result)
 	assert.NilError(t, err)
 	assert.Equal(t, string(encoded), "[1,2,1,2]")
-	_, err = s.handle(t.Context(), nil, &jsonrpc2.Request{Method: "refuse", Params: &params})
+	_, err = s.handle(t.Context(), &jsonrpc2.Request{Method: "refuse", Params: &params})
 	assert.ErrorContains(t, err, "no")
-	_, err = s.handle(t.Context(), nil, &jsonrpc2.Request{Method: "unknown", Params: &params})
+	_, err = s.handle(t.Context(), &jsonrpc2.Request{Method: "unknown", Params: &params})
 	assert.ErrorContains(t, err, "unknown")
 	assert.Assert(t, slices.Equal(calls, []call{{"double", 5, 9}, {"refuse", 5, 0}}), "%v", calls)
 }
