Scheduler: the next owner knows which runs were running, so crashes under them fail no job

Cause: four crashes fail a task whatever their weight. Each came under a run that one owner had seen running and that the next one had restored without knowing it; it counted as one that may have just started. A restored run that its next owner listed for the first time counted as just started with full weight.

A run without a record is of unknown age as before. A task that crashes its workers as it starts has no record, so BUDGET holds as before.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -35,7 +35,7 @@
 	// for a run whose start order got no response.
 	unconfirmedWeight = 0.5
 	// unknownWeight marks a crash under a run that may have just started: it was restored from an
-	// earlier owner's records, which do not show it working, and its worker has not responded since.
+	// earlier owner's records, which do not show it running, and its worker has not responded since.
 	unknownWeight = 0.001
 	// unobservedWeight is the factor for a crash at an unknown time within unobservedAfter or more from
 	// the last contact with the worker: the task may have been running for long by then, or be done. One
@@ -206,9 +206,10 @@
 
 // saysNothing reports whether a crash under a run says nothing of its task: several workers crashed
 // together, and the run had been seen running for longer than a start takes. What they have in common is
-// the likely cause. A restored run may have been starting, so its crash counts.
+// the likely cause. A restored run may have been starting, so its crash counts unless an earlier owner has
+// persisted that it was running.
 func (e crashEvent) saysNothing(s suspect) bool {
-	return e.correlated > 1 && !s.starting && (!s.run.startedAt.IsZero() || s.run.seenWorking)
+	return e.correlated > 1 && !s.starting && (!s.run.startedAt.IsZero() || s.run.seenRunning)
 }
 
 // recordCrash attributes a crash to a task, and reports whether it did: not for a task that is
@@ -224,7 +225,7 @@
 		c.weight = unconfirmedWeight * e.factor() / float64(e.starting*e.correlated)
 	case s.starting:
 		c.weight = e.factor() / float64(e.starting*e.correlated)
-	case s.run.startedAt.IsZero() && !s.run.seenWorking:
+	case s.run.startedAt.IsZero() && !s.run.seenRunning:
 		c.weight = unknownWeight
 	}
 	t.crashes = append(t.crashes, c)
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -111,7 +111,7 @@
 
 // Changed reports whether there is something to plan or to persist.
 func (p *Pool) Changed() bool {
-	return p.needsPlan || len(p.dirty) > 0 || len(p.pendingStops) > 0 || len(p.changedRunning) > 0
+	return p.needsPlan || len(p.dirty) > 0 || len(p.pendingStops) > 0 || p.runningDue
 }
 
 // The times between polls of a worker. Each poll is charged for, and an end is noticed at the next
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -204,7 +204,7 @@
 	if r.Checkpoint != "" {
 		u.checkpoint = r.Checkpoint
 	}
-	p.noteWorking(u, now)
+	p.noteSeenRunning(u, now)
 	p.clearIfProven(u, now)
 }
 
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -66,7 +66,8 @@
 	changedHealth   []worker.ID                // health changed since the last batch
 	restoredHealth  map[worker.ID]healthRecord // by earlier owners, of workers that are not listed yet
 	restoredAt      time.Time                  // when the state of earlier owners was restored
-	changedRunning  []*jobState                // jobs whose working runs have changed since the last batch
+	changedRunning  []*jobState                // jobs whose records of runs seen running have changed since the last batch
+	runningDue      bool                       // these records are persisted even if nothing else is
 	removedWorkers  []worker.ID                // removed since the last batch
 	toReconnect     []worker.ID                // workers that need a new connection
 
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -19,7 +19,7 @@
 // A job has two keys: its submission, which is written once and reduced to the job's customer when
 // the job ends, and its progress, which is written with each change. Each cordoned worker has a
 // key, and so has each worker with runs, for its start time (restart.go), and each job with crashes
-// attributed to its tasks. Jobs with failed tasks, jobs with working long-running tasks and unhealthy
+// attributed to its tasks. Jobs with failed tasks, jobs with runs that were seen running and unhealthy
 // workers have keys as well (record_health.go, record_running.go). The pool's allowances have one key
 // (allowance.go), and so has what its owner has learned (learned.go).
 const (
@@ -94,9 +94,6 @@
 	if err := p.addHealth(b); err != nil {
 		return nil, err
 	}
-	if err := p.addRunning(b); err != nil {
-		return nil, err
-	}
 	if err := p.addStarts(b); err != nil {
 		return nil, err
 	}
@@ -111,6 +108,9 @@
 	if err := p.addLearned(b); err != nil {
 		return nil, err
 	}
+	if err := p.addRunning(b); err != nil {
+		return nil, err
+	}
 	for _, w := range p.workers {
 		if w.lastEnd > w.persistedEnd {
 			b.ends = append(b.ends, endMark{w, w.lastEnd})
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -97,6 +97,9 @@
 			return
 		}
 		p.release(u)
+		if u.seenRunning {
+			p.markRunningChanged(u.job) // it has started anew
+		}
 		next := &run{
 			job: u.job, ref: u.ref, name: u.name, number: u.number, worker: n, size: u.size, phase: ordered, restored: true,
 			cpuShare: fullPercent, progressedAt: now, stopping: u.stopping, suspected: u.suspected,
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -51,7 +51,7 @@
 	checkpoint   string // newest checkpoint listed
 	cpuShare     int    // CPU share in percent that its worker was told to apply
 
-	seenWorking  bool          // a long-running task that has been seen working
+	seenRunning  bool          // it has been seen running for longer than a start takes, or is a long-running task that has been seen working
 	proven       bool          // it has been seen working for provenAfter
 	startedClock time.Duration // latest time of its start on the worker's clock, 0 if unknown
 
