Fleet: a pool keeps what stands there until its demand is known

Instances that came up after that plan left at once.

At the first arrivals the pool keeps what it has for the time constant of their average, then follows its need. Another pool that lacks instances gets them at once, as before.

In a trough what is not needed leaves when the need is known, as fast as the platform takes the orders.

--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -22,6 +22,7 @@
 	Bounds    NodeBounds    `toml:"bounds"`
 	Admission NodeAdmission `toml:"admission"`
 	Placement NodePlacement `toml:"placement"`
+	Instances NodeInstances `toml:"instances"`
 	Log       Log           `toml:"log"`
 }
 
@@ -71,6 +72,19 @@
 	return *p.SlowStart
 }
 
+// NodeInstances holds how instances are moved between pools.
+type NodeInstances struct {
+	// MoveWorth is how long an instance that its pool does not need is kept: idling of that length is worth
+	// as much as a move away and back. 0 for the default.
+	MoveWorth tomlfile.Duration `toml:"move_worth"`
+}
+
+// Bounds of the time for which an idle instance is kept.
+const (
+	minMoveWorth = 100 * time.Millisecond
+	maxMoveWorth = 10 * time.Minute
+)
+
 // NodeBounds are the time bounds that the platform and the operators require of a node.
 type NodeBounds struct {
 	MaxLease            tomlfile.Duration `toml:"lease_most"`   // longest lease of the runs on a worker
@@ -159,6 +173,9 @@
 	if s := n.Placement.StartShare(); !(s >= 0 && s <= 1) {
 		c.addProblem("placement", 0, "slow_start", "%v is not allowed; allowed is 0 to 1", s)
 	}
+	if w := n.Instances.MoveWorth.Std(); w != 0 && (w < minMoveWorth || w > maxMoveWorth) {
+		c.addProblem("instances", 0, "move_worth", "%v is not allowed; allowed is %v to %v", w, minMoveWorth, maxMoveWorth)
+	}
 	return c.problems
 }
 
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// TestMoveWorthSetting guards against a worth of a move that is not checked: a holder would keep no idle
+// instance, or all of them for ever.
+func TestMoveWorthSetting(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "[instances]\nmove_worth = \"20s\"": 20 * time.Second} {
+		n, err := ParseNode("node.toml", nodeFile+text)
+		assert.NilError(t, err)
+		assert.Equal(t, n.Instances.MoveWorth.Std(), want)
+	}
+	for _, bad := range []string{"-1s", "1ms", "11m"} {
+		_, err := ParseNode("node.toml", nodeFile+"[instances]\nmove_worth = \""+bad+"\"")
+		assert.ErrorContains(t, err, "is not allowed; allowed is 100ms to 10m0s", bad)
+	}
+}
+
 // TestOptionalNodeSettings checks the settings that a platform may leave out: the rates of the instance
 // API, and the bounds by which readings of the store may wait.
 func TestOptionalNodeSettings(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -227,7 +227,10 @@
 	b := n.bounds()
 	m := &fleet.Manager{
 		Journal: j, Instances: n.Ports.Instances, Clock: n.Clock, Logger: logger,
-		Limits: fleet.Limits{MaintenanceTime: b.MaintenanceTime.Std(), HolderLease: b.HolderLease.Std(), OrdersPerSecond: n.Setting.Platform.InstanceOrders},
+		Limits: fleet.Limits{
+			MaintenanceTime: b.MaintenanceTime.Std(), HolderLease: b.HolderLease.Std(), OrdersPerSecond: n.Setting.Platform.InstanceOrders,
+			MoveWorth: n.Setting.Instances.MoveWorth.Std(),
+		},
 		Config: n.Gateway.Config, Waves: n.operators.waveList, Evacuated: n.operators.evacuations, RequestReport: n.report, UpdateAllowances: n.updateAllowances,
 		ReportWave: func(ctx context.Context, wave int, done bool) error {
 			return n.Ports.Feeds.ReportWave(ctx, n.Ports.Store, wave, done)
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -73,6 +73,7 @@
 	MaintenanceTime time.Duration // duration of a maintenance
 	HolderLease     time.Duration // minimum time between orders of two holders to one instance
 	OrdersPerSecond float64       // orders that the platform accepts from all nodes together, 0 for no limit
+	MoveWorth       time.Duration // idling of an instance that is worth its move away and back, 0 for DefaultMoveWorth
 }
 
 // Prefixes of the keys in the manager's journal.
@@ -123,7 +124,7 @@
 	m.surges = make(map[string]surgeRecord)
 	m.view = view{
 		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: m.Limits.MaintenanceTime,
-		ordersPerSecond: m.Limits.OrdersPerSecond,
+		ordersPerSecond: m.Limits.OrdersPerSecond, moveWorth: m.Limits.MoveWorth,
 	}
 	if err := m.restore(records); err != nil {
 		return err
@@ -294,7 +295,7 @@
 			continue
 		}
 		p.logged = capacityLogged{p.softNeed(), supply, of.Serving}
-		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Int("expected", p.expected).Int("supply", supply).
+		m.Logger.Info().Str("event", "capacity").Str("of", name).Int("need", p.need).Int("level", p.level).Str("kept_for", p.reason()).Int("expected", p.expected).Int("supply", supply).
 			Int("serving", of.Serving).Int("on_way", of.OnWay).Int("promised", of.Promised).Interface("arriving", of.arriving).Interface("potential", of.potential).
 			Int("lasting_cpu", p.report.Lasting.CPU).Int("running_cpu", p.report.Running.CPU).Int("waiting_cpu", p.report.Waiting.CPU).
 			Int("arrives_cpu", p.report.ArrivalLoad.CPU).Int("presses_cpu", p.report.Required.CPU).
--- a/services/fleet/need.go
+++ b/services/fleet/need.go
@@ -13,15 +13,14 @@
 
 // poolState is the known state of one pool.
 type poolState struct {
-	report      scheduler.Report
-	reportedAt  time.Time // when the report was received
-	surge       surge
-	expected    int       // instances that the current surge is expected to need, 0 for no expectation
-	hard        int       // instances needed for the current load
-	low         int       // hard plus the least spare instances
-	need        int       // hard plus spare instances, as many as the pool is to have
-	level       int       // the need, kept for a while after a peak
-	peakAt      time.Time // when the need last reached the level
+	report     scheduler.Report
+	reportedAt time.Time // when the report was received
+	surge      surge
+	expected   int // instances that the current surge is expected to need, 0 for no expectation
+	hard       int // instances needed for the current load
+	low        int // hard plus the least spare instances
+	need       int // hard plus spare instances, as many as the pool is to have
+	kept
 	logged      capacityLogged
 	loggedLacks map[string]int // instances lacked by label in the last log message
 }
@@ -38,7 +37,6 @@
 	urgentSlack  = 1500 * time.Millisecond // slack of jobs that can't wait: an instance takes longer to arrive
 	patientSlack = 3 * time.Second         // slack of jobs that can wait
 	keepFrom     = 1                       // instances that a pool keeps beyond its need when others get instances from it
-	keepLevel    = 3 * time.Second         // after a peak; a move there and back takes as long
 )
 
 // needs is how many instances a pool needs.
@@ -95,24 +93,12 @@
 // pool gets more: each instance that moves for a chance variation moves back soon.
 const refillShare = 0.5
 
-// follow updates the level of a pool, which has a number of instances, with new needs. On its first plan
-// a holder does not know the last peak, and a pool whose owner changed at the same time does not know
-// the arrival rate: the pool's instances are kept as after a peak.
-func (p *poolState) follow(n needs, has int, now time.Time) {
+// follow updates the needs of a pool, which has a number of instances.
+func (p *poolState) follow(n needs, has int) {
 	p.hard, p.low, p.need = n.hard, n.low, n.high
 	if refill := n.low + int(math.Ceil(float64(n.high-n.low)*(1-refillShare))); has >= refill {
 		p.need = min(max(has, n.low), n.high)
 	}
-	if p.peakAt.IsZero() {
-		p.level, p.peakAt = max(p.need, has), now
-	}
-	if p.need >= p.level {
-		p.level, p.peakAt = p.need, now
-		return
-	}
-	if now.Sub(p.peakAt) > keepLevel {
-		p.level, p.peakAt = p.need, now
-	}
 }
 
 // needs returns how many instances a pool must keep now.
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -25,6 +25,7 @@
 	waves           []*waveState
 	actions         map[string]*action  // by instance
 	maintenanceTime time.Duration       // duration of a maintenance
+	moveWorth       time.Duration       // how long an idle instance is kept, 0 for the default
 	barred          map[barredMove]bool // moves that the platform rejects
 	counts          *counts             // of the current or the newest plan
 
@@ -51,10 +52,11 @@
 	size := v.smallest()
 	for name, p := range v.pools {
 		n := needsOf(p.report, size, len(v.instances))
-		p.follow(n, v.supply(name), v.now)
+		p.follow(n, v.supply(name))
 		arrivals := shareOf(p.report.ArrivalLoad, size)
 		p.surge.follow(float64(n.hard)-shareOf(p.report.Lasting, size)*spareShare, arrivals, p.report.Rising, v.now)
 	}
+	v.keep()
 	v.expect()
 	began := v.maintain()
 	began = append(began, v.takeOut()...)
