Fleet: a wave takes idle instances before those of a surge, and counts them as such

A small fleet whose instances all stand in pools has none that is off when a wave begins. The wave then went through the pools by name, took busy workers of the pool in a surge while others idled, and believed that it was short of time, since each instance with a worker counted as one that takes four seconds to be emptied.

Idle instances of all pools go first, and count like those that are off. TestWaveTakesIdleInstancesFirst failed before (a worker with four tasks was taken).

--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -39,8 +39,8 @@
 )
 
 // maintain begins maintenance for the instances of waves: first those that are off, then those that
-// their pool can spare, and any instance if the time is short. No pool needs those in data centres
-// under evacuation.
+// their pool can spare, and any instance if the time is short; idle ones before those with runs. No pool
+// needs those in data centres under evacuation.
 func (v *view) maintain() []*action {
 	var began []*action
 	for _, w := range v.waves {
@@ -55,26 +55,34 @@
 		}
 		short := v.short(w, left)
 		spare := v.spare()
-		for _, pool := range v.poolsOf(left) {
-			for _, i := range append(slices.Collect(v.each(v.counts.evacuated[pool])), v.free(pool)...) {
-				if slots == 0 || !due[i.Name] {
-					continue
+		for _, busy := range []bool{false, true} {
+			for _, pool := range v.poolsOf(left) {
+				for _, i := range append(slices.Collect(v.each(v.counts.evacuated[pool])), v.free(pool)...) {
+					if slots == 0 || !due[i.Name] || v.busy(i) != busy {
+						continue
+					}
+					needed := !v.evacuated.Has(i.DataCenter)
+					if needed && !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
+						break
+					}
+					a := v.begin(i, "", w.Number)
+					v.add(a)
+					began = append(began, a)
+					slots--
+					spare -= btoi(needed)
 				}
-				needed := !v.evacuated.Has(i.DataCenter)
-				if needed && !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
-					break
-				}
-				a := v.begin(i, "", w.Number)
-				v.add(a)
-				began = append(began, a)
-				slots--
-				spare -= btoi(needed)
 			}
 		}
 	}
 	return began
 }
 
+// busy reports whether an instance has to be emptied before its maintenance.
+func (v *view) busy(i port.Instance) bool {
+	w := v.worker(i)
+	return i.Worker != "" && (w == nil || w.Runs > 0)
+}
+
 // poolsOf returns the pools of instances, the pool whose instances are off first.
 func (v *view) poolsOf(names []string) []string {
 	var pools []string
@@ -121,11 +129,9 @@
 
 // short reports whether a wave must continue although pools need its instances.
 func (v *view) short(w *waveState, left []string) bool {
-	off := 0
+	off := 0 // or idle, so that they need not be emptied
 	for _, name := range left {
-		if v.instances[name].Worker == "" {
-			off++
-		}
+		off += btoi(!v.busy(v.instances[name]))
 	}
 	takes := w.rounds(off)*(v.maintenanceTime+offTime) + w.rounds(len(left)-off)*(v.maintenanceTime+emptyTime) + waveSlack
 	return v.now.Sub(w.seen)+takes > w.TimeLimit
