Fleet: a surge takes idle instances that other pools only keep; leaving is paced by the platform

Instances were switched on for a surge while others idled in the pool whose surge had ended, and were switched off three seconds later: two moves for one. An idle instance that another pool keeps beyond its need goes first now, the one that suits best of eight. And all instances that were to be off were cordoned at once: at 590 orders a second 4,000 of them served nobody for seven seconds. As many wait for their orders now as the platform takes in half a second.

--- a/services/fleet/keep_test.go
+++ b/services/fleet/keep_test.go
@@ -183,6 +183,25 @@
 	})
 }
 
+// TestSurgesByTurnsMoveFewInstances guards against instances that are switched on for a surge while others
+// idle in the pool whose surge has ended, and are then switched off: four pools have surges of four and a half
+// seconds by turns. Needs are foreseen as up to twice what comes, and each surge moves that to its pool and
+// away.
+func TestSurgesByTurnsMoveFewInstances(t *testing.T) {
+	eachFleet(t, func(t *testing.T, d *servedDay, stood int) {
+		const turn, turns, surge, foreseen = 4500 * time.Millisecond, 8, 0.9, 3.4
+		d.play(2*time.Second, surgeOf("", 1), nil)
+		late, idle, moves := d.late, d.idle, d.moves
+		for n := range turns {
+			d.play(turn, surgeOf(fmt.Sprint("p", n%4), surge), nil)
+		}
+		each := float64(d.moves-moves) / turns
+		t.Logf("%.0f moves a surge of %d, %.0f s idle and %.0f s late in all", each, stood, d.idle-idle, d.late-late)
+		spare := 4 * max(maxSpare, spareOfFleet*float64(5*stood))
+		assert.Assert(t, each <= foreseen*float64(stood)+spare, "%.0f moves a surge that needs %d", each, stood)
+	})
+}
+
 // TestWaveTakesIdleInstancesFirst guards against a wave that empties workers of a surge while others idle: no
 // instance is off, one of four pools has a surge, and half of all are due for maintenance, eight at once.
 func TestWaveTakesIdleInstancesFirst(t *testing.T) {
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -89,9 +90,10 @@
 	if v.headroom == "" {
 		return began
 	}
-	for pool := range v.pools {
+	pending := v.leavePending()
+	for _, pool := range slices.Sorted(maps.Keys(v.pools)) {
 		for _, i := range v.free(pool) {
-			if v.supply(pool) <= v.level(pool)+v.swaps(pool) {
+			if v.supply(pool) <= v.level(pool)+v.swaps(pool) || pending <= 0 {
 				break
 			}
 			if !v.canSpare(pool, i) {
@@ -100,11 +102,28 @@
 			a := v.begin(i, v.headroom, 0)
 			v.add(a)
 			began = append(began, a)
+			pending--
 		}
 	}
 	return began
 }
 
+// leaveAhead is how long the orders of instances that are to be off may take to be sent: while an instance
+// waits for its order it serves no pool.
+const leaveAhead = 500 * time.Millisecond
+
+// leavePending returns how many more instances may wait for the orders that switch them off.
+func (v *view) leavePending() int {
+	if v.ordersPerSecond <= 0 {
+		return len(v.instances)
+	}
+	pending := max(1, int(v.ordersPerSecond*leaveAhead.Seconds()))
+	for _, a := range v.actions {
+		pending -= btoi(a.to == v.headroom && a.stage == emptying)
+	}
+	return pending
+}
+
 // takeOut begins moves of idle instances in data centres under evacuation to the pool whose instances
 // are off: they serve no pool until the evacuation ends.
 func (v *view) takeOut() []*action {
@@ -203,9 +222,14 @@
 // has reports whether an instance has a label.
 func has(i port.Instance, label string) bool { return slices.Contains(i.Labels, label) }
 
-// findSource returns the instance to move to a pool, with a label unless that is "": an instance
-// that is off, otherwise one that another pool does not need now.
+// findSource returns the instance to move to a pool, with a label unless that is "": an idle one that another
+// pool only keeps, then an instance that is off, otherwise one that another pool does not need now.
 func (v *view) findSource(pool, label string, need func(*poolState) int) (port.Instance, bool) {
+	if label == "" {
+		if i, found := v.findIdle(pool); found {
+			return i, true
+		}
+	}
 	if v.headroom != "" {
 		if i, found := v.findOffWith(pool, label); found {
 			return i, true
@@ -262,3 +286,30 @@
 	w := worker.Worker{Labels: i.Labels}
 	return w.Rack()
 }
+
+// maxIdleLooked is how many idle instances are compared for one move.
+const maxIdleLooked = 8
+
+// findIdle returns an idle instance that another pool keeps beyond its need: it would be off before long, so
+// that one move serves in place of two.
+func (v *view) findIdle(pool string) (port.Instance, bool) {
+	from, most := "", 0
+	for other, p := range v.pools {
+		more := v.supply(other) - p.softNeed() - v.swaps(other) - keepFrom
+		if other != pool && (more > most || more == most && more > 0 && other < from) {
+			from, most = other, more
+		}
+	}
+	var best port.Instance
+	looked := 0
+	for i := range v.each(v.counts.free[from]) {
+		if w := v.worker(i); w == nil || w.Runs > 0 || looked == maxIdleLooked {
+			break
+		}
+		looked++
+		if v.allowed(i, pool) && v.canSpare(from, i) && (best.Name == "" || v.better(pool, i, best)) {
+			best = i
+		}
+	}
+	return best, best.Name != ""
+}
