--- a/cmd/node.go
+++ b/cmd/node.go
@@ -111,6 +111,7 @@
 	meter.Gauge("instances.serving", func() int64 { return int64(n.InstanceProgress().Serving) })
 	meter.Gauge("instances.on_way", func() int64 { return int64(n.InstanceProgress().OnWay) })
 	meter.Gauge("instances.promised", func() int64 { return int64(n.InstanceProgress().Promised) })
+	meter.Gauge("instances.kept", func() int64 { return int64(n.InstanceProgress().Kept) })
 	p := &nodeProcess{node: n, setting: s, logger: logger, meter: meter}
 	return p, p.open()
 }
--- a/services/fleet/outlook.go
+++ b/services/fleet/outlook.go
@@ -24,11 +24,12 @@
 	Serving  int // workers on which tasks may be placed
 	OnWay    int // instances whose orders were sent, or whose workers are not known yet
 	Promised int // instances whose workers are still being emptied
+	Kept     int // instances beyond what the pool needs
 }
 
 // plus returns the sum of two numbers of instances.
 func (p Progress) plus(o Progress) Progress {
-	return Progress{p.Serving + o.Serving, p.OnWay + o.OnWay, p.Promised + o.Promised}
+	return Progress{p.Serving + o.Serving, p.OnWay + o.OnWay, p.Promised + o.Promised, p.Kept + o.Kept}
 }
 
 // arrival is an instance that is to serve a pool and has no worker there on which tasks may be placed.
@@ -172,7 +173,7 @@
 	v.followArrivals()
 	v.prospects = make(map[string]*prospects, len(v.pools))
 	for name, p := range v.pools {
-		of := &prospects{}
+		of := &prospects{Progress: Progress{Kept: max(v.supply(name)-p.softNeed(), 0)}}
 		for _, w := range p.report.Workers {
 			of.Serving += btoi(w.Open)
 		}
