Ownership: sizes of roles that no node carries are not published

On a fleet whose links carry no pool at any size, each growth made the owner exceed its limits further, and was published: some 28 changes of the directory a pool, which every node reads. A size is now published for the owner's own sake when it outgrows its limits, not as it goes on. The new case of TestSizeIsPublishedOnlyWhereItMatters failed before (10 published at the first growth). TestShortLimitIsLogged: one line when a limit becomes short, one when it is enough again.

--- a/services/ownership/size.go
+++ b/services/ownership/size.go
@@ -73,7 +73,7 @@
 		published = published.Plus(r.needs(role))
 	}
 	self, nodes := v.Nodes[s.Directory.Self.Name].Limits(), len(v.Nodes)
-	outgrown := resource.Excess(published, nodes, self) < resource.Excess(actual, nodes, self)
+	outgrown := resource.Excess(published, nodes, self) == 1 && resource.Excess(actual, nodes, self) > 1
 	for _, role := range slices.Sorted(maps.Keys(s.owned)) {
 		t, known := s.owned[role], v.Pools[role]
 		size := t.peak.size()
--- a/services/ownership/size_test.go
+++ b/services/ownership/size_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -100,6 +102,56 @@
 		unlimited := newSizeFixture(t, directory.Node{Cores: 0.4})
 		defer unlimited.stop()
 		assert.Equal(t, unlimited.after(1000), 0)
+		short := newSizeFixture(t, directory.Node{Cores: 0.12, LinkMbps: 2})
+		defer short.stop()
+		for size := range 20 {
+			assert.Equal(t, short.after(10*size), 0, "no node carries it at any size")
+		}
+	})
+}
+
+// lockedLines keeps log lines.
+type lockedLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write adds a line.
+func (l *lockedLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// String returns all lines.
+func (l *lockedLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// TestShortLimitIsLogged guards against a node whose roles outgrow it without a word, and against a line at
+// each check.
+func TestShortLimitIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSizeFixture(t, directory.Node{Cores: 0.4, MemoryMB: 1000, Descriptors: 4100, LinkMbps: 1000})
+		defer f.stop()
+		var lines lockedLines
+		logger, err := log.New(&lines, "info", "n0000")
+		assert.NilError(t, err)
+		f.s.Logger = logger
+		count := func(part string) int { return strings.Count(lines.String(), part) }
+		f.after(100)
+		assert.Equal(t, count(`"event":"limits"`), 0)
+		f.after(1500)
+		f.after(1510)
+		assert.Equal(t, count(`"limit":"descriptors"`), 1, lines.String())
+		assert.Equal(t, count(`"outcome":"short"`), 1)
+		time.Sleep(sizeWindow)
+		f.after(100)
+		time.Sleep(sizeWindow)
+		f.after(100)
+		assert.Equal(t, count(`"outcome":"enough"`), 1, lines.String())
 	})
 }
 
