--- a/services/fleet/pool_report_test.go
+++ b/services/fleet/pool_report_test.go
@@ -20,7 +20,7 @@
 
 // reportingPool is a pool whose owners report to a holder of the role for instances.
 type reportingPool struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Time
 	epoch   uint64
 	older   bool // the owner is of the version that reports all workers and no numbers
@@ -31,7 +31,7 @@
 	view    scheduler.Report // as the holder has put it together
 }
 
-func newReportingPool(t *testing.T, workers int) *reportingPool {
+func newReportingPool(t testing.TB, workers int) *reportingPool {
 	p := &reportingPool{t: t, now: time.Unix(1000, 0), epoch: 1, workers: make(map[worker.ID]scheduler.WorkerReport), emptyAt: make(map[worker.ID]time.Time)}
 	for n := range workers {
 		p.set(n, 0, 0)
@@ -308,3 +308,22 @@
 		assert.Assert(t, same < 1000, "%d bytes", same)
 	}
 }
+
+// BenchmarkReport is the work of owner and holder for a report of 3,000 workers, one in 50 of which has
+// changed: in full, and with what has changed.
+func BenchmarkReport(b *testing.B) {
+	for _, older := range []bool{true, false} {
+		b.Run(map[bool]string{true: "full", false: "changes"}[older], func(b *testing.B) {
+			p := newReportingPool(b, 3000)
+			p.older = older
+			p.receive(p.respond())
+			for b.Loop() {
+				p.now = p.now.Add(period)
+				for n := 0; n < 3000; n += 50 {
+					p.set(n, 1+p.now.Nanosecond()%5, time.Second)
+				}
+				p.receive(p.respond())
+			}
+		})
+	}
+}
