Fleet: the bound on moves of surges by turns follows from what a surge needs

From the target: needs are foreseen as up to twice what comes, so twice of it moves in and what is not needed moves out, three times in all.

--- a/services/fleet/keep_test.go
+++ b/services/fleet/keep_test.go
@@ -185,11 +185,11 @@
 
 // TestSurgesByTurnsMoveFewInstances guards against instances that are switched on for a surge while others
 // idle in the pool whose surge has ended, and are then switched off: four pools have surges of four and a half
-// seconds by turns. Needs are foreseen as up to twice what comes, and each surge moves that to its pool and
-// away.
+// seconds by turns. Needs are foreseen as up to twice what comes. So a surge moves at most twice what it needs
+// to its pool, and what it does not need away again: the rest stays for the next one.
 func TestSurgesByTurnsMoveFewInstances(t *testing.T) {
 	eachFleet(t, func(t *testing.T, d *servedDay, stood int) {
-		const turn, surge, foreseen = 4500 * time.Millisecond, 0.9, 3.4
+		const turn, surge, foreseen = 4500 * time.Millisecond, 0.9, 2
 		turns := 8
 		if stood > 1000 {
 			turns = 4 // the orders that the platform takes bind, and a plan takes long
@@ -202,7 +202,7 @@
 		each := float64(d.moves-moves) / float64(turns)
 		t.Logf("%.0f moves a surge of %d, %.0f s idle and %.0f s late in all", each, stood, d.idle-idle, d.late-late)
 		spare := 4 * max(maxSpare, spareOfFleet*float64(5*stood))
-		assert.Assert(t, each <= foreseen*float64(stood)+spare, "%.0f moves a surge that needs %d", each, stood)
+		assert.Assert(t, each <= (foreseen+foreseen-1)*float64(stood)+spare, "%.0f moves a surge that needs %d", each, stood)
 	})
 }
 
