Returns: seconds count what begins to serve in them; due work is summed up once in 10 ms

What callers saw: at the beginning of a surge, with capacity on its way, callers with a limit of three seconds were told that no second before it has room, although instances came in the course of the second.

Cause: the room of a second was the capacity that serves at its beginning. Now it is the work that is done in its course (Outlook.WorkWithin).

The work of promised returns that are due was summed up for each submission, with two look-ups by text for each promise; that was the largest part of a refusal once the rest was cheaper. The sum is used for 10 ms, or until a promise is kept.

--- a/models/capacity/outlook.go
+++ b/models/capacity/outlook.go
@@ -116,6 +116,19 @@
 	return o.serving.Plus(sumUntil(o.arrivals, after)).Plus(sumUntil(o.potential, after))
 }
 
+// WorkWithin returns the work that the capacity that serves does between two times, the first not after the
+// second.
+func (o Outlook) WorkWithin(from, until time.Duration) Work {
+	done := WorkOf(o.serving, until-from)
+	for c := range o.added() {
+		if c.After >= until {
+			break
+		}
+		done = done.Plus(WorkOf(c.Size, until-max(c.After, from)))
+	}
+	return done
+}
+
 // Free returns the capacity that is free after a time if nothing else starts.
 func (o Outlook) Free(after time.Duration) job.Size {
 	return o.free.Plus(sumUntil(o.ends, after)).Plus(sumUntil(o.arrivals, after)).Plus(sumUntil(o.potential, after))
--- a/models/capacity/outlook_test.go
+++ b/models/capacity/outlook_test.go
@@ -74,3 +74,13 @@
 	assert.Equal(t, o.Promised().Free(time.Second), cpu(5))
 	assert.Equal(t, o.Scale(0.5).Free(time.Second), job.Size{CPU: 4500})
 }
+
+// TestWorkWithinCountsWhatBeginsToServe guards against seconds in a surge for which too little is promised:
+// capacity that begins to serve in their course does part of its work in them.
+func TestWorkWithinCountsWhatBeginsToServe(t *testing.T) {
+	o := New(time.Time{}, cpu(10), cpu(10)).WithArrivals([]Change{{1500 * time.Millisecond, cpu(4)}}, 0).WithPotential([]Change{{500 * time.Millisecond, cpu(8)}}, 0)
+	assert.DeepEqual(t, o.WorkWithin(0, time.Second), work(14))
+	assert.DeepEqual(t, o.WorkWithin(time.Second, 2*time.Second), work(20))
+	assert.DeepEqual(t, o.Promised().WorkWithin(time.Second, 2*time.Second), work(12))
+	assert.DeepEqual(t, o.WorkWithin(5*time.Second, 6*time.Second), work(22))
+}
--- a/services/admission/returns/book.go
+++ b/services/admission/returns/book.go
@@ -51,6 +51,9 @@
 // expireGap is the least time between two expiries.
 const expireGap = 100 * time.Millisecond
 
+// reservedFor is how long the sum of the work that is due soon is used, unless a promise is kept.
+const reservedFor = 10 * time.Millisecond
+
 // promisedPart is the part of a second's room that is promised. The rest is for first calls of customers
 // within their shares, and for the time between two runs on a worker.
 const promisedPart = 0.8
@@ -125,6 +128,9 @@
 	customers map[string]*customer
 	expiredAt time.Time // the last expiry
 	missed    share     // the part of recent promises that are missed
+
+	reserved   map[string]capacity.Work // the newest sum of the work that is due soon, by customer
+	reservedAt time.Time                // when that was summed up, zero if it has changed since
 }
 
 // promise is a return that is promised.
@@ -136,6 +142,7 @@
 	at       time.Time       // when the caller comes if it does as it was told
 	overdue  bool            // it counts as missed, unless the caller still comes
 	missed   bool            // its time is over
+	removed  bool            // it is in the book no longer
 }
 
 // open reports whether the caller may still come.
@@ -264,9 +271,16 @@
 }
 
 // Reserved returns the work of promised returns that are due soon, by customer. It counts as ahead of
-// first calls. Of customers whose callers do not come back it is less.
+// first calls. Of customers whose callers do not come back it is less. The result must not be changed.
 func (b *Book) Reserved(now time.Time) map[string]capacity.Work {
 	b.expire(now)
+	if age := now.Sub(b.reservedAt); age < 0 || age >= reservedFor {
+		b.reserved, b.reservedAt = b.sumReserved(now), now
+	}
+	return b.reserved
+}
+
+func (b *Book) sumReserved(now time.Time) map[string]capacity.Work {
 	var work map[string]capacity.Work
 	for unix := now.Add(-overdue).Unix(); unix <= now.Add(dueSoon).Unix(); unix++ {
 		s := b.seconds[unix]
@@ -274,7 +288,7 @@
 			continue
 		}
 		for _, p := range s.promises {
-			if due := p.at.Sub(now); b.promises[p.job] != p || due < -overdue || due > dueSoon {
+			if due := p.at.Sub(now); p.removed || due < -overdue || due > dueSoon {
 				continue
 			}
 			if work == nil {
@@ -366,6 +380,7 @@
 // remove removes a promise; its work stays promised in its second.
 func (b *Book) remove(p *promise) {
 	delete(b.promises, p.job)
+	p.removed, b.reservedAt = true, time.Time{}
 	if c := b.customers[p.customer]; c != nil {
 		c.count--
 	}
@@ -403,7 +418,7 @@
 	for unix, s := range b.seconds {
 		forgotten := now.After(time.Unix(unix+1, 0).Add(lateTolerance + rememberMissed))
 		for _, p := range s.promises {
-			if b.promises[p.job] != p || now.Before(p.at.Add(overdue)) {
+			if p.removed || now.Before(p.at.Add(overdue)) {
 				continue
 			}
 			b.observe(p, true)
@@ -426,9 +441,10 @@
 	}
 }
 
-// roomOf returns the work that may be promised in a second.
+// roomOf returns the work that may be promised in a second, with what begins to serve in its course.
 func roomOf(unix int64, room capacity.Outlook, now time.Time) capacity.Work {
-	return capacity.WorkOf(room.Serving(max(time.Unix(unix, 0).Sub(now), 0)), time.Second).Scale(promisedPart)
+	from := max(time.Unix(unix, 0).Sub(now), 0)
+	return room.WorkWithin(from, from+time.Second).Scale(promisedPart)
 }
 
 // wholeSeconds rounds a duration up to whole seconds, as a caller is told.
