Admission: a decision counts no overdue work that it does not look at

Cause: with promised returns due, each decision by completion also counted the overdue work of all unfinished jobs, for the rule that decides only while the fleet is silent, and the capacity of all workers twice. The first is counted only if it is looked at (State.ByOverload); the capacity comes with the outlook that is there anyway.

TestRefusalCountsNoOverdueWork fails without it.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -62,12 +62,19 @@
 	// StartDelay is by how much the starts of runs take longer than the longest wait allows for, as they do
 	// on a slow store.
 	StartDelay time.Duration
-	// Overloaded means that much work has been overdue for long.
+	// Overloaded means that much work has been overdue for long. It and OverloadWait are set only if a
+	// decision looks at them, see ByOverload.
 	Overloaded bool
 	// OverloadWait is the expected wait of the job if the pool counts as overloaded.
 	OverloadWait time.Duration
 }
 
+// ByOverload reports whether Completion decides about a job as Overload does: it is not known what the
+// fleet can bring, or no known capacity does the job.
+func (s State) ByOverload(r Request) bool {
+	return !s.FleetKnown || s.Pool.Outlook.TimeFor(r.Load.Work) == capacity.Never
+}
+
 // Ahead returns the work ahead that a reason is about.
 func (s State) Ahead(r Reason) Load {
 	if r == OverLimit {
--- a/services/admission/completion.go
+++ b/services/admission/completion.go
@@ -36,7 +36,7 @@
 )
 
 func decideByCompletion(r Request, s State) Decision {
-	if !s.FleetKnown || s.Pool.Outlook.TimeFor(r.Load.Work) == capacity.Never {
+	if s.ByOverload(r) {
 		return decideByOverload(r, s)
 	}
 	r.Latest -= s.StartDelay
--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -57,7 +57,7 @@
 // Admit decides whether a job is accepted now, and returns what was known. Work that is reserved for
 // promised returns, by customer, comes before it.
 func (p *Pool) Admit(a Arrival, reserved map[string]capacity.Work, now time.Time) (admission.State, admission.Decision) {
-	state := p.admissionState(a.job, reserved, now)
+	state := p.admissionState(a, reserved, now)
 	return state, p.currentPolicy().Decide(a.Request, state)
 }
 
@@ -65,16 +65,25 @@
 // instances would ask for none.
 func (p *Pool) NoteRefused(a Arrival, now time.Time) { p.addArrival(a.job, now) }
 
-// admissionState returns what is known of the pool as far as it concerns a job that arrives now.
-func (p *Pool) admissionState(j *jobState, reserved map[string]capacity.Work, now time.Time) admission.State {
-	customer := j.sub.Customer
-	state := admission.State{
-		FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt), Overloaded: p.overloaded || len(reserved) > 0,
-		OverloadWait: p.overloadWait(customer, reserved, now),
-	}
-	if !p.currentPolicy().KeepsPlaces {
-		return state
+// admissionState returns what is known of the pool as far as it concerns a job that arrives now. What only
+// one policy looks at is computed for that one alone: the overdue work of a large backlog takes longer to
+// count than all else.
+func (p *Pool) admissionState(a Arrival, reserved map[string]capacity.Work, now time.Time) admission.State {
+	state := admission.State{FleetKnown: p.fleetKnown(now), FleetAge: now.Sub(p.cordonsReceivedAt)}
+	if p.currentPolicy().KeepsPlaces {
+		p.addLanes(&state, a.job, reserved, now)
+		if !state.ByOverload(a.Request) {
+			return state
+		}
 	}
+	state.Overloaded = p.overloaded || len(reserved) > 0
+	state.OverloadWait = p.overloadWait(a.Customer, reserved, now)
+	return state
+}
+
+// addLanes adds the capacity and the accepted work that concern a job to a state.
+func (p *Pool) addLanes(state *admission.State, j *jobState, reserved map[string]capacity.Work, now time.Time) {
+	customer := j.sub.Customer
 	own, all := p.concerning(j, now)
 	for _, work := range reserved {
 		all.ahead = all.ahead.Plus(promisedLoad(work))
@@ -87,7 +96,6 @@
 	if most := p.usableLimit(customer, now); most != (job.Size{}) {
 		state.Limit = admission.Lane{Outlook: outlook.CappedAt(most), Ahead: own.ahead, Behind: own.due(age)}
 	}
-	return state
 }
 
 // promisedLoad returns the load of work that is promised a return, as of tasks that take a second.
@@ -99,7 +107,7 @@
 // theirs, up to their shares.
 func (p *Pool) UsablePart(customer string, now time.Time) float64 {
 	weights := p.activeWeights(customer)
-	size, others := p.schedulableCapacity(now), 0.0
+	size, others := p.countedCapacity(now), 0.0
 	for other := range p.usageByCustomer {
 		if other != customer {
 			others += min(p.shareOf(other, size), p.weightOf(other)/weights)
@@ -123,7 +131,7 @@
 // shareUsed returns what a customer has used of the pool lately, as a multiple of its share among those
 // who have used any.
 func (p *Pool) shareUsed(customer string, now time.Time) float64 {
-	return p.shareOf(customer, p.schedulableCapacity(now)) * p.activeWeights(customer) / p.weightOf(customer)
+	return p.shareOf(customer, p.countedCapacity(now)) * p.activeWeights(customer) / p.weightOf(customer)
 }
 
 // usableLimit returns what a customer's limit lets it use in the pool, zero for no limit. What the pool
--- a/services/scheduler/admission_test.go
+++ b/services/scheduler/admission_test.go
@@ -125,6 +125,20 @@
 	assert.Equal(t, len(d.active), len(d.jobs))
 }
 
+// TestRefusalCountsNoOverdueWork guards against refusals that take as long as the backlog is deep. Pattern: a
+// full pool, promised returns that are due. What is overdue counts only while the fleet is silent.
+func TestRefusalCountsNoOverdueWork(t *testing.T) {
+	d := newTestPoolByCompletion(t)
+	d.fill()
+	reserved := map[string]capacity.Work{"c": {CPU: 1000}}
+	s, decision := d.Admit(d.Arrive(aSecond("1", "q"), 0, d.now), reserved, d.now)
+	assert.Assert(t, !decision.Accepted)
+	assert.Equal(t, s.OverloadWait, time.Duration(0))
+	d.now = d.now.Add(fleetReportAge)
+	s, _ = d.Admit(d.Arrive(aSecond("2", "q"), 0, d.now), reserved, d.now)
+	assert.Assert(t, s.OverloadWait > 0)
+}
+
 // TestWorkWithoutValueComesLast guards against accepted work that loses its place to what is of no value
 // any more, and against such work that is dropped.
 func TestWorkWithoutValueComesLast(t *testing.T) {
--- a/services/scheduler/outlook.go
+++ b/services/scheduler/outlook.go
@@ -12,9 +12,10 @@
 
 // outlookCache is the newest outlook by a pool's own workers.
 type outlookCache struct {
-	outlook capacity.Outlook
-	plan    uint64 // number of the plan after which it was computed, 0 for none
-	counted int    // workers and runs that were counted
+	outlook  capacity.Outlook
+	capacity job.Size // of the workers on which tasks may be placed
+	plan     uint64   // number of the plan after which it was computed, 0 for none
+	counted  int      // workers and runs that were counted
 }
 
 // How long the outlook by a pool's own workers is used before it is computed anew.
@@ -31,25 +32,37 @@
 // as runs end, and what the holder of the role for instances has reported last. Long-running tasks
 // hold theirs, so it is not capacity for other work.
 func (p *Pool) Outlook(now time.Time) capacity.Outlook {
+	p.updateOutlook(now)
+	request, received := p.lastCordonRequest, now.Sub(p.cordonsReceivedAt)
+	return p.outlook.outlook.WithArrivals(request.Arriving, received).WithPotential(request.Potential, received)
+}
+
+// countedCapacity returns what schedulableCapacity does, as of the newest outlook.
+func (p *Pool) countedCapacity(now time.Time) job.Size {
+	p.updateOutlook(now)
+	return p.outlook.capacity
+}
+
+// updateOutlook computes the outlook by the pool's own workers anew if that is due.
+func (p *Pool) updateOutlook(now time.Time) {
 	c := &p.outlook
 	age := now.Sub(c.outlook.At())
 	spacing := (time.Duration(c.counted) * outlookSpacing).Truncate(outlookStep)
 	if age >= maxOutlookAge || c.plan != p.plans+1 && age >= spacing {
 		*c = p.computeOutlook(now)
 	}
-	request, received := p.lastCordonRequest, now.Sub(p.cordonsReceivedAt)
-	return c.outlook.WithArrivals(request.Arriving, received).WithPotential(request.Potential, received)
 }
 
 func (p *Pool) computeOutlook(now time.Time) outlookCache {
 	counted := len(p.workers)
-	var serving, free job.Size
+	var serving, free, all job.Size
 	ends := make(map[time.Duration]job.Size)
 	for _, w := range p.workers {
 		if !w.schedulable(now) {
 			continue
 		}
 		counted += len(w.runs)
+		all = all.Plus(w.info.Capacity)
 		size := w.effectiveCapacity(now)
 		free = free.Plus(w.free().Max(job.Size{}))
 		for _, u := range w.runs {
@@ -68,7 +81,7 @@
 	for after, size := range ends {
 		changes = append(changes, capacity.Change{After: after, Size: size})
 	}
-	return outlookCache{capacity.New(now, serving, free).WithEnds(changes), p.plans + 1, counted}
+	return outlookCache{capacity.New(now, serving, free).WithEnds(changes), all, p.plans + 1, counted}
 }
 
 // overduePart is the time that a run is expected to take still once it has taken longer than expected,
