Owner: submissions take their turn one by one, and what repeats is answered without a decision

With the new lines, event = behind, the owner has 1,023 and then 3,048 submissions waiting, and polls are 0.4 to 1.3 s late: leases lapse by this.

- Submissions wait for each other before the owner's lock, so that polls and orders wait for one of them.
- A submission that has just been refused without a promise has the same answer for 200 ms, and its work counts as arriving once, not with each repetition.
- Behind 128 submissions others are refused at once (not run), unless they are of a known job.
Only where accepted jobs keep their places; without that nothing is turned away.
- Waits of 100 ms or more are counted (owner.behind.poll, .submission) and said in a line, once a second; waits and decisions of submissions have histograms.

Ruled out: naming the first second with room to callers whose limit ends before it.

It does not suffice: see docs/design/admission.md, "What is open".

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -99,6 +99,7 @@
 		Advisor:        meter.Advisor((&platform.Advisor{Client: c.to("advice", s.Platform.Advice)}).Port()),
 		OnUnresponsive: func(_ string, after time.Duration) { nodeFound(1, after) },
 		Count:          meter.Count,
+		Observe:        meter.Observe,
 	}, machineClock(logger), logger)
 	if err != nil {
 		return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,8 @@
 	OnUnresponsive func(address string, after time.Duration)
 	// Count increments a counter; nil counts nothing.
 	Count func(counter string)
+	// Observe adds a duration to a histogram and counts its outcome; nil does nothing.
+	Observe func(what string, took time.Duration, outcome string)
 }
 
 // Node is one node; New creates it and Run starts it.
@@ -210,7 +212,7 @@
 			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown, SlowStart: n.Setting.Placement.StartShare(),
 			NoAhead: n.Setting.Placement.Ahead == setting.PlaceAheadOff,
 		},
-		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count,
+		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count, Observe: n.Ports.Observe,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
 	}
 	run := func(ctx context.Context) error {
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -153,18 +153,21 @@
 // runPolls polls the worker whenever a poll is due.
 func (l *link) runPolls() {
 	defer l.owner.tasks.Done()
+	var awaited time.Time // when the next poll was due, if it was waited for
 	for {
 		at, wait, has := l.nextPoll()
 		if has {
 			if d := at.Sub(l.owner.Clock.Now()); d > 0 {
+				awaited = at
 				if !l.sleep(d) {
 					return
 				}
 				continue
 			}
-			if !l.poll(wait) {
+			if !l.poll(wait, awaited) {
 				return
 			}
+			awaited = time.Time{}
 			continue
 		}
 		select {
@@ -192,8 +195,9 @@
 	}
 }
 
-// poll polls the worker once. It returns false once the link is closed.
-func (l *link) poll(wait time.Duration) bool {
+// poll polls the worker once, when that is due or, if it was waited for, after that. It returns false once
+// the link is closed.
+func (l *link) poll(wait time.Duration, due time.Time) bool {
 	o := l.owner
 	o.mu.Lock()
 	if l.ctx.Err() != nil {
@@ -201,7 +205,11 @@
 		return false
 	}
 	o.updateIsolation()
-	pending, request, known := o.pool.BeginPoll(l.id, wait, o.Clock.Now())
+	now := o.Clock.Now()
+	if !due.IsZero() {
+		o.noteWait(pollWork, now.Sub(due), now)
+	}
+	pending, request, known := o.pool.BeginPoll(l.id, wait, now)
 	o.mu.Unlock()
 	if !known {
 		return true // the owner is about to close the link
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,7 +25,7 @@
 )
 
 // Owner owns one pool from Claim until it is fenced or stopped. Its exported fields are set before
-// Claim. Lock order: mu is the only lock, and nothing that blocks is called while it is held.
+// Claim. Lock order: submissions before mu; nothing that blocks is called while mu is held.
 type Owner struct {
 	Pool    string
 	Journal *journal.Journal
@@ -35,6 +36,8 @@
 	Logger  log.Logger
 	// Count increments a counter; nil for none.
 	Count func(counter string)
+	// Observe adds a duration to a histogram and counts its outcome; nil for none.
+	Observe func(what string, took time.Duration, outcome string)
 	// SelectPolicy returns the policy by which jobs are accepted; nil selects by the customers of
 	// the configuration.
 	SelectPolicy func(hasCustomers bool) admission.Policy
@@ -49,6 +52,11 @@
 	done      chan struct{} // closed once the pool is no longer owned
 	tasks     sync.WaitGroup
 
+	// submissions is held by the one submission that is decided on or waits for mu: the others wait for it,
+	// so that a poll or an order waits for one of them, however many there are.
+	submissions sync.Mutex
+	submitting  atomic.Int64 // submissions that are decided on or wait for that
+
 	mu        sync.Mutex
 	pool      *scheduler.Pool
 	links     map[worker.ID]*link
@@ -56,6 +64,11 @@
 	waiting   map[uint64][]chan struct{} // by the batch that is waited for
 	promises  returns.Book               // to refused callers
 	endReason error                      // why the pool is no longer owned
+
+	refusals           refusals
+	behindLoggedAt     time.Time // when it was last logged that the owner is behind its work
+	turnedAway         int       // submissions that found too many waiting, since the last line that says so
+	turnedAwayLoggedAt time.Time // when that was
 }
 
 // Run serves the pool until the context ends or a higher epoch is seen, and returns the reason.
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -58,10 +58,34 @@
 	return errkind.New(errkind.LogUnavailable, "the store did not respond in time; the job was not persisted")
 }
 
-// submit accepts a job and returns the batch that contains it.
+// submit accepts a job and returns the batch that contains it, once all submissions before it are decided
+// on.
 func (o *Owner) submit(ctx context.Context, s job.Submission) (uint64, error) {
+	arrived := o.Clock.Now()
+	defer o.submitting.Add(-1)
+	if o.submitting.Add(1) > maxSubmitting {
+		if err := o.turnAway(s); err != nil {
+			return 0, err
+		}
+	}
+	o.submissions.Lock()
+	defer o.submissions.Unlock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	began := o.Clock.Now()
+	o.noteWait(submissionWork, began.Sub(arrived), began)
+	o.observe("owner.submission.wait", began.Sub(arrived), "done")
+	batch, err := o.decide(ctx, s)
+	outcome := "accepted"
+	if err != nil {
+		outcome = "refused"
+	}
+	o.observe("owner.submission.decision", o.Clock.Now().Sub(began), outcome)
+	return batch, err
+}
+
+// decide accepts a job or returns why not. The lock is held.
+func (o *Owner) decide(ctx context.Context, s job.Submission) (uint64, error) {
 	if err := o.checkOwned(); err != nil {
 		return 0, err
 	}
@@ -96,6 +120,10 @@
 		return nil
 	}
 	now, promises := o.Clock.Now(), o.keepsPromises()
+	if err := o.refusals.answer(s.ID, s.Customer, now); err != nil {
+		o.count("admission.refused.again")
+		return err
+	}
 	arrival := o.pool.Arrive(s, returns.Remaining(ctx), now)
 	request := arrival.Request
 	if promises && o.redeem(request, now) {
@@ -118,13 +146,23 @@
 		Dur("wait", d.Wait).Dur("slack", request.Latest).Dur("after", d.After).Dur("outlook_age", now.Sub(state.Pool.Outlook.At())).
 		Bool("fleet_known", state.FleetKnown).Dur("fleet_age", state.FleetAge).Str("why", string(d.Reason)).Str("outcome", "refused").
 		Msg("job rejected: it would not complete in time")
-	if promises {
-		if d.Reason != admission.OverLimit && !o.promises.Has(s.ID) {
-			o.pool.NoteRefused(arrival, now)
-		}
-		return o.promise(request, state, d, now)
+	if !promises {
+		return refusal(d)
+	}
+	if _, counted := o.refusals.find(s.ID, s.Customer); !counted && d.Reason != admission.OverLimit {
+		o.pool.NoteRefused(arrival, now)
+	}
+	err := o.promise(request, state, d, now)
+	o.remember(s, err, now)
+	return err
+}
+
+// remember remembers a refused submission, with its answer unless it was promised a return.
+func (o *Owner) remember(s job.Submission, answer error, now time.Time) {
+	if o.promises.Has(s.ID) {
+		answer = nil
 	}
-	return refusal(d)
+	o.refusals.add(s.ID, remembered{s.Customer, now, answer})
 }
 
 // refusal returns the error for a job that is not accepted, with the time until a return.
--- a/services/owner/submit_test.go
+++ b/services/owner/submit_test.go
@@ -27,7 +27,7 @@
 }
 
 // open returns an owner of a pool on a simulated platform.
-func open(t *testing.T, w *world.World) *Owner {
+func open(t testing.TB, w *world.World) *Owner {
 	t.Helper()
 	store := w.Store("n1")
 	o := &Owner{
