--- a/cmd/node.go
+++ b/cmd/node.go
@@ -114,6 +114,7 @@
 		OnUnresponsive: func(_ string, after time.Duration) { nodeFound(1, after) },
 		Count:          meter.Count,
 		Add:            meter.Add,
+		Observe:        meter.Observe,
 	}, machineClock(logger), logger)
 	if err != nil {
 		return nil, err
