Tests of owner and lending: whole scenarios run in parallel

Each of these tests plays scenarios on a clock of its own, one after the other on one processor. They now run beside each other; the seeds, lengths and checks are the same.

--- a/services/lending/lender_test.go
+++ b/services/lending/lender_test.go
@@ -227,31 +227,35 @@
 // which messages are lost, holders and owners are replaced, limits change and all pools want more
 // than is available. The sum of what all pools use never grows above the limit.
 func TestLimitHoldsInHistories(t *testing.T) {
+	t.Parallel()
 	const histories, steps, customers, pools, limit = 300, 80, 3, 4, 1000
 	seeds := slices.Clone(failedHistories)
 	for seed := range uint64(histories) {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		r := rand.New(rand.NewPCG(seed, 1))
-		s := newSim(pools, customers, limit)
-		s.lost = func() bool { return r.IntN(5) == 0 }
-		for n := range steps {
-			s.disturb(r, n)
-			s.step(t)
-			for _, name := range s.names() {
-				p, before := s.pools[name], map[string]int{}
-				for _, o := range s.config.Customers {
-					before[o.Name] = s.using(o.Name)
-				}
-				p.begin()
-				for _, o := range s.config.Customers {
-					most := max(s.inForce(n), p.config.Customer(o.Name).Limit.CPU)
-					now := s.using(o.Name)
-					assert.Assert(t, now == before[o.Name] || now <= most, "seed %d, step %d: %s uses %d of %d", seed, n, o.Name, now, most)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 1))
+			s := newSim(pools, customers, limit)
+			s.lost = func() bool { return r.IntN(5) == 0 }
+			for n := range steps {
+				s.disturb(r, n)
+				s.step(t)
+				for _, name := range s.names() {
+					p, before := s.pools[name], map[string]int{}
+					for _, o := range s.config.Customers {
+						before[o.Name] = s.using(o.Name)
+					}
+					p.begin()
+					for _, o := range s.config.Customers {
+						most := max(s.inForce(n), p.config.Customer(o.Name).Limit.CPU)
+						now := s.using(o.Name)
+						assert.Assert(t, now == before[o.Name] || now <= most, "seed %d, step %d: %s uses %d of %d", seed, n, o.Name, now, most)
+					}
 				}
 			}
-		}
+		})
 	}
 }
 
--- a/services/lending/shapes_test.go
+++ b/services/lending/shapes_test.go
@@ -116,6 +116,7 @@
 // not scarce: one customer floods all pools with tasks that differ in shape, and a second later uses at
 // least 0.9 of the scarcer dimension of its limit.
 func TestFloodOfUnlikeTasksUsesTheLimit(t *testing.T) {
+	t.Parallel()
 	limit := job.Size{CPU: 10_488_000, MemoryMB: 14_758_000}
 	for name, shape := range map[string]func(int, *rand.Rand) job.Size{
 		"within each pool": func(_ int, r *rand.Rand) job.Size {
@@ -135,6 +136,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			cpu, memory := flood(t, limit, shape)
 			t.Logf("cpu %.3f, memory %.3f", cpu, memory)
 			assert.Assert(t, max(cpu, memory) >= 0.9, "%.3f of the CPU limit, %.3f of the memory limit", cpu, memory)
--- a/services/owner/admission_test.go
+++ b/services/owner/admission_test.go
@@ -299,8 +299,10 @@
 // TestAdmissionByLoad guards against a pool that accepts what it cannot finish in time, or refuses what it
 // can, under each pattern of load.
 func TestAdmissionByLoad(t *testing.T) {
+	t.Parallel()
 	for _, p := range patterns() {
 		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				counts, room := servePattern(t, p, admission.Completion)
 				logResults(t, p, counts, room)
--- a/services/owner/overload_test.go
+++ b/services/owner/overload_test.go
@@ -138,6 +138,7 @@
 // instead of completing each as late as is of value. It rejects the other jobs at once, with a
 // retry time.
 func TestOverloadServesSomeInTime(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		o := serveLoad(t, map[string]int{"": 20})[""]
 		t.Logf("%+v", o)
@@ -149,6 +150,7 @@
 // TestSmallOverloadServesAll guards against a pool that drops late jobs under a load slightly above
 // its capacity: late jobs complete at the last moment, and none is lost.
 func TestSmallOverloadServesAll(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		o := serveLoad(t, map[string]int{"": 7})[""]
 		assert.Assert(t, o.late > 0.97, "%.2f", o.late)
@@ -163,6 +165,7 @@
 // customers with equal shares, one submits 100 times its share. The other four together use less
 // than their shares and are served as if the fifth were absent; it gets the remaining capacity.
 func TestFloodDoesNotAffectOtherCustomers(t *testing.T) {
+	t.Parallel()
 	typical := map[string]int{"a": 1, "b": 1, "c": 1, "d": 1}
 	customers := []config.Customer{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}, {Name: "flood"}}
 	synctest.Test(t, func(t *testing.T) {
--- a/services/owner/returns_test.go
+++ b/services/owner/returns_test.go
@@ -209,6 +209,7 @@
 // again or late. Pattern: three times the load for 40 s, then a thirteenth of it; those refused come back
 // as they are told, four times at most.
 func TestCallersThatObeyAreInTimeAfterTheirReturn(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		without := serveSurge(t, 40*time.Second, false, obey).by[obey]
 		with := serveSurge(t, 40*time.Second, true, obey).by[obey]
@@ -222,6 +223,7 @@
 // they give up. Pattern: three times the load for 24 s,
 // then a thirteenth of it; each caller gives up 3 s after its first call.
 func TestCallersWithATimeLimitAreInTimeAfterTheirReturn(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		without := serveSurge(t, 24*time.Second, false, limited).by[limited]
 		with := serveSurge(t, 24*time.Second, true, limited).by[limited]
@@ -233,6 +235,7 @@
 // TestPlacesOfCallersThatLeaveAreUsed guards against capacity that is kept for callers who do not come
 // back. Pattern: three times the load for 24 s, and nobody comes back.
 func TestPlacesOfCallersThatLeaveAreUsed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		without := serveSurge(t, 24*time.Second, false, leave).by[leave]
 		with := serveSurge(t, 24*time.Second, true, leave).by[leave]
@@ -243,6 +246,7 @@
 // TestFloodWithNewIDsGainsNothing guards against callers that submit again and again with new ids and come
 // before those who wait. Pattern: three times the load for 20 s; every other caller that is refused floods.
 func TestFloodWithNewIDsGainsNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		without := serveSurge(t, 20*time.Second, false, obey, flood)
 		with := serveSurge(t, 20*time.Second, true, obey, flood)
