Fleet: the order in which a wave takes instances is one function

Three loops in one another decided who is next, and two conditions left two of them; the list in its order is made first now. Behaviour as before: a condition that ended the loop over one pool's instances holds for the rest of them too.

--- a/services/fleet/wave.go
+++ b/services/fleet/wave.go
@@ -38,43 +38,61 @@
 	waveSlack = 3 * time.Second // how much earlier than required a wave is to be done
 )
 
-// maintain begins maintenance for the instances of waves: first those that are off, then those that
-// their pool can spare, and any instance if the time is short; idle ones before those with runs. No pool
-// needs those in data centres under evacuation.
+// maintain begins maintenance for the instances of waves.
 func (v *view) maintain() []*action {
 	var began []*action
 	for _, w := range v.waves {
-		left := w.left(v.instances)
-		slots := v.slots(w)
-		if len(left) == 0 || slots <= 0 {
-			continue
+		began = append(began, v.maintainWave(w)...)
+	}
+	return began
+}
+
+// maintainWave begins maintenance for instances of a wave: first those that are off, then those that their
+// pool can spare, and any instance if the time is short. No pool needs those in data centres under
+// evacuation.
+func (v *view) maintainWave(w *waveState) []*action {
+	left, slots := w.left(v.instances), v.slots(w)
+	if len(left) == 0 || slots <= 0 {
+		return nil
+	}
+	var began []*action
+	short, spare := v.short(w, left), v.spare()
+	for _, i := range v.inOrder(left) {
+		if slots == len(began) {
+			break
 		}
-		due := make(map[string]bool, len(left))
-		for _, n := range left {
-			due[n] = v.actions[n] == nil
+		needed := !v.evacuated.Has(i.DataCenter)
+		if needed && !short && (spare <= 0 || i.Pool != v.headroom && v.supply(i.Pool) <= v.needs(i.Pool)) {
+			continue
 		}
-		short := v.short(w, left)
-		spare := v.spare()
-		for _, busy := range []bool{false, true} {
-			for _, pool := range v.poolsOf(left) {
-				for _, i := range append(slices.Collect(v.each(v.counts.evacuated[pool])), v.free(pool)...) {
-					if slots == 0 || !due[i.Name] || v.busy(i) != busy {
-						continue
-					}
-					needed := !v.evacuated.Has(i.DataCenter)
-					if needed && !short && (spare <= 0 || pool != v.headroom && v.supply(pool) <= v.needs(pool)) {
-						break
-					}
-					a := v.begin(i, "", w.Number)
-					v.add(a)
-					began = append(began, a)
-					slots--
-					spare -= btoi(needed)
-				}
+		a := v.begin(i, "", w.Number)
+		v.add(a)
+		began = append(began, a)
+		spare -= btoi(needed)
+	}
+	return began
+}
+
+// inOrder returns those of the named instances that are available for maintenance, in the order in which they
+// are maintained: idle ones before those with runs, and each by pools, the pool whose instances are off first.
+func (v *view) inOrder(names []string) []port.Instance {
+	due := make(map[string]bool, len(names))
+	for _, n := range names {
+		due[n] = true
+	}
+	var idle, busy []port.Instance
+	for _, pool := range v.poolsOf(names) {
+		for _, i := range append(slices.Collect(v.each(v.counts.evacuated[pool])), v.free(pool)...) {
+			switch {
+			case !due[i.Name]:
+			case v.busy(i):
+				busy = append(busy, i)
+			default:
+				idle = append(idle, i)
 			}
 		}
 	}
-	return began
+	return append(idle, busy...)
 }
 
 // busy reports whether an instance has to be emptied before its maintenance.
