Scheduler: one of many starting tasks is not failed by its next worker's crash

Cause: a task was failed at a weight of 1.1. A suspect starts alone on its next worker, so the second crash weighs 1.0 whatever caused it, and one of eight starting tasks under the first one (0.125) was enough for the rest.

Two crashes need 1.5 now: the first beside at most one other starting task. Three need 1.1 as before, so a task that does crash its workers is given up with the third at the latest, over changes of the owner as well. The test failed before ("failed, want running, after 2 workers").

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -25,8 +25,13 @@
 	// minCrashes is the number of crashes after which a task may be failed at the earliest, as the
 	// users permit.
 	minCrashes = 2
-	// failWeight is the weight of these crashes that suffices: one crash beside up to nine other
-	// starting tasks, and one as the only starting task.
+	// minCrashesFailWeight is the weight that suffices of only minCrashes crashes: one beside at most one
+	// other starting task, and one as the only starting task. A smaller share says too little: where
+	// workers crash for other causes, one of many tasks that were starting on one of them soon starts
+	// alone on the next.
+	minCrashesFailWeight = 1.5
+	// failWeight is the weight that suffices of more crashes: one beside up to nine other starting tasks,
+	// and one as the only starting task.
 	failWeight = 1.1
 	// sameWorkerFailWeight applies if it was one worker that crashed each time the task started, and
 	// may be the cause itself: two crashes with the task as the only starting one.
@@ -91,6 +96,8 @@
 		case !c.duringStartup():
 		case first == "":
 			first = c.worker.ID
+		case c.worker.ID != first && len(t.crashes) <= minCrashes:
+			return minCrashesFailWeight
 		case c.worker.ID != first:
 			return failWeight
 		}
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -464,3 +464,38 @@
 		d.crashUnobserved(id)
 	}
 }
+
+// TestOneOfManyStartingTasksIsNotFailedByTheNextCrash guards against a job that is reported as failed
+// although it could be completed (violation LOST): a worker crashes under eight starting tasks, and the next
+// worker of one of them crashes as well, for other causes. A task that does crash its workers fails with
+// the third (violation BUDGET), also if its owner changes after each crash.
+func TestOneOfManyStartingTasksIsNotFailedByTheNextCrash(t *testing.T) {
+	for _, changes := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner changes %t", changes), func(t *testing.T) {
+			const tasks = 8
+			d := newTestPool(t, 1)
+			d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{{Count: tasks, Size: job.Size{CPU: 500}}}}, d.now)
+			a := d.addIncarnation("a", 1)
+			assert.Equal(t, len(d.startAll(a)), tasks)
+			d.crash(a)
+			d.persist()
+			for n, want := range []job.State{job.Running, job.Failed} {
+				if changes {
+					d = d.nextOwner()
+				}
+				id := d.addIncarnation("b", n)
+				assert.DeepEqual(t, d.startOne(id), "1.0.0.0")
+				d.crash(id)
+				assert.Equal(t, d.persistedState("1"), want, "after %d workers", n+2)
+			}
+		})
+	}
+}
+
+// startOne has the only start order to a worker accepted, and returns its task.
+func (d *testPool) startOne(id worker.ID) string {
+	d.t.Helper()
+	started := d.startAll(id)
+	assert.Equal(d.t, len(started), 1, "%v", started)
+	return started[0]
+}
