Scheduler: the line about a step that waits counts the workers by reason

The reason in force, that the workers which the advice service permits have as many tasks of the step as they may, was none of those the line knows, and the last check stood for it.

--- a/services/scheduler/waiting.go
+++ b/services/scheduler/waiting.go
@@ -3,7 +3,10 @@
 
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // waitReason is what the waiting tasks of a step wait for.
 type waitReason string
@@ -20,6 +23,7 @@
 	waitsForTicket   waitReason = "ticket"     // the advice service has permitted none of these workers
 	waitsForCapacity waitReason = "capacity"   // none of these workers has enough free capacity
 	waitsForReserved waitReason = "reserved"   // the free capacity is reserved for a gang
+	waitsForSpread   waitReason = "per-worker" // these workers have as many of its tasks as they may
 	waitsForOthers   waitReason = "separation" // its workers are kept apart from suspects, or from where it has failed
 )
 
@@ -62,7 +66,8 @@
 	p.schedulePlan(p.waitLogAt, now)
 	p.Logger.Info().Str("event", "wait").Str("job", string(s.ref.Job)).Int("round", s.ref.Round).Int("step", s.ref.Step).Str("customer", longest.job.sub.Customer).
 		Int("tasks", s.waiting).Int("task_cpu", s.spec.Size.CPU).Int("task_memory_mb", s.spec.Size.MemoryMB).Str("for", string(p.waitReason(*longest, now))).
-		Dur("waited", now.Sub(s.waitingSince)).Int("steps", len(list)).Int("all_tasks", tasks).Msg("a step waits")
+		Dur("waited", now.Sub(s.waitingSince)).Int("steps", len(list)).Int("all_tasks", tasks).
+		Int("workers", len(p.workers)).Interface("workers_by", p.countReasons(s, now)).Int("excluded", len(s.excluded)).Msg("a step waits")
 }
 
 // latest returns the later of two times.
@@ -105,28 +110,43 @@
 // workerReason returns why no worker takes a task of a step: the reason that excludes the workers that
 // meet all others.
 func (p *Pool) workerReason(s *stepState, now time.Time) waitReason {
-	passed, reason := -1, waitsForWorkers
-	for _, w := range p.workers {
-		checks := []struct {
-			reason waitReason
-			passes bool
-		}{
-			{waitsForWorkers, w.schedulable(now)},
-			{waitsForLabel, s.spec.Label == "" || w.info.HasLabel(s.spec.Label)},
-			{waitsForTicket, s.allowedOn(w, now)},
-			{waitsForCapacity, s.spec.Reservation().FitsIn(w.free())},
-			{waitsForReserved, !p.reserved[w] || p.reservedFor == s || s.spec.LongRunning},
-			{waitsForOthers, false},
-		}
-		for n, k := range checks {
-			if k.passes {
-				continue
-			}
-			if n > passed {
-				passed, reason = n, k.reason
-			}
-			break
+	counts := p.countReasons(s, now)
+	for _, reason := range slices.Backward(workerReasons) {
+		if counts[reason] > 0 {
+			return reason
 		}
 	}
-	return reason
+	return waitsForWorkers
+}
+
+// workerReasons are the reasons for which a worker takes no task of a step, in the order in which they are
+// checked.
+var workerReasons = []waitReason{waitsForWorkers, waitsForLabel, waitsForTicket, waitsForCapacity, waitsForReserved, waitsForSpread, waitsForOthers}
+
+// countReasons returns how many workers take no task of a step, by the first reason that holds for each.
+func (p *Pool) countReasons(s *stepState, now time.Time) map[waitReason]int {
+	counts := make(map[waitReason]int)
+	for _, w := range p.workers {
+		counts[p.reasonOf(s, w, now)]++
+	}
+	return counts
+}
+
+// reasonOf returns the first reason for which a worker takes no task of a step.
+func (p *Pool) reasonOf(s *stepState, w *workerState, now time.Time) waitReason {
+	switch {
+	case !w.schedulable(now):
+		return waitsForWorkers
+	case s.spec.Label != "" && !w.info.HasLabel(s.spec.Label):
+		return waitsForLabel
+	case !s.allowedOn(w, now):
+		return waitsForTicket
+	case !s.spec.Reservation().FitsIn(w.free()):
+		return waitsForCapacity
+	case p.reserved[w] && p.reservedFor != s && !s.spec.LongRunning:
+		return waitsForReserved
+	case s.spec.MaxPerWorker > 0 && s.runsByWorker[w] >= s.spec.MaxPerWorker:
+		return waitsForSpread
+	}
+	return waitsForOthers
 }
