Scheduler: a task leaves its worker for a place that stays

Cause: the owner stops a task because it fits on another worker, and in the same second the holder of the role for instances, for which that worker is idle, moves its instance to another pool.

Ruled out by the logs: that the pool does not ask for a worker (it says need 9, supply 8), and that the advice service is not asked about new workers (it answers within a second).

The place is claimed first: it counts as used, also in the reports to the holder, and the task is stopped once the holder has applied such a report and leaves the worker to the pool. If it takes the worker, the task serves on.

--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -50,7 +50,8 @@
 	if request.olderThan(p.lastCordonRequest) {
 		return 0, errkind.New(errkind.Conflict, "a newer request was received: epoch %d, number %d", p.lastCordonRequest.Epoch, p.lastCordonRequest.Number)
 	}
-	p.lastCordonRequest = CordonRequest{Epoch: request.Epoch, Number: request.Number, Arriving: request.Arriving, Potential: request.Potential}
+	p.lastCordonRequest = CordonRequest{Epoch: request.Epoch, Number: request.Number, Arriving: request.Arriving, Potential: request.Potential, Since: request.Since}
+	p.needsPlan = p.needsPlan || len(p.claims) > 0 // the request may confirm them
 	p.cordonsReceivedAt = now
 	p.noteFleet(request)
 	p.EndIncarnations(request.Ended, now)
@@ -64,6 +65,7 @@
 		}
 		wanted[id] = true
 		if !p.cordons[id] {
+			p.dropClaimsOn(w, now)
 			p.setCordon(id, true)
 		}
 		if c.MaintenanceRequired && w.maintenanceSince.IsZero() {
@@ -155,8 +157,9 @@
 	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), ArrivalLoad: p.arrivals.rate(now), Rising: p.arrivals.growth() > 1, Slack: seconds(p.slack.value)}
 	var evacuated job.Size // of long-running tasks in data centres under evacuation
 	for id, w := range p.workers {
+		claims := p.claimsOn(w)
 		o := WorkerReport{
-			ID: id, Instance: w.info.Instance, StartedAt: w.startedAt, Open: w.schedulable(now), Runs: len(w.runs), Used: w.used,
+			ID: id, Instance: w.info.Instance, StartedAt: w.startedAt, Open: w.schedulable(now), Runs: len(w.runs) + claims, Lasting: claims, Used: w.used,
 			Empty: w.cordoned && w.cordonBatch <= p.committed && len(w.runs) == 0, EmptyAfter: p.emptyAfter(w, now),
 		}
 		for _, u := range w.runs {
@@ -296,6 +299,7 @@
 // time, so that no more than the permitted number of a step are unavailable, and continue
 // elsewhere; runs with checkpoints are stopped if they would run for longer than a move takes.
 func (p *Pool) emptyWorkers(now time.Time) {
+	p.reviewClaims(now)
 	for _, w := range p.workers {
 		if !w.leaving() || !w.unresponsiveSince.IsZero() {
 			continue
@@ -345,7 +349,7 @@
 	s := u.step()
 	switch {
 	case s.spec.LongRunning:
-		if w.info.Draining && !w.cordoned || p.mayDisrupt(s, now) && p.fitsElsewhere(s, now) {
+		if w.info.Draining && !w.cordoned || p.mayDisrupt(s, now) && p.claimPlace(u, now) {
 			p.stopRun(u, now, "its worker is being emptied")
 		}
 	case s.spec.Checkpointing && !s.spec.Gang:
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -167,7 +167,10 @@
 			p.schedulePlan(t.notBefore, now)
 			continue
 		}
-		w := p.chooseWorker(c, t, now, nil)
+		w := p.takeClaim(c.step, now)
+		if w == nil || !p.canRun(c.step, w, now) {
+			w = p.chooseWorker(c, t, now, nil)
+		}
 		if w == nil && p.placeAhead(c, i, now) {
 			continue
 		}
