Fleet: idle instances that suit nothing which waits are exchanged

Cause: the advice service permits the step on two workers of eight, which have as many of its tasks as they may, and all instances are in pools. The pool asks for one worker more than it has, and so gives none of its idle ones away; the holder has none to give. The logs show need 9, supply 8 for 40 s.

Ruled out: that the wait is no need of the pool, and that the advice service is not asked (both by the logs).

An owner reports its idle workers that do not suit a step which has waited for three seconds and fits nowhere. If the pool still lacks an instance after all other moves, one of them goes to the pool that lacks the most, or is switched off, and what that frees comes back as another worker. One at a time for each pool.

--- a/services/fleet/action.go
+++ b/services/fleet/action.go
@@ -34,6 +34,7 @@
 	settledAt time.Time // when its order was reported as done
 	putOff    bool      // it was logged that its order has to wait for an earlier holder's
 	unknown   time.Time // when an attempt of its order last ended with an unknown outcome
+	exchange  bool      // it moves because it does not suit what waits in its pool
 }
 
 // finished reports whether the list, whose reading began at a time, shows that a completed order has
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -277,7 +277,7 @@
 	for _, a := range began {
 		m.Logger.Info().Str("event", "action").Str("instance", a.instance).Str("worker", string(a.worker)).Str("from", a.from).
 			Str("to", a.to).Int("wave", a.wave).Int("level", m.view.level(a.to)).Int("supply", m.view.supply(a.to)).
-			Msg("action on an instance begun")
+			Bool("exchange", a.exchange).Msg("action on an instance begun")
 	}
 	m.cordon(ctx, began)
 	if err := m.act(ctx); err != nil {
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -86,6 +86,7 @@
 	began = append(began, v.fillLabels()...)
 	began = append(began, v.fill((*poolState).hardNeed)...)
 	began = append(began, v.balance()...)
+	began = append(began, v.exchange()...)
 	began = append(began, v.fill((*poolState).softNeed)...)
 	if v.headroom == "" {
 		return began
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/capacity"
@@ -140,6 +141,9 @@
 	Used      job.Size  `json:"used"`
 	// EmptyAfter is the expected time until it is empty if nothing more is placed there.
 	EmptyAfter time.Duration `json:"empties,omitempty"`
+	// Unsuited means that it is idle and does not suit a step that has waited for some time and fits on no
+	// worker of the pool: another instance in its place may.
+	Unsuited bool `json:"unsuited,omitempty"`
 }
 
 // Report returns the pool's report, in response to a request, with all workers or those that have changed
@@ -189,27 +193,66 @@
 	}
 	r.Lasting = r.Lasting.Minus(evacuated)
 	r.Quota = p.QuotaReport(quota.Query{Epoch: request.Epoch, Accounts: request.Accounts}, now)
-	if p.maintenanceStuck(now) {
+	stuck := p.stuckInMaintenance(now)
+	if len(stuck) > 0 {
 		r.MinWorkers = max(r.MinWorkers, p.schedulableWorkers(now)+1)
 	}
+	p.markUnsuited(&r, append(stuck, p.stuckWaiting(now)...))
 	return r
 }
 
-// maintenanceStuck reports whether long-running tasks on a worker whose instance must be maintained
-// have found no place elsewhere for too long: another worker may help. It does not where they only wait
+// unsuitedAfter is how long a step waits until workers that do not suit it are reported: an instance that is
+// on its way arrives earlier.
+const unsuitedAfter = 3 * time.Second
+
+// stuckWaiting returns the steps that have waited for some time and need a worker that the pool does not have.
+func (p *Pool) stuckWaiting(now time.Time) []*stepState {
+	var list []*stepState
+	for _, j := range p.active {
+		for _, r := range j.rounds {
+			for i := 0; r != nil && i < len(r.steps); i++ {
+				if s := &r.steps[i]; !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= unsuitedAfter && p.needsOtherWorker(s, now) {
+					list = append(list, s)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// markUnsuited marks the idle workers that the advice service has excluded for one of the steps.
+func (p *Pool) markUnsuited(r *Report, stuck []*stepState) {
+	if len(stuck) == 0 {
+		return
+	}
+	for i := range r.Workers {
+		o := &r.Workers[i]
+		o.Unsuited = o.Open && o.Runs == 0 && slices.ContainsFunc(stuck, func(s *stepState) bool { return s.excluded[o.ID] })
+	}
+}
+
+// stuckInMaintenance returns the steps of long-running tasks on workers whose instances must be maintained
+// that have found no place elsewhere for too long: another worker may help. It does not where they only wait
 // for other tasks of their step.
-func (p *Pool) maintenanceStuck(now time.Time) bool {
+func (p *Pool) stuckInMaintenance(now time.Time) []*stepState {
+	var list []*stepState
 	for _, w := range p.workers {
 		if !w.maintenanceOverdue(now) {
 			continue
 		}
 		for _, u := range w.runs {
 			if !u.orphan && u.step().spec.LongRunning && !p.fitsElsewhere(u.step(), now) {
-				return true
+				list = append(list, u.step())
 			}
 		}
 	}
-	return false
+	return list
+}
+
+// needsOtherWorker reports whether waiting tasks of a step fit on no worker of the pool, whatever ends there:
+// another worker may suit them.
+func (p *Pool) needsOtherWorker(s *stepState, now time.Time) bool {
+	return s.waiting > 0 && s.spec.Label == "" && (s.spec.LongRunning && !p.fitsElsewhere(s, now) || p.excludedEverywhere(s, now))
 }
 
 // maintenanceOverdue reports whether long-running tasks on a worker whose instance must be
@@ -266,8 +309,8 @@
 		for i := range j.rounds[n].steps {
 			s := &j.rounds[n].steps[i]
 			size := s.spec.Reservation()
-			if s.waiting > 0 && s.spec.Label == "" && (s.spec.LongRunning && !p.fitsElsewhere(s, now) || p.excludedEverywhere(s, now)) {
-				r.MinWorkers = max(r.MinWorkers, p.schedulableWorkers(now)+1) // another worker may be suitable
+			if p.needsOtherWorker(s, now) {
+				r.MinWorkers = max(r.MinWorkers, p.schedulableWorkers(now)+1)
 			}
 			if s.spec.MaxPerWorker > 0 && (s.spec.LongRunning || s.waiting > 0) {
 				r.MinWorkers = max(r.MinWorkers, (len(s.tasks)-s.done+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
