Scheduler: the wait for a worker that does not respond goes on across owners

Cause: a new owner waits for a lease and 3 s until it gives up runs on a worker that does not respond, counted from its own claim.

Ruled out: holds for gangs (the use stands still, it does not fall); that only more was accepted than the limit can do.

An owner records for how long such a worker has not responded, and its successor waits for the rest. A record counts for the very next epoch only.

TestWaitForASilentWorkerGoesOnAcrossOwners failed before (the run is still kept after 20 s). With the check of leases in BeginPoll taken out, TestNoLeaseIsExtendedWhereTheNextOwnerCountsOnIt and TestRestartedWorkerStaysRecorded fail.

--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -65,6 +65,7 @@
 		}
 	}
 	p.scheduleAdvice(now)
+	p.scheduleSilent(now)
 	return p.planAt
 }
 
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -39,7 +39,7 @@
 	}
 	previous := w.latestDeadline
 	w.extendedBy = 0
-	if w.hasResponded && w.unresponsiveSince.IsZero() && !w.restartSuspected && len(w.runs) > 0 && !p.Isolated {
+	if w.hasResponded && w.unresponsiveSince.IsZero() && !w.restartSuspected && !w.leaseRecorded && len(w.runs) > 0 && !p.Isolated {
 		request.Deadline = w.extendDeadline(now, p.Limits.Lease)
 		w.extendedBy = p.eventSeq
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -53,6 +53,7 @@
 	lastCordonRequest CordonRequest      // newest request applied, without its lists of workers and accounts
 	cordonsReceivedAt time.Time          // when that was
 	reports           ReportLog
+	silence           silence
 	claims            []*claim // places kept for tasks that are to move
 	outlook           outlookCache
 	plans             uint64                 // plans made so far
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -71,6 +71,9 @@
 	stops   []*run
 	ends    []endMark
 	stored  []*jobState
+
+	silent    map[worker.ID]int64 // workers that its record of workers that do not respond names
+	hasSilent bool                // it has such a record
 }
 
 // endMark is the newest end of a worker that the batch includes.
@@ -111,6 +114,9 @@
 	if err := p.addRunning(b); err != nil {
 		return nil, err
 	}
+	if err := p.addSilent(b); err != nil {
+		return nil, err
+	}
 	for _, w := range p.workers {
 		if w.lastEnd > w.persistedEnd {
 			b.ends = append(b.ends, endMark{w, w.lastEnd})
@@ -223,6 +229,7 @@
 // does not follow from the time at which the response is read.
 func (p *Pool) Committed(b *Batch, sent time.Time) {
 	p.committed = b.Number
+	p.noteSilentPersisted(b)
 	p.ahead.confirmedAt = sent
 	p.notePersistedAllowances()
 	for _, j := range b.stored {
@@ -274,6 +281,9 @@
 	}); err != nil {
 		return err
 	}
+	if err := p.restoreSilent(records, now, reserveFor); err != nil {
+		return err
+	}
 	if err := p.restoreCrashes(records); err != nil {
 		return err
 	}
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -40,6 +40,7 @@
 	extendedBy        uint64        // sequence of the poll that extended the deadline last, 0 for none
 	unresponsiveSince time.Time     // since when it has not responded, zero while it does
 	orderUnanswered   bool          // no response since an order timed out
+	leaseRecorded     bool          // a record tells the next owner that no lease is extended here
 	restoredRunsEndAt time.Time     // when all runs of an earlier owner have ended, unless it has responded
 	pending           bool          // it is among the pending workers
 	cordoned          bool          // nothing is placed there, and movable runs leave it
@@ -123,7 +124,7 @@
 
 // schedulable reports whether tasks may be placed on the worker.
 func (w *workerState) schedulable(now time.Time) bool {
-	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.restartSuspected && !w.leaving() && !w.evacuated && !w.ejected(now)
+	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.leaseRecorded && !w.restartSuspected && !w.leaving() && !w.evacuated && !w.ejected(now)
 }
 
 // leaving reports whether the runs on the worker have to move elsewhere.
@@ -204,7 +205,7 @@
 func (p *Pool) newWorker(info worker.Worker) *workerState {
 	return &workerState{
 		info: info, runs: make(map[string]*run), tickets: make(map[job.StepRef]ticket), cordoned: p.cordons[info.ID], tokenRaises: p.tokenRaises,
-		evacuated: p.evacuated.Has(info.DataCenter), slowdown: &p.slowdown,
+		evacuated: p.evacuated.Has(info.DataCenter), slowdown: &p.slowdown, leaseRecorded: p.silence.recorded[info.ID],
 	}
 }
 
