--- a/cmd/node.go
+++ b/cmd/node.go
@@ -73,7 +73,7 @@
 	p.watchSettings(ctx, *path, data, hangup)
 	c.signals.serving(func() { wake(hangup) }, nil)
 	p.run(ctx)
-	logger.Info().Str("event", "stop").Msg("the node has stopped")
+	logger.Info().Str("event", "stop").Dur("after", time.Since(p.stopping)).Msg("the node has stopped")
 	return nil
 }
 
@@ -96,6 +96,8 @@
 	callers *httpserve.Server
 	ready   *httpserve.Server
 	metrics *httpserve.Server // nil for none
+
+	stopping time.Time // when the stop began, zero before
 }
 
 func openNode(s setting.Node, logger log.Logger) (*nodeProcess, error) {
@@ -252,9 +254,16 @@
 	tasks.Go(func() { p.node.Run(running) })
 	<-ctx.Done()
 	p.logger.Info().Str("event", "stop").Msg("the node is stopping")
+	p.stopping = time.Now()
 	p.stop(running)
 	cancel()
 	tasks.Wait()
+	p.logStop("ended")
+}
+
+// logStop logs that a step of the stop is done, and when.
+func (p *nodeProcess) logStop(step string) {
+	p.logger.Info().Str("event", "stop").Str("step", step).Dur("after", time.Since(p.stopping)).Msg("a step of the stop is done")
 }
 
 // stop hands the node's pools over and shuts each listener down after the responses to its accepted
@@ -275,6 +284,7 @@
 	if err := p.callers.Shutdown(bounded); err != nil {
 		p.logger.Warn().Str("event", "stop").Err(err).Msg("calls of callers were cut off")
 	}
+	p.logStop("callers served")
 	<-handedOver
 	probes, endProbes := context.WithTimeout(ctx, probeResponseTime)
 	defer endProbes()
@@ -283,12 +293,14 @@
 	if p.metrics != nil {
 		_ = p.metrics.Shutdown(probes)
 	}
+	p.logStop("listeners closed")
 }
 
 // handOver hands the node's pools over to other nodes.
 func (p *nodeProcess) handOver(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	p.node.HandOver(ctx)
+	p.logStop("pools handed over")
 }
 
 // share returns a part of a duration.
