Scheduler, fleet: tasks with a label ask for as many workers as they must run on

A step that needs a label counted by the size of its tasks only: four tasks that last, one a worker, fit into one instance by size, so a pool with one instance of that label asked for no other, and three of them waited for ever. Nor was another one asked for where the advice service permits the step on none of those that have the label: workers without it are never asked about, so the step did not count as excluded everywhere.

Reports carry the least number of workers by label, as they do for all.

--- a/services/fleet/need_test.go
+++ b/services/fleet/need_test.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -54,3 +55,19 @@
 	p.follow(needsOf(scheduler.Report{Running: size.Times(100)}, size, 6000), has)
 	assert.Assert(t, p.need > has+70, "%d of %d: half of the spare instances are in use", has, p.need)
 }
+
+// TestLeastNumberOfLabelledInstances guards against tasks with a label that wait for ever (LOST): they must run on
+// several instances although they fit into one.
+func TestLeastNumberOfLabelledInstances(t *testing.T) {
+	v := fleetView(rand.New(rand.NewPCG(1, 1)), false, 0)
+	const label, least = "r-60", 3
+	r := &v.pools["p0"].report
+	r.Labels, r.MinLabelled = map[string]job.Size{label: {}}, map[string]int{label: least}
+	v.count()
+	there := v.counts.labelled[poolLabel{"p0", label}]
+	moves := 0
+	for _, a := range v.plan() {
+		moves += btoi(a.to == "p0" && has(v.instances[a.instance], label))
+	}
+	assert.Equal(t, there+moves, least, "%d there", there)
+}
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -193,7 +193,7 @@
 	if !needed {
 		return 0
 	}
-	return max(instances(capacity, v.smallest()), 1) - v.counts.labelled[poolLabel{pool, label}]
+	return max(instances(capacity, v.smallest()), p.report.MinLabelled[label], 1) - v.counts.labelled[poolLabel{pool, label}]
 }
 
 // canSpare reports whether a pool can spare an instance with regard to its labels.
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -144,13 +144,13 @@
 }
 
 // excludedEverywhere reports whether the advice service permits a step on none of the current
-// workers: the step waits for a new one, which is as likely to be permitted as any.
+// workers that have its label: the step waits for a new one, which is as likely to be permitted as any.
 func (p *Pool) excludedEverywhere(s *stepState, now time.Time) bool {
 	if len(s.excluded) == 0 {
 		return false
 	}
 	for id, w := range p.workers {
-		if w.schedulable(now) && !s.excluded[id] {
+		if w.schedulable(now) && !s.excluded[id] && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label)) {
 			return false
 		}
 	}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -126,7 +126,9 @@
 	MinWorkers  int                 `json:"apart"`            // least number of workers: by a limit on tasks per worker, or one more than now if these may not suit a task
 	Slack       time.Duration       `json:"slack"`            // mean slack of jobs at submission; 0 if there were none
 	Labels      map[string]job.Size `json:"labels,omitempty"` // demand of tasks that need a label, by label; counted only here
-	Quota       quota.Report        `json:"quota"`
+	// MinLabelled is the least number of workers with a label, as MinWorkers is of all; only for labels of Labels.
+	MinLabelled map[string]int `json:"labels_apart,omitempty"`
+	Quota       quota.Report   `json:"quota"`
 }
 
 // WorkerReport is what a pool reports of one worker.
@@ -194,8 +196,8 @@
 	r.Lasting = r.Lasting.Minus(evacuated)
 	r.Quota = p.QuotaReport(quota.Query{Epoch: request.Epoch, Accounts: request.Accounts}, now)
 	stuck := p.stuckInMaintenance(now)
-	if len(stuck) > 0 {
-		r.MinWorkers = max(r.MinWorkers, p.schedulableWorkers(now)+1)
+	for _, s := range stuck {
+		r.addMinWorkers(s.spec.Label, p.schedulableWorkers(s.spec.Label, now)+1)
 	}
 	p.markUnsuited(&r, append(stuck, p.stuckWaiting(now)...))
 	return r
@@ -252,7 +254,35 @@
 // needsOtherWorker reports whether waiting tasks of a step fit on no worker of the pool, whatever ends there:
 // another worker may suit them.
 func (p *Pool) needsOtherWorker(s *stepState, now time.Time) bool {
-	return s.waiting > 0 && s.spec.Label == "" && (s.spec.LongRunning && !p.fitsElsewhere(s, now) || p.excludedEverywhere(s, now))
+	return s.waiting > 0 && (s.spec.LongRunning && !p.fitsElsewhere(s, now) || p.excludedEverywhere(s, now))
+}
+
+// minWorkers returns the least number of workers, of those with its label if it needs one, that a step needs: by
+// its limit of tasks on each, or one more than there are if these may not suit it.
+func (p *Pool) minWorkers(s *stepState, now time.Time) int {
+	least := 0
+	if p.needsOtherWorker(s, now) {
+		least = p.schedulableWorkers(s.spec.Label, now) + 1
+	}
+	if s.spec.MaxPerWorker > 0 && (s.spec.LongRunning || s.waiting > 0) {
+		least = max(least, (len(s.tasks)-s.done+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
+	}
+	return least
+}
+
+// addMinWorkers adds the need for a number of workers, with a label unless that is "".
+func (r *Report) addMinWorkers(label string, least int) {
+	switch {
+	case least == 0:
+	case label == "":
+		r.MinWorkers = max(r.MinWorkers, least)
+	default:
+		if r.MinLabelled == nil {
+			r.MinLabelled = make(map[string]int)
+		}
+		r.addLabel(label, job.Size{})
+		r.MinLabelled[label] = max(r.MinLabelled[label], least)
+	}
 }
 
 // maintenanceOverdue reports whether long-running tasks on a worker whose instance must be
@@ -261,11 +291,12 @@
 	return !w.maintenanceSince.IsZero() && now.Sub(w.maintenanceSince) > maintenanceGrace && w.longRunningRuns > 0
 }
 
-// schedulableWorkers returns the number of workers on which tasks may be placed.
-func (p *Pool) schedulableWorkers(now time.Time) int {
+// schedulableWorkers returns the number of workers on which tasks may be placed, of those with a label unless
+// that is "".
+func (p *Pool) schedulableWorkers(label string, now time.Time) int {
 	n := 0
 	for _, w := range p.workers {
-		if w.schedulable(now) {
+		if w.schedulable(now) && (label == "" || w.info.HasLabel(label)) {
 			n++
 		}
 	}
@@ -309,11 +340,8 @@
 		for i := range j.rounds[n].steps {
 			s := &j.rounds[n].steps[i]
 			size := s.spec.Reservation()
-			if p.needsOtherWorker(s, now) {
-				r.MinWorkers = max(r.MinWorkers, p.schedulableWorkers(now)+1)
-			}
-			if s.spec.MaxPerWorker > 0 && (s.spec.LongRunning || s.waiting > 0) {
-				r.MinWorkers = max(r.MinWorkers, (len(s.tasks)-s.done+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
+			if s.spec.Label == "" || j.rounds[n].ready(i) {
+				r.addMinWorkers(s.spec.Label, p.minWorkers(s, now))
 			}
 			switch {
 			case s.spec.Label != "":
