Scheduler: a crash under a task that lasts and was seen running counts half towards the limit

Cause: four crashes fail a task whatever they weigh.

Ruled out: not to count them at all, by which a task that crashes its workers after half a second would go on for ever.

Eight crashes of this kind fail a job now; those at a start, of unknown age, and of tasks that end count as before. The test failed before (4 crashes, want 8).

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -50,6 +50,10 @@
 	unobservedAfter = 600 * time.Millisecond
 	// maxCrashes is the number of crashes after which any task is failed.
 	maxCrashes = 4
+	// runningCrash is what a crash under a long-running task counts towards maxCrashes if the task had been
+	// seen running for longer than a start takes. Such a task loses workers for other causes all day, and
+	// the users limit only the starts of tasks that end.
+	runningCrash = 0.5
 	// startupTime is how long after its start a run may be the cause of a crash, rather than one
 	// that ran beside it: a task that crashes its worker does so as it starts, within some ten
 	// milliseconds. A suspect must be seen running for as long before others are started beside it.
@@ -88,6 +92,19 @@
 	return sum
 }
 
+// crashCount returns what the crashes attributed to a task of a step count towards maxCrashes.
+func (t *taskState) crashCount(s *stepState) float64 {
+	count := 0.0
+	for _, c := range t.crashes {
+		if s.spec.LongRunning && c.weight == 0 {
+			count += runningCrash
+		} else {
+			count++
+		}
+	}
+	return count
+}
+
 // failWeight returns the total weight of its crashes that suffices to fail a task.
 func (t *taskState) failWeight() float64 {
 	var first worker.ID
@@ -275,8 +292,7 @@
 // this.
 func (p *Pool) failIfCause(s suspect, now time.Time) bool {
 	t := s.run.task()
-	n := len(t.crashes)
-	if n < maxCrashes && (n < minCrashes || !s.starting || s.run.startedAt.IsZero() || t.crashWeight() < t.failWeight()) {
+	if t.crashCount(s.run.step()) < maxCrashes && (len(t.crashes) < minCrashes || !s.starting || s.run.startedAt.IsZero() || t.crashWeight() < t.failWeight()) {
 		return false
 	}
 	p.increment(crashGivenUp)
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -499,3 +499,32 @@
 	assert.Equal(d.t, len(started), 1, "%v", started)
 	return started[0]
 }
+
+// TestRunningTaskThatLastsOutlivesCrashes guards against a job of tasks that last that is failed for crashes of
+// other causes (violation LOST): four workers are gone some seconds after its task has started there. Twice as
+// many fail it, so that a task which crashes its workers while it runs ends as well, and any other task is
+// failed as before.
+func TestRunningTaskThatLastsOutlivesCrashes(t *testing.T) {
+	for name, c := range map[string]struct {
+		step job.Step
+		want int
+	}{
+		"lasts": {job.Step{Count: 1, Size: job.Size{CPU: 1000}, LongRunning: true}, 2 * maxCrashes},
+		"ends":  {job.Step{Count: 1, Size: job.Size{CPU: 1000}, Estimate: time.Minute}, maxCrashes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestPool(t, 1)
+			d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{c.step}}, d.now)
+			crashes := 0
+			for d.persistedState("1") != job.Failed && crashes < 4*maxCrashes {
+				id := d.addIncarnation("a", crashes)
+				task := d.startOne(id)
+				d.now = d.now.Add(provenAfter / 2)
+				d.poll(id, worker.PollResult{Runs: []worker.Run{{Task: task, Number: crashes + 1, Percent: 50}}}, accepted)
+				d.crash(id)
+				crashes++
+			}
+			assert.Equal(t, crashes, c.want)
+		})
+	}
+}
