--- a/services/scheduler/record_silent.go
+++ b/services/scheduler/record_silent.go
@@ -4,8 +4,6 @@
 package scheduler
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/worker"
@@ -79,9 +77,7 @@
 func (p *Pool) addSilent(b *Batch) error {
 	s, now := &p.silence, p.plannedAt
 	list := p.silentWorkers(now)
-	released := slices.ContainsFunc(slices.Collect(maps.Keys(s.recorded)), func(id worker.ID) bool { _, silent := list[id]; return !silent })
-	due := len(list) > 0 && (len(b.Records) > 0 || now.Sub(s.writtenAt) >= silentInterval)
-	if !released && !due && !(s.kept && len(b.Records) > 0) {
+	if !s.isDue(list, len(b.Records) > 0, now) {
 		return nil
 	}
 	record := port.Record{Key: keySilent}
@@ -100,6 +96,19 @@
 	return nil
 }
 
+// isDue reports whether the record is to be written, with a list of workers.
+func (s *silence) isDue(list map[worker.ID]int64, batchHasRecords bool, now time.Time) bool {
+	for id := range s.recorded {
+		if _, silent := list[id]; !silent {
+			return true
+		}
+	}
+	if batchHasRecords {
+		return len(list) > 0 || s.kept
+	}
+	return len(list) > 0 && now.Sub(s.writtenAt) >= silentInterval
+}
+
 // setRecorded notes whether the record names a worker.
 func (p *Pool) setRecorded(id worker.ID, recorded bool) {
 	if recorded {
