--- a/services/scheduler/waiting_test.go
+++ b/services/scheduler/waiting_test.go
@@ -26,7 +26,7 @@
 		waitsForCapacity: func(d *testPool, _ *job.Step) { d.resize(500) },
 		waitsForLabel:    func(_ *testPool, s *job.Step) { s.Label = "other" },
 		waitsForWorkers:  func(d *testPool, _ *job.Step) { d.workers["w"].evacuated = true },
-		waitsForSpread: func(d *testPool, s *job.Step) {
+		waitsForSpread: func(_ *testPool, s *job.Step) {
 			s.Count, s.MaxPerWorker = 2, 1 // the other task of the step runs on the only worker
 		},
 		waitsForLending: func(d *testPool, _ *job.Step) {
--- a/standin/cputime/cputime_test.go
+++ b/standin/cputime/cputime_test.go
@@ -16,14 +16,14 @@
 	waited, err := Of(func() { time.Sleep(10 * least) })
 	assert.NilError(t, err)
 	assert.Assert(t, waited < least, "%s", waited)
-	var within error
 	worked, err := Of(func() {
 		began, err := ofThread()
-		for now := began; err == nil && now-began < least; now, err = ofThread() {
+		assert.NilError(t, err)
+		for now := began; now-began < least; {
+			now, err = ofThread()
+			assert.NilError(t, err)
 		}
-		within = err
 	})
 	assert.NilError(t, err)
-	assert.NilError(t, within)
 	assert.Assert(t, worked >= least, "%s", worked)
 }
