Scheduler: the members of a gang together have one share of a crash

Cause: the weight of a crash is shared out among the tasks that were starting, so each of four members has a quarter, and only the limit of four crashes of any weight fails the job. But they start together, and the job fails as a whole.

A gang's members count as one. The test failed before (running, want failed, after 2 workers). A gang of which all that starts on two workers in a row is lost is judged as a single task is.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -72,7 +72,7 @@
 // crash is a worker that crashed while running a task, as far as is known.
 type crash struct {
 	worker    worker.Incarnation
-	weight    float64 // probability of 0 to 1 that the task was the cause: a share among the starting tasks, 0 for a task that had been running
+	weight    float64 // probability of 0 to 1 that the task was the cause: a share among the starting tasks, of all its gang if it has one, 0 for a task that had been running
 	confirmed bool    // the instance has another incarnation; otherwise its worker was unresponsive until its leases expired
 }
 
@@ -191,6 +191,7 @@
 		if knownSuspect && !s.starting {
 			continue
 		}
+		e.together = startingTogether(list, s)
 		if p.recordCrash(s, e, now) && p.failIfCause(s, now) {
 			causes = append(causes, s.run.task())
 		}
@@ -206,10 +207,26 @@
 	confirmed  bool
 	runs       int           // runs that the worker had
 	starting   int           // runs that had just started
+	together   int           // members of the run's gang that had just started there, 1 for any other run
 	correlated int           // workers that became unresponsive together
 	unobserved time.Duration // the time in which the worker may have crashed
 }
 
+// startingTogether returns how many members of a run's gang had just started on the worker, 1 for a run of no
+// gang. They fail together, so what is said of one of them is said of all.
+func startingTogether(list []suspect, s suspect) int {
+	if !s.run.step().spec.Gang {
+		return 1
+	}
+	n := 0
+	for _, o := range list {
+		if o.starting && o.run.ref.StepRef == s.run.ref.StepRef {
+			n++
+		}
+	}
+	return n
+}
+
 // unobservedFor returns the time from the last contact with a worker until it was found unresponsive, or
 // until now.
 func (w *workerState) unobservedFor(now time.Time) time.Duration {
@@ -228,6 +245,11 @@
 	return 1
 }
 
+// share returns the weight of a crash under a run that had just started.
+func (e crashEvent) share() float64 {
+	return e.factor() * float64(e.together) / float64(e.starting*e.correlated)
+}
+
 // saysNothing reports whether a crash under a run says nothing of its task: several workers crashed
 // together, and the run had been seen running for longer than a start takes. What they have in common is
 // the likely cause. A restored run may have been starting, so its crash counts unless an earlier owner has
@@ -246,9 +268,9 @@
 	c := crash{worker: incarnation, confirmed: e.confirmed}
 	switch {
 	case s.starting && s.run.startedAt.IsZero():
-		c.weight = unconfirmedWeight * e.factor() / float64(e.starting*e.correlated)
+		c.weight = unconfirmedWeight * e.share()
 	case s.starting:
-		c.weight = e.factor() / float64(e.starting*e.correlated)
+		c.weight = e.share()
 	case s.run.startedAt.IsZero() && !s.run.seenRunning:
 		c.weight = unknownWeight
 	}
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -528,3 +528,19 @@
 		})
 	}
 }
+
+// TestGangThatCrashesItsWorkersFails guards against a gang that crashes four workers, where a single task crashes
+// two, and whose job ends as much later: its members start together, and each had only its share of a crash.
+func TestGangThatCrashesItsWorkersFails(t *testing.T) {
+	const members = 4
+	d := newTestPool(t, 1)
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{
+		{Count: members, Size: job.Size{CPU: 500}, Estimate: time.Minute, Gang: true},
+	}}, d.now)
+	for n, want := range []job.State{job.Running, job.Failed} {
+		id := d.addIncarnation("a", n)
+		assert.Equal(t, len(d.startAll(id)), members)
+		d.crash(id)
+		assert.Equal(t, d.persistedState("1"), want, "after %d workers", n+1)
+	}
+}
