--- a/services/scheduler/record_silent_test.go
+++ b/services/scheduler/record_silent_test.go
@@ -19,7 +19,7 @@
 // Times of the tests with owners that change while a worker does not respond.
 const (
 	silentReserve = 7 * time.Second // for which an owner reserves restored runs
-	silentReign   = 4 * time.Second // of each owner
+	ownedFor      = 4 * time.Second // of each owner
 )
 
 // newTestPoolWithSilentRun returns a pool with a run on the worker "w", which does not respond from now on.
@@ -40,8 +40,8 @@
 	return n
 }
 
-// reign has an owner plan and persist for a while, with polls that get no response.
-func (d *testPool) reign(length time.Duration) {
+// own has an owner plan and persist for a while, with polls that get no response.
+func (d *testPool) own(length time.Duration) {
 	d.t.Helper()
 	for end := d.now.Add(length); d.now.Before(end); d.now = d.now.Add(100 * time.Millisecond) {
 		if d.workers["w"] != nil {
@@ -59,14 +59,14 @@
 	began := d.now
 	for range 5 {
 		d = d.succeed(1)
-		d.reign(silentReign)
+		d.own(ownedFor)
 		if len(d.firstTask("1").runs) == 0 {
 			break
 		}
 	}
 	waited := d.now.Sub(began)
 	assert.Equal(t, len(d.firstTask("1").runs), 0, "the run is still kept after %s", waited)
-	assert.Assert(t, waited >= silentReserve && waited <= silentReserve+silentReign, "%s", waited)
+	assert.Assert(t, waited >= silentReserve && waited <= silentReserve+ownedFor, "%s", waited)
 }
 
 // TestNoLeaseIsExtendedWhereTheNextOwnerCountsOnIt guards against a task that runs twice (TWICE): an owner has
@@ -75,7 +75,7 @@
 func TestNoLeaseIsExtendedWhereTheNextOwnerCountsOnIt(t *testing.T) {
 	d := newTestPoolWithSilentRun(t).succeed(1)
 	d.UpdateWorker(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a", Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-	d.reign(silentReign)
+	d.own(ownedFor)
 	d.submit("2", 1)
 	listing := worker.PollResult{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}
 	d.poll("w", listing, accepted)
@@ -98,7 +98,7 @@
 // one that wrote the record and this one may have extended leases, for instance one of an earlier version.
 func TestSilenceBeforeTheLastOwnerDoesNotCount(t *testing.T) {
 	d := newTestPoolWithSilentRun(t).succeed(1)
-	d.reign(silentReign)
+	d.own(ownedFor)
 	assert.Equal(t, d.succeed(2).workers["w"].restoredRunsEndAt, d.now.Add(silentReserve))
 }
 
@@ -106,7 +106,7 @@
 // not responding has restarted under its ID when it responds.
 func TestRestartedWorkerStaysRecorded(t *testing.T) {
 	d := newTestPoolWithSilentRun(t).succeed(1)
-	d.reign(silentReign)
+	d.own(ownedFor)
 	d.UpdateWorker(worker.Worker{ID: "w", Instance: "i", Pool: "p", Address: "a"})
 	d.workers["w"].startedAt = 1000
 	d.poll("w", worker.PollResult{StartedAt: 2000, Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}, accepted)
@@ -114,15 +114,15 @@
 	assert.Equal(t, request.Deadline, time.Duration(0))
 }
 
-// TestShortReignPassesTheSilenceOn guards against a wait that begins anew (LOST) because an owner in between was
+// TestShortOwnershipPassesTheRecordOn guards against a wait that begins anew (LOST) because an owner in between was
 // replaced within a second: its first batch carries what it has restored.
-func TestShortReignPassesTheSilenceOn(t *testing.T) {
+func TestShortOwnershipPassesTheRecordOn(t *testing.T) {
 	d := newTestPoolWithSilentRun(t).succeed(1)
 	began := d.now
-	d.reign(silentReign)
+	d.own(ownedFor)
 	for range 3 {
 		d = d.succeed(1)
-		d.reign(100 * time.Millisecond)
+		d.own(100 * time.Millisecond)
 	}
 	n := d.succeed(1)
 	latest := began.Add(silentReserve + time.Second)
