--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 }{
 	"lost":   {"LOST", playLost},
 	"twice":  {"TWICE", playTwice},
+	"crash":  {"LOST", playCrash},
 	"budget": {"BUDGET", playBudget},
 }
 
