--- a/review/standin/lost.go
+++ b/review/standin/lost.go
@@ -160,6 +160,9 @@
 		_, text := s.call(s.nodes[i%3], "GET", prefix+j.id, nil)
 		states[text]++
 	}
+	s.store.mu.Lock()
+	s.rec.log("store: %d appends were refused for their size", s.store.tooLarge)
+	s.store.mu.Unlock()
 	s.rec.log("accepted jobs: %d; states of those that were asked for: %v", len(w.jobs), states)
 	return nil
 }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -64,7 +64,7 @@
 
 // newSite serves the stand-ins; no node runs yet.
 func newSite(rec *recorder, dir string) (*site, error) {
-	s := &site{rec: rec, dir: dir, store: newStore(), net: os.Getpid()}
+	s := &site{rec: rec, dir: dir, store: newStore(rec), net: os.Getpid()}
 	s.obs = newObserver(rec)
 	s.platform = s.ip(200)
 	s.machines = newMachines(s.store, s.obs, rec, s.platform)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -17,8 +17,11 @@
 // store is a stand-in of the platform's metadata store: a log with keyed topics (PROTOCOL.md, "The
 // platform's metadata store"). Every answer is linearizable.
 type store struct {
-	mu    sync.Mutex
-	parts map[string]*partition
+	rec *recorder
+
+	mu       sync.Mutex
+	parts    map[string]*partition
+	tooLarge int // appends that were refused for their size
 }
 
 type record struct {
@@ -49,7 +52,16 @@
 	callBytes   = 2097152
 )
 
-func newStore() *store { return &store{parts: make(map[string]*partition)} }
+func newStore(rec *recorder) *store { return &store{rec: rec, parts: make(map[string]*partition)} }
+
+// noteTooLarge counts an append that is refused for its size, and records the first one.
+func (s *store) noteTooLarge(topic, index string, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tooLarge++; s.tooLarge == 1 {
+		s.rec.log("store: refuses an append of %d bytes to %s/%s: a record is over %d bytes", bytes, topic, index, recordBytes)
+	}
+}
 
 // part returns a partition. The lock is held.
 func (s *store) part(topic, index string) *partition {
@@ -156,6 +168,7 @@
 	}
 	records, valid := decode(body, strings.HasPrefix(topic, "keyed."))
 	if !valid {
+		s.noteTooLarge(topic, q.Get("part"), len(body))
 		reply(w, http.StatusBadRequest, map[string]string{"Reason": "size"})
 		return
 	}
