--- a/review/.standin/cases.go
+++ b/review/.standin/cases.go
@@ -63,9 +63,13 @@
 // withoutRestarts reports whether only the manifest is to change.
 func withoutRestarts() bool { return os.Getenv("TROUBLE") == "config" }
 
+// rollGap is gap_s of roll_term at share 1.0 in the site file.
+const rollGap = 2 * time.Second
+
 // roll stops and starts all nodes in turn.
 func roll(s *site) error {
 	for _, n := range s.nodes {
+		began := time.Now()
 		s.rec.log("node %s gets SIGTERM", n.name)
 		n.stop()
 		if err := n.start(); err != nil {
@@ -75,7 +79,7 @@
 		if err := n.await(10 * time.Second); err != nil {
 			return err
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(rollGap - time.Since(began))
 	}
 	return nil
 }
@@ -112,7 +116,7 @@
 	return false
 }
 
-// playTwice: a job is accepted and its tasks work. A new manifest replaces the route by one of the same host
+// playTwice: a job of five steps is accepted and its first tasks work. A new manifest replaces the route by one of the same host
 // and prefix whose workers are those of another service; then the nodes are stopped and started in turn. The
 // client sends the same ID again, some seconds after its 2xx.
 //
@@ -125,8 +129,14 @@
 	if err := startSite(s, before, other); err != nil {
 		return err
 	}
-	s.expect(id, behaviour{spec: "settle the deposits", work: 20 * time.Second, limit: 2})
-	j := job{Spec: "settle the deposits", Steps: []step{{Count: 2, Cpu: 1900, MemMb: 3500, EstimateMs: 20000}}}
+	s.expect(id, behaviour{spec: "settle the deposits", work: 5 * time.Second, limit: 2})
+	j := job{Spec: "settle the deposits"}
+	for i := range 5 { // as many steps, and as long tasks, as the largest jobs of the class deposit-settle have
+		j.Steps = append(j.Steps, step{Count: 2, Cpu: 1900, MemMb: 3500, EstimateMs: 5000})
+		if i > 0 {
+			j.Steps[i].After = []int{i - 1}
+		}
+	}
 	if err := submit(s, s.nodes[0], prefix+id, j); err != nil {
 		return err
 	}
--- a/review/.standin/lost.go
+++ b/review/.standin/lost.go
@@ -115,7 +115,11 @@
 	return all, used
 }
 
-// playLost: clients send one small job a second. One of them has sent a scheduled job that can never be done.
+// smallEach is the time between two small jobs. The scheduled job is one of more than twenty in its three
+// seconds, as poison has share 0.05 for 3 s in the site file.
+const smallEach = 125 * time.Millisecond
+
+// playLost: clients send eight small jobs a second. One of them sends a scheduled job that can never be done.
 func playLost(s *site, trouble bool) error {
 	const prefix, scheduled = "/puxa400/", "9a417c02be5d1f36"
 	queue := route{name: "r-k9m68k7", prefix: prefix, service: services[0], maxAttempts: 2}
@@ -123,18 +127,18 @@
 	if err := startSite(s, queue, other); err != nil {
 		return err
 	}
-	if trouble {
-		j := scheduledJob()
-		s.expect(scheduled, behaviour{spec: j.Spec, work: 200 * time.Millisecond, limit: 2})
-		if err := submit(s, s.nodes[0], prefix+scheduled, j); err != nil {
-			return err
-		}
-	}
 	w := &watch{s: s, service: services[0], quit: make(chan struct{})}
 	w.tasks.Add(1)
 	go w.run()
 	var calls sync.WaitGroup
-	for i := range 64 {
+	for i := range 512 {
+		if trouble && i == 12 {
+			j := scheduledJob()
+			s.expect(scheduled, behaviour{spec: j.Spec, work: 200 * time.Millisecond, limit: 2})
+			if err := submit(s, s.nodes[0], prefix+scheduled, j); err != nil {
+				return err
+			}
+		}
 		id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i)
 		j := job{Spec: "settle " + id, Steps: []step{{Count: 1, Cpu: 100, MemMb: 64, EstimateMs: 2000}, {Count: 1, Cpu: 100, MemMb: 64, EstimateMs: 2000, After: []int{0}}}}
 		s.expect(id, behaviour{spec: j.Spec, work: 2 * time.Second, limit: 2})
@@ -145,7 +149,7 @@
 				w.mu.Unlock()
 			}
 		})
-		time.Sleep(time.Second)
+		time.Sleep(smallEach)
 	}
 	calls.Wait()
 	s.rec.log("the traffic has ended")
@@ -154,7 +158,7 @@
 	w.tasks.Wait()
 	states := make(map[string]int)
 	for i, j := range w.jobs {
-		if i%10 > 0 && i < len(w.jobs)-10 {
+		if i%40 > 0 && i < len(w.jobs)-40 {
 			continue
 		}
 		_, text := s.call(s.nodes[i%3], "GET", prefix+j.id, nil)
--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -9,10 +9,16 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
+	"time"
 )
 
+// limit is how long a case may take; one that takes longer could not run.
+const limit = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
@@ -34,6 +40,31 @@
 	"budget": {"BUDGET", playBudget},
 }
 
+// giveUp ends the case, as one that could not run, after its time or when this process is to stop.
+func giveUp(s *site, rec *recorder, dir string) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	most := limit
+	if text := os.Getenv("REVIEW_LIMIT"); text != "" {
+		if d, err := time.ParseDuration(text); err == nil {
+			most = min(d, limit)
+		}
+	}
+	select {
+	case <-stop:
+		rec.log("the case could not run: it was stopped")
+	case <-time.After(most):
+		rec.log("the case could not run: it takes longer than %s", most)
+	}
+	for _, n := range s.nodes {
+		if n.cmd != nil && n.cmd.Process != nil {
+			_ = n.cmd.Process.Kill()
+		}
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(2)
+}
+
 func run(name, folder string) int {
 	c, known := cases[name]
 	if !known {
@@ -60,6 +91,7 @@
 	}
 	defer s.end()
 	defer s.keepLogs()
+	go giveUp(s, rec, dir)
 	if err := c.play(s, trouble); err != nil {
 		rec.log("the case could not run: %v", err)
 		return 2
--- a/review/.standin/site.go
+++ b/review/.standin/site.go
@@ -164,9 +164,13 @@
 	}
 	r.Host = host
 	r.Header.Set("Yardbridge-Deadline-Ms", "3000")
+	sent := ""
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
+		encoded, _ := json.Marshal(body)
+		sent = " " + string(encoded)
 	}
+	s.rec.log("client: sends %s %s to %s%s", method, path, n.name, sent)
 	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	a, err := c.Do(r)
 	if err != nil {
@@ -192,6 +196,8 @@
 type step struct {
 	Count, Cpu, MemMb, EstimateMs int
 	After                         []int  `json:",omitempty"`
+	AntiAffinity                  int    `json:",omitempty"`
+	LongRunning                   bool   `json:",omitempty"`
 	Requires                      string `json:",omitempty"`
 }
 
--- a/review/.standin/worker.go
+++ b/review/.standin/worker.go
@@ -25,9 +25,9 @@
 // behaviour is what the tasks of a job do.
 type behaviour struct {
 	spec  string
-	work  time.Duration
-	fails bool // each run ends "failed", by the task's own fault
-	limit int  // MaxAttempts of the queue to which the job was sent
+	work  time.Duration // 0 for a task that lasts
+	fails bool          // each run ends "failed", by the task's own fault
+	limit int           // MaxAttempts of the queue to which the job was sent
 }
 
 // taskRecord is what was seen of one task on the workers' sockets.
@@ -36,6 +36,7 @@
 	running     map[*worker]int // run by worker
 	done        bool            // an end "done" was listed
 	doneNoted   bool            // such an end was taken note of
+	startedOver bool            // a run began after such an end, which was not taken note of yet
 	failedNoted int             // ends "failed" that were taken note of
 }
 
@@ -80,6 +81,9 @@
 			o.breaks("TWICE", "%s run %d starts on %s (%s) while its run %d is at work on %s (%s), which is up", task, run, w.id, w.service, n, other.id, other.service)
 		}
 	}
+	if t.done && !t.doneNoted {
+		t.startedOver = true
+	}
 	if t.doneNoted {
 		o.breaks("TWICE", "%s run %d starts on %s (%s) after an end \"done\" of it was taken note of", task, run, w.id, w.service)
 	}
@@ -107,7 +111,10 @@
 	t := o.task(e.task)
 	switch e.how {
 	case "done":
-		t.doneNoted = true
+		if t.doneNoted = true; t.startedOver {
+			t.startedOver = false
+			o.breaks("TWICE", "%s was started after an end \"done\" of it, which is taken note of now", e.task)
+		}
 	case "failed":
 		t.failedNoted++
 	}
@@ -325,6 +332,9 @@
 	u := &running{run: run, percent: 100}
 	u.timer = time.AfterFunc(time.Hour, func() {})
 	w.runs[task] = u
+	if b.work == 0 {
+		return
+	}
 	how := "done"
 	if b.fails {
 		how = "failed"
