Gateway, owner: one pool accepts a queue's new jobs, by records in the store

Cause: which pools a queue had used was held in the memory of each node, for 30 s, from two versions of the configuration that one process had seen. Evidence, by a line added on a scratch copy: the node that took the second POST had been restarted, had seen version 6 alone and knew of no earlier pool ("earlier":[]). Ruled out: an older configuration (6 was in force), the end of the 30 s (eight had passed), an earlier pool that did not know the job (it was not asked, and GET found it there).

A pool opens a queue once each other pool has persisted that the queue is closed there and has listed its jobs; a newer version of the configuration closes it again. Until a queue is open its submissions get 504 queue-moving, outcome unknown: the job may be in the other pool. GET, DELETE and Pending ask the pools that the directory names, also those that the configuration no longer has, which keep an owner.

Tests: TestResubmittedJobOfMovedQueueRunsOnce (gateway) went: it required the entry to ask the pool that the same process had seen before, by handlers that accept everything.

--- a/models/config/config.go
+++ b/models/config/config.go
@@ -94,6 +94,15 @@
 // Queue returns the queue with the key, nil for none.
 func (c *Config) Queue(key string) *Queue { return c.byKey[key] }
 
+// PoolsOfQueues returns the pool of each queue, by the queue's key.
+func (c *Config) PoolsOfQueues() map[string]string {
+	pools := make(map[string]string, len(c.Queues))
+	for i := range c.Queues {
+		pools[c.Queues[i].Key()] = c.Queues[i].Pool
+	}
+	return pools
+}
+
 // Pool returns the pool with the name, nil for none.
 func (c *Config) Pool(name string) *Pool {
 	for i := range c.Pools {
--- a/modules/errkind/errkind.go
+++ b/modules/errkind/errkind.go
@@ -40,6 +40,7 @@
 	Fenced
 	Gone
 	BadMethod
+	QueueMoving
 	kindCount
 )
 
@@ -85,6 +86,7 @@
 	Fenced:             {"fenced", http.StatusServiceUnavailable, NotRun, time.Second},
 	Gone:               {"gone", http.StatusGone, NotRun, 0},
 	BadMethod:          {"bad-method", http.StatusMethodNotAllowed, NotRun, 0},
+	QueueMoving:        {"queue-moving", http.StatusGatewayTimeout, Unknown, time.Second},
 }
 
 // Kinds returns every kind of the closed list in order.
--- a/node/dump.go
+++ b/node/dump.go
@@ -14,6 +14,7 @@
 	Ready     bool                        `json:"ready"`
 	Version   int64                       `json:"config_version"` // 0 before the first
 	Owners    map[string]string           `json:"owners"`         // node by pool
+	Moved     map[string][]string         `json:"moved_queues"`   // pools of the queues that have used several, by the queue's key
 	Owned     map[string]scheduler.Report `json:"owned"`          // this node's pools, by name
 	Workers   int                         `json:"workers"`        // listed by the platform
 	Waves     int                         `json:"waves"`
@@ -24,12 +25,17 @@
 func (n *Node) Dump() Dump {
 	d := Dump{
 		Node: n.Setting.Node.Name, Ready: n.Ready(), Version: n.ConfigVersion(),
-		Owners: make(map[string]string), Owned: make(map[string]scheduler.Report),
+		Owners: make(map[string]string), Moved: make(map[string][]string), Owned: make(map[string]scheduler.Report),
 	}
 	if v, _ := n.Directory.View(); v != nil {
 		for pool, o := range v.Pools {
 			d.Owners[pool] = o.Node
 		}
+		for queue, pools := range v.Queues {
+			if len(pools) > 1 {
+				d.Moved[queue] = pools
+			}
+		}
 	}
 	for _, o := range n.ownerList() {
 		d.Owned[o.Pool] = o.Peek()
--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,7 @@
 	n.Gateway = &gateway.Gateway{Directory: n.Directory, Clock: c, Logger: logger, Local: n.local, Remote: n.remote, OnOutdated: n.refreshFrom}
 	n.Ownership = &ownership.Manager{
 		Directory: n.Directory, Clock: c, Logger: logger,
-		Config: n.Gateway.Config, Roles: roles, Open: n.openRole, ProbeTakeOver: n.offer, RequestTakeOver: n.takeOver,
+		Config: n.Gateway.Config, Roles: n.roles, Open: n.openRole, ProbeTakeOver: n.offer, RequestTakeOver: n.takeOver,
 		Demand: demand,
 	}
 	n.Directory.Reclaim = n.Ownership.Reclaim
@@ -177,20 +177,32 @@
 	if c == nil {
 		return 0
 	}
-	return time.Duration(len(roles(c))) * standbyProbePeriodPerRole
+	return time.Duration(len(n.roles(c))) * standbyProbePeriodPerRole
 }
 
 // fleetRole is the role that manages the instances of all pools; no pool has this name.
 const fleetRole = "!fleet"
 
-// roles returns the pools that run tasks, and the role for instances.
-func roles(c *config.Config) []string {
-	list := []string{fleetRole}
+// roles returns the pools that run tasks, the role for instances, and the pools that the configuration no longer
+// has: their jobs remain, and the pools that their queues have moved to ask for these.
+func (n *Node) roles(c *config.Config) []string {
+	list, configured := []string{fleetRole}, map[string]bool{fleetRole: true}
 	for _, p := range c.Pools {
 		if !p.Headroom {
-			list = append(list, p.Name)
+			list, configured[p.Name] = append(list, p.Name), true
 		}
 	}
+	v, _ := n.Directory.View()
+	if v == nil {
+		return list
+	}
+	current := len(list)
+	for pool := range v.Pools {
+		if !configured[pool] {
+			list = append(list, pool)
+		}
+	}
+	slices.Sort(list[current:])
 	return list
 }
 
@@ -226,6 +238,7 @@
 		},
 		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count, Observe: n.Ports.Observe,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
+		Registry:     n.registry(),
 	}
 	run := func(ctx context.Context) error {
 		n.setOwner(pool, o)
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -25,6 +25,7 @@
 	methodState    = "job.state"
 	methodCancel   = "job.cancel"
 	methodPending  = "queue.pending"
+	methodClose    = "queue.close"
 	methodProbe    = "node.probe"
 	methodProbeFor = "node.help"
 	methodOffer    = "node.offer"
@@ -61,6 +62,7 @@
 		methodState:    noderpc.Handle(n.onState),
 		methodCancel:   noderpc.Handle(n.onCancel),
 		methodPending:  noderpc.Handle(n.onPending),
+		methodClose:    noderpc.Handle(n.onClose),
 		methodProbe:    noderpc.Handle(n.onProbe),
 		methodProbeFor: noderpc.Handle(n.onProbeFor),
 		methodOffer:    noderpc.Handle(n.onOffer),
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -4,15 +4,19 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
 	"os"
+	"slices"
 	"time"
 
+	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/wave"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/tomlfile"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/standin/world"
@@ -33,7 +37,10 @@
 //   - wave, limits (of the customers, to a share of the original ones), orders-lost (a share of the
 //     responses of instance control), evacuate and cold (the data centre of the rack with the number that
 //     Worker states), relist (of ended incarnations), cancel (of the jobs of a pool),
-//     silence (of all open connections between nodes).
+//     silence (of all open connections between nodes);
+//   - for the queue that is named like a pool: move (to another pool), drop (for a while, after which it is
+//     assigned to the other pool, if one is named), retire (moves it, and removes its pool from the configuration
+//     for a while); all of them write versions of the configuration.
 type scriptEvent struct {
 	At     tomlfile.Duration `toml:"at"`
 	Kind   string            `toml:"kind"`
@@ -44,6 +51,7 @@
 	Share  float64           `toml:"share"`
 	AtOnce int               `toml:"at_once"`
 	Within tomlfile.Duration `toml:"within"`
+	To     string            `toml:"to"` // pool that a queue moves to
 }
 
 // applyEvent carries out an event.
@@ -102,6 +110,13 @@
 		st.world.TurnCold(world.DataCenter(fmt.Sprintf("r-%d", e.Worker)), e.For.Std())
 	case "limits":
 		st.configure(e.Share)
+	case "move":
+		st.moveQueue(e.Pool, e.To)
+	case "drop":
+		st.moveQueue(e.Pool, "")
+		time.AfterFunc(e.For.Std(), func() { st.moveQueue(e.Pool, cmp.Or(e.To, e.Pool)) })
+	case "retire":
+		st.retirePool(e)
 	case "history":
 		st.world.CompactLog()
 	case "silence":
@@ -142,7 +157,11 @@
 	at.Setting.Platform.Partitions = storeParts
 	var parts []port.Partition
 	if e.Pool != "" {
-		v, _ := st.readyNode().Directory.View()
+		n := st.readyNode()
+		if n == nil {
+			return // nothing tells the slot of the pool
+		}
+		v, _ := n.Directory.View()
 		parts = append(parts, at.partition(v.Pools[e.Pool].Slot))
 	} else {
 		st.mu.Lock()
@@ -257,13 +276,38 @@
 func (st *scenario) cancelJob(pool string, id job.ID, customer string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*callLimit)
 	defer cancel()
+	st.mu.Lock()
+	accepted := st.accepted[id]
+	st.mu.Unlock()
 	if st.retry(ctx, func(ctx context.Context, n *Node) bool {
-		return n.Gateway.Cancel(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id, customer) == nil
+		q := n.Gateway.Config().Queue("h/" + pool + "/")
+		if q == nil {
+			return false // the queue is dropped
+		}
+		err := n.Gateway.Cancel(ctx, q, id, customer)
+		if accepted && errkind.Is(err, errkind.Gone) {
+			st.fail("LOST: job %s of queue %s can't be cancelled: %v", id, pool, err)
+		}
+		return err == nil
 	}) {
 		st.world.RecordCancel(id)
 	}
 }
 
+// moveQueue writes a version of the configuration in which a queue uses another pool, or that lacks it if
+// none is named.
+func (st *scenario) moveQueue(name, pool string) {
+	st.mu.Lock()
+	if pool != "" && !slices.ContainsFunc(st.pools, func(p config.Pool) bool { return p.Name == pool }) {
+		pool = st.pools[len(st.pools)-1].Name // it is not configured now
+	}
+	i := slices.IndexFunc(st.queues, func(q config.Queue) bool { return q.Name == name })
+	st.queues = slices.Clone(st.queues)
+	st.queues[i].Pool = pool
+	st.mu.Unlock()
+	st.configure(1)
+}
+
 // faultWorker applies an event to a worker.
 func (st *scenario) faultWorker(e scriptEvent) {
 	list, _ := st.world.Instances().List(context.Background())
@@ -316,3 +360,29 @@
 		time.AfterFunc(e.For.Std(), func() { st.world.ChangeWorker(id, set(false)) })
 	}
 }
+
+// retirePool moves the queues of a pool to another one, and removes the pool from the configuration for a while.
+func (st *scenario) retirePool(e scriptEvent) {
+	st.mu.Lock()
+	i := slices.IndexFunc(st.pools, func(p config.Pool) bool { return p.Name == e.Pool })
+	if i < 0 || e.To == e.Pool || !slices.ContainsFunc(st.pools, func(p config.Pool) bool { return p.Name == e.To }) {
+		st.mu.Unlock()
+		return
+	}
+	pool := st.pools[i]
+	st.pools = slices.Delete(slices.Clone(st.pools), i, i+1)
+	st.queues = slices.Clone(st.queues)
+	for q := range st.queues {
+		if st.queues[q].Pool == e.Pool {
+			st.queues[q].Pool = e.To
+		}
+	}
+	st.mu.Unlock()
+	st.configure(1)
+	time.AfterFunc(e.For.Std(), func() {
+		st.mu.Lock()
+		st.pools = append(slices.Clone(st.pools), pool)
+		st.mu.Unlock()
+		st.configure(1)
+	})
+}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -54,6 +54,7 @@
 	Restarts    bool              `toml:"restarts"` // workers that crash restart under the same id
 	AppendTime  tomlfile.Duration `toml:"-"`        // that each partition of the store takes for an append, one after the other
 	Gangs       bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
+	Repeats     int               `toml:"repeats"`  // how often each job is submitted again after it was accepted, 0 for once at random
 	GiveUp      int               `toml:"give_up"`  // jobs that may be given up although they could be done, where two workers have crashed under a task
 }
 
@@ -104,7 +105,7 @@
 	t      *testing.T
 	script script
 	world  *world.World
-	queues []config.Queue
+	queues []config.Queue // those that are dropped use no pool
 	pools  []config.Pool
 	nodes  []*scenarioNode
 	jobs   sync.WaitGroup
@@ -116,6 +117,7 @@
 	epochs      map[string]uint64 // of the pools, before the first event
 	longRunning []job.StepRef
 	jobOwners   map[string]map[job.ID]string // customer of each job, by pool
+	accepted    map[job.ID]bool              // jobs whose submission was acknowledged
 	failed      []string
 	givenUp     int
 	counters    map[string]int64 // sums of all nodes
@@ -302,7 +304,8 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.version++
-	st.world.Configure(st.version, st.queues, st.pools, customers...)
+	queues := slices.DeleteFunc(slices.Clone(st.queues), func(q config.Queue) bool { return q.Pool == "" })
+	st.world.Configure(st.version, queues, st.pools, customers...)
 }
 
 // storeParts is how many partitions each topic of the store has.
@@ -402,11 +405,15 @@
 		st.longRunning = append(st.longRunning, job.StepRef{Job: s.ID})
 	}
 	st.mu.Unlock()
-	if !st.retry(ctx, func(ctx context.Context, n *Node) bool {
-		return n.Gateway.Submit(ctx, n.Gateway.Config().Queue(s.Queue), s) == nil
-	}) {
+	if !st.retry(ctx, func(ctx context.Context, n *Node) bool { return submitAt(ctx, n, s) }) {
 		return
 	}
+	st.mu.Lock()
+	if st.accepted == nil {
+		st.accepted = make(map[job.ID]bool)
+	}
+	st.accepted[s.ID] = true
+	st.mu.Unlock()
 	st.jobs.Go(func() { st.resubmit(ctx, s) })
 	if s.HasLongRunning() && !j.crashes() || st.script.MayRemain {
 		return
@@ -417,7 +424,11 @@
 	}
 	var last job.State
 	if !st.retry(ctx, func(ctx context.Context, n *Node) bool {
-		state, err := n.Gateway.State(ctx, n.Gateway.Config().Queue(s.Queue), s.ID, s.Customer)
+		q := n.Gateway.Config().Queue(s.Queue)
+		if q == nil {
+			return false // the queue is dropped
+		}
+		state, err := n.Gateway.State(ctx, q, s.ID, s.Customer)
 		if errkind.Is(err, errkind.Gone) {
 			st.fail("LOST: job %s of pool %s is unknown", s.ID, j.Pool)
 			return true
@@ -463,18 +474,27 @@
 	return slices.ContainsFunc(st.script.Pools, func(p scriptPool) bool { return p.Name == pool && p.Policy })
 }
 
-// resubmit submits a job once more some time after it was accepted, as callers sometimes do.
+// submitAt submits a job at a node, and reports whether it was accepted. A queue that is dropped accepts none.
+func submitAt(ctx context.Context, n *Node, s job.Submission) bool {
+	q := n.Gateway.Config().Queue(s.Queue)
+	return q != nil && n.Gateway.Submit(ctx, q, s) == nil
+}
+
+// resubmit submits a job once more some time after it was accepted, as callers sometimes do, or several times
+// if the script says so.
 func (st *scenario) resubmit(ctx context.Context, s job.Submission) {
-	st.mu.Lock()
-	pause, repeat := time.Duration(st.random.Int64N(int64(repeatWithin))), st.random.IntN(repeatOneIn) == 0
-	st.mu.Unlock()
-	if !repeat {
-		return
+	for range max(st.script.Repeats, 1) {
+		st.mu.Lock()
+		pause, repeat := time.Duration(st.random.Int64N(int64(repeatWithin))), st.random.IntN(repeatOneIn) == 0
+		st.mu.Unlock()
+		if !repeat && st.script.Repeats == 0 {
+			return
+		}
+		time.Sleep(pause)
+		if !st.retry(ctx, func(ctx context.Context, n *Node) bool { return submitAt(ctx, n, s) }) {
+			return
+		}
 	}
-	time.Sleep(pause)
-	st.retry(ctx, func(ctx context.Context, n *Node) bool {
-		return n.Gateway.Submit(ctx, n.Gateway.Config().Queue(s.Queue), s) == nil
-	})
 }
 
 // One in four jobs is submitted again within five seconds.
@@ -596,7 +616,11 @@
 		return false
 	}
 	for id, pool := range st.mayFailLongRunning() {
-		if state, err := n.Gateway.State(ctx, n.Gateway.Config().Queue("h/"+pool+"/"), id, ""); err == nil && state == job.Failed {
+		q := n.Gateway.Config().Queue("h/" + pool + "/")
+		if q == nil {
+			continue // the queue is dropped
+		}
+		if state, err := n.Gateway.State(ctx, q, id, ""); err == nil && state == job.Failed {
 			return true
 		}
 	}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -25,8 +26,9 @@
 
 // The prefixes of the directory's keys.
 const (
-	keyNode = "n/"
-	keyPool = "o/"
+	keyNode  = "n/"
+	keyPool  = "o/"
+	keyQueue = "q/"
 )
 
 // Node is one process of yardbridge.
@@ -77,9 +79,10 @@
 
 // View is the content of the directory at one time; it is immutable.
 type View struct {
-	Nodes map[string]Node
-	Pools map[string]Ownership
-	End   uint64 // offset of the partition up to which it was read
+	Nodes  map[string]Node
+	Pools  map[string]Ownership
+	Queues map[string][]string // pools that queues have been assigned to, in order, by the queue's key; see queues.go
+	End    uint64              // offset of the partition up to which it was read
 }
 
 // Owner returns the node that owns a pool, and false if there is none or its process is not
@@ -160,7 +163,7 @@
 	if d.view == nil || v.End <= d.view.End && !d.view.outdatedBy(v) {
 		return
 	}
-	next := &View{Nodes: v.Nodes, Pools: make(map[string]Ownership, len(v.Pools)), End: v.End}
+	next := &View{Nodes: v.Nodes, Pools: make(map[string]Ownership, len(v.Pools)), Queues: mergeQueues(d.view.Queues, v.Queues), End: v.End}
 	if v.End <= d.view.End {
 		next.Nodes, next.End = d.view.Nodes, d.view.End
 	}
@@ -207,8 +210,12 @@
 		for k, o := range d.view.Pools {
 			next.Pools[k] = o
 		}
+		next.Queues = d.view.Queues
 		next.End = d.view.End
 	}
+	if slices.ContainsFunc(records, isQueueRecord) {
+		next.Queues = maps.Clone(next.Queues)
+	}
 	for _, r := range records {
 		next.End = max(next.End, r.Offset+1)
 		if err := next.applyRecord(r); err != nil {
@@ -298,6 +305,9 @@
 		}
 		return nil
 	}
+	if queue, isQueue := strings.CutPrefix(r.Key, keyQueue); isQueue {
+		return v.applyQueue(queue, r.Value)
+	}
 	if _, isPool := strings.CutPrefix(r.Key, keyPool); !isPool || len(r.Value) == 0 {
 		return nil
 	}
@@ -485,8 +495,9 @@
 
 // AssignSlot returns the slot of a pool's partition, and assigns the lowest free slots to all of
 // the named pools that have none. A slot is never assigned twice: the assignment is conditional on
-// no record having been added since the view was read.
-func (d *Directory) AssignSlot(ctx context.Context, pool string, all []string) (int, error) {
+// no record having been added since the view was read. The same append assigns queues to their pools,
+// named by the queues' keys.
+func (d *Directory) AssignSlot(ctx context.Context, pool string, all []string, queues map[string]string) (int, error) {
 	v, _ := d.View()
 	if v == nil {
 		return 0, errkind.New(errkind.LogUnavailable, "the directory has not been read yet")
@@ -511,7 +522,11 @@
 		}
 		records = append(records, r)
 	}
-	_, err := d.Store.AppendAt(ctx, Partition, v.End, records)
+	assignments, err := v.queueRecords(queues)
+	if err != nil {
+		return 0, err
+	}
+	_, err = d.Store.AppendAt(ctx, Partition, v.End, append(records, assignments...))
 	return slot, err
 }
 
--- a/services/gateway/gateway.go
+++ b/services/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +41,6 @@
 	Remote func(n directory.Node, pool string) *PoolHandler
 
 	newest atomic.Pointer[config.Config]
-	moves  poolMoves
 }
 
 // Config returns the newest configuration, nil before the first.
@@ -54,7 +54,6 @@
 			return false
 		}
 		if g.newest.CompareAndSwap(known, c) {
-			g.moves.record(known, c, g.Clock.Now())
 			return true
 		}
 	}
@@ -76,12 +75,18 @@
 // noResult is the result of calls that only succeed or fail.
 type noResult struct{}
 
-// Submit passes a job to its pool's owner and returns once the job is persisted.
+// Submit passes a job to its pool's owner and returns once the job is persisted. The owner knows the jobs of
+// the queue that other pools have accepted. While the queue moves to another pool, the call waits for it.
 func (g *Gateway) Submit(ctx context.Context, q *config.Queue, s job.Submission) error {
-	if accepted, err := g.acceptedEarlier(ctx, q, s.ID, s.Customer); accepted || err != nil {
-		return err
+	pool := func() string {
+		if c := g.Config(); c != nil {
+			if now := c.Queue(q.Key()); now != nil {
+				return now.Pool
+			}
+		}
+		return q.Pool
 	}
-	_, err := call(ctx, g, q.Pool, func(ctx context.Context, h *PoolHandler) (noResult, error) {
+	_, err := call(ctx, g, pool, func(ctx context.Context, h *PoolHandler) (noResult, error) {
 		return noResult{}, h.Submit(ctx, s)
 	})
 	return err
@@ -101,12 +106,38 @@
 	return state, queryError(err)
 }
 
-// Pending returns the number of a queue's jobs that have not started.
+// Pending returns the number of a queue's jobs that have not started, in all pools that may have some.
 func (g *Gateway) Pending(ctx context.Context, q *config.Queue) (int, error) {
-	n, err := call(ctx, g, q.Pool, func(ctx context.Context, h *PoolHandler) (int, error) { return h.Pending(ctx, q.Key()) })
-	return n, queryError(err)
+	total := 0
+	for _, pool := range g.assignedPools(q) {
+		n, err := call(ctx, g, fixed(pool), func(ctx context.Context, h *PoolHandler) (int, error) { return h.Pending(ctx, q.Key()) })
+		if err != nil {
+			return 0, queryError(err)
+		}
+		total += n
+	}
+	return total, nil
+}
+
+// assignedPools returns the pools that may have accepted jobs of a queue: the one that it uses now, and the
+// others that the directory names.
+func (g *Gateway) assignedPools(q *config.Queue) []string {
+	pools := []string{q.Pool}
+	v, _ := g.Directory.View()
+	if v == nil {
+		return pools
+	}
+	for _, pool := range v.Queues[q.Key()] {
+		if pool != q.Pool {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
 }
 
+// fixed returns a pool whatever the configuration is.
+func fixed(pool string) func() string { return func() string { return pool } }
+
 // queryError returns the error of a query: it changes nothing, so that one without a response has not
 // run, and may be repeated.
 func queryError(err error) error {
@@ -116,18 +147,15 @@
 	return err
 }
 
-// callAnyOwner calls the owner of a queue's pool and, if that does not know the job, the owners of
-// the other pools, since the queue may have used another pool when the job was submitted.
+// callAnyOwner calls the owner of a queue's pool and, if that does not know the job, the owners of the pools that
+// the queue has used before and of all others: this node may not have read yet that the queue has moved.
 func callAnyOwner[T any](ctx context.Context, g *Gateway, q *config.Queue, do func(context.Context, *PoolHandler) (T, error)) (T, error) {
-	result, err := call(ctx, g, q.Pool, do)
+	result, err := call(ctx, g, fixed(q.Pool), do)
 	if !errkind.Is(err, errkind.Gone) {
 		return result, err
 	}
-	for _, p := range g.Config().Pools {
-		if p.Name == q.Pool || p.Headroom {
-			continue
-		}
-		otherResult, otherErr := call(ctx, g, p.Name, do)
+	for _, pool := range g.otherPools(q) {
+		otherResult, otherErr := call(ctx, g, fixed(pool), do)
 		if !errkind.Is(otherErr, errkind.Gone) {
 			return otherResult, otherErr
 		}
@@ -135,17 +163,29 @@
 	return result, err
 }
 
-// call calls the owner of a pool, and retries while there is no owner or it is not reached. Retries
-// are safe, because every call may be made twice.
-func call[T any](ctx context.Context, g *Gateway, pool string, do func(context.Context, *PoolHandler) (T, error)) (T, error) {
+// otherPools returns all pools but the one that a queue uses now, those that it has used before first.
+func (g *Gateway) otherPools(q *config.Queue) []string {
+	pools := g.assignedPools(q)
+	for _, p := range g.Config().Pools {
+		if !p.Headroom && !slices.Contains(pools, p.Name) {
+			pools = append(pools, p.Name)
+		}
+	}
+	return pools[1:]
+}
+
+// call calls the owner of a pool, and retries while there is no owner, it is not reached, or the queue is
+// moving. Retries are safe, because every call may be made twice. Each one goes to the pool of that time.
+func call[T any](ctx context.Context, g *Gateway, poolNow func() string, do func(context.Context, *PoolHandler) (T, error)) (T, error) {
 	startedAt := g.Clock.Now()
 	unknown := false
 	for {
+		pool := poolNow()
 		result, changed, err := callOnce(ctx, g, pool, do)
 		switch {
 		case errkind.Is(err, errkind.OutcomeUnknown):
 			unknown = true
-		case errkind.Is(err, errkind.Fenced), errkind.Is(err, errkind.NoTarget):
+		case errkind.Is(err, errkind.Fenced), errkind.Is(err, errkind.NoTarget), errkind.Is(err, errkind.QueueMoving):
 		default:
 			return result, refusalError(pool, unknown, err)
 		}
@@ -175,8 +215,11 @@
 }
 
 // unreachedError returns the error of a call that did not reach an owner; a call that may have
-// reached one is not reported as refused.
+// reached one is not reported as refused, nor is a job that another pool may have accepted.
 func unreachedError(pool string, unknown bool, err error) error {
+	if errkind.Is(err, errkind.QueueMoving) {
+		return err
+	}
 	if unknown {
 		return errkind.New(errkind.OutcomeUnknown, "pool %s: %v", pool, err)
 	}
--- a/services/gateway/gateway_test.go
+++ b/services/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -66,32 +67,91 @@
 	}
 }
 
-// TestResubmittedJobOfMovedQueueRunsOnce checks that a job which is submitted again after its queue
-// has moved to another pool does not start in the new pool if the previous one has accepted it.
-func TestResubmittedJobOfMovedQueueRunsOnce(t *testing.T) {
-	accepted := map[string]bool{}
-	g := &Gateway{Directory: &directory.Directory{}}
-	g.Local = func(pool string) *PoolHandler {
-		return &PoolHandler{
-			Submit: func(context.Context, job.Submission) error {
+// movingQueue returns a queue and a configuration in which it uses a pool, "" for one without the queue. Only the
+// pools a and b are configured.
+func movingQueue(version uint64, pool string) (*config.Queue, *config.Config) {
+	q := config.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: pool}
+	var queues []config.Queue
+	if pool != "" {
+		queues = append(queues, q)
+	}
+	return &q, config.New(version, queues, []config.Pool{{Name: "a"}, {Name: "b"}}, config.Limits{})
+}
+
+// TestSubmissionFollowsAMovedQueue guards against TWICE and against a false refusal: a node with an older
+// configuration passes a job to the pool that the queue has left. It must reach the pool that the queue uses now,
+// and as long as it reaches none that accepts jobs of the queue, its outcome is unknown.
+func TestSubmissionFollowsAMovedQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		accepted := map[string]bool{}
+		g := &Gateway{Directory: &directory.Directory{}}
+		g.Local = func(pool string) *PoolHandler {
+			return &PoolHandler{Submit: func(context.Context, job.Submission) error {
+				if pool == "a" {
+					return errkind.New(errkind.QueueMoving, "the queue has left the pool")
+				}
 				accepted[pool] = true
 				return nil
-			},
+			}}
+		}
+		older, c := movingQueue(1, "a")
+		g.ApplyConfig(c)
+		err := g.Submit(t.Context(), older, job.Submission{ID: "1"})
+		assert.Assert(t, errkind.Is(err, errkind.QueueMoving), "%v", err)
+		assert.Equal(t, errkind.Of(err).Kind.Response().Outcome, errkind.Unknown)
+		_, newer := movingQueue(2, "b")
+		time.AfterFunc(ownerWait/2, func() { g.ApplyConfig(newer) })
+		assert.NilError(t, g.Submit(t.Context(), older, job.Submission{ID: "1"}))
+		assert.DeepEqual(t, accepted, map[string]bool{"b": true})
+	})
+}
+
+// TestEarlierPoolsAreAsked guards against MIXED and LOST after a queue has moved: its jobs in the pools that it
+// has left are not counted as waiting, and a pool without an owner is taken for one that does not know a job. The
+// configuration no longer has the pool c.
+func TestEarlierPoolsAreAsked(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*ownerWait)
+	defer cancel()
+	pools := []string{"a", "b", "c"}
+	value, err := codec.Marshal(pools)
+	assert.NilError(t, err)
+	g := &Gateway{Directory: openDirectory(t, port.Record{Key: "q/h/q/", Value: value, Offset: 9})}
+	known, owned := map[string]int{"a": 1, "b": 2, "c": 4}, map[string]bool{"a": true, "b": true, "c": true}
+	g.Local = func(pool string) *PoolHandler {
+		if !owned[pool] {
+			return nil
+		}
+		return &PoolHandler{
 			State: func(context.Context, job.ID, string) (job.State, error) {
-				if accepted[pool] {
+				if pool == "c" {
 					return job.Running, nil
 				}
 				return "", errkind.New(errkind.Gone, "no such job")
 			},
+			Cancel: func(context.Context, job.ID, string) error {
+				if pool == "c" {
+					return nil
+				}
+				return errkind.New(errkind.Gone, "no such job")
+			},
+			Pending: func(context.Context, string) (int, error) { return known[pool], nil },
 		}
 	}
-	pools := []config.Pool{{Name: "a"}, {Name: "b"}}
-	for version, pool := range []string{"a", "b"} {
-		queue := config.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: pool}
-		g.ApplyConfig(config.New(uint64(version+1), []config.Queue{queue}, pools, config.Limits{}))
-		assert.NilError(t, g.Submit(t.Context(), &queue, job.Submission{ID: "1"}))
-	}
-	assert.Assert(t, !accepted["b"], "one job is accepted by two pools")
+	q, c := movingQueue(3, "b")
+	g.ApplyConfig(c)
+	n, err := g.Pending(ctx, q)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 7)
+	state, err := g.State(ctx, q, "1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, job.Running)
+	assert.NilError(t, g.Cancel(ctx, q, "1", ""))
+	owned["c"] = false
+	_, err = g.Pending(ctx, q)
+	assert.Assert(t, errkind.Is(err, errkind.NoTarget), "%v", err)
+	_, err = g.State(ctx, q, "1", "")
+	assert.Assert(t, errkind.Is(err, errkind.NoTarget), "%v", err)
+	assert.Assert(t, !errkind.Is(g.Cancel(ctx, q, "1", ""), errkind.Gone), "a cancel is reported as of no job")
 }
 
 // TestRemoteCallEndsWithItsContext checks that a caller gets a response when its call is cancelled,
@@ -130,11 +190,16 @@
 		assert.NilError(t, err)
 		return data
 	}
-	records := []port.Record{
-		{Key: "n/other", Value: encode(directory.Node{Name: "other", Incarnation: 1})},
-		{Key: "n/self", Value: encode(directory.Node{Name: "self", Incarnation: 1}), Offset: 1},
-		{Key: "o/" + pool, Value: encode(directory.Ownership{Pool: pool, Epoch: 1, Node: "other", Incarnation: 1}), Offset: 2},
-	}
+	return openDirectory(t,
+		port.Record{Key: "n/other", Value: encode(directory.Node{Name: "other", Incarnation: 1})},
+		port.Record{Key: "n/self", Value: encode(directory.Node{Name: "self", Incarnation: 1}), Offset: 1},
+		port.Record{Key: "o/" + pool, Value: encode(directory.Ownership{Pool: pool, Epoch: 1, Node: "other", Incarnation: 1}), Offset: 2},
+	)
+}
+
+// openDirectory returns a directory that has read records.
+func openDirectory(t *testing.T, records ...port.Record) *directory.Directory {
+	t.Helper()
 	d := &directory.Directory{Self: directory.Node{Name: "self", Incarnation: 1}, Store: port.Store{
 		Newest: func(context.Context, port.Partition, string) (port.Page, error) {
 			return port.Page{Records: records, End: uint64(len(records))}, nil
@@ -143,6 +208,7 @@
 			<-ctx.Done()
 			return port.Tail{}, ctx.Err()
 		},
+		Put: func(context.Context, port.Partition, []port.Record) error { return nil },
 	}}
 	go d.Run(t.Context())
 	for {
--- a/services/owner/claim.go
+++ b/services/owner/claim.go
@@ -26,6 +26,7 @@
 	o.changed = make(chan struct{}, 1)
 	o.done = make(chan struct{})
 	o.adviceDue = make(chan struct{}, 1)
+	o.queuesDue = make(chan struct{}, 1)
 	o.links = make(map[worker.ID]*link)
 	o.waiting = make(map[uint64][]chan struct{})
 	o.pool = scheduler.New(o.Pool, o.Epoch(), o.Limits, o.Logger)
@@ -33,6 +34,7 @@
 	if err := o.pool.Restore(records, o.Clock.Now(), o.Limits.Lease+ownerOverlap); err != nil {
 		return err
 	}
+	o.restoreIntakes()
 	o.Logger.Info().Str("event", "claim").Uint64("epoch", o.Epoch()).Int("records", len(records)).
 		Str("outcome", "owner").Msg("pool ownership claimed")
 	return nil
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -43,12 +43,15 @@
 	SelectPolicy func(hasCustomers bool) admission.Policy
 	// NoPeers reports whether no other node responds; nil for never.
 	NoPeers func() bool
+	// Registry shows where queues are assigned; nil if the pool is the only one.
+	Registry *Registry
 	// Returns reports whether refused callers are promised the second in which they may come back; nil
 	// for never.
 	Returns func() bool
 
 	changed   chan struct{} // signals that there may be changes to plan or to persist
 	adviceDue chan struct{} // signals that there may be advice to request
+	queuesDue chan struct{} // signals that there may be queues to open
 	done      chan struct{} // closed once the pool is no longer owned
 	tasks     sync.WaitGroup
 
@@ -65,6 +68,11 @@
 	promises  returns.Book               // to refused callers
 	endReason error                      // why the pool is no longer owned
 
+	intakes         map[string]*intake // of the queues of which new jobs are accepted, by the queue's key
+	wantedQueues    map[string]bool    // queues with submissions that are not open
+	unrecorded      []string           // queues of restored jobs that no earlier owner has persisted
+	notOpenLoggedAt time.Time          // when it was last logged that queues can't be opened
+
 	refusals           refusals
 	lateness           time.Duration // average of how late polls are
 	behindLoggedAt     time.Time     // when it was last logged that the owner is behind its work
@@ -79,6 +87,9 @@
 	defer cancel()
 	o.linkKnownWorkers(ctx)
 	o.tasks.Go(func() { o.runAdvice(ctx) })
+	if o.Registry != nil {
+		o.tasks.Go(func() { o.runQueues(ctx) })
+	}
 	err := o.commitLoop(ctx)
 	o.finish(err)
 	cancel()
@@ -167,6 +178,7 @@
 // Configure passes a newer configuration to the pool.
 func (o *Owner) Configure(c *config.Config) {
 	o.change(func(p *scheduler.Pool, _ time.Time) { p.Configure(c) })
+	o.wakeQueues()
 }
 
 // SetEvacuated passes the data centres under evacuation to the pool.
--- a/services/owner/refused.go
+++ b/services/owner/refused.go
@@ -68,11 +68,12 @@
 }
 
 // turnAway returns the error for a submission that finds too many others waiting, nil for one that is to
-// wait: a known job, which has not been refused, and one that is accepted on its own terms.
+// wait: a job that this pool or another one knows, which has not been refused, and one that is accepted on its
+// own terms.
 func (o *Owner) turnAway(s job.Submission) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.endReason != nil || !o.pool.KeepsPlaces() || o.pool.OnOwnTerms(s) {
+	if o.endReason != nil || !o.pool.KeepsPlaces() || o.pool.OnOwnTerms(s) || o.checkIntake(s) != nil {
 		return nil
 	}
 	o.count("admission.refused.busy")
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -25,6 +25,9 @@
 // that is in no append is rejected at once: it certainly was not persisted.
 func (o *Owner) Submit(ctx context.Context, s job.Submission) error {
 	batch, err := o.submit(ctx, s)
+	if err == errElsewhere {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -77,7 +80,10 @@
 	o.observe("owner.submission.wait", began.Sub(arrived), "done")
 	batch, err := o.decide(ctx, s)
 	outcome := "accepted"
-	if err != nil {
+	switch {
+	case err == errElsewhere:
+		outcome = "known"
+	case err != nil:
 		outcome = "refused"
 	}
 	o.observe("owner.submission.decision", o.Clock.Now().Sub(began), outcome)
@@ -92,6 +98,9 @@
 	if err := o.pool.CheckAccess(s.ID, s.Customer); errkind.Is(err, errkind.Forbidden) {
 		return 0, err
 	}
+	if err := o.checkIntake(s); err != nil {
+		return 0, err
+	}
 	if o.Journal.IsStuck(stuckReject) && !o.pool.Has(s.ID) {
 		stuck := o.Journal.PendingFor()
 		o.Logger.Info().Str("event", "submit").Str("job", string(s.ID)).Dur("stuck", stuck).Str("outcome", "refused").
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -63,7 +63,8 @@
 // claim claims the pool and publishes the ownership to all nodes.
 func (t claimTask) claim(ctx context.Context) (*RoleRunner, error) {
 	self := t.s.Directory.Self
-	slot, err := t.s.Directory.AssignSlot(ctx, t.pool, t.s.Roles(t.s.Config()))
+	c := t.s.Config()
+	slot, err := t.s.Directory.AssignSlot(ctx, t.pool, t.s.Roles(c), c.PoolsOfQueues())
 	if err != nil {
 		return nil, err
 	}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -164,6 +164,7 @@
 			Msg("known job submitted again")
 		return j.changedIn
 	}
+	p.noteJob(s.Queue)
 	j := p.newJob(s, now)
 	p.jobs[s.ID] = j
 	p.active = append(p.active, j)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -44,7 +44,9 @@
 	SelectPolicy func(hasCustomers bool) admission.Policy
 
 	config            *config.Config
-	evacuated         evacuation.List // no task starts in these data centres
+	evacuated         evacuation.List        // no task starts in these data centres
+	queues            map[string]*queueState // by key
+	changedQueues     []string               // changed since the last batch
 	jobs              map[job.ID]*jobState
 	active            []*jobState // unfinished jobs, in order of arrival
 	workers           map[worker.ID]*workerState
@@ -120,6 +122,7 @@
 func New(name string, token uint64, limits Limits, logger log.Logger) *Pool {
 	return &Pool{
 		Name: name, Token: token, Limits: limits, Logger: logger,
+		queues:          make(map[string]*queueState),
 		jobs:            make(map[job.ID]*jobState),
 		workers:         make(map[worker.ID]*workerState),
 		cordons:         make(map[worker.ID]bool),
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -20,8 +20,8 @@
 // the job ends, and its progress, which is written with each change. Each cordoned worker has a
 // key, and so has each worker with runs, for its start time (restart.go), and each job with crashes
 // attributed to its tasks. Jobs with failed tasks, jobs with runs that were seen running and unhealthy
-// workers have keys as well (record_health.go, record_running.go). The pool's allowances have one key
-// (allowance.go), and so has what its owner has learned (learned.go).
+// workers have keys as well (record_health.go, record_running.go). Each queue with jobs has a key (queue.go).
+// The pool's allowances have one key (allowance.go), and so has what its owner has learned (learned.go).
 const (
 	keySubmission = "s/"
 	keyProgress   = "p/"
@@ -94,6 +94,9 @@
 		b.Records = append(b.Records, cordonRecord(id, p.cordons[id]))
 	}
 	p.changedCordons = nil
+	if err := p.addQueues(b); err != nil {
+		return nil, err
+	}
 	if err := p.addHealth(b); err != nil {
 		return nil, err
 	}
@@ -267,6 +270,9 @@
 			p.cordons[worker.ID(id)] = true
 		}
 	}
+	if err := p.restoreQueues(records); err != nil {
+		return err
+	}
 	if err := p.restoreStarts(records); err != nil {
 		return err
 	}
