Scheduler: jobs of a dropped queue keep its settings over a change of the owner

Cause: only the change of the configuration told an owner what the queue's settings had been. The next owner took an empty queue for the job: attempts without limit, the first priority, no policy, so that starts lack a ticket. Ruled out: failures that are not restored (with the queue in the configuration the job fails as it should).

The pool's record of a queue holds the settings of the newest configuration that had it: written with the first job, and when a configuration changes the settings of a queue with active jobs. A job whose queue is known to neither, as one that an earlier version of the program has accepted, is not tried again after a failure and comes last; a warning names it.

--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -145,6 +145,7 @@
 	p.noteLimits(c)
 	p.config = c
 	p.selectPolicy()
+	p.updateSettings()
 	for _, j := range p.active {
 		j.queue = p.queueOf(j)
 		p.updateObjective(j)
@@ -165,17 +166,6 @@
 	p.needsPlan = true
 }
 
-// queueOf returns the queue of a job, or its previous one where the newest configuration does not
-// have it.
-func (p *Pool) queueOf(j *jobState) config.Queue {
-	if p.config != nil {
-		if q := p.config.Queue(j.sub.Queue); q != nil {
-			return *q
-		}
-	}
-	return j.queue
-}
-
 // markDirty marks a job as changed, so that the next batch persists its state.
 func (p *Pool) markDirty(j *jobState) {
 	j.changedIn = p.batch
--- a/services/scheduler/queue.go
+++ b/services/scheduler/queue.go
@@ -4,15 +4,18 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 
+	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
 // keyQueue is the prefix of the records of queues, followed by the queue's key. A record states whether the
-// pool accepts new jobs of the queue, so that no later owner accepts them after another pool does.
+// pool accepts new jobs of the queue, so that no later owner accepts them after another pool does, and the
+// queue's settings, which its jobs keep when the configuration no longer has the queue.
 const keyQueue = "e/"
 
 // Assignment states whether a pool accepts new jobs of a queue. Of all pools, at most one does.
@@ -25,7 +28,8 @@
 
 // queueRecord is the persisted state of a queue.
 type queueRecord struct {
-	Assignment Assignment `cbor:"1,keyasint"`
+	Assignment Assignment   `cbor:"1,keyasint"`
+	Settings   config.Queue `cbor:"2,keyasint"` // of the newest configuration that has the queue, zero for unknown
 }
 
 // queueState is what a pool knows of a queue.
@@ -36,6 +40,9 @@
 	changedIn uint64 // batch that carries the newest change
 }
 
+// hasSettings reports whether the settings of the queue are known.
+func (s *queueState) hasSettings() bool { return s.Settings != (config.Queue{}) }
+
 // queue returns the state of a queue, and creates it on first use.
 func (p *Pool) queue(key string) *queueState {
 	s := p.queues[key]
@@ -96,6 +103,7 @@
 	}
 	changed := !a.Open || !slices.Equal(a.Others, others)
 	a.Open, a.Version, a.Others = true, version, others
+	p.learnSettings(queue, s)
 	if changed && (s.persisted || s.dirty || len(others) > 0) {
 		p.markQueue(queue, s)
 	}
@@ -159,9 +167,62 @@
 
 // noteJob records the queue of a new job, so that the batch with the job carries what later owners must know.
 func (p *Pool) noteJob(queue string) {
-	if s := p.queue(queue); !s.persisted {
-		p.markQueue(queue, s)
+	s := p.queue(queue)
+	if !p.learnSettings(queue, s) && s.persisted {
+		return
+	}
+	p.markQueue(queue, s)
+}
+
+// learnSettings records the settings of a queue, and reports whether they have changed.
+func (p *Pool) learnSettings(key string, s *queueState) bool {
+	if p.config == nil {
+		return false
+	}
+	q := p.config.Queue(key)
+	if q == nil || sameSettings(*q, s.Settings) {
+		return false
+	}
+	s.Settings = *q
+	return true
+}
+
+// sameSettings reports whether two queues have the same settings.
+func sameSettings(a, b config.Queue) bool {
+	sameAdvice := a.Advice == b.Advice || a.Advice != nil && b.Advice != nil && *a.Advice == *b.Advice
+	a.Advice, b.Advice = nil, nil
+	return sameAdvice && a == b
+}
+
+// updateSettings records the settings that the newest configuration gives the queues of active jobs.
+func (p *Pool) updateSettings() {
+	for _, j := range p.active {
+		if s := p.queue(j.sub.Queue); p.learnSettings(j.sub.Queue, s) {
+			p.markQueue(j.sub.Queue, s)
+		}
+	}
+}
+
+// unknownQueue returns the settings for a job whose queue neither the configuration nor a record has: a task
+// that fails is not started again, and all other jobs come first.
+func unknownQueue() config.Queue { return config.Queue{MaxAttempts: 1, Priority: math.MaxInt16} }
+
+// queueOf returns the queue of a job, or its last settings where the newest configuration does not have it.
+func (p *Pool) queueOf(j *jobState) config.Queue {
+	if p.config != nil {
+		if q := p.config.Queue(j.sub.Queue); q != nil {
+			return *q
+		}
+	}
+	if s := p.queues[j.sub.Queue]; s != nil && s.hasSettings() {
+		return s.Settings
+	}
+	if p.config == nil || j.queue != (config.Queue{}) {
+		return j.queue
 	}
+	p.Logger.Warn().Str("event", "queue").Str("job", string(j.sub.ID)).Str("queue", j.sub.Queue).Uint64("config", p.configVersion()).Str("outcome", "unknown").
+		Msg("no configuration and no record has the queue of a job; its tasks are not started again after a failure")
+	return unknownQueue()
 }
 
 // addQueues adds the records of changed queues to the batch.
