Scheduler: the progress of a large job is persisted in parts

Accepted jobs stay running with nothing running, new ones get 503 or 504, by each next owner, and after a restart of all nodes too.

Cause: a job's progress was one record with an entry for each task of each time that was due. Nothing bounded it; once the store refuses it for its size, the append is repeated without end, and each next owner makes the same record. Evidence: the refused appends, each 50 ms with one sequence, in the logs and in the stand-in's record. Ruled out: the store, the time that plans take.

Tasks that have never been started are not written; progress beyond 16 KB is split into parts of 200 tasks, of which only those that have changed are written; records beside it have 2,000 entries at most; a job whose description fits in no record is refused with 400.

--- a/models/job/check.go
+++ b/models/job/check.go
@@ -21,8 +21,25 @@
 	maxGPU      = 1 << 20
 	maxTimes    = 100_000
 	maxEstimate = 10 * 365 * 24 * time.Hour
+	maxEncoded  = 200_000 // bytes, as estimated by encodedSize: a job is persisted in one record
 )
 
+// The bytes that a step and a reference to another step take at most, beside the step's names.
+const (
+	stepBytes      = 120
+	referenceBytes = 4
+)
+
+// encodedSize returns what a submission takes at most when it is persisted, in bytes.
+func (s *Submission) encodedSize() int {
+	size := len(s.Spec)
+	for i := range s.Steps {
+		o := &s.Steps[i]
+		size += stepBytes + referenceBytes*len(o.DependsOn) + len(o.Label) + len(o.Rack) + len(o.Image)
+	}
+	return size
+}
+
 // CheckID returns an error for an invalid job ID, and nil for a valid one.
 func CheckID(id string) error {
 	if len(id) != idDigits {
@@ -48,6 +65,9 @@
 	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
 		return fmt.Errorf("job has %d steps; 1 to %d are allowed", len(s.Steps), maxSteps)
 	}
+	if size := s.encodedSize(); size > maxEncoded {
+		return fmt.Errorf("job takes %d bytes with its steps, their names and the steps that they follow; at most %d are allowed", size, maxEncoded)
+	}
 	if s.RepeatCount < 0 || s.RepeatCount > maxTimes {
 		return fmt.Errorf("repeat count is %d; 0 to %d are allowed", s.RepeatCount, maxTimes)
 	}
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -31,6 +31,7 @@
 	crashes  jobRecord // of the crashes attributed to its tasks
 	failures jobRecord // of where its tasks have failed
 	running  jobRecord // of its runs that have been seen working
+	parts    parts     // of its progress
 
 	activeRuns int // runs in progress
 	dirty      bool
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -36,13 +36,13 @@
 	Accepted int64 // milliseconds since 1970
 	Ended    int64 // milliseconds since 1970, 0 for not yet
 	Began    bool
-	Rounds   []roundProgress // rounds that have been opened
+	Rounds   []roundProgress // rounds with tasks that have been started, unless the job has parts
 }
 
 type roundProgress struct {
 	_     struct{} `cbor:",toarray"`
 	Round int
-	Steps [][]taskProgress // nil for a step whose tasks are all done
+	Steps [][]taskProgress // nil for a step whose tasks are all done, or have never been started
 	Done  []bool           // by step
 }
 
@@ -143,6 +143,7 @@
 func (b *Batch) add(j *jobState, c clock.Clock) error {
 	id := string(j.sub.ID)
 	if j.state == "" { // the job is forgotten
+		b.dropParts(j)
 		b.Records = append(b.Records, port.Record{Key: keyProgress + id})
 		if j.sub.Customer != "" {
 			b.Records = append(b.Records, port.Record{Key: keySubmission + id})
@@ -152,11 +153,9 @@
 	if err := b.addSubmission(j); err != nil {
 		return err
 	}
-	data, err := codec.Marshal(j.progress(c))
-	if err != nil {
+	if err := b.addProgress(j, c); err != nil {
 		return err
 	}
-	b.Records = append(b.Records, port.Record{Key: keyProgress + id, Value: data})
 	if err := addJobRecord(b, j, &j.running, keyRunning, j.runningRecords); err != nil {
 		return err
 	}
@@ -166,6 +165,29 @@
 	return addJobRecord(b, j, &j.crashes, keyCrashes, j.crashRecords)
 }
 
+// addProgress adds a job's progress to the batch, in parts if it has grown too large for one record.
+func (b *Batch) addProgress(j *jobState, c clock.Clock) error {
+	data, err := codec.Marshal(j.progress(c))
+	if err != nil {
+		return err
+	}
+	if !j.parts.split && len(data) > maxProgressBytes {
+		j.parts = parts{true, make(map[int]uint64)}
+		if data, err = codec.Marshal(j.progress(c)); err != nil {
+			return err
+		}
+	}
+	b.Records = append(b.Records, port.Record{Key: keyProgress + string(j.sub.ID), Value: data})
+	switch {
+	case !j.parts.split:
+		return nil
+	case j.finished():
+		b.dropParts(j)
+		return nil
+	}
+	return b.addParts(j)
+}
+
 // addSubmission adds the persisted part of a job's submission to the batch if it has changed.
 func (b *Batch) addSubmission(j *jobState) error {
 	submission := j.sub
@@ -195,7 +217,7 @@
 	if j.state.Final() {
 		d.Ended = c.WallTime(j.endedAt).UnixMilli()
 	}
-	if j.finished() {
+	if j.finished() || j.parts.split {
 		return d
 	}
 	for n, r := range j.rounds {
@@ -203,21 +225,27 @@
 			continue
 		}
 		o := roundProgress{Round: n, Steps: make([][]taskProgress, len(r.steps)), Done: make([]bool, len(r.steps))}
+		touched := false
 		for i := range r.steps {
-			o.Done[i] = r.steps[i].done == len(r.steps[i].tasks)
-			if !o.Done[i] {
-				o.Steps[i] = r.steps[i].progress()
+			s := &r.steps[i]
+			o.Done[i] = s.done == len(s.tasks)
+			if !o.Done[i] && !s.untouched() {
+				o.Steps[i] = s.taskProgress(0, len(s.tasks))
 			}
+			touched = touched || o.Done[i] || o.Steps[i] != nil
+		}
+		if touched {
+			d.Rounds = append(d.Rounds, o)
 		}
-		d.Rounds = append(d.Rounds, o)
 	}
 	return d
 }
 
-func (s *stepState) progress() []taskProgress {
-	tasks := make([]taskProgress, len(s.tasks))
-	for i := range s.tasks {
-		t := &s.tasks[i]
+// taskProgress returns the progress of tasks of a step.
+func (s *stepState) taskProgress(first, count int) []taskProgress {
+	tasks := make([]taskProgress, count)
+	for i := range tasks {
+		t := &s.tasks[first+i]
 		d := taskProgress{Number: t.number, Fails: t.failures, Done: t.done, Checkpoint: t.checkpoint}
 		for _, u := range t.runs {
 			d.Runs = append(d.Runs, runProgress{Number: u.number, Worker: u.worker.info.ID, Address: u.worker.info.Address, Stopping: u.stopping})
@@ -287,6 +315,9 @@
 	}); err != nil {
 		return err
 	}
+	if err := p.restoreParts(records, now, reserveFor); err != nil {
+		return err
+	}
 	if err := p.restoreSilent(records, now, reserveFor); err != nil {
 		return err
 	}
--- a/services/scheduler/record_job.go
+++ b/services/scheduler/record_job.go
@@ -30,6 +30,7 @@
 	var list []T
 	if !j.state.Final() {
 		list = entries()
+		list = list[:min(len(list), maxJobEntries)]
 	}
 	if len(list) == 0 && !r.persisted {
 		return nil
--- /dev/null
+++ b/services/scheduler/record_part.go
@@ -0,0 +1,218 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package scheduler
+
+import (
+	"fmt"
+	"hash/maphash"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/yardbridge/yardbridge/models/job"
+	"github.com/yardbridge/yardbridge/modules/codec"
+	"github.com/yardbridge/yardbridge/services/port"
+)
+
+// The store refuses records beyond a size, and a batch with such a record can never be persisted. So the progress
+// of a job whose record has grown is split into parts, each a record of its own for as many tasks; tasks that have
+// never been started need none. Only the parts that have changed are written.
+
+// keyPart is the prefix of the keys of parts; the job's name, a slash and the part's number follow.
+const keyPart = "t/"
+
+const (
+	// maxProgressBytes is the size of a job's progress from which on it is split.
+	maxProgressBytes = 16 << 10
+	// tasksPerPart is how many tasks, of one round after the other, a part is for: some 10 KB.
+	tasksPerPart = 200
+	// maxJobEntries is how many entries a record beside a job's progress has at most, some 60 bytes each.
+	maxJobEntries = 2000
+)
+
+// fragment is the progress of tasks of one step that follow each other.
+type fragment struct {
+	_     struct{} `cbor:",toarray"`
+	Round int
+	Step  int
+	First int
+	Count int
+	Tasks []taskProgress // nil if all are done
+}
+
+// parts is the state of the parts of a job's progress; the zero value is that of a job with a single record.
+type parts struct {
+	split     bool
+	persisted map[int]uint64 // hashes of the persisted parts, or of those in the batch in progress, by number
+}
+
+var partSeed = maphash.MakeSeed()
+
+// untouched reports whether a task has never been started.
+func (t *taskState) untouched() bool {
+	return t.number == 0 && t.failures == 0 && !t.done && t.checkpoint == "" && len(t.runs) == 0
+}
+
+// untouched reports whether no task of a step has ever been started.
+func (s *stepState) untouched() bool {
+	return !slices.ContainsFunc(s.tasks, func(t taskState) bool { return !t.untouched() })
+}
+
+// fragment returns the progress of tasks of a step, false if none of them has been started.
+func (s *stepState) fragment(first, count int) (fragment, bool) {
+	f := fragment{Round: s.ref.Round, Step: s.ref.Step, First: first, Count: count}
+	tasks := s.tasks[first : first+count]
+	if !slices.ContainsFunc(tasks, func(t taskState) bool { return !t.untouched() }) {
+		return f, false
+	}
+	if slices.ContainsFunc(tasks, func(t taskState) bool { return !t.done }) {
+		f.Tasks = s.taskProgress(first, count)
+	}
+	return f, true
+}
+
+// fragments returns the progress of a job's tasks, by the number of their part.
+func (j *jobState) fragments() map[int][]fragment {
+	perRound := 0
+	for i := range j.sub.Steps {
+		perRound += j.sub.Steps[i].Count
+	}
+	list := make(map[int][]fragment)
+	for n, r := range j.rounds {
+		if r == nil {
+			continue
+		}
+		before := n * perRound // tasks before those of the step
+		for i := range r.steps {
+			s := &r.steps[i]
+			for first := 0; first < len(s.tasks); {
+				part := (before + first) / tasksPerPart
+				count := min(len(s.tasks)-first, (part+1)*tasksPerPart-before-first)
+				if f, touched := s.fragment(first, count); touched {
+					list[part] = append(list[part], f)
+				}
+				first += count
+			}
+			before += len(s.tasks)
+		}
+	}
+	return list
+}
+
+func partRecord(id job.ID, part int, value []byte) port.Record {
+	return port.Record{Key: fmt.Sprint(keyPart, id, "/", part), Value: value}
+}
+
+// addParts adds the parts of a job that have changed to the batch.
+func (b *Batch) addParts(j *jobState) error {
+	fragments := j.fragments()
+	for _, part := range slices.Sorted(maps.Keys(fragments)) {
+		data, err := codec.Marshal(fragments[part])
+		if err != nil {
+			return err
+		}
+		if hash := maphash.Bytes(partSeed, data); j.parts.persisted[part] != hash {
+			j.parts.persisted[part] = hash
+			b.Records = append(b.Records, partRecord(j.sub.ID, part, data))
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(j.parts.persisted)) {
+		if _, has := fragments[part]; !has {
+			delete(j.parts.persisted, part)
+			b.Records = append(b.Records, partRecord(j.sub.ID, part, nil))
+		}
+	}
+	return nil
+}
+
+// dropParts removes the parts of a job that has ended.
+func (b *Batch) dropParts(j *jobState) {
+	for _, part := range slices.Sorted(maps.Keys(j.parts.persisted)) {
+		b.Records = append(b.Records, partRecord(j.sub.ID, part, nil))
+	}
+	j.parts = parts{}
+}
+
+// restoreParts restores the parts of jobs that earlier owners have persisted.
+func (p *Pool) restoreParts(records []port.Record, now time.Time, reserveFor time.Duration) error {
+	restored := make(map[*jobState]bool)
+	for _, r := range records {
+		name, isPart := strings.CutPrefix(r.Key, keyPart)
+		if !isPart || len(r.Value) == 0 {
+			continue
+		}
+		id, number, _ := strings.Cut(name, "/")
+		part, err := strconv.Atoi(number)
+		if err != nil {
+			return errors.Annotatef(err, "part %q of a job", name)
+		}
+		j := p.jobs[job.ID(id)]
+		if j == nil {
+			return errors.Errorf("part %s is of an unknown job", name)
+		}
+		var fragments []fragment
+		if err := codec.Unmarshal(r.Value, &fragments); err != nil {
+			return errors.Annotatef(err, "decode part %s of a job", name)
+		}
+		if j.parts.persisted == nil {
+			j.parts = parts{true, make(map[int]uint64)}
+		}
+		j.parts.persisted[part] = maphash.Bytes(partSeed, r.Value)
+		restored[j] = true
+		for _, f := range fragments {
+			if err := p.restoreFragment(j, f, now, reserveFor); err != nil {
+				return errors.Annotatef(err, "part %s", name)
+			}
+		}
+	}
+	for j := range restored {
+		j.countOpenSteps()
+	}
+	return nil
+}
+
+func (p *Pool) restoreFragment(j *jobState, f fragment, now time.Time, reserveFor time.Duration) error {
+	s := j.findStep(f.Round, f.Step)
+	if s == nil || f.First < 0 || f.First+f.Count > len(s.tasks) || len(f.Tasks) > f.Count {
+		return errors.Errorf("round %d, step %d has no tasks %d to %d", f.Round, f.Step, f.First, f.First+f.Count-1)
+	}
+	for i, d := range f.Tasks {
+		p.restoreTask(j, s, f.First+i, d, now, reserveFor)
+	}
+	if f.Tasks == nil {
+		for i := range f.Count {
+			s.tasks[f.First+i].done = true
+		}
+		s.done += f.Count
+		s.waiting -= f.Count
+	}
+	return nil
+}
+
+// findStep returns a step of a job, whose round it opens, nil if there is none.
+func (j *jobState) findStep(round, step int) *stepState {
+	if round < 0 || round >= len(j.rounds) || step < 0 || step >= len(j.sub.Steps) {
+		return nil
+	}
+	return &j.openRound(round).steps[step]
+}
+
+// countOpenSteps counts the steps that are not done, once all tasks of a job have been restored.
+func (j *jobState) countOpenSteps() {
+	for _, r := range j.rounds {
+		if r == nil {
+			continue
+		}
+		r.openSteps = 0
+		for i := range r.steps {
+			if r.steps[i].done < len(r.steps[i].tasks) {
+				r.openSteps++
+			}
+		}
+	}
+}
