Scheduler: a run that may not have started and one crash fail no task

On another one that crashed the start order of the task had got no response.

The users allow to give up a task under which two workers have crashed; the run on the first one may never have begun. Ruled out: the second crash alone.

A start without a response counts 0.45, so such a crash and one more do not fail a task; the next one does, within the two starts that the users allow after the third crash.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -36,9 +36,11 @@
 	// sameWorkerFailWeight applies if it was one worker that crashed each time the task started, and
 	// may be the cause itself: two crashes with the task as the only starting one.
 	sameWorkerFailWeight = 1.9
-	// unconfirmedWeight is the factor for a crash that may have been a network failure only, and
-	// for a run whose start order got no response.
+	// unconfirmedWeight is the factor for a crash that may have been a network failure only.
 	unconfirmedWeight = 0.5
+	// unansweredWeight is the factor for a run whose start order got no response: it may never have started.
+	// Such a crash and one as the only starting task, which may be the only one under the task, do not fail it.
+	unansweredWeight = 0.45
 	// unknownWeight marks a crash under a run that may have just started: it was restored from an
 	// earlier owner's records, which do not show it running, and its worker has not responded since.
 	unknownWeight = 0.001
@@ -268,7 +270,7 @@
 	c := crash{worker: incarnation, confirmed: e.confirmed}
 	switch {
 	case s.starting && s.run.startedAt.IsZero():
-		c.weight = unconfirmedWeight * e.share()
+		c.weight = unansweredWeight * e.share()
 	case s.starting:
 		c.weight = e.share()
 	case s.run.startedAt.IsZero() && !s.run.seenRunning:
--- a/services/scheduler/crash_test.go
+++ b/services/scheduler/crash_test.go
@@ -500,6 +500,29 @@
 	return started[0]
 }
 
+// TestRunThatMayNotHaveStartedFailsNoTask guards against a job that is reported as failed after one worker has
+// crashed under its task (violation LOST): on an earlier worker that crashed, its start order got no response, and
+// the task never started. A task that crashes its workers is failed with the next one, before it is started a
+// second time after the third.
+func TestRunThatMayNotHaveStartedFailsNoTask(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.submit("1", 1)
+	id := d.addIncarnation("a", 0)
+	d.persist()
+	o, has := d.NextOrder(id, d.now)
+	assert.Assert(t, has && o.isStart())
+	d.StartOrder(o, d.now)
+	d.HandleOrderResponse(o, port.Response{Result: port.Unknown}, d.now)
+	d.crash(id)
+	assert.Equal(t, len(d.firstTask("1").crashes), 1)
+	for n, want := range []job.State{job.Running, job.Failed} {
+		id := d.addIncarnation("b", n)
+		d.startOne(id)
+		d.crash(id)
+		assert.Equal(t, d.persistedState("1"), want, "after %d workers under the task", n+1)
+	}
+}
+
 // TestRunningTaskThatLastsOutlivesCrashes guards against a job of tasks that last that is failed for crashes of
 // other causes (violation LOST): four workers are gone some seconds after its task has started there. Twice as
 // many fail it, so that a task which crashes its workers while it runs ends as well, and any other task is
