--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -53,10 +53,8 @@
 // primary, since nobody else is the writer before both are fenced.
 func (j *Journal) Confirm(ctx context.Context) error {
 	called := j.Clock.Now()
-	select {
-	case j.appending <- struct{}{}:
-	case <-ctx.Done():
-		return errNoResponse
+	if err := j.acquire(ctx); err != nil {
+		return err
 	}
 	defer func() { <-j.appending }()
 	if !j.LastConfirmed().Before(called) {
@@ -66,6 +64,16 @@
 	return j.confirmWriter(ctx)
 }
 
+// acquire waits until no append is in progress, and then holds the token of appends.
+func (j *Journal) acquire(ctx context.Context) error {
+	select {
+	case j.appending <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errNoResponse
+	}
+}
+
 var errNoResponse = errkind.New(errkind.OutcomeUnknown, "store did not respond in time")
 
 // confirmWriter sends an append without records, to the standby partition if the primary does not
@@ -157,7 +165,9 @@
 // may outlast the call. Without records it only confirms the right, and does what is due for the
 // standby partition.
 func (j *Journal) Append(ctx context.Context, records []port.Record) error {
-	j.appending <- struct{}{}
+	if err := j.acquire(ctx); err != nil {
+		return err
+	}
 	defer func() { <-j.appending }()
 	defer j.beginAppend()()
 	if err := j.collectOutcomes(); err != nil {
--- a/services/owner/claim.go
+++ b/services/owner/claim.go
@@ -24,7 +24,7 @@
 		return err
 	}
 	o.changed = make(chan struct{}, 1)
-	o.done = make(chan struct{})
+	o.owned, o.release = context.WithCancel(context.Background())
 	o.adviceDue = make(chan struct{}, 1)
 	o.queuesDue = make(chan struct{}, 1)
 	o.links = make(map[worker.ID]*link)
--- a/services/owner/fence_test.go
+++ b/services/owner/fence_test.go
@@ -15,6 +15,7 @@
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/standin/world"
 )
@@ -71,3 +72,43 @@
 		<-submitted
 	})
 }
+
+// TestDeposedOwnerEndsWhileAQueryWaits guards against an owner that stays while its node is cut from the store: a
+// query of another node, which has no time limit, waits for the store to confirm that an unknown job is unknown, and
+// the owner waits behind it to append, although another node has taken the pool over.
+func TestDeposedOwnerEndsWhileAQueryWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		o := open(t, w)
+		ctx, yield := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run(ctx) }()
+		assert.NilError(t, o.Submit(ctx, submission("1")))
+		time.Sleep(100 * time.Millisecond)
+
+		w.SetFaults("n1", func(f *world.Faults) { f.StoreUnresponsive = true })
+		queried, submitted := make(chan error, 1), make(chan error, 1)
+		go func() {
+			_, err := o.State(context.Background(), "unknown", "")
+			queried <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		go func() { submitted <- o.Submit(context.Background(), submission("2")) }()
+		time.Sleep(time.Second)
+		yield()
+		select {
+		case <-ended:
+		case <-time.After(time.Second):
+			t.Error("the owner goes on after another node has taken the pool over")
+		}
+		select {
+		case err := <-queried:
+			assert.Assert(t, errkind.Is(err, errkind.Fenced), "%v", err)
+		case <-time.After(time.Second):
+			t.Error("the query still waits")
+		}
+		w.SetFaults("n1", func(f *world.Faults) { f.StoreUnresponsive = false })
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+	})
+}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -49,10 +49,11 @@
 	// for never.
 	Returns func() bool
 
-	changed   chan struct{} // signals that there may be changes to plan or to persist
-	adviceDue chan struct{} // signals that there may be advice to request
-	queuesDue chan struct{} // signals that there may be queues to open
-	done      chan struct{} // closed once the pool is no longer owned
+	changed   chan struct{}      // signals that there may be changes to plan or to persist
+	adviceDue chan struct{}      // signals that there may be advice to request
+	queuesDue chan struct{}      // signals that there may be queues to open
+	owned     context.Context    // ends once the pool is no longer owned
+	release   context.CancelFunc // ends it
 	tasks     sync.WaitGroup
 
 	// submissions is held by the one submission that is decided on or waits for mu: the others wait for it,
@@ -105,7 +106,7 @@
 		err = errStopped
 	}
 	o.endReason = err
-	close(o.done)
+	o.release()
 	for _, l := range o.links {
 		l.close()
 	}
@@ -119,7 +120,7 @@
 }
 
 // Done returns a channel that is closed once the pool is no longer owned.
-func (o *Owner) Done() <-chan struct{} { return o.done }
+func (o *Owner) Done() <-chan struct{} { return o.owned.Done() }
 
 // Epoch returns the epoch under which the pool is owned.
 func (o *Owner) Epoch() uint64 { return o.Journal.Epoch() }
@@ -268,7 +269,7 @@
 	select {
 	case <-persisted:
 		return nil
-	case <-o.done:
+	case <-o.owned.Done():
 		return errkind.New(errkind.OutcomeUnknown, "the pool's owner is changing")
 	case <-ctx.Done():
 		return errkind.New(errkind.OutcomeUnknown, "the store did not respond in time")
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -244,11 +244,15 @@
 
 // confirmGone returns a Gone error only if the store confirms that this node owned the pool after
 // the request arrived. An owner that has been replaced does not know the jobs submitted since, and
-// must not report them as unknown.
+// must not report them as unknown. It waits no longer than the pool is owned here.
 func (o *Owner) confirmGone(ctx context.Context, err error) error {
 	if !errkind.Is(err, errkind.Gone) {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(o.owned, cancel)
+	defer stop()
 	if refused := o.Journal.Confirm(ctx); refused != nil {
 		return errkind.New(errkind.Fenced, "can't confirm that pool %s is owned here: %v", o.Pool, refused)
 	}
