--- a/models/config/config.go
+++ b/models/config/config.go
@@ -94,11 +94,15 @@
 // Queue returns the queue with the key, nil for none.
 func (c *Config) Queue(key string) *Queue { return c.byKey[key] }
 
-// PoolsOfQueues returns the pool of each queue, by the queue's key.
+// PoolsOfQueues returns the pool of each queue, by the queue's key, unless its instances are switched off or the
+// configuration does not have it.
 func (c *Config) PoolsOfQueues() map[string]string {
 	pools := make(map[string]string, len(c.Queues))
 	for i := range c.Queues {
-		pools[c.Queues[i].Key()] = c.Queues[i].Pool
+		q := &c.Queues[i]
+		if p := c.Pool(q.Pool); p != nil && !p.Headroom {
+			pools[q.Key()] = q.Pool
+		}
 	}
 	return pools
 }
--- a/services/scheduler/queue.go
+++ b/services/scheduler/queue.go
@@ -103,7 +103,6 @@
 	}
 	changed := !a.Open || !slices.Equal(a.Others, others)
 	a.Open, a.Version, a.Others = true, version, others
-	p.learnSettings(queue, s)
 	if changed && (s.persisted || s.dirty || len(others) > 0) {
 		p.markQueue(queue, s)
 	}
--- a/services/scheduler/queue_test.go
+++ b/services/scheduler/queue_test.go
@@ -61,6 +61,11 @@
 	back.MaxAttempts = 1
 	third.Configure(withQueue(6, back))
 	assert.DeepEqual(t, third.jobs["1"].queue, back)
+
+	third.Configure(withQueue(7, policyQueue))
+	assert.Assert(t, third.OpenQueue("h/q/", 7, nil))
+	third.submit("2", 1)
+	assert.DeepEqual(t, third.nextOwnerWith(withQueue(8)).jobs["2"].queue, policyQueue)
 }
 
 // TestTaskOfADroppedQueueHasNoMoreAttempts guards against BUDGET: a task that fails is started without limit
