Scheduler: a part without its job keeps no owner from claiming the pool

Read in the diff, without a run that failed: parts are removed in the batch that ends their job, but one that is left for any reason would have made each claim of the pool fail. It is logged and skipped. TestLeftPartStopsNoPool fails without it.

--- a/services/scheduler/record_part.go
+++ b/services/scheduler/record_part.go
@@ -152,8 +152,10 @@
 			return errors.Annotatef(err, "part %q of a job", name)
 		}
 		j := p.jobs[job.ID(id)]
-		if j == nil {
-			return errors.Errorf("part %s is of an unknown job", name)
+		if j == nil || len(j.sub.Steps) == 0 {
+			p.Logger.Error().Str("event", "part").Str("job", id).Int("part", part).Str("outcome", "skipped").
+				Msg("a part of the progress of a job that is unknown or has ended is left in the journal")
+			continue
 		}
 		var fragments []fragment
 		if err := codec.Unmarshal(r.Value, &fragments); err != nil {
--- a/services/scheduler/record_part_test.go
+++ b/services/scheduler/record_part_test.go
@@ -149,6 +149,20 @@
 	assert.Equal(t, d.jobs["1"].state, job.Cancelled)
 }
 
+// TestLeftPartStopsNoPool guards against LOST: a part that is left in the journal without its job keeps every next
+// owner from claiming the pool.
+func TestLeftPartStopsNoPool(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.submit("1", 5000)
+	d.submit("2", 1)
+	d.touchAll(d.jobs["1"], 1, 1, 3)
+	d.persist()
+	delete(d.journal, keyProgress+"1")
+	delete(d.journal, keySubmission+"1")
+	d = d.nextOwner()
+	assert.Assert(t, d.Has("2") && !d.Has("1"))
+}
+
 // TestRandomProgressIsRestored compares the progress of random jobs, which are split at random sizes, before and
 // after changes of the owner.
 func TestRandomProgressIsRestored(t *testing.T) {
