Scheduler: a task on its last attempt tries a worker if all are on trial

Ruled out: separation from other suspects (a second), the wait for another worker (two seconds). Queues that move have no part in it.

Such a task avoids workers on trial only while another worker suits it, though that one may be full.

--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -142,8 +142,21 @@
 	return false
 }
 
+// avoidsTrials reports whether a task must not be used to try a worker: it is on its last attempt, and there is a
+// worker that is not on trial, though it may be full.
+func (p *Pool) avoidsTrials(c candidate, t *taskState, now time.Time) bool {
+	if !t.onLastAttempt(c.job) {
+		return false
+	}
+	for _, w := range p.workers {
+		if !w.health.onTrial && c.step.suits(w, now) && c.step.spec.Reservation().FitsIn(w.info.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 // onLastAttempt reports whether the next failure of a task, which has failed before, fails its job.
-// Such a task should not be used to try a worker.
 func (t *taskState) onLastAttempt(j *jobState) bool {
 	return t.failures > 0 && j.queue.MaxAttempts > 0 && t.failures+1 >= j.queue.MaxAttempts
 }
--- a/services/scheduler/health_test.go
+++ b/services/scheduler/health_test.go
@@ -47,3 +47,31 @@
 	d.now = d.now.Add(2500 * time.Millisecond)
 	assert.DeepEqual(t, d.startAll(a), []string{"1.0.0.0"})
 }
+
+// TestLastAttemptTriesAWorkerIfNoOtherIsLeft guards against a job that never ends (LOST): each worker of its pool is on
+// trial until something succeeds there, and only tasks on their last attempt wait, which are not used to try a worker.
+// While another worker suits, though it is full, they wait for that one.
+func TestLastAttemptTriesAWorkerIfNoOtherIsLeft(t *testing.T) {
+	for name, another := range map[string]bool{"no other worker": false, "another worker, which is full": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestPool(t, 1)
+			d.submit("1", 1)
+			for range testConfig.Queues[0].MaxAttempts - 1 {
+				d.listWorker("a")
+				assert.DeepEqual(t, d.failAll("a"), []string{"1.0.0.0"})
+			}
+			d.eject(d.workers["a"], firstEjection, d.now, "different jobs fail there", "2.0.0.0")
+			d.now = d.now.Add(maxEjection)
+			d.listWorker("a")
+			if another {
+				d.listWorker("b")
+				d.workers["b"].used = d.workers["b"].info.Capacity
+			}
+			want := 1
+			if another {
+				want = 0
+			}
+			assert.Equal(t, len(d.startAll("a")), want)
+		})
+	}
+}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -231,9 +231,9 @@
 	}
 	var best *workerState
 	var bestScore float64
-	elsewhere := p.retriesElsewhere(c, t, now)
+	elsewhere, noTrial := p.retriesElsewhere(c, t, now), p.avoidsTrials(c, t, now)
 	for _, w := range p.workers {
-		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || w.health.onTrial && t.onLastAttempt(c.job) {
+		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial {
 			continue
 		}
 		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) {
