Model: nodes that are cut off together, halves of the workers, late nodes

The model knew cuts of one node from all others only. An owner that keeps some nodes but loses the others and the store, and a successor that does not reach each worker, could not be played.

Events can name several nodes. New kinds: cut-together (the nodes of a list reach each other and no others; several groups at a time), half-cut (a node reaches the workers with an odd or even number only) and join (a node first starts at that time). "cut" still cuts each node from all others. Which nodes have the store is up to store-silent and store-refuses, as before.

--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -24,9 +24,14 @@
 
 // scriptEvent is one event of a script. The kinds are:
 //
-//   - for one node, or all if none is named: kill, stop (after a hand-over), suspend, cut (from the
-//     other nodes), workers-cut (from the workers), store-silent, store-refuses, store-lost (a share
-//     of the store's responses);
+//   - for one node, the nodes of a list, or all if none is named: kill, stop (after a hand-over), suspend,
+//     cut (each of them from all other nodes), workers-cut (from the workers), half-cut (from the workers
+//     whose number is even, or odd if Half is 1), store-silent, store-refuses, store-lost (a share of the
+//     store's responses);
+//   - for the nodes of a list: cut-together (from all nodes that are not in the list; they reach each other,
+//     and the store and the workers unless other events cut them off); two such events at a time make two
+//     groups, and the nodes in neither are a third one;
+//   - for one node: join (it first starts at that time, and does not run before);
 //   - for a worker, by its index among those of the pool: crash, silent, late, hangs, fails, drain,
 //     shrink (to a share of its capacity); crash-rack crashes the workers of a pool in the rack with
 //     the number that Worker states;
@@ -44,7 +49,9 @@
 type scriptEvent struct {
 	At     tomlfile.Duration `toml:"at"`
 	Kind   string            `toml:"kind"`
-	Node   int               `toml:"node"` // from 1, 0 for all
+	Node   int               `toml:"node"`  // from 1, 0 for all
+	Nodes  []int             `toml:"nodes"` // several nodes, from 1, instead of Node
+	Half   int               `toml:"half"`  // of the workers: 0 for even numbers, 1 for odd ones
 	Pool   string            `toml:"pool"`
 	Worker int               `toml:"worker"`
 	For    tomlfile.Duration `toml:"for"`
@@ -71,25 +78,25 @@
 	}
 	switch e.Kind {
 	case "kill", "stop":
-		for i, n := range st.nodes {
-			if e.Node == 0 || e.Node == i+1 {
-				go st.restartNode(n, e)
-			}
+		for _, n := range st.nodesOf(e) {
+			go st.restartNode(n, e)
+		}
+	case "join":
+		for _, n := range st.nodesOf(e) {
+			st.start(n)
 		}
+	case "cut-together":
+		st.cutTogether(e)
 	case "store-slow":
 		st.slowStore(e)
-	case "cut", "store-silent", "store-refuses", "store-lost", "workers-cut":
-		for i, n := range st.nodes {
-			if e.Node == 0 || e.Node == i+1 {
-				st.countFault(n, e, 1)
-				time.AfterFunc(e.For.Std(), func() { st.countFault(n, e, -1) })
-			}
+	case "cut", "store-silent", "store-refuses", "store-lost", "workers-cut", "half-cut":
+		for _, n := range st.nodesOf(e) {
+			st.countFault(n, e, 1)
+			time.AfterFunc(e.For.Std(), func() { st.countFault(n, e, -1) })
 		}
 	case "suspend":
-		for i, n := range st.nodes {
-			if e.Node == 0 || e.Node == i+1 {
-				st.suspend(n, e)
-			}
+		for _, n := range st.nodesOf(e) {
+			st.suspend(n, e)
 		}
 	case "parts-refuse":
 		st.partitionsAway(e, world.Refusing)
@@ -133,6 +140,26 @@
 	}
 }
 
+// nodesOf returns the nodes that an event is for.
+func (st *scenario) nodesOf(e scriptEvent) []*scenarioNode {
+	var list []*scenarioNode
+	for _, n := range st.nodes {
+		if slices.Contains(e.Nodes, n.number) || len(e.Nodes) == 0 && (e.Node == 0 || e.Node == n.number) {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// cutTogether cuts the nodes of an event off together for a while.
+func (st *scenario) cutTogether(e scriptEvent) {
+	var names []string
+	for _, n := range st.nodesOf(e) {
+		names = append(names, n.name)
+	}
+	time.AfterFunc(e.For.Std(), st.world.CutTogether(names...))
+}
+
 // slowAppendFactor is how many times as long as other calls an append to a slow store takes.
 const slowAppendFactor = 3
 
@@ -216,6 +243,14 @@
 	})
 }
 
+// faultName returns the name under which an event's fault is counted at a node.
+func (e scriptEvent) faultName() string {
+	if e.Kind == "half-cut" {
+		return fmt.Sprint(e.Kind, e.Half)
+	}
+	return e.Kind
+}
+
 // countFault adds a fault to those in force at a node, or removes it, and applies what is in force:
 // a fault that ends does not end another one.
 func (st *scenario) countFault(n *scenarioNode, e scriptEvent, by int) {
@@ -223,10 +258,13 @@
 		if n.faults == nil {
 			n.faults = make(map[string]int)
 		}
-		n.faults[e.Kind] += by
+		n.faults[e.faultName()] += by
 		suspended := n.faults["suspend"] > 0
 		f.PeersCut = suspended || n.faults["cut"] > 0
 		f.WorkersCut = suspended || n.faults["workers-cut"] > 0
+		for half := range f.HalvesCut {
+			f.HalvesCut[half] = n.faults[scriptEvent{Kind: "half-cut", Half: half}.faultName()] > 0
+		}
 		f.StoreUnresponsive = suspended || n.faults["store-silent"] > 0
 		f.StoreUnavailable = n.faults["store-refuses"] > 0
 		if e.Kind == "store-lost" {
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -289,7 +289,9 @@
 	for i := range st.script.Nodes {
 		n := &scenarioNode{name: fmt.Sprintf("n%d", i+1), number: i + 1}
 		st.nodes = append(st.nodes, n)
-		st.start(n)
+		if !slices.ContainsFunc(st.script.Events, func(e scriptEvent) bool { return e.Kind == "join" && slices.Contains(st.nodesOf(e), n) }) {
+			st.start(n)
+		}
 	}
 }
 
--- a/standin/world/limit.go
+++ b/standin/world/limit.go
@@ -37,7 +37,7 @@
 			return true
 		}
 	}
-	return false
+	return len(w.groups) > 0 // their nodes can't learn it from the others
 }
 
 // withoutStore reports whether a node cannot read the store, or cannot learn its content
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -26,6 +26,11 @@
 	id   worker.ID
 }
 
+// cutFrom reports whether nothing passes between a node and a worker.
+func (f *Faults) cutFrom(id worker.ID) bool {
+	return f.WorkersCut || f.HalvesCut[int(id[len(id)-1])%len(f.HalvesCut)] // '0' is even
+}
+
 // order applies an order and returns the response.
 func (l *nodeLink) order(ctx context.Context, token uint64, do func(o *Worker) port.Result) port.Response {
 	select {
@@ -34,7 +39,7 @@
 	}
 	l.w.mu.Lock()
 	o := l.w.workers[l.id]
-	cut := l.w.fault(l.node).WorkersCut || o.Unresponsive
+	cut := l.w.fault(l.node).cutFrom(l.id) || o.Unresponsive
 	if o.gone && !cut {
 		defer l.w.mu.Unlock()
 		return port.Response{Result: port.Unreachable}
--- a/standin/world/network.go
+++ b/standin/world/network.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -74,11 +76,37 @@
 	return nil, errors.Errorf("%s refuses the connection", address)
 }
 
+// nodeGroup is a group of nodes that are cut off together.
+type nodeGroup struct{ members map[string]bool }
+
+// CutTogether cuts a group of nodes off from all others until the returned function is
+// called: the nodes of the group reach each other, as do the others. Several groups may be
+// cut off at once, also with members in common: two nodes then reach each other if each
+// group has both or neither of them. What else the nodes reach is not changed.
+func (w *World) CutTogether(nodes ...string) (end func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g := &nodeGroup{members: make(map[string]bool, len(nodes))}
+	for _, n := range nodes {
+		g.members[n] = true
+	}
+	w.groups = append(w.groups, g)
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.unreadUntil = time.Now()
+		w.groups = slices.DeleteFunc(w.groups, func(o *nodeGroup) bool { return o == g })
+	}
+}
+
 // cut reports whether the connection between two nodes is cut.
 func (w *World) cut(a, b string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.fault(a).PeersCut || w.fault(b).PeersCut
+	if w.fault(a).PeersCut || w.fault(b).PeersCut {
+		return true
+	}
+	return slices.ContainsFunc(w.groups, func(g *nodeGroup) bool { return g.members[a] != g.members[b] })
 }
 
 // Accept returns the next connection.
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -27,6 +27,7 @@
 	waves          map[int]*waveState
 	jobs           map[job.ID]*jobRecord
 	faults         map[string]*Faults        // by node
+	groups         []*nodeGroup              // nodes that are cut off together
 	outages        map[port.Partition]Outage // partitions that are unavailable
 	ticketValidity map[string]time.Duration  // how long a ticket is valid, by pool
 	lostOrderShare float64                   // share of the orders to instances that get no response
@@ -50,6 +51,7 @@
 	StoreLatency       time.Duration // added to each response
 	PeersCut           bool          // nothing passes between this node and others
 	WorkersCut         bool          // nothing passes between this node and workers
+	HalvesCut          [2]bool       // nothing passes between this node and the workers with an even number, or an odd one
 	IsolatedUntil      time.Time     // until when the node may be out of contact, so that rules with a time bound do not apply to it
 	OrdersDelayedUntil time.Time     // until when its orders may be delayed in transit
 }
