Scheduler: say what a lost run was counted from, and whether it outlived that

A task that ran twice left no line that tells whether its first run's lease was extended by an earlier owner or was longer than this owner believed. A line "lost" now says whether the worker has responded to this owner, when it last did, until when the lease was taken to last, and whether the run is an earlier owner's and how long this one has the pool. The newest 1,024 losses are kept in memory; a list of a poll sent after the loss that still has such a run gives a line "after-loss" (once a second for a worker) with how far both clocks are past the lease, and counts lost.still-running. A late end says how long after the loss it came, and counts lost.ended-late. Losses are not persisted: at a later owner the line "stray" names the newest run of its task and how many are active.

--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -427,6 +427,9 @@
 	crashSuspected = "crash.suspected" // a crash was attributed to a task
 	crashGivenUp   = "crash.given-up"  // a job was failed for its crashes
 
+	lostStillRunning = "lost.still-running" // a run that was declared lost was listed as running later
+	lostEndedLate    = "lost.ended-late"    // the end of a run that was declared lost was listed and counts
+
 	workerRestarted = "worker.restarted" // a worker has restarted under the same ID
 	workerCold      = "worker.cold"      // a worker is slow from its start
 	placedCold      = "place.cold"       // a task was placed on a cold worker
--- a/services/scheduler/lateend.go
+++ b/services/scheduler/lateend.go
@@ -9,6 +9,7 @@
 
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/log"
 )
 
 // handleLateEnd processes the end of a run that is no longer known: it was declared lost because
@@ -36,8 +37,18 @@
 		t.lostRuns = slices.Delete(t.lostRuns, at, at+1)
 	}
 	p.markDirty(s.job)
-	p.Logger.Info().Str("event", "end").Str("task", e.Task).Int("run", e.Number).Str("worker", string(w.info.ID)).
-		Str("outcome", string(e.Reason)).Int("sequence", e.Sequence).Bool("late", true).Msg("run that was declared lost had ended before")
+	l := p.lateEndLogger(w, e, now)
+	l.Info().Str("event", "end").Str("outcome", string(e.Reason)).Int("sequence", e.Sequence).Bool("late", true).
+		Msg("run that was declared lost had ended before")
+	p.increment(lostEndedLate)
+}
+
+// lateEndLogger returns a logger for a late end, which says when its run was declared lost if this owner did that.
+func (p *Pool) lateEndLogger(w *workerState, e worker.EndedRun, now time.Time) log.Logger {
+	if o := p.losses.of(w.info.ID, e.Task, e.Number); o != nil {
+		return o.logger(p.Logger, w, now)
+	}
+	return p.Logger.With().Str("task", e.Task).Int("run", e.Number).Str("worker", string(w.info.ID)).Logger()
 }
 
 // markDoneLate marks a task as done and stops its later runs.
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -103,7 +103,7 @@
 		p.noteFirstResponse(w, listing.StartedAt)
 	}
 	p.clearCrash(w.incarnation())
-	w.listedAt = now
+	w.listedAt, w.listedClock = now, a.Clock
 	w.respondedUnlisted = !w.listed
 	w.acknowledgedEnd = max(w.acknowledgedEnd, k.request.Acknowledged)
 	if w.hasOtherIncarnations {
@@ -169,6 +169,7 @@
 			p.handleLateEnd(w, e, now)
 		}
 	}
+	p.checkLosses(w, k.sentAt, listing, now)
 	listed := make(map[string]bool, len(listing.Runs))
 	p.forgetOrphans(w)
 	for _, r := range listing.Runs {
@@ -239,11 +240,20 @@
 	u := &run{
 		job: &jobState{sub: job.Submission{ID: ref.Job}}, ref: ref, name: r.Task, number: r.Number, worker: w, phase: ordered, stopping: true, orphan: true,
 	}
-	p.Logger.Info().Str("event", "stray").Str("task", r.Task).Int("run", r.Number).Str("worker", string(w.info.ID)).
-		Msg("stopping orphan run")
+	p.logOrphan(u)
 	p.queueOrder(w, Order{Run: u, Stop: true})
 }
 
+// logOrphan logs that an orphan run is to be stopped. One with a smaller number than its task's newest run was taken
+// to have ended, perhaps by an earlier owner.
+func (p *Pool) logOrphan(u *run) {
+	e := p.Logger.Info().Str("event", "stray").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).Uint64("epoch", p.Token)
+	if _, t := p.findTask(u.ref); t != nil {
+		e = e.Int("newest", t.number).Int("active", len(t.runs)).Bool("done", t.done)
+	}
+	e.Msg("stopping orphan run")
+}
+
 // orphanUse is what a customer uses by an orphan run.
 type orphanUse struct {
 	customer string
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -56,6 +56,7 @@
 	cordonsReceivedAt time.Time          // when that was
 	reports           ReportLog
 	silence           silence
+	losses            losses
 	claims            []*claim // places kept for tasks that are to move
 	outlook           outlookCache
 	plans             uint64                 // plans made so far
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -65,6 +65,7 @@
 	atOtherEntry     bool           // it is contacted at the address of otherEntry
 	checkedStart     int64          // start time that was listed but does not belong to the incarnation that responded
 	listedAt         time.Time      // when it last listed its runs
+	listedClock      time.Duration  // its clock in that response, 0 if unknown
 	ackWithheld      bool           // the last poll could have acknowledged ends, but did not
 
 	slowdown  *slowdown // of cold workers of its pool
@@ -305,8 +306,7 @@
 // loseRun declares a run lost, which ends without its worker reporting an end; its task waits
 // again.
 func (p *Pool) loseRun(u *run, now time.Time, reason string) {
-	p.Logger.Info().Str("event", "lost").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
-		Dur("age", u.age(now)).Str("why", reason).Msg("run lost")
+	p.noteLoss(u, now, reason)
 	if u.checkpoint != "" && u.step().spec.Checkpointing {
 		u.task().checkpoint = u.checkpoint
 	}
