Scripts: owners that lose the store beside nodes that have it

An owner without the store goes on extending leases as long as any other node responds, also one that lacks the store as well. Its successor takes runs on workers that it can't reach for ended after the lease and three seconds, and starts their tasks again (TWICE).

owner_without_store holds the other side: the store is away for all nodes for longer than a lease, and no run of a long-running task may end ("steady", new). store_down.toml does not show that: its 5 s are shorter than a lease and tasks may start again.

What an owner sees is the same in node_joins_cut_off as in owner_without_store: all nodes that it knows respond, and none has the store.

--- a/node/script_test.go
+++ b/node/script_test.go
@@ -48,6 +48,7 @@
 	AllRunning  bool              `toml:"at_work"`  // all long-running tasks must be running at the end
 	MayRemain   bool              `toml:"may_stay"` // jobs need not be done
 	Complete    []int             `toml:"complete"` // waves that must be completed
+	KeepRunning bool              `toml:"steady"`   // no run of a long-running task may end
 	KeepOwners  bool              `toml:"stay"`     // no pool may change its owner after the first event
 	MoveOnce    bool              `toml:"once"`     // each event makes the pools of its node change their owner once, and no others
 	MaxResponse tomlfile.Duration `toml:"answer"`   // the longest that a call of a caller may take, 0 for no limit
@@ -581,6 +582,9 @@
 	if n := st.world.GangTimeouts(); st.script.Gangs && n > 0 {
 		st.t.Errorf("GANG: %d runs waited in vain for the other members of their gang", n)
 	}
+	if n := st.world.LongRunEnds(); st.script.KeepRunning && n > 0 {
+		st.t.Errorf("%d runs of long-running tasks have ended", n)
+	}
 	owners, gaveUp := st.owners(), st.gaveUpLongRunning()
 	st.verifyOwners()
 	st.mu.Lock()
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -110,6 +110,13 @@
 	return w.gangTimeouts
 }
 
+// LongRunEnds returns how many runs of long-running tasks have ended, for any reason.
+func (w *World) LongRunEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.longRunEnds
+}
+
 // Runs returns the runs of a job's tasks that are in progress.
 func (w *World) Runs(id job.ID) []string {
 	w.mu.Lock()
@@ -290,6 +297,9 @@
 	if j == nil {
 		return
 	}
+	if r.step.LongRunning {
+		w.longRunEnds++
+	}
 	if !r.stopping && o.percent(r) >= fullPercent {
 		delete(j.endedByOrder, r.task)
 		j.absentSince[r.task] = time.Now()
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -35,6 +35,7 @@
 	sameIDRestarts bool                       // crashed workers restart under their id
 	pastWorkers    []*Worker                  // ended incarnations whose id another one has
 	gangTimeouts   int                        // runs that timed out waiting for other members of their gang
+	longRunEnds    int                        // runs of long-running tasks that have ended, for any reason
 	limits         map[string][]customerLimit // of customers, the oldest first
 	evacuations    map[string]time.Time       // since when data centres have been under evacuation
 	appendTime     time.Duration              // that a partition takes for an append, 0 for none
