Owner: extend leases only on recent evidence that the pool is still owned

What callers saw: tasks ran twice after their pool had changed its owner (TWICE).

Cause: an owner without the store stopped extending leases only if no other node responded to a probe either. A node that responds may lack the store as well. So nothing bounded how long a replaced owner acts, while its successor counts on a lease and three seconds for workers that it can't reach.

Fix: evidence is a response of the store or, while it does not respond, a statement of each node that could have claimed the pool that it has not. It counts from its request and is 2 s old at most (services/ownership/statements.go). A node that the owner may not know claims the pool only once the owner has acknowledged it, has ended, or can't rely on statements any more (acquaint.go). So each wait of a successor rests on a bound, and an outage of the store for all nodes still ends no run (docs/design/ownership_evidence.md).

--- a/node/catch_up.go
+++ b/node/catch_up.go
@@ -57,23 +57,12 @@
 	if err := n.probes.Call(ctx, o.Address, methodProbe, empty{}, &a); err != nil {
 		return 0, err
 	}
-	n.lastProbeResponse.Store(n.Clock.Now().UnixNano())
 	if n.behind(a) && n.catchingUp.CompareAndSwap(false, true) {
 		go catchUp{n, o}.run(context.WithoutCancel(ctx))
 	}
 	return a.Incarnation, nil
 }
 
-// isolated reports whether there are other nodes and none has responded to a probe within
-// isolatedAfter. Two are probed every 250 ms.
-func (n *Node) isolated() bool {
-	v, _ := n.Directory.View()
-	return v != nil && len(v.Nodes) > 1 && n.Clock.Now().Sub(time.Unix(0, n.lastProbeResponse.Load())) > isolatedAfter
-}
-
-// isolatedAfter is how long no other node may have responded until this one counts as isolated.
-const isolatedAfter = time.Second
-
 // behindFor is how long this node must have lacked what another node has read until it requests that
 // from there: two readings of the store by two nodes return at different times.
 const behindFor = 500 * time.Millisecond
--- a/node/node.go
+++ b/node/node.go
@@ -64,18 +64,18 @@
 	Gateway   *gateway.Gateway
 	Ownership *ownership.Manager
 
+	statements  *ownership.Statements
 	wakeWorkers chan struct{} // wakes the follower of the workers when the list is needed now
 	monitor     *monitor.Monitor
 	client      *noderpc.Client
 	probes      *noderpc.Client // separate, so that no other call delays a probe
 	server      *noderpc.Server
 
-	operators         operatorRecords
-	lag               lag
-	unreadable        sync.Map                       // names of entries of the workers that have been logged as unreadable
-	catchingUp        atomic.Bool                    // a catch-up request to another node is in progress
-	progress          atomic.Pointer[fleet.Progress] // of all pools' instances, while this node holds that role
-	lastProbeResponse atomic.Int64                   // when another node last responded to a probe, in nanoseconds since 1970
+	operators  operatorRecords
+	lag        lag
+	unreadable sync.Map                       // names of entries of the workers that have been logged as unreadable
+	catchingUp atomic.Bool                    // a catch-up request to another node is in progress
+	progress   atomic.Pointer[fleet.Progress] // of all pools' instances, while this node holds that role
 
 	mu           sync.Mutex
 	newerSetting *setting.Node // settings read since the start, nil for none
@@ -106,8 +106,9 @@
 	n.Ownership = &ownership.Manager{
 		Directory: n.Directory, Clock: c, Logger: logger,
 		Config: n.Gateway.Config, Roles: n.roles, Open: n.openRole, ProbeTakeOver: n.offer, RequestTakeOver: n.takeOver,
-		Demand: demand,
+		Demand: demand, Ask: askBy(n.client), // callers' calls to owners use the same connections
 	}
+	n.statements = &ownership.Statements{Directory: n.Directory, Clock: c, Logger: logger, Unconfirmed: n.Ownership.Unconfirmed, Ask: askBy(n.probes), Count: ports.Count}
 	n.Directory.Reclaim = n.Ownership.Reclaim
 	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, ProbeVia: n.probeVia}
 	return n, nil
@@ -117,7 +118,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.server.Run, n.Directory.Run, n.monitor.Run, n.Ownership.Run, n.followOperators, n.followWorkers,
+		n.server.Run, n.Directory.Run, n.monitor.Run, n.Ownership.Run, n.statements.Run, n.followOperators, n.followWorkers,
 	} {
 		tasks.Go(func() { run(ctx) })
 	}
@@ -236,7 +237,7 @@
 			Lease: min(lease, b.MaxLease.Std()), MaxLease: b.MaxLease.Std(), StopTime: b.StopTime.Std(), Retention: b.StatusRetention.Std(), RemoteFactor: b.RemoteSlowdown, SlowStart: n.Setting.Placement.StartShare(),
 			NoAhead: n.Setting.Placement.Ahead == setting.PlaceAheadOff,
 		},
-		Clock: n.Clock, Logger: logger, NoPeers: n.isolated, Count: n.Ports.Count, Observe: n.Ports.Observe,
+		Clock: n.Clock, Logger: logger, Unclaimed: n.unclaimed(pool), Count: n.Ports.Count, Observe: n.Ports.Observe,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
 		Registry:     n.registry(),
 	}
@@ -246,7 +247,7 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
+	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Confirmed: j.LastConfirmed, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
 }
 
 // openFleet returns the runner that manages instances.
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -16,6 +16,7 @@
 	"github.com/yardbridge/yardbridge/services/directory"
 	"github.com/yardbridge/yardbridge/services/gateway"
 	"github.com/yardbridge/yardbridge/services/owner"
+	"github.com/yardbridge/yardbridge/services/ownership"
 	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
@@ -33,6 +34,7 @@
 	methodReport   = "pool.report"
 	methodAllow    = "pool.allow"
 	methodCatchUp  = "node.news"
+	methodAsk      = "pool.statement"
 )
 
 // poolRequest names a pool, and what in it a call refers to.
@@ -70,6 +72,7 @@
 		methodReport:   noderpc.Handle(n.onReport),
 		methodAllow:    noderpc.Handle(n.onAllow),
 		methodCatchUp:  noderpc.Handle(n.onCatchUp),
+		methodAsk:      noderpc.Handle(n.onAsk),
 	}
 }
 
@@ -157,6 +160,28 @@
 	return offerResult{n.Clock.Now().Sub(began)}, nil
 }
 
+// onAsk returns whether pools of another node have a later owner, as far as this node knows.
+func (n *Node) onAsk(_ context.Context, q ownership.Question) (any, error) {
+	return n.Ownership.Statement(q), nil
+}
+
+// askBy returns the function that asks another node whether pools of this one have a later owner.
+func askBy(c *noderpc.Client) func(ctx context.Context, o directory.Node, q ownership.Question) (ownership.Statement, error) {
+	return func(ctx context.Context, o directory.Node, q ownership.Question) (ownership.Statement, error) {
+		var a ownership.Statement
+		err := c.Call(ctx, o.Address, methodAsk, q, &a)
+		return a, err
+	}
+}
+
+// unclaimed returns the function that tells as of when no other node had claimed a pool that this one owns.
+func (n *Node) unclaimed(pool string) func(epoch uint64, confirmed time.Time) (time.Time, string) {
+	return func(epoch uint64, confirmed time.Time) (time.Time, string) {
+		e := n.statements.Evidence(pool, epoch, confirmed)
+		return e.Unclaimed, e.Lack()
+	}
+}
+
 // lastKey sorts after all keys of the directory: a reading of the keys after it returns nothing,
 // and shows that the store responds.
 const lastKey = "~"
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -41,6 +41,9 @@
 	LinkMbps    float64 `cbor:"6,keyasint,omitempty"` // of its network link, 0 if not set
 	MemoryMB    int64   `cbor:"7,keyasint,omitempty"` // of the process, 0 if unknown
 	Descriptors int     `cbor:"8,keyasint,omitempty"` // that the process may have open, 0 if unknown
+	// Since is since when a process of this name has been registered without interruption, in milliseconds since
+	// 1970; 0 if unknown.
+	Since int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Limits returns the node's limits.
@@ -120,6 +123,7 @@
 	view    *View
 	changed chan struct{} // closed at the next change
 	leaving bool
+	removed map[string]removedNode // nodes that were removed within rememberRemoved, by name
 
 	follower follow.Follower
 }
@@ -225,8 +229,56 @@
 	d.setView(next)
 }
 
+// rememberRemoved is for how long removed nodes are remembered.
+const rememberRemoved = 2 * time.Minute
+
+// removedNode is a node that is no longer registered.
+type removedNode struct {
+	node Node
+	at   time.Time // when this node learned of it
+}
+
+// Recent returns the other nodes that have been registered at any time since the given one, which lies within
+// rememberRemoved, as far as this node has read.
+func (d *Directory) Recent(since time.Time) []Node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []Node
+	if d.view != nil {
+		list = slices.Collect(maps.Values(d.view.Nodes))
+	}
+	for _, r := range d.removed {
+		if !r.at.Before(since) {
+			list = append(list, r.node)
+		}
+	}
+	return slices.DeleteFunc(list, func(n Node) bool { return n.Name == d.Self.Name })
+}
+
+// noteRemoved remembers the nodes that the next view lacks. The lock is held.
+func (d *Directory) noteRemoved(next *View) {
+	if d.view == nil {
+		return
+	}
+	now := d.Clock.Now()
+	maps.DeleteFunc(d.removed, func(name string, r removedNode) bool {
+		_, registered := next.Nodes[name]
+		return registered || now.Sub(r.at) > rememberRemoved
+	})
+	for name, n := range d.view.Nodes {
+		if _, registered := next.Nodes[name]; registered {
+			continue
+		}
+		if d.removed == nil {
+			d.removed = make(map[string]removedNode)
+		}
+		d.removed[name] = removedNode{n, now}
+	}
+}
+
 // setView makes a view the newest. The lock is held.
 func (d *Directory) setView(v *View) {
+	d.noteRemoved(v)
 	d.logChanges(v)
 	d.view = v
 	if d.changed != nil {
@@ -300,7 +352,11 @@
 		if err := codec.Unmarshal(r.Value, &n); err != nil {
 			return err
 		}
-		if n.Incarnation >= v.Nodes[name].Incarnation {
+		last, registered := v.Nodes[name]
+		if !registered && n.Since > 0 {
+			n.Since = max(n.Since, time.Unix(0, int64(n.Incarnation)).UnixMilli()) //nolint:gosec // a time; its entry was removed before
+		}
+		if n.Incarnation >= last.Incarnation {
 			v.Nodes[name] = n
 		}
 		return nil
@@ -408,7 +464,7 @@
 // register writes this node's entry, and with it those of the pools that it owns: if they came later,
 // other nodes would claim these pools in between.
 func (d *Directory) register(ctx context.Context) error {
-	value, err := codec.Marshal(d.Self)
+	value, err := codec.Marshal(d.registration())
 	if err != nil {
 		return err
 	}
@@ -423,6 +479,18 @@
 	return d.Store.Put(ctx, Partition, records)
 }
 
+// registration returns this node's entry, which continues that of an earlier incarnation.
+func (d *Directory) registration() Node {
+	v, _ := d.View()
+	own := d.Self
+	if own.Since = d.Clock.WallTime(d.Clock.Now()).UnixMilli(); v != nil {
+		if earlier, registered := v.Nodes[own.Name]; registered {
+			own.Since = earlier.Since
+		}
+	}
+	return own
+}
+
 // ownPools returns the pools that this incarnation of the node owns.
 func (d *Directory) ownPools() []Ownership {
 	v, _ := d.View()
--- a/services/owner/claim.go
+++ b/services/owner/claim.go
@@ -12,9 +12,9 @@
 )
 
 // ownerOverlap is how long, beyond the lease, runs that an earlier owner started may continue on a
-// worker that can't be reached. Within this time the earlier owner must have noticed that it is no
-// longer the owner.
-const ownerOverlap = 3 * time.Second
+// worker that can't be reached: the earlier owner extends leases for unconfirmedLimit after its last
+// evidence of ownership, which precedes the claim, and the worker's clock may run slow.
+const ownerOverlap = unconfirmedLimit + time.Second
 
 // Claim makes this node the owner of the pool's partition, unless another node claims it at the
 // same time, and restores the state that earlier owners have stored.
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	o.changed = make(chan struct{}, 1)
+	o.changed, o.ownedBy = make(chan struct{}, 1), basisStore
 	o.owned, o.release = context.WithCancel(context.Background())
 	o.adviceDue = make(chan struct{}, 1)
 	o.queuesDue = make(chan struct{}, 1)
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -41,8 +41,10 @@
 	// SelectPolicy returns the policy by which jobs are accepted; nil selects by the customers of
 	// the configuration.
 	SelectPolicy func(hasCustomers bool) admission.Policy
-	// NoPeers reports whether no other node responds; nil for never.
-	NoPeers func() bool
+	// Unclaimed returns the time as of which no other node had claimed the pool, by the statements of all nodes
+	// that could have, given the owner's epoch and when the store last confirmed it; the zero time and the
+	// reason if that is not known. Nil if there are no statements.
+	Unclaimed func(epoch uint64, confirmed time.Time) (time.Time, string)
 	// Registry shows where queues are assigned; nil if the pool is the only one.
 	Registry *Registry
 	// Returns reports whether refused callers are promised the second in which they may come back; nil
@@ -74,6 +76,7 @@
 	unrecorded      []string           // queues of restored jobs that no earlier owner has persisted
 	notOpenLoggedAt time.Time          // when it was last logged that queues can't be opened
 
+	ownedBy            string // what the evidence of ownership rests on, as logged
 	refusals           refusals
 	lateness           time.Duration // average of how late polls are
 	behindLoggedAt     time.Time     // when it was last logged that the owner is behind its work
@@ -125,23 +128,45 @@
 // Epoch returns the epoch under which the pool is owned.
 func (o *Owner) Epoch() uint64 { return o.Journal.Epoch() }
 
-// unconfirmedLimit is how long an owner that reaches no other node extends leases after the store's
-// last response. Runs under those leases end one lease later. The next owner waits for a lease and
-// three seconds before it starts them again, so they have ended by then.
+// unconfirmedLimit is how old the evidence may be that this node still owns the pool when it extends
+// leases. Runs under those leases end one lease later. The next owner waits for a lease and
+// ownerOverlap before it starts them again, so they have ended by then.
 const unconfirmedLimit = 2 * time.Second
 
-// updateIsolation records whether this owner is isolated: it could learn of a newer owner neither
-// from the store nor from another node. The lock is held.
+// updateIsolation records whether this owner is isolated: it lacks recent evidence that it still owns the
+// pool. That another node responds is none, as it may know as little. The lock is held.
 func (o *Owner) updateIsolation() {
-	isolated := o.NoPeers != nil && o.Clock.Now().Sub(o.Journal.LastConfirmed()) > unconfirmedLimit && o.NoPeers()
-	if isolated == o.pool.Isolated {
+	now, confirmed := o.Clock.Now(), o.Journal.LastConfirmed()
+	owned, basis := confirmed, basisStore
+	if now.Sub(confirmed) > unconfirmedLimit && o.Unclaimed != nil {
+		unclaimed, reason := o.Unclaimed(o.Epoch(), confirmed)
+		basis = reason
+		if unclaimed.After(owned) {
+			owned, basis = unclaimed, basisStatements
+		}
+	}
+	isolated := now.Sub(owned) > unconfirmedLimit
+	if isolated == o.pool.Isolated && basis == o.ownedBy {
 		return
 	}
-	o.pool.Isolated = isolated
-	o.Logger.Warn().Str("event", "isolated").Bool("isolated", isolated).Time("confirmed", o.Journal.LastConfirmed()).
-		Msg("reachability of the store and of other nodes has changed; leases are not extended while isolated")
+	if isolated != o.pool.Isolated {
+		o.count(isolationChanged)
+	}
+	o.pool.Isolated, o.ownedBy = isolated, basis
+	o.Logger.Warn().Str("event", "isolated").Bool("isolated", isolated).Uint64("epoch", o.Epoch()).Dur("confirmed", now.Sub(confirmed)).
+		Dur("evidence", now.Sub(owned)).Str("basis", basis).
+		Msg("evidence that this node owns the pool has changed; leases are not extended while isolated")
 }
 
+// What the evidence of ownership rests on.
+const (
+	basisStore      = "store"
+	basisStatements = "statements of all nodes"
+)
+
+// isolationChanged counts how often leases were no longer, or again, extended.
+const isolationChanged = "owner.isolated.changed"
+
 // notifyChange wakes the commit loop to plan and to persist changes.
 func (o *Owner) notifyChange() {
 	select {
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -76,6 +76,7 @@
 	if v, _ := t.s.Directory.View(); v != nil {
 		claimed.Size = v.Pools[t.pool].Size
 	}
+	t.s.Directory.Observe(claimed) // from now on this node states that the pool has a later owner
 	go publication{t.s, claimed, o}.run(ctx)
 	return o, nil
 }
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -24,8 +24,11 @@
 	Stuck func(least time.Duration) bool               // whether an append has been in progress for this long, or longer if the store is slow
 	// PendingFor returns how long an append has been in progress, 0 for none.
 	PendingFor func() time.Duration
-	Epoch      func() uint64
-	Done       func() <-chan struct{} // closed once this node is no longer the owner
+	// Confirmed returns when the store was last asked to confirm the ownership and did so; nil for a role that
+	// needs no statements of other nodes.
+	Confirmed func() time.Time
+	Epoch     func() uint64
+	Done      func() <-chan struct{} // closed once this node is no longer the owner
 	// Size returns the pool's workers, or the instances of all pools for the role that decides on these; nil
 	// for unknown.
 	Size func() int
@@ -57,6 +60,8 @@
 	ProbeTakeOver func(ctx context.Context, n directory.Node) (time.Duration, error)
 	// RequestTakeOver asks another node to take a pool over.
 	RequestTakeOver func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
+	// Ask asks another node for a statement; nil if there are no other nodes.
+	Ask func(ctx context.Context, n directory.Node, q Question) (Statement, error)
 
 	mu       sync.Mutex
 	running  context.Context // of Run; a role taken over at another node's request ends with it
@@ -69,6 +74,11 @@
 	leaving  bool
 	short    string // limit that the roles of this node exceed most, as logged, "" for none
 	tasks    sync.WaitGroup
+
+	acquainted       map[process]bool // owners that have acknowledged this node since registeredSince
+	registeredSince  int64            // Since of this node's entry, 0 for none
+	acquaintedAt     time.Time        // when owners were last asked to acknowledge this node
+	notKnownLoggedAt time.Time        // when it was logged that a claim is put off since the owner has not
 }
 
 // Time constants of the manager.
@@ -135,6 +145,7 @@
 		return
 	}
 	s.endReplaced(v)
+	s.acquaint(ctx, v)
 	s.handOverStuck(ctx, v)
 	s.publishSizes(ctx, v)
 	s.improve(ctx, v)
@@ -147,6 +158,7 @@
 		}
 		rank := slices.Index(successors[pool], s.Directory.Self.Name)
 		switch {
+		case !s.mayClaim(v, pool):
 		case rank >= 0 && s.unownedFor(pool) >= time.Duration(rank)*successorTurn:
 			s.claim(pool)
 		case rank > 0 && rank <= probesAtOnce:
@@ -169,6 +181,33 @@
 	}
 }
 
+// Unconfirmed returns the epochs of the pools of this node whose last confirmation by the store is older than
+// a duration, and when the earliest of these confirmations was requested.
+func (s *Manager) Unconfirmed(than time.Duration) (map[string]uint64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	earliest, pools := now, make(map[string]uint64)
+	for role, t := range s.owned {
+		if t.Confirmed == nil {
+			continue
+		}
+		if confirmed := t.Confirmed(); now.Sub(confirmed) > than {
+			pools[role] = t.Epoch()
+			earliest = earlier(earliest, confirmed)
+		}
+	}
+	return pools, earliest
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // unownedPools returns the pools without a present owner, in order.
 func (s *Manager) unownedPools(c *config.Config, v *directory.View) []string {
 	s.mu.Lock()
--- /dev/null
+++ b/services/ownership/statements_test.go
@@ -0,0 +1,206 @@
+// Copyright 2026 The yardbridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ownership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/standin/world"
+)
+
+// registered is a node that is registered in the directory of a model.
+type registered struct {
+	*directory.Directory
+	leave func() // ends the node, which stays registered
+}
+
+// register registers a process of a node.
+func register(t *testing.T, w *world.World, name string, incarnation uint64) registered {
+	ctx, cancel := context.WithCancel(t.Context())
+	d := &directory.Directory{Store: w.Store(name), Logger: log.Nop(), Self: directory.Node{Name: name, Address: name, Incarnation: incarnation}}
+	go d.Run(ctx)
+	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
+	v, _ := d.View()
+	assert.Equal(t, v.Nodes[name].Incarnation, incarnation)
+	return registered{d, cancel}
+}
+
+// TestStatementsOfAllNodesAreEvidence guards against an owner that extends leases without the store although
+// another node may have claimed its pool: one that responds to others only, that is no longer registered as far
+// as the owner has read, that is claiming the pool, or another one that responds at an earlier node's address.
+func TestStatementsOfAllNodesAreEvidence(t *testing.T) {
+	clean := func(n string) (Statement, error) { return Statement{Node: n}, nil }
+	silent := func(string) (Statement, error) { return Statement{}, errkind.New(errkind.OutcomeUnknown, "no response") }
+	for _, c := range []struct {
+		name    string
+		third   func(n string) (Statement, error) // what the third node states
+		removed time.Duration                     // for how long the third node has been removed when the store responds last
+		epoch   uint64
+		holds   bool
+	}{
+		{name: "all state that they have not claimed it", third: clean, epoch: 4, holds: true},
+		{name: "one does not respond", third: silent, epoch: 4},
+		{name: "one states a later owner", third: func(n string) (Statement, error) { return Statement{Node: n, Later: []string{"p"}}, nil }, epoch: 4},
+		{name: "another node responds at its address", third: func(string) (Statement, error) { return Statement{Node: "other"}, nil }, epoch: 4},
+		{name: "the statements are of an earlier ownership", third: clean, epoch: 5},
+		{name: "one was removed just before", third: silent, removed: freshFor / 2, epoch: 4},
+		{name: "one was removed long before", third: silent, removed: 2 * freshFor, epoch: 4, holds: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := world.New(1)
+				own := register(t, w, "n1", 1)
+				register(t, w, "n2", 1)
+				third := register(t, w, "n3", 1)
+				time.Sleep(time.Second)
+				if c.removed > 0 {
+					third.leave()
+					assert.NilError(t, own.Remove(t.Context(), "n3"))
+					time.Sleep(c.removed)
+				}
+				confirmed := time.Now()
+				s := &Statements{Directory: own.Directory, Logger: log.Nop(), Unconfirmed: func(than time.Duration) (map[string]uint64, time.Time) {
+					if time.Since(confirmed) <= than {
+						return nil, confirmed
+					}
+					return map[string]uint64{"p": 4}, confirmed
+				}}
+				s.Ask = func(_ context.Context, n directory.Node, q Question) (Statement, error) {
+					assert.Equal(t, q.From, "n1")
+					if n.Name == "n3" {
+						return c.third(n.Name)
+					}
+					return clean(n.Name)
+				}
+				go s.Run(t.Context())
+				assert.Assert(t, s.Evidence("p", c.epoch, confirmed).Unclaimed.IsZero(), "there are no statements yet")
+				time.Sleep(10 * time.Second)
+				e := s.Evidence("p", c.epoch, confirmed)
+				assert.Equal(t, !e.Unclaimed.IsZero(), c.holds, "%+v", e)
+				if c.holds {
+					assert.Assert(t, time.Since(e.Unclaimed) <= statementPeriod+statementTimeout, "%s", time.Since(e.Unclaimed))
+				}
+				w.SetFaults("n1", func(f *world.Faults) { f.StoreUnresponsive = true })
+				time.Sleep(statementsFor + 10*time.Second)
+				e = s.Evidence("p", c.epoch, confirmed)
+				assert.Assert(t, e.Unclaimed.IsZero(), "the directory was read too long ago: %+v", e)
+			})
+		})
+	}
+}
+
+// TestStatementCoversClaims guards against a node that states that it has not claimed a pool while its claim is on
+// its way, or after it has lost the pool again to a later owner.
+func TestStatementCoversClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		s := &Manager{Directory: register(t, w, "n1", 1).Directory}
+		ask := Question{From: "n2", Pools: map[string]uint64{"p": 4}}
+		assert.DeepEqual(t, s.Statement(ask).Later, []string(nil))
+		s.claiming = map[string]bool{"p": true}
+		assert.DeepEqual(t, s.Statement(ask).Later, []string{"p"})
+		s.claiming = nil
+		s.owned = map[string]*RoleRunner{"p": {Epoch: func() uint64 { return 3 }}}
+		assert.DeepEqual(t, s.Statement(ask).Later, []string(nil)) // it was replaced by the node that asks
+		s.owned = map[string]*RoleRunner{"p": {Epoch: func() uint64 { return 5 }}}
+		assert.DeepEqual(t, s.Statement(ask).Later, []string{"p"})
+		s.owned = nil
+		s.Directory.Observe(directory.Ownership{Pool: "p", Epoch: 6, Node: "n3", Incarnation: 1})
+		assert.DeepEqual(t, s.Statement(ask).Later, []string{"p"})
+		assert.Assert(t, !s.Statement(ask).Knows)
+		register(t, w, "n2", 1)
+		time.Sleep(time.Second)
+		assert.Assert(t, s.Statement(ask).Knows)
+	})
+}
+
+// TestNodeUnknownToTheOwnerWaits guards against a new node that claims a pool whose owner goes on without the
+// store, on statements of the nodes that it knows: the owner does not know the new one.
+func TestNodeUnknownToTheOwnerWaits(t *testing.T) {
+	type step func(t *testing.T, w *world.World, s *Manager, owner registered)
+	acknowledge := func(_ *testing.T, _ *world.World, s *Manager, owner registered) {
+		s.Ask = func(context.Context, directory.Node, Question) (Statement, error) {
+			return Statement{Node: owner.Self.Name, Incarnation: owner.Self.Incarnation, Knows: true}, nil
+		}
+	}
+	remove := func(t *testing.T, _ *world.World, s *Manager, _ registered) {
+		s.Ask = nil
+		assert.NilError(t, s.Directory.Remove(t.Context(), s.Directory.Self.Name))
+	}
+	restartOwner := func(t *testing.T, w *world.World, _ *Manager, owner registered) {
+		owner.leave()
+		register(t, w, owner.Self.Name, owner.Self.Incarnation+1)
+	}
+	cutFromStore := func(_ *testing.T, w *world.World, _ *Manager, _ registered) {
+		w.SetFaults("n2", func(f *world.Faults) { f.StoreUnresponsive = true })
+		time.Sleep(2 * freshFor)
+	}
+	wait := func(*testing.T, *world.World, *Manager, registered) { time.Sleep(knownAfter) }
+	for _, c := range []struct {
+		name  string
+		steps []step
+		may   bool
+	}{
+		{"it is not acknowledged", nil, false},
+		{"the owner acknowledges it", []step{acknowledge}, true},
+		{"it was removed since it was acknowledged", []step{acknowledge, remove}, false},
+		{"the owner has restarted", []step{restartOwner}, true},
+		{"it is acknowledged, but has not read the directory", []step{acknowledge, cutFromStore}, false},
+		{"it has been registered for long", []step{wait}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := world.New(1)
+				owner := register(t, w, "n1", 1)
+				s := &Manager{Directory: register(t, w, "n2", uint64(time.Now().UnixNano())).Directory, Logger: log.Nop()}
+				s.Directory.Observe(directory.Ownership{Pool: "p", Epoch: 1, Node: "n1", Incarnation: 1})
+				settle := func() *directory.View {
+					for range 4 {
+						v, _ := s.Directory.View()
+						s.acquaint(t.Context(), v)
+						time.Sleep(acquaintPeriod)
+						synctest.Wait()
+					}
+					v, _ := s.Directory.View()
+					return v
+				}
+				settle()
+				for _, do := range c.steps {
+					do(t, w, s, owner)
+					settle()
+				}
+				v, _ := s.Directory.View()
+				assert.Equal(t, s.mayClaim(v, "p"), c.may)
+			})
+		})
+	}
+}
+
+// TestRestartedNodeStaysKnown guards against a fleet without owners after a restart of all nodes one of which does
+// not come back: a node that starts again under its name is known to the owner that has ended.
+func TestRestartedNodeStaysKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		owner := register(t, w, "n1", 1)
+		first := register(t, w, "n2", uint64(time.Now().UnixNano()))
+		first.Observe(directory.Ownership{Pool: "p", Epoch: 1, Node: "n1", Incarnation: 1})
+		time.Sleep(knownAfter)
+		owner.leave()
+		first.leave()
+		again := register(t, w, "n2", uint64(time.Now().UnixNano()))
+		again.Observe(directory.Ownership{Pool: "p", Epoch: 1, Node: "n1", Incarnation: 1})
+		s := &Manager{Directory: again.Directory, Logger: log.Nop()}
+		v, _ := again.View()
+		assert.Assert(t, s.mayClaim(v, "p"))
+	})
+}
