Scheduler: the ejection of a pool's last worker ends after two seconds

It was ejected for 3, 6, 12, 24 and 24 s as the likely cause, and tried one task after each. The steps wait for "workers", of which the one is ejected. Queues that move have no part in it but that they bring such jobs to a small pool.

While no worker of a pool takes tasks, as each is ejected, the ejection that would end first ends two seconds after the newest one began: a task that has failed waits for another worker no longer. It is decided with each plan, so that it holds as well when the other workers have left, and for an ejection of an earlier owner. A pool with a worker that takes tasks, though full or on trial, keeps whole ejections, and a worker on trial still gets one task at a time. Attempts (BUDGET) are counted as before; a lone worker that fails all for longer uses them up sooner.

Before and after: three new tests failed before.

--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 	firstEjection   = 3 * time.Second  // first ejection
 	maxEjection     = 24 * time.Second // ejections double up to this
 	refusalEjection = time.Second      // after a refused order
+	lastEjection    = 2 * time.Second  // longest while the pool has no other worker: nothing may wait for 3 s while there is free capacity
 )
 
 // health is what is known of how well a worker works.
@@ -75,6 +77,43 @@
 		Dur("rest", duration).Str("why", reason).Msg("worker ejected")
 }
 
+// endLastEjection ends an ejection early if no worker of the pool takes tasks because each is ejected: jobs must not
+// wait for longer than lastEjection, whether the workers or the jobs are the cause of the failures.
+func (p *Pool) endLastEjection(now time.Time) {
+	w, wake := p.lastEjected(now)
+	if w == nil || now.Before(wake) {
+		p.schedulePlan(wake, now)
+		return
+	}
+	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Dur("remaining", w.health.ejectedUntil.Sub(now)).
+		Msg("ejection ended: no other worker takes tasks")
+	w.health.ejectedUntil = now
+	p.markHealthChanged(w)
+	p.needsPlan = true
+}
+
+// lastEjected returns the worker whose ejection ends first and when it has to end, nil if another worker takes tasks.
+func (p *Pool) lastEjected(now time.Time) (*workerState, time.Time) {
+	var first *workerState
+	var wake time.Time
+	for _, w := range p.workers {
+		if !w.reachable() {
+			continue
+		}
+		until := w.health.ejectedUntil
+		if !now.Before(until) {
+			return nil, time.Time{}
+		}
+		if latest := until.Add(lastEjection - w.health.ejectedFor); latest.After(wake) {
+			wake = latest
+		}
+		if first == nil || cmp.Or(until.Compare(first.health.ejectedUntil), cmp.Compare(w.info.ID, first.info.ID)) < 0 {
+			first = w
+		}
+	}
+	return first, wake
+}
+
 // noteFailedOn records that a task has failed on a worker.
 func (t *taskState) noteFailedOn(id worker.ID) {
 	if !slices.Contains(t.failedOn, id) {
--- a/services/scheduler/health_test.go
+++ b/services/scheduler/health_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
 )
 
@@ -75,3 +76,73 @@
 		})
 	}
 }
+
+// TestLastWorkerRestsForTwoSeconds guards against jobs that have nothing running for 3 s while their pool has capacity
+// (LOST): the pool has one worker, on which jobs fail that fail always, and it was ejected for up to 24 s at a time. It
+// gets a task two seconds after each failure, one at a time, and none before.
+func TestLastWorkerRestsForTwoSeconds(t *testing.T) {
+	d := newTestPool(t, 1)
+	for _, id := range []job.ID{"1", "2", "3", "4", "5"} {
+		d.submit(id, 1)
+	}
+	d.listWorker("a")
+	d.failAll("a")
+	for range 5 {
+		d.now = d.now.Add(lastEjection - time.Millisecond)
+		assert.Equal(t, len(d.startAll("a")), 0, "the worker does not rest")
+		wake := d.Plan(d.now)
+		assert.Assert(t, !wake.IsZero() && !wake.After(d.now.Add(time.Millisecond)), "no plan is due when the rest ends: %v", wake.Sub(d.now))
+		d.now = d.now.Add(time.Millisecond)
+		assert.Equal(t, len(d.failAll("a")), 1)
+	}
+}
+
+// TestRestOfALongEjectedWorker guards against the same failure where the other workers of a pool rest as well or have
+// left it; while another worker takes tasks, an ejection lasts its whole time.
+func TestRestOfALongEjectedWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		other func(d *testPool)
+		want  int // tasks that are started once both have rested for two seconds
+	}{
+		"the other worker is full": {func(d *testPool) { d.workers["b"].used = d.workers["b"].info.Capacity }, 0},
+		"the other worker rests as long": {func(d *testPool) {
+			d.eject(d.workers["b"], maxEjection, d.now, "different jobs fail there", "2.0.0.0")
+		}, 1},
+		"the other worker has left":      {func(d *testPool) { d.UnlistWorker("b") }, 1},
+		"the other worker is evacuated":  {func(d *testPool) { d.workers["b"].evacuated = true }, 1},
+		"the other worker is on a trial": {func(d *testPool) { d.tryWorker("b") }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestPool(t, 1)
+			d.listWorker("a")
+			d.listWorker("b")
+			d.eject(d.workers["a"], maxEjection, d.now, "different jobs fail there", "2.0.0.0")
+			c.other(d)
+			d.submit("1", 4)
+			d.now = d.now.Add(lastEjection)
+			assert.Equal(t, len(d.startAll("a"))+len(d.startAll("b")), c.want)
+		})
+	}
+}
+
+// tryWorker starts a task on a worker whose ejection has ended.
+func (d *testPool) tryWorker(id worker.ID) {
+	d.t.Helper()
+	d.submit("trial", 1)
+	assert.Equal(d.t, len(d.startAll(id)), 1)
+	d.workers[id].health.onTrial = true
+}
+
+// TestNextOwnerEndsALongRest guards against the same failure with a rest of 24 s that an earlier owner has persisted, of
+// the pool's only worker.
+func TestNextOwnerEndsALongRest(t *testing.T) {
+	first := newTestPool(t, 1)
+	first.submit("1", 1)
+	first.listWorker("a")
+	first.eject(first.workers["a"], maxEjection, first.now, "different jobs fail there", "2.0.0.0")
+	second := first.nextOwner()
+	second.listWorker("a")
+	assert.Equal(t, len(second.startAll("a")), 0)
+	second.now = second.now.Add(lastEjection)
+	assert.Equal(t, len(second.startAll("a")), 1)
+}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -41,6 +41,7 @@
 	p.forgetEndedJobs(now)
 	p.dropStaleHealth(now)
 	p.emptyWorkers(now)
+	p.endLastEjection(now)
 	if !p.needsPlan && (p.planAt.IsZero() || now.Before(p.planAt)) {
 		return p.planAt
 	}
@@ -64,6 +65,7 @@
 			p.schedulePlan(now.Add(probationReplanInterval), now)
 		}
 	}
+	p.endLastEjection(now)
 	p.scheduleAdvice(now)
 	p.scheduleSilent(now)
 	return p.planAt
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -124,8 +124,11 @@
 func (w *workerState) overcommitted() bool { return !(job.Size{}).FitsIn(w.free()) }
 
 // schedulable reports whether tasks may be placed on the worker.
-func (w *workerState) schedulable(now time.Time) bool {
-	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.leaseRecorded && !w.restartSuspected && !w.leaving() && !w.evacuated && !w.ejected(now)
+func (w *workerState) schedulable(now time.Time) bool { return w.reachable() && !w.ejected(now) }
+
+// reachable reports whether tasks may be placed on the worker unless it is ejected.
+func (w *workerState) reachable() bool {
+	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.leaseRecorded && !w.restartSuspected && !w.leaving() && !w.evacuated
 }
 
 // leaving reports whether the runs on the worker have to move elsewhere.
