--- a/models/job/check.go
+++ b/models/job/check.go
@@ -21,7 +21,8 @@
 	maxGPU      = 1 << 20
 	maxTimes    = 100_000
 	maxEstimate = 10 * 365 * 24 * time.Hour
-	maxEncoded  = 200_000 // bytes, as estimated by encodedSize: a job is persisted in one record
+	maxSpan     = 250 * 365 * 24 * time.Hour // from the first round to the last one, which fits a duration
+	maxEncoded  = 200_000                    // bytes, as estimated by encodedSize: a job is persisted in one record
 )
 
 // The bytes that a step and a reference to another step take at most, beside the step's names.
@@ -71,8 +72,8 @@
 	if s.RepeatCount < 0 || s.RepeatCount > maxTimes {
 		return fmt.Errorf("repeat count is %d; 0 to %d are allowed", s.RepeatCount, maxTimes)
 	}
-	if s.Interval < 0 {
-		return fmt.Errorf("interval %s is negative", s.Interval)
+	if longest := maxSpan / time.Duration(s.Rounds()); s.Interval < 0 || s.Interval > longest {
+		return fmt.Errorf("interval is %s; 0 to %s are allowed with a repeat count of %d", s.Interval, longest, s.RepeatCount)
 	}
 	tasks := 0
 	for i := range s.Steps {
