Lending: late allowances of a replaced holder are refused before its bound is lowered

The bound of a pool was lowered to what its owner reported to a new holder of the role for instances, although higher allowances of the holder before, which are within its persisted bound, could still be on their way to the pool: it took them, as it had none of the new holder, and the difference was lent twice. A new holder now sends each pool the reported allowances under its own epoch, and lowers a bound only once the pool has persisted allowances of that epoch. A pool counts another epoch as a reduction, so that it says "persisted" once its next owner would refuse the earlier holder's, too.

Cost: where customers have limits, one query and one append for each pool after a change of the holder.

--- a/services/lending/lender.go
+++ b/services/lending/lender.go
@@ -24,7 +24,7 @@
 // it is sent to the pool. A lower one is sent first, and becomes the bound once the pool's owner
 // reports that it has persisted it. So the sum of the bounds is correct after every failure and
 // does not depend on a clock: a pool without an owner keeps its bound until the next owner
-// responds.
+// responds, and after a change of the holder until the pool has persisted allowances of the new one.
 
 // prefixBound is the prefix of the journal keys of the bounds; the pool's name follows.
 const prefixBound = "q/"
@@ -155,6 +155,7 @@
 	p.resumePaused()
 	p.reclaim()
 	p.lend()
+	p.replaceEarlier()
 	maps.DeleteFunc(l.wanted, func(_ string, since time.Time) bool { return now.Sub(since) > requestFor })
 	return p.changes()
 }
--- a/services/lending/lender_test.go
+++ b/services/lending/lender_test.go
@@ -92,6 +92,7 @@
 	limits  []setLimit
 	now     time.Time
 	lost    func() bool // whether the next message is lost
+	onLost  func(pool string, q quota.Query)
 	calls   int
 	bytes   int
 	appends int
@@ -147,10 +148,13 @@
 	}
 	for _, name := range s.lender.DuePools() {
 		s.calls++
+		q := s.lender.Query(name)
 		if s.lost() {
+			if s.onLost != nil {
+				s.onLost(name, q)
+			}
 			continue
 		}
-		q := s.lender.Query(name)
 		a := s.pools[name].report(q)
 		data, _ := json.Marshal([]any{q, a}) // the messages can always be encoded
 		s.bytes += len(data)
--- a/services/lending/plan.go
+++ b/services/lending/plan.go
@@ -47,11 +47,12 @@
 	return p
 }
 
-// lower applies what pools have reported: a bound is reduced to the allowances that a pool has
-// persisted, but not below what it uses.
+// lower applies what pools have reported: a bound is reduced to the allowances of this holder that a
+// pool has persisted, but not below what it uses. Those of an earlier holder don't count: a pool may
+// receive later ones of that holder, up to its bound, until it has persisted allowances of this one.
 func (p *plan) lower() {
 	for _, b := range p.l.states {
-		if !b.reported || !b.confirmed {
+		if !b.reported || !b.confirmed || b.sent.Epoch != p.l.Epoch {
 			continue
 		}
 		bound := b.sent
@@ -125,6 +126,23 @@
 	}
 }
 
+// replaceEarlier sends each pool that has allowances of an earlier holder the same ones of this holder, so that
+// it takes none of the earlier one any more.
+func (p *plan) replaceEarlier() {
+	if !hasLimits(p.config) {
+		return
+	}
+	for _, name := range p.l.pools() {
+		b := p.l.states[name]
+		if !b.reported || b.sent.Epoch == p.l.Epoch {
+			continue
+		}
+		next := b.sent
+		next.Epoch = p.l.Epoch
+		p.send(b, next)
+	}
+}
+
 // partEpsilon is the rounding error allowed in sums of parts.
 const partEpsilon = 1e-9
 
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -258,9 +258,10 @@
 	return p.allowances.reducedBatch
 }
 
-// reduces reports whether allowances are lower than earlier ones in any part.
+// reduces reports whether allowances are lower than earlier ones in any part, or exclude those of an
+// earlier holder that are still on their way.
 func (p *Pool) reduces(previous, now quota.Allowances) bool {
-	if now.DefaultFraction < previous.DefaultFraction {
+	if now.Epoch != previous.Epoch || now.DefaultFraction < previous.DefaultFraction {
 		return true
 	}
 	for _, of := range []map[string]job.Size{previous.ByCustomer, now.ByCustomer} {
--- a/services/scheduler/allowance_test.go
+++ b/services/scheduler/allowance_test.go
@@ -137,3 +137,24 @@
 		}
 	}
 }
+
+// TestEarlierHolderIsExcludedOnceThatIsPersisted guards against use above a limit: the pool tells a new holder of the
+// role for instances that it has its allowances, and the pool's next owner takes late ones of the earlier holder,
+// although the new one has lent the difference elsewhere.
+func TestEarlierHolderIsExcludedOnceThatIsPersisted(t *testing.T) {
+	allow := func(epoch, revision uint64, cpu int) quota.Allowances {
+		return quota.Allowances{Epoch: epoch, Revision: revision, Version: 2, ByCustomer: map[string]job.Size{"c": {CPU: cpu}}}
+	}
+	d := newTestPool(t, 1)
+	d.Configure(withLimit(2, 4000))
+	d.SetAllowances(allow(1, 1, 1000))
+	d.persist()
+	d.SetAllowances(allow(2, 1, 1000))
+	assert.Equal(t, d.QuotaReport(quota.Query{Epoch: 2}, d.now).Allowances.Epoch, uint64(1), "the next owner does not know the new holder's yet")
+	d.persist()
+	assert.Equal(t, d.QuotaReport(quota.Query{Epoch: 2}, d.now).Allowances.Epoch, uint64(2))
+	d = d.succeed(1)
+	d.SetAllowances(allow(1, 2, 4000))
+	allowed := d.allowances.current.For("c", job.Size{CPU: 4000})
+	assert.Equal(t, allowed.CPU, 1000, "the earlier holder's allowances are taken")
+}
