Fleet: the next holder waits for an earlier attempt of an order whose repeat succeeded

An order whose first attempt got no response is sent again; once that succeeds, its intent said that the outcome is known, and the next holder of the role for instances waited for its lease only. By the time that such attempts are given (unsettled), the first one may be carried out after the next holder's order. The intent now says for how long after it an earlier attempt may be carried out.

--- a/services/fleet/action.go
+++ b/services/fleet/action.go
@@ -48,3 +48,12 @@
 	}
 	return i.Worker != a.worker || i.Worker == ""
 }
+
+// unsettledAt returns for how long after a time an attempt of the action's order that got no response may be carried
+// out.
+func (a *action) unsettledAt(at time.Time) time.Duration {
+	if a.unknown.IsZero() {
+		return 0
+	}
+	return max(unsettled-at.Sub(a.unknown), 0)
+}
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -29,6 +29,7 @@
 	StartedAt    int64     `cbor:"8,keyasint,omitempty"`
 	Epoch        uint64    `cbor:"9,keyasint,omitempty"`  // of the holder that wrote it
 	Since        int64     `cbor:"10,keyasint,omitempty"` // At on the holder's own clock, in milliseconds since its claim
+	Unsettled    int64     `cbor:"11,keyasint,omitempty"` // for how long after At an earlier attempt may be carried out, in milliseconds
 }
 
 // holderTime is the record of a holder's own clock, which each of its appends carries. The times of day
@@ -78,7 +79,7 @@
 	if !i.OutcomeKnown {
 		least = max(least, unsettled)
 	}
-	return least - m.minAge(i)
+	return max(least, time.Duration(i.Unsettled)*time.Millisecond) - m.minAge(i)
 }
 
 // minAge returns the minimum time since the start of an earlier holder's intent: what the clock of the
@@ -195,7 +196,7 @@
 	at := m.Clock.Now().Add(ahead)
 	value, err := codec.Marshal(intent{
 		Instance: a.instance, Worker: a.worker, To: a.to, Wave: a.wave, At: m.Clock.WallTime(at).UnixMilli(), OutcomeKnown: known, From: a.from,
-		StartedAt: a.startedAt, Epoch: m.Epoch(), Since: m.sinceClaim(at),
+		StartedAt: a.startedAt, Epoch: m.Epoch(), Since: m.sinceClaim(at), Unsettled: a.unsettledAt(at).Milliseconds(),
 	})
 	return port.Record{Key: keyIntent + a.instance, Value: value}, err
 }
