Fleet: a holder whose appends are stuck reads no lists

A holder of the role for instances that has lost the store makes no plans, as each of its steps ends with an append, but it went on reading the list of instances four times a second, for as long as the store stayed away. The platform's rate counts for all nodes together, so a replaced holder took readings from its successor. It now pauses once an append has been in progress for longer than a list may be old for a plan.

A second test shows that cordons and allowances end soon after the last response of the store.

Evidence: TestHolderWithoutTheStoreReadsNoLists failed with 55 readings in 10 s and passes now; TestHolderWithoutTheStoreSendsNothing: the last one was sent 144 ms after the store was lost.

--- a/services/fleet/lister.go
+++ b/services/fleet/lister.go
@@ -39,10 +39,13 @@
 	maxListAge = 3 * time.Second
 )
 
-// run reads the list until the context ends.
+// run reads the list until the context ends. While the store does not respond there are no plans, and another node
+// may hold the role, whose readings count against the same rate of the platform.
 func (l *lister) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.read(ctx)
+		if !l.m.Journal.IsStuck(maxListAge) {
+			l.read(ctx)
+		}
 		select {
 		case <-l.m.Clock.After(listGap):
 		case <-ctx.Done():
