A task runs twice after an entry names another worker's address

Seen in a test: while a run goes on at worker w, an entry of w with the address of another worker is read. That one responds that it is not w, the owner takes w's life for over ("another incarnation responds") and starts its tasks elsewhere, beside the runs that go on until their leases end. It happens as well to a next owner that reads only the wrong entry.

Cause: the response counted as proof wherever it came from. It proves that w's life is over only at an address where w has responded in this life.

An owner now remembers where a worker has responded last, or where the record of a run says that it was ordered. Such a response from elsewhere changes nothing, neither runs nor the clock; the worker is contacted at its last address again, the order is sent again, and one log line names both addresses. At the last address the response ends the life as before. An entry with a new address is still followed, so a worker that has moved is reached.

--- a/services/scheduler/order.go
+++ b/services/scheduler/order.go
@@ -16,6 +16,7 @@
 	CPUShare bool
 
 	tokenRaises uint64 // part of its token, once it is sent
+	address     string // to which it was sent
 }
 
 // StartOrder records that the start order of a run is sent, and returns it with a deadline on the
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		w.orders = append(deferred, w.orders...)
-		o.tokenRaises = w.tokenRaises
+		o.tokenRaises, o.address = w.tokenRaises, w.address()
 		return o, true
 	}
 	w.orders = deferred
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -20,6 +20,7 @@
 	sentAt           time.Time
 	previousDeadline time.Duration // latest deadline of the worker without this poll
 	tokenRaises      uint64        // part of the token that was sent
+	address          string        // to which it was sent
 }
 
 // BeginPoll returns the poll request to send to a worker, and false if the worker is no longer
@@ -46,7 +47,7 @@
 	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.restartSuspected {
 		request.Wait = 0 // it would respond at once with known ends, or must respond at once
 	}
-	return Poll{w, p.eventSeq, request, now, previous, w.tokenRaises}, request, true
+	return Poll{w, p.eventSeq, request, now, previous, w.tokenRaises, w.address()}, request, true
 }
 
 // EndPoll processes the response to a poll.
@@ -68,9 +69,13 @@
 	if a.Result != port.Accepted && p.tryOtherAddress(w, a.Result) {
 		return
 	}
+	if p.isForeign(w, k.address, a.Result) {
+		return
+	}
 	p.noteContact(w, a, now)
 	switch a.Result {
 	case port.Accepted:
+		w.provenAddress = k.address
 	case port.OtherIncarnation:
 		p.endIncarnation(w, now, exitConfirmed, "another incarnation responds")
 		return
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -248,7 +249,7 @@
 		t := &s.tasks[first+i]
 		d := taskProgress{Number: t.number, Fails: t.failures, Done: t.done, Checkpoint: t.checkpoint}
 		for _, u := range t.runs {
-			d.Runs = append(d.Runs, runProgress{Number: u.number, Worker: u.worker.info.ID, Address: u.worker.info.Address, Stopping: u.stopping})
+			d.Runs = append(d.Runs, runProgress{Number: u.number, Worker: u.worker.info.ID, Address: cmp.Or(u.worker.provenAddress, u.worker.info.Address), Stopping: u.stopping})
 		}
 		tasks[i] = d
 	}
@@ -398,6 +399,7 @@
 		if w == nil {
 			w = p.addWorker(worker.Worker{ID: o.Worker, Pool: p.Name, Address: o.Address})
 		}
+		w.provenAddress = o.Address
 		w.unresponsiveSince = now
 		w.restoredRunsEndAt = now.Add(reserveFor)
 		ref := job.TaskRef{StepRef: s.ref, Index: index}
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -17,6 +17,9 @@
 func (p *Pool) HandleOrderResponse(o Order, a port.Response, now time.Time) bool {
 	w := o.Run.worker
 	p.eventSeq++
+	if p.isForeign(w, o.address, a.Result) {
+		return o.Run.phase != finished
+	}
 	p.noteContact(w, a, now)
 	overtaken := a.Result == port.TokenTooLow && o.tokenRaises < w.tokenRaises // refused because this owner has sent an order with a higher token
 	if o.isStart() && (a.Result == port.OtherIncarnation || overtaken) && !o.Run.unconfirmed {
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -197,6 +197,23 @@
 	return foreign
 }
 
+// isForeign reports whether another worker responded at an address where this one never has. An entry may
+// name a wrong address, so that shows nothing about this worker, which is contacted where it was before.
+func (p *Pool) isForeign(w *workerState, sentTo string, v port.Result) bool {
+	if v != port.OtherIncarnation || w.provenAddress == "" || sentTo == w.provenAddress {
+		return false
+	}
+	w.pollWanted = true
+	if w.info.Address == sentTo {
+		p.Logger.Error().Str("event", "worker").Str("worker", string(w.info.ID)).Str("address", sentTo).Str("used", w.provenAddress).
+			Uint64("revision", w.info.Revision).Str("outcome", "not used").Msg("another worker responds at the address in a worker entry")
+		w.foreignAddress, w.info.Address = sentTo, w.provenAddress
+		p.markReconnect(w)
+		p.markPending(w)
+	}
+	return true
+}
+
 // resolveCrashes applies the first response of a worker to the crashes attributed under its ID: the
 // responding incarnation was only cut off, all others have crashed.
 func (p *Pool) resolveCrashes(w *workerState) {
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -64,6 +64,8 @@
 	otherEntry       *worker.Worker // newest entry with another start time
 	atOtherEntry     bool           // it is contacted at the address of otherEntry
 	checkedStart     int64          // start time that was listed but does not belong to the incarnation that responded
+	provenAddress    string         // where it responded last, or had its runs ordered by an earlier owner; "" for nowhere yet
+	foreignAddress   string         // address in its entry at which another worker responded, "" for none
 	listedAt         time.Time      // when it last listed its runs
 	listedClock      time.Duration  // its clock in that response, 0 if unknown
 	ackWithheld      bool           // the last poll could have acknowledged ends, but did not
@@ -170,6 +172,9 @@
 	if !p.checkStart(w, info) {
 		return false
 	}
+	if info.Address == w.foreignAddress {
+		info.Address = w.info.Address
+	}
 	if info.Address != w.info.Address {
 		p.markReconnect(w)
 	}
