--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/yardbridge/yardbridge/adapters/noderpc"
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/resource"
@@ -405,12 +407,21 @@
 	return true
 }
 
+// listensOn reports whether this node listens on an address.
+func (n *Node) listensOn(address string) bool {
+	s := &n.Setting
+	return address != "" && slices.Contains([]string{s.Listen.Callers, s.Listen.Ready, s.PeerAddress(), s.MetricsAddress()}, address)
+}
+
 // decodeWorker returns the worker that an entry names, nil for none.
 func (n *Node) decodeWorker(r port.Record) *worker.Worker {
 	if len(r.Value) == 0 {
 		return nil
 	}
 	w, err := n.Ports.Feeds.DecodeWorker(r)
+	if err == nil && n.listensOn(w.Address) {
+		err = errors.Errorf("address %s is this node's own", w.Address)
+	}
 	if err == nil {
 		w.Revision = r.Offset
 		n.unreadable.Delete(r.Key)
