Fleet: an order to an instance that is gone does not keep its kind from a pool

Cause: the platform gives one response if there is no such instance and if the pool takes other instances (400). The holder of the role for instances took it for the second and kept the instance's kind from the pool for as long as it held the role. Evacuations only empty the pool; it then gets nothing back.

Ruled out: evacuations or actions that have ended and still count, a holder that does not plan.

A kind is kept from a pool while the instance whose order was rejected is listed. Once it is not, others of its kind may move; if the pool does take none, the next response says so again, of an instance that is listed.

--- a/services/fleet/exchange_test.go
+++ b/services/fleet/exchange_test.go
@@ -20,7 +20,7 @@
 func exchangeView(ofB int) *view {
 	v := &view{
 		now: time.Unix(1000, 0), instances: make(map[string]port.Instance), pools: map[string]*poolState{"a": {}, "b": {}}, headroom: "off",
-		actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: 2 * time.Second,
+		actions: make(map[string]*action), barred: make(map[barredMove]string), maintenanceTime: 2 * time.Second,
 	}
 	for pool, n := range map[string]int{"a": 5, "b": ofB} {
 		r := &v.pools[pool].report
--- a/services/fleet/free.go
+++ b/services/fleet/free.go
@@ -126,7 +126,7 @@
 	}
 	s := &sources{}
 	for _, g := range v.sourceGroups() {
-		if !v.barred[barredMove{g.kind, pool}] {
+		if !v.bars(g.kind, pool) {
 			s.groups, s.inRack = append(s.groups, g), append(s.inRack, v.counts.racks[poolRack{pool, g.rack}])
 		}
 	}
--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -123,7 +123,7 @@
 	m.orders = make(map[string]intent)
 	m.surges = make(map[string]surgeRecord)
 	m.view = view{
-		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: m.Limits.MaintenanceTime,
+		pools: make(map[string]*poolState), actions: make(map[string]*action), barred: make(map[barredMove]string), maintenanceTime: m.Limits.MaintenanceTime,
 		ordersPerSecond: m.Limits.OrdersPerSecond, moveWorth: m.Limits.MoveWorth,
 	}
 	if err := m.restore(records); err != nil {
--- a/services/fleet/order.go
+++ b/services/fleet/order.go
@@ -224,7 +224,7 @@
 		// The next plan sends it again.
 	case errkind.Is(err, errkind.NotFound):
 		if a.to != "" {
-			m.view.barred[barredMove{kind(m.view.instances[a.instance]), a.to}] = true
+			m.view.barred[barredMove{kind(m.view.instances[a.instance]), a.to}] = a.instance
 		}
 		delete(m.view.actions, a.instance)
 		a.stage = emptying
--- a/services/fleet/order_test.go
+++ b/services/fleet/order_test.go
@@ -18,6 +18,7 @@
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/services/port"
+	"github.com/yardbridge/yardbridge/services/scheduler"
 	"github.com/yardbridge/yardbridge/standin/world"
 )
 
@@ -120,3 +121,43 @@
 		})
 	}
 }
+
+// TestRejectedMoveOfAGoneInstance guards against a pool that gets no instance any more (LOST): the platform rejects an
+// order in the same way if the instance is gone and if the pool doesn't accept its kind, and the kind was kept from the
+// pool for good. It is only while the instance is listed.
+func TestRejectedMoveOfAGoneInstance(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed []string // after the order was rejected
+		want   int      // moves to the pool
+	}{
+		"the instance is listed no more": {[]string{"other"}, 1},
+		"the instance is listed":         {[]string{"first", "other"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &Manager{
+				Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: world.New(1).Store("n1"), Logger: log.Nop()}, Logger: log.Nop(),
+			}
+			m.Instances.Move = func(context.Context, port.Issuer, string, string) error {
+				return errkind.New(errkind.NotFound, "no such instance, or the pool does not accept it")
+			}
+			assert.NilError(t, m.Claim(t.Context(), "n1"))
+			m.view.headroom, m.view.pools["p"] = "off", &poolState{report: scheduler.Report{MinWorkers: 1}}
+			m.listOff("first")
+			assert.Equal(t, len(m.view.plan()), 1)
+			assert.NilError(t, m.act(t.Context()))
+			m.listOff(c.listed...)
+			for range 2 {
+				assert.Equal(t, len(m.view.plan()), c.want)
+				clear(m.view.actions)
+			}
+		})
+	}
+}
+
+// listOff lists instances of one kind that are off.
+func (m *Manager) listOff(names ...string) {
+	m.view.instances = make(map[string]port.Instance)
+	for _, name := range names {
+		m.view.instances[name] = port.Instance{Name: name, Pool: "off", Condition: port.Up, Labels: []string{"a", "r-0"}, Capacity: fleetSize}
+	}
+}
--- a/services/fleet/outlook.go
+++ b/services/fleet/outlook.go
@@ -227,7 +227,7 @@
 func (v *view) potential(pool string, off map[string][]capacity.Change) []capacity.Change {
 	var all []capacity.Change
 	for kind, list := range off {
-		if !v.barred[barredMove{kind, pool}] {
+		if !v.bars(kind, pool) {
 			all = append(all, list...)
 		}
 	}
--- a/services/fleet/overlap_test.go
+++ b/services/fleet/overlap_test.go
@@ -72,7 +72,7 @@
 	l := &scriptedLoad{
 		view: &view{
 			now: time.Unix(1000, 0), instances: make(map[string]port.Instance), pools: make(map[string]*poolState), headroom: "off",
-			actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: 2 * time.Second,
+			actions: make(map[string]*action), barred: make(map[barredMove]string), maintenanceTime: 2 * time.Second,
 		},
 		r: rand.New(rand.NewPCG(seed, 1)), workers: make(map[string]*scriptedWorker), waiting: make(map[string]int),
 		rate: make(map[string]*[2]float64), slack: patientSlack,
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -24,11 +24,11 @@
 	headroom        string // the pool whose instances are off, "" for none
 	evacuated       evacuation.List
 	waves           []*waveState
-	actions         map[string]*action  // by instance
-	maintenanceTime time.Duration       // duration of a maintenance
-	moveWorth       time.Duration       // how long an idle instance is kept, 0 for the default
-	barred          map[barredMove]bool // moves that the platform rejects
-	counts          *counts             // of the current or the newest plan
+	actions         map[string]*action    // by instance
+	maintenanceTime time.Duration         // duration of a maintenance
+	moveWorth       time.Duration         // how long an idle instance is kept, 0 for the default
+	barred          map[barredMove]string // moves that the platform rejects, and an instance whose order it has rejected
+	counts          *counts               // of the current or the newest plan
 
 	ordersPerSecond     float64               // that the platform accepts, 0 for no limit
 	coming              map[string]arrival    // instances on their way to pools, by name
@@ -39,6 +39,21 @@
 // barredMove is a move that the platform rejects: instances of a kind to a pool.
 type barredMove struct{ kind, pool string }
 
+// bars reports whether the platform rejects moves of a kind to a pool, as far as is known.
+func (v *view) bars(kind, pool string) bool {
+	_, barred := v.barred[barredMove{kind, pool}]
+	return barred
+}
+
+// liftBars admits moves again whose rejected instance is not listed any more: the platform rejects an order in the
+// same way if its instance is gone.
+func (v *view) liftBars() {
+	maps.DeleteFunc(v.barred, func(_ barredMove, instance string) bool {
+		_, listed := v.instances[instance]
+		return !listed
+	})
+}
+
 // kind returns an instance's kind, which is its first label.
 func kind(i port.Instance) string {
 	if len(i.Labels) == 0 {
@@ -49,6 +64,7 @@
 
 // plan returns the actions to begin now.
 func (v *view) plan() []*action {
+	v.liftBars()
 	v.count()
 	size := v.smallest()
 	for name, p := range v.pools {
@@ -268,7 +284,7 @@
 
 // allowed reports whether an instance may be moved to a pool, as far as is known.
 func (v *view) allowed(i port.Instance, pool string) bool {
-	return !v.barred[barredMove{kind(i), pool}]
+	return !v.bars(kind(i), pool)
 }
 
 // better reports whether one instance suits a pool better than another: first an instance without
--- a/services/fleet/plan_test.go
+++ b/services/fleet/plan_test.go
@@ -35,7 +35,7 @@
 func fleetView(r *rand.Rand, spread bool, surge int) *view {
 	v := &view{
 		now: time.Unix(1000, 0), instances: make(map[string]port.Instance), pools: make(map[string]*poolState), headroom: "off",
-		actions: make(map[string]*action), barred: make(map[barredMove]bool), maintenanceTime: 2 * time.Second,
+		actions: make(map[string]*action), barred: make(map[barredMove]string), maintenanceTime: 2 * time.Second,
 	}
 	for p := range fleetPools {
 		v.pools[fmt.Sprint("p", p)] = &poolState{}
