Fleet: a pool for which no instance is left does not keep others from theirs

What callers would see: a pool that lacks instances gets none while some are off, as another pool lacks more and takes none of those (LOST).

Cause: filling pools goes by the largest lack and ended with the first pool for which no instance is found. It goes on with the other pools now. This has a part where pools take instances of different kinds.

Before and after: TestPoolWithoutASourceHoldsUpNoOther failed before.

--- a/services/fleet/order_test.go
+++ b/services/fleet/order_test.go
@@ -161,3 +161,21 @@
 		m.view.instances[name] = port.Instance{Name: name, Pool: "off", Condition: port.Up, Labels: []string{"a", "r-0"}, Capacity: fleetSize}
 	}
 }
+
+// TestPoolWithoutASourceHoldsUpNoOther guards against pools that get no instances (LOST) while others are off: the pool
+// that lacks most takes instances of another kind, of which there is none.
+func TestPoolWithoutASourceHoldsUpNoOther(t *testing.T) {
+	m := &Manager{Journal: &journal.Journal{Partition: port.Partition{Topic: "t"}, Store: world.New(1).Store("n1"), Logger: log.Nop()}, Logger: log.Nop()}
+	assert.NilError(t, m.Claim(t.Context(), "n1"))
+	m.view.headroom = "off"
+	m.view.pools["p"] = &poolState{report: scheduler.Report{MinWorkers: 9}}
+	m.view.pools["q"] = &poolState{report: scheduler.Report{MinWorkers: 2}}
+	m.view.barred[barredMove{"a", "p"}] = "first"
+	m.listOff("first", "second", "third")
+	moves := 0
+	for _, a := range m.view.plan() {
+		assert.Equal(t, a.to, "q")
+		moves++
+	}
+	assert.Equal(t, moves, 3)
+}
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -165,14 +165,16 @@
 // instances are off and from pools with more than that need.
 func (v *view) fill(need func(*poolState) int) []*action {
 	var began []*action
+	var without []string // pools for which no instance is left
 	for {
-		pool, lack := v.largestLack(need)
+		pool, lack := v.largestLack(need, without)
 		if lack <= 0 {
 			return began
 		}
 		i, found := v.findSource(pool, "", need)
 		if !found {
-			return began
+			without = append(without, pool)
+			continue
 		}
 		a := v.begin(i, pool, 0)
 		v.add(a)
@@ -224,10 +226,13 @@
 	return true
 }
 
-// largestLack returns the pool that lacks the most instances, and how many.
-func (v *view) largestLack(need func(*poolState) int) (string, int) {
+// largestLack returns the pool that lacks the most instances, and how many, among all but some pools.
+func (v *view) largestLack(need func(*poolState) int, without []string) (string, int) {
 	best, most := "", 0
 	for pool, p := range v.pools {
+		if slices.Contains(without, pool) {
+			continue
+		}
 		lack := need(p) + v.swaps(pool) - v.supply(pool)
 		if lack > most || lack == most && lack > 0 && pool < best {
 			best, most = pool, lack
