--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -234,10 +234,12 @@
 func (j *Journal) send(ctx context.Context, a *pendingAppend) error {
 	mayGiveUp := a.mayGiveUp
 	for try := 1; ; try++ {
-		sent := j.Clock.Now()
+		sent, confirms := j.Clock.Now(), !a.confirmsNothing.Load()
 		err := j.Store.Append(ctx, a.at, a.writer, a.records)
-		if err == nil {
+		if err == nil && confirms {
 			j.noteSuccess(sent)
+		}
+		if err == nil {
 			return nil
 		}
 		j.Logger.Warn().Str("event", "append").Str("topic", a.at.Topic).Int("part", a.at.Index).Uint64("epoch", a.writer.Epoch).
@@ -254,7 +256,7 @@
 	}
 }
 
-// noteSuccess records the success of an append that was sent at a time.
+// noteSuccess records the success of an append that was sent at a time and confirms this process as the writer.
 func (j *Journal) noteSuccess(sent time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/services/journal/part_writer.go
+++ b/services/journal/part_writer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/codec"
@@ -32,6 +33,10 @@
 	mark   *standbyMark      // the mark among its records, nil for none
 	done   chan struct{}     // closed once err is known
 	err    error
+
+	// confirmsNothing states that a success does not show that this process is the writer: the append goes to the
+	// standby partition, which the next writer need not have fenced, as the mark does not say that it is in use.
+	confirmsNothing atomic.Bool
 }
 
 func (w *partWriter) idle() bool { return w.pending == nil }
--- a/services/journal/standby.go
+++ b/services/journal/standby.go
@@ -135,15 +135,17 @@
 		return nil
 	}
 	s.lastProbe = j.Clock.Now()
+	var a *pendingAppend
 	if s.fenced {
-		s.start(ctx, j, s.nextAppend(s.deletions()))
-		return nil
-	}
-	a, err := s.claim(j.Standby, claim{Epoch: j.Epoch()})
-	if err != nil {
-		return err
+		a = s.nextAppend(s.deletions())
+	} else {
+		var err error
+		if a, err = s.claim(j.Standby, claim{Epoch: j.Epoch()}); err != nil {
+			return err
+		}
+		a.mayGiveUp = false
 	}
-	a.mayGiveUp = false
+	a.confirmsNothing.Store(!s.mark.InUse)
 	s.start(ctx, j, a)
 	return nil
 }
@@ -230,6 +232,9 @@
 	a := j.primary.nextAppend(slices.Concat(copies, records, []port.Record{{Key: keyStandby, Value: value}}))
 	a.copies, a.mark = s.versions(copies, records), &m
 	s.mark.InUse = s.mark.InUse && m.InUse // a standby partition that is being disabled is no longer used
+	if !m.InUse && !s.idle() {
+		s.pending.confirmsNothing.Store(true)
+	}
 	j.primary.start(ctx, j, a)
 	return a, nil
 }
--- a/services/journal/standby_test.go
+++ b/services/journal/standby_test.go
@@ -348,3 +348,37 @@
 	h.unconfirmed = nil
 	assert.Assert(h.t, maps.Equal(got, h.persisted), "seed %d: read %v, persisted %v, or with the last batch %v", h.seed, got, h.persisted, with)
 }
+
+// TestUnusedStandbyConfirmsNothing guards against a replaced writer that takes a response of its standby partition
+// for a confirmation: the mark in the primary states that the standby is not in use, so the next writer has fenced
+// the primary only, and the earlier one's probe of the standby succeeds.
+func TestUnusedStandbyConfirmsNothing(t *testing.T) {
+	withFakeClock(t, func(t *testing.T, ctx context.Context, w *world.World) {
+		j := newJournal(w, "n1")
+		_, err := j.Claim(ctx, "n1")
+		assert.NilError(t, err)
+		put := func() {
+			assert.NilError(t, j.Append(ctx, []port.Record{{Key: "a", Value: []byte("1")}}))
+			time.Sleep(batchGap)
+		}
+		for range 3 { // the last one states that the standby partition is in use
+			put()
+		}
+		w.SetOutage(standbyAt, world.Unresponsive)
+		time.Sleep(standbyMinPeriod)
+		put() // probes the standby partition
+		time.Sleep(2 * standbyTimeout)
+		put() // states that it is not in use
+		_, err = newJournal(w, "n2").Claim(ctx, "n2")
+		assert.NilError(t, err)
+		replacedAt := time.Now()
+		w.SetOutage(primaryAt, world.Unresponsive)
+		w.SetOutage(standbyAt, world.Available)
+		time.Sleep(3 * time.Second) // the probe succeeds
+		assert.Assert(t, !j.LastConfirmed().After(replacedAt), "confirmed %s after it was replaced", j.LastConfirmed().Sub(replacedAt))
+		bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		assert.Assert(t, j.Confirm(bounded) != nil, "a replaced writer is confirmed")
+		assert.Assert(t, !j.LastConfirmed().After(replacedAt), "confirmed %s after it was replaced", j.LastConfirmed().Sub(replacedAt))
+	})
+}
--- a/services/ownership/statements_test.go
+++ b/services/ownership/statements_test.go
@@ -40,7 +40,9 @@
 // as the owner has read, that is claiming the pool, or another one that responds at an earlier node's address.
 func TestStatementsOfAllNodesAreEvidence(t *testing.T) {
 	clean := func(n string) (Statement, error) { return Statement{Node: n}, nil }
-	silent := func(string) (Statement, error) { return Statement{}, errkind.New(errkind.OutcomeUnknown, "no response") }
+	silent := func(string) (Statement, error) {
+		return Statement{}, errkind.New(errkind.OutcomeUnknown, "no response")
+	}
 	for _, c := range []struct {
 		name    string
 		third   func(n string) (Statement, error) // what the third node states
