Ownership: a replaced owner's request to take its pool over is refused

What callers saw: the pool of a successor changes its owner once more when the owner that it replaced reaches the store again: seconds in which nothing starts.

Cause: an owner whose appends are stuck asks another node to take the pool over, and that one claimed the pool from whoever owned it by then. A replaced owner does not know its successor.

--- a/node/node.go
+++ b/node/node.go
@@ -249,7 +249,8 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: o.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Confirmed: j.LastConfirmed, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
+	replace := func(epoch uint64) { j.Replaces = epoch }
+	return &ownership.RoleRunner{Claim: o.Claim, Replace: replace, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Confirmed: j.LastConfirmed, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
 }
 
 // openFleet returns the runner that manages instances.
@@ -271,7 +272,8 @@
 		defer n.progress.Store(&fleet.Progress{})
 		return m.Run(ctx)
 	}
-	return &ownership.RoleRunner{Claim: m.Claim, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done, Size: m.Size}
+	replace := func(epoch uint64) { j.Replaces = epoch }
+	return &ownership.RoleRunner{Claim: m.Claim, Replace: replace, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done, Size: m.Size}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -46,6 +46,7 @@
 	Data     []byte `json:"data,omitempty"`     // an encoded submission
 	// Remaining is how long the caller of a submission still waits, 0 if it states no time limit.
 	Remaining time.Duration `json:"remaining,omitempty"`
+	Epoch     uint64        `json:"epoch,omitempty"` // of the owner that hands the pool over, 0 if not stated
 }
 
 // reportRequest sends cordons to the owner of a pool and requests the pool's report.
@@ -193,7 +194,7 @@
 }
 
 func (n *Node) onTakeOver(ctx context.Context, a poolRequest) (any, error) {
-	return n.Ownership.TakeOver(ctx, a.Pool)
+	return n.Ownership.TakeOver(ctx, a.Pool, a.Epoch)
 }
 
 // local returns the handler of a pool that this node owns, nil for none.
@@ -243,9 +244,9 @@
 	return n.probes.Call(ctx, helper.Address, methodProbeFor, o, &empty{})
 }
 
-func (n *Node) takeOver(ctx context.Context, o directory.Node, pool string) (directory.Ownership, error) {
+func (n *Node) takeOver(ctx context.Context, o directory.Node, pool string, epoch uint64) (directory.Ownership, error) {
 	var ownership directory.Ownership
-	err := n.client.Call(ctx, o.Address, methodTakeOver, poolRequest{Pool: pool}, &ownership)
+	err := n.client.Call(ctx, o.Address, methodTakeOver, poolRequest{Pool: pool, Epoch: epoch}, &ownership)
 	return ownership, err
 }
 
--- a/services/journal/claim.go
+++ b/services/journal/claim.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if j.Replaces > 0 && last.Epoch != j.Replaces {
+		return nil, errkind.New(errkind.Fenced, "the partition was to be taken over from epoch %d, and %q has claimed it at epoch %d", j.Replaces, last.Node, last.Epoch)
+	}
 	inUse, err := j.standbyInUse(ctx, before)
 	if err != nil {
 		return nil, err
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/port"
 	"github.com/yardbridge/yardbridge/standin/world"
@@ -141,3 +142,23 @@
 		assert.Assert(t, claimed.Sub(at) < 3*slow, "nothing was persisted for %s", claimed.Sub(at))
 	})
 }
+
+// TestTakeOverFromAReplacedWriterIsRefused guards against a replaced owner that hands its pool over, as it does not
+// know its successor: the node that it asks must not replace the successor.
+func TestTakeOverFromAReplacedWriterIsRefused(t *testing.T) {
+	withFakeClock(t, func(t *testing.T, ctx context.Context, w *world.World) {
+		claim := func(node string, replaces uint64) (*Journal, error) {
+			j := newJournal(w, node)
+			j.Replaces = replaces
+			_, err := j.Claim(ctx, node)
+			return j, err
+		}
+		_, err := claim("n1", 0)
+		assert.NilError(t, err)
+		second, err := claim("n2", 1)
+		assert.NilError(t, err)
+		_, err = claim("n3", 1)
+		assert.Assert(t, errkind.Is(err, errkind.Fenced), "%v", err)
+		assert.NilError(t, second.Append(ctx, []port.Record{{Key: "k", Value: []byte("1")}}))
+	})
+}
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -11,8 +11,8 @@
 	"github.com/yardbridge/yardbridge/services/directory"
 )
 
-// claim starts to claim a pool unless that is in progress.
-func (s *Manager) claim(pool string) {
+// claim starts to claim a pool unless that is in progress, from its owner at an epoch, or from any if that is 0.
+func (s *Manager) claim(pool string, from uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving || s.running == nil || s.running.Err() != nil || s.Config() == nil || s.owned[pool] != nil || s.claiming[pool] {
@@ -25,13 +25,14 @@
 	}
 	s.claiming[pool] = true
 	s.tasks.Add(1)
-	go claimTask{s, pool}.run(s.running)
+	go claimTask{s, pool, from}.run(s.running)
 }
 
 // claimTask claims one pool and runs its role until the ownership ends.
 type claimTask struct {
 	s    *Manager
 	pool string
+	from uint64 // epoch of the owner to replace, 0 for any
 }
 
 // run claims the pool and serves it until it is no longer owned.
@@ -69,6 +70,9 @@
 		return nil, err
 	}
 	o := t.s.Open(t.pool, slot)
+	if o.Replace != nil {
+		o.Replace(t.from)
+	}
 	if err := o.Claim(ctx, self.Name); err != nil {
 		return nil, err
 	}
@@ -106,10 +110,10 @@
 	}
 }
 
-// TakeOver claims a pool at its owner's request and returns the ownership once the pool is owned
-// here.
-func (s *Manager) TakeOver(ctx context.Context, pool string) (directory.Ownership, error) {
-	s.claim(pool)
+// TakeOver claims a pool at the request of its owner at an epoch, and returns the ownership once the pool is owned
+// here. A request of an owner that was replaced is refused; epoch 0 stands for any owner.
+func (s *Manager) TakeOver(ctx context.Context, pool string, epoch uint64) (directory.Ownership, error) {
+	s.claim(pool, epoch)
 	for {
 		s.mu.Lock()
 		t, claiming, refused := s.owned[pool], s.claiming[pool], s.refused[pool]
--- a/services/ownership/hand_over.go
+++ b/services/ownership/hand_over.go
@@ -106,6 +106,16 @@
 	return t != nil && !s.leaving && t.Stuck(stuckAfter)
 }
 
+// epoch returns the epoch at which this node owns a role, 0 if it does not.
+func (s *Manager) epoch(role string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.owned[role]; t != nil {
+		return t.Epoch()
+	}
+	return 0
+}
+
 // takeOverTimeout bounds the request to one node to take a pool over, where the store is not slow. The
 // next node is asked after it, which moves the pool once more if the first one was only slow.
 const takeOverTimeout = time.Second
@@ -168,9 +178,9 @@
 // handOverTo asks nodes that the store serves, one after the other, to take a pool over.
 func (s *Manager) handOverTo(ctx context.Context, v *directory.View, pool string, able []ableNode) bool {
 	for _, to := range able {
-		name := to.name
+		name, epoch := to.name, s.epoch(pool)
 		bounded, cancel := context.WithTimeout(ctx, max(takeOverTimeout, takeOverSteps*to.took))
-		o, err := s.RequestTakeOver(bounded, v.Nodes[name], pool)
+		o, err := s.RequestTakeOver(bounded, v.Nodes[name], pool, epoch)
 		cancel()
 		if err == nil {
 			s.Directory.Observe(o)
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -20,8 +20,10 @@
 // RoleRunner runs a role while this node owns it.
 type RoleRunner struct {
 	Claim func(ctx context.Context, node string) error // makes this node the owner
-	Run   func(ctx context.Context) error              // runs until this node is no longer the owner
-	Stuck func(least time.Duration) bool               // whether an append has been in progress for this long, or longer if the store is slow
+	// Replace limits Claim to replacing the owner at an epoch; nil if that is not supported.
+	Replace func(epoch uint64)
+	Run     func(ctx context.Context) error // runs until this node is no longer the owner
+	Stuck   func(least time.Duration) bool  // whether an append has been in progress for this long, or longer if the store is slow
 	// PendingFor returns how long an append has been in progress, 0 for none.
 	PendingFor func() time.Duration
 	// Confirmed returns when the store was last asked to confirm the ownership and did so; nil for a role that
@@ -58,8 +60,8 @@
 	// ProbeTakeOver asks another node whether it could take a pool over, that is, whether the store
 	// responds to it, and returns how long the store took.
 	ProbeTakeOver func(ctx context.Context, n directory.Node) (time.Duration, error)
-	// RequestTakeOver asks another node to take a pool over.
-	RequestTakeOver func(ctx context.Context, n directory.Node, pool string) (directory.Ownership, error)
+	// RequestTakeOver asks another node to take a pool over from this one, its owner at an epoch.
+	RequestTakeOver func(ctx context.Context, n directory.Node, pool string, epoch uint64) (directory.Ownership, error)
 	// Ask asks another node for a statement; nil if there are no other nodes.
 	Ask func(ctx context.Context, n directory.Node, q Question) (Statement, error)
 
@@ -160,7 +162,7 @@
 		switch {
 		case !s.mayClaim(v, pool):
 		case rank >= 0 && s.unownedFor(pool) >= time.Duration(rank)*successorTurn:
-			s.claim(pool)
+			s.claim(pool, 0)
 		case rank > 0 && rank <= probesAtOnce:
 			s.probePreceding(ctx, v, pool, successors[pool][:rank])
 		}
--- a/services/ownership/offer.go
+++ b/services/ownership/offer.go
@@ -120,7 +120,7 @@
 	able := q.s.able(ctx, q.v, q.preceding)
 	q.s.Logger.Info().Str("event", "heir").Str("pool", q.pool).Strs("before", q.preceding).Int("able", len(able)).Msg("a pool has no owner; the preceding successors were probed")
 	if len(able) == 0 && ctx.Err() == nil {
-		q.s.claim(q.pool)
+		q.s.claim(q.pool, 0)
 	}
 }
 
--- a/services/ownership/reclaim.go
+++ b/services/ownership/reclaim.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		claims.Go(func() {
-			_, err := s.TakeOver(ctx, role)
+			_, err := s.TakeOver(ctx, role, 0)
 			outcome := "reclaimed"
 			if err != nil {
 				outcome = "not owner"
--- a/services/ownership/spread_test.go
+++ b/services/ownership/spread_test.go
@@ -120,7 +120,7 @@
 				defer f.stop()
 				var moved []string
 				f.s.ProbeTakeOver = func(context.Context, directory.Node) (time.Duration, error) { return time.Millisecond, nil }
-				f.s.RequestTakeOver = func(_ context.Context, n directory.Node, role string) (directory.Ownership, error) {
+				f.s.RequestTakeOver = func(_ context.Context, n directory.Node, role string, _ uint64) (directory.Ownership, error) {
 					assert.Equal(t, n.DataCenter, "y")
 					moved = append(moved, role)
 					return directory.Ownership{Pool: role, Epoch: 4, Node: n.Name, Incarnation: 1}, nil
