A message without end between nodes uses up a process's memory

Whatever connects to a node's port for others may state a length of any size and send as much: the process is killed at its memory limit, and again after its restart.

Cause: a wrong length took no memory, but a true one had no bound.

Evidence: TestLongMessageIsNotRead failed before: 104,857,600 bytes were read.

--- a/modules/rpcconn/conn.go
+++ b/modules/rpcconn/conn.go
@@ -10,8 +10,8 @@
 	"encoding/binary"
 	"encoding/json"
 	stderrors "errors"
+	"fmt"
 	"io"
-	"math"
 	"strconv"
 	"sync"
 
@@ -79,15 +79,22 @@
 // is wrong must not take memory.
 const firstBuffer = 64 << 10
 
+// maxMessage is the largest message, as large as the largest response that is read from the platform: without
+// a bound one connection could use up the memory of the process.
+const maxMessage = 64 << 20
+
 // readMessage reads one message.
 func readMessage(reader *bufio.Reader) (*message, error) {
 	length, err := binary.ReadUvarint(reader)
 	if err != nil {
 		return nil, err
 	}
+	if length > maxMessage {
+		return nil, fmt.Errorf("message of %d bytes; allowed are %d", length, maxMessage)
+	}
 	var data bytes.Buffer
 	data.Grow(int(min(length, firstBuffer)))
-	if _, err := io.CopyN(&data, reader, int64(min(length, math.MaxInt64))); err != nil {
+	if _, err := io.CopyN(&data, reader, int64(length)); err != nil {
 		return nil, err
 	}
 	m := new(message)
--- a/modules/rpcconn/conn_test.go
+++ b/modules/rpcconn/conn_test.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"runtime"
 	"strings"
@@ -109,6 +110,24 @@
 
 // BenchmarkCall measures a call with a short result, and one whose result lists 6,000 instances, over
 // this package's connections and the library's.
+// countingReader yields blanks without end and counts them.
+type countingReader struct{ count int }
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	c.count += len(p)
+	return copy(p, bytes.Repeat([]byte(" "), len(p))), nil
+}
+
+// TestLongMessageIsNotRead guards against a process that is killed for its memory since another one sends a
+// message without end.
+func TestLongMessageIsNotRead(t *testing.T) {
+	var blanks countingReader
+	length := binary.AppendUvarint(nil, 100<<20)
+	_, err := readMessage(bufio.NewReader(io.MultiReader(bytes.NewReader(length), &blanks)))
+	assert.Assert(t, blanks.count < 1<<20, "%d bytes were read", blanks.count)
+	assert.ErrorContains(t, err, "message of 104857600 bytes; allowed are 67108864")
+}
+
 func BenchmarkCall(b *testing.B) {
 	logger := log.Nop()
 	type entry struct {
