A foreign record in the directory counts as a node or a pool

Records of the nodes' own topic are read by all nodes. One whose key names another node or pool than its value, with a capacity that is no number, or with a slot below 0 counted: a node that nobody can reach is offered pools, and a capacity of NaN makes every comparison of nodes false.

Records that can't be decoded were skipped before already, and the test has them now.

What no node writes is skipped, with the log line that unreadable records have. This is a small check only; a record that looks sound and has the highest epoch or incarnation still counts.

--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -222,7 +223,13 @@
 	}
 	for _, r := range records {
 		next.End = max(next.End, r.Offset+1)
-		if err := next.applyRecord(r); err != nil {
+		name := strings.TrimPrefix(r.Key, keyNode)
+		_, registered := next.Nodes[name]
+		err := next.applyRecord(r)
+		if !complete && !registered {
+			next.noteInterruption(name)
+		}
+		if err != nil {
 			d.Logger.Warn().Str("event", "directory").Str("key", r.Key).Err(err).Msg("directory record can't be read and is skipped")
 		}
 	}
@@ -276,6 +283,17 @@
 	}
 }
 
+// noteInterruption corrects since when a node has been registered that was not before its entry: it may have written
+// that before it learned that its earlier entry was removed.
+func (v *View) noteInterruption(name string) {
+	n, registered := v.Nodes[name]
+	if !registered || n.Since == 0 {
+		return
+	}
+	n.Since = max(n.Since, time.Unix(0, int64(n.Incarnation)).UnixMilli()) //nolint:gosec // a time
+	v.Nodes[name] = n
+}
+
 // setView makes a view the newest. The lock is held.
 func (d *Directory) setView(v *View) {
 	d.noteRemoved(v)
@@ -352,11 +370,10 @@
 		if err := codec.Unmarshal(r.Value, &n); err != nil {
 			return err
 		}
-		last, registered := v.Nodes[name]
-		if !registered && n.Since > 0 {
-			n.Since = max(n.Since, time.Unix(0, int64(n.Incarnation)).UnixMilli()) //nolint:gosec // a time; its entry was removed before
+		if !n.valid(name) {
+			return errkind.New(errkind.BadRequest, "entry of a node named %.60q has another name, or limits that are no numbers from 0 on", n.Name)
 		}
-		if n.Incarnation >= last.Incarnation {
+		if n.Incarnation >= v.Nodes[name].Incarnation {
 			v.Nodes[name] = n
 		}
 		return nil
@@ -364,17 +381,32 @@
 	if queue, isQueue := strings.CutPrefix(r.Key, keyQueue); isQueue {
 		return v.applyQueue(queue, r.Value)
 	}
-	if _, isPool := strings.CutPrefix(r.Key, keyPool); !isPool || len(r.Value) == 0 {
+	pool, isPool := strings.CutPrefix(r.Key, keyPool)
+	if !isPool || len(r.Value) == 0 {
 		return nil
 	}
 	var o Ownership
 	if err := codec.Unmarshal(r.Value, &o); err != nil {
 		return err
 	}
+	if o.Pool != pool || o.Slot < 0 {
+		return errkind.New(errkind.BadRequest, "entry of pool %.60q at slot %d has another name, or a slot below 0", o.Pool, o.Slot)
+	}
 	v.update(o)
 	return nil
 }
 
+// valid reports whether an entry is one that a node of the name writes. A limit that is no number would make every
+// comparison of nodes false.
+func (n Node) valid(name string) bool {
+	for _, limit := range []float64{n.Cores, n.LinkMbps, float64(n.MemoryMB), float64(n.Descriptors)} {
+		if math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+			return false
+		}
+	}
+	return n.Name == name
+}
+
 // update applies an ownership unless a newer one is known: a record may have been written late.
 func (v *View) update(o Ownership) bool {
 	known, has := v.Pools[o.Pool]
--- a/services/directory/directory_test.go
+++ b/services/directory/directory_test.go
@@ -4,8 +4,13 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yardbridge/yardbridge/modules/codec"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/port"
 )
@@ -63,3 +69,48 @@
 		assert.Equal(t, count(), nodes)
 	})
 }
+
+// TestOddRecords guards against a foreign record that counts as a node or a pool, or keeps the records beside it from
+// counting. Each has one log line that names its key.
+func TestOddRecords(t *testing.T) {
+	encode := func(v any) []byte {
+		data, err := codec.Marshal(v)
+		assert.NilError(t, err)
+		return data
+	}
+	odd := map[string][]byte{
+		keyNode + "other":  encode(Node{Name: "n-9", Incarnation: 1}),
+		keyNode + "nan":    encode(Node{Name: "nan", Incarnation: 1, Cores: math.NaN()}),
+		keyNode + "inf":    encode(Node{Name: "inf", Incarnation: 1, LinkMbps: math.Inf(1)}),
+		keyNode + "below":  encode(Node{Name: "below", Incarnation: 1, MemoryMB: -1}),
+		keyNode + "nested": bytes.Repeat([]byte{0x81}, 100_000),
+		keyNode + "text":   []byte("{}"),
+		keyPool + "other":  encode(Ownership{Pool: "q", Epoch: 9}),
+		keyPool + "slot":   encode(Ownership{Pool: "slot", Slot: -1}),
+		keyPool + "\xff":   encode(map[int]string{1: "\xff"}),
+		keyPool + "number": encode(map[int]any{1: "number", 2: 1e300}),
+		keyQueue + "x":     encode(map[string]int{"a": 1}),
+		keyQueue + "long":  {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+	}
+	ignored := map[string][]byte{"": {1}, "x": {1}, strings.Repeat("\xff", 255): {1}}
+	records := []port.Record{{Key: keyNode + "n-1", Value: encode(Node{Name: "n-1", Incarnation: 1, Cores: 2})}}
+	for _, list := range []map[string][]byte{odd, ignored} {
+		for key, value := range list {
+			records = append(records, port.Record{Key: key, Value: value})
+		}
+	}
+	records = append(records, port.Record{Key: keyPool + "p", Value: encode(Ownership{Pool: "p", Slot: 3, Epoch: 1})})
+	var lines strings.Builder
+	logger, err := log.New(&lines, "info", "n-1")
+	assert.NilError(t, err)
+	d := &Directory{Logger: logger, Self: Node{Name: "n-1", Incarnation: 1}}
+	d.apply(records, uint64(len(records)), true)
+	v, _ := d.View()
+	assert.DeepEqual(t, slices.Collect(maps.Keys(v.Nodes)), []string{"n-1"})
+	assert.DeepEqual(t, v.Pools, map[string]Ownership{"p": {Pool: "p", Slot: 3, Epoch: 1}})
+	assert.Equal(t, len(v.Queues), 0)
+	assert.Equal(t, strings.Count(lines.String(), "is skipped"), len(odd), lines.String())
+	for line := range strings.Lines(lines.String()) {
+		assert.Assert(t, len(line) < 600, "%d bytes: %.100s", len(line), line)
+	}
+}
