Keys that are not UTF-8 make a node read one page for ever

A page of newest records spells a key that is not UTF-8 otherwise, so "go on after this key" may return the same page again. The node would keep all of them until it is killed for its memory, and again after its restart. It takes a page full of such keys; whether the users' store accepts them is not known.

Reading ends at a page that does not go on after the last key, with one log line. Such keys sort after all others, so all sound records have been read by then.

--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -100,7 +100,15 @@
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := page.Records[len(page.Records)-1].Key
+		if last <= after {
+			// A key that is not UTF-8 is spelled otherwise in a page, so that the next page after it would be the same
+			// one for ever. Such keys sort after all others.
+			f.Logger.Error().Str("event", "follow").Str("topic", f.Partition.Topic).Str("key", last).Int("records", len(records)).
+				Str("outcome", "list cut off").Msg("the newest records do not go on after a key; the keys after it are not read")
+			break
+		}
+		after = last
 	}
 	f.succeeded()
 	f.wait = f.Wait
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -109,3 +110,47 @@
 		<-ended
 	})
 }
+
+// TestKeysThatAreSpelledOtherwise guards against a process that reads the same page of a partition until its memory is
+// used up: keys that are not UTF-8 fill a page, and what the page spells them as sorts before them. The records before
+// them are used, and one line says so.
+func TestKeysThatAreSpelledOtherwise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines strings.Builder
+		logger, err := log.New(&lines, "info", "n1")
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		pages := 0
+		var applied []port.Record
+		f := Follower{
+			Store: port.Store{
+				Newest: func(_ context.Context, _ port.Partition, after string) (port.Page, error) {
+					if pages++; pages >= 100 {
+						cancel()
+						return port.Page{}, ctx.Err()
+					}
+					if after == "" {
+						return port.Page{Records: []port.Record{{Key: "a"}}, More: true, End: 1}, nil
+					}
+					return port.Page{Records: []port.Record{{Key: "\ufffd"}}, More: true, End: 1}, nil
+				},
+				Read: func(ctx context.Context, _ port.Partition, _ uint64, _ time.Duration) (port.Tail, error) {
+					<-ctx.Done()
+					return port.Tail{}, ctx.Err()
+				},
+			},
+			Logger: logger, Apply: func(records []port.Record, _ uint64, _ bool) { applied = records },
+		}
+		ended := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(ended)
+		}()
+		synctest.Wait()
+		cancel()
+		<-ended
+		assert.Equal(t, pages, 3)
+		assert.Equal(t, applied[0].Key, "a")
+		assert.Equal(t, strings.Count(lines.String(), "list cut off"), 1, lines.String())
+	})
+}
