Ownership: statements and claims hold over restarts of nodes

A review of the evidence of ownership found executions in which a replaced owner still extends leases, and pools that stay without an owner.

- A process that had just started stated that no node had claimed the pool, which an earlier process of its own node had.
A process without a view makes no statement now, and that time is recorded only once the ownership is published.
- The age of the directory counted from the response, not from the request; a poll read the clock twice.
- Statements beyond a minute after the store's last response rested on nodes that had been forgotten.
- At more than 700 nodes statements were asked for too seldom to be evidence.

Five tests are new, for what no test had noticed when it was taken out: evidence that counts from its response, a claim that is not observed, acknowledgements without the node or of another process, and an entry that was removed.

--- a/node/node.go
+++ b/node/node.go
@@ -249,8 +249,7 @@
 		n.initOwner(ctx, o)
 		return o.Run(ctx)
 	}
-	replace := func(epoch uint64) { j.Replaces = epoch }
-	return &ownership.RoleRunner{Claim: o.Claim, Replace: replace, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Confirmed: j.LastConfirmed, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
+	return &ownership.RoleRunner{Claim: o.Claim, Terms: &j.Terms, Published: o.NotePublished, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Confirmed: j.LastConfirmed, Epoch: o.Epoch, Done: o.Done, Size: o.Size}
 }
 
 // openFleet returns the runner that manages instances.
@@ -272,8 +271,7 @@
 		defer n.progress.Store(&fleet.Progress{})
 		return m.Run(ctx)
 	}
-	replace := func(epoch uint64) { j.Replaces = epoch }
-	return &ownership.RoleRunner{Claim: m.Claim, Replace: replace, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done, Size: m.Size}
+	return &ownership.RoleRunner{Claim: m.Claim, Terms: &j.Terms, Run: run, Stuck: j.IsStuck, PendingFor: j.PendingFor, Epoch: m.Epoch, Done: m.Done, Size: m.Size}
 }
 
 // owner returns the owner of a pool on this node, nil for none.
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -163,7 +163,7 @@
 
 // onAsk returns whether pools of another node have a later owner, as far as this node knows.
 func (n *Node) onAsk(_ context.Context, q ownership.Question) (any, error) {
-	return n.Ownership.Statement(q), nil
+	return n.Ownership.Statement(q)
 }
 
 // askBy returns the function that asks another node whether pools of this one have a later owner.
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -42,9 +42,9 @@
 	LinkMbps    float64 `cbor:"6,keyasint,omitempty"` // of its network link, 0 if not set
 	MemoryMB    int64   `cbor:"7,keyasint,omitempty"` // of the process, 0 if unknown
 	Descriptors int     `cbor:"8,keyasint,omitempty"` // that the process may have open, 0 if unknown
-	// Since is since when a process of this name has been registered without interruption, in milliseconds since
-	// 1970; 0 if unknown.
-	Since int64 `cbor:"9,keyasint,omitempty"`
+	// First is the offset after the entry with which a process of this name registered first, without an interruption
+	// since then; 0 in that entry.
+	First uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Limits returns the node's limits.
@@ -160,6 +160,9 @@
 // Age returns how long ago the directory was read from the store.
 func (d *Directory) Age() time.Duration { return d.follower.Age() }
 
+// RequestAge returns how long ago the last read of the directory from the store was requested.
+func (d *Directory) RequestAge() time.Duration { return d.follower.RequestAge() }
+
 // Merge merges another node's view of the directory: its nodes if that node has read further, and
 // its newer owners.
 func (d *Directory) Merge(v *View) {
@@ -223,13 +226,7 @@
 	}
 	for _, r := range records {
 		next.End = max(next.End, r.Offset+1)
-		name := strings.TrimPrefix(r.Key, keyNode)
-		_, registered := next.Nodes[name]
-		err := next.applyRecord(r)
-		if !complete && !registered {
-			next.noteInterruption(name)
-		}
-		if err != nil {
+		if err := next.applyRecord(r, complete); err != nil {
 			d.Logger.Warn().Str("event", "directory").Str("key", r.Key).Err(err).Msg("directory record can't be read and is skipped")
 		}
 	}
@@ -283,17 +280,6 @@
 	}
 }
 
-// noteInterruption corrects since when a node has been registered that was not before its entry: it may have written
-// that before it learned that its earlier entry was removed.
-func (v *View) noteInterruption(name string) {
-	n, registered := v.Nodes[name]
-	if !registered || n.Since == 0 {
-		return
-	}
-	n.Since = max(n.Since, time.Unix(0, int64(n.Incarnation)).UnixMilli()) //nolint:gosec // a time
-	v.Nodes[name] = n
-}
-
 // setView makes a view the newest. The lock is held.
 func (d *Directory) setView(v *View) {
 	d.noteRemoved(v)
@@ -359,8 +345,8 @@
 	return d.view.Nodes[name].Incarnation
 }
 
-// applyRecord applies one record to a view that is being built.
-func (v *View) applyRecord(r port.Record) error {
+// applyRecord applies one record to a view that is being built, from all newest records or from those added.
+func (v *View) applyRecord(r port.Record, complete bool) error {
 	if name, isNode := strings.CutPrefix(r.Key, keyNode); isNode {
 		if len(r.Value) == 0 {
 			delete(v.Nodes, name)
@@ -373,7 +359,11 @@
 		if !n.valid(name) {
 			return errkind.New(errkind.BadRequest, "entry of a node named %.60q has another name, or limits that are no numbers from 0 on", n.Name)
 		}
-		if n.Incarnation >= v.Nodes[name].Incarnation {
+		last, registered := v.Nodes[name]
+		if n.First == 0 || !complete && !registered { // its earlier entry was removed before this one was written
+			n.First = r.Offset + 1
+		}
+		if n.Incarnation >= last.Incarnation {
 			v.Nodes[name] = n
 		}
 		return nil
@@ -515,10 +505,8 @@
 func (d *Directory) registration() Node {
 	v, _ := d.View()
 	own := d.Self
-	if own.Since = d.Clock.WallTime(d.Clock.Now()).UnixMilli(); v != nil {
-		if earlier, registered := v.Nodes[own.Name]; registered {
-			own.Since = earlier.Since
-		}
+	if v != nil {
+		own.First = v.Nodes[own.Name].First
 	}
 	return own
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -44,6 +44,7 @@
 	wait         time.Duration // of the next read
 	failingSince time.Time     // since when reads fail
 	lastRead     atomic.Int64  // when the last successful read was, in nanoseconds since 1970
+	requested    atomic.Int64  // when that read was requested, the same
 }
 
 // Age returns how long ago the last successful read was.
@@ -51,6 +52,12 @@
 	return f.Clock.Now().Sub(time.Unix(0, f.lastRead.Load()))
 }
 
+// RequestAge returns how long ago the last successful read was requested: what was added since may not be in it,
+// however late its response was read.
+func (f *Follower) RequestAge() time.Duration {
+	return f.Clock.Now().Sub(time.Unix(0, f.requested.Load()))
+}
+
 // Run follows the partition until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -87,7 +94,7 @@
 func (f *Follower) readNewest(ctx context.Context) (uint64, error) {
 	var records []port.Record
 	from := uint64(0)
-	after := ""
+	after, requestedAt := "", f.Clock.Now()
 	for first := true; ; first = false {
 		page, err := f.Store.Newest(ctx, f.Partition, after)
 		if err != nil {
@@ -110,7 +117,7 @@
 		}
 		after = last
 	}
-	f.succeeded()
+	f.succeeded(requestedAt)
 	f.wait = f.Wait
 	f.Apply(records, from, true)
 	return from, nil
@@ -119,6 +126,7 @@
 // readTail reads the records from an offset on and returns the offset to continue from. A failed
 // read is retried from there.
 func (f *Follower) readTail(ctx context.Context, from uint64) (uint64, error) {
+	requestedAt := f.Clock.Now()
 	tail, err := f.Store.Read(ctx, f.Partition, from, f.wait)
 	if err != nil {
 		f.wait = f.Wait
@@ -128,7 +136,7 @@
 		}
 		return from, err
 	}
-	f.succeeded()
+	f.succeeded(requestedAt)
 	if len(tail.Records) == 0 {
 		f.wait = max(f.Wait, min(2*f.wait, f.MaxWait))
 		return from, nil
@@ -152,8 +160,9 @@
 	f.sleep(ctx, retryPause)
 }
 
-func (f *Follower) succeeded() {
+func (f *Follower) succeeded(requestedAt time.Time) {
 	f.lastRead.Store(f.Clock.Now().UnixNano())
+	f.requested.Store(requestedAt.UnixNano())
 	if f.failingSince.IsZero() {
 		return
 	}
--- a/services/journal/claim.go
+++ b/services/journal/claim.go
@@ -18,10 +18,22 @@
 // keyClaim is the key of the claim of a partition's writer; it sorts before all others.
 const keyClaim = "!claim"
 
-// claim is the record of a process that has become the writer.
-type claim struct {
-	Epoch uint64 `cbor:"1,keyasint"`
-	Node  string `cbor:"2,keyasint"`
+// Claim is the record of a process that has become the writer.
+type Claim struct {
+	Epoch       uint64 `cbor:"1,keyasint"`
+	Node        string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint,omitempty"` // of the node's process, 0 if unknown
+	Read        uint64 `cbor:"4,keyasint,omitempty"` // offset up to which the process had read the directory, 0 if unknown
+}
+
+// Terms are what a process states in its claim, and the condition under which it claims; the zero value states
+// nothing and has none.
+type Terms struct {
+	Incarnation uint64
+	Read        uint64
+	// Check returns an error if the process may not replace the last writer, whose claim has epoch 0 if there is
+	// none. It is called just before the partition is fenced; nil permits any.
+	Check func(last Claim) error
 }
 
 // The pauses before an unsuccessful call is repeated. A claim is sent until its outcome is known: if
@@ -41,18 +53,20 @@
 	if err != nil {
 		return nil, err
 	}
-	last, err := decodeRecord[claim](before.records, keyClaim)
+	last, err := decodeRecord[Claim](before.records, keyClaim)
 	if err != nil {
 		return nil, err
 	}
-	if j.Replaces > 0 && last.Epoch != j.Replaces {
-		return nil, errkind.New(errkind.Fenced, "the partition was to be taken over from epoch %d, and %q has claimed it at epoch %d", j.Replaces, last.Node, last.Epoch)
-	}
 	inUse, err := j.standbyInUse(ctx, before)
 	if err != nil {
 		return nil, err
 	}
-	own := claim{Epoch: last.Epoch + 1, Node: node}
+	if j.Terms.Check != nil {
+		if err := j.Terms.Check(last); err != nil {
+			return nil, err
+		}
+	}
+	own := Claim{Epoch: last.Epoch + 1, Node: node, Incarnation: j.Terms.Incarnation, Read: j.Terms.Read}
 	j.mu.Lock()
 	j.epoch = own.Epoch
 	j.mu.Unlock()
@@ -76,7 +90,7 @@
 }
 
 // claimPrimary fences the primary partition and returns its newest records.
-func (j *Journal) claimPrimary(ctx context.Context, own claim, before reading) ([]port.Record, error) {
+func (j *Journal) claimPrimary(ctx context.Context, own Claim, before reading) ([]port.Record, error) {
 	if err := j.fence(ctx, &j.primary, j.Partition, own); err != nil {
 		return nil, err
 	}
@@ -84,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if by, err := decodeRecord[claim](records, keyClaim); err != nil || by != own {
+	if by, err := decodeRecord[Claim](records, keyClaim); err != nil || by != own {
 		return nil, errkind.New(errkind.Conflict, "partition was claimed by %q at epoch %d (%v)", by.Node, by.Epoch, err)
 	}
 	return records, nil
@@ -102,7 +116,7 @@
 }
 
 // fence raises a partition's epoch.
-func (j *Journal) fence(ctx context.Context, w *partWriter, at port.Partition, c claim) error {
+func (j *Journal) fence(ctx context.Context, w *partWriter, at port.Partition, c Claim) error {
 	a, err := w.claim(at, c)
 	if err != nil {
 		return err
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -23,11 +23,10 @@
 	Standby port.Partition
 	// StandbyProbePeriod is how often the standby partition is probed, 0 for as often as is useful.
 	StandbyProbePeriod time.Duration
-	// Replaces is the epoch of the writer that this one may replace, 0 for any.
-	Replaces uint64
-	Store    port.Store
-	Clock    clock.Clock
-	Logger   log.Logger
+	Store              port.Store
+	Clock              clock.Clock
+	Logger             log.Logger
+	Terms              Terms
 	// Count increments a counter; nil counts nothing.
 	Count func(counter string)
 
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -143,22 +143,30 @@
 	})
 }
 
-// TestTakeOverFromAReplacedWriterIsRefused guards against a replaced owner that hands its pool over, as it does not
-// know its successor: the node that it asks must not replace the successor.
-func TestTakeOverFromAReplacedWriterIsRefused(t *testing.T) {
+// TestClaimIsCheckedAgainstTheLastOne guards against a process that replaces another writer than it was asked or
+// permitted to: the check sees the last claim, whatever the directory says, and nothing is fenced if it fails.
+func TestClaimIsCheckedAgainstTheLastOne(t *testing.T) {
 	withFakeClock(t, func(t *testing.T, ctx context.Context, w *world.World) {
-		claim := func(node string, replaces uint64) (*Journal, error) {
+		var seen []Claim
+		claim := func(node string, incarnation, replaces uint64) (*Journal, error) {
 			j := newJournal(w, node)
-			j.Replaces = replaces
+			j.Terms = Terms{Incarnation: incarnation, Read: 10 * incarnation, Check: func(last Claim) error {
+				seen = append(seen, last)
+				if last.Epoch != replaces {
+					return errkind.New(errkind.Fenced, "epoch %d", last.Epoch)
+				}
+				return nil
+			}}
 			_, err := j.Claim(ctx, node)
 			return j, err
 		}
-		_, err := claim("n1", 0)
+		_, err := claim("n1", 7, 0)
 		assert.NilError(t, err)
-		second, err := claim("n2", 1)
+		second, err := claim("n2", 8, 1)
 		assert.NilError(t, err)
-		_, err = claim("n3", 1)
+		_, err = claim("n3", 9, 1)
 		assert.Assert(t, errkind.Is(err, errkind.Fenced), "%v", err)
 		assert.NilError(t, second.Append(ctx, []port.Record{{Key: "k", Value: []byte("1")}}))
+		assert.DeepEqual(t, seen, []Claim{{}, {1, "n1", 7, 70}, {2, "n2", 8, 80}})
 	})
 }
--- a/services/journal/part_writer.go
+++ b/services/journal/part_writer.go
@@ -60,7 +60,7 @@
 // claim returns the append that raises the partition's epoch. The first sequence number of the
 // epoch is random: of two processes that claim the same epoch only one can append, since the
 // other's sequence number does not follow.
-func (w *partWriter) claim(at port.Partition, c claim) (*pendingAppend, error) {
+func (w *partWriter) claim(at port.Partition, c Claim) (*pendingAppend, error) {
 	value, err := codec.Marshal(c)
 	if err != nil {
 		return nil, err
--- a/services/journal/standby.go
+++ b/services/journal/standby.go
@@ -140,7 +140,7 @@
 		a = s.nextAppend(s.deletions())
 	} else {
 		var err error
-		if a, err = s.claim(j.Standby, claim{Epoch: j.Epoch()}); err != nil {
+		if a, err = s.claim(j.Standby, Claim{Epoch: j.Epoch()}); err != nil {
 			return err
 		}
 		a.mayGiveUp = false
--- a/services/journal/standby_claim.go
+++ b/services/journal/standby_claim.go
@@ -36,7 +36,7 @@
 }
 
 // run fences the standby partition and reads it.
-func (c *standbyClaim) run(ctx context.Context, j *Journal, own claim) {
+func (c *standbyClaim) run(ctx context.Context, j *Journal, own Claim) {
 	c.begun = true
 	if c.err = j.fence(ctx, &j.standby.partWriter, j.Standby, own); c.err != nil {
 		return
@@ -47,7 +47,7 @@
 
 // withStandby returns the records of the primary merged with those of the standby partition, if the
 // latter is in use according to the fenced primary.
-func (j *Journal) withStandby(ctx context.Context, own claim, records []port.Record, c *standbyClaim) ([]port.Record, error) {
+func (j *Journal) withStandby(ctx context.Context, own Claim, records []port.Record, c *standbyClaim) ([]port.Record, error) {
 	m, err := decodeRecord[standbyMark](records, keyStandby)
 	if err != nil {
 		return nil, err
--- a/services/owner/link.go
+++ b/services/owner/link.go
@@ -204,8 +204,8 @@
 		o.mu.Unlock()
 		return false
 	}
-	o.updateIsolation()
 	now := o.Clock.Now()
+	o.updateIsolation(now)
 	if !due.IsZero() {
 		o.noteLateness(now.Sub(due))
 		o.noteWait(pollWork, now.Sub(due), now)
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -135,14 +135,16 @@
 
 // updateIsolation records whether this owner is isolated: it lacks recent evidence that it still owns the
 // pool. That another node responds is none, as it may know as little. The lock is held.
-func (o *Owner) updateIsolation() {
-	now, confirmed := o.Clock.Now(), o.Journal.LastConfirmed()
+func (o *Owner) updateIsolation(now time.Time) {
+	confirmed := o.Journal.LastConfirmed()
 	owned, basis := confirmed, basisStore
 	if now.Sub(confirmed) > unconfirmedLimit && o.Unclaimed != nil {
-		unclaimed, reason := o.Unclaimed(o.Epoch(), confirmed)
-		basis = reason
+		unclaimed, lack := o.Unclaimed(o.Epoch(), confirmed)
 		if unclaimed.After(owned) {
-			owned, basis = unclaimed, basisStatements
+			owned = unclaimed
+		}
+		if basis = basisStatements; now.Sub(owned) > unconfirmedLimit {
+			basis = lack
 		}
 	}
 	isolated := now.Sub(owned) > unconfirmedLimit
@@ -158,6 +160,12 @@
 		Msg("evidence that this node owns the pool has changed; leases are not extended while isolated")
 }
 
+// NotePublished records that the directory names this owner. Only then does a later process of this node know of its
+// claim and state it, so that the owner before this one extends no lease any more, as records for the next one say.
+func (o *Owner) NotePublished() {
+	o.change(func(p *scheduler.Pool, _ time.Time) { p.Published = true })
+}
+
 // What the evidence of ownership rests on.
 const (
 	basisStore      = "store"
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/journal"
 )
 
 // claim starts to claim a pool unless that is in progress, from its owner at an epoch, or from any if that is 0.
@@ -70,8 +71,8 @@
 		return nil, err
 	}
 	o := t.s.Open(t.pool, slot)
-	if o.Replace != nil {
-		o.Replace(t.from)
+	if o.Terms != nil {
+		*o.Terms = t.terms(o)
 	}
 	if err := o.Claim(ctx, self.Name); err != nil {
 		return nil, err
@@ -85,6 +86,46 @@
 	return o, nil
 }
 
+// terms returns what the claim of a role states, and its check: an owner that hands its pool over must be the last one,
+// and any other one must know this node or have ended.
+func (t claimTask) terms(o *RoleRunner) journal.Terms {
+	c := journal.Terms{Incarnation: t.s.Directory.Self.Incarnation}
+	if v, _ := t.s.Directory.View(); v != nil {
+		c.Read = v.End
+	}
+	c.Check = func(last journal.Claim) error {
+		if t.from > 0 && last.Epoch != t.from {
+			return errkind.New(errkind.Fenced, "pool %s was to be taken over from epoch %d, and node %s has claimed it at epoch %d", t.pool, t.from, last.Node, last.Epoch)
+		}
+		if t.from > 0 || o.Confirmed == nil {
+			return nil
+		}
+		err := t.s.mayReplace(t.pool, last)
+		if err != nil {
+			t.s.putOffClaim(t.pool)
+		}
+		return err
+	}
+	return c
+}
+
+// putOffClaim keeps this node from claiming a pool for a while.
+func (s *Manager) putOffClaim(pool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.putOff == nil {
+		s.putOff = make(map[string]time.Time)
+	}
+	s.putOff[pool] = s.Clock.Now().Add(claimRetry)
+}
+
+// isPutOff reports whether this node does not claim a pool now.
+func (s *Manager) isPutOff(pool string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock.Now().Before(s.putOff[pool])
+}
+
 // publication publishes an ownership until that succeeds.
 type publication struct {
 	s         *Manager
@@ -97,6 +138,9 @@
 	for {
 		err := t.s.Directory.Publish(ctx, t.ownership)
 		if err == nil {
+			if t.runner.Published != nil {
+				t.runner.Published()
+			}
 			return
 		}
 		t.s.Logger.Warn().Str("event", "publish").Str("pool", t.ownership.Pool).Err(err).Msg("ownership could not be published")
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -15,20 +15,23 @@
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/journal"
 )
 
 // RoleRunner runs a role while this node owns it.
 type RoleRunner struct {
 	Claim func(ctx context.Context, node string) error // makes this node the owner
-	// Replace limits Claim to replacing the owner at an epoch; nil if that is not supported.
-	Replace func(epoch uint64)
-	Run     func(ctx context.Context) error // runs until this node is no longer the owner
-	Stuck   func(least time.Duration) bool  // whether an append has been in progress for this long, or longer if the store is slow
+	// Terms are what Claim states and checks; nil if it does neither.
+	Terms *journal.Terms
+	Run   func(ctx context.Context) error // runs until this node is no longer the owner
+	Stuck func(least time.Duration) bool  // whether an append has been in progress for this long, or longer if the store is slow
 	// PendingFor returns how long an append has been in progress, 0 for none.
 	PendingFor func() time.Duration
 	// Confirmed returns when the store was last asked to confirm the ownership and did so; nil for a role that
-	// needs no statements of other nodes.
+	// does not rely on statements of other nodes.
 	Confirmed func() time.Time
+	// Published is called once the ownership is in the directory; nil for no call.
+	Published func()
 	Epoch     func() uint64
 	Done      func() <-chan struct{} // closed once this node is no longer the owner
 	// Size returns the pool's workers, or the instances of all pools for the role that decides on these; nil
@@ -77,10 +80,8 @@
 	short    string // limit that the roles of this node exceed most, as logged, "" for none
 	tasks    sync.WaitGroup
 
-	acquainted       map[process]bool // owners that have acknowledged this node since registeredSince
-	registeredSince  int64            // Since of this node's entry, 0 for none
-	acquaintedAt     time.Time        // when owners were last asked to acknowledge this node
-	notKnownLoggedAt time.Time        // when it was logged that a claim is put off since the owner has not
+	acknowledged acknowledgements
+	putOff       map[string]time.Time // until when a pool is not claimed, since its owner may not know this node
 }
 
 // Time constants of the manager.
@@ -147,7 +148,7 @@
 		return
 	}
 	s.endReplaced(v)
-	s.acquaint(ctx, v)
+	s.requestAcknowledgements(ctx, v)
 	s.handOverStuck(ctx, v)
 	s.publishSizes(ctx, v)
 	s.improve(ctx, v)
@@ -160,7 +161,7 @@
 		}
 		rank := slices.Index(successors[pool], s.Directory.Self.Name)
 		switch {
-		case !s.mayClaim(v, pool):
+		case s.isPutOff(pool): // the next successor claims it
 		case rank >= 0 && s.unownedFor(pool) >= time.Duration(rank)*successorTurn:
 			s.claim(pool, 0)
 		case rank > 0 && rank <= probesAtOnce:
--- a/services/ownership/statements.go
+++ b/services/ownership/statements.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/directory"
 )
@@ -20,10 +21,11 @@
 // that could have claimed the pool:
 //
 //   - Each node that has been registered since freshFor before the store's last response states that it knows of
-//     no later owner and is not claiming the pool. One node that does not respond may be the next owner.
+//     no later owner and is not claiming the pool. One node that does not respond may be the next owner. A process
+//     that has not read the directory makes no statement: an earlier one of its node may have claimed the pool.
 //   - A node that this one does not know, as it has registered since the directory was last read, could claim the
 //     pool as well. Such a node claims it only once the owner has acknowledged it, is known to have ended, or
-//     has relied on statements for statementsFor at most; see mayClaim.
+//     has relied on statements for statementsFor at most; see mayReplace.
 //   - A node claims pools only while its own view of the directory is not older than freshFor, so it knows when it
 //     is no longer registered.
 //
@@ -33,13 +35,18 @@
 const (
 	// unconfirmedFor is how long the store may not have confirmed an ownership until statements are requested.
 	unconfirmedFor = 1200 * time.Millisecond
-	// statementPeriod is the time between two requests to a node; it grows with the number of nodes.
+	// statementPeriod is the time between two requests to a node; it grows with the number of nodes, up to what
+	// leaves time for a statement before the one before is too old.
 	statementPeriod        = 500 * time.Millisecond
 	statementPeriodPerNode = 2 * time.Millisecond
+	maxStatementPeriod     = 1200 * time.Millisecond
 	// statementTimeout bounds a request.
 	statementTimeout = 300 * time.Millisecond
-	// statementsFor is for how long after the directory was last read statements are evidence.
+	// statementsFor is for how long after the last response of the store, and after the directory was last read,
+	// statements are evidence.
 	statementsFor = time.Minute
+	// evidenceKept is for how long evidence is not computed anew: an owner needs it for each poll.
+	evidenceKept = 100 * time.Millisecond
 	// freshFor is the maximum age of the view of the directory by which a node claims pools.
 	freshFor = 5 * time.Second
 )
@@ -60,9 +67,13 @@
 	Pools map[string]uint64 `json:"pools,omitempty"` // epochs of the pools that it owns
 }
 
-// Statement returns the statement of this node.
-func (s *Manager) Statement(q Question) Statement {
+// Statement returns the statement of this node, and an error if it has not read the directory.
+func (s *Manager) Statement(q Question) (Statement, error) {
 	a := Statement{Node: s.Directory.Self.Name, Incarnation: s.Directory.Self.Incarnation}
+	v, _ := s.Directory.View()
+	if v == nil {
+		return a, errkind.New(errkind.LogUnavailable, "node %s has not read the directory yet", a.Node)
+	}
 	s.mu.Lock()
 	for pool, epoch := range q.Pools {
 		if t := s.owned[pool]; s.claiming[pool] || t != nil && t.Epoch() > epoch {
@@ -70,10 +81,7 @@
 		}
 	}
 	s.mu.Unlock()
-	v, _ := s.Directory.View()
-	if v == nil {
-		return a
-	}
+	v, _ = s.Directory.View() // with what was observed before a claim ended
 	_, a.Knows = v.Nodes[q.From]
 	for pool, epoch := range q.Pools {
 		if v.Pools[pool].Epoch > epoch && !slices.Contains(a.Later, pool) {
@@ -81,7 +89,7 @@
 		}
 	}
 	slices.Sort(a.Later)
-	return a
+	return a, nil
 }
 
 // statement is the newest statement of a node.
@@ -107,6 +115,14 @@
 
 	mu     sync.Mutex
 	newest map[string]statement // by node
+	kept   map[string]keptEvidence
+}
+
+// keptEvidence is the evidence of a pool as computed at a time.
+type keptEvidence struct {
+	at, confirmed time.Time
+	epoch         uint64
+	evidence      Evidence
 }
 
 // Counters of statements.
@@ -123,7 +139,7 @@
 			nodes = s.request(ctx, pools, confirmed)
 		}
 		select {
-		case <-s.Clock.After(max(statementPeriod, time.Duration(nodes)*statementPeriodPerNode)):
+		case <-s.Clock.After(min(max(statementPeriod, time.Duration(nodes)*statementPeriodPerNode), maxStatementPeriod)):
 		case <-ctx.Done():
 		}
 	}
@@ -173,7 +189,7 @@
 	Later     string    // one that states that there is a later owner
 }
 
-// Lack returns what is missing for evidence, without names that change often.
+// Lack returns what is missing for evidence that is not too old.
 func (e Evidence) Lack() string {
 	switch {
 	case !e.Unclaimed.IsZero():
@@ -183,17 +199,30 @@
 	case e.Missing != "":
 		return "a node has made no statement"
 	}
-	return "the directory was read too long ago"
+	return "the store or the directory was read too long ago"
 }
 
 // Evidence returns what statements show of a pool that this node owns at an epoch, which the store has
 // confirmed last at a time.
 func (s *Statements) Evidence(pool string, epoch uint64, confirmed time.Time) Evidence {
 	now := s.Clock.Now()
-	nodes := s.Directory.Recent(confirmed.Add(-freshFor))
-	e := Evidence{Nodes: len(nodes)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	k := s.kept[pool]
+	if k.epoch != epoch || !k.confirmed.Equal(confirmed) || now.Sub(k.at) >= evidenceKept {
+		k = keptEvidence{now, confirmed, epoch, s.evidence(pool, epoch, confirmed, now)}
+		if s.kept == nil {
+			s.kept = make(map[string]keptEvidence)
+		}
+		s.kept[pool] = k
+	}
+	return k.evidence
+}
+
+// evidence computes the evidence of a pool. The lock is held.
+func (s *Statements) evidence(pool string, epoch uint64, confirmed, now time.Time) Evidence {
+	nodes := s.Directory.Recent(confirmed.Add(-freshFor))
+	e := Evidence{Nodes: len(nodes)}
 	oldest := now
 	for _, n := range nodes {
 		a, made := s.newest[n.Name]
@@ -207,7 +236,7 @@
 			oldest = a.requestedAt
 		}
 	}
-	if e.Missing == "" && e.Later == "" && s.Directory.Age() <= statementsFor {
+	if e.Missing == "" && e.Later == "" && now.Sub(confirmed) <= statementsFor && s.Directory.RequestAge() <= statementsFor {
 		e.Unclaimed = oldest
 	}
 	return e
--- a/services/ownership/statements_test.go
+++ b/services/ownership/statements_test.go
@@ -11,9 +11,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/directory"
+	"github.com/yardbridge/yardbridge/services/journal"
 	"github.com/yardbridge/yardbridge/standin/world"
 )
 
@@ -101,6 +103,34 @@
 	}
 }
 
+// TestStatementsCountFromTheirRequests guards against evidence that covers the time in which a response was on its
+// way: the node may have claimed the pool after it had responded.
+func TestStatementsCountFromTheirRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		own := register(t, w, "n1", 1)
+		register(t, w, "n2", 1)
+		time.Sleep(time.Second)
+		confirmed := time.Now()
+		var sentAt time.Time
+		s := &Statements{Directory: own.Directory, Logger: log.Nop()}
+		s.Ask = func(_ context.Context, n directory.Node, _ Question) (Statement, error) {
+			sentAt = time.Now()
+			time.Sleep(statementTimeout - time.Millisecond)
+			return Statement{Node: n.Name}, nil
+		}
+		assert.Equal(t, s.request(t.Context(), map[string]uint64{"p": 4}, confirmed), 1)
+		assert.Equal(t, s.Evidence("p", 4, confirmed).Unclaimed, sentAt)
+	})
+}
+
+// statementOf returns what a node states.
+func statementOf(t *testing.T, s *Manager, q Question) Statement {
+	a, err := s.Statement(q)
+	assert.NilError(t, err)
+	return a
+}
+
 // TestStatementCoversClaims guards against a node that states that it has not claimed a pool while its claim is on
 // its way, or after it has lost the pool again to a later owner.
 func TestStatementCoversClaims(t *testing.T) {
@@ -108,21 +138,55 @@
 		w := world.New(1)
 		s := &Manager{Directory: register(t, w, "n1", 1).Directory}
 		ask := Question{From: "n2", Pools: map[string]uint64{"p": 4}}
-		assert.DeepEqual(t, s.Statement(ask).Later, []string(nil))
+		assert.Equal(t, len(statementOf(t, s, ask).Later), 0)
 		s.claiming = map[string]bool{"p": true}
-		assert.DeepEqual(t, s.Statement(ask).Later, []string{"p"})
+		assert.DeepEqual(t, statementOf(t, s, ask).Later, []string{"p"})
 		s.claiming = nil
 		s.owned = map[string]*RoleRunner{"p": {Epoch: func() uint64 { return 3 }}}
-		assert.DeepEqual(t, s.Statement(ask).Later, []string(nil)) // it was replaced by the node that asks
+		assert.Equal(t, len(statementOf(t, s, ask).Later), 0, "it was replaced by the node that asks")
 		s.owned = map[string]*RoleRunner{"p": {Epoch: func() uint64 { return 5 }}}
-		assert.DeepEqual(t, s.Statement(ask).Later, []string{"p"})
+		assert.DeepEqual(t, statementOf(t, s, ask).Later, []string{"p"})
 		s.owned = nil
 		s.Directory.Observe(directory.Ownership{Pool: "p", Epoch: 6, Node: "n3", Incarnation: 1})
-		assert.DeepEqual(t, s.Statement(ask).Later, []string{"p"})
-		assert.Assert(t, !s.Statement(ask).Knows)
+		assert.DeepEqual(t, statementOf(t, s, ask).Later, []string{"p"})
+		assert.Assert(t, !statementOf(t, s, ask).Knows)
 		register(t, w, "n2", 1)
 		time.Sleep(time.Second)
-		assert.Assert(t, s.Statement(ask).Knows)
+		assert.Assert(t, statementOf(t, s, ask).Knows)
+	})
+}
+
+// TestProcessWithoutDirectoryMakesNoStatement guards against a process that has just started and states that no node
+// has claimed a pool, which an earlier process of its own node has.
+func TestProcessWithoutDirectoryMakesNoStatement(t *testing.T) {
+	s := &Manager{Directory: &directory.Directory{Store: world.New(1).Store("n1"), Self: directory.Node{Name: "n1"}}}
+	_, err := s.Statement(Question{From: "n2", Pools: map[string]uint64{"p": 4}})
+	assert.Assert(t, errkind.Is(err, errkind.LogUnavailable), "%v", err)
+}
+
+// TestEndedClaimIsStated guards against a node that no longer states its claim once it has ended, while that is not
+// published yet.
+func TestEndedClaimIsStated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		ended := errkind.New(errkind.Fenced, "another node has the pool")
+		s := &Manager{Directory: register(t, w, "n1", 1).Directory, Logger: log.Nop(), running: t.Context()}
+		s.Config = func() *config.Config { return config.New(1, nil, []config.Pool{{Name: "p"}}, config.Limits{}) }
+		s.Roles = func(*config.Config) []string { return []string{"p"} }
+		s.Open = func(string, int) *RoleRunner {
+			return &RoleRunner{
+				Claim: func(context.Context, string) error {
+					w.SetFaults("n1", func(f *world.Faults) { f.StoreUnresponsive = true })
+					return nil
+				},
+				Run: func(context.Context) error { return ended }, Epoch: func() uint64 { return 5 }, Done: func() <-chan struct{} { return nil },
+			}
+		}
+		s.claim("p", 0)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(s.Owned()), 0)
+		assert.DeepEqual(t, statementOf(t, s, Question{From: "n2", Pools: map[string]uint64{"p": 4}}).Later, []string{"p"})
 	})
 }
 
@@ -130,11 +194,16 @@
 // store, on statements of the nodes that it knows: the owner does not know the new one.
 func TestNodeUnknownToTheOwnerWaits(t *testing.T) {
 	type step func(t *testing.T, w *world.World, s *Manager, owner registered)
-	acknowledge := func(_ *testing.T, _ *world.World, s *Manager, owner registered) {
-		s.Ask = func(context.Context, directory.Node, Question) (Statement, error) {
-			return Statement{Node: owner.Self.Name, Incarnation: owner.Self.Incarnation, Knows: true}, nil
+	answer := func(change func(a *Statement)) step {
+		return func(_ *testing.T, _ *world.World, s *Manager, owner registered) {
+			s.Ask = func(context.Context, directory.Node, Question) (Statement, error) {
+				a := Statement{Node: owner.Self.Name, Incarnation: owner.Self.Incarnation, Knows: true}
+				change(&a)
+				return a, nil
+			}
 		}
 	}
+	acknowledge := answer(func(*Statement) {})
 	remove := func(t *testing.T, _ *world.World, s *Manager, _ registered) {
 		s.Ask = nil
 		assert.NilError(t, s.Directory.Remove(t.Context(), s.Directory.Self.Name))
@@ -148,61 +217,69 @@
 		time.Sleep(2 * freshFor)
 	}
 	wait := func(*testing.T, *world.World, *Manager, registered) { time.Sleep(knownAfter) }
+	const all = 1 << 20 // an offset after all records
 	for _, c := range []struct {
 		name  string
 		steps []step
+		last  journal.Claim
 		may   bool
 	}{
-		{"it is not acknowledged", nil, false},
-		{"the owner acknowledges it", []step{acknowledge}, true},
-		{"it was removed since it was acknowledged", []step{acknowledge, remove}, false},
-		{"the owner has restarted", []step{restartOwner}, true},
-		{"it is acknowledged, but has not read the directory", []step{acknowledge, cutFromStore}, false},
-		{"it has been registered for long", []step{wait}, true},
+		{"there is no owner", nil, journal.Claim{}, true},
+		{"it is not acknowledged", nil, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, false},
+		{"the owner acknowledges it", []step{acknowledge}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, true},
+		{"the owner does not know it", []step{answer(func(a *Statement) { a.Knows = false })}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, false},
+		{"another process responds", []step{answer(func(a *Statement) { a.Incarnation++ })}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, false},
+		{"another owner has acknowledged it", []step{acknowledge}, journal.Claim{Epoch: 2, Node: "n3", Incarnation: 1}, false},
+		{"it was removed since it was acknowledged", []step{acknowledge, remove}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, false},
+		{"the owner had read its entry", nil, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1, Read: all}, true},
+		{"it was removed since the owner had read its entry", []step{remove}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1, Read: 2}, false},
+		{"the owner has restarted", []step{restartOwner}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, true},
+		{"it was the owner itself", nil, journal.Claim{Epoch: 1, Node: "n2", Incarnation: 1}, true},
+		{"it is acknowledged, but has not read the directory", []step{acknowledge, cutFromStore}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, false},
+		{"it has been registered for long", []step{wait}, journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := world.New(1)
 				owner := register(t, w, "n1", 1)
-				s := &Manager{Directory: register(t, w, "n2", uint64(time.Now().UnixNano())).Directory, Logger: log.Nop()}
+				s := &Manager{Directory: register(t, w, "n2", 7).Directory, Logger: log.Nop()}
 				s.Directory.Observe(directory.Ownership{Pool: "p", Epoch: 1, Node: "n1", Incarnation: 1})
-				settle := func() *directory.View {
+				settle := func() {
 					for range 4 {
 						v, _ := s.Directory.View()
-						s.acquaint(t.Context(), v)
-						time.Sleep(acquaintPeriod)
+						s.requestAcknowledgements(t.Context(), v)
+						time.Sleep(acknowledgePeriod)
 						synctest.Wait()
 					}
-					v, _ := s.Directory.View()
-					return v
 				}
 				settle()
 				for _, do := range c.steps {
 					do(t, w, s, owner)
 					settle()
 				}
-				v, _ := s.Directory.View()
-				assert.Equal(t, s.mayClaim(v, "p"), c.may)
+				err := s.mayReplace("p", c.last)
+				assert.Equal(t, err == nil, c.may, "%v", err)
 			})
 		})
 	}
 }
 
-// TestRestartedNodeStaysKnown guards against a fleet without owners after a restart of all nodes one of which does
-// not come back: a node that starts again under its name is known to the owner that has ended.
+// TestRestartedNodeStaysKnown guards against a fleet without owners after restarts of all nodes one of which does
+// not come back: a node that starts again under its name, and again, is known to the owner that has ended.
 func TestRestartedNodeStaysKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := world.New(1)
 		owner := register(t, w, "n1", 1)
-		first := register(t, w, "n2", uint64(time.Now().UnixNano()))
-		first.Observe(directory.Ownership{Pool: "p", Epoch: 1, Node: "n1", Incarnation: 1})
-		time.Sleep(knownAfter)
+		n := register(t, w, "n2", 2)
+		time.Sleep(time.Second)
+		v, _ := owner.View()
+		last := journal.Claim{Epoch: 1, Node: "n1", Incarnation: 1, Read: v.End}
 		owner.leave()
-		first.leave()
-		again := register(t, w, "n2", uint64(time.Now().UnixNano()))
-		again.Observe(directory.Ownership{Pool: "p", Epoch: 1, Node: "n1", Incarnation: 1})
-		s := &Manager{Directory: again.Directory, Logger: log.Nop()}
-		v, _ := again.View()
-		assert.Assert(t, s.mayClaim(v, "p"))
+		for incarnation := range uint64(3) {
+			n.leave()
+			n = register(t, w, "n2", 3+incarnation)
+		}
+		s := &Manager{Directory: n.Directory, Logger: log.Nop()}
+		assert.NilError(t, s.mayReplace("p", last))
 	})
 }
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -32,9 +32,11 @@
 	Token  uint64 // epoch of the pool's owner, the upper part of the token of every order
 	Limits Limits
 	Logger log.Logger
-	// Isolated stops the extension of leases: the node cannot learn whether another owner has taken
+	// Isolated stops the extension of leases: the node lacks recent evidence that no other one has taken
 	// over the pool.
 	Isolated bool
+	// Published permits records of workers that do not respond: the owner before this one extends no leases.
+	Published bool
 	// Clock converts the times passed to the pool to times of day.
 	Clock clock.Clock
 	// Increment adds one to a counter; nil disables counting.
--- a/services/scheduler/record_silent.go
+++ b/services/scheduler/record_silent.go
@@ -50,7 +50,7 @@
 // silentWorkers returns for how long no lease has been extended on the workers that have not responded since
 // the restore.
 func (p *Pool) silentWorkers(now time.Time) map[worker.ID]int64 {
-	if p.silence.restoredAt.IsZero() {
+	if p.silence.restoredAt.IsZero() || !p.Published {
 		return nil
 	}
 	list := make(map[worker.ID]int64)
--- a/services/scheduler/record_silent_test.go
+++ b/services/scheduler/record_silent_test.go
@@ -129,3 +129,14 @@
 	assert.Assert(t, !n.workers["w"].restoredRunsEndAt.After(latest), "%s later", n.workers["w"].restoredRunsEndAt.Sub(latest))
 	assert.Assert(t, n.workers["w"].restoredRunsEndAt.After(began.Add(silentReserve)), "earlier than leases may hold")
 }
+
+// TestUnpublishedOwnerLeavesNoRecord guards against a task that runs twice (TWICE): after a restart of its node, an
+// owner that the directory has never named does not state its claim, and the owner before it extends leases again.
+// The next one must not count the time for which the one in between saw no response.
+func TestUnpublishedOwnerLeavesNoRecord(t *testing.T) {
+	d := newTestPoolWithSilentRun(t).succeed(1)
+	d.Published = false
+	d.own(ownedFor)
+	n := d.succeed(1)
+	assert.Equal(t, n.workers["w"].restoredRunsEndAt, n.now.Add(silentReserve))
+}
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -35,6 +35,7 @@
 func newTestPool(t *testing.T, token uint64) *testPool {
 	d := &testPool{New("p", token, testLimits, log.Nop()), t, time.Unix(1000, 0), testJournal{}}
 	d.Configure(testConfig)
+	d.Published = true
 	return d
 }
 
