Scheduler: a pool's last worker gets more tasks at once after each failed trial

When the ejection of a pool's last worker ends early, it gets twice as many tasks at once as at the last trial (1, 2, 4, up to 16), until one succeeds. If another worker takes tasks at a failure, it is one again. The first trial is one task as before, so that a short fault of a worker costs one attempt.

--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -26,17 +26,21 @@
 	lastEjection    = 2 * time.Second  // longest while the pool has no other worker: nothing may wait for 3 s while there is free capacity
 )
 
+// maxTrialTasks is how many tasks at once a worker gets on trial at most.
+const maxTrialTasks = 16
+
 // health is what is known of how well a worker works.
 type health struct {
 	failed       map[*jobState]bool // jobs that have failed there since its last success
 	ejectedFor   time.Duration      // length of the last ejection
 	ejectedUntil time.Time          // end of the ejection
 	onTrial      bool               // nothing has succeeded there since the last ejection
+	trialTasks   int                // tasks at once that it gets on trial as no other worker takes tasks, 0 for one
 }
 
 // ejected reports whether nothing may be placed on a worker because it is unhealthy.
 func (w *workerState) ejected(now time.Time) bool {
-	return now.Before(w.health.ejectedUntil) || w.health.onTrial && len(w.runs) > w.longRunningRuns
+	return now.Before(w.health.ejectedUntil) || w.health.onTrial && len(w.runs)-w.longRunningRuns >= max(w.health.trialTasks, 1)
 }
 
 // noteFailure records that a run of a task failed on a worker.
@@ -71,6 +75,9 @@
 // eject ejects a worker for a while.
 func (p *Pool) eject(w *workerState, duration time.Duration, now time.Time, reason, task string) {
 	w.health.ejectedFor, w.health.ejectedUntil, w.health.onTrial = duration, now.Add(duration), true
+	if last, _ := p.lastEjected(now); last == nil {
+		w.health.trialTasks = 0
+	}
 	p.schedulePlan(w.health.ejectedUntil, now)
 	p.markHealthChanged(w)
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("jobs", len(w.health.failed)).Str("task", task).
@@ -78,7 +85,8 @@
 }
 
 // endLastEjection ends an ejection early if no worker of the pool takes tasks because each is ejected: jobs must not
-// wait for longer than lastEjection, whether the workers or the jobs are the cause of the failures.
+// wait for longer than lastEjection, whether the workers or the jobs are the cause of the failures. With each failed
+// trial the worker gets more tasks at once, so that many jobs do not take turns.
 func (p *Pool) endLastEjection(now time.Time) {
 	w, wake := p.lastEjected(now)
 	if w == nil || now.Before(wake) {
@@ -87,7 +95,7 @@
 	}
 	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Dur("remaining", w.health.ejectedUntil.Sub(now)).
 		Msg("ejection ended: no other worker takes tasks")
-	w.health.ejectedUntil = now
+	w.health.ejectedUntil, w.health.trialTasks = now, min(max(2*w.health.trialTasks, 1), maxTrialTasks)
 	p.markHealthChanged(w)
 	p.needsPlan = true
 }
