--- a/node/random_split_test.go
+++ b/node/random_split_test.go
@@ -57,7 +57,7 @@
 	return split{at: tomlfile.Duration(firstFault + time.Duration(r.Int64N(int64(faultsEnd-firstFault-lasts)))), lasts: tomlfile.Duration(lasts)}
 }
 
-// divide draws which nodes are in the group, whose size is given.
+// divide draws which nodes are in the group.
 func (p *split) divide(r *rand.Rand, nodes, size int) {
 	order := drawNodes(r, nodes, nodes)
 	p.group, p.others = order[:size], order[size:]
