Ownership: an owner by its claim alone acknowledges nodes

Cause: a claim was persisted, and failed afterwards as responses of the store were lost. A node that had registered since was refused, and asked only the owners that the directory names for an acknowledgement.

TestOwnerByItsClaimAloneIsAsked failed before.

The node by whose claim another one is refused is asked as well, at the next check.

--- a/services/ownership/acknowledge.go
+++ b/services/ownership/acknowledge.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/yardbridge/yardbridge/modules/errkind"
@@ -19,7 +20,7 @@
 	// acknowledgePeriod is the time between two requests to owners that have not acknowledged this node.
 	acknowledgePeriod = time.Second
 	// claimRetry is the time until a claim is tried again that was put off.
-	claimRetry = time.Second
+	claimRetry = 500 * time.Millisecond
 )
 
 // process is one process of a node.
@@ -33,7 +34,8 @@
 	first   uint64    // First of this node's entry, 0 for none
 	since   time.Time // since when it has been that
 	owners  map[process]bool
-	askedAt time.Time // when owners were last asked
+	wanted  map[process]bool // owners by their claims that have not acknowledged it, whatever the directory says
+	askedAt time.Time        // when owners were last asked
 }
 
 // mayReplace returns an error if this node must not replace the last owner of a pool, by its claim. That owner may go
@@ -57,14 +59,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a := &s.acknowledged; a.first == self.First && (a.owners[process{last.Node, last.Incarnation}] || s.Clock.Now().Sub(a.since) >= knownAfter) {
+	owner, a := process{last.Node, last.Incarnation}, &s.acknowledged
+	if a.first == self.First && (a.owners[owner] || s.Clock.Now().Sub(a.since) >= knownAfter) {
 		return nil
 	}
+	if a.wanted != nil {
+		a.wanted[owner], a.askedAt = true, time.Time{}
+	}
 	return errkind.New(errkind.Conflict, "node %s, the owner of pool %s at epoch %d, may not know this node", last.Node, pool, last.Epoch)
 }
 
 // requestAcknowledgements asks each owner of a pool that has not acknowledged this node, until this one has been registered
-// for knownAfter.
+// for knownAfter. A node whose claim has failed after it was persisted is the last owner by the journal only.
 func (s *Manager) requestAcknowledgements(ctx context.Context, v *directory.View) {
 	self := v.Nodes[s.Directory.Self.Name]
 	now := s.Clock.Now()
@@ -72,22 +78,21 @@
 	defer s.mu.Unlock()
 	a := &s.acknowledged
 	if a.first != self.First {
-		*a = acknowledgements{first: self.First, since: now, owners: make(map[process]bool)}
+		*a = acknowledgements{first: self.First, since: now, owners: make(map[process]bool), wanted: make(map[process]bool)}
 	}
 	if s.Ask == nil || a.first == 0 || now.Sub(a.since) >= knownAfter || now.Sub(a.askedAt) < acknowledgePeriod {
 		return
 	}
 	a.askedAt = now
-	asked := make(map[process]bool)
-	for pool := range v.Pools {
-		n, o, present := v.Owner(pool)
-		p := process{n.Name, o.Incarnation}
-		if !present || n.Name == self.Name || asked[p] || a.owners[p] {
-			continue
+	owners := maps.Clone(a.wanted)
+	for _, o := range v.Pools {
+		owners[process{o.Node, o.Incarnation}] = true
+	}
+	for p := range owners {
+		if n, registered := v.Nodes[p.name]; registered && n.Incarnation == p.incarnation && p.name != self.Name && !a.owners[p] {
+			s.tasks.Add(1)
+			go acknowledgement{s, n, a.first}.run(ctx)
 		}
-		asked[p] = true
-		s.tasks.Add(1)
-		go acknowledgement{s, n, a.first}.run(ctx)
 	}
 }
 
@@ -109,7 +114,8 @@
 	}
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
-	if t.s.acknowledged.first == t.first {
-		t.s.acknowledged.owners[process{t.owner.Name, t.owner.Incarnation}] = true
+	if p := (process{t.owner.Name, t.owner.Incarnation}); t.s.acknowledged.first == t.first {
+		t.s.acknowledged.owners[p] = true
+		delete(t.s.acknowledged.wanted, p)
 	}
 }
--- a/services/ownership/statements_test.go
+++ b/services/ownership/statements_test.go
@@ -264,6 +264,30 @@
 	}
 }
 
+// TestOwnerByItsClaimAloneIsAsked guards against a pool that stays without an owner: a node whose claim has failed after
+// it was persisted is the last owner by the journal, but not by the directory, and a node that has registered since
+// is refused until that one has acknowledged it.
+func TestOwnerByItsClaimAloneIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world.New(1)
+		register(t, w, "n1", 1)
+		s := &Manager{Directory: register(t, w, "n2", 1).Directory, Logger: log.Nop()}
+		s.Ask = func(_ context.Context, n directory.Node, _ Question) (Statement, error) {
+			return Statement{Node: n.Name, Incarnation: n.Incarnation, Knows: true}, nil
+		}
+		last := journal.Claim{Epoch: 3, Node: "n1", Incarnation: 1}
+		ask := func() {
+			v, _ := s.Directory.View()
+			s.requestAcknowledgements(t.Context(), v)
+			synctest.Wait()
+		}
+		ask()
+		assert.Assert(t, s.mayReplace("p", last) != nil)
+		ask()
+		assert.NilError(t, s.mayReplace("p", last))
+	})
+}
+
 // TestRestartedNodeStaysKnown guards against a fleet without owners after restarts of all nodes one of which does
 // not come back: a node that starts again under its name, and again, is known to the owner that has ended.
 func TestRestartedNodeStaysKnown(t *testing.T) {
