Ownership: remove unused fields; tests: one set-up and one loop for two places

Found in a last read of the whole change; behaviour stays as it is. Two tests of the next holder shared their set-up, and the histories of limits with and without late messages the same loop of checks: each stands once now, and the assertions are the same.

--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 		Config: n.Gateway.Config, Roles: n.roles, Open: n.openRole, ProbeTakeOver: n.offer, RequestTakeOver: n.takeOver,
 		Demand: demand, Ask: askBy(n.client), // callers' calls to owners use the same connections
 	}
-	n.statements = &ownership.Statements{Directory: n.Directory, Clock: c, Logger: logger, Unconfirmed: n.Ownership.Unconfirmed, Ask: askBy(n.probes), Count: ports.Count}
+	n.statements = &ownership.Statements{Directory: n.Directory, Clock: c, Unconfirmed: n.Ownership.Unconfirmed, Ask: askBy(n.probes), Count: ports.Count}
 	n.Directory.Reclaim = n.Ownership.Reclaim
 	n.monitor = &monitor.Monitor{Directory: n.Directory, Clock: c, Logger: logger, Probe: n.probe, ProbeVia: n.probeVia}
 	return n, nil
--- a/services/fleet/replaced_test.go
+++ b/services/fleet/replaced_test.go
@@ -37,25 +37,33 @@
 	return m
 }
 
+// sendUnansweredOrder returns a holder that has sent an order to an instance once, without a response, and how often
+// it has sent it; the next attempt succeeds.
+func sendUnansweredOrder(t *testing.T, w *world.World) (m *Manager, tries *int) {
+	t.Helper()
+	tries = new(int)
+	m = claimTestRole(t, w, "n1", func() error {
+		if *tries++; *tries == 1 {
+			return errkind.New(errkind.OutcomeUnknown, "no response")
+		}
+		return nil
+	})
+	m.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "off", Condition: port.Up}}
+	m.view.actions["i"] = &action{instance: "i", from: "off", to: "p", began: time.Now()}
+	assert.NilError(t, m.act(t.Context()))
+	return m, tries
+}
+
 // TestNextHolderWaitsForARepeatedOrder guards against two holders that send orders to an instance within the lease
 // (ONE): the first attempt of an order gets no response and the second one succeeds. The first may still be carried
 // out, so the next holder waits for it although the outcome of the order is known.
 func TestNextHolderWaitsForARepeatedOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := world.New(1)
-		tries := 0
-		m := claimTestRole(t, w, "n1", func() error {
-			if tries++; tries == 1 {
-				return errkind.New(errkind.OutcomeUnknown, "no response")
-			}
-			return nil
-		})
-		m.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "off", Condition: port.Up}}
-		m.view.actions["i"] = &action{instance: "i", from: "off", to: "p", began: time.Now()}
-		assert.NilError(t, m.act(t.Context()))
+		m, tries := sendUnansweredOrder(t, w)
 		unknown := time.Now()
 		assert.NilError(t, m.act(t.Context()))
-		assert.Equal(t, tries, 2)
+		assert.Equal(t, *tries, 2)
 		next := claimTestRole(t, w, "n2", func() error { return nil })
 		assert.Equal(t, len(next.view.actions), 0, "the outcome is known")
 		least := time.Until(unknown.Add(unsettled))
@@ -68,16 +76,7 @@
 func TestNextHolderDoesNotWaitForAnOldAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := world.New(1)
-		tries := 0
-		m := claimTestRole(t, w, "n1", func() error {
-			if tries++; tries == 1 {
-				return errkind.New(errkind.OutcomeUnknown, "no response")
-			}
-			return nil
-		})
-		m.view.instances = map[string]port.Instance{"i": {Name: "i", Pool: "off", Condition: port.Up}}
-		m.view.actions["i"] = &action{instance: "i", from: "off", to: "p", began: time.Now()}
-		assert.NilError(t, m.act(t.Context()))
+		m, _ := sendUnansweredOrder(t, w)
 		time.Sleep(unsettled)
 		assert.NilError(t, m.act(t.Context()))
 		next := claimTestRole(t, w, "n2", func() error { return nil })
--- a/services/lending/lender_test.go
+++ b/services/lending/lender_test.go
@@ -246,18 +246,7 @@
 			for n := range steps {
 				s.disturb(r, n)
 				s.step(t)
-				for _, name := range s.names() {
-					p, before := s.pools[name], map[string]int{}
-					for _, o := range s.config.Customers {
-						before[o.Name] = s.using(o.Name)
-					}
-					p.begin()
-					for _, o := range s.config.Customers {
-						most := max(s.inForce(n), p.config.Customer(o.Name).Limit.CPU)
-						now := s.using(o.Name)
-						assert.Assert(t, now == before[o.Name] || now <= most, "seed %d, step %d: %s uses %d of %d", seed, n, o.Name, now, most)
-					}
-				}
+				s.beginAll(t, seed, n)
 			}
 		})
 	}
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -195,22 +195,18 @@
 		if t.Confirmed == nil {
 			continue
 		}
-		if confirmed := t.Confirmed(); now.Sub(confirmed) > than {
-			pools[role] = t.Epoch()
-			earliest = earlier(earliest, confirmed)
+		confirmed := t.Confirmed()
+		if now.Sub(confirmed) <= than {
+			continue
+		}
+		pools[role] = t.Epoch()
+		if confirmed.Before(earliest) {
+			earliest = confirmed
 		}
 	}
 	return pools, earliest
 }
 
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // unownedPools returns the pools without a present owner, in order.
 func (s *Manager) unownedPools(c *config.Config, v *directory.View) []string {
 	s.mu.Lock()
--- a/services/ownership/statements.go
+++ b/services/ownership/statements.go
@@ -11,7 +11,6 @@
 
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
-	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/directory"
 )
 
@@ -104,7 +103,6 @@
 type Statements struct {
 	Directory *directory.Directory
 	Clock     clock.Clock
-	Logger    log.Logger
 	// Unconfirmed returns the epochs of this node's pools whose last confirmation by the store is older than a
 	// duration, and when the earliest of these confirmations was requested.
 	Unconfirmed func(than time.Duration) (map[string]uint64, time.Time)
@@ -184,8 +182,7 @@
 // Evidence is what is known of a pool's ownership from statements.
 type Evidence struct {
 	Unclaimed time.Time // as of which no other node had claimed the pool; zero for not known
-	Nodes     int       // that could have claimed it
-	Missing   string    // one of these that has made no statement
+	Missing   string    // a node that could have claimed it and has made no statement
 	Later     string    // one that states that there is a later owner
 }
 
@@ -222,7 +219,7 @@
 // evidence computes the evidence of a pool. The lock is held.
 func (s *Statements) evidence(pool string, epoch uint64, confirmed, now time.Time) Evidence {
 	nodes := s.Directory.Recent(confirmed.Add(-freshFor))
-	e := Evidence{Nodes: len(nodes)}
+	var e Evidence
 	oldest := now
 	for _, n := range nodes {
 		a, made := s.newest[n.Name]
--- a/services/ownership/statements_test.go
+++ b/services/ownership/statements_test.go
@@ -73,7 +73,7 @@
 					time.Sleep(c.removed)
 				}
 				confirmed := time.Now()
-				s := &Statements{Directory: own.Directory, Logger: log.Nop(), Unconfirmed: func(than time.Duration) (map[string]uint64, time.Time) {
+				s := &Statements{Directory: own.Directory, Unconfirmed: func(than time.Duration) (map[string]uint64, time.Time) {
 					if time.Since(confirmed) <= than {
 						return nil, confirmed
 					}
@@ -113,7 +113,7 @@
 		time.Sleep(time.Second)
 		confirmed := time.Now()
 		var sentAt time.Time
-		s := &Statements{Directory: own.Directory, Logger: log.Nop()}
+		s := &Statements{Directory: own.Directory}
 		s.Ask = func(_ context.Context, n directory.Node, _ Question) (Statement, error) {
 			sentAt = time.Now()
 			time.Sleep(statementTimeout - time.Millisecond)
