Owner: a line that says it is behind tells what it has done

Callers see too little served on pools whose owner lacks processor time. The line 'behind' said how late the owner is, not with what it spends its time, so that placing ahead, plans, and the garbage collector could not be told apart. It now has, over the last second or more: plans and the time that they took with the lock held, workers and runs examined to place tasks, runs placed, released, withheld and started, polls, collections of the garbage collector and bytes allocated. A histogram owner.plan.us as well. No decision changes.

--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -72,6 +72,7 @@
 	now := o.Clock.Now()
 	o.pool.SetAppendTime(o.storeTime(), now)
 	wake := o.pool.Plan(now)
+	o.notePlan(now)
 	o.requestAdvice()
 	batch, err := o.pool.Collect()
 	o.processPending()
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -79,6 +79,8 @@
 	ownedBy            string // what the evidence of ownership rests on, as logged
 	refusals           refusals
 	lateness           time.Duration // average of how late polls are
+	planTime           time.Duration // of all plans
+	since              [2]workSince  // one and two periods ago, the older one first
 	behindLoggedAt     time.Time     // when it was last logged that the owner is behind its work
 	turnedAway         int           // submissions that found too many waiting, since the last line that says so
 	turnedAwayLoggedAt time.Time     // when that was
--- a/services/owner/pace.go
+++ b/services/owner/pace.go
@@ -3,7 +3,12 @@
 
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/yardbridge/yardbridge/modules/runtimeusage"
+	"github.com/yardbridge/yardbridge/services/scheduler"
+)
 
 const (
 	// behindAfter is the wait from which an owner counts as behind its work: a poll or a submission usually
@@ -39,6 +44,39 @@
 	return max(o.Journal.LastDuration()-appendWaits*o.lateness, 0)
 }
 
+// workPeriod is how long the counts of an owner's work begin before the line that says it is behind, at least.
+const workPeriod = time.Second
+
+// workSince is the work of an owner as counted at a time.
+type workSince struct {
+	at       time.Time
+	work     scheduler.Work
+	planTime time.Duration
+	usage    runtimeusage.Usage
+}
+
+// notePlan counts a plan that began at a time. The lock is held.
+func (o *Owner) notePlan(began time.Time) {
+	now := o.Clock.Now()
+	o.planTime += now.Sub(began)
+	o.observe("owner.plan", now.Sub(began), "done")
+	if now.Sub(o.since[1].at) >= workPeriod {
+		o.since[0], o.since[1] = o.since[1], workSince{now, o.pool.Work(), o.planTime, runtimeusage.Read()}
+	}
+}
+
+// logBehind logs that the owner does not keep up, and what it has done lately. The lock is held.
+func (o *Owner) logBehind(kind string, waited time.Duration, now time.Time) {
+	since := o.since[0]
+	w, u := o.pool.Work().Minus(since.work), runtimeusage.Read().Minus(since.usage)
+	o.Logger.Warn().Str("event", "behind").Str("work", kind).Dur("waited", waited).Int64("submissions", o.submitting.Load()).
+		Dur("append", o.Journal.LastDuration()).Dur("lateness", o.lateness).Dur("over", now.Sub(since.at)).
+		Uint64("plans", w.Plans).Dur("plan_time", o.planTime-since.planTime).Uint64("examined", w.Examined).Uint64("placed", w.Placed).
+		Uint64("released", w.Released).Uint64("withheld", w.Withheld).Uint64("started", w.Started).Uint64("polled", w.Polled).
+		Uint64("collections", u.Collections).Uint64("allocated_mb", u.Allocated>>20).
+		Msg("the owner does not keep up with its work")
+}
+
 // noteWait counts and logs that work of a kind has waited for its turn for long. The lock is held. It is
 // called thousands of times a second.
 func (o *Owner) noteWait(kind string, waited time.Duration, now time.Time) {
@@ -50,8 +88,7 @@
 		return
 	}
 	o.behindLoggedAt = now
-	o.Logger.Warn().Str("event", "behind").Str("work", kind).Dur("waited", waited).Int64("submissions", o.submitting.Load()).
-		Dur("append", o.Journal.LastDuration()).Dur("lateness", o.lateness).Msg("the owner does not keep up with its work")
+	o.logBehind(kind, waited, now)
 }
 
 // observe adds a duration to a histogram and counts its outcome.
--- a/services/scheduler/ahead.go
+++ b/services/scheduler/ahead.go
@@ -107,6 +107,7 @@
 	}
 	var best *workerState
 	var bestScore float64
+	p.work.Examined += uint64(len(p.workers))
 	for _, w := range p.workers {
 		if !p.takesAhead(c, w, now) {
 			continue
@@ -151,6 +152,7 @@
 // aheadAppends, without what is held. A run whose order is on its way is about to start.
 func (p *Pool) roomSoon(w *workerState, now time.Time) job.Size {
 	soon, horizon := w.free(), aheadAppends*p.ahead.appendTime
+	p.work.Examined += uint64(len(w.runs))
 	for _, u := range w.runs {
 		if u.orphan || u.held || u.restored || u.stopping || u.step().spec.LongRunning {
 			continue
@@ -274,6 +276,7 @@
 	p.Logger.Info().Str("event", "ahead").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Dur("held", now.Sub(u.heldSince)).Bool("kept", u.phase == ordered).Str("outcome", "released").Str("why", reason).Msg("held order is not sent")
 	p.increment(aheadReleased)
+	p.work.Released++
 	p.release(u)
 }
 
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -58,6 +58,7 @@
 	if reason == "" {
 		return
 	}
+	p.work.Withheld++
 	p.Logger.Info().Str("event", "withheld").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Dur("kept_for", now.Sub(u.persistedAt)).Int("tries", u.sendCount).Str("why", reason).Msg("start order withheld")
 	p.abandon(u, now, reason)
--- a/services/scheduler/outlook.go
+++ b/services/scheduler/outlook.go
@@ -48,7 +48,7 @@
 	c := &p.outlook
 	age := now.Sub(c.outlook.At())
 	spacing := (time.Duration(c.counted) * outlookSpacing).Truncate(outlookStep)
-	if age >= maxOutlookAge || c.plan != p.plans+1 && age >= spacing {
+	if age >= maxOutlookAge || c.plan != p.work.Plans+1 && age >= spacing {
 		*c = p.computeOutlook(now)
 	}
 }
@@ -81,7 +81,7 @@
 	for after, size := range ends {
 		changes = append(changes, capacity.Change{After: after, Size: size})
 	}
-	return outlookCache{capacity.New(now, serving, free).WithEnds(changes), all, p.plans + 1, counted}
+	return outlookCache{capacity.New(now, serving, free).WithEnds(changes), all, p.work.Plans + 1, counted}
 }
 
 // overduePart is the time that a run is expected to take still once it has taken longer than expected,
--- a/services/scheduler/outlook_test.go
+++ b/services/scheduler/outlook_test.go
@@ -145,7 +145,7 @@
 	p, now, computed := newBusyPool(t, 1), time.Unix(1000, 0), 0
 	for range starts {
 		now = now.Add(time.Second / starts)
-		p.plans++
+		p.work.Plans++
 		computed += btoi(p.Outlook(now).At().Equal(now))
 	}
 	assert.Assert(t, computed > 4 && computed <= 20, "computed %d times in a second", computed)
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -46,7 +46,7 @@
 		return p.planAt
 	}
 	p.needsPlan, p.planAt = false, time.Time{}
-	p.plans++
+	p.work.Plans++
 	p.reserved, p.reservedFor, p.noRoom, p.ahead.noRoom = nil, nil, nil, nil
 	p.ExpireLeases(now)
 	p.withholdAll(now)
@@ -234,6 +234,7 @@
 	var best *workerState
 	var bestScore float64
 	elsewhere, noTrial := p.retriesElsewhere(c, t, now), p.avoidsTrials(c, t, now)
+	p.work.Examined += uint64(len(p.workers))
 	for _, w := range p.workers {
 		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial {
 			continue
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -57,6 +57,7 @@
 		return
 	}
 	w.polledAt = now
+	p.work.Polled++
 	if a.Result == port.Accepted && w.startedAt > 0 && listing.StartedAt == 0 {
 		a = port.Response{Result: port.Unknown, Err: errkind.New(errkind.OutcomeUnknown, "list of runs lacks the start time of its worker")}
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -61,7 +61,7 @@
 	losses            losses
 	claims            []*claim // places kept for tasks that are to move
 	outlook           outlookCache
-	plans             uint64                 // plans made so far
+	work              Work
 	runTimesByQueue   map[string]*regression // relation of run times to estimates, by queue
 	runTimesByImage   map[string]*mean       // run times in seconds, by image
 
