Owner: its own lateness is the longest of the last second, not an average

An owner without processor time placed tasks ahead, for a store that answered in 4 ms.

Cause: what an append takes counts without the node's own lateness, which was an average over the last polls. It lags behind a lateness that rises within a few turns (26 ms beside a poll that had waited 112 ms, half a second before 'ahead' began by an append of 105 ms), and falls at once when the many polls that waited are over (2.3 ms beside a submission that had waited 878 ms).

Fix: the longest delay of polls and of the commit loop's own timers within the last half a second to a second (modules/lateness). A wait for the store does not count.

--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -43,8 +43,10 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
+	due := o.Clock.Now().Add(d)
 	select {
 	case <-o.Clock.After(d):
+		o.noteLateness(o.Clock.Now().Sub(due))
 		return nil
 	case <-ctx.Done():
 		return errStopped
@@ -55,11 +57,13 @@
 func (o *Owner) idle(ctx context.Context, wake time.Time) error {
 	d := confirmAfter
 	if !wake.IsZero() {
-		d = min(d, wake.Sub(o.Clock.Now()))
+		d = max(min(d, wake.Sub(o.Clock.Now())), 0)
 	}
+	due := o.Clock.Now().Add(d)
 	select {
 	case <-o.changed:
 	case <-o.Clock.After(d):
+		o.noteLateness(o.Clock.Now().Sub(due))
 	case <-ctx.Done():
 		return errStopped
 	}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/yardbridge/yardbridge/models/worker"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
+	"github.com/yardbridge/yardbridge/modules/lateness"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/admission/returns"
@@ -78,7 +79,7 @@
 
 	ownedBy            string // what the evidence of ownership rests on, as logged
 	refusals           refusals
-	lateness           time.Duration // average of how late polls are
+	lateness           lateness.Peak // of polls and of the commit loop
 	planTime           time.Duration // of all plans
 	since              [2]workSince  // one and two periods ago, the older one first
 	behindLoggedAt     time.Time     // when it was last logged that the owner is behind its work
--- a/services/owner/pace.go
+++ b/services/owner/pace.go
@@ -24,24 +24,18 @@
 	submissionWork = "submission" // from when a submission reaches the owner
 )
 
-const (
-	// latenessWeight is the weight of one poll in the average lateness: some hundred are due in a second.
-	latenessWeight = 1.0 / 32
-	// appendWaits is how often an append waits for its turn on this node: to be sent, for its response to
-	// be read, and for those who wait for it.
-	appendWaits = 4
-)
+// appendWaits is how often an append waits for its turn on this node: to be sent, for its response to
+// be read, and for those who wait for it.
+const appendWaits = 4
 
-// noteLateness averages by how much polls are late.
-func (o *Owner) noteLateness(late time.Duration) {
-	o.lateness += time.Duration(latenessWeight * float64(late-o.lateness))
-}
+// noteLateness records by how much work of this node was late.
+func (o *Owner) noteLateness(late time.Duration) { o.lateness.Note(late, o.Clock.Now()) }
 
-// storeTime returns how long the store took for the last append: what the append took, without the
+// storeTime returns how long the store took for the last append, at least: what the append took, without the
 // lateness of this node. A node without processor time would place tasks ahead, for a store that is not
 // slow, and what that takes it lacks.
 func (o *Owner) storeTime() time.Duration {
-	return max(o.Journal.LastDuration()-appendWaits*o.lateness, 0)
+	return max(o.Journal.LastDuration()-appendWaits*o.lateness.Value(o.Clock.Now()), 0)
 }
 
 // workPeriod is how long the counts of an owner's work begin before the line that says it is behind, at least.
@@ -70,7 +64,7 @@
 	since := o.since[0]
 	w, u := o.pool.Work().Minus(since.work), runtimeusage.Read().Minus(since.usage)
 	o.Logger.Warn().Str("event", "behind").Str("work", kind).Dur("waited", waited).Int64("submissions", o.submitting.Load()).
-		Dur("append", o.Journal.LastDuration()).Dur("lateness", o.lateness).Dur("over", now.Sub(since.at)).
+		Dur("append", o.Journal.LastDuration()).Dur("lateness", o.lateness.Value(now)).Dur("over", now.Sub(since.at)).
 		Uint64("plans", w.Plans).Dur("plan_time", o.planTime-since.planTime).Uint64("examined", w.Examined).Uint64("placed", w.Placed).
 		Uint64("released", w.Released).Uint64("withheld", w.Withheld).Uint64("started", w.Started).Uint64("polled", w.Polled).
 		Uint64("collections", u.Collections).Uint64("allocated_mb", u.Allocated>>20).
--- a/services/owner/processor_test.go
+++ b/services/owner/processor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/BurntSushi/toml"
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/job"
@@ -51,6 +52,7 @@
 	counted   scheduler.Work // that the processor has been charged for
 	starts    atomic.Int64
 	submitted int
+	ahead     int // tasks placed ahead; guarded by the owner's lock
 }
 
 // newBudgetedOwner opens a pool and its workers.
@@ -65,6 +67,11 @@
 	b.Journal.Store = b.processor.Store(b.Journal.Store)
 	b.Workers = b.processor.Workers(b.countStarts(b.Workers))
 	b.Observe = b.chargePlan
+	b.pool.Increment = func(counter string) {
+		if counter == "ahead.placed" {
+			b.ahead++
+		}
+	}
 	queues := []config.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Stretch: 1.6, BaseObjective: 600 * time.Millisecond}}
 	b.Configure(config.New(1, queues, []config.Pool{{Name: "p"}}, config.Limits{}))
 	var listed []worker.Worker
@@ -134,8 +141,12 @@
 			b.submit(ctx, p.Load, p.For)
 			starts = append(starts, float64(b.starts.Load()-before))
 		}
-		t.Logf("starts by phase %.0f, %+v", starts, b.pool.Work())
-		assert.DeepEqual(t, b.world.Violations(), []string(nil))
+		b.mu.Lock()
+		work, ahead := b.pool.Work(), b.ahead
+		b.mu.Unlock()
+		t.Logf("starts by phase %.0f, %+v, placed ahead %d", starts, work, ahead)
+		assert.Check(t, is.Equal(ahead, 0), "tasks are placed ahead, as if the store were slow")
+		assert.Check(t, is.DeepEqual(b.world.Violations(), []string(nil)))
 		cancel()
 		<-ended
 		time.Sleep(time.Second) // what waits for the processor ends
