Plan: a task looks only at workers that may have room

Cause: each task looks at each worker of the pool, and in a surge most are full.

Fix: a plan collects the workers on which its smallest task fits, and drops those that become full; capacity only shrinks during a plan, as noRoom relies on already. No decision changes: what is left out fails the check of room in canRun.

--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -55,7 +55,9 @@
 	p.beginSlowStart(now)
 	list := p.candidates(now)
 	p.holdForGangs(list, now)
+	p.room = newPlanRoom(p, list, now)
 	p.placeAll(list, now)
+	p.room = nil
 	p.endWaiting(now)
 	p.logWaiting(list, now)
 	p.placedCPU = p.usedCPU()
@@ -234,8 +236,8 @@
 	var best *workerState
 	var bestScore float64
 	elsewhere, noTrial := p.retriesElsewhere(c, t, now), p.avoidsTrials(c, t, now)
-	p.work.Examined += uint64(len(p.workers))
-	for _, w := range p.workers {
+	for w := range p.workersWithRoom() {
+		p.work.Examined++
 		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial {
 			continue
 		}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -112,6 +112,7 @@
 	reserved       map[*workerState]bool // the reserved workers
 	waitLogAt      time.Time             // earliest time of the next log line about a waiting step
 	noRoom         []job.Size            // of tasks for which this plan has found no worker with the capacity
+	room           *planRoom             // workers with room in this plan, nil between plans
 	pendingWorkers []worker.ID           // workers marked for processing since PendingWorkers was last called
 }
 
