Plan: a claim that is given up during a plan gives its worker room

Found by reading again: workers without room are left out of a plan, and a claim that is given up for a task of its step gives its worker room during the plan. If that task then goes elsewhere, the room would have been seen by the next plan only. The worker is added again. TestPlanSeesTheRoomOfAClaimGivenUp fails without.

--- a/services/scheduler/claim.go
+++ b/services/scheduler/claim.go
@@ -101,6 +101,7 @@
 			return false
 		}
 		c.count(-1)
+		p.room.regain(c.worker)
 		p.logClaim(c, "given up", reason, now)
 		return true
 	})
--- a/services/scheduler/room.go
+++ b/services/scheduler/room.go
@@ -6,13 +6,15 @@
 import (
 	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
 )
 
 // planRoom holds the workers that may have room for a task of a plan. Each task looks at all of them, and in a surge
-// most workers are full. Capacity only shrinks during a plan, so a worker without room for the smallest task is dropped.
+// most workers are full. A worker without room for the smallest task is dropped: only a claim that is given up during a plan
+// gives it room again.
 type planRoom struct {
 	least   job.Size // no waiting task needs less
 	workers []*workerState
@@ -39,6 +41,13 @@
 // mayFit reports whether a worker has room for the smallest task.
 func (r *planRoom) mayFit(w *workerState) bool { return r.least.FitsIn(w.free()) }
 
+// regain adds a worker that has room again; nil, between plans, has no use for it.
+func (r *planRoom) regain(w *workerState) {
+	if r != nil && !slices.Contains(r.workers, w) {
+		r.workers = append(r.workers, w)
+	}
+}
+
 // all returns the workers that still may have room.
 func (r *planRoom) all() iter.Seq[*workerState] {
 	return func(yield func(*workerState) bool) {
--- a/services/scheduler/room_test.go
+++ b/services/scheduler/room_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,3 +44,21 @@
 	examined, most := d.Work().Minus(before).Examined, uint64((free+1)*(free*tasks+1)+2*workers) // a task of each small size looks at all
 	assert.Assert(t, examined <= most, "%d, at most %d are due", examined, most)
 }
+
+// TestPlanSeesTheRoomOfAClaimGivenUp guards against tasks that wait although there is room: a claim that is given up during
+// the plan was all that filled its worker.
+func TestPlanSeesTheRoomOfAClaimGivenUp(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerWorker()
+	step := job.Step{Count: 2, Size: job.Size{CPU: 4000}, Estimate: time.Second}
+	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{step}}, d.now)
+	j, w := d.jobs["1"], d.workers["w"]
+	s := &j.openRound(0).steps[0]
+	c := &claim{job: j, step: s, task: &s.tasks[0], worker: w, size: step.Size, since: d.now}
+	c.count(1)
+	d.claims = append(d.claims, c)
+	d.room = newPlanRoom(d.Pool, d.candidates(d.now), d.now)
+	assert.Equal(t, len(slices.Collect(d.workersWithRoom())), 0)
+	assert.Equal(t, d.takeClaim(s, d.now), w)
+	assert.Assert(t, slices.Equal(slices.Collect(d.workersWithRoom()), []*workerState{w}))
+}
