--- a/services/owner/pace.go
+++ b/services/owner/pace.go
@@ -38,7 +38,7 @@
 	return max(o.Journal.LastDuration()-appendWaits*o.lateness.Value(o.Clock.Now()), 0)
 }
 
-// workPeriod is how long the counts of an owner's work begin before the line that says it is behind, at least.
+// workPeriod is how much of an owner's work the line that says it is behind tells of, at least.
 const workPeriod = time.Second
 
 // workSince is the work of an owner as counted at a time.
@@ -62,6 +62,9 @@
 // logBehind logs that the owner does not keep up, and what it has done lately. The lock is held.
 func (o *Owner) logBehind(kind string, waited time.Duration, now time.Time) {
 	since := o.since[0]
+	if since.at.IsZero() {
+		since = o.since[1] // the pool is new here
+	}
 	w, u := o.pool.Work().Minus(since.work), runtimeusage.Read().Minus(since.usage)
 	o.Logger.Warn().Str("event", "behind").Str("work", kind).Dur("waited", waited).Int64("submissions", o.submitting.Load()).
 		Dur("append", o.Journal.LastDuration()).Dur("lateness", o.lateness.Value(now)).Dur("over", now.Sub(since.at)).
--- a/services/owner/pace_test.go
+++ b/services/owner/pace_test.go
@@ -4,10 +4,13 @@
 package owner
 
 import (
+	"bytes"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/yardbridge/yardbridge/standin/world"
@@ -63,3 +66,27 @@
 		assert.Equal(t, o.lateness.Value(o.Clock.Now()), time.Duration(0))
 	})
 }
+
+// TestBehindTellsOfTheLastSeconds guards against a line about an owner that is behind which tells of its work since it
+// claimed the pool, or of none.
+func TestBehindTellsOfTheLastSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := open(t, world.New(1))
+		var lines bytes.Buffer
+		o.Logger = zerolog.New(&lines)
+		for n := range 10 {
+			_, err := o.commit(t.Context())
+			assert.NilError(t, err)
+			time.Sleep(400 * time.Millisecond)
+			lines.Reset()
+			o.logBehind(pollWork, behindAfter, o.Clock.Now())
+			var line struct {
+				Over  float64
+				Plans uint64
+			}
+			assert.NilError(t, json.Unmarshal(lines.Bytes(), &line))
+			assert.Assert(t, line.Over <= 3*float64(workPeriod.Milliseconds()), "line %d: %s", n, &lines)
+			assert.Assert(t, n == 0 || line.Over > 0, "line %d: %s", n, &lines)
+		}
+	})
+}
