--- a/models/job/job.go
+++ b/models/job/job.go
@@ -162,3 +162,12 @@
 	}
 	return false
 }
+
+// TasksPerRound returns the number of tasks of all steps of one round.
+func (s *Submission) TasksPerRound() int {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+	}
+	return tasks
+}
--- a/services/scheduler/admission_test.go
+++ b/services/scheduler/admission_test.go
@@ -185,7 +185,7 @@
 func (d *testPool) startedOf(kind string, count int) int {
 	started := 0
 	for n := range count {
-		started += d.jobs[job.ID(fmt.Sprint(kind, "-", n))].activeRuns
+		started += len(d.jobs[job.ID(fmt.Sprint(kind, "-", n))].active)
 	}
 	return started
 }
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -56,10 +56,7 @@
 		if j.queue.Advice == nil {
 			continue
 		}
-		for _, r := range j.rounds {
-			if r == nil || r.openSteps == 0 {
-				continue
-			}
+		for _, r := range j.openRounds() {
 			for i := range r.steps {
 				s := &r.steps[i]
 				if p.needsAdvice(r, i, now) && (best == nil || s.job.latestStart.Before(best.job.latestStart)) {
@@ -103,8 +100,8 @@
 // emptied.
 func (s *stepState) leavingRuns() int {
 	n := 0
-	for t := range s.tasks {
-		for _, u := range s.tasks[t].runs {
+	for _, t := range s.states {
+		for _, u := range t.runs {
 			if s.spec.LongRunning && u.worker.leaving() {
 				n++
 			}
@@ -117,7 +114,7 @@
 // declared size.
 func (s *stepState) slotsOn(w *workerState) int {
 	free, n := w.free(), 0
-	for s.spec.Reservation().Times(n+1).FitsIn(free) && n < len(s.tasks) && (s.spec.MaxPerWorker == 0 || n < s.spec.MaxPerWorker-s.runsByWorker[w]) {
+	for s.spec.Reservation().Times(n+1).FitsIn(free) && n < s.count() && (s.spec.MaxPerWorker == 0 || n < s.spec.MaxPerWorker-s.runsByWorker[w]) {
 		n++
 	}
 	return n
@@ -131,8 +128,8 @@
 		if previous.waiting > 0 {
 			return false
 		}
-		for t := range previous.tasks {
-			for _, u := range previous.tasks[t].runs {
+		for _, t := range previous.states {
+			for _, u := range t.runs {
 				remaining := p.remainingTime(u, now)
 				if u.phase != running || remaining > adviceLead+previous.job.queue.Advice.CallTime {
 					return false
@@ -209,8 +206,8 @@
 		if j.queue.Advice == nil {
 			continue
 		}
-		for _, r := range j.rounds {
-			for i := 0; r != nil && i < len(r.steps); i++ {
+		for _, r := range j.openRounds() {
+			for i := range r.steps {
 				p.schedulePlan(r.steps[i].adviceRetryAt, now)
 			}
 		}
--- a/services/scheduler/ahead.go
+++ b/services/scheduler/ahead.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	p.schedulePlan(now.Add(p.ahead.appendTime/aheadReplans), now)
-	if !c.mayBePlacedAhead(&s.tasks[index]) || slices.ContainsFunc(p.ahead.noRoom, func(o job.Size) bool { return o.FitsIn(s.spec.Reservation()) }) {
+	if !c.mayBePlacedAhead(s.peek(index)) || slices.ContainsFunc(p.ahead.noRoom, func(o job.Size) bool { return o.FitsIn(s.spec.Reservation()) }) {
 		return false
 	}
 	var best *workerState
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -138,7 +138,7 @@
 // startSize returns the least that can start of a step: a task, or its gang.
 func (s *stepState) startSize() job.Size {
 	if s.spec.Gang {
-		return s.spec.Size.Times(len(s.tasks))
+		return s.spec.Size.Times(s.count())
 	}
 	return s.spec.Size
 }
@@ -310,9 +310,9 @@
 	smallest job.Size // the smallest demand that can start on its own; zero for none
 }
 
-// add adds the waiting tasks of a step.
-func (w *waitingDemand) add(s *stepState) {
-	w.total = w.total.Plus(s.spec.Size.Times(s.waiting))
+// add adds the waiting tasks of a step, a number of times.
+func (w *waitingDemand) add(s *stepState, times int) {
+	w.total = w.total.Plus(s.spec.Size.Times(s.waiting * times))
 	one := s.startSize()
 	if w.smallest == (job.Size{}) || one.CPU < w.smallest.CPU || one.CPU == w.smallest.CPU && one.MemoryMB < w.smallest.MemoryMB {
 		w.smallest = one
@@ -329,7 +329,7 @@
 		}
 		for _, c := range p.runnableSteps(j, now, list[:0]) {
 			sum := waiting[j.sub.Customer]
-			sum.add(c.step)
+			sum.add(c.step, p.roundsLike(c.job, c.step.ref.Round, now))
 			waiting[j.sub.Customer] = sum
 		}
 	}
--- a/services/scheduler/allowance_test.go
+++ b/services/scheduler/allowance_test.go
@@ -75,7 +75,7 @@
 	d.startAll("a")
 	d.startAll("b")
 	d.submitFor("gang", 3, true)
-	for n := 0; d.jobs["gang"].activeRuns == 0; n++ {
+	for n := 0; len(d.jobs["gang"].active) == 0; n++ {
 		assert.Assert(t, n < 20, "the gang has not started")
 		d.now = d.now.Add(500 * time.Millisecond)
 		d.finishOne()
@@ -84,7 +84,7 @@
 	}
 	d.finishOne()
 	d.startAll("a")
-	assert.Assert(t, d.jobs["small"].activeRuns > 0, "the other tasks stay held")
+	assert.Assert(t, len(d.jobs["small"].active) > 0, "the other tasks stay held")
 }
 
 // TestHoldForAGangSparesLongRunningTasks guards against a long-running task that is away for the time of
--- a/services/scheduler/backlog.go
+++ b/services/scheduler/backlog.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/capacity"
+	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/services/admission"
 )
 
@@ -72,22 +73,25 @@
 // waitingLoad returns the load of a job's waiting tasks, in the rounds that are due.
 func (p *Pool) waitingLoad(j *jobState, now time.Time) admission.Load {
 	var load admission.Load
-	for n, r := range j.rounds {
+	add := func(spec *job.Step, waiting int, each time.Duration) {
+		size := spec.Reservation().Times(waiting)
+		load = load.Plus(admission.Load{Work: capacity.WorkOf(size, each+p.runOverhead()), Size: size})
+	}
+	for n, r := range j.openRounds() {
 		if j.sub.RepeatCount > 0 && now.Before(p.due(j, n)) {
 			break
 		}
-		for i := range j.sub.Steps {
-			spec, waiting, each := &j.sub.Steps[i], j.sub.Steps[i].Count, time.Duration(0)
-			if spec.LongRunning {
-				continue
-			}
-			if r == nil {
-				each = p.expectedRunTime(j.sub.Queue, spec)
-			} else if waiting = r.steps[i].waiting + r.steps[i].held; waiting > 0 {
-				each = p.expectedStepTime(j, &r.steps[i])
+		for i := range r.steps {
+			s := &r.steps[i]
+			if waiting := s.waiting + s.held; waiting > 0 && !s.spec.LongRunning {
+				add(s.spec, waiting, p.expectedStepTime(j, s))
 			}
-			size := spec.Reservation().Times(waiting)
-			load = load.Plus(admission.Load{Work: capacity.WorkOf(size, each+p.runOverhead()), Size: size})
+		}
+	}
+	unopened := p.dueRounds(j, now) - j.opened
+	for i := range j.sub.Steps {
+		if spec := &j.sub.Steps[i]; unopened > 0 && !spec.LongRunning {
+			add(spec, unopened*spec.Count, p.expectedRunTime(j.sub.Queue, spec))
 		}
 	}
 	return load
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -211,8 +211,8 @@
 func (p *Pool) stuckWaiting(now time.Time) []*stepState {
 	var list []*stepState
 	for _, j := range p.active {
-		for _, r := range j.rounds {
-			for i := 0; r != nil && i < len(r.steps); i++ {
+		for _, r := range j.openRounds() {
+			for i := range r.steps {
 				if s := &r.steps[i]; !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= unsuitedAfter && p.needsOtherWorker(s, now) {
 					list = append(list, s)
 				}
@@ -265,7 +265,7 @@
 		least = p.schedulableWorkers(s.spec.Label, now) + 1
 	}
 	if s.spec.MaxPerWorker > 0 && (s.spec.LongRunning || s.waiting > 0) {
-		least = max(least, (len(s.tasks)-s.done+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
+		least = max(least, (s.count()-s.done+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
 	}
 	return least
 }
@@ -333,39 +333,47 @@
 
 // addDemand adds the demand of a job's open tasks.
 func (p *Pool) addDemand(j *jobState, now time.Time, r *Report) {
-	for n := range j.rounds {
-		if j.rounds[n] == nil || j.rounds[n].openSteps == 0 || j.sub.RepeatCount > 0 && now.Before(p.due(j, n)) {
+	for n, round := range j.openRounds() {
+		if j.sub.RepeatCount > 0 && now.Before(p.due(j, n)) {
 			continue
 		}
-		for i := range j.rounds[n].steps {
-			s := &j.rounds[n].steps[i]
-			size := s.spec.Reservation()
-			if s.spec.Label == "" || j.rounds[n].ready(i) {
-				r.addMinWorkers(s.spec.Label, p.minWorkers(s, now))
-			}
-			switch {
-			case s.spec.Label != "":
-				if s.waiting > 0 && j.rounds[n].ready(i) {
-					r.addLabel(s.spec.Label, size.Times(s.waiting).Scale(p.requiredShare(j, s, now)))
-				}
-			case s.spec.LongRunning:
-				r.Lasting = r.Lasting.Plus(size.Times(len(s.tasks)))
-			case s.waiting > 0 && j.rounds[n].ready(i):
-				waiting := size.Times(s.waiting)
-				if p.waitedAtLimit(j.sub.Customer, now) > limitWaitCounted {
-					continue
-				}
-				if j.urgency(s, now) == overdue {
-					r.Overdue = r.Overdue.Plus(waiting)
-					continue
-				}
-				r.Waiting = r.Waiting.Plus(waiting)
-				r.Required = r.Required.Plus(waiting.Scale(p.requiredShare(j, s, now)))
-			}
+		times := p.roundsLike(j, n, now)
+		for i := range round.steps {
+			p.addStepDemand(j, round, i, times, now, r)
 		}
 	}
 }
 
+// addStepDemand adds the demand of a step's open tasks, a number of times.
+func (p *Pool) addStepDemand(j *jobState, round *roundState, step, times int, now time.Time, r *Report) {
+	s := &round.steps[step]
+	size, waiting := s.spec.Reservation(), job.Size{}
+	if s.waiting > 0 && round.ready(step) {
+		waiting = size.Times(s.waiting * times)
+	}
+	if s.spec.Label == "" || round.ready(step) {
+		r.addMinWorkers(s.spec.Label, p.minWorkers(s, now))
+	}
+	switch {
+	case s.spec.Label != "":
+		if waiting != (job.Size{}) {
+			r.addLabel(s.spec.Label, waiting.Scale(p.requiredShare(j, s, now)))
+		}
+	case s.spec.LongRunning:
+		r.Lasting = r.Lasting.Plus(size.Times(s.count()))
+	case waiting != (job.Size{}):
+		if p.waitedAtLimit(j.sub.Customer, now) > limitWaitCounted {
+			return
+		}
+		if j.urgency(s, now) == overdue {
+			r.Overdue = r.Overdue.Plus(waiting)
+			return
+		}
+		r.Waiting = r.Waiting.Plus(waiting)
+		r.Required = r.Required.Plus(waiting.Scale(p.requiredShare(j, s, now)))
+	}
+}
+
 // emptyWorkers moves runs off the workers that must be emptied. Long-running tasks are stopped one at a
 // time, so that no more than the permitted number of a step are unavailable, and continue
 // elsewhere; runs with checkpoints are stopped if they would run for longer than a move takes.
@@ -449,10 +457,13 @@
 // unavailable returns how many tasks of a long-running step are not known to be serving, not
 // counting one task, nil for none.
 func (s *stepState) unavailable(without *taskState, now time.Time) int {
-	n := 0
-	for i := range s.tasks {
-		if t := &s.tasks[i]; t != without && !t.serving(now) {
-			n++
+	n := s.count()
+	if without != nil {
+		n--
+	}
+	for _, t := range s.states {
+		if t != without && t.serving(now) {
+			n--
 		}
 	}
 	return n
--- a/services/scheduler/crash.go
+++ b/services/scheduler/crash.go
@@ -360,7 +360,7 @@
 // returns true.
 func (p *Pool) clearCrashOf(incarnation worker.Incarnation, ref job.TaskRef, matches func(crash) bool, reason string) {
 	_, t := p.openTask(ref)
-	if t == nil {
+	if t == nil || len(t.crashes) == 0 {
 		return
 	}
 	before := len(t.crashes)
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -97,7 +97,7 @@
 // gangMembers returns the active runs that started together with a run of a gang, including itself.
 func (u *run) gangMembers() []*run {
 	var list []*run
-	for _, t := range u.step().tasks {
+	for _, t := range u.step().touched() {
 		for _, o := range t.runs {
 			if o.number == u.number {
 				list = append(list, o)
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -4,6 +4,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,8 +22,12 @@
 	state         job.State
 	accepted      time.Time
 	endedAt       time.Time
-	started       bool // one of its tasks has started
-	rounds        []*roundState
+	started       bool          // one of its tasks has started
+	rounds        []*roundState // by number; nil for one that has not been opened
+	unbegun       int           // opened rounds of which no task has been started
+	opened        int           // rounds that have been opened
+	firstOpen     int           // all rounds before it have ended
+	nextRound     int           // all rounds before it have been opened
 	latestStart   time.Time     // latest time to continue and still finish within the objective
 	objective     time.Duration // latency objective of the job
 	remainingWork float64       // remaining core-seconds
@@ -33,27 +39,37 @@
 	running  jobRecord // of its runs that have been seen working
 	parts    parts     // of its progress
 
-	activeRuns int // runs in progress
-	dirty      bool
-	stored     bool   // the submission is persisted or in the batch in progress
-	collected  bool   // a batch carries it
-	changedIn  uint64 // batch that carries the newest change
+	active    map[*run]struct{} // runs in progress
+	begun     int               // tasks with a state
+	dirty     bool
+	stored    bool   // the submission is persisted or in the batch in progress
+	collected bool   // a batch carries it
+	changedIn uint64 // batch that carries the newest change
 }
 
-// roundState is one round of a job's steps; nil until it is due.
+// roundState is one round of a job's steps. Once it has ended and none of its runs is active, it is endedRound.
 type roundState struct {
 	steps     []stepState
-	openSteps int // steps that are not done
+	openSteps int  // steps that are not done
+	active    int  // runs in progress
+	begun     bool // a task has been started
 }
 
+// endedRound stands for each round that has ended.
+var endedRound = &roundState{begun: true}
+
 // stepState is a step of one round.
 type stepState struct {
 	job           *jobState
 	ref           job.StepRef
 	spec          *job.Step
-	tasks         []taskState
-	waiting       int // tasks that are not done and have no run
-	held          int // runs placed ahead whose workers have no room yet
+	round         *roundState
+	before        int // tasks of the job before those of the step
+	states        map[int]*taskState
+	doneBits      []uint // which tasks are done, while some are
+	firstOpen     int    // all tasks before it are done
+	waiting       int    // tasks that are not done and have no run
+	held          int    // runs placed ahead whose workers have no room yet
 	done          int
 	runTimes      mean                 // run times of its finished tasks, in seconds
 	runsByWorker  map[*workerState]int // active runs by worker, where their number is limited
@@ -67,53 +83,17 @@
 	excluded      map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
 }
 
-// taskState is one task.
-type taskState struct {
-	number     int // number of its newest run
-	failures   int
-	done       bool
-	checkpoint string
-	runs       []*run // runs in progress
-	notBefore  time.Time
-	failedOn   []worker.ID // workers on which it has failed
-	failedAt   time.Time   // time of the last failure
-	lostRuns   []int       // numbers of runs declared lost whose end was not received
-
-	crashes      []crash   // workers that crashed while running it
-	suspectSince time.Time // when the newest of the crashes was recorded
-}
-
 // ready reports whether the steps that a step follows are done.
 func (r *roundState) ready(step int) bool {
 	for _, a := range r.steps[step].spec.DependsOn {
-		if r.steps[a].done < len(r.steps[a].tasks) {
+		if r.steps[a].done < r.steps[a].count() {
 			return false
 		}
 	}
 	return true
 }
 
-// openRound returns a round's state and creates it on first use.
-func (j *jobState) openRound(n int) *roundState {
-	if j.rounds[n] != nil {
-		return j.rounds[n]
-	}
-	r := &roundState{steps: make([]stepState, len(j.sub.Steps)), openSteps: len(j.sub.Steps)}
-	for i := range j.sub.Steps {
-		spec := &j.sub.Steps[i]
-		r.steps[i] = stepState{
-			job:     j,
-			ref:     job.StepRef{Job: j.sub.ID, Round: n, Step: i},
-			spec:    spec,
-			tasks:   make([]taskState, spec.Count),
-			waiting: spec.Count,
-		}
-	}
-	j.rounds[n] = r
-	return r
-}
-
-// openTask returns a task and its step, nil if there is none or its job is finished.
+// openTask returns a task, which must not be changed, and its step, nil if there is none or its job is finished.
 func (p *Pool) openTask(ref job.TaskRef) (*stepState, *taskState) {
 	s, t := p.findTask(ref)
 	if t == nil || s.job.state.Final() {
@@ -122,37 +102,38 @@
 	return s, t
 }
 
-// findTask returns a task and its step, nil if there is none.
+// findTask returns a task, which must not be changed, and its step, nil if there is none.
 func (p *Pool) findTask(ref job.TaskRef) (*stepState, *taskState) {
 	j := p.jobs[ref.Job]
-	if j == nil || ref.Round >= len(j.rounds) || j.rounds[ref.Round] == nil || ref.Step >= len(j.sub.Steps) {
+	if j == nil {
 		return nil, nil
 	}
-	s := &j.rounds[ref.Round].steps[ref.Step]
-	if ref.Index >= len(s.tasks) {
+	r := j.round(ref.Round)
+	if r == nil || ref.Step >= len(r.steps) {
+		return nil, nil
+	}
+	s := &r.steps[ref.Step]
+	if ref.Index >= s.count() {
 		return nil, nil
 	}
-	return s, &s.tasks[ref.Index]
+	return s, s.peek(ref.Index)
 }
 
-// runs returns the job's runs in progress.
+// runs returns the job's runs in progress, in the order of their tasks.
 func (j *jobState) runs() []*run {
-	var list []*run
-	for _, t := range j.tasks() {
-		list = append(list, t.runs...)
-	}
-	return list
+	return slices.SortedFunc(maps.Keys(j.active), func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(a.ref.Round, b.ref.Round), cmp.Compare(a.ref.Step, b.ref.Step), cmp.Compare(a.ref.Index, b.ref.Index), cmp.Compare(a.number, b.number),
+		)
+	})
 }
 
 // finished reports whether the job is final and no run of it is active any more.
-func (j *jobState) finished() bool { return j.state.Final() && j.activeRuns == 0 }
+func (j *jobState) finished() bool { return j.state.Final() && len(j.active) == 0 }
 
 // newJob returns the initial state of a job.
 func (p *Pool) newJob(s job.Submission, accepted time.Time) *jobState {
-	j := &jobState{
-		sub: s, state: job.Queued, accepted: accepted,
-		rounds: make([]*roundState, s.Rounds()),
-	}
+	j := &jobState{sub: s, state: job.Queued, accepted: accepted}
 	j.queue = p.queueOf(j)
 	return j
 }
@@ -303,7 +284,7 @@
 	for len(p.ended) > 0 && !p.ended[0].expiresAt.After(now) {
 		if j := p.jobs[p.ended[0].id]; j != nil && j.state.Final() {
 			p.stopJob(j, now, "the retention of its job is over")
-			if j.activeRuns > 0 {
+			if len(j.active) > 0 {
 				p.ended = append(p.ended[1:], endedJob{j.sub.ID, now.Add(p.Limits.StopTime + pollRetry)}) // checked again after the stop
 				continue
 			}
@@ -329,24 +310,20 @@
 
 // checkCompletion checks whether the end of a task completes its step, its round or its job.
 func (p *Pool) checkCompletion(j *jobState, ref job.StepRef, now time.Time) {
-	r := j.rounds[ref.Round]
-	s := &r.steps[ref.Step]
-	if s.done < len(s.tasks) {
+	r := j.round(ref.Round)
+	if r == nil || len(r.steps) == 0 || r.steps[ref.Step].done < r.steps[ref.Step].count() {
 		return
 	}
+	s := &r.steps[ref.Step]
 	r.openSteps--
 	p.needsPlan = true
+	j.skipEnded()
 	p.updateObjective(j)
 	p.dropTickets(s)
-	if r.openSteps > 0 {
-		return
-	}
-	for n := range j.rounds {
-		if j.rounds[n] == nil || j.rounds[n].openSteps > 0 {
-			return
-		}
+	j.dropEnded(ref.Round)
+	if j.firstOpen == j.sub.Rounds() {
+		p.finishJob(j, job.Completed, now, "all tasks are done")
 	}
-	p.finishJob(j, job.Completed, now, "all tasks are done")
 }
 
 // maxLateFactor is how many times its objective a job may take and still be of some value.
@@ -364,7 +341,7 @@
 	j.remainingWork = work
 	begin := j.accepted
 	if j.sub.RepeatCount > 0 {
-		begin = p.due(j, p.firstOpenRound(j))
+		begin = p.due(j, j.firstOpenRound())
 	}
 	j.latestStart = begin.Add(j.objective - remaining - stepOverhead)
 }
@@ -378,23 +355,16 @@
 // the jobs with the least slack are placed first, all of them end slightly late.
 const stepOverhead = 150 * time.Millisecond
 
-// firstOpenRound returns the first round that has not ended.
-func (p *Pool) firstOpenRound(j *jobState) int {
-	for n, r := range j.rounds {
-		if r == nil || r.openSteps > 0 {
-			return n
-		}
-	}
-	return 0
-}
-
 // criticalPath returns the length of the longest chain of steps in a round, the remaining part of
 // it, and the remaining core-seconds.
 func (p *Pool) criticalPath(j *jobState) (total, remaining time.Duration, work float64) {
 	n := len(j.sub.Steps)
 	totals := make([]time.Duration, 2*n)
 	remainders := totals[n:]
-	round := j.rounds[p.firstOpenRound(j)]
+	round := j.round(j.firstOpenRound())
+	if round == endedRound {
+		round = nil
+	}
 	for i := range j.sub.Steps {
 		s := &j.sub.Steps[i]
 		if s.LongRunning {
--- a/services/scheduler/lateend.go
+++ b/services/scheduler/lateend.go
@@ -27,7 +27,7 @@
 	at := slices.Index(t.lostRuns, e.Number)
 	switch {
 	case e.Reason == worker.Done:
-		p.markDoneLate(s, t, now)
+		p.markDoneLate(s, ref.Index, now)
 	case e.Reason == worker.Failed && at >= 0: // others were counted by an earlier owner
 		p.countFailure(s.job, t, w, e.Task, now)
 	default:
@@ -36,6 +36,7 @@
 	if at >= 0 {
 		t.lostRuns = slices.Delete(t.lostRuns, at, at+1)
 	}
+	s.markPart(ref.Index)
 	p.markDirty(s.job)
 	l := p.lateEndLogger(w, e, now)
 	l.Info().Str("event", "end").Str("outcome", string(e.Reason)).Int("sequence", e.Sequence).Bool("late", true).
@@ -52,13 +53,13 @@
 }
 
 // markDoneLate marks a task as done and stops its later runs.
-func (p *Pool) markDoneLate(s *stepState, t *taskState, now time.Time) {
-	s.markGangDone(t)
-	for i := range s.tasks {
-		if !s.tasks[i].done {
+func (p *Pool) markDoneLate(s *stepState, index int, now time.Time) {
+	s.markGangDone(index)
+	for _, t := range s.touched() {
+		if !t.done {
 			continue
 		}
-		for _, o := range slices.Clone(s.tasks[i].runs) {
+		for _, o := range slices.Clone(t.runs) {
 			p.stopRun(o, now, "an earlier run is done")
 		}
 	}
--- a/services/scheduler/lateend_test.go
+++ b/services/scheduler/lateend_test.go
@@ -69,10 +69,11 @@
 func TestLostRunThatFailed(t *testing.T) {
 	d := newTestPoolWithLostRun(t)
 	d.jobs["1"].queue.MaxAttempts = 1
+	task := d.firstTask("1")
 	d.reportEnd(worker.Failed)
 	d.reportEnd(worker.Failed)
 	d.persist()
-	assert.Equal(t, d.firstTask("1").failures, 1)
+	assert.Equal(t, task.failures, 1)
 	d.persist()
 	state, _ := d.State("1")
 	assert.Equal(t, state, job.Failed)
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -47,17 +47,18 @@
 	}
 	p.needsPlan, p.planAt = false, time.Time{}
 	p.work.Plans++
-	p.reserved, p.reservedFor, p.noRoom, p.ahead.noRoom = nil, nil, nil, nil
+	p.reserved, p.reservedFor, p.noRoom, p.noWorker, p.ahead.noRoom = nil, nil, nil, nil, nil
 	p.ExpireLeases(now)
 	p.withholdAll(now)
 	p.pruneActive()
 	p.updateUsage(now)
 	p.beginSlowStart(now)
-	list := p.candidates(now)
+	list, placed := p.candidates(now), p.work.Placed
 	p.holdForGangs(list, now)
 	p.room = newPlanRoom(p, list, now)
 	p.placeAll(list, now)
 	p.room = nil
+	p.replanForLeft(p.work.Placed > placed, now)
 	p.endWaiting(now)
 	p.logWaiting(list, now)
 	p.placedCPU = p.usedCPU()
@@ -83,6 +84,7 @@
 // candidates returns the steps that may run now, the most urgent first.
 func (p *Pool) candidates(now time.Time) []candidate {
 	var list []candidate
+	p.left = false
 	for _, j := range p.active {
 		list = p.runnableSteps(j, now, list)
 	}
@@ -100,20 +102,27 @@
 
 // runnableSteps appends the steps of a job that may run now.
 func (p *Pool) runnableSteps(j *jobState, now time.Time, list []candidate) []candidate {
-	for n := range j.rounds {
+	p.openDue(j, now)
+	var alike []int // steps of which no task has been started, by number
+	for n, r := range j.openRounds() {
 		if j.sub.RepeatCount > 0 && now.Before(p.due(j, n)) {
-			p.schedulePlan(p.due(j, n), now)
-			break
-		}
-		r := j.openRound(n)
-		if r.openSteps == 0 {
 			continue
 		}
 		for i := range r.steps {
 			s := &r.steps[i]
-			if s.waiting > 0 && r.ready(i) {
-				list = append(list, candidate{j, s, j.urgency(s, now)})
+			if s.waiting == 0 || !r.ready(i) {
+				continue
+			}
+			if j.opened > maxAlike && s.untouched() {
+				if alike == nil {
+					alike = make([]int, len(r.steps))
+				}
+				if alike[i]++; alike[i] > maxAlike {
+					p.left = true
+					continue
+				}
 			}
+			list = append(list, candidate{j, s, j.urgency(s, now)})
 		}
 	}
 	return list
@@ -156,13 +165,16 @@
 
 // place starts runs of a step's waiting tasks on the workers that suit them best.
 func (p *Pool) place(c candidate, now time.Time) {
+	if p.noWorker[c.step.spec] && c.step.untouched() {
+		return
+	}
 	if c.step.spec.Gang {
 		p.placeGang(c, now)
 		return
 	}
-	for i := range c.step.tasks {
-		t := &c.step.tasks[i]
-		if t.done || len(t.runs) > 0 {
+	for i := c.step.firstOpen; i < c.step.count() && c.step.waiting > 0; i++ {
+		t := c.step.peek(i)
+		if t.done || len(t.runs) > 0 || t.untouched() && c.job.hasManyBegun() {
 			continue
 		}
 		if !p.withinAllowance(c, 1, now) {
@@ -180,6 +192,7 @@
 			continue
 		}
 		if w == nil && t.failures == 0 && !t.suspected() {
+			p.noteNoWorker(c.step)
 			return
 		}
 		if w == nil {
@@ -268,6 +281,18 @@
 	}
 }
 
+// noteNoWorker records that no worker takes a task of a step, for the rest of the plan: none takes one of the same step in
+// another round then, unless each has workers of its own.
+func (p *Pool) noteNoWorker(s *stepState) {
+	if s.job.opened == 1 || s.spec.LongRunning || s.job.queue.Advice != nil || s.spec.MaxPerWorker > 0 && !s.untouched() {
+		return
+	}
+	if p.noWorker == nil {
+		p.noWorker = make(map[*job.Step]bool)
+	}
+	p.noWorker[s.spec] = true
+}
+
 // noRoomFor reports whether the plan has found before that no worker has the capacity for a task that
 // needs no more than one of this step. Otherwise each of many waiting steps would look at each worker.
 func (p *Pool) noRoomFor(s *stepState) bool {
@@ -320,15 +345,18 @@
 // placeGang starts all tasks of a gang or none. If the step is slower across racks, it prefers one
 // rack with enough capacity, and falls back to any workers.
 func (p *Pool) placeGang(c candidate, now time.Time) {
-	if c.step.waiting < len(c.step.tasks) {
+	s := c.step
+	if s.waiting < s.count() {
 		return
 	}
-	for i := range c.step.tasks {
-		if now.Before(c.step.tasks[i].notBefore) {
+	number := 0
+	for _, t := range s.states {
+		if now.Before(t.notBefore) {
 			return
 		}
+		number = max(number, t.number)
 	}
-	if !p.withinAllowance(c, len(c.step.tasks), now) {
+	if !p.withinAllowance(c, s.count(), now) {
 		return
 	}
 	var chosen []*workerState
@@ -344,15 +372,12 @@
 	}
 	if chosen == nil {
 		p.reserveForGang(c, now)
+		p.noteNoWorker(s)
 		return
 	}
-	number := 0
-	for i := range c.step.tasks {
-		number = max(number, c.step.tasks[i].number)
-	}
 	for i, w := range chosen {
-		c.step.tasks[i].number = number // the members of a gang share the number
-		p.logPlacement(c, p.planRun(c.job, c.step, i, w, now), now)
+		s.task(i).number = number // the members of a gang share the number
+		p.logPlacement(c, p.planRun(c.job, s, i, w, now), now)
 	}
 }
 
@@ -365,7 +390,7 @@
 	p.reservedFor = c.step
 	p.reserved = make(map[*workerState]bool)
 	size := c.step.spec.Reservation()
-	remaining := len(c.step.tasks)
+	remaining := c.step.count()
 	for _, w := range p.byFreeCapacity() {
 		if remaining <= 0 {
 			return
@@ -404,7 +429,7 @@
 		}
 	}
 	fits := 0
-	for size.Times(fits+1).FitsIn(free) && (s.spec.MaxPerWorker == 0 || fits < s.spec.MaxPerWorker) && fits < len(s.tasks) {
+	for size.Times(fits+1).FitsIn(free) && (s.spec.MaxPerWorker == 0 || fits < s.spec.MaxPerWorker) && fits < s.count() {
 		fits++
 	}
 	return fits
@@ -425,10 +450,10 @@
 func (p *Pool) gangWorkers(c candidate, now time.Time, rack string) []*workerState {
 	taken := make(map[*workerState]job.Size)
 	count := make(map[*workerState]int)
-	chosen := make([]*workerState, 0, len(c.step.tasks))
+	chosen := make([]*workerState, 0, c.step.count())
 	size := c.step.spec.Reservation()
-	for i := range c.step.tasks {
-		w := p.chooseWorker(c, &c.step.tasks[i], now, func(w *workerState) bool {
+	for i := range c.step.count() {
+		w := p.chooseWorker(c, c.step.peek(i), now, func(w *workerState) bool {
 			limit := c.step.spec.MaxPerWorker
 			return rack != "" && !w.info.HasLabel(rack) || limit > 0 && c.step.runsByWorker[w]+count[w] >= limit ||
 				!p.hasRoom(w, size, taken[w], now)
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -277,13 +277,16 @@
 // reserveForOrphan reserves the capacity of an orphan run, and keeps its task from starting until
 // the orphan must have stopped.
 func (p *Pool) reserveForOrphan(w *workerState, ref job.TaskRef, now time.Time) {
-	s, t := p.findTask(ref)
-	if t == nil {
+	j := p.jobs[ref.Job]
+	if j == nil || ref.Step >= len(j.sub.Steps) || ref.Round >= j.sub.Rounds() || ref.Index >= j.sub.Steps[ref.Step].Count {
 		return
 	}
-	w.orphanSize = w.orphanSize.Plus(s.spec.Reservation())
-	w.orphanUses = append(w.orphanUses, orphanUse{s.job.sub.Customer, s.spec.Size})
-	p.allowances.addUse(s.job.sub.Customer, s.spec.Size)
-	t.notBefore = now.Add(p.Limits.StopTime + pollRetry)
+	spec := &j.sub.Steps[ref.Step]
+	w.orphanSize = w.orphanSize.Plus(spec.Reservation())
+	w.orphanUses = append(w.orphanUses, orphanUse{j.sub.Customer, spec.Size})
+	p.allowances.addUse(j.sub.Customer, spec.Size)
+	if s, t := p.openTask(ref); t != nil && !t.done {
+		s.task(ref.Index).notBefore = now.Add(p.Limits.StopTime + pollRetry)
+	}
 	p.schedulePlan(now.Add(p.Limits.StopTime+pollRetry), now)
 }
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -113,6 +113,8 @@
 	waitLogAt      time.Time             // earliest time of the next log line about a waiting step
 	noRoom         []job.Size            // of tasks for which this plan has found no worker with the capacity
 	room           *planRoom             // workers with room in this plan, nil between plans
+	noWorker       map[*job.Step]bool    // steps of which this plan has found no worker for a task that has never been started
+	left           bool                  // the last plan left out steps that are like others
 	pendingWorkers []worker.ID           // workers marked for processing since PendingWorkers was last called
 }
 
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -56,6 +56,11 @@
 	Runs       []runProgress
 }
 
+// untouched reports whether the task has never been started.
+func (d *taskProgress) untouched() bool {
+	return d.Number == 0 && d.Fails == 0 && !d.Done && d.Checkpoint == "" && len(d.Runs) == 0
+}
+
 type runProgress struct {
 	_        struct{} `cbor:",toarray"`
 	Number   int
@@ -72,6 +77,7 @@
 	stops   []*run
 	ends    []endMark
 	stored  []*jobState
+	ended   []*jobState // without active runs
 
 	silent    map[worker.ID]int64 // workers that its record of workers that do not respond names
 	hasSilent bool                // it has such a record
@@ -173,12 +179,15 @@
 		return err
 	}
 	if !j.parts.split && len(data) > maxProgressBytes {
-		j.parts = parts{true, make(map[int]uint64)}
+		j.splitParts()
 		if data, err = codec.Marshal(j.progress(c)); err != nil {
 			return err
 		}
 	}
 	b.Records = append(b.Records, port.Record{Key: keyProgress + string(j.sub.ID), Value: data})
+	if j.finished() {
+		b.ended = append(b.ended, j)
+	}
 	switch {
 	case !j.parts.split:
 		return nil
@@ -222,16 +231,21 @@
 		return d
 	}
 	for n, r := range j.rounds {
-		if r == nil {
+		if r == nil || !r.begun {
 			continue
 		}
-		o := roundProgress{Round: n, Steps: make([][]taskProgress, len(r.steps)), Done: make([]bool, len(r.steps))}
+		steps := len(j.sub.Steps)
+		o := roundProgress{Round: n, Steps: make([][]taskProgress, steps), Done: make([]bool, steps)}
 		touched := false
-		for i := range r.steps {
+		for i := range steps {
+			if r == endedRound {
+				o.Done[i], touched = true, true
+				continue
+			}
 			s := &r.steps[i]
-			o.Done[i] = s.done == len(s.tasks)
+			o.Done[i] = s.done == s.count()
 			if !o.Done[i] && !s.untouched() {
-				o.Steps[i] = s.taskProgress(0, len(s.tasks))
+				o.Steps[i] = s.taskProgress(0, s.count())
 			}
 			touched = touched || o.Done[i] || o.Steps[i] != nil
 		}
@@ -246,7 +260,7 @@
 func (s *stepState) taskProgress(first, count int) []taskProgress {
 	tasks := make([]taskProgress, count)
 	for i := range tasks {
-		t := &s.tasks[first+i]
+		t := s.peek(first + i)
 		d := taskProgress{Number: t.number, Fails: t.failures, Done: t.done, Checkpoint: t.checkpoint}
 		for _, u := range t.runs {
 			d.Runs = append(d.Runs, runProgress{Number: u.number, Worker: u.worker.info.ID, Address: cmp.Or(u.worker.provenAddress, u.worker.info.Address), Stopping: u.stopping})
@@ -267,6 +281,9 @@
 	for _, j := range b.stored {
 		j.stored = true
 	}
+	for _, j := range b.ended {
+		j.dropRounds()
+	}
 	for _, u := range b.runs {
 		if u.phase == planned {
 			u.phase = ordered
@@ -364,21 +381,18 @@
 	for _, o := range d.Rounds {
 		p.restoreRound(j, o, now, reserveFor)
 	}
+	j.countOpenSteps()
 }
 
 func (p *Pool) restoreRound(j *jobState, o roundProgress, now time.Time, reserveFor time.Duration) {
-	if len(j.sub.Steps) == 0 || o.Round >= len(j.rounds) {
+	if len(j.sub.Steps) == 0 || o.Round < 0 || o.Round >= j.sub.Rounds() {
 		return // only the state of an ended job is persisted
 	}
 	r := j.openRound(o.Round)
 	for i := range r.steps {
 		s := &r.steps[i]
 		if o.Done[i] {
-			for t := range s.tasks {
-				s.tasks[t].done = true
-			}
-			s.done, s.waiting = len(s.tasks), 0
-			r.openSteps--
+			s.setAllDone()
 			continue
 		}
 		for t, d := range o.Steps[i] {
@@ -388,12 +402,14 @@
 }
 
 func (p *Pool) restoreTask(j *jobState, s *stepState, index int, d taskProgress, now time.Time, reserveFor time.Duration) {
-	t := &s.tasks[index]
-	t.number, t.failures, t.done, t.checkpoint = d.Number, d.Fails, d.Done, d.Checkpoint
-	if t.done {
-		s.done++
-		s.waiting--
+	if d.Done {
+		s.setDone(index)
+	}
+	if d.Done && len(d.Runs) == 0 || d.untouched() {
+		return
 	}
+	t := s.task(index)
+	t.number, t.failures, t.checkpoint = d.Number, d.Fails, d.Checkpoint
 	for _, o := range d.Runs {
 		w := p.workers[o.Worker]
 		if w == nil {
@@ -404,7 +420,7 @@
 		w.restoredRunsEndAt = now.Add(reserveFor)
 		ref := job.TaskRef{StepRef: s.ref, Index: index}
 		u := &run{
-			job: j, ref: ref, name: ref.String(), number: o.Number, worker: w, size: s.spec.Reservation(),
+			job: j, of: s, state: t, ref: ref, name: ref.String(), number: o.Number, worker: w, size: s.spec.Reservation(),
 			phase: ordered, restored: true, cpuShare: fullPercent, progressedAt: now,
 		}
 		p.attach(u)
--- a/services/scheduler/record_crash.go
+++ b/services/scheduler/record_crash.go
@@ -25,7 +25,7 @@
 // crashRecords returns the crashes attributed to a job's tasks.
 func (j *jobState) crashRecords() []crashRecord {
 	var list []crashRecord
-	for ref, t := range j.tasks() {
+	for ref, t := range j.touched() {
 		for _, c := range t.crashes {
 			list = append(list, crashRecord{Round: ref.Round, Step: ref.Step, Index: ref.Index, Worker: c.worker.String(), Weight: c.weight, Confirmed: c.confirmed})
 		}
@@ -47,15 +47,16 @@
 
 func (p *Pool) restoreCrash(id job.ID, k crashRecord) error {
 	ref := job.TaskRef{StepRef: job.StepRef{Job: id, Round: k.Round, Step: k.Step}, Index: k.Index}
-	_, t := p.openTask(ref)
-	if t == nil {
-		return nil // its job has ended
+	s, t := p.openTask(ref)
+	if t == nil || t.done {
+		return nil // its job has ended, or it is done
 	}
 	var incarnation worker.Incarnation
 	if err := incarnation.UnmarshalText([]byte(k.Worker)); err != nil {
 		return errors.Annotatef(err, "decode crashes of %s", id)
 	}
 	p.jobs[id].crashes.persisted = true
+	t = s.task(ref.Index)
 	t.crashes = append(t.crashes, crash{worker: incarnation, weight: k.Weight, confirmed: k.Confirmed})
 	p.attributed[incarnation] = append(p.attributed[incarnation], ref)
 	return nil
--- a/services/scheduler/record_health.go
+++ b/services/scheduler/record_health.go
@@ -42,7 +42,7 @@
 // failureRecords returns where the open tasks of a job have failed.
 func (j *jobState) failureRecords() []failureRecord {
 	var list []failureRecord
-	for ref, t := range j.tasks() {
+	for ref, t := range j.touched() {
 		if len(t.failedOn) > 0 && !t.done {
 			list = append(list, failureRecord{Round: ref.Round, Step: ref.Step, Index: ref.Index, Workers: t.failedOn})
 		}
@@ -56,10 +56,11 @@
 	return eachRecord(records, keyFailures, "failures of", func(id string, failures []failureRecord) error {
 		for _, f := range failures {
 			s, t := p.openTask(job.TaskRef{StepRef: job.StepRef{Job: job.ID(id), Round: f.Round, Step: f.Step}, Index: f.Index})
-			if t == nil {
-				continue // its job has ended
+			if t == nil || t.done {
+				continue // its job has ended, or it is done
 			}
 			s.job.failures.persisted = true
+			t = s.task(f.Index)
 			t.failedOn, t.failedAt = f.Workers, now
 			for _, w := range f.Workers {
 				s.job.noteFailedOn(w)
--- a/services/scheduler/record_job.go
+++ b/services/scheduler/record_job.go
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// tasks returns the tasks of the rounds that have been opened.
-func (j *jobState) tasks() iter.Seq2[job.TaskRef, *taskState] {
+// touched returns the tasks of a job that have a state.
+func (j *jobState) touched() iter.Seq2[job.TaskRef, *taskState] {
 	return func(yield func(job.TaskRef, *taskState) bool) {
 		for _, r := range j.rounds {
 			if r == nil {
@@ -75,8 +75,8 @@
 			}
 			for i := range r.steps {
 				s := &r.steps[i]
-				for t := range s.tasks {
-					if !yield(job.TaskRef{StepRef: s.ref, Index: t}, &s.tasks[t]) {
+				for index, t := range s.touched() {
+					if !yield(job.TaskRef{StepRef: s.ref, Index: index}, t) {
 						return
 					}
 				}
--- a/services/scheduler/record_part.go
+++ b/services/scheduler/record_part.go
@@ -49,70 +49,71 @@
 type parts struct {
 	split     bool
 	persisted map[int]uint64 // hashes of the persisted parts, or of those in the batch in progress, by number
+	changed   map[int]bool   // parts that may have changed since the last batch, by number
 }
 
 var partSeed = maphash.MakeSeed()
 
-// untouched reports whether a task has never been started.
-func (t *taskState) untouched() bool {
-	return t.number == 0 && t.failures == 0 && !t.done && t.checkpoint == "" && len(t.runs) == 0
-}
-
-// untouched reports whether no task of a step has ever been started.
-func (s *stepState) untouched() bool {
-	return !slices.ContainsFunc(s.tasks, func(t taskState) bool { return !t.untouched() })
-}
-
 // fragment returns the progress of tasks of a step, false if none of them has been started.
 func (s *stepState) fragment(first, count int) (fragment, bool) {
 	f := fragment{Round: s.ref.Round, Step: s.ref.Step, First: first, Count: count}
-	tasks := s.tasks[first : first+count]
-	if !slices.ContainsFunc(tasks, func(t taskState) bool { return !t.untouched() }) {
-		return f, false
+	touched, allDone := false, true
+	for i := first; i < first+count; i++ {
+		t := s.peek(i)
+		touched, allDone = touched || !t.untouched(), allDone && t.done
 	}
-	if slices.ContainsFunc(tasks, func(t taskState) bool { return !t.done }) {
+	if touched && !allDone {
 		f.Tasks = s.taskProgress(first, count)
 	}
-	return f, true
+	return f, touched
 }
 
-// fragments returns the progress of a job's tasks, by the number of their part.
-func (j *jobState) fragments() map[int][]fragment {
-	perRound := 0
-	for i := range j.sub.Steps {
-		perRound += j.sub.Steps[i].Count
-	}
-	list := make(map[int][]fragment)
-	for n, r := range j.rounds {
-		if r == nil {
-			continue
-		}
+// fragments returns the progress of the tasks of a part.
+func (j *jobState) fragments(part int) []fragment {
+	var list []fragment
+	perRound := j.sub.TasksPerRound()
+	first, end := part*tasksPerPart, (part+1)*tasksPerPart
+	for n := first / perRound; n < len(j.rounds) && n*perRound < end; n++ {
 		before := n * perRound // tasks before those of the step
-		for i := range r.steps {
-			s := &r.steps[i]
-			for first := 0; first < len(s.tasks); {
-				part := (before + first) / tasksPerPart
-				count := min(len(s.tasks)-first, (part+1)*tasksPerPart-before-first)
-				if f, touched := s.fragment(first, count); touched {
-					list[part] = append(list[part], f)
-				}
-				first += count
+		for i := range j.sub.Steps {
+			from, to := max(first-before, 0), min(end-before, j.sub.Steps[i].Count)
+			if f, touched := j.fragment(n, i, from, to-from); touched {
+				list = append(list, f)
 			}
-			before += len(s.tasks)
+			before += j.sub.Steps[i].Count
 		}
 	}
 	return list
 }
 
+// fragment returns the progress of tasks of a step, false if there are none or none of them has been started.
+func (j *jobState) fragment(round, step, first, count int) (fragment, bool) {
+	switch r := j.rounds[round]; {
+	case count <= 0 || r == nil:
+		return fragment{}, false
+	case r == endedRound:
+		return fragment{Round: round, Step: step, First: first, Count: count}, true
+	default:
+		return r.steps[step].fragment(first, count)
+	}
+}
+
 func partRecord(id job.ID, part int, value []byte) port.Record {
 	return port.Record{Key: fmt.Sprint(keyPart, id, "/", part), Value: value}
 }
 
 // addParts adds the parts of a job that have changed to the batch.
 func (b *Batch) addParts(j *jobState) error {
-	fragments := j.fragments()
-	for _, part := range slices.Sorted(maps.Keys(fragments)) {
-		data, err := codec.Marshal(fragments[part])
+	for _, part := range slices.Sorted(maps.Keys(j.parts.changed)) {
+		fragments := j.fragments(part)
+		if len(fragments) == 0 {
+			if _, has := j.parts.persisted[part]; has {
+				delete(j.parts.persisted, part)
+				b.Records = append(b.Records, partRecord(j.sub.ID, part, nil))
+			}
+			continue
+		}
+		data, err := codec.Marshal(fragments)
 		if err != nil {
 			return err
 		}
@@ -121,15 +122,26 @@
 			b.Records = append(b.Records, partRecord(j.sub.ID, part, data))
 		}
 	}
-	for _, part := range slices.Sorted(maps.Keys(j.parts.persisted)) {
-		if _, has := fragments[part]; !has {
-			delete(j.parts.persisted, part)
-			b.Records = append(b.Records, partRecord(j.sub.ID, part, nil))
+	clear(j.parts.changed)
+	return nil
+}
+
+// splitParts splits the progress of a job into parts, all of which are written next.
+func (j *jobState) splitParts() {
+	j.parts = newParts()
+	perRound := j.sub.TasksPerRound()
+	for n := range j.rounds {
+		if r := j.rounds[n]; r == nil || !r.begun {
+			continue
+		}
+		for part := n * perRound / tasksPerPart; part*tasksPerPart < (n+1)*perRound; part++ {
+			j.parts.changed[part] = true
 		}
 	}
-	return nil
 }
 
+func newParts() parts { return parts{true, make(map[int]uint64), make(map[int]bool)} }
+
 // dropParts removes the parts of a job that has ended.
 func (b *Batch) dropParts(j *jobState) {
 	for _, part := range slices.Sorted(maps.Keys(j.parts.persisted)) {
@@ -162,7 +174,7 @@
 			return errors.Annotatef(err, "decode part %s of a job", name)
 		}
 		if j.parts.persisted == nil {
-			j.parts = parts{true, make(map[int]uint64)}
+			j.parts = newParts()
 		}
 		j.parts.persisted[part] = maphash.Bytes(partSeed, r.Value)
 		restored[j] = true
@@ -174,13 +186,14 @@
 	}
 	for j := range restored {
 		j.countOpenSteps()
+		clear(j.parts.changed)
 	}
 	return nil
 }
 
 func (p *Pool) restoreFragment(j *jobState, f fragment, now time.Time, reserveFor time.Duration) error {
 	s := j.findStep(f.Round, f.Step)
-	if s == nil || f.First < 0 || f.First+f.Count > len(s.tasks) || len(f.Tasks) > f.Count {
+	if s == nil || f.First < 0 || f.First+f.Count > s.count() || len(f.Tasks) > f.Count {
 		return errors.Errorf("round %d, step %d has no tasks %d to %d", f.Round, f.Step, f.First, f.First+f.Count-1)
 	}
 	for i, d := range f.Tasks {
@@ -188,33 +201,48 @@
 	}
 	if f.Tasks == nil {
 		for i := range f.Count {
-			s.tasks[f.First+i].done = true
+			s.setDone(f.First + i)
 		}
-		s.done += f.Count
-		s.waiting -= f.Count
+		j.dropIfDone(f.Round)
 	}
 	return nil
 }
 
 // findStep returns a step of a job, whose round it opens, nil if there is none.
 func (j *jobState) findStep(round, step int) *stepState {
-	if round < 0 || round >= len(j.rounds) || step < 0 || step >= len(j.sub.Steps) {
+	if round < 0 || round >= j.sub.Rounds() || step < 0 || step >= len(j.sub.Steps) {
+		return nil
+	}
+	r := j.openRound(round)
+	if r == endedRound {
 		return nil
 	}
-	return &j.openRound(round).steps[step]
+	return &r.steps[step]
+}
+
+// dropIfDone drops the state of a round all steps of which are done, while a job is restored.
+func (j *jobState) dropIfDone(round int) {
+	r := j.rounds[round]
+	if slices.ContainsFunc(r.steps, func(s stepState) bool { return s.done < s.count() }) {
+		return
+	}
+	r.openSteps = 0
+	j.dropEnded(round)
 }
 
 // countOpenSteps counts the steps that are not done, once all tasks of a job have been restored.
 func (j *jobState) countOpenSteps() {
-	for _, r := range j.rounds {
-		if r == nil {
+	for n, r := range j.rounds {
+		if r == nil || r == endedRound {
 			continue
 		}
 		r.openSteps = 0
 		for i := range r.steps {
-			if r.steps[i].done < len(r.steps[i].tasks) {
+			if s := &r.steps[i]; s.done < s.count() {
 				r.openSteps++
 			}
 		}
+		j.dropEnded(n)
 	}
+	j.skipEnded()
 }
--- a/services/scheduler/record_part_test.go
+++ b/services/scheduler/record_part_test.go
@@ -38,12 +38,10 @@
 		r := j.openRound(round)
 		for i := range steps {
 			s := &r.steps[i]
-			for t := range s.tasks {
-				o := &s.tasks[t]
-				if o.number++; t%n > 0 || n == 1 {
-					o.done = true
-					s.done++
-					s.waiting--
+			for t := range s.count() {
+				s.task(t).number++
+				if t%n > 0 || n == 1 {
+					s.setDone(t)
 				}
 			}
 		}
@@ -55,16 +53,22 @@
 // describe returns the progress of a job as text. Of tasks that are done, owners keep nothing else.
 func describe(j *jobState) string {
 	var text strings.Builder
-	for ref, t := range j.tasks() {
-		switch {
-		case t.done:
-			fmt.Fprintf(&text, "%s done;", ref)
-		case !t.untouched():
-			fmt.Fprintf(&text, "%s %d %d %v %q %d;", ref, t.number, t.failures, t.done, t.checkpoint, len(t.runs))
-		}
-	}
 	for n, r := range j.rounds {
+		if r == endedRound {
+			fmt.Fprintf(&text, "round %d done;", n)
+			continue
+		}
 		for i := 0; r != nil && i < len(r.steps); i++ {
+			s := &r.steps[i]
+			for index := range s.count() {
+				t, ref := s.peek(index), job.TaskRef{StepRef: s.ref, Index: index}
+				switch {
+				case t.done:
+					fmt.Fprintf(&text, "%s done;", ref)
+				case !t.untouched():
+					fmt.Fprintf(&text, "%s %d %d %v %q %d;", ref, t.number, t.failures, t.done, t.checkpoint, len(t.runs))
+				}
+			}
 			if s := &r.steps[i]; !s.untouched() {
 				fmt.Fprintf(&text, "round %d step %d: %d done, %d wait, %d open;", n, i, s.done, s.waiting, r.openSteps)
 			}
@@ -112,8 +116,9 @@
 			assert.NilError(t, next.Restore(slices.Collect(maps.Values(d.journal)), d.now, time.Minute))
 			assert.Assert(t, describe(next.jobs["1"]) == want, "the next owner restores another progress")
 
-			s := &next.jobs["1"].rounds[0].steps[0]
-			s.tasks[0].failures++
+			j = next.jobs["1"]
+			s := &j.openRound(j.firstOpenRound()).steps[0]
+			s.task(0).failures++
 			next.markDirty(next.jobs["1"])
 			b, err = next.Collect()
 			assert.NilError(t, err)
@@ -178,14 +183,17 @@
 		for range 1 + r.IntN(4) {
 			j := d.jobs["1"]
 			for range r.IntN(300) {
-				round := j.openRound(r.IntN(len(j.rounds)))
+				round := j.openRound(r.IntN(s.Rounds()))
+				if round == endedRound {
+					continue
+				}
 				step := &round.steps[r.IntN(len(round.steps))]
-				first := r.IntN(len(step.tasks))
-				for i := first; i < min(len(step.tasks), first+1+r.IntN(400)); i++ {
-					o := &step.tasks[i]
-					if o.done || len(o.runs) > 0 {
+				first := r.IntN(step.count())
+				for i := first; i < min(step.count(), first+1+r.IntN(400)); i++ {
+					if step.isDone(i) {
 						continue
 					}
+					o := step.task(i)
 					o.number++
 					switch r.IntN(4) {
 					case 0:
@@ -193,9 +201,7 @@
 					case 1:
 						o.checkpoint = fmt.Sprintf("%016x", r.Uint64())
 					case 2:
-						o.done = true
-						step.done++
-						step.waiting--
+						step.setDone(i)
 					}
 				}
 			}
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -174,7 +174,7 @@
 	if t.done || s.spec.LongRunning {
 		return false
 	}
-	s.markGangDone(t)
+	s.markGangDone(u.ref.Index)
 	p.clearFailures(u.worker)
 	if !u.restored && u.number == 1 && !u.startedAt.IsZero() {
 		p.learnRunTime(u, now)
@@ -188,26 +188,13 @@
 }
 
 // markGangDone marks a task as done, and with it the other members of its gang.
-func (s *stepState) markGangDone(t *taskState) {
-	s.markDone(t)
+func (s *stepState) markGangDone(index int) {
+	s.setDone(index)
 	if !s.spec.Gang {
 		return
 	}
-	for i := range s.tasks {
-		s.markDone(&s.tasks[i])
-	}
-}
-
-// markDone marks a task as done, once.
-func (s *stepState) markDone(t *taskState) {
-	if t.done {
-		return
-	}
-	t.done = true
-	t.checkpoint = ""
-	s.done++
-	if len(t.runs) == 0 {
-		s.waiting-- // it was waiting for another run
+	for i := range s.count() {
+		s.setDone(i)
 	}
 }
 
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -101,7 +101,7 @@
 			p.markRunningChanged(u.job) // it has started anew
 		}
 		next := &run{
-			job: u.job, ref: u.ref, name: u.name, number: u.number, worker: n, size: u.size, phase: ordered, restored: true,
+			job: u.job, of: u.of, state: u.of.task(u.ref.Index), ref: u.ref, name: u.name, number: u.number, worker: n, size: u.size, phase: ordered, restored: true,
 			cpuShare: fullPercent, progressedAt: now, stopping: u.stopping, suspected: u.suspected,
 		}
 		p.attach(next)
--- a/services/scheduler/room_test.go
+++ b/services/scheduler/room_test.go
@@ -54,7 +54,7 @@
 	d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{step}}, d.now)
 	j, w := d.jobs["1"], d.workers["w"]
 	s := &j.openRound(0).steps[0]
-	c := &claim{job: j, step: s, task: &s.tasks[0], worker: w, size: step.Size, since: d.now}
+	c := &claim{job: j, step: s, task: s.task(0), worker: w, size: step.Size, since: d.now}
 	c.count(1)
 	d.claims = append(d.claims, c)
 	d.room = newPlanRoom(d.Pool, d.candidates(d.now), d.now)
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -24,6 +24,8 @@
 // run is one execution of a task on a worker.
 type run struct {
 	job    *jobState
+	of     *stepState // nil for an orphan
+	state  *taskState // nil for an orphan
 	ref    job.TaskRef
 	name   string // name of the task
 	number int
@@ -63,11 +65,11 @@
 
 // step returns the state of the run's step.
 func (u *run) step() *stepState {
-	return &u.job.rounds[u.ref.Round].steps[u.ref.Step]
+	return u.of
 }
 
 // task returns the state of the run's task.
-func (u *run) task() *taskState { return &u.step().tasks[u.ref.Index] }
+func (u *run) task() *taskState { return u.state }
 
 // age returns how long the run has been known to be running, 0 if its start was not seen.
 func (u *run) age(now time.Time) time.Duration {
@@ -88,11 +90,11 @@
 
 // addRun creates a run that is sent once it is persisted or, if it is held, has room as well.
 func (p *Pool) addRun(j *jobState, s *stepState, index int, w *workerState, now time.Time, held bool) *run {
-	t := &s.tasks[index]
+	t := s.task(index)
 	t.number++
 	ref := job.TaskRef{StepRef: s.ref, Index: index}
 	u := &run{
-		job: j, ref: ref, name: ref.String(), number: t.number, worker: w, size: s.spec.Reservation(),
+		job: j, of: s, state: t, ref: ref, name: ref.String(), number: t.number, worker: w, size: s.spec.Reservation(),
 		batch: p.batch, cpuShare: fullPercent, progressedAt: now, plannedAt: now, ticket: w.tickets[s.ref], suspected: t.suspected(),
 		held: held, heldSince: now,
 	}
@@ -111,7 +113,7 @@
 		s.waiting--
 	}
 	t.runs = append(t.runs, u)
-	u.job.activeRuns++
+	u.job.addRun(u)
 	p.allowances.addUse(u.job.sub.Customer, s.spec.Size)
 	if s.spec.MaxPerWorker > 0 {
 		if s.runsByWorker == nil {
@@ -135,6 +137,21 @@
 	}
 }
 
+// addRun adds an active run to a job.
+func (j *jobState) addRun(u *run) {
+	if j.active == nil {
+		j.active = make(map[*run]struct{})
+	}
+	j.active[u] = struct{}{}
+	u.of.round.active++
+}
+
+// removeRun removes a run that is not active any more from a job.
+func (j *jobState) removeRun(u *run) {
+	delete(j.active, u)
+	u.of.round.active--
+}
+
 // release frees the capacity of a run; the task waits again unless it is done or another run of it
 // is active.
 func (p *Pool) release(u *run) {
@@ -145,8 +162,8 @@
 	if u.orphan {
 		return
 	}
-	u.job.activeRuns--
 	s, t := u.step(), u.task()
+	u.job.removeRun(u)
 	p.allowances.addUse(u.job.sub.Customer, job.Size{}.Minus(s.spec.Size))
 	for i, o := range t.runs {
 		if o == u {
@@ -157,6 +174,9 @@
 	if len(t.runs) == 0 && !t.done {
 		s.waiting++
 	}
+	s.markPart(t.index)
+	s.forgetDone(t)
+	u.job.dropEnded(u.ref.Round)
 	if s.runsByWorker != nil {
 		s.runsByWorker[u.worker]--
 	}
@@ -195,6 +215,7 @@
 		return
 	}
 	u.stopping = true
+	u.step().markPart(u.ref.Index)
 	p.pendingStops = append(p.pendingStops, u)
 	p.markDirty(u.job)
 }
--- a/services/scheduler/takeover_test.go
+++ b/services/scheduler/takeover_test.go
@@ -55,7 +55,7 @@
 }
 
 // firstTask returns the first task of a job of one step.
-func (d *testPool) firstTask(id job.ID) *taskState { return &d.jobs[id].rounds[0].steps[0].tasks[0] }
+func (d *testPool) firstTask(id job.ID) *taskState { return d.jobs[id].rounds[0].steps[0].peek(0) }
 
 // poll has a worker respond to one poll.
 func (d *testPool) poll(id worker.ID, listing worker.PollResult, a port.Response) {
--- a/services/scheduler/waiting.go
+++ b/services/scheduler/waiting.go
@@ -89,7 +89,7 @@
 		return waitsForGang
 	case !p.allowsStart(customer, s.startSize()):
 		return waitsForLending
-	case s.spec.Gang && s.waiting < len(s.tasks):
+	case s.spec.Gang && s.waiting < s.count():
 		return waitsForMembers
 	case s.retriesLater(now):
 		return waitsForRetry
@@ -99,12 +99,13 @@
 
 // retriesLater reports whether all waiting tasks of a step are retried later.
 func (s *stepState) retriesLater(now time.Time) bool {
-	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) {
-			return false
+	later := 0
+	for _, t := range s.states {
+		if !t.done && len(t.runs) == 0 && now.Before(t.notBefore) {
+			later++
 		}
 	}
-	return true
+	return later == s.waiting
 }
 
 // workerReason returns why no worker takes a task of a step: the reason that excludes the workers that
