Owner: one bound for the memory of all accepted jobs of a node

Callers saw: each of many large jobs is accepted with 200, and together they take more memory than their owner has; a process that exceeds its memory is ended, and the next owner restores the same jobs.

Cause: only a single job is bounded (models/job/check.go), by numbers that do not add up to what a node has.

What has changed: a job's footprint, what it may take of its owner at most until it has ended, is worked out when it is submitted. All jobs of all pools of a process share a budget of a fifth of the node's memory. Beyond it a job is refused at once, before it takes anything, with 503 and a time; one that can never fit with 413. A restored pool counts, also beyond the limit, and a pool that is given up gives its part back.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -133,6 +133,7 @@
 	}
 	useProcessLimits(&n.Directory.Self)
 	meter.Gauge("pools.owned", n.OwnedPools)
+	meter.Gauge("jobs.memory", n.JobMemory)
 	meter.Gauge("config.version", n.ConfigVersion)
 	meter.Gauge("data_centers.evacuated", n.EvacuatedDataCenters)
 	meter.Gauge("workers.listed", n.ListedWorkers)
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -19,8 +20,10 @@
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/resource"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
+	"github.com/yardbridge/yardbridge/modules/oslimit"
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/directory"
@@ -79,6 +82,8 @@
 	catchingUp atomic.Bool                    // a catch-up request to another node is in progress
 	progress   atomic.Pointer[fleet.Progress] // of all pools' instances, while this node holds that role
 
+	jobMemory *budget.Budget // of the jobs of all pools
+
 	mu           sync.Mutex
 	newerSetting *setting.Node // settings read since the start, nil for none
 	workers      map[worker.ID]worker.Worker
@@ -87,9 +92,20 @@
 	stopping     bool
 }
 
+// jobMemoryShare is the part of a node's memory that accepted jobs may take: with as much for the pools of two other
+// nodes that it takes over, it stays below the runtime's memory limit.
+const jobMemoryShare = 0.2
+
+// unknownMemoryMB is the memory of a node that has no limit, in MiB.
+const unknownMemoryMB = 1024
+
+// JobMemory returns what the accepted jobs of all pools take of the node's memory at most, in bytes.
+func (n *Node) JobMemory() int64 { return n.jobMemory.Used() }
+
 // New assembles a node; it listens on its address for other nodes, but does nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
 	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), knownStarts: make(map[worker.ID]bool), owners: make(map[string]*owner.Owner), wakeWorkers: make(chan struct{}, 1)}
+	n.jobMemory = budget.New(int64(float64(cmp.Or(s.Node.MemoryMB, oslimit.MemoryMB(), unknownMemoryMB)<<20) * jobMemoryShare))
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), OpenListener: ports.Listen, OnCall: n.countCall}
@@ -241,7 +257,7 @@
 		},
 		Clock: n.Clock, Logger: logger, Unclaimed: n.unclaimed(pool), Count: n.Ports.Count, Observe: n.Ports.Observe,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
-		Registry:     n.registry(),
+		Registry:     n.registry(), Memory: n.jobMemory,
 	}
 	run := func(ctx context.Context) error {
 		n.setOwner(pool, o)
--- a/services/owner/claim.go
+++ b/services/owner/claim.go
@@ -30,12 +30,13 @@
 	o.links = make(map[worker.ID]*link)
 	o.waiting = make(map[uint64][]chan struct{})
 	o.pool = scheduler.New(o.Pool, o.Epoch(), o.Limits, o.Logger)
-	o.pool.Increment, o.pool.Clock, o.pool.SelectPolicy = o.Count, o.Clock, o.SelectPolicy
+	o.pool.Increment, o.pool.Clock, o.pool.SelectPolicy, o.pool.Memory = o.Count, o.Clock, o.SelectPolicy, o.Memory
 	if err := o.pool.Restore(records, o.Clock.Now(), o.Limits.Lease+ownerOverlap); err != nil {
+		o.pool.Close()
 		return err
 	}
 	o.restoreIntakes()
-	o.Logger.Info().Str("event", "claim").Uint64("epoch", o.Epoch()).Int("records", len(records)).
+	o.Logger.Info().Str("event", "claim").Uint64("epoch", o.Epoch()).Int("records", len(records)).Int64("job_bytes", o.pool.Footprint()).Int64("all_job_bytes", o.Memory.Used()).Int64("most_job_bytes", o.Memory.Limit()).
 		Str("outcome", "owner").Msg("pool ownership claimed")
 	return nil
 }
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/yardbridge/yardbridge/models/config"
 	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/lateness"
@@ -48,6 +49,8 @@
 	Unclaimed func(epoch uint64, confirmed time.Time) (time.Time, string)
 	// Registry shows where queues are assigned; nil if the pool is the only one.
 	Registry *Registry
+	// Memory is what the jobs of all pools of the process may take of its memory; nil for no limit.
+	Memory *budget.Budget
 	// Returns reports whether refused callers are promised the second in which they may come back; nil
 	// for never.
 	Returns func() bool
@@ -112,6 +115,7 @@
 		err = errStopped
 	}
 	o.endReason = err
+	o.pool.Close()
 	o.release()
 	for _, l := range o.links {
 		l.close()
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -12,6 +12,7 @@
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/admission/returns"
+	"github.com/yardbridge/yardbridge/services/scheduler"
 )
 
 // Time limits for a store that does not respond. It usually responds in 4 ms, and takes up to 60
@@ -112,12 +113,44 @@
 			Msg("job rejected: tasks that start together exceed its customer's limit")
 		return 0, errkind.New(errkind.Infeasible, "step %d: the tasks that start together exceed the limit of running tasks of customer %s", step, s.Customer)
 	}
+	if err := o.reserveMemory(s); err != nil {
+		return 0, err
+	}
 	if err := o.admit(ctx, s); err != nil {
+		o.unreserveMemory(s)
 		return 0, err
 	}
 	return o.pool.Submit(s, o.Clock.Now()), nil
 }
 
+// memoryRetry is when a job that finds too little memory may be submitted again: unlike capacity, memory becomes free
+// only as jobs end and are forgotten.
+const memoryRetry = 5 * time.Second
+
+// reserveMemory reserves the memory of a job that the pool does not know, or returns why there is too little. The lock
+// is held.
+func (o *Owner) reserveMemory(s job.Submission) error {
+	if o.pool.Has(s.ID) || o.pool.Reserve(&s) {
+		return nil
+	}
+	bytes, used, limit := scheduler.Footprint(&s), o.Memory.Used(), o.Memory.Limit()
+	o.count("submit.refused.memory")
+	o.Logger.Warn().Str("event", "submit").Str("job", string(s.ID)).Str("customer", s.Customer).Int64("bytes", bytes).Int64("used", used).
+		Int64("limit", limit).Str("outcome", "refused").Msg("job rejected: too little memory for it beside the accepted jobs")
+	if !o.pool.FitsAlone(&s) {
+		return errkind.New(errkind.TooLarge, "job may take %d bytes of its owner's memory with its %d rounds of %d tasks in %d steps; all jobs together have %d",
+			bytes, s.Rounds(), s.TasksPerRound(), len(s.Steps), limit)
+	}
+	return errkind.NewRetry(errkind.Overloaded, memoryRetry, "the accepted jobs take %d of %d bytes of their owner's memory; this one may take %d", used, limit, bytes)
+}
+
+// unreserveMemory gives back the memory of a job that is refused after all. The lock is held.
+func (o *Owner) unreserveMemory(s job.Submission) {
+	if !o.pool.Has(s.ID) {
+		o.pool.Unreserve(&s)
+	}
+}
+
 // thousandths is the number of thousandths of a core in a core.
 const thousandths = 1000
 
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -41,6 +41,7 @@
 
 	active    map[*run]struct{} // runs in progress
 	begun     int               // tasks with a state
+	footprint int64             // what it takes of its owner's memory at most
 	dirty     bool
 	stored    bool   // the submission is persisted or in the batch in progress
 	collected bool   // a batch carries it
@@ -149,6 +150,7 @@
 	p.noteJob(s.Queue)
 	j := p.newJob(s, now)
 	p.jobs[s.ID] = j
+	p.setFootprint(j, Footprint(&s))
 	p.active = append(p.active, j)
 	p.updateObjective(j)
 	p.addArrival(j, now)
@@ -196,6 +198,7 @@
 	p.dirty = slices.DeleteFunc(p.dirty, func(o *jobState) bool { return o == j })
 	p.active = slices.DeleteFunc(p.active, func(o *jobState) bool { return o == j })
 	delete(p.jobs, id)
+	p.changeFootprint(j, 0)
 	p.Logger.Info().Str("event", "submit").Str("job", string(id)).Str("outcome", "withdrawn").Msg("job withdrawn before it was persisted")
 	return true
 }
@@ -291,6 +294,7 @@
 			j.state = ""
 			p.markDirty(j)
 			delete(p.jobs, j.sub.ID)
+			p.changeFootprint(j, 0)
 		}
 		p.ended = p.ended[1:]
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -10,6 +10,7 @@
 	"github.com/yardbridge/yardbridge/models/evacuation"
 	"github.com/yardbridge/yardbridge/models/job"
 	"github.com/yardbridge/yardbridge/models/worker"
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/services/admission"
@@ -41,6 +42,9 @@
 	Clock clock.Clock
 	// Increment adds one to a counter; nil disables counting.
 	Increment func(counter string)
+	// Memory is what the jobs of all pools of a process may take of its memory; nil for no limit. A job that is
+	// submitted is reserved before.
+	Memory *budget.Budget
 	// SelectPolicy returns the policy by which jobs are accepted; nil selects by the customers of
 	// the configuration.
 	SelectPolicy func(hasCustomers bool) admission.Policy
@@ -50,6 +54,7 @@
 	queues            map[string]*queueState // by key
 	changedQueues     []string               // changed since the last batch
 	jobs              map[job.ID]*jobState
+	footprint         int64       // of all jobs
 	active            []*jobState // unfinished jobs, in order of arrival
 	workers           map[worker.ID]*workerState
 	cordons           map[worker.ID]bool // persisted, or in the batch under construction
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -283,6 +283,9 @@
 	}
 	for _, j := range b.ended {
 		j.dropRounds()
+		if j.state != "" {
+			p.changeFootprint(j, endedFootprint(&j.sub))
+		}
 	}
 	for _, u := range b.runs {
 		if u.phase == planned {
@@ -373,9 +376,11 @@
 	j.state, j.started, j.stored, j.collected = d.State, d.Began, true, true
 	p.jobs[s.ID] = j
 	if d.State.Final() {
+		p.changeFootprint(j, endedFootprint(&s))
 		j.endedAt = p.Clock.FromWallTime(time.UnixMilli(d.Ended))
 		p.ended = append(p.ended, endedJob{s.ID, now.Add(p.Limits.Retention)})
 	} else {
+		p.changeFootprint(j, Footprint(&s))
 		p.active = append(p.active, j)
 	}
 	for _, o := range d.Rounds {
