Owner: records that the store refuses for good cost their own job alone

Cause: an append that the store refuses for what it holds was repeated until its owner's end, and made again by each next owner. That no record can grow so was argued, not enforced; a batch had no bound; entries of failures name workers with names of any length, parts hold checkpoints of any length, and a key may be too long.

What has changed: sizes are checked before an append, and a batch goes in several if need be. A refused append (400, 413, or a key that can't be encoded) is divided until the refused records stand alone. Their job is refused with 413 if it was not accepted, and failed otherwise, with only its state written from then on. A probe shows first that the store takes other appends; while it does not, nothing is given up. An append that may still take effect is not given up, since its sequence number can't be used again.

Ruled out: giving up the records and going on with the job, since the next owner would start tasks again that are done.

--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -52,6 +52,9 @@
 	Instances  string `toml:"instances"`  // IP and port of the instance API
 	Advice     string `toml:"advice"`     // IP and port, "" for none
 	Partitions int    `toml:"partitions"` // of a topic
+	// The sizes that the store accepts in bytes, 0 for the defaults.
+	RecordBytes int `toml:"record_bytes"`
+	AppendBytes int `toml:"append_bytes"`
 	// Calls that the instance API accepts from all nodes together, 0 for no limit.
 	InstanceReadings float64 `toml:"instance_readings_per_s"`
 	InstanceOrders   float64 `toml:"instance_orders_per_s"`
@@ -124,6 +127,9 @@
 	PlaceAheadOff  = "off"
 )
 
+// minStoreBytes is the least size of a record or an append that the store must accept.
+const minStoreBytes = 16 << 10
+
 // ParseNode parses and checks the settings file of a node.
 func ParseNode(file, data string) (Node, error) {
 	n := Node{Admission: NodeAdmission{AdmissionOverload}}
@@ -159,6 +165,14 @@
 			c.addProblem("platform", 0, rate.key, "%v is not allowed; allowed is 0 for no limit, or more", rate.value)
 		}
 	}
+	for _, size := range []struct {
+		key   string
+		value int
+	}{{"record_bytes", n.Platform.RecordBytes}, {"append_bytes", n.Platform.AppendBytes}} {
+		if size.value < 0 || size.value > 0 && size.value < minStoreBytes {
+			c.addProblem("platform", 0, size.key, "%d is not allowed; allowed is 0 for the default, or %d and more", size.value, minStoreBytes)
+		}
+	}
 	c.checkAddress("listen", "callers", n.Listen.Callers)
 	c.checkAddress("listen", "ready", n.Listen.Ready)
 	c.checkAddress("platform", "store", n.Platform.Store)
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -86,6 +86,21 @@
 	}
 }
 
+// TestStoreSizeSettings guards against sizes of the store that no record of a job would fit in.
+func TestStoreSizeSettings(t *testing.T) {
+	with := func(text string) string {
+		return strings.Replace(nodeFile, "[platform]", "[platform]\n"+text, 1)
+	}
+	n, err := ParseNode("node.toml", with("record_bytes = 262144\nappend_bytes = 2097152"))
+	assert.NilError(t, err)
+	assert.Equal(t, n.Platform.RecordBytes, 262144)
+	assert.Equal(t, n.Platform.AppendBytes, 2097152)
+	for _, bad := range []string{"record_bytes = -1", "record_bytes = 100", "append_bytes = 16383"} {
+		_, err := ParseNode("node.toml", with(bad))
+		assert.ErrorContains(t, err, "is not allowed; allowed is 0 for the default", bad)
+	}
+}
+
 // TestAdmissionPolicySetting guards against a misspelt policy that is taken for another one: it is refused
 // with its file, line and key, and what is allowed.
 func TestAdmissionPolicySetting(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -257,7 +257,7 @@
 		},
 		Clock: n.Clock, Logger: logger, Unclaimed: n.unclaimed(pool), Count: n.Ports.Count, Observe: n.Ports.Observe,
 		SelectPolicy: func(hasCustomers bool) admission.Policy { return admission.Select(policy, hasCustomers) },
-		Registry:     n.registry(), Memory: n.jobMemory,
+		Registry:     n.registry(), Memory: n.jobMemory, Sizes: owner.Sizes{Record: n.Setting.Platform.RecordBytes, Append: n.Setting.Platform.AppendBytes},
 	}
 	run := func(ctx context.Context) error {
 		n.setOwner(pool, o)
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -165,7 +165,25 @@
 // it continues until the context ends, which is that of the right to write: an append in progress
 // may outlast the call. Without records it only confirms the right, and does what is due for the
 // standby partition.
+//
+// An append that the store refuses for its records is repeated as well.
 func (j *Journal) Append(ctx context.Context, records []port.Record) error {
+	return j.append(ctx, records, false)
+}
+
+// TryAppend is like Append, but returns the error if the store refuses the append for its records, which IsRefused
+// reports: none of them is persisted then, and others can be.
+func (j *Journal) TryAppend(ctx context.Context, records []port.Record) error {
+	return j.append(ctx, records, true)
+}
+
+// IsRefused reports whether an error means that the store refuses an append for its records, whenever it is sent.
+func IsRefused(err error) bool {
+	return errkind.Is(err, errkind.BadRequest) || errkind.Is(err, errkind.TooLarge)
+}
+
+// append persists records; refusable means that a refusal is returned.
+func (j *Journal) append(ctx context.Context, records []port.Record, refusable bool) error {
 	if err := j.acquire(ctx); err != nil {
 		return err
 	}
@@ -181,10 +199,10 @@
 	for {
 		var err error
 		if primary == nil && j.primary.idle() {
-			primary, err = j.startPrimary(ctx, records)
+			primary, err = j.startPrimary(ctx, records, refusable)
 		}
 		if err == nil && standby == nil && j.standbyReady() && j.isLate(primary) {
-			standby, err = j.startStandby(ctx, records)
+			standby, err = j.startStandby(ctx, records, refusable)
 		}
 		if err != nil {
 			return err
@@ -192,12 +210,16 @@
 		select {
 		case <-j.primary.completed():
 			last := j.primary.pending
-			if err := j.finishPrimary(); err != nil || last == primary {
+			err := j.finishPrimary()
+			if IsRefused(err) && last == primary && standby != nil {
+				j.standby.undo(standby) // it will be refused as well
+			}
+			if last == primary || err != nil && !IsRefused(err) {
 				return err
 			}
 		case <-j.standby.completed():
 			last := j.standby.pending
-			if err := j.finishStandby(); err != nil || last == standby {
+			if err := j.finishStandby(); last == standby || err != nil && !IsRefused(err) {
 				return err
 			}
 		case <-j.standbyTimer(primary, standby):
@@ -210,12 +232,14 @@
 // collectOutcomes processes the known outcomes of appends that were in progress.
 func (j *Journal) collectOutcomes() error {
 	if isClosed(j.primary.completed()) {
-		if err := j.finishPrimary(); err != nil {
+		if err := j.finishPrimary(); err != nil && !IsRefused(err) { // its records were refused, or are in the standby partition
 			return err
 		}
 	}
 	if isClosed(j.standby.completed()) {
-		return j.finishStandby()
+		if err := j.finishStandby(); err != nil && !IsRefused(err) {
+			return err
+		}
 	}
 	return nil
 }
@@ -231,9 +255,10 @@
 }
 
 // send sends an append until its outcome is known. An append that may be given up is given up when
-// it is rejected, unless an earlier attempt of the same append may still take effect.
+// it is rejected, and a refusable one when it is refused, unless an earlier attempt of the same append may still
+// take effect: the next owner is the first to know then that it is refused.
 func (j *Journal) send(ctx context.Context, a *pendingAppend) error {
-	mayGiveUp := a.mayGiveUp
+	mayGiveUp, refusable := a.mayGiveUp, a.refusable
 	for try := 1; ; try++ {
 		sent, confirms := j.Clock.Now(), !a.confirmsNothing.Load()
 		err := j.Store.Append(ctx, a.at, a.writer, a.records)
@@ -246,7 +271,8 @@
 		j.Logger.Warn().Str("event", "append").Str("topic", a.at.Topic).Int("part", a.at.Index).Uint64("epoch", a.writer.Epoch).
 			Uint64("sequence", a.writer.Sequence).Int("records", len(a.records)).Int("try", try).Err(err).Msg("append failed or has an unknown outcome")
 		mayGiveUp = mayGiveUp && !errkind.Is(err, errkind.OutcomeUnknown)
-		if isFenced(err) || mayGiveUp || ctx.Err() != nil {
+		refusable = refusable && !mayTakeEffect(err)
+		if isFenced(err) || mayGiveUp || refusable && IsRefused(err) || ctx.Err() != nil {
 			return err
 		}
 		select {
@@ -257,6 +283,11 @@
 	}
 }
 
+// mayTakeEffect reports whether an append that failed with an error may be carried out all the same.
+func mayTakeEffect(err error) bool {
+	return !IsRefused(err) && !errkind.Is(err, errkind.LogUnavailable)
+}
+
 // noteSuccess records the success of an append that was sent at a time and confirms this process as the writer.
 func (j *Journal) noteSuccess(sent time.Time) {
 	j.mu.Lock()
--- a/services/journal/part_writer.go
+++ b/services/journal/part_writer.go
@@ -27,11 +27,14 @@
 	records   []port.Record
 	pause     time.Duration // before it is sent again
 	mayGiveUp bool          // when it is rejected
+	refusable bool          // given up when the store refuses its records
 
 	began  time.Time
-	copies map[string]uint64 // versions of standby records that it copies to the primary partition, by key
-	mark   *standbyMark      // the mark among its records, nil for none
-	done   chan struct{}     // closed once err is known
+	copies map[string]uint64       // versions of standby records that it copies to the primary partition, by key
+	mark   *standbyMark            // the mark among its records, nil for none
+	marked bool                    // whether the standby partition was in use before it
+	older  map[string]standbyEntry // what was newer in the standby partition before it, by key
+	done   chan struct{}           // closed once err is known
 	err    error
 
 	// confirmsNothing states that a success does not show that this process is the writer: the append goes to the
@@ -88,6 +91,13 @@
 	return a
 }
 
+// refuse takes back the sequence number of an append that the store has refused.
+func (w *partWriter) refuse(a *pendingAppend) {
+	if len(a.records) > 0 {
+		w.writer.Sequence--
+	}
+}
+
 // start sends an append in the background until its outcome is known.
 func (w *partWriter) start(ctx context.Context, j *Journal, a *pendingAppend) {
 	a.began, a.done = j.Clock.Now(), make(chan struct{})
--- a/services/journal/standby.go
+++ b/services/journal/standby.go
@@ -75,7 +75,13 @@
 
 // maxCopyBytes is how much is copied to the primary in one append; the store accepts 2 MiB, and a
 // batch of an owner goes with the last copies.
-const maxCopyBytes = 1 << 20
+const maxCopyBytes = 7 << 17
+
+// copyOverhead is what a record takes in an append beside its key and its value, in bytes.
+const copyOverhead = 64
+
+// maxDeletions is how many keys are deleted from the standby partition in one append.
+const maxDeletions = 5000
 
 // standbyWriter writes the standby partition.
 type standbyWriter struct {
@@ -157,14 +163,17 @@
 	}
 	var records []port.Record
 	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		if len(records) == maxDeletions {
+			break
+		}
 		records = append(records, port.Record{Key: key})
+		delete(s.keys, key)
 	}
-	clear(s.keys)
 	return records
 }
 
 // startStandby starts to write records to the standby partition.
-func (j *Journal) startStandby(ctx context.Context, records []port.Record) (*pendingAppend, error) {
+func (j *Journal) startStandby(ctx context.Context, records []port.Record, refusable bool) (*pendingAppend, error) {
 	s := &j.standby
 	if len(records) > 0 {
 		s.session.Number++
@@ -183,17 +192,42 @@
 		j.count(standbyUsed)
 	}
 	a := s.nextAppend(wrapped)
+	a.refusable, a.older = refusable, make(map[string]standbyEntry, len(records))
 	s.lastProbe = j.Clock.Now()
 	s.start(ctx, j, a)
 	for _, r := range records {
+		if _, twice := a.older[r.Key]; !twice {
+			a.older[r.Key] = s.newer[r.Key]
+		}
 		s.add(r)
 	}
 	return a, nil
 }
 
+// refuse takes back an append that the store has refused.
+func (s *standbyWriter) refuse(a *pendingAppend) {
+	s.partWriter.refuse(a)
+	s.undo(a)
+}
+
+// undo takes back the records of an append that the store refuses: what was newer before it still is.
+func (s *standbyWriter) undo(a *pendingAppend) {
+	for key, older := range a.older {
+		if older.version == 0 {
+			delete(s.newer, key)
+			continue
+		}
+		s.newer[key] = older
+	}
+	a.older = nil
+}
+
 // finishStandby processes the outcome of an append to the standby partition.
 func (j *Journal) finishStandby() error {
 	a := j.standby.takePending()
+	if IsRefused(a.err) {
+		j.standby.refuse(a)
+	}
 	if a.err != nil {
 		return a.err
 	}
@@ -211,10 +245,11 @@
 // startPrimary starts to write records to the primary partition, with what is newer in the standby
 // partition. If that is too much for one append, a part of it is written alone, and nil is
 // returned.
-func (j *Journal) startPrimary(ctx context.Context, records []port.Record) (*pendingAppend, error) {
+func (j *Journal) startPrimary(ctx context.Context, records []port.Record, refusable bool) (*pendingAppend, error) {
 	s, m := &j.standby, j.nextMark()
 	if j.Standby == (port.Partition{}) || m == s.mark {
 		a := j.primary.nextAppend(records)
+		a.refusable, a.marked = refusable, s.mark.InUse
 		j.primary.start(ctx, j, a)
 		return a, nil
 	}
@@ -231,6 +266,7 @@
 	}
 	a := j.primary.nextAppend(slices.Concat(copies, records, []port.Record{{Key: keyStandby, Value: value}}))
 	a.copies, a.mark = s.versions(copies, records), &m
+	a.refusable, a.marked = refusable, s.mark.InUse
 	s.mark.InUse = s.mark.InUse && m.InUse // a standby partition that is being disabled is no longer used
 	if !m.InUse && !s.idle() {
 		s.pending.confirmsNothing.Store(true)
@@ -267,7 +303,7 @@
 			continue
 		}
 		r := s.newer[key].record
-		if size += len(key) + len(r.Value); size > maxCopyBytes {
+		if size += len(key) + len(r.Value) + copyOverhead; size > maxCopyBytes {
 			return copies, false
 		}
 		copies = append(copies, r)
@@ -278,10 +314,14 @@
 // finishPrimary processes the outcome of an append to the primary partition.
 func (j *Journal) finishPrimary() error {
 	a := j.primary.takePending()
+	s := &j.standby
+	if IsRefused(a.err) {
+		j.primary.refuse(a)
+		s.mark.InUse = a.marked
+	}
 	if a.err != nil {
 		return a.err
 	}
-	s := &j.standby
 	before := len(s.newer)
 	for key, version := range a.copies {
 		if s.newer[key].version == version {
--- a/services/journal/standby_test.go
+++ b/services/journal/standby_test.go
@@ -220,6 +220,8 @@
 	unconfirmed map[string]string // of the batch with an unknown outcome
 	claims      int
 	appends     int
+	refusals    bool // some batches have a record that the store refuses
+	refused     int
 }
 
 // TestRandomHistoriesOfTwoPartitions checks that, whatever is unavailable and whoever claims, the
@@ -241,6 +243,37 @@
 	assert.Assert(t, claims > histories && appends > 20*histories)
 }
 
+// TestRandomHistoriesWithRefusedAppends guards against records that the store refuses for good and that keep a journal from
+// persisting others, or take others with them.
+func TestRandomHistoriesWithRefusedAppends(t *testing.T) {
+	const histories = 300
+	refused, appends := 0, 0
+	for seed := range uint64(histories) {
+		synctest.Test(t, func(t *testing.T) {
+			h := &history{t: t, seed: seed, r: rand.New(rand.NewPCG(seed, 5)), w: world.New(seed), persisted: make(map[string]string), refusals: true}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			h.run(ctx)
+			refused, appends = refused+h.refused, appends+h.appends
+		})
+	}
+	t.Logf("%d appends were made, %d refused", appends, refused)
+	assert.Assert(t, refused > 2*histories && appends > 20*histories)
+}
+
+// tryRefused writes a batch with a record that the store refuses, and reports whether it is known that it did.
+func (h *history) tryRefused(ctx context.Context, end func(), j *Journal, records []port.Record) bool {
+	large := port.Record{Key: fmt.Sprint("k", h.r.IntN(12)), Value: make([]byte, 300<<10)}
+	giveUp := time.AfterFunc(time.Duration(h.r.IntN(8000))*time.Millisecond, end)
+	err := j.TryAppend(ctx, append(records, large))
+	giveUp.Stop()
+	assert.Assert(h.t, err != nil, "seed %d", h.seed)
+	if IsRefused(err) {
+		h.refused++
+	}
+	return IsRefused(err)
+}
+
 func (h *history) run(ctx context.Context) {
 	faults := []func(){
 		func() { h.w.SetOutage(primaryAt, world.Outage(h.r.IntN(3))) },
@@ -313,6 +346,9 @@
 		records = append(records, port.Record{Key: key, Value: []byte(value)})
 	}
 	h.appends++
+	if h.refusals && h.r.IntN(4) == 0 {
+		return h.tryRefused(writerCtx, end, j, records)
+	}
 	giveUp := time.AfterFunc(time.Duration(h.r.IntN(8000))*time.Millisecond, end)
 	if err := j.Append(writerCtx, records); err != nil {
 		h.unconfirmed = batch
--- a/services/owner/commit.go
+++ b/services/owner/commit.go
@@ -86,7 +86,7 @@
 		return wake, err
 	}
 	if len(batch.Records) > 0 {
-		if err := o.Journal.Append(ctx, batch.Records); err != nil {
+		if err := o.persistBatch(ctx, batch); err != nil {
 			return wake, err
 		}
 	}
--- a/services/owner/owner.go
+++ b/services/owner/owner.go
@@ -49,6 +49,8 @@
 	Unclaimed func(epoch uint64, confirmed time.Time) (time.Time, string)
 	// Registry shows where queues are assigned; nil if the pool is the only one.
 	Registry *Registry
+	// Sizes are the sizes that the store accepts.
+	Sizes Sizes
 	// Memory is what the jobs of all pools of the process may take of its memory; nil for no limit.
 	Memory *budget.Budget
 	// Returns reports whether refused callers are promised the second in which they may come back; nil
--- a/services/owner/submit.go
+++ b/services/owner/submit.go
@@ -37,7 +37,7 @@
 	err = o.await(bounded, batch)
 	cancel()
 	if err == nil {
-		return o.checkPersisted(s.ID)
+		return o.checkPersisted(s)
 	}
 	if !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
 		return err
@@ -48,17 +48,20 @@
 	if err := o.await(ctx, batch); err != nil {
 		return err
 	}
-	return o.checkPersisted(s.ID)
+	return o.checkPersisted(s)
 }
 
-// checkPersisted returns an error if a job was withdrawn while two calls were submitting it: the
-// batch that both wait for is persisted without the job.
-func (o *Owner) checkPersisted(id job.ID) error {
+// checkPersisted returns an error if a job was withdrawn while two calls were submitting it, or if the store refuses it:
+// the batch that is waited for is persisted without the job.
+func (o *Owner) checkPersisted(s job.Submission) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.pool.Persisted(id) {
+	if o.pool.Persisted(s.ID) {
 		return nil
 	}
+	if refusal, known := o.refusals.find(s.ID, s.Customer); known && refusal.answer != nil {
+		return refusal.answer
+	}
 	return errkind.New(errkind.LogUnavailable, "the store did not respond in time; the job was not persisted")
 }
 
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -45,6 +45,7 @@
 	dirty     bool
 	stored    bool   // the submission is persisted or in the batch in progress
 	collected bool   // a batch carries it
+	refused   bool   // the store refuses its records
 	changedIn uint64 // batch that carries the newest change
 }
 
@@ -129,8 +130,9 @@
 	})
 }
 
-// finished reports whether the job is final and no run of it is active any more.
-func (j *jobState) finished() bool { return j.state.Final() && len(j.active) == 0 }
+// finished reports whether only the state of the job is to be persisted: it is final and no run of it is active any more,
+// or the store refuses all else of it.
+func (j *jobState) finished() bool { return j.state.Final() && (len(j.active) == 0 || j.refused) }
 
 // newJob returns the initial state of a job.
 func (p *Pool) newJob(s job.Submission, accepted time.Time) *jobState {
@@ -180,6 +182,14 @@
 // Has reports whether a job is known.
 func (p *Pool) Has(id job.ID) bool { return p.jobs[id] != nil }
 
+// Customer returns the customer of a job, "" for none.
+func (p *Pool) Customer(id job.ID) string {
+	if j := p.jobs[id]; j != nil {
+		return j.sub.Customer
+	}
+	return ""
+}
+
 // Persisted reports whether a job is known and persisted.
 func (p *Pool) Persisted(id job.ID) bool {
 	j := p.jobs[id]
@@ -192,13 +202,7 @@
 	if j == nil || j.collected {
 		return false
 	}
-	for _, u := range j.runs() {
-		p.release(u) // its order was not sent, since no batch carries it
-	}
-	p.dirty = slices.DeleteFunc(p.dirty, func(o *jobState) bool { return o == j })
-	p.active = slices.DeleteFunc(p.active, func(o *jobState) bool { return o == j })
-	delete(p.jobs, id)
-	p.changeFootprint(j, 0)
+	p.drop(j)
 	p.Logger.Info().Str("event", "submit").Str("job", string(id)).Str("outcome", "withdrawn").Msg("job withdrawn before it was persisted")
 	return true
 }
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -102,6 +102,7 @@
 	learnedAt time.Time // plannedAt of the batch that last carried the learned values
 
 	dirty          []*jobState
+	leftKeys       []string              // of records that a job which has ended has left in the journal
 	ended          []endedJob            // oldest first, removed once expired
 	pendingStops   []*run                // runs whose stops are not persisted yet
 	plannedRuns    []*run                // planned since the last batch was collected
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -73,6 +73,7 @@
 type Batch struct {
 	Number  uint64
 	Records []port.Record
+	jobs    []jobRecords // in the order of the records
 	runs    []*run
 	stops   []*run
 	ends    []endMark
@@ -93,10 +94,16 @@
 func (p *Pool) Collect() (*Batch, error) {
 	b := &Batch{Number: p.batch, runs: p.plannedRuns, stops: p.pendingStops}
 	for _, j := range p.dirty {
+		first := len(b.Records)
 		if err := b.add(j, p.Clock); err != nil {
 			return nil, err
 		}
+		b.jobs = append(b.jobs, jobRecords{j.sub.ID, first, len(b.Records)})
 	}
+	for _, key := range p.leftKeys {
+		b.Records = append(b.Records, port.Record{Key: key})
+	}
+	p.leftKeys = nil
 	for _, id := range p.changedCordons {
 		b.Records = append(b.Records, cordonRecord(id, p.cordons[id]))
 	}
@@ -184,18 +191,18 @@
 			return err
 		}
 	}
-	b.Records = append(b.Records, port.Record{Key: keyProgress + string(j.sub.ID), Value: data})
+	record := port.Record{Key: keyProgress + string(j.sub.ID), Value: data}
 	if j.finished() {
+		b.Records = append(b.Records, record)
 		b.ended = append(b.ended, j)
-	}
-	switch {
-	case !j.parts.split:
-		return nil
-	case j.finished():
 		b.dropParts(j)
 		return nil
 	}
-	return b.addParts(j)
+	if err := b.addParts(j); err != nil {
+		return err
+	}
+	b.Records = append(b.Records, record) // after the parts, which it may rely on
+	return nil
 }
 
 // addSubmission adds the persisted part of a job's submission to the batch if it has changed.
@@ -282,8 +289,10 @@
 		j.stored = true
 	}
 	for _, j := range b.ended {
-		j.dropRounds()
-		if j.state != "" {
+		if len(j.active) == 0 {
+			j.dropRounds()
+		}
+		if j.state != "" && len(j.active) == 0 {
 			p.changeFootprint(j, endedFootprint(&j.sub))
 		}
 	}
@@ -325,13 +334,18 @@
 	if err := p.restoreStarts(records); err != nil {
 		return err
 	}
+	type jobRounds struct {
+		job  *jobState
+		list []roundProgress
+	}
+	var rounds []jobRounds
 	if err := eachRecord(records, keyProgress, "progress", func(id string, d progress) error {
 		s, has := submissions[job.ID(id)]
 		if !has && !d.State.Final() {
 			return errors.Errorf("job %s is %s but has no submission", id, d.State)
 		}
 		s.ID = job.ID(id)
-		p.restoreJob(s, d, now, reserveFor)
+		rounds = append(rounds, jobRounds{p.restoreJob(s, d, now), d.Rounds})
 		return nil
 	}); err != nil {
 		return err
@@ -339,6 +353,12 @@
 	if err := p.restoreParts(records, now, reserveFor); err != nil {
 		return err
 	}
+	for _, r := range rounds {
+		for _, o := range r.list {
+			p.restoreRound(r.job, o, now, reserveFor)
+		}
+		r.job.countOpenSteps()
+	}
 	if err := p.restoreSilent(records, now, reserveFor); err != nil {
 		return err
 	}
@@ -371,7 +391,7 @@
 	}
 }
 
-func (p *Pool) restoreJob(s job.Submission, d progress, now time.Time, reserveFor time.Duration) {
+func (p *Pool) restoreJob(s job.Submission, d progress, now time.Time) *jobState {
 	j := p.newJob(s, p.Clock.FromWallTime(time.UnixMilli(d.Accepted)))
 	j.state, j.started, j.stored, j.collected = d.State, d.Began, true, true
 	p.jobs[s.ID] = j
@@ -383,12 +403,10 @@
 		p.changeFootprint(j, Footprint(&s))
 		p.active = append(p.active, j)
 	}
-	for _, o := range d.Rounds {
-		p.restoreRound(j, o, now, reserveFor)
-	}
-	j.countOpenSteps()
+	return j
 }
 
+// restoreRound restores the progress of a round. A job that has parts as well was being split: the parts are newer.
 func (p *Pool) restoreRound(j *jobState, o roundProgress, now time.Time, reserveFor time.Duration) {
 	if len(j.sub.Steps) == 0 || o.Round < 0 || o.Round >= j.sub.Rounds() {
 		return // only the state of an ended job is persisted
@@ -396,12 +414,19 @@
 	r := j.openRound(o.Round)
 	for i := range r.steps {
 		s := &r.steps[i]
-		if o.Done[i] {
+		if o.Done[i] && s.untouched() {
 			s.setAllDone()
 			continue
 		}
 		for t, d := range o.Steps[i] {
-			p.restoreTask(j, s, t, d, now, reserveFor)
+			if s.peek(t).untouched() {
+				p.restoreTask(j, s, t, d, now, reserveFor)
+			}
+		}
+		for t := range s.count() {
+			if o.Done[i] {
+				s.setDone(t)
+			}
 		}
 	}
 }
--- a/services/scheduler/record_health.go
+++ b/services/scheduler/record_health.go
@@ -127,6 +127,7 @@
 	}
 	slices.Sort(r.Failed)
 	slices.Sort(r.Only)
+	r.Failed, r.Only = r.Failed[:min(len(r.Failed), maxJobEntries)], r.Only[:min(len(r.Only), maxJobEntries)]
 	return r
 }
 
--- a/services/scheduler/record_job.go
+++ b/services/scheduler/record_job.go
@@ -32,15 +32,19 @@
 		list = entries()
 		list = list[:min(len(list), maxJobEntries)]
 	}
+	data, err := codec.Marshal(list)
+	for err == nil && len(data) > maxJobRecordBytes && len(list) > 0 {
+		list = list[:len(list)/2]
+		data, err = codec.Marshal(list)
+	}
+	if err != nil {
+		return err
+	}
 	if len(list) == 0 && !r.persisted {
 		return nil
 	}
 	o := port.Record{Key: prefix + string(j.sub.ID)}
 	if r.persisted = len(list) > 0; r.persisted {
-		data, err := codec.Marshal(list)
-		if err != nil {
-			return err
-		}
 		o.Value = data
 	}
 	b.Records = append(b.Records, o)
--- a/services/scheduler/record_part.go
+++ b/services/scheduler/record_part.go
@@ -33,6 +33,10 @@
 	tasksPerPart = 200
 	// maxJobEntries is how many entries a record beside a job's progress has at most, some 60 bytes each.
 	maxJobEntries = 2000
+	// maxJobRecordBytes is the size of such a record: its entries name workers, whose names may be long.
+	maxJobRecordBytes = 128 << 10
+	// maxPartBytes is the size from which on a part has no checkpoints: a worker may send long ones.
+	maxPartBytes = 128 << 10
 )
 
 // fragment is the progress of tasks of one step that follow each other.
@@ -104,6 +108,9 @@
 
 // addParts adds the parts of a job that have changed to the batch.
 func (b *Batch) addParts(j *jobState) error {
+	if !j.parts.split {
+		return nil
+	}
 	for _, part := range slices.Sorted(maps.Keys(j.parts.changed)) {
 		fragments := j.fragments(part)
 		if len(fragments) == 0 {
@@ -117,6 +124,12 @@
 		if err != nil {
 			return err
 		}
+		if len(data) > maxPartBytes {
+			dropCheckpoints(fragments)
+			if data, err = codec.Marshal(fragments); err != nil {
+				return err
+			}
+		}
 		if hash := maphash.Bytes(partSeed, data); j.parts.persisted[part] != hash {
 			j.parts.persisted[part] = hash
 			b.Records = append(b.Records, partRecord(j.sub.ID, part, data))
@@ -126,6 +139,15 @@
 	return nil
 }
 
+// dropCheckpoints removes the checkpoints: a task that the next owner starts again begins anew.
+func dropCheckpoints(fragments []fragment) {
+	for _, f := range fragments {
+		for i := range f.Tasks {
+			f.Tasks[i].Checkpoint = ""
+		}
+	}
+}
+
 // splitParts splits the progress of a job into parts, all of which are written next.
 func (j *jobState) splitParts() {
 	j.parts = newParts()
@@ -165,8 +187,9 @@
 		}
 		j := p.jobs[job.ID(id)]
 		if j == nil || len(j.sub.Steps) == 0 {
-			p.Logger.Error().Str("event", "part").Str("job", id).Int("part", part).Str("outcome", "skipped").
-				Msg("a part of the progress of a job that is unknown or has ended is left in the journal")
+			p.Logger.Warn().Str("event", "part").Str("job", id).Int("part", part).Str("outcome", "removed").
+				Msg("a part of the progress of a job that is unknown or has ended was left in the journal")
+			p.leftKeys = append(p.leftKeys, r.Key)
 			continue
 		}
 		var fragments []fragment
--- a/standin/world/store.go
+++ b/standin/world/store.go
@@ -184,7 +184,33 @@
 	return s.result(ctx, s.w.fencedAppend(at, wr, records))
 }
 
+// The sizes that the store accepts, in bytes.
+const (
+	maxRecordBytes = 256 << 10
+	maxAppendBytes = 2 << 20
+	recordHeader   = 5 // of a record in an append
+)
+
+// checkSizes returns an error for records that the store does not accept.
+func checkSizes(records []port.Record) error {
+	all := 0
+	for _, r := range records {
+		size := 1 + len(r.Key) + len(r.Value)
+		if size > maxRecordBytes {
+			return errkind.New(errkind.BadRequest, "record %q has %d bytes; at most %d are accepted", r.Key, size, maxRecordBytes)
+		}
+		all += recordHeader + size
+	}
+	if all > maxAppendBytes {
+		return errkind.New(errkind.BadRequest, "append has %d bytes; at most %d are accepted", all, maxAppendBytes)
+	}
+	return nil
+}
+
 func (w *World) fencedAppend(at port.Partition, wr port.Writer, records []port.Record) error {
+	if err := checkSizes(records); err != nil {
+		return err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.partition(at)
