Simplify: one count of a round's open steps, one of its unopened rounds, tasks from the submission

A restore had a second way to see that a round is done beside countOpenSteps; the backlog worked out the unopened rounds that roundsLike has; restoreRound looked at an invariant for each task; Footprint and the model of the platform summed what TasksPerRound returns.

--- a/services/owner/persist.go
+++ b/services/owner/persist.go
@@ -4,6 +4,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -43,18 +44,12 @@
 
 // maxRecord returns the size of the largest record.
 func (s Sizes) maxRecord() int {
-	if s.Record > 0 {
-		return s.Record - recordOverhead
-	}
-	return defaultRecordBytes - recordOverhead
+	return cmp.Or(s.Record, defaultRecordBytes) - recordOverhead
 }
 
 // maxBatch returns the size of all records of a batch that go into one append.
 func (s Sizes) maxBatch() int {
-	if s.Append > 0 {
-		return int(float64(s.Append) * batchShare)
-	}
-	return int(defaultAppendBytes * batchShare)
+	return int(float64(cmp.Or(s.Append, defaultAppendBytes)) * batchShare)
 }
 
 // size returns what records take in an append, and the size of the largest.
--- a/services/scheduler/backlog.go
+++ b/services/scheduler/backlog.go
@@ -88,7 +88,7 @@
 			}
 		}
 	}
-	unopened := p.dueRounds(j, now) - j.opened
+	unopened := p.unopened(j, now)
 	for i := range j.sub.Steps {
 		if spec := &j.sub.Steps[i]; unopened > 0 && !spec.LongRunning {
 			add(spec, unopened*spec.Count, p.expectedRunTime(j.sub.Queue, spec))
--- a/services/scheduler/footprint.go
+++ b/services/scheduler/footprint.go
@@ -23,11 +23,11 @@
 // Footprint returns what a job takes of its owner's memory at most until it has ended, in bytes. What is persisted of it
 // is less.
 func Footprint(s *job.Submission) int64 {
-	rounds, tasks := int64(s.Rounds()), int64(0)
+	rounds := int64(s.Rounds())
+	tasks := rounds * int64(s.TasksPerRound())
 	begun := int64(maxBegun)
 	for i := range s.Steps {
 		o := &s.Steps[i]
-		tasks += int64(o.Count) * rounds
 		if o.LongRunning || o.Gang {
 			begun += int64(o.Count)
 		}
--- a/services/scheduler/record.go
+++ b/services/scheduler/record.go
@@ -289,10 +289,11 @@
 		j.stored = true
 	}
 	for _, j := range b.ended {
-		if len(j.active) == 0 {
-			j.dropRounds()
+		if len(j.active) > 0 {
+			continue
 		}
-		if j.state != "" && len(j.active) == 0 {
+		j.dropRounds()
+		if j.state != "" {
 			p.changeFootprint(j, endedFootprint(&j.sub))
 		}
 	}
@@ -414,20 +415,20 @@
 	r := j.openRound(o.Round)
 	for i := range r.steps {
 		s := &r.steps[i]
-		if o.Done[i] && s.untouched() {
+		switch {
+		case !o.Done[i]:
+		case s.untouched():
 			s.setAllDone()
-			continue
+		default:
+			for t := range s.count() {
+				s.setDone(t)
+			}
 		}
 		for t, d := range o.Steps[i] {
 			if s.peek(t).untouched() {
 				p.restoreTask(j, s, t, d, now, reserveFor)
 			}
 		}
-		for t := range s.count() {
-			if o.Done[i] {
-				s.setDone(t)
-			}
-		}
 	}
 }
 
--- a/services/scheduler/record_part.go
+++ b/services/scheduler/record_part.go
@@ -226,7 +226,7 @@
 		for i := range f.Count {
 			s.setDone(f.First + i)
 		}
-		j.dropIfDone(f.Round)
+		j.countOpen(f.Round)
 	}
 	return nil
 }
@@ -243,29 +243,25 @@
 	return &r.steps[step]
 }
 
-// dropIfDone drops the state of a round all steps of which are done, while a job is restored.
-func (j *jobState) dropIfDone(round int) {
+// countOpenSteps counts the steps that are not done, once all tasks of a job have been restored.
+func (j *jobState) countOpenSteps() {
+	for n := range j.rounds {
+		j.countOpen(n)
+	}
+	j.skipEnded()
+}
+
+// countOpen counts the steps of a round that are not done, and drops its state if there are none.
+func (j *jobState) countOpen(round int) {
 	r := j.rounds[round]
-	if slices.ContainsFunc(r.steps, func(s stepState) bool { return s.done < s.count() }) {
+	if r == nil || r == endedRound {
 		return
 	}
 	r.openSteps = 0
-	j.dropEnded(round)
-}
-
-// countOpenSteps counts the steps that are not done, once all tasks of a job have been restored.
-func (j *jobState) countOpenSteps() {
-	for n, r := range j.rounds {
-		if r == nil || r == endedRound {
-			continue
+	for i := range r.steps {
+		if s := &r.steps[i]; s.done < s.count() {
+			r.openSteps++
 		}
-		r.openSteps = 0
-		for i := range r.steps {
-			if s := &r.steps[i]; s.done < s.count() {
-				r.openSteps++
-			}
-		}
-		j.dropEnded(n)
 	}
-	j.skipEnded()
+	j.dropEnded(round)
 }
--- a/services/scheduler/round.go
+++ b/services/scheduler/round.go
@@ -118,13 +118,16 @@
 	return int(min(since/j.sub.Interval+1, time.Duration(total)))
 }
 
+// unopened returns how many rounds of a job are due and have not been opened.
+func (p *Pool) unopened(j *jobState, now time.Time) int { return max(p.dueRounds(j, now)-j.opened, 0) }
+
 // roundsLike returns how many due rounds of a job an opened one stands for: the last one stands for those that have
 // not been opened as well.
 func (p *Pool) roundsLike(j *jobState, n int, now time.Time) int {
 	if n != len(j.rounds)-1 {
 		return 1
 	}
-	return 1 + max(p.dueRounds(j, now)-j.opened, 0)
+	return 1 + p.unopened(j, now)
 }
 
 // openDue opens the rounds of a job that are due, as far as a plan has a use for them.
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -95,11 +95,8 @@
 func (w *World) HasCompleted(id job.ID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	j, tasks := w.jobs[id], 0
-	for i := range j.submission.Steps {
-		tasks += j.submission.Steps[i].Count * j.submission.Rounds()
-	}
-	return len(j.done) == tasks
+	j := w.jobs[id]
+	return len(j.done) == j.submission.TasksPerRound()*j.submission.Rounds()
 }
 
 // DoneInStep returns how many tasks of a step have ended as done, in all rounds of its job, and how many there are.
