--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -20,7 +20,7 @@
 		_, index := taskStep(task)
 		return work + time.Duration(index)*apart, false
 	}
-	s.configure(1, []string{"alpha"}, route{"settle", "alpha", 4})
+	s.configure(1, []string{"alpha"}, route{name: "settle", service: "alpha", attempts: 4})
 	var machines []*machine
 	for i := range 6 {
 		machines = append(machines, s.addMachine(fmt.Sprintf("m-%d", i+1), "alpha", "a", fmt.Sprintf("r1-%d", i/4+1)))
@@ -53,7 +53,7 @@
 func playCrashes(s *site) int {
 	const work, crashes = 8 * time.Second, 4
 	s.workOf = func(string) (time.Duration, bool) { return work, false }
-	s.configure(1, []string{"alpha"}, route{"settle", "alpha", 4})
+	s.configure(1, []string{"alpha"}, route{name: "settle", service: "alpha", attempts: 4})
 	machines := make(map[string]*machine)
 	for i := range 8 {
 		name := fmt.Sprintf("m-%d", i+1)
--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -262,6 +262,8 @@
 var cases = map[string]func(s *site) int{
 	"ends":    playEnds,
 	"crashes": playCrashes,
+	"label":   playLabel,
+	"gang":    playGang,
 }
 
 func main() {
--- a/review/.standin-2/platform.go
+++ b/review/.standin-2/platform.go
@@ -55,6 +55,8 @@
 	events events
 	// workOf returns how long a task takes, and whether it lasts.
 	workOf func(task string) (time.Duration, bool)
+	// hopeless reports whether each run of a task ends failed by its own fault.
+	hopeless func(task string) bool
 
 	mu       sync.Mutex
 	lives    int
@@ -62,7 +64,11 @@
 }
 
 func newPlatform() *platform {
-	return &platform{store: newStore(), workOf: func(string) (time.Duration, bool) { return time.Second, false }}
+	return &platform{
+		store:    newStore(),
+		workOf:   func(string) (time.Duration, bool) { return time.Second, false },
+		hopeless: func(string) bool { return false },
+	}
 }
 
 // serve serves a handler on a free loopback port and returns its address.
@@ -170,6 +176,7 @@
 type route struct {
 	name, service string
 	attempts      int
+	priority      int
 }
 
 // configure writes a manifest with routes, each under its own path of one host.
@@ -177,7 +184,7 @@
 	list, pools := []map[string]any{}, []map[string]any{}
 	for _, r := range routes {
 		list = append(list, map[string]any{
-			"Name": r.name, "Host": host, "PathPrefix": "/" + r.name + "/", "Service": r.service, "Priority": 0, "MaxAttempts": r.attempts,
+			"Name": r.name, "Host": host, "PathPrefix": "/" + r.name + "/", "Service": r.service, "Priority": r.priority, "MaxAttempts": r.attempts,
 			"Stretch": 1.6, "TargetLatencyMs": 600,
 		})
 	}
--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -279,7 +279,10 @@
 	u.timer = time.AfterFunc(u.work, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !u.lasting {
+		switch {
+		case w.p.hopeless(u.task):
+			w.finish(u, "failed")
+		case !u.lasting:
 			w.finish(u, "done")
 		}
 	})
