--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -151,7 +151,7 @@
 // open starts nodes and waits until all of them are ready.
 func (s *site) open(nodes int) {
 	cloud, store := serve(s.cloud()), serve(s.store)
-	advice := serve(http.NotFoundHandler())
+	advice := serve(&s.advice)
 	for range nodes {
 		s.addNode(cloud, advice, store)
 	}
@@ -263,6 +263,7 @@
 	"ends":    playEnds,
 	"crashes": playCrashes,
 	"label":   playLabel,
+	"advice":  playAdvice,
 	"gang":    playGang,
 }
 
--- a/review/.standin-2/platform.go
+++ b/review/.standin-2/platform.go
@@ -53,6 +53,7 @@
 type platform struct {
 	store  *store
 	events events
+	advice advisor
 	// workOf returns how long a task takes, and whether it lasts.
 	workOf func(task string) (time.Duration, bool)
 	// hopeless reports whether each run of a task ends failed by its own fault.
@@ -177,16 +178,21 @@
 	name, service string
 	attempts      int
 	priority      int
+	advice        bool
 }
 
 // configure writes a manifest with routes, each under its own path of one host.
 func (p *platform) configure(version int, services []string, routes ...route) {
 	list, pools := []map[string]any{}, []map[string]any{}
 	for _, r := range routes {
-		list = append(list, map[string]any{
+		o := map[string]any{
 			"Name": r.name, "Host": host, "PathPrefix": "/" + r.name + "/", "Service": r.service, "Priority": r.priority, "MaxAttempts": r.attempts,
 			"Stretch": 1.6, "TargetLatencyMs": 600,
-		})
+		}
+		if r.advice {
+			o["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": ticketTime.Milliseconds()}
+		}
+		list = append(list, o)
 	}
 	for _, s := range services {
 		pools = append(pools, map[string]any{"Name": s, "RejectsOverload": false})
