--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -260,11 +260,10 @@
 
 // cases are the cases by name.
 var cases = map[string]func(s *site) int{
-	"ends":    playEnds,
-	"crashes": playCrashes,
-	"label":   playLabel,
-	"advice":  playAdvice,
-	"gang":    playGang,
+	"ends":   playEnds,
+	"label":  playLabel,
+	"advice": playAdvice,
+	"gang":   playGang,
 }
 
 func main() {
--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -89,20 +89,27 @@
 		p: p, id: fmt.Sprintf("w-%04d", p.lives), machine: m, address: l.Addr().String(), began: time.Now().Add(-100 * time.Second),
 		runs: make(map[string]*run), above: make(map[string]int), changed: make(chan struct{}),
 	}
-	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(l) }()
+	w.serve(l)
 	go w.watchLease()
 	w.writeEntry()
 	return w
 }
 
+// serve serves the worker's port.
+func (w *worker) serve(l net.Listener) {
+	server := &http.Server{Handler: w}
+	w.server = server
+	go func() { _ = server.Serve(l) }()
+}
+
 // writeEntry writes the worker's own entry in the store.
 func (w *worker) writeEntry() {
 	m := w.machine
-	w.p.store.write("keyed.servers", w.id, map[string]any{
+	entry := map[string]any{
 		"machine": m.name, "Service": m.pool, "Address": w.address, "Zone": "hall-a", "Version": "1", "Slots": 8, "State": "ready",
 		"ColdRemainingMs": 0, "Sequence": 1, "Capacity": m.capacity(), "Labels": m.labels,
-	})
+	}
+	w.p.store.write("keyed.servers", w.id, entry)
 }
 
 func (w *worker) clock() time.Duration { return time.Since(w.began) }
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/yardbridge ] && [ -x target/review-2/standin ] || { echo "build the deploy file and review/build-2.sh first" >&2; exit 2; }
-exec target/review-2/standin advice "$PWD" "$folder"
+exec target/review-2/standin label "$PWD" "$folder"
