--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -262,6 +262,7 @@
 var cases = map[string]func(s *site) int{
 	"ends":   playEnds,
 	"label":  playLabel,
+	"again":  playAgain,
 	"advice": playAdvice,
 	"gang":   playGang,
 }
--- a/review/.standin-2/platform.go
+++ b/review/.standin-2/platform.go
@@ -58,9 +58,11 @@
 	workOf func(task string) (time.Duration, bool)
 	// hopeless reports whether each run of a task ends failed by its own fault.
 	hopeless func(task string) bool
-	mu       sync.Mutex
-	lives    int
-	machines []*machine
+	// tellsBirth says that workers may start again under their ids, and tell when they were born.
+	tellsBirth bool
+	mu         sync.Mutex
+	lives      int
+	machines   []*machine
 }
 
 func newPlatform() *platform {
--- a/review/.standin-2/worker.go
+++ b/review/.standin-2/worker.go
@@ -64,10 +64,13 @@
 	server  *http.Server
 	address string
 	began   time.Time
+	born    int64 // in milliseconds since 1970, 0 where entries and lists do not have it
+	life    int   // of its id, from 1
 
 	mu       sync.Mutex
 	gone     bool
 	cut      bool // no call reaches it and no answer leaves it
+	down     bool // between two lives
 	token    uint64
 	deadline time.Duration // on its clock
 	runs     map[string]*run
@@ -86,9 +89,12 @@
 	}
 	p.lives++
 	w := &worker{
-		p: p, id: fmt.Sprintf("w-%04d", p.lives), machine: m, address: l.Addr().String(), began: time.Now().Add(-100 * time.Second),
+		p: p, id: fmt.Sprintf("w-%04d", p.lives), life: 1, machine: m, address: l.Addr().String(), began: time.Now().Add(-100 * time.Second),
 		runs: make(map[string]*run), above: make(map[string]int), changed: make(chan struct{}),
 	}
+	if p.tellsBirth {
+		w.born = time.Now().UnixMilli()
+	}
 	w.serve(l)
 	go w.watchLease()
 	w.writeEntry()
@@ -102,6 +108,34 @@
 	go func() { _ = server.Serve(l) }()
 }
 
+// restart ends the life without a word and begins another one under the same id and address.
+func (w *worker) restart(down time.Duration) {
+	w.mu.Lock()
+	for _, name := range sortedNames(w.runs) {
+		u := w.runs[name]
+		u.timer.Stop()
+		w.note("gone", u.task, u.number, 0, false)
+	}
+	w.down = true
+	w.runs, w.above, w.ends = make(map[string]*run), make(map[string]int), nil
+	w.token, w.deadline, w.sequence, w.lapsedAt = 0, 0, 0, 0
+	w.life++
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.mu.Unlock()
+	_ = w.server.Close()
+	time.Sleep(down)
+	l, err := net.Listen("tcp", w.address)
+	for ; err != nil; l, err = net.Listen("tcp", w.address) {
+		time.Sleep(time.Millisecond)
+	}
+	w.mu.Lock()
+	w.began, w.born, w.down = time.Now().Add(-100*time.Second), time.Now().UnixMilli(), false
+	w.mu.Unlock()
+	w.serve(l)
+	w.writeEntry()
+}
+
 // writeEntry writes the worker's own entry in the store.
 func (w *worker) writeEntry() {
 	m := w.machine
@@ -109,6 +143,9 @@
 		"machine": m.name, "Service": m.pool, "Address": w.address, "Zone": "hall-a", "Version": "1", "Slots": 8, "State": "ready",
 		"ColdRemainingMs": 0, "Sequence": 1, "Capacity": m.capacity(), "Labels": m.labels,
 	}
+	if w.born > 0 {
+		entry["born"] = w.born
+	}
 	w.p.store.write("keyed.servers", w.id, entry)
 }
 
@@ -116,7 +153,7 @@
 
 // note records an event. The lock is held.
 func (w *worker) note(what, task string, number, sequence int, void bool) {
-	w.p.events.add(taskEvent{time.Now(), what, task, number, w.id, sequence, void})
+	w.p.events.add(taskEvent{time.Now(), what, task, number, fmt.Sprintf("%s life %d", w.id, w.life), sequence, void})
 }
 
 // watchLease ends all runs once the lease is over.
@@ -245,6 +282,9 @@
 func (w *worker) handle(r *http.Request, c call) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.down || w.gone {
+		panic(http.ErrAbortHandler)
+	}
 	if c.FencingToken < w.token {
 		return http.StatusConflict, map[string]any{"Reason": "fence"}
 	}
@@ -319,6 +359,7 @@
 	if c.DeadlineMs > 0 {
 		w.extend(c.DeadlineMs)
 	}
+	life := w.life
 	if until := time.After(time.Duration(min(c.WaitMs, 2000)) * time.Millisecond); c.WaitMs > 0 && len(w.ends) == 0 {
 		changed := w.changed
 		w.mu.Unlock()
@@ -329,6 +370,9 @@
 		}
 		w.mu.Lock()
 	}
+	if w.life != life {
+		panic(http.ErrAbortHandler) // the life that was asked has ended
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, name := range sortedNames(w.runs) {
 		u := w.runs[name]
@@ -337,7 +381,11 @@
 	for _, e := range w.ends[:min(len(w.ends), listedEnds)] {
 		ended = append(ended, []any{e.sequence, e.task, e.number, e.how, e.checkpoint})
 	}
-	return http.StatusOK, map[string]any{"Running": running, "Ended": ended}
+	body := map[string]any{"Running": running, "Ended": ended}
+	if w.born > 0 {
+		body["born"] = w.born
+	}
+	return http.StatusOK, body
 }
 
 // percent returns how much of its work a run has done.
