--- a/review/.standin-2/again.go
+++ b/review/.standin-2/again.go
@@ -12,9 +12,9 @@
 
 // Figures of the case with workers that start again.
 const (
-	shortWork    = 25 * time.Millisecond // of each task
-	pauseBetween = time.Second           // least time between two restarts, twice that at most
-	downTime     = 5 * time.Millisecond  // from the end of a life to the next one
+	shortWork    = 25 * time.Millisecond  // of each task
+	pauseBetween = 400 * time.Millisecond // least time between two restarts, twice that at most
+	downTime     = 5 * time.Millisecond   // from the end of a life to the next one
 )
 
 // playAgain has workers start again under their ids, at random moments, while many short tasks wait for room.
