--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -141,3 +141,29 @@
 	}
 	return held
 }
+
+// mostUsed returns the largest share of the service's processors that was in use at once since a time, by tasks that
+// each ask for some thousandths of a core.
+func (s *site) mostUsed(since time.Time, cpu int) float64 {
+	total := 0
+	for _, m := range s.machines {
+		total += m.capacity().Cpu
+	}
+	runs, most := 0, 0
+	for _, e := range s.events.all() {
+		if e.at.After(since) {
+			most = max(most, runs)
+		}
+		switch e.what {
+		case "noted":
+		case "start":
+			runs++
+		default:
+			runs--
+		}
+		if e.at.After(since) {
+			most = max(most, runs)
+		}
+	}
+	return float64(max(most, runs)*cpu) / float64(total)
+}
