--- a/models/worker/poll_result.go
+++ b/models/worker/poll_result.go
@@ -40,6 +40,8 @@
 type PollResult struct {
 	Clock     time.Duration // of the worker, which may be slow
 	StartedAt int64         // start time of the worker, as in Worker
-	Runs      []Run
+	Runs      []Run         // all of them
 	Ends      []EndedRun
+	// Truncated means that more runs may have ended than Ends lists; the others are listed once these are acknowledged.
+	Truncated bool
 }
--- a/services/scheduler/afterloss.go
+++ b/services/scheduler/afterloss.go
@@ -119,7 +119,8 @@
 }
 
 // checkLosses compares the runs that a worker lists with those that were declared lost there before it was asked.
-// Those that it lists get one line, with the run that was lost first; the others have ended, and are forgotten.
+// Those that it lists get one line, with the run that was lost first; the others have ended, and are forgotten unless
+// their ends are still to be listed.
 func (p *Pool) checkLosses(w *workerState, sent time.Time, listing worker.PollResult, now time.Time) {
 	lost := p.losses.byWorker[w.info.ID]
 	if len(lost) == 0 {
@@ -140,7 +141,7 @@
 		}
 	}
 	for _, o := range lost {
-		if !still[o] && !o.at.After(sent) {
+		if !still[o] && !listing.Truncated && !o.at.After(sent) {
 			p.losses.remove(o)
 		}
 	}
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -141,6 +141,8 @@
 		return time.Time{}, 0, true
 	case len(w.runs) > 0:
 		return w.polledAt.Add(pollGap), p.pollWait(w), true
+	case w.hasMoreEnds:
+		return w.polledAt.Add(pollGap), 0, true
 	case w.acknowledgedEnd < w.persistedEnd:
 		return w.polledAt.Add(acknowledgeDelay), 0, true
 	}
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -44,7 +44,7 @@
 		request.Deadline = w.extendDeadline(now, p.Limits.Lease)
 		w.extendedBy = p.eventSeq
 	}
-	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.restartSuspected {
+	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.hasMoreEnds || w.restartSuspected {
 		request.Wait = 0 // it would respond at once with known ends, or must respond at once
 	}
 	return Poll{w, p.eventSeq, request, now, previous, w.tokenRaises, w.address()}, request, true
@@ -162,8 +162,10 @@
 	p.schedulePlan(w.leasesExpireAt(), now)
 }
 
-// applyListing processes the list of a worker's runs and of those that have ended.
+// applyListing processes the list of a worker's runs and of those that have ended. A run that a truncated list does
+// not name may have ended all the same: it keeps its place until a complete list shows how.
 func (p *Pool) applyListing(w *workerState, k Poll, listing worker.PollResult, now time.Time) {
+	p.noteTruncated(w, listing)
 	for _, e := range listing.Ends {
 		if e.Sequence <= w.lastEnd {
 			continue
@@ -183,13 +185,24 @@
 		p.applyRun(w, r, now)
 	}
 	for name, u := range w.runs {
-		if !listed[name] && p.vanished(u, k) {
+		if !listed[name] && !listing.Truncated && p.vanished(u, k) {
 			p.loseRun(u, now, "its worker does not list it")
 		}
 	}
 	p.adjustCPUShare(w, now)
 }
 
+// noteTruncated records whether a worker has ended more runs than it lists, and logs when that changes.
+func (p *Pool) noteTruncated(w *workerState, listing worker.PollResult) {
+	if w.hasMoreEnds == listing.Truncated {
+		return
+	}
+	w.hasMoreEnds = listing.Truncated
+	p.Logger.Info().Str("event", "worker").Str("worker", string(w.info.ID)).Int("ends", len(listing.Ends)).Int("runs", len(listing.Runs)).
+		Int("runs_known", len(w.runs)).Int("persisted", w.persistedEnd).Int("acknowledged", w.acknowledgedEnd).Bool("truncated", listing.Truncated).
+		Msg("list of ended runs was truncated or is complete again")
+}
+
 // applyRun processes one entry of a worker's list of runs.
 func (p *Pool) applyRun(w *workerState, r worker.Run, now time.Time) {
 	u := w.runs[r.Task]
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -89,7 +89,8 @@
 }
 
 // adoptRuns moves those runs to a worker's next incarnation that this one lists: it has carried out
-// their orders.
+// their orders. If its list is truncated it may have carried out any order that was sent, so all
+// those runs are moved, and a complete list shows which have ended.
 func (p *Pool) adoptRuns(w, n *workerState, listing worker.PollResult, now time.Time) {
 	adopt := func(name string, number int) {
 		u := w.runs[name]
@@ -115,6 +116,12 @@
 	for _, e := range listing.Ends {
 		adopt(e.Task, e.Number)
 	}
+	if !listing.Truncated {
+		return
+	}
+	for name, u := range w.runs {
+		adopt(name, u.number)
+	}
 }
 
 // markReconnect requests a new connection to a worker.
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -54,6 +54,7 @@
 	lastEnd           int           // newest end processed
 	persistedEnd      int           // newest end persisted
 	acknowledgedEnd   int           // newest end that the worker was told to discard
+	hasMoreEnds       bool          // its last list was truncated
 	health            health
 	healthOf          int64 // start time of the incarnation that its restored health is of, 0 if unknown
 	cpuSharing        cpuSharing
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/job"
@@ -19,6 +20,7 @@
 	cancelled            time.Time
 	done                 map[string]bool        // tasks that ended as done
 	acknowledged         map[string]bool        // subset of done whose ends were acknowledged
+	unacknowledged       map[string][]*doneEnd  // other ends of tasks as done, by task
 	acknowledgedFailures map[string]int         // acknowledged failures, by task
 	failures             map[string][]worker.ID // the workers of all failed ends
 	absentSince          map[string]time.Time   // since when a long-running task is not working
@@ -30,6 +32,13 @@
 	crashesUnder         map[string]int         // workers that have crashed while running a task, for any reason
 }
 
+// doneEnd is the end of a task as done that no node has acknowledged yet.
+type doneEnd struct {
+	worker    *Worker
+	sequence  int
+	startedBy string // which node started the task again after it, "" for none
+}
+
 // cancelBound is how long after the acknowledgement of a cancel a task may still be
 // started, also by an order that was sent before and is applied late: an order can carry a
 // deadline.
@@ -40,7 +49,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.jobs[s.ID] = &jobRecord{
-		submission: s, done: make(map[string]bool), acknowledged: make(map[string]bool), acknowledgedFailures: make(map[string]int), absentSince: make(map[string]time.Time),
+		submission: s, done: make(map[string]bool), acknowledged: make(map[string]bool), unacknowledged: make(map[string][]*doneEnd), acknowledgedFailures: make(map[string]int), absentSince: make(map[string]time.Time),
 		endedByOrder: make(map[string]bool), failures: make(map[string][]worker.ID), crashesCaused: make(map[string]int), startsAfterCrashes: make(map[string]int),
 		crashesUnder: make(map[string]int),
 	}
@@ -188,7 +197,7 @@
 }
 
 // checkDuplicate checks that no other run of a task is in progress and that none has ended
-// as done. The caller holds w.mu.
+// as done; an end that is acknowledged later counts too. The caller holds w.mu.
 func (w *World) checkDuplicate(node string, j *jobRecord, step *job.Step, s port.Start) {
 	if j.acknowledged[s.Task] {
 		w.violation("TWICE: %s starts %s, which is done", node, s.Task)
@@ -196,6 +205,9 @@
 	if step.AllowDuplicates {
 		return
 	}
+	for _, e := range j.unacknowledged[s.Task] {
+		e.startedBy = node
+	}
 	for _, other := range w.workers {
 		if other.gone || other.runs[s.Task] == nil {
 			continue
@@ -244,6 +256,7 @@
 	case j == nil:
 	case reason == worker.Done:
 		j.done[r.task] = true
+		j.unacknowledged[r.task] = append(j.unacknowledged[r.task], &doneEnd{worker: o, sequence: o.lastSequence})
 	case reason == worker.Failed:
 		j.failures[r.task] = append(j.failures[r.task], o.info.ID)
 	}
@@ -251,7 +264,7 @@
 
 // acknowledge records that a node has acknowledged an end, which the worker may then
 // forget. The caller holds w.mu.
-func (w *World) acknowledge(e worker.EndedRun) {
+func (w *World) acknowledge(o *Worker, e worker.EndedRun) {
 	ref, _ := job.ParseTask(e.Task)
 	j := w.jobs[ref.Job]
 	if j == nil {
@@ -260,6 +273,15 @@
 	switch e.Reason {
 	case worker.Done:
 		j.acknowledged[e.Task] = true
+		j.unacknowledged[e.Task] = slices.DeleteFunc(j.unacknowledged[e.Task], func(d *doneEnd) bool {
+			if d.worker != o || d.sequence != e.Sequence {
+				return false
+			}
+			if d.startedBy != "" {
+				w.violation("TWICE: %s started %s after its run %d had ended as done on %s", d.startedBy, e.Task, e.Number, o.info.ID)
+			}
+			return true
+		})
 	case worker.Failed:
 		j.acknowledgedFailures[e.Task]++
 	}
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -213,19 +213,23 @@
 func (o *Worker) dropEnds(acknowledged int) {
 	for len(o.ends) > 0 && o.ends[0].Sequence <= acknowledged {
 		if o.ends[0].Sequence > o.voidEnds {
-			o.w.acknowledge(o.ends[0])
+			o.w.acknowledge(o, o.ends[0])
 		}
 		o.ends = o.ends[1:]
 	}
 }
 
-// pollResult returns what runs and what has ended. The caller holds w.mu.
+// maxListedEnds is how many ended runs a worker lists at once.
+const maxListedEnds = 500
+
+// pollResult returns what runs and the first runs that have ended. The caller holds w.mu.
 func (o *Worker) pollResult() worker.PollResult {
 	l := worker.PollResult{StartedAt: o.info.StartedAt}
 	for _, r := range o.runs {
 		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r), Load: int(o.tailLatency(r).Milliseconds())})
 	}
 	o.checkHarm()
-	l.Ends = append(l.Ends, o.ends...)
+	l.Ends = append(l.Ends, o.ends[:min(maxListedEnds, len(o.ends))]...)
+	l.Truncated = len(o.ends) >= maxListedEnds
 	return l
 }
