--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -49,6 +49,15 @@
 	return has && now.Add(ticketMargin).Before(t.expiresAt)
 }
 
+// hasTicket reports whether the queue's policy is known to permit a step on a worker, though the ticket may have expired.
+func (s *stepState) hasTicket(w *workerState) bool {
+	if s.job.queue.Advice == nil {
+		return true
+	}
+	_, has := w.tickets[s.ref]
+	return has
+}
+
 // NextAdviceRequest returns the most urgent request, false for none.
 func (p *Pool) NextAdviceRequest(now time.Time) (AdviceRequest, bool) {
 	var best *stepState
--- a/services/scheduler/ahead.go
+++ b/services/scheduler/ahead.go
@@ -140,7 +140,7 @@
 func (p *Pool) takesAhead(c candidate, w *workerState, now time.Time) bool {
 	s := c.step
 	switch {
-	case !s.suits(w, now), w.health.onTrial, w.onProbation(now), p.reserved[w]:
+	case !s.suits(w, now), w.health.onTrial, w.onProbation(now), p.reservation.workers[w]:
 		return false
 	case s.spec.MaxPerWorker > 0 && s.runsByWorker[w] >= s.spec.MaxPerWorker:
 		return false
@@ -200,7 +200,7 @@
 // sendHeld queues the orders of the held runs on a worker that have room now, those of the highest
 // priority first.
 func (p *Pool) sendHeld(w *workerState, now time.Time) {
-	if len(w.held) == 0 || !w.schedulable(now) || p.reserved[w] || p.Isolated {
+	if len(w.held) == 0 || !w.schedulable(now) || p.reservation.workers[w] || p.Isolated {
 		return
 	}
 	list := slices.Clone(w.held)
@@ -256,7 +256,7 @@
 		return "its worker does not suit it any more"
 	case !u.size.FitsIn(w.info.Capacity):
 		return "the capacity of its worker has shrunk"
-	case p.reserved[w]:
+	case p.reservation.workers[w]:
 		return "its worker is reserved for a gang"
 	case p.exceedsAllowance(u.job.sub.Customer):
 		return "its customer's allowance was lowered"
--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -127,14 +127,44 @@
 	ends := begins.Add(gangHoldTime)
 	p.schedulePlan(begins, now)
 	p.schedulePlan(ends, now)
-	if !now.Before(ends) {
-		s.limitedSince = now
+	if !now.Before(ends) || p.holdsInVain(s, begins, now) {
+		s.limitedSince, s.drainedSince = now, time.Time{}
 		s.holds++
 		return false
 	}
 	return !now.Before(begins)
 }
 
+// holdsInVain reports whether a hold that began at a time keeps tasks of a customer of which nothing else has been
+// running in the pool for maxIdleReservation: what the gang waits for, other pools use.
+func (p *Pool) holdsInVain(s *stepState, begins, now time.Time) bool {
+	if now.Before(begins) || p.hasEndingRuns(s.job.sub.Customer) {
+		s.drainedSince = time.Time{}
+		return false
+	}
+	if s.drainedSince.IsZero() {
+		s.drainedSince = now
+	}
+	end := s.drainedSince.Add(maxIdleReservation)
+	p.schedulePlan(end, now)
+	return !now.Before(end)
+}
+
+// hasEndingRuns reports whether a customer has runs in the pool that end by themselves.
+func (p *Pool) hasEndingRuns(customer string) bool {
+	for _, j := range p.active {
+		if j.sub.Customer != customer {
+			continue
+		}
+		for u := range j.active {
+			if !u.step().spec.LongRunning {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // startSize returns the least that can start of a step: a task, or its gang.
 func (s *stepState) startSize() job.Size {
 	if s.spec.Gang {
--- a/services/scheduler/allowance_test.go
+++ b/services/scheduler/allowance_test.go
@@ -117,6 +117,21 @@
 	assert.Assert(t, held > 0 && held < 150, "nothing runs in %d of 400 steps", held)
 }
 
+// TestHoldForAGangEndsWhereNothingRuns guards against tasks that wait for 3 s although the workers are idle and their
+// customer uses nothing (LOST): they are held for a gang that gets no allowance.
+func TestHoldForAGangEndsWhereNothingRuns(t *testing.T) {
+	d := newTestPoolAtLimit(t, 2000)
+	d.submitFor("gang", 3, true)
+	d.persist()
+	d.now = d.now.Add(gangLimitWait)
+	d.submitFor("small", 1, false)
+	assert.Equal(t, len(d.startAll("a")), 0, "the gang gets no chance")
+	for waited := time.Duration(0); len(d.startAll("a")) == 0; waited += 100 * time.Millisecond {
+		assert.Assert(t, waited < 2500*time.Millisecond, "the task waits for %s", waited)
+		d.now = d.now.Add(100 * time.Millisecond)
+	}
+}
+
 // finishOne has one run end as done.
 func (d *testPool) finishOne() {
 	d.t.Helper()
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -62,27 +62,30 @@
 
 // stepState is a step of one round.
 type stepState struct {
-	job           *jobState
-	ref           job.StepRef
-	spec          *job.Step
-	round         *roundState
-	before        int // tasks of the job before those of the step
-	states        map[int]*taskState
-	doneBits      []uint // which tasks are done, while some are
-	firstOpen     int    // all tasks before it are done
-	waiting       int    // tasks that are not done and have no run
-	held          int    // runs placed ahead whose workers have no room yet
-	done          int
-	runTimes      mean                 // run times of its finished tasks, in seconds
-	runsByWorker  map[*workerState]int // active runs by worker, where their number is limited
-	limitedSince  time.Time            // since when a gang waits for its customer's allowance, zero for not
-	waitingSince  time.Time            // since when tasks of it wait, as of the last plan; zero for not
-	waitLogAt     time.Time            // when that is logged next
-	holds         int                  // how often other tasks were held for the gang in vain
-	advicePending bool                 // a request to the advice service is in progress
-	adviceRetryAt time.Time            // earliest time of the next advice request
-	awaitedWarm   bool                 // it has been logged that a task waits for a warm worker
-	excluded      map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
+	job            *jobState
+	ref            job.StepRef
+	spec           *job.Step
+	round          *roundState
+	before         int // tasks of the job before those of the step
+	states         map[int]*taskState
+	doneBits       []uint // which tasks are done, while some are
+	firstOpen      int    // all tasks before it are done
+	waiting        int    // tasks that are not done and have no run
+	held           int    // runs placed ahead whose workers have no room yet
+	done           int
+	runTimes       mean                 // run times of its finished tasks, in seconds
+	runsByWorker   map[*workerState]int // active runs by worker, where their number is limited
+	limitedSince   time.Time            // since when a gang waits for its customer's allowance, zero for not
+	waitingSince   time.Time            // since when tasks of it wait, as of the last plan; zero for not
+	waitLogAt      time.Time            // when that is logged next
+	holds          int                  // how often other tasks were held for the gang in vain
+	drainedSince   time.Time            // since when other tasks are held for the gang and none of their customer runs, zero for not
+	reserveAfter   time.Time            // earliest time of the next reservation for the gang
+	reservedInVain int                  // how often a reservation for the gang has ended since the pool was idle
+	advicePending  bool                 // a request to the advice service is in progress
+	adviceRetryAt  time.Time            // earliest time of the next advice request
+	awaitedWarm    bool                 // it has been logged that a task waits for a warm worker
+	excluded       map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
 }
 
 // ready reports whether the steps that a step follows are done.
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -47,7 +46,8 @@
 	}
 	p.needsPlan, p.planAt = false, time.Time{}
 	p.work.Plans++
-	p.reserved, p.reservedFor, p.noRoom, p.noWorker, p.ahead.noRoom = nil, nil, nil, nil, nil
+	p.noRoom, p.noWorker, p.ahead.noRoom = nil, nil, nil
+	p.reservation.clear()
 	p.ExpireLeases(now)
 	p.withholdAll(now)
 	p.pruneActive()
@@ -59,6 +59,7 @@
 	p.placeAll(list, now)
 	p.room = nil
 	p.replanForLeft(p.work.Placed > placed, now)
+	p.endIdleReservation(now)
 	p.endWaiting(now)
 	p.logWaiting(list, now)
 	p.placedCPU = p.usedCPU()
@@ -276,7 +277,7 @@
 // noteNoRoom records that no worker has the capacity for a task of a step, for the rest of the plan, in
 // which capacity only shrinks.
 func (p *Pool) noteNoRoom(s *stepState) {
-	if s.anyWorkerSuits() && p.reservedFor != s {
+	if s.anyWorkerSuits() && p.reservation.step != s && !p.endsBeforeReservation(s) {
 		p.noRoom = append(p.noRoom, s.spec.Reservation())
 	}
 }
@@ -296,7 +297,7 @@
 // noRoomFor reports whether the plan has found before that no worker has the capacity for a task that
 // needs no more than one of this step. Otherwise each of many waiting steps would look at each worker.
 func (p *Pool) noRoomFor(s *stepState) bool {
-	if s.spec.LongRunning || p.reservedFor == s {
+	if s.spec.LongRunning || p.reservation.step == s || p.endsBeforeReservation(s) {
 		return false // they may use reserved workers
 	}
 	size := s.spec.Reservation()
@@ -308,7 +309,8 @@
 	switch {
 	case !s.suits(w, now), !p.hasRoom(w, s.spec.Reservation(), job.Size{}, now):
 		return false
-	case p.reserved[w] && p.reservedFor != s && !s.spec.LongRunning:
+	case p.reservation.keeps(w, s) && !p.endsBeforeReservation(s):
+		p.reservation.blocks = true
 		return false
 	case len(w.held) > 0 && !s.spec.LongRunning && !s.spec.Reservation().FitsIn(w.free().Minus(w.heldFor(s.job.queue.Priority))):
 		return false
@@ -381,60 +383,6 @@
 	}
 }
 
-// reserveForGang reserves workers for a waiting gang, so that capacity for all of it becomes free
-// together: this plan places nothing else on them. Only the most urgent gang gets a reservation.
-func (p *Pool) reserveForGang(c candidate, now time.Time) {
-	if p.reservedFor != nil || c.urgency == timely && now.Sub(c.job.accepted) < gangReserveAfter {
-		return
-	}
-	p.reservedFor = c.step
-	p.reserved = make(map[*workerState]bool)
-	size := c.step.spec.Reservation()
-	remaining := c.step.count()
-	for _, w := range p.byFreeCapacity() {
-		if remaining <= 0 {
-			return
-		}
-		fits := p.wouldFit(c.step, w, size, now)
-		if fits > 0 {
-			p.reserved[w] = true
-			remaining -= fits
-		}
-	}
-}
-
-// gangReserveAfter is how long a gang that can still be in time waits before workers are reserved
-// for it.
-const gangReserveAfter = time.Second
-
-// byFreeCapacity returns the workers, those with the most free capacity first.
-func (p *Pool) byFreeCapacity() []*workerState {
-	list := slices.Collect(maps.Values(p.workers))
-	slices.SortFunc(list, func(a, b *workerState) int {
-		return cmp.Or(cmp.Compare(b.free().CPU, a.free().CPU), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	return list
-}
-
-// wouldFit returns how many tasks of a step a worker could take if only long-running tasks ran
-// there.
-func (p *Pool) wouldFit(s *stepState, w *workerState, size job.Size, now time.Time) int {
-	if !w.schedulable(now) || s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
-		return 0
-	}
-	free := w.info.Capacity
-	for _, u := range w.runs {
-		if !u.orphan && u.step().spec.LongRunning {
-			free = free.Minus(u.size)
-		}
-	}
-	fits := 0
-	for size.Times(fits+1).FitsIn(free) && (s.spec.MaxPerWorker == 0 || fits < s.spec.MaxPerWorker) && fits < s.count() {
-		fits++
-	}
-	return fits
-}
-
 // racks returns the racks of the workers, in order.
 func (p *Pool) racks() []string {
 	var racks []string
--- a/services/scheduler/waiting.go
+++ b/services/scheduler/waiting.go
@@ -144,7 +144,7 @@
 		return waitsForTicket
 	case !s.spec.Reservation().FitsIn(w.free()):
 		return waitsForCapacity
-	case p.reserved[w] && p.reservedFor != s && !s.spec.LongRunning:
+	case p.reservation.keeps(w, s):
 		return waitsForReserved
 	case s.spec.MaxPerWorker > 0 && s.runsByWorker[w] >= s.spec.MaxPerWorker:
 		return waitsForSpread
