--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -28,7 +28,7 @@
 	maxAdviceWorkers = 30                     // workers per request; the number that a job's objective accounts for
 	ticketMargin     = 150 * time.Millisecond // minimum remaining validity of a ticket, for its order to arrive
 	adviceLead       = 500 * time.Millisecond // before a step becomes runnable
-	adviceRetryDelay = 200 * time.Millisecond // after a request that got no response
+	adviceRetryDelay = 200 * time.Millisecond // after a request that got no response, or if there is no worker to ask about
 	spareTickets     = 2                      // workers with tickets beyond those that a step needs
 )
 
@@ -58,51 +58,97 @@
 	return has
 }
 
+// adviceNeed is what a step needs of the advice service.
+type adviceNeed struct {
+	step   *stepState
+	asks   bool // there are workers to request tickets for
+	useful bool // one of them has room for a task now
+}
+
+// precedes reports whether a need is served before another one: first a step that a ticket may start now, then one that
+// has not been asked for in vain, so that steps that can't start do not take the turns of others.
+func (n adviceNeed) precedes(o adviceNeed) bool {
+	switch {
+	case n.useful != o.useful:
+		return n.useful
+	case n.step.adviceInVain != o.step.adviceInVain:
+		return n.step.adviceInVain < o.step.adviceInVain
+	}
+	return n.step.job.latestStart.Before(o.step.job.latestStart)
+}
+
 // NextAdviceRequest returns the most urgent request, false for none.
 func (p *Pool) NextAdviceRequest(now time.Time) (AdviceRequest, bool) {
-	var best *stepState
+	var best adviceNeed
 	for _, j := range p.active {
 		if j.queue.Advice == nil {
 			continue
 		}
 		for _, r := range j.openRounds() {
 			for i := range r.steps {
-				s := &r.steps[i]
-				if p.needsAdvice(r, i, now) && (best == nil || s.job.latestStart.Before(best.job.latestStart)) {
-					best = s
+				need, needed := p.adviceNeed(r, i, now)
+				switch {
+				case !needed:
+				case !need.asks:
+					need.step.adviceRetryAt = p.nextAdviceRetry(now)
+				case best.step == nil || need.precedes(best):
+					best = need
 				}
 			}
 		}
 	}
-	if best == nil {
+	s := best.step
+	if s == nil {
 		return AdviceRequest{}, false
 	}
-	q := AdviceRequest{Step: best.ref, step: best, states: p.adviceCandidates(best, now)}
+	q := AdviceRequest{Step: s.ref, step: s, states: p.adviceCandidates(s, now)}
 	for _, w := range q.states {
 		q.Workers = append(q.Workers, w.info.ID)
 	}
-	if len(q.Workers) == 0 {
-		best.adviceRetryAt = now.Add(adviceRetryDelay)
-		return AdviceRequest{}, false
-	}
-	best.advicePending = true
+	s.advicePending = true
+	s.adviceInVain++
 	return q, true
 }
 
-// needsAdvice reports whether a step needs tickets for more workers.
-func (p *Pool) needsAdvice(r *roundState, step int, now time.Time) bool {
+// nextAdviceRetry returns when to look again at the steps without a worker to ask about: all of them together, since
+// each look takes a plan.
+func (p *Pool) nextAdviceRetry(now time.Time) time.Time {
+	if !now.Before(p.adviceRetryAt) {
+		p.adviceRetryAt = now.Add(adviceRetryDelay)
+	}
+	return p.adviceRetryAt
+}
+
+// adviceNeed returns what a step needs of the advice service, false if that is nothing now.
+func (p *Pool) adviceNeed(r *roundState, step int, now time.Time) (adviceNeed, bool) {
 	s := &r.steps[step]
 	wanted := s.waiting + s.leavingRuns()
 	if s.advicePending || wanted == 0 || now.Before(s.adviceRetryAt) || !p.dueWithinLead(r, step, now) {
-		return false
+		return adviceNeed{}, false
 	}
-	slots := 0
+	need, slots := adviceNeed{step: s}, 0
 	for _, w := range p.workers {
-		if w.schedulable(now) && s.allowedOn(w, now) {
+		switch {
+		case !w.schedulable(now):
+		case s.allowedOn(w, now):
 			slots += s.slotsOn(w)
+		case s.mayAsk(w, now):
+			need.asks = true
+			need.useful = need.useful || s.slotsOn(w) > 0
 		}
 	}
-	return slots < wanted+spareTickets
+	return need, slots < wanted+spareTickets
+}
+
+// mayAsk reports whether a request of a step may name a worker: it may take a task of the step, and the advice service
+// has not excluded it.
+func (s *stepState) mayAsk(w *workerState, now time.Time) bool {
+	return w.schedulable(now) && !s.allowedOn(w, now) && !s.excluded[w.info.ID] && s.fitsOn(w)
+}
+
+// fitsOn reports whether a worker that is empty could run a task of a step, whatever the queue's policy.
+func (s *stepState) fitsOn(w *workerState) bool {
+	return s.spec.Reservation().FitsIn(w.info.Capacity) && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label))
 }
 
 // leavingRuns returns how many tasks of a long-running step run on workers that are being
@@ -163,18 +209,13 @@
 	return true
 }
 
-// adviceCandidates returns the workers to request tickets for, those with the most slots first,
-// without those that have a ticket or are known to be excluded.
+// adviceCandidates returns the workers to request tickets for, those with the most slots first.
 func (p *Pool) adviceCandidates(s *stepState, now time.Time) []*workerState {
 	var list []*workerState
 	for _, w := range p.workers {
-		if !w.schedulable(now) || s.allowedOn(w, now) || s.excluded[w.info.ID] {
-			continue
-		}
-		if s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
-			continue
+		if s.mayAsk(w, now) {
+			list = append(list, w)
 		}
-		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *workerState) int {
 		return cmp.Or(cmp.Compare(s.slotsOn(b), s.slotsOn(a)), cmp.Compare(a.info.ID, b.info.ID))
@@ -188,7 +229,7 @@
 	s.advicePending = false
 	if err != nil {
 		s.adviceRetryAt = now.Add(adviceRetryDelay)
-		p.Logger.Warn().Str("event", "advice").Str("step", q.Step.String()).Int("workers", len(q.Workers)).Err(err).Msg("advice request got no response")
+		p.Logger.Warn().Str("event", "advice").Str("step", q.Step.String()).Int("workers", len(q.Workers)).Int("in_vain", s.adviceInVain).Err(err).Msg("advice request got no response")
 		return
 	}
 	if s.excluded == nil {
@@ -206,7 +247,7 @@
 	}
 	p.needsPlan = true
 	p.Logger.Info().Str("event", "advice").Str("step", q.Step.String()).Int("workers", len(q.Workers)).Int("good", len(tickets)).
-		Msg("advice service responded")
+		Int("in_vain", s.adviceInVain).Msg("advice service responded")
 }
 
 // scheduleAdvice schedules a plan for when an advice request may be repeated.
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -84,6 +84,7 @@
 	reservedInVain int                  // how often a reservation for the gang has ended since the pool was idle
 	advicePending  bool                 // a request to the advice service is in progress
 	adviceRetryAt  time.Time            // earliest time of the next advice request
+	adviceInVain   int                  // requests to the advice service since a task of it was placed
 	awaitedWarm    bool                 // it has been logged that a task waits for a warm worker
 	excluded       map[worker.ID]bool   // workers that the advice service did not name; nil before the first request
 }
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -115,6 +115,7 @@
 	overdueSince   time.Time  // since when much work is overdue although the pool is fully used, zero for not
 	planAt         time.Time  // when to plan even if nothing changes, zero for never
 	reservation    reservation
+	adviceRetryAt  time.Time          // when the steps without a worker to ask the advice service about are looked at again
 	waitLogAt      time.Time          // earliest time of the next log line about a waiting step
 	noRoom         []job.Size         // of tasks for which this plan has found no worker with the capacity
 	room           *planRoom          // workers with room in this plan, nil between plans
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -99,6 +99,7 @@
 		held: held, heldSince: now,
 	}
 	p.attach(u)
+	s.adviceInVain = 0
 	p.allowances.noteStart(j.sub.Customer, now)
 	p.plannedRuns = append(p.plannedRuns, u)
 	p.work.Placed++
