--- a/node/random_round_test.go
+++ b/node/random_round_test.go
@@ -32,7 +32,7 @@
 		gang := step(3, 0)
 		gang.Gang = true
 		blocked := step(2, 0)
-		blocked.Label = "none"
+		blocked.Label = noLabel
 		s.Jobs = append(s.Jobs,
 			scriptJob{At: seconds(2 + r.IntN(20)), Pool: p.Name, Rounds: 20 + r.IntN(150), Every: tomlfile.Duration(time.Duration(10+r.IntN(100)) * time.Millisecond),
 				Steps: []scriptStep{step(3), step(4, 0)}},
--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -61,6 +61,10 @@
 	To     string            `toml:"to"` // pool that a queue moves to
 }
 
+// calmAfter is how long after the end of an event its effects may last: a pool that has lost its owner has another one by
+// then, which has waited for the leases of the runs that it does not know.
+const calmAfter = 10 * time.Second
+
 // applyEvent carries out an event.
 func (st *scenario) applyEvent(e scriptEvent) {
 	if epochs := st.owners(); st.script.KeepOwners {
@@ -76,6 +80,7 @@
 	if st.script.MoveOnce {
 		st.expectOnce(e)
 	}
+	st.world.Disturb(time.Now().Add(e.For.Std() + calmAfter))
 	switch e.Kind {
 	case "kill", "stop":
 		for _, n := range st.nodesOf(e) {
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -56,6 +56,7 @@
 	AppendTime  tomlfile.Duration `toml:"-"`        // that each partition of the store takes for an append, one after the other
 	Gangs       bool              `toml:"gangs"`    // no member of a gang may wait for the others in vain
 	Repeats     int               `toml:"repeats"`  // how often each job is submitted again after it was accepted, 0 for once at random
+	Prompt      bool              `toml:"prompt"`   // no job may wait for 3 s while there is capacity for it
 	GiveUp      int               `toml:"give_up"`  // jobs that may be given up although they could be done, where two workers have crashed under a task
 }
 
@@ -81,8 +82,9 @@
 	Count    int               `toml:"count"` // of identical jobs
 	Gap      tomlfile.Duration `toml:"gap"`   // between them
 	Spec     string            `toml:"spec"`
-	Rounds   int               `toml:"rounds"` // of the steps, 0 for one that is due at once
-	Every    tomlfile.Duration `toml:"every"`  // from one round to the next
+	Hopeless bool              `toml:"hopeless"` // it may fail, or never end
+	Rounds   int               `toml:"rounds"`   // of the steps, 0 for one that is due at once
+	Every    tomlfile.Duration `toml:"every"`    // from one round to the next
 	Steps    []scriptStep      `toml:"step"`
 }
 
@@ -104,9 +106,12 @@
 	Label            string            `toml:"label"` // that the worker must have
 }
 
+// noLabel is a label that no worker has.
+const noLabel = "none"
+
 // blocked reports whether a job can't end, since no worker has a label that it needs.
 func (j scriptJob) blocked() bool {
-	return slices.ContainsFunc(j.Steps, func(s scriptStep) bool { return s.Label != "" })
+	return slices.ContainsFunc(j.Steps, func(s scriptStep) bool { return s.Label == noLabel })
 }
 
 // scenario is a running script.
@@ -259,6 +264,9 @@
 		for _, e := range s.Events {
 			time.AfterFunc(e.At.Std(), func() { st.applyEvent(e) })
 		}
+		if s.Prompt {
+			st.jobs.Go(func() { st.world.CheckWaiting(ctx) })
+		}
 		watch(st)
 		st.verify()
 		cancel()
@@ -416,7 +424,7 @@
 	if s.HasLongRunning() && !j.crashes() {
 		st.longRunning = append(st.longRunning, job.StepRef{Job: s.ID})
 	}
-	if j.blocked() && !st.hasPolicy(j.Pool) {
+	if j.blocked() && !j.Hopeless && !st.hasPolicy(j.Pool) {
 		st.blocked = append(st.blocked, s.ID)
 	}
 	st.mu.Unlock()
@@ -429,8 +437,9 @@
 	}
 	st.accepted[s.ID] = true
 	st.mu.Unlock()
+	st.world.RecordAccepted(s.ID, j.Pool)
 	st.jobs.Go(func() { st.resubmit(ctx, s) })
-	if s.HasLongRunning() && !j.crashes() || st.script.MayRemain {
+	if s.HasLongRunning() && !j.crashes() || st.script.MayRemain || j.Hopeless {
 		return
 	}
 	want := job.Completed
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -129,10 +129,11 @@
 	need, slots := adviceNeed{step: s}, 0
 	for _, w := range p.workers {
 		switch {
-		case !w.schedulable(now):
 		case s.allowedOn(w, now):
-			slots += s.slotsOn(w)
-		case s.mayAsk(w, now):
+			if p.takesTasks(s, w, now) {
+				slots += s.slotsOn(w)
+			}
+		case p.mayAsk(s, w, now):
 			need.asks = true
 			need.useful = need.useful || s.slotsOn(w) > 0
 		}
@@ -140,10 +141,10 @@
 	return need, slots < wanted+spareTickets
 }
 
-// mayAsk reports whether a request of a step may name a worker: it may take a task of the step, and the advice service
-// has not excluded it.
-func (s *stepState) mayAsk(w *workerState, now time.Time) bool {
-	return w.schedulable(now) && !s.allowedOn(w, now) && !s.excluded[w.info.ID] && s.fitsOn(w)
+// mayAsk reports whether a request of a step may name a worker: it may take a task of the step, if need be once it has
+// rested after its ejection, and the advice service has not excluded it.
+func (p *Pool) mayAsk(s *stepState, w *workerState, now time.Time) bool {
+	return !s.allowedOn(w, now) && !s.excluded[w.info.ID] && s.fitsOn(w) && (w.schedulable(now) || p.fallsBackOn(s, w, now))
 }
 
 // fitsOn reports whether a worker that is empty could run a task of a step, whatever the queue's policy.
@@ -213,7 +214,7 @@
 func (p *Pool) adviceCandidates(s *stepState, now time.Time) []*workerState {
 	var list []*workerState
 	for _, w := range p.workers {
-		if s.mayAsk(w, now) {
+		if p.mayAsk(s, w, now) {
 			list = append(list, w)
 		}
 	}
--- a/services/scheduler/claim.go
+++ b/services/scheduler/claim.go
@@ -85,7 +85,7 @@
 // reviewClaims gives up the claims that are of no use any more.
 func (p *Pool) reviewClaims(now time.Time) {
 	p.dropClaims("it is of no use any more", now, func(c *claim) bool {
-		return now.Sub(c.since) >= claimTime || c.job.state.Final() || p.workers[c.worker.info.ID] != c.worker || !c.worker.schedulable(now)
+		return now.Sub(c.since) >= claimTime || c.job.state.Final() || p.workers[c.worker.info.ID] != c.worker || !p.takesTasks(c.step, c.worker, now)
 	})
 }
 
--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -34,6 +34,7 @@
 	failed       map[*jobState]bool // jobs that have failed there since its last success
 	ejectedFor   time.Duration      // length of the last ejection
 	ejectedUntil time.Time          // end of the ejection
+	restsSince   time.Time          // the ejection since which it has rested: tasks that were running then may fail later
 	onTrial      bool               // nothing has succeeded there since the last ejection
 	trialTasks   int                // tasks at once that it gets on trial as no other worker takes tasks, 0 for one
 }
@@ -44,7 +45,8 @@
 }
 
 // noteFailure records that a run of a task failed on a worker.
-func (p *Pool) noteFailure(j *jobState, t *taskState, w *workerState, name string, now time.Time) {
+func (p *Pool) noteFailure(s *stepState, t *taskState, w *workerState, name string, now time.Time) {
+	j := s.job
 	t.failedAt = now
 	t.noteFailedOn(w.info.ID)
 	j.noteFailedOn(w.info.ID)
@@ -61,6 +63,9 @@
 		}
 	}
 	if strikes >= strikesToEject || w.health.onTrial && len(j.failedOn) == 1 {
+		if w.health.onTrial && p.saysNothing(s, w) {
+			return
+		}
 		p.eject(w, min(max(2*w.health.ejectedFor, firstEjection), maxEjection), now, "different jobs fail there", name)
 	}
 }
@@ -74,6 +79,9 @@
 
 // eject ejects a worker for a while.
 func (p *Pool) eject(w *workerState, duration time.Duration, now time.Time, reason, task string) {
+	if !now.Before(w.rested()) {
+		w.health.restsSince = now
+	}
 	w.health.ejectedFor, w.health.ejectedUntil, w.health.onTrial = duration, now.Add(duration), true
 	if last, _ := p.lastEjected(now); last == nil {
 		w.health.trialTasks = 0
@@ -112,8 +120,8 @@
 		if !now.Before(until) {
 			return nil, time.Time{}
 		}
-		if latest := until.Add(lastEjection - w.health.ejectedFor); latest.After(wake) {
-			wake = latest
+		if rested := w.rested(); rested.After(wake) {
+			wake = rested
 		}
 		if first == nil || cmp.Or(until.Compare(first.health.ejectedUntil), cmp.Compare(w.info.ID, first.info.ID)) < 0 {
 			first = w
@@ -190,13 +198,16 @@
 }
 
 // avoidsTrials reports whether a task must not be used to try a worker: it is on its last attempt, and there is a
-// worker that is not on trial, though it may be full.
+// worker that is not on trial, though it may be full. If most of the pool is idle it waits for a full one no longer than
+// for a worker on which it has not failed.
 func (p *Pool) avoidsTrials(c candidate, t *taskState, now time.Time) bool {
 	if !t.onLastAttempt(c.job) {
 		return false
 	}
+	size := c.step.spec.Reservation()
+	mayBeFull := !p.mostlyIdle || now.Sub(t.failedAt) < retryElsewhereDelay
 	for _, w := range p.workers {
-		if !w.health.onTrial && c.step.suits(w, now) && c.step.spec.Reservation().FitsIn(w.info.Capacity) {
+		if !w.health.onTrial && c.step.suits(w, now) && size.FitsIn(w.info.Capacity) && (mayBeFull || size.FitsIn(w.free())) {
 			return true
 		}
 	}
--- a/services/scheduler/lateend.go
+++ b/services/scheduler/lateend.go
@@ -29,7 +29,7 @@
 	case e.Reason == worker.Done:
 		p.markDoneLate(s, ref.Index, now)
 	case e.Reason == worker.Failed && at >= 0: // others were counted by an earlier owner
-		p.countFailure(s.job, t, w, e.Task, now)
+		p.countFailure(s, t, w, e.Task, now)
 	default:
 		return
 	}
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -55,6 +56,7 @@
 	p.beginSlowStart(now)
 	list, placed := p.candidates(now), p.work.Placed
 	p.holdForGangs(list, now)
+	p.findFallbacks(list, now)
 	p.room = newPlanRoom(p, list, now)
 	p.placeAll(list, now)
 	p.room = nil
@@ -236,6 +238,13 @@
 	if u.held {
 		e = e.Bool("ahead", true)
 	}
+	if u.worker.health.onTrial {
+		e = e.Bool("trial", true)
+	}
+	if now.Before(u.worker.health.ejectedUntil) {
+		e = e.Bool("fallback", true)
+		p.increment(placedFallback)
+	}
 	e.Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Uint64("batch", p.batch).Uint8("urgency", uint8(c.urgency)).Dur("slack", c.job.latestStart.Sub(now)).
 		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Msg("task placed")
@@ -244,18 +253,30 @@
 // chooseWorker returns the best worker for a task of a step, nil if none has capacity. Workers for
 // which skip returns true are excluded.
 func (p *Pool) chooseWorker(c candidate, t *taskState, now time.Time, skip func(*workerState) bool) *workerState {
-	if p.noRoomFor(c.step) {
-		return nil
+	var best *workerState
+	if !p.noRoomFor(c.step) {
+		best = p.bestOf(p.workersWithRoom(), c, t, now, skip)
+		if best == nil && skip == nil && t.failures == 0 && !t.suspected() && !t.onLastAttempt(c.job) {
+			p.noteNoRoom(c.step)
+		}
+	}
+	if best == nil && len(p.fallbacks) > 0 {
+		best = p.bestOf(slices.Values(p.fallbacks), c, t, now, skip)
 	}
+	return best
+}
+
+// bestOf returns the best of some workers for a task of a step, nil if none has capacity.
+func (p *Pool) bestOf(workers iter.Seq[*workerState], c candidate, t *taskState, now time.Time, skip func(*workerState) bool) *workerState {
 	var best *workerState
 	var bestScore float64
 	elsewhere, noTrial := p.retriesElsewhere(c, t, now), p.avoidsTrials(c, t, now)
-	for w := range p.workersWithRoom() {
+	for w := range workers {
 		p.work.Examined++
 		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial {
 			continue
 		}
-		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) {
+		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) || p.yieldsTrial(c, t, w, now) {
 			continue
 		}
 		score := p.score(c.step, w) + p.coldScore(c, w, now) - t.failureCost(w) - t.suspectCost(w)
@@ -263,9 +284,6 @@
 			best, bestScore = w, score
 		}
 	}
-	if best == nil && skip == nil && t.failures == 0 && !t.suspected() && !t.onLastAttempt(c.job) {
-		p.noteNoRoom(c.step)
-	}
 	return best
 }
 
@@ -307,7 +325,7 @@
 // canRun reports whether a task of a step may run on a worker now.
 func (p *Pool) canRun(s *stepState, w *workerState, now time.Time) bool {
 	switch {
-	case !s.suits(w, now), !p.hasRoom(w, s.spec.Reservation(), job.Size{}, now):
+	case !s.permits(w, now), !p.hasRoom(w, s.spec.Reservation(), job.Size{}, now), !p.takesTasks(s, w, now):
 		return false
 	case p.reservation.keeps(w, s) && !p.endsBeforeReservation(s):
 		p.reservation.blocks = true
@@ -322,7 +340,12 @@
 
 // suits reports whether a worker may run tasks of a step, with enough free capacity.
 func (s *stepState) suits(w *workerState, now time.Time) bool {
-	return w.schedulable(now) && s.allowedOn(w, now) && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label))
+	return w.schedulable(now) && s.permits(w, now)
+}
+
+// permits reports whether the label of a step and its queue's policy permit it on a worker.
+func (s *stepState) permits(w *workerState, now time.Time) bool {
+	return s.allowedOn(w, now) && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label))
 }
 
 // Score bonuses of a worker; its used share, which counts too, is at most 1.
--- a/services/scheduler/record_health.go
+++ b/services/scheduler/record_health.go
@@ -175,6 +175,7 @@
 		if latest := p.restoredAt.Add(w.health.ejectedFor); w.health.ejectedUntil.After(latest) {
 			w.health.ejectedUntil = latest
 		}
+		w.health.restsSince = w.health.ejectedUntil.Add(-w.health.ejectedFor)
 	}
 	w.healthOf = h.StartedAt
 	for _, id := range h.Failed {
--- a/services/scheduler/reservation.go
+++ b/services/scheduler/reservation.go
@@ -91,9 +91,8 @@
 // endIdleReservation ends the reservation if it has kept tasks from the workers of a mostly idle pool for too long.
 func (p *Pool) endIdleReservation(now time.Time) {
 	r := &p.reservation
-	const half = 2
 	switch {
-	case !r.blocks || p.usedCPU()*half >= p.schedulableCPU(now):
+	case !r.blocks || !p.isMostlyIdle():
 		r.idleSince = time.Time{}
 		return
 	case r.idleSince.IsZero():
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -204,12 +204,13 @@
 		t.notBefore = now.Add(longRunningRestartDelay)
 		return
 	}
-	p.countFailure(u.job, t, u.worker, u.name, now)
+	p.countFailure(s, t, u.worker, u.name, now)
 }
 
 // countFailure counts a failed run of a task on a worker, which may use up the attempts of its job.
-func (p *Pool) countFailure(j *jobState, t *taskState, w *workerState, name string, now time.Time) {
-	p.noteFailure(j, t, w, name, now)
+func (p *Pool) countFailure(s *stepState, t *taskState, w *workerState, name string, now time.Time) {
+	p.noteFailure(s, t, w, name, now)
+	j := s.job
 	t.failures++
 	limit := j.queue.MaxAttempts
 	if limit > 0 && t.failures >= limit && !j.state.Final() {
--- a/standin/world/check.go
+++ b/standin/world/check.go
@@ -30,6 +30,9 @@
 	crashesCaused        map[string]int         // workers that a task has crashed
 	startsAfterCrashes   map[string]int         // starts of a task after it reached the crash limit
 	crashesUnder         map[string]int         // workers that have crashed while running a task, for any reason
+	pool                 string                 // whose workers run it, "" before its submission was acknowledged
+	waitingSince         time.Time              // since when it has nothing running while there is capacity for it, zero for not
+	lost                 bool                   // that was reported as a violation
 }
 
 // doneEnd is the end of a task as done that no node has acknowledged yet.
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -39,6 +39,7 @@
 	limits         map[string][]customerLimit // of customers, the oldest first
 	evacuations    map[string]time.Time       // since when data centres have been under evacuation
 	appendTime     time.Duration              // that a partition takes for an append, 0 for none
+	disturbedUntil time.Time                  // until when jobs may wait
 	unreadUntil    time.Time                  // the last time a node could not read the store
 	violations     []string
 	network        network
