Tasks that no worker can run are no demand

What callers saw: jobs that could run with one instance more waited for 48 s and longer while another pool had nine of ten instances for tasks that no instance can run; customers' allowances went the same way, and a pool counted as overloaded by such work refuses jobs.

Cause: reports, allowances and admission count what waits, whether a worker can run it or not.

--- a/services/scheduler/allowance.go
+++ b/services/scheduler/allowance.go
@@ -358,6 +358,9 @@
 			continue
 		}
 		for _, c := range p.runnableSteps(j, now, list[:0]) {
+			if p.hasNoWorker(c.step, now) {
+				continue
+			}
 			sum := waiting[j.sub.Customer]
 			sum.add(c.step, p.roundsLike(c.job, c.step.ref.Round, now))
 			waiting[j.sub.Customer] = sum
--- a/services/scheduler/backlog.go
+++ b/services/scheduler/backlog.go
@@ -83,7 +83,7 @@
 		}
 		for i := range r.steps {
 			s := &r.steps[i]
-			if waiting := s.waiting + s.held; waiting > 0 && !s.spec.LongRunning {
+			if waiting := s.waiting + s.held; waiting > 0 && !s.spec.LongRunning && !p.outOfReach(s, now) {
 				add(s.spec, waiting, p.expectedStepTime(j, s))
 			}
 		}
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -161,6 +161,7 @@
 // FullReport returns the pool's report with all workers.
 func (p *Pool) FullReport(request CordonRequest, now time.Time) Report {
 	r := Report{Epoch: p.Token, Workers: make([]WorkerReport, 0, len(p.workers)), ArrivalLoad: p.arrivals.rate(now), Rising: p.arrivals.growth() > 1, Slack: seconds(p.slack.value)}
+	p.updateReach(now)
 	var evacuated job.Size // of long-running tasks in data centres under evacuation
 	for id, w := range p.workers {
 		claims := p.claimsOn(w)
@@ -347,6 +348,9 @@
 // addStepDemand adds the demand of a step's open tasks, a number of times.
 func (p *Pool) addStepDemand(j *jobState, round *roundState, step, times int, now time.Time, r *Report) {
 	s := &round.steps[step]
+	if p.outOfReach(s, now) {
+		return
+	}
 	size, waiting := s.spec.Reservation(), job.Size{}
 	if s.waiting > 0 && round.ready(step) {
 		waiting = size.Times(s.waiting * times)
--- a/services/scheduler/overload.go
+++ b/services/scheduler/overload.go
@@ -54,7 +54,7 @@
 func (p *Pool) detectOverload(list []candidate, now time.Time) bool {
 	backlog := 0.0
 	for _, c := range list {
-		if c.urgency == overdue {
+		if c.urgency == overdue && !p.outOfReach(c.step, now) {
 			backlog += float64(c.step.spec.Size.CPU*c.step.waiting) * p.expectedStepTime(c.job, c.step).Seconds()
 		}
 	}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -115,6 +115,7 @@
 	overdueSince   time.Time      // since when much work is overdue although the pool is fully used, zero for not
 	planAt         time.Time      // when to plan even if nothing changes, zero for never
 	fallbacks      []*workerState // ejected workers that take what no other one could
+	reach          reach          // as of the last plan or report
 	mostlyIdle     bool           // isMostlyIdle, as of the last plan
 	untried        []*stepState   // steps of jobs without a run that wait in this plan, while workers are on trial
 	reservation    reservation
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -15,13 +15,14 @@
 
 // workerState is a worker, its runs and what is known of it.
 type workerState struct {
-	info       worker.Worker
-	runs       map[string]*run // by task name
-	used       job.Size
-	orphanSize job.Size // size of its orphan runs, by the last poll
-	held       []*run   // runs placed ahead, which are not in used
-	ending     job.Size // of its runs that are expected to end soon, by the plan of endingPlan
-	endingPlan uint64   // 0 once its runs have changed
+	info         worker.Worker
+	runs         map[string]*run // by task name
+	used         job.Size
+	orphanSize   job.Size // size of its orphan runs, by the last poll
+	held         []*run   // runs placed ahead, which are not in used
+	mostCapacity job.Size // the most that its entries have stated
+	ending       job.Size // of its runs that are expected to end soon, by the plan of endingPlan
+	endingPlan   uint64   // 0 once its runs have changed
 
 	orphanUses      []orphanUse // what customers use by orphan runs
 	longRunningRuns int         // number of runs of long-running tasks
@@ -192,6 +193,7 @@
 		p.needsPlan = true
 	}
 	before := w.info
+	w.mostCapacity = w.mostCapacity.Max(before.Capacity)
 	w.info, w.evacuated = info, p.evacuated.Has(info.DataCenter)
 	w.listed, w.respondedUnlisted = true, false
 	p.noteWarmUp(w, before)
