--- a/models/worker/poll_result.go
+++ b/models/worker/poll_result.go
@@ -42,6 +42,9 @@
 	StartedAt int64         // start time of the worker, as in Worker
 	Runs      []Run         // all of them
 	Ends      []EndedRun
+	// Connection is the connection that carried the list, 0 if unknown; one that was opened to a worker's incarnation
+	// reaches no later one.
+	Connection uint64
 	// Truncated means that more runs may have ended than Ends lists; the others are listed once these are acknowledged.
 	Truncated bool
 }
--- a/modules/httpconn/conn.go
+++ b/modules/httpconn/conn.go
@@ -25,6 +25,7 @@
 
 // persistConn is one connection and its buffers.
 type persistConn struct {
+	id     uint64
 	conn   *silence.Conn
 	reused bool // it has carried a call before
 	in     *bufio.Reader
@@ -42,6 +43,9 @@
 		_ = pc.conn.SetDeadline(time.Unix(1, 0))
 	})
 	defer stop()
+	if r.Conn == pc.id {
+		r.Body = r.ConnBody
+	}
 	request, err := newRequest(host, r)
 	if err != nil {
 		return Response{}, false, err
@@ -60,7 +64,7 @@
 	if err != nil {
 		return Response{}, false, err
 	}
-	return Response{response.StatusCode, response.Header, body}, !response.Close && stop(), nil
+	return Response{response.StatusCode, response.Header, body, pc.id}, !response.Close && stop(), nil
 }
 
 // newRequest returns the net/http request; an empty body is omitted.
--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -8,7 +8,9 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +40,7 @@
 
 	mu     sync.Mutex
 	idle   []*persistConn
+	sticky uint64 // connection of the last response to a sticky call
 	closed bool
 }
 
@@ -52,6 +55,12 @@
 	Idempotent bool
 	// ServerWait is how long the server may delay its response, as the request asks it to.
 	ServerWait time.Duration
+	// Sticky calls use one connection as far as possible; other calls leave it to them if another one is idle.
+	Sticky bool
+	// Conn is the connection over which ConnBody is sent in place of Body, as in Response; 0 for none. Over any other
+	// connection, also if the call is retried, Body is sent: the server there may have restarted.
+	Conn     uint64
+	ConnBody []byte
 }
 
 // Response is the response to a call.
@@ -59,6 +68,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Conn   uint64 // connection that carried the call, a number that no other connection of the process has
 }
 
 // Do makes a call within the timeout. A NoTarget error means that nothing was sent; after
@@ -116,7 +126,7 @@
 func (c *Client) finish(pc *persistConn, keep bool, r Request, began time.Time) {
 	c.retryPolicy.RecordResponse(began, r.ServerWait)
 	pc.conn.ClearExpected()
-	c.release(pc, keep)
+	c.release(pc, keep, r.Sticky)
 }
 
 func unknownOutcome(r Request, address string, err error) error {
@@ -144,7 +154,7 @@
 // would be unknown.
 func (c *Client) acquire(ctx context.Context, r Request) (*persistConn, error) {
 	for {
-		pc, err := c.popIdle()
+		pc, err := c.popIdle(r.Sticky)
 		if err != nil {
 			return nil, err
 		}
@@ -161,8 +171,9 @@
 	}
 }
 
-// popIdle returns an idle connection, nil if there is none.
-func (c *Client) popIdle() (*persistConn, error) {
+// popIdle returns an idle connection, nil if there is none: the sticky one for a sticky call, any other one first for
+// other calls.
+func (c *Client) popIdle(sticky bool) (*persistConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -172,8 +183,14 @@
 	if n == 0 {
 		return nil, nil
 	}
-	pc := c.idle[n-1]
-	c.idle = c.idle[:n-1]
+	at := n - 1
+	for i := range c.idle {
+		if (c.idle[i].id == c.sticky) == sticky {
+			at = i
+		}
+	}
+	pc := c.idle[at]
+	c.idle = slices.Delete(c.idle, at, at+1)
 	return pc, nil
 }
 
@@ -185,12 +202,18 @@
 		return nil, errors.Trace(err)
 	}
 	conn := c.endpoint.Track(raw)
-	return &persistConn{conn: conn, in: bufio.NewReaderSize(conn, bufferBytes), out: bufio.NewWriterSize(conn, bufferBytes)}, nil
+	return &persistConn{id: connections.Add(1), conn: conn, in: bufio.NewReaderSize(conn, bufferBytes), out: bufio.NewWriterSize(conn, bufferBytes)}, nil
 }
 
+// connections counts the connections of the process.
+var connections atomic.Uint64
+
 // release keeps a connection for the next call, or closes it.
-func (c *Client) release(pc *persistConn, keep bool) {
+func (c *Client) release(pc *persistConn, keep, sticky bool) {
 	c.mu.Lock()
+	if sticky {
+		c.sticky = pc.id
+	}
 	keep = keep && !c.closed && len(c.idle) < max(c.MaxIdle, 1)
 	if keep {
 		c.idle = append(c.idle, pc)
--- a/node/random_restart_test.go
+++ b/node/random_restart_test.go
@@ -48,4 +48,4 @@
 }
 
 // restartTimes are how long a worker may take to start again.
-var restartTimes = []time.Duration{time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond, time.Second, 3 * time.Second}
+var restartTimes = []time.Duration{100 * time.Microsecond, time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond, time.Second, 3 * time.Second}
--- a/services/port/worker.go
+++ b/services/port/worker.go
@@ -41,6 +41,7 @@
 	Deadline     time.Duration // of all runs there, on the worker's clock; 0 leaves it unchanged
 	Token        uint64
 	Acknowledged int           // ends up to this sequence number may be forgotten
+	Connection   uint64        // over which they were listed: over another one, nothing is acknowledged; 0 for any
 	Wait         time.Duration // maximum time to wait for an end
 }
 
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -36,6 +36,9 @@
 	if w.acknowledgedEnd < w.persistedEnd && !w.restartSuspected && w.unresponsiveSince.IsZero() {
 		if w.ackWithheld = !w.mayAcknowledge(now); !w.ackWithheld {
 			request.Acknowledged = w.persistedEnd
+			if w.startedAt > 0 && w.lostAcks < maxLostAcks {
+				request.Connection = w.listedOver
+			}
 		}
 	}
 	previous := w.latestDeadline
@@ -61,7 +64,7 @@
 	if a.Result == port.Accepted && w.startedAt > 0 && listing.StartedAt == 0 {
 		a = port.Response{Result: port.Unknown, Err: errkind.New(errkind.OutcomeUnknown, "list of runs lacks the start time of its worker")}
 	}
-	if a.Result == port.Accepted && w.startedAt > 0 && listing.StartedAt != w.startedAt {
+	if a.Result == port.Accepted && w.startedAt > 0 && (listing.StartedAt != w.startedAt || w.clockStartedAnew(a.Clock)) {
 		if w = p.handleRestart(w, k, listing, now); w == nil {
 			return
 		}
@@ -109,9 +112,9 @@
 		p.noteFirstResponse(w, listing.StartedAt)
 	}
 	p.clearCrash(w.incarnation())
-	w.listedAt, w.listedClock = now, a.Clock
+	w.listedAt, w.listedClock, w.listedOver = now, a.Clock, listing.Connection
 	w.respondedUnlisted = !w.listed
-	w.acknowledgedEnd = max(w.acknowledgedEnd, k.request.Acknowledged)
+	w.noteAcknowledged(k.request, listing)
 	if w.hasOtherIncarnations {
 		p.endOtherIncarnations(w, k.sentAt, now)
 	}
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -235,6 +235,35 @@
 	}
 }
 
+// clockRestartGap is how far a worker's clock must be behind that in its last list to have started anew.
+const clockRestartGap = time.Second
+
+// clockStartedAnew reports whether the clock in a list of runs shows that another incarnation has responded, which has
+// started in the same millisecond by its machine's time of day.
+func (w *workerState) clockStartedAnew(clock time.Duration) bool {
+	return w.hasResponded && clock > 0 && clock+clockRestartGap < w.listedClock
+}
+
+// An acknowledgement names no incarnation either. It is sent over the connection that carried the newest list only, which
+// reaches no later incarnation; one that is lost with its connection is repeated after the next list. The checks below
+// remain for a link that does not tell its connections, and for a worker that keeps none.
+
+// maxLostAcks is how many acknowledgements in a row may be lost with their connections before they are sent over any
+// connection: the worker keeps none open, and would never learn which ends are persisted.
+const maxLostAcks = 10
+
+// noteAcknowledged records what a poll has acknowledged to the known incarnation.
+func (w *workerState) noteAcknowledged(request port.Poll, listing worker.PollResult) {
+	if request.Connection != 0 && request.Connection != listing.Connection {
+		w.lostAcks++
+		return
+	}
+	w.acknowledgedEnd = max(w.acknowledgedEnd, request.Acknowledged)
+	if request.Connection != 0 {
+		w.lostAcks = 0
+	}
+}
+
 // listingFreshFor is the maximum age of a worker's newest list of runs for a poll to acknowledge
 // ends: another incarnation would discard its own ends, which nobody has read. To cause harm, a run
 // of that incarnation must have started and ended since the list.
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -127,6 +127,59 @@
 	assert.Equal(t, acknowledged(d), 0, "already acknowledged")
 }
 
+// TestAcknowledgementsGoOverTheConnectionOfTheList guards against the same failure with an incarnation that a poll reaches
+// before anything shows the restart: acknowledgements name the connection that carried the list, and one that went over
+// another connection is repeated.
+func TestAcknowledgementsGoOverTheConnectionOfTheList(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 2)
+	d.startAll("w")
+	running := worker.Run{Task: "1.0.0.1", Number: 1}
+	d.confirmListing(1000, worker.PollResult{
+		Connection: 5, Runs: []worker.Run{running}, Ends: []worker.EndedRun{{Sequence: 1, Task: "1.0.0.0", Number: 1, Reason: worker.Done}},
+	})
+	d.persist()
+	poll := func(over uint64) port.Poll {
+		k, request, _ := d.BeginPoll("w", 0, d.now)
+		d.EndPoll(k, worker.PollResult{StartedAt: 1000, Connection: over, Runs: []worker.Run{running}}, accepted, d.now)
+		return port.Poll{Acknowledged: request.Acknowledged, Connection: request.Connection}
+	}
+	assert.Equal(t, poll(6), port.Poll{Acknowledged: 1, Connection: 5}) // that connection is lost
+	assert.Equal(t, poll(6), port.Poll{Acknowledged: 1, Connection: 6})
+	assert.Equal(t, poll(6), port.Poll{})
+}
+
+// TestWorkerThatKeepsNoConnection guards against ends that are never acknowledged, so that others are never listed: each
+// poll of the worker goes over a new connection.
+func TestWorkerThatKeepsNoConnection(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 1)
+	d.startAll("w")
+	end := worker.EndedRun{Sequence: 1, Task: "1.0.0.0", Number: 1, Reason: worker.Done}
+	for n := range maxLostAcks + 2 {
+		d.poll("w", worker.PollResult{StartedAt: 1000, Connection: uint64(n + 1), Ends: []worker.EndedRun{end}}, accepted)
+		d.persist()
+	}
+	assert.Equal(t, d.workers["w"].acknowledgedEnd, 1)
+}
+
+// TestIncarnationsOfOneMillisecond guards against a task that is lost or runs twice since its worker has restarted with the
+// same start time: only the clock, which starts anew, shows the restart.
+func TestIncarnationsOfOneMillisecond(t *testing.T) {
+	d := newTestPoolWithRun(t)
+	d.poll("w", worker.PollResult{StartedAt: 1000, Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}, accepted)
+	d.now = d.now.Add(time.Second)
+	anew := port.Response{Result: port.Accepted, Clock: 10 * time.Millisecond}
+	listing := worker.PollResult{StartedAt: 1000, Ends: []worker.EndedRun{{Sequence: 1, Task: "1.0.0.0", Number: 1, Reason: worker.Done}}}
+	for range 2 {
+		d.poll("w", listing, anew)
+	}
+	assert.Equal(t, d.workers["w"].clock, anew.Clock)
+	assert.Equal(t, d.persistedState("1"), job.Completed)
+}
+
 // TestNothingIsSentBeforeTheIncarnationIsKnown guards against orders to an unknown incarnation of a
 // worker: if another one responds, it first gets a poll with a higher token, which makes it refuse
 // all earlier orders.
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -71,6 +71,8 @@
 	provenAddress    string         // where it responded last, or had its runs ordered by an earlier owner; "" for nowhere yet
 	foreignAddress   string         // address in its entry at which another worker responded, "" for none
 	listedAt         time.Time      // when it last listed its runs
+	listedOver       uint64         // connection that carried that list, 0 if unknown
+	lostAcks         int            // acknowledgements in a row that were lost with their connections
 	listedClock      time.Duration  // its clock in that response, 0 if unknown
 	ackWithheld      bool           // the last poll could have acknowledged ends, but did not
 
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -177,7 +177,9 @@
 func (l *nodeLink) poll(ctx context.Context, k port.Poll) (worker.PollResult, port.Response) {
 	result, a := l.pollOnce(ctx, k.Token, func(o *Worker) {
 		o.extend(k.Deadline)
-		o.dropEnds(k.Acknowledged)
+		if k.Connection == 0 || k.Connection == o.connection {
+			o.dropEnds(k.Acknowledged)
+		}
 	})
 	if a.Result != port.Accepted || len(result.Ends) > 0 || k.Wait == 0 {
 		return result, a
@@ -224,7 +226,7 @@
 
 // pollResult returns what runs and the first runs that have ended. The caller holds w.mu.
 func (o *Worker) pollResult() worker.PollResult {
-	l := worker.PollResult{StartedAt: o.info.StartedAt}
+	l := worker.PollResult{StartedAt: o.info.StartedAt, Connection: o.connection}
 	for _, r := range o.runs {
 		l.Runs = append(l.Runs, worker.Run{Task: r.task, Number: r.number, Percent: o.percent(r), Load: int(o.tailLatency(r).Milliseconds())})
 	}
--- a/standin/world/restart.go
+++ b/standin/world/restart.go
@@ -42,9 +42,6 @@
 	if w.random.IntN(4) == 0 {
 		o.info.StartedAt -= w.random.Int64N(clockJump.Milliseconds())
 	}
-	if o.info.StartedAt == previous.info.StartedAt {
-		o.info.StartedAt++
-	}
 	late := time.Duration(0)
 	if w.random.IntN(2) == 0 {
 		late = time.Duration(w.random.Int64N(int64(listedLate)))
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -25,6 +25,7 @@
 	FailsRuns    bool          // everything that starts fails
 
 	w              *World
+	connection     uint64 // the connections of all nodes to this incarnation
 	info           worker.Worker
 	gone           bool      // the incarnation has ended
 	capacityBefore job.Size  // capacity before it was reduced
@@ -76,8 +77,9 @@
 // startIncarnation starts an incarnation of an instance under the given id. The caller
 // holds w.mu.
 func (w *World) startIncarnation(i *instance, pool string, id worker.ID) *Worker {
+	w.connections++
 	o := &Worker{
-		w: w, startedAt: time.Now(), runs: make(map[string]*running), lastEnded: make(map[string]int), changed: make(chan struct{}),
+		w: w, connection: w.connections, startedAt: time.Now(), runs: make(map[string]*running), lastEnded: make(map[string]int), changed: make(chan struct{}),
 		info: worker.Worker{
 			ID: id, Instance: i.name, Pool: pool, Address: "worker-" + string(id), DataCenter: i.center, Labels: i.labels, Capacity: i.capacity,
 		},
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -32,6 +32,7 @@
 	ticketValidity map[string]time.Duration  // how long a ticket is valid, by pool
 	lostOrderShare float64                   // share of the orders to instances that get no response
 	incarnations   int
+	connections    uint64
 	sameIDRestarts bool                       // crashed workers restart under their id
 	pastWorkers    []*Worker                  // ended incarnations whose id another one has
 	gangTimeouts   int                        // runs that timed out waiting for other members of their gang
