Steps that were asked for in vain get every second turn of the advice service

Cause: asks first for steps that have not been asked for in vain. The rounds of another job came one after the other, each a step that was not asked for yet, so that a step which has to be asked for again, since workers have come, never had a turn.

Why this works: every second request goes by latest start, which each request in vain moves back, by twice as much each time: a stream of new steps has later ones, and hopeless steps take a number of turns that grows with the logarithm of the time.

--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -65,12 +65,24 @@
 	useful bool // one of them has room for a task now
 }
 
-// precedes reports whether a need is served before another one: first a step that a ticket may start now, then one that
-// has not been asked for in vain, so that steps that can't start do not take the turns of others.
-func (n adviceNeed) precedes(o adviceNeed) bool {
+// maxAdviceBackoff is the number of requests in vain after which a step's place moves back no further.
+const maxAdviceBackoff = 6
+
+// place returns the place of a step among those that are asked for: its latest start, moved back by a second for the
+// first request that was made in vain, and twice as far for each further one.
+func (n adviceNeed) place() time.Time {
+	return n.step.job.latestStart.Add(time.Duration(1<<min(n.step.adviceInVain, maxAdviceBackoff)-1) * time.Second)
+}
+
+// precedes reports whether a need is served before another one. A step that a ticket may start now comes first. Every
+// second request is for those that were asked for in vain less often, so that steps which can't start do not take the turns
+// of others, and the other ones go by their places, so that steps which have to be asked for again get their turn as well.
+func (n adviceNeed) precedes(o adviceNeed, byPlace bool) bool {
 	switch {
 	case n.useful != o.useful:
 		return n.useful
+	case byPlace:
+		return n.place().Before(o.place())
 	case n.step.adviceInVain != o.step.adviceInVain:
 		return n.step.adviceInVain < o.step.adviceInVain
 	}
@@ -91,7 +103,7 @@
 				case !needed:
 				case !need.asks:
 					need.step.adviceRetryAt = p.nextAdviceRetry(now)
-				case best.step == nil || need.precedes(best):
+				case best.step == nil || need.precedes(best, p.adviceByPlace):
 					best = need
 				}
 			}
@@ -107,6 +119,7 @@
 	}
 	s.advicePending = true
 	s.adviceInVain++
+	p.adviceByPlace = !p.adviceByPlace
 	return q, true
 }
 
--- a/services/scheduler/advice_test.go
+++ b/services/scheduler/advice_test.go
@@ -113,3 +113,27 @@
 		assert.Equal(t, q.Step.Job, want)
 	}
 }
+
+// TestStepAskedForInVainGetsTurns guards against a task that lasts and never starts again (LOST): it has to be asked for
+// once more since a worker has come, and steps that have not been asked for arrive all the time.
+func TestStepAskedForInVainGetsTurns(t *testing.T) {
+	d := newTestPoolWithAdvice(t)
+	d.listWorker("a")
+	d.submitStepTo("q", "waits", job.Step{Count: 1, Size: job.Size{CPU: 1000}, LongRunning: true})
+	d.persist()
+	q, _ := d.NextAdviceRequest(d.now)
+	d.HandleAdvice(q, nil, nil, d.now)
+	d.listWorker("b")
+	for n := range 100 {
+		d.now = d.now.Add(adviceCall)
+		d.submitStepTo("q", job.ID(fmt.Sprint(n)), job.Step{Count: 1, Size: job.Size{CPU: 100}, Estimate: time.Second})
+		d.persist()
+		q, has := d.NextAdviceRequest(d.now)
+		assert.Assert(t, has)
+		if q.Step.Job == "waits" {
+			return
+		}
+		d.HandleAdvice(q, nil, nil, d.now)
+	}
+	t.Fatal("the step is not asked for again")
+}
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -119,6 +119,7 @@
 	mostlyIdle     bool           // isMostlyIdle, as of the last plan
 	untried        []*stepState   // steps of jobs without a run that wait in this plan, while workers are on trial
 	reservation    reservation
+	adviceByPlace  bool               // the next request to the advice service is for the step with the first place
 	adviceRetryAt  time.Time          // when the steps without a worker to ask the advice service about are looked at again
 	waitLogAt      time.Time          // earliest time of the next log line about a waiting step
 	noRoom         []job.Size         // of tasks for which this plan has found no worker with the capacity
