--- a/services/scheduler/fallback.go
+++ b/services/scheduler/fallback.go
@@ -71,15 +71,16 @@
 // isUntried reports whether no task of a job has failed, and none is running.
 func (j *jobState) isUntried() bool { return len(j.failedOn) == 0 && len(j.active) == 0 }
 
-// trialYield is how long after its failure a task leaves trials to jobs without one.
+// trialYield is how long after its last failure a job leaves trials to jobs without one.
 const trialYield = 2 * retryElsewhereDelay
 
-// yieldsTrial reports whether a task must not be used to try a worker now: its job has failed, and one that is untried, so
-// that it tells more of the worker, waits for a place there.
-func (p *Pool) yieldsTrial(c candidate, t *taskState, w *workerState, now time.Time) bool {
-	if !w.health.onTrial || len(c.job.failedOn) == 0 || t.failures > 0 && now.Sub(t.failedAt) >= trialYield {
+// yieldsTrial reports whether a job must not be used to try a worker now: one of its tasks has failed, and a job that is
+// untried, so that it tells more of the worker, waits for a place there.
+func (p *Pool) yieldsTrial(j *jobState, w *workerState, now time.Time) bool {
+	if !w.health.onTrial || len(j.failedOn) == 0 || now.Sub(j.failedAt) >= trialYield {
 		return false
 	}
+	p.schedulePlan(j.failedAt.Add(trialYield), now)
 	return slices.ContainsFunc(p.untried, func(s *stepState) bool { return s.waiting > 0 && s.job.isUntried() && s.couldRunOn(w) })
 }
 
--- a/services/scheduler/fallback_test.go
+++ b/services/scheduler/fallback_test.go
@@ -220,6 +220,23 @@
 	}
 }
 
+// TestJobThatHasFailedTriesAWorkerInTheEnd guards against a job that leaves each trial to others for ever, which are untried
+// and can't start: their customer is at its limit.
+func TestJobThatHasFailedTriesAWorkerInTheEnd(t *testing.T) {
+	d := newTestPoolAtLimit(t, 10)
+	d.submitStepTo("q", "1", job.Step{Count: 2, Size: job.Size{CPU: 3000}, Estimate: time.Second})
+	assert.Equal(t, len(d.failAll("a")), 1)
+	d.eject(d.workers["a"], firstEjection, d.now, "different jobs fail there", "0.0.0.0")
+	d.submitFor("untried", 1, false)
+	began := d.now
+	for len(d.startAll("a")) == 0 {
+		assert.Assert(t, d.now.Sub(began) <= trialYield, "the job does not start")
+		wake := d.Plan(d.now)
+		assert.Assert(t, !wake.IsZero(), "no plan is due")
+		d.now = wake
+	}
+}
+
 // TestNextOwnerUsesAFallback guards against the same failures after a take-over: an earlier owner has ejected the worker
 // for 24 s.
 func TestNextOwnerUsesAFallback(t *testing.T) {
--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -47,7 +47,7 @@
 // noteFailure records that a run of a task failed on a worker.
 func (p *Pool) noteFailure(s *stepState, t *taskState, w *workerState, name string, now time.Time) {
 	j := s.job
-	t.failedAt = now
+	t.failedAt, j.failedAt = now, now
 	t.noteFailedOn(w.info.ID)
 	j.noteFailedOn(w.info.ID)
 	j.failures.changed = true
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -33,6 +33,7 @@
 	remainingWork float64       // remaining core-seconds
 
 	failedOn map[worker.ID]bool // workers on which its tasks have failed
+	failedAt time.Time          // time of the last failure here
 
 	crashes  jobRecord // of the crashes attributed to its tasks
 	failures jobRecord // of where its tasks have failed
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -277,7 +277,7 @@
 		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial {
 			continue
 		}
-		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) || p.yieldsTrial(c, t, w, now) {
+		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) || p.yieldsTrial(c.job, w, now) {
 			continue
 		}
 		score := p.score(c.step, w) + p.coldScore(c, w, now) - t.failureCost(w) - t.suspectCost(w)
