Last attempts are not made on workers that are on trial for all

Cause: lets tasks use ejected workers that no other worker could run, whatever attempts they have left, and a failure there lengthens no ejection.

Why this works: such a task waits until something succeeds there, or for as long as an ejection could last before; tasks with more attempts left are what shows that the worker works again. A step that all workers could run uses a worker on trial only.

TestLastAttemptIsNotMadeOnATrial fails before.

--- a/services/scheduler/fallback.go
+++ b/services/scheduler/fallback.go
@@ -10,7 +10,8 @@
 
 // An ejection, and the trial after it, send tasks to other workers. A task that no other one could run would wait for its
 // end, however long that is and whoever is to blame for the failures. So an ejected worker is a fallback for such tasks
-// after a while: nothing may wait for 3 s while there is free capacity.
+// after a while: nothing may wait for 3 s while there is free capacity. Only a task on its last attempt waits for
+// longer, since its job would fail with it.
 const (
 	// fallbackAfterEjection is how long after the ejection of a worker it is a fallback.
 	fallbackAfterEjection = lastEjection
@@ -89,36 +90,61 @@
 	return !now.Before(w.rested()) && p.fallsBackOn(s, w, now)
 }
 
-// fallsBackOn reports whether a step may use a worker although that is ejected, once the worker has rested.
+// fallsBackOn reports whether a step may use a worker although that is ejected, once the worker has rested. A step that
+// all workers of the pool could run uses a worker on trial only, so that one which fails all does not use up the attempts
+// of many jobs.
 func (p *Pool) fallsBackOn(s *stepState, w *workerState, now time.Time) bool {
 	if !w.reachable() || !w.ejected(now) {
 		return false
 	}
-	if p.saysNothing(s, w) {
+	restricted := p.isRestricted(s)
+	if restricted && p.saysNothing(s, w) {
 		return true
 	}
 	if p.hasAlternative(s, w, now) {
 		return false
 	}
-	// While a trial is in progress, each job may try a worker of its own accord if no other worker takes tasks.
-	onTrial := !now.Before(w.health.ejectedUntil) && now.Before(p.trialOver(w))
-	return !onTrial || w.health.trialTasks > 0 && s.job.isUntried()
+	tried := !now.Before(w.health.ejectedUntil)
+	if tried && now.Before(p.trialOver(w)) {
+		return w.health.trialTasks > 0 && s.job.isUntried() // each job may try a worker of its own accord
+	}
+	return restricted || tried
+}
+
+// sparesLastAttempt reports whether the last attempt of a task must not be made on a worker now: the worker is ejected, or it
+// is on trial, as are all others that could run the task, and the last failure of the task was not long ago.
+func (p *Pool) sparesLastAttempt(s *stepState, t *taskState, w *workerState, now time.Time) bool {
+	if now.Before(w.health.ejectedUntil) {
+		return true
+	}
+	until := t.failedAt.Add(maxEjection)
+	if !w.health.onTrial || !now.Before(until) || !p.isRestricted(s) || !p.saysNothing(s, w) {
+		return false
+	}
+	p.schedulePlan(until, now)
+	return true
+}
+
+// isRestricted reports whether some workers of the pool could not run a task of a step.
+func (p *Pool) isRestricted(s *stepState) bool {
+	for _, w := range p.workers {
+		if w.reachable() && !s.couldRunOn(w) {
+			return true
+		}
+	}
+	return false
 }
 
-// saysNothing reports whether a failure of a step's task says nothing of its worker, which is on trial already: workers
-// that are not could not run the task. If all workers of the pool could run it, their trials tell how they are.
+// saysNothing reports whether a failure of a restricted step's task says nothing of its worker, if that is on trial
+// already: no worker that is not could run the task. If all workers of the pool could run it, their trials tell how
+// they are.
 func (p *Pool) saysNothing(s *stepState, than *workerState) bool {
-	special := false
 	for _, w := range p.workers {
-		switch {
-		case w == than || !w.reachable():
-		case !s.couldRunOn(w):
-			special = true
-		case !w.health.onTrial:
+		if w != than && w.reachable() && !w.health.onTrial && s.couldRunOn(w) {
 			return false
 		}
 	}
-	return special
+	return true
 }
 
 // hasAlternative reports whether a worker other than the given one takes tasks, or will after a trial that began
--- a/services/scheduler/fallback_test.go
+++ b/services/scheduler/fallback_test.go
@@ -237,6 +237,36 @@
 	}
 }
 
+// TestLastAttemptIsNotMadeOnATrial guards against a job that is reported as failed although it could be completed: its last
+// attempt is made on the only worker that it can run on, which fails all for some seconds. It waits until something succeeds
+// there, or for as long as an ejection may last.
+func TestLastAttemptIsNotMadeOnATrial(t *testing.T) {
+	for name, succeeds := range map[string]bool{"nothing succeeds": false, "another task succeeds": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestPoolWithOnePlace(t)
+			d.submitStepTo("q", "1", job.Step{Count: 1, Size: job.Size{CPU: 100}, Label: "l", Estimate: time.Second})
+			for range testConfig.Queues[0].MaxAttempts - 1 {
+				assert.Equal(t, len(d.failAll("a")), 1)
+			}
+			failed := d.now
+			d.eject(d.workers["a"], firstEjection, d.now, "different jobs fail there", "2.0.0.0")
+			for _, after := range []time.Duration{fallbackAfterEjection, firstEjection, maxEjection - time.Millisecond} {
+				d.now = failed.Add(after)
+				d.needsPlan = true
+				assert.Equal(t, len(d.startAll("a")), 0)
+			}
+			if succeeds {
+				d.clearFailures(d.workers["a"])
+				d.needsPlan = true
+			} else {
+				d.now = d.Plan(d.now)
+				assert.Equal(t, d.now.Sub(failed), maxEjection)
+			}
+			assert.Equal(t, len(d.startAll("a")), 1)
+		})
+	}
+}
+
 // TestNextOwnerUsesAFallback guards against the same failures after a take-over: an earlier owner has ejected the worker
 // for 24 s.
 func TestNextOwnerUsesAFallback(t *testing.T) {
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -271,10 +271,10 @@
 func (p *Pool) bestOf(workers iter.Seq[*workerState], c candidate, t *taskState, now time.Time, skip func(*workerState) bool) *workerState {
 	var best *workerState
 	var bestScore float64
-	elsewhere, noTrial := p.retriesElsewhere(c, t, now), p.avoidsTrials(c, t, now)
+	elsewhere, noTrial, last := p.retriesElsewhere(c, t, now), p.avoidsTrials(c, t, now), t.onLastAttempt(c.job)
 	for w := range workers {
 		p.work.Examined++
-		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial {
+		if !p.canRun(c.step, w, now) || skip != nil && skip(w) || noTrial && w.health.onTrial || last && p.sparesLastAttempt(c.step, t, w, now) {
 			continue
 		}
 		if elsewhere && slices.Contains(t.failedOn, w.info.ID) || t.keepApart(w, now) || p.yieldsTrial(c.job, w, now) {
