One piece of code for labels, for how often a size fits, and for tests that list workers and end runs

- stepState.labelOn, job.Size.CountIn; testPool.listWorkerWith and endAll, which listWorker and failAll use.
- saysNothing asks itself whether the step is restricted: each of its callers asked for both.
- isMostlyIdle calls usedCPU.

--- a/models/job/job.go
+++ b/models/job/job.go
@@ -64,6 +64,15 @@
 	return Size{min(s.CPU, o.CPU), min(s.MemoryMB, o.MemoryMB), min(s.Accelerators, o.Accelerators)}
 }
 
+// CountIn returns how many times a size fits into another one, at most a number.
+func (s Size) CountIn(free Size, most int) int {
+	n := 0
+	for n < most && s.Times(n+1).FitsIn(free) {
+		n++
+	}
+	return n
+}
+
 // FitsIn reports whether the size fits in a free capacity.
 func (s Size) FitsIn(free Size) bool {
 	return s.CPU <= free.CPU && s.MemoryMB <= free.MemoryMB && s.Accelerators <= free.Accelerators
--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -162,7 +162,7 @@
 
 // fitsOn reports whether a worker that is empty could run a task of a step, whatever the queue's policy.
 func (s *stepState) fitsOn(w *workerState) bool {
-	return s.spec.Reservation().FitsIn(w.info.Capacity) && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label))
+	return s.spec.Reservation().FitsIn(w.info.Capacity) && s.labelOn(w)
 }
 
 // leavingRuns returns how many tasks of a long-running step run on workers that are being
@@ -182,11 +182,11 @@
 // slotsOn returns how many tasks of a step fit into the free capacity of a worker, by their
 // declared size.
 func (s *stepState) slotsOn(w *workerState) int {
-	free, n := w.free(), 0
-	for s.spec.Reservation().Times(n+1).FitsIn(free) && n < s.count() && (s.spec.MaxPerWorker == 0 || n < s.spec.MaxPerWorker-s.runsByWorker[w]) {
-		n++
+	most := s.count()
+	if limit := s.spec.MaxPerWorker; limit > 0 {
+		most = min(most, limit-s.runsByWorker[w])
 	}
-	return n
+	return s.spec.Reservation().CountIn(w.free(), most)
 }
 
 // dueWithinLead reports whether a step is runnable, or will be within adviceLead and the decision
@@ -216,7 +216,7 @@
 		return false
 	}
 	for id, w := range p.workers {
-		if w.schedulable(now) && !s.excluded[id] && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label)) {
+		if w.schedulable(now) && !s.excluded[id] && s.labelOn(w) {
 			return false
 		}
 	}
--- a/services/scheduler/advice_test.go
+++ b/services/scheduler/advice_test.go
@@ -64,14 +64,8 @@
 			d.Configure(config.New(2, []config.Queue{{
 				Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 1.5, BaseObjective: time.Second, Advice: &config.Advice{TicketValidity: valid},
 			}}, []config.Pool{{Name: "p"}}, config.Limits{}))
-			for n := range 2 {
-				info := worker.Worker{ID: worker.ID(fmt.Sprint("w-", n)), Instance: fmt.Sprint(n), Pool: "p", Address: fmt.Sprint(n), Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}
-				if n == 0 {
-					info.Labels = []string{"l"}
-				}
-				d.UpdateWorker(info)
-				d.poll(info.ID, worker.PollResult{}, accepted)
-			}
+			d.listWorkerWith("w-0", 4000, "l")
+			d.listWorker("w-1")
 			d.workers["w-0"].used = d.workers["w-0"].info.Capacity
 			c.step.Count, c.step.Estimate = max(c.step.Count, 1), time.Millisecond
 			for n := range hopeless {
@@ -99,8 +93,7 @@
 func TestStepsThatFitNowAreAskedForFirst(t *testing.T) {
 	d := newTestPoolWithAdvice(t)
 	for _, id := range []worker.ID{"a", "b"} {
-		d.UpdateWorker(worker.Worker{ID: id, Instance: string(id), Pool: "p", Address: string(id), Labels: []string{string(id)}, Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
-		d.poll(id, worker.PollResult{}, accepted)
+		d.listWorkerWith(id, 4000, string(id))
 	}
 	d.workers["a"].used = d.workers["a"].info.Capacity
 	d.submitStepTo("q", "urgent", job.Step{Count: 1, Size: job.Size{CPU: 1000}, Label: "a", Estimate: time.Minute})
--- a/services/scheduler/fallback.go
+++ b/services/scheduler/fallback.go
@@ -97,8 +97,7 @@
 	if !w.reachable() || !w.ejected(now) {
 		return false
 	}
-	restricted := p.isRestricted(s)
-	if restricted && p.saysNothing(s, w) {
+	if p.saysNothing(s, w) {
 		return true
 	}
 	if p.hasAlternative(s, w, now) {
@@ -108,7 +107,7 @@
 	if tried && now.Before(p.trialOver(w)) {
 		return w.health.trialTasks > 0 && s.job.isUntried() // each job may try a worker of its own accord
 	}
-	return restricted || tried
+	return tried || p.isRestricted(s)
 }
 
 // sparesLastAttempt reports whether the last attempt of a task must not be made on a worker now: the worker is ejected, or it
@@ -118,7 +117,7 @@
 		return true
 	}
 	until := t.failedAt.Add(maxEjection)
-	if !w.health.onTrial || !now.Before(until) || !p.isRestricted(s) || !p.saysNothing(s, w) {
+	if !w.health.onTrial || !now.Before(until) || !p.saysNothing(s, w) {
 		return false
 	}
 	p.schedulePlan(until, now)
@@ -135,16 +134,15 @@
 	return false
 }
 
-// saysNothing reports whether a failure of a restricted step's task says nothing of its worker, if that is on trial
-// already: no worker that is not could run the task. If all workers of the pool could run it, their trials tell how
-// they are.
+// saysNothing reports whether a failure of a step's task says nothing of its worker, if that is on trial already: no worker
+// that is not could run the task. If all workers of the pool could run it, their trials tell how they are.
 func (p *Pool) saysNothing(s *stepState, than *workerState) bool {
 	for _, w := range p.workers {
 		if w != than && w.reachable() && !w.health.onTrial && s.couldRunOn(w) {
 			return false
 		}
 	}
-	return true
+	return p.isRestricted(s)
 }
 
 // hasAlternative reports whether a worker other than the given one takes tasks, or will after a trial that began
@@ -164,15 +162,14 @@
 // isMostlyIdle reports whether less than half of the capacity of the workers on which tasks may be placed, ejected ones
 // included, is in use: a task that waits for a full worker may wait for long there.
 func (p *Pool) isMostlyIdle() bool {
-	used, capacity := 0, 0
+	capacity := 0
 	for _, w := range p.workers {
-		used += w.used.CPU
 		if w.reachable() {
 			capacity += w.info.Capacity.CPU
 		}
 	}
 	const half = 2
-	return used*half < capacity
+	return p.usedCPU()*half < capacity
 }
 
 // couldRunOn reports whether a worker could run a further task of a step once it has free capacity.
--- a/services/scheduler/fallback_test.go
+++ b/services/scheduler/fallback_test.go
@@ -30,13 +30,9 @@
 // listOnePlace lists the workers, each of which responds to a poll.
 func (d *testPool) listOnePlace() {
 	d.t.Helper()
-	for _, id := range []worker.ID{"a", "b", "c", "d"} {
-		info := worker.Worker{ID: id, Instance: string(id), Pool: "p", Address: string(id), Capacity: job.Size{CPU: 2000, MemoryMB: 4000}}
-		if id == "a" {
-			info.Labels, info.Capacity.CPU = []string{"l"}, 4000
-		}
-		d.UpdateWorker(info)
-		d.poll(id, worker.PollResult{}, accepted)
+	d.listWorkerWith("a", 4000, "l")
+	for _, id := range []worker.ID{"b", "c", "d"} {
+		d.listWorkerWith(id, 2000)
 	}
 }
 
@@ -93,15 +89,12 @@
 					assert.Assert(t, d.now.Sub(since) < 3*time.Second, "%s waits for %s", id, d.now.Sub(since))
 				}
 				d.now = d.now.Add(step)
-				var l worker.PollResult
-				for i, task := range started {
-					end := worker.EndedRun{Sequence: d.workers["a"].lastEnd + i + 1, Task: task, Number: d.workers["a"].runs[task].number, Reason: worker.Failed}
+				d.endAll("a", started, func(task string) worker.EndReason {
 					if ref, _ := job.ParseTask(task); ref.Job[0] == 's' {
-						end.Reason = worker.Stopped // it says nothing of the worker, and the task waits again
+						return worker.Stopped // it says nothing of the worker, and the task waits again
 					}
-					l.Ends = append(l.Ends, end)
-				}
-				d.poll("a", l, accepted)
+					return worker.Failed
+				})
 			}
 			assert.Equal(t, len(waiting), 0)
 		})
@@ -212,11 +205,7 @@
 		}
 		assert.Assert(t, n < 33+30, "the job waits for 3 s")
 		d.now = d.now.Add(100 * time.Millisecond)
-		var l worker.PollResult
-		for i, task := range started {
-			l.Ends = append(l.Ends, worker.EndedRun{Sequence: d.workers["a"].lastEnd + i + 1, Task: task, Number: d.workers["a"].runs[task].number, Reason: worker.Failed})
-		}
-		d.poll("a", l, accepted)
+		d.endAll("a", started, func(string) worker.EndReason { return worker.Failed })
 	}
 }
 
--- a/services/scheduler/health.go
+++ b/services/scheduler/health.go
@@ -63,7 +63,7 @@
 		}
 	}
 	if strikes >= strikesToEject || w.health.onTrial && len(j.failedOn) == 1 {
-		if w.health.onTrial && p.isRestricted(s) && p.saysNothing(s, w) {
+		if w.health.onTrial && p.saysNothing(s, w) {
 			return
 		}
 		p.eject(w, min(max(2*w.health.ejectedFor, firstEjection), maxEjection), now, "different jobs fail there", name)
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -346,7 +346,12 @@
 
 // permits reports whether the label of a step and its queue's policy permit it on a worker.
 func (s *stepState) permits(w *workerState, now time.Time) bool {
-	return s.allowedOn(w, now) && (s.spec.Label == "" || w.info.HasLabel(s.spec.Label))
+	return s.allowedOn(w, now) && s.labelOn(w)
+}
+
+// labelOn reports whether a worker has the label that a step needs, if it needs one.
+func (s *stepState) labelOn(w *workerState) bool {
+	return s.spec.Label == "" || w.info.HasLabel(s.spec.Label)
 }
 
 // Score bonuses of a worker; its used share, which counts too, is at most 1.
--- a/services/scheduler/reach.go
+++ b/services/scheduler/reach.go
@@ -78,7 +78,10 @@
 // hasNoWorker reports whether a step is out of reach or no worker of the pool has its label: an allowance is of no use to
 // it now.
 func (p *Pool) hasNoWorker(s *stepState, now time.Time) bool {
+	if !s.mayBeUnsuited(now) {
+		return false
+	}
 	r := p.currentReach(now)
 	_, has := r.largest[s.spec.Label]
-	return p.outOfReach(s, now) || s.mayBeUnsuited(now) && !has && len(r.largest) > 0
+	return p.outOfReach(s, now) || !has && len(r.largest) > 0
 }
--- a/services/scheduler/reservation.go
+++ b/services/scheduler/reservation.go
@@ -127,7 +127,7 @@
 
 // wouldFit returns how many tasks of a step a worker could take if only long-running tasks ran there.
 func (p *Pool) wouldFit(s *stepState, w *workerState, size job.Size, now time.Time) int {
-	if !w.schedulable(now) || !s.hasTicket(w) || s.spec.Label != "" && !w.info.HasLabel(s.spec.Label) {
+	if !w.schedulable(now) || !s.hasTicket(w) || !s.labelOn(w) {
 		return 0
 	}
 	free := w.info.Capacity
@@ -136,11 +136,11 @@
 			free = free.Minus(u.size)
 		}
 	}
-	fits := 0
-	for size.Times(fits+1).FitsIn(free) && (s.spec.MaxPerWorker == 0 || fits < s.spec.MaxPerWorker) && fits < s.count() {
-		fits++
+	most := s.count()
+	if limit := s.spec.MaxPerWorker; limit > 0 {
+		most = min(most, limit)
 	}
-	return fits
+	return size.CountIn(free, most)
 }
 
 // freeAfter returns how long it takes until a worker is expected to have a size free if nothing more is placed there.
--- a/services/scheduler/reservation_test.go
+++ b/services/scheduler/reservation_test.go
@@ -27,12 +27,11 @@
 	}
 	d.Configure(config.New(2, queues, []config.Pool{{Name: "p"}}, config.Limits{}))
 	for n := range 4 {
-		info := worker.Worker{ID: worker.ID(fmt.Sprint("w-", n)), Instance: fmt.Sprint(n), Pool: "p", Address: fmt.Sprint(n), Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}
+		var labels []string
 		if n == 0 {
-			info.Labels = []string{"l"}
+			labels = []string{"l"}
 		}
-		d.UpdateWorker(info)
-		d.poll(info.ID, worker.PollResult{}, accepted)
+		d.listWorkerWith(worker.ID(fmt.Sprint("w-", n)), 4000, labels...)
 	}
 	return d
 }
--- a/services/scheduler/takeover_memory_test.go
+++ b/services/scheduler/takeover_memory_test.go
@@ -29,10 +29,16 @@
 	return n
 }
 
-// listWorker lists a worker and has it respond to a poll.
+// listWorker lists a worker of four cores and has it respond to a poll.
 func (d *testPool) listWorker(id worker.ID) {
 	d.t.Helper()
-	d.UpdateWorker(worker.Worker{ID: id, Instance: string(id), Pool: "p", Address: string(id), Capacity: job.Size{CPU: 4000, MemoryMB: 4000}})
+	d.listWorkerWith(id, 4000)
+}
+
+// listWorkerWith lists a worker with a capacity and labels and has it respond to a poll.
+func (d *testPool) listWorkerWith(id worker.ID, cpu int, labels ...string) {
+	d.t.Helper()
+	d.UpdateWorker(worker.Worker{ID: id, Instance: string(id), Pool: "p", Address: string(id), Labels: labels, Capacity: job.Size{CPU: cpu, MemoryMB: 4000}})
 	d.poll(id, worker.PollResult{}, accepted)
 }
 
@@ -40,12 +46,18 @@
 func (d *testPool) failAll(id worker.ID) []string {
 	d.t.Helper()
 	started := d.startAll(id)
+	d.endAll(id, started, func(string) worker.EndReason { return worker.Failed })
+	return started
+}
+
+// endAll has runs of a worker end, each for the reason that is given for its task.
+func (d *testPool) endAll(id worker.ID, tasks []string, reason func(task string) worker.EndReason) {
+	d.t.Helper()
 	var l worker.PollResult
-	for i, task := range started {
-		l.Ends = append(l.Ends, worker.EndedRun{Sequence: d.workers[id].lastEnd + i + 1, Task: task, Number: d.workers[id].runs[task].number, Reason: worker.Failed})
+	for i, task := range tasks {
+		l.Ends = append(l.Ends, worker.EndedRun{Sequence: d.workers[id].lastEnd + i + 1, Task: task, Number: d.workers[id].runs[task].number, Reason: reason(task)})
 	}
 	d.poll(id, l, accepted)
-	return started
 }
 
 // newTestPoolWithEjectedWorker returns a pool in which two jobs have failed on the worker "a".
--- a/services/scheduler/unsuited_test.go
+++ b/services/scheduler/unsuited_test.go
@@ -58,9 +58,7 @@
 	}{"one a worker": {1, 3}, "excluded": {0, 2}} {
 		t.Run(name, func(t *testing.T) {
 			d := newTestPoolWithAdvice(t)
-			labelled := worker.Worker{ID: "a", Instance: "a", Pool: "p", Address: "a", Labels: []string{"l"}, Capacity: job.Size{CPU: 4000, MemoryMB: 4000}}
-			d.UpdateWorker(labelled)
-			d.poll("a", worker.PollResult{}, accepted)
+			d.listWorkerWith("a", 4000, "l")
 			d.listWorker("b")
 			d.Submit(job.Submission{ID: "1", Queue: "h/q/", Steps: []job.Step{
 				{Count: 3, Size: job.Size{CPU: 100}, LongRunning: true, Label: "l", MaxPerWorker: c.perWorker},
--- a/services/scheduler/waiting.go
+++ b/services/scheduler/waiting.go
@@ -138,7 +138,7 @@
 	switch {
 	case !w.schedulable(now):
 		return waitsForWorkers
-	case s.spec.Label != "" && !w.info.HasLabel(s.spec.Label):
+	case !s.labelOn(w):
 		return waitsForLabel
 	case !s.allowedOn(w, now):
 		return waitsForTicket
--- a/standin/world/lost.go
+++ b/standin/world/lost.go
@@ -156,11 +156,11 @@
 		for _, r := range o.runs {
 			free = free.Minus(r.size)
 		}
-		here := 0
-		for size.Times(here+1).FitsIn(free) && (step.MaxPerWorker == 0 || here < step.MaxPerWorker) && here < roomFactor*needed {
-			here++
+		most := roomFactor * needed
+		if limit := step.MaxPerWorker; limit > 0 {
+			most = min(most, limit)
 		}
-		fits += here
+		fits += size.CountIn(free, most)
 	}
 	return fits >= roomFactor*needed
 }
