Lines start and lost name the incarnation that an order was meant for

Now both lines have its start time as the owner knew it, and lost also whether a restart was suspected: an order that another incarnation carried out, and a lease that was judged too short on one and the same incarnation, look different.

--- a/services/scheduler/afterloss.go
+++ b/services/scheduler/afterloss.go
@@ -83,7 +83,8 @@
 	w := u.worker
 	o := &loss{worker: w.info.ID, task: u.name, number: u.number, reason: reason, at: now, leaseEnd: w.leasesExpireAt(), startedAt: w.startedAt}
 	e := p.Logger.Info().Str("event", "lost").Str("task", u.name).Int("run", u.number).Str("worker", string(w.info.ID)).
-		Dur("age", u.age(now)).Uint64("epoch", p.Token).Bool("restored", u.restored).Bool("met", w.hasResponded)
+		Dur("age", u.age(now)).Uint64("epoch", p.Token).Bool("restored", u.restored).Bool("met", w.hasResponded).
+		Int64("born", w.startedAt).Bool("restart_suspected", w.restartSuspected)
 	if !w.lastContact.IsZero() {
 		e = e.Dur("heard", now.Sub(w.lastContact))
 	}
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -52,7 +52,7 @@
 	p.work.Started++
 	e := p.Logger.Info().Str("event", "start").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Str("outcome", string(a.Result)).Int("try", u.sendCount).Dur("kept_for", now.Sub(u.persistedAt)).Dur("sent_for", now.Sub(u.sentAt)).
-		Str("job_state", string(u.job.state))
+		Str("job_state", string(u.job.state)).Int64("born", u.worker.startedAt)
 	if a.Err != nil {
 		e = e.Str("err", a.Err.Error())
 	}
