The model: a worker that crashes in the dark, and events for several workers

In the model a call to a worker that was down failed at once, which told its owner of the crash, and a poll that waited there reached the next incarnation under the same ID.

- World.CrashDark: calls to the worker get no response until it is up again; a poll that was lost with the worker is repeated 200 ms after its response was due, as package httpconn does, and reaches the next incarnation with its token and deadline.
- Script events: crash-dark; count and apart, for several workers from an index on.
A script with one event for each worker at one time crashed others than it named, as an index is among the workers that are up.

--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -32,9 +32,10 @@
 //     and the store and the workers unless other events cut them off); two such events at a time make two
 //     groups, and the nodes in neither are a third one;
 //   - for one node: join (it first starts at that time, and does not run before);
-//   - for a worker, by its index among those of the pool: crash, silent, late, hangs, fails, drain,
-//     shrink (to a share of its capacity); crash-rack crashes the workers of a pool in the rack with
-//     the number that Worker states;
+//   - for a worker, by its index among those of the pool that are up, or for Count workers from there on:
+//     crash, crash-dark (without an answer to calls until it is up again), silent, late, hangs, fails, drain,
+//     shrink (to a share of its capacity); crash-rack crashes the workers of a pool in the rack with the
+//     number that Worker states;
 //   - for the store as all nodes see it: store-slow (a call takes as long as Within states, an append
 //     three times as long, one after the other in each partition), parts-refuse, parts-silent (the partition of the pool if one
 //     is named, otherwise a share of all partitions that pools and the role for instances may be
@@ -54,6 +55,8 @@
 	Half   int               `toml:"half"`  // of the workers: 0 for even numbers, 1 for odd ones
 	Pool   string            `toml:"pool"`
 	Worker int               `toml:"worker"`
+	Count  int               `toml:"count"` // of the workers, 0 for one
+	Apart  tomlfile.Duration `toml:"apart"` // from one of several workers to the next
 	For    tomlfile.Duration `toml:"for"`
 	Share  float64           `toml:"share"`
 	AtOnce int               `toml:"at_once"`
@@ -369,10 +372,17 @@
 		}
 		return
 	}
-	if e.Worker >= len(ids) {
-		return
+	for i := e.Worker; i < min(e.Worker+max(e.Count, 1), len(ids)); i++ {
+		if after := e.Apart.Std() * time.Duration(i-e.Worker); after > 0 {
+			time.AfterFunc(after, func() { st.faultOneWorker(e, ids[i]) })
+		} else {
+			st.faultOneWorker(e, ids[i])
+		}
 	}
-	id := ids[e.Worker]
+}
+
+// faultOneWorker applies an event to the worker with the given id.
+func (st *scenario) faultOneWorker(e scriptEvent, id worker.ID) {
 	set := func(on bool) func(o *world.Worker) {
 		return func(o *world.Worker) {
 			switch e.Kind {
@@ -393,6 +403,8 @@
 	switch e.Kind {
 	case "crash":
 		st.world.Crash(id, e.For.Std())
+	case "crash-dark":
+		st.world.CrashDark(id, e.For.Std())
 	case "drain":
 		st.world.Drain(id, e.For.Std())
 	case "shrink":
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -39,7 +39,7 @@
 	}
 	l.w.mu.Lock()
 	o := l.w.workers[l.id]
-	cut := l.w.fault(l.node).cutFrom(l.id) || o.Unresponsive
+	cut := l.w.fault(l.node).cutFrom(l.id) || o.Unresponsive || o.dark
 	if o.gone && !cut {
 		defer l.w.mu.Unlock()
 		return port.Response{Result: port.Unreachable}
@@ -175,25 +175,34 @@
 }
 
 func (l *nodeLink) poll(ctx context.Context, k port.Poll) (worker.PollResult, port.Response) {
-	result, a := l.pollOnce(ctx, k.Token, func(o *Worker) {
+	timeoutAt := time.Now().Add(k.Wait + callTimeout)
+	sentTo, _ := l.incarnation()
+	result, a := l.beginPoll(ctx, k)
+	if a.Result == port.Accepted && len(result.Ends) == 0 && k.Wait > 0 {
+		_, changed := l.incarnation()
+		select {
+		case <-changed:
+		case <-time.After(k.Wait):
+		case <-ctx.Done():
+		}
+		if !l.w.endedDark(sentTo) {
+			return l.pollOnce(ctx, k.Token, func(*Worker) {})
+		}
+	}
+	if l.w.endedDark(sentTo) {
+		return l.repeatPoll(ctx, k, timeoutAt)
+	}
+	return result, a
+}
+
+// beginPoll sends a poll and returns what the worker lists then.
+func (l *nodeLink) beginPoll(ctx context.Context, k port.Poll) (worker.PollResult, port.Response) {
+	return l.pollOnce(ctx, k.Token, func(o *Worker) {
 		o.extend(k.Deadline)
 		if k.Connection == 0 || k.Connection == o.connection {
 			o.dropEnds(k.Acknowledged)
 		}
 	})
-	if a.Result != port.Accepted || len(result.Ends) > 0 || k.Wait == 0 {
-		return result, a
-	}
-	l.w.mu.Lock()
-	o := l.w.workers[l.id]
-	changed := o.changed
-	l.w.mu.Unlock()
-	select {
-	case <-changed:
-	case <-time.After(k.Wait):
-	case <-ctx.Done():
-	}
-	return l.pollOnce(ctx, k.Token, func(*Worker) {})
 }
 
 // pollOnce applies an order whose response is a poll result.
--- a/standin/world/restart.go
+++ b/standin/world/restart.go
@@ -4,6 +4,7 @@
 package world
 
 import (
+	"context"
 	"time"
 
 	"github.com/yardbridge/yardbridge/models/worker"
@@ -50,6 +51,61 @@
 	return true
 }
 
+// CrashDark crashes a worker like Crash, but nothing tells the nodes so: calls to it get no response until it is up
+// again, nor do those that wait there.
+func (w *World) CrashDark(id worker.ID, down time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	if o.gone {
+		return
+	}
+	o.dark = true
+	w.crash(o, down)
+	o.breakGangs()
+}
+
+// endedDark reports whether calls to an incarnation have been lost with it.
+func (w *World) endedDark(o *Worker) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return o.dark
+}
+
+// endDark makes the machine of an ended worker refuse calls to it, as it is up again.
+func (w *World) endDark(o *Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o.dark = false
+}
+
+// incarnation returns the incarnation that calls reach now, and what is closed when its runs change.
+func (l *nodeLink) incarnation() (*Worker, <-chan struct{}) {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	o := l.w.workers[l.id]
+	return o, o.changed
+}
+
+// repeatAfter is how long after a poll's response was due it is repeated over another connection, as by package httpconn.
+const repeatAfter = 200 * time.Millisecond
+
+// repeatPoll repeats a poll that was lost with its connection. The worker that it reaches waits for an end again, so that
+// its response comes after the time-out unless it has one.
+func (l *nodeLink) repeatPoll(ctx context.Context, k port.Poll, timeoutAt time.Time) (worker.PollResult, port.Response) {
+	resend := time.Until(timeoutAt) - callTimeout + repeatAfter
+	if resend < 0 {
+		return worker.PollResult{}, port.Response{Result: port.Unknown}
+	}
+	_ = noResponse(ctx, resend)
+	result, a := l.beginPoll(ctx, k)
+	if left := time.Until(timeoutAt); a.Result == port.Accepted && len(result.Ends) == 0 && k.Wait > left {
+		_ = noResponse(ctx, left)
+		return worker.PollResult{}, port.Response{Result: port.Unknown}
+	}
+	return result, a
+}
+
 // refreshEntry makes a worker write its entry again, or removes the entry of one that is
 // gone.
 func (w *World) refreshEntry(id worker.ID) {
--- a/standin/world/worker.go
+++ b/standin/world/worker.go
@@ -28,6 +28,7 @@
 	connection     uint64 // the connections of all nodes to this incarnation
 	info           worker.Worker
 	gone           bool      // the incarnation has ended
+	dark           bool      // it has ended with its connections open, and nothing refuses new ones
 	capacityBefore job.Size  // capacity before it was reduced
 	shrunkAt       time.Time // zero if it never was
 	startedAt      time.Time
@@ -128,6 +129,7 @@
 	time.AfterFunc(listedAfter, func() { w.removeEntry(id) })
 	time.AfterFunc(down, func() {
 		if !w.restartWithSameID(o) {
+			w.endDark(o)
 			w.restore(i)
 		}
 	})
