Orders and deadlines reach no other incarnation of a worker than the one they are for (TWICE)

What callers saw: tasks that must run once ran twice at the same time. Workers started again under their ids and were cut off soon after, while long tasks ran.

Cause: starts, stops, CPU shares and the deadlines of polls name no incarnation, and the header with the worker's id does not tell them apart. A call over a new connection, also one that is repeated after no response, was carried out by whatever incarnation listened by then. That one cut the deadline, which was ahead on the clock of the one before, to the longest lease (10 s), while the owner, or the next one, took the lease to have ended by what had been sent (4 s).

A trial in which the repeated poll carried no deadline broke nothing.

Why it works: a connection ends with its process, so what is sent over one that has shown which incarnation it reaches is carried out by that one or by none. An order states its incarnation; package httpconn sends it over such a connection only. Over a new one a poll without a deadline or an acknowledgement goes first, whose response has the start time. Deadlines go over the connection that carried the newest list, as acknowledgements already did. The new result "restarted" says that nothing was sent: the task waits again at once, and a poll shows who is there. The judgement of leases by what was sent holds again, for the owner as for those that follow.

TestAcknowledgementsGoOverTheConnectionOfTheList expects the connection in its last poll, too: that one acknowledges nothing, but carries a deadline, which names the connection as well. What it checks of acknowledgements is unchanged.

--- a/modules/httpconn/conn.go
+++ b/modules/httpconn/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -27,7 +28,8 @@
 type persistConn struct {
 	id     uint64
 	conn   *silence.Conn
-	reused bool // it has carried a call before
+	peer   int64 // the server process that it reaches, 0 if unknown
+	reused bool  // it has carried a call before
 	in     *bufio.Reader
 	out    *bufio.Writer
 }
@@ -64,7 +66,11 @@
 	if err != nil {
 		return Response{}, false, err
 	}
-	return Response{response.StatusCode, response.Header, body, pc.id}, !response.Close && stop(), nil
+	result := Response{response.StatusCode, response.Header, body, pc.id}
+	if r.ReadPeer != nil {
+		pc.peer = cmp.Or(r.ReadPeer(result), pc.peer)
+	}
+	return result, !response.Close && stop(), nil
 }
 
 // newRequest returns the net/http request; an empty body is omitted.
--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -38,6 +38,8 @@
 	endpoint    silence.Endpoint
 	retryPolicy silence.RetryPolicy
 
+	closedAfter atomic.Int32 // connections in a row that the server has closed after the response that identified it
+
 	mu     sync.Mutex
 	idle   []*persistConn
 	sticky uint64 // connection of the last response to a sticky call
@@ -61,6 +63,15 @@
 	// connection, also if the call is retried, Body is sent: the server there may have restarted.
 	Conn     uint64
 	ConnBody []byte
+	// Peer is the server process that the request is meant for, a number as ReadPeer returns it; 0 for any. The request
+	// is sent over a connection that has shown to reach this process: a connection ends with its process, while
+	// another one may listen at the address by then.
+	Peer int64
+	// Identify is sent first over a connection that has not shown which process it reaches. If no process or another
+	// one responds, the request itself is not sent.
+	Identify *Request
+	// ReadPeer returns the server process that a response is from, 0 if it does not tell.
+	ReadPeer func(Response) int64
 }
 
 // Response is the response to a call.
@@ -79,6 +90,9 @@
 	if err != nil {
 		return Response{}, errkind.New(errkind.NoTarget, "%s: %v", c.Address, err)
 	}
+	if err := c.identify(ctx, pc, r, began.Add(timeout)); err != nil {
+		return Response{}, err
+	}
 	limit := timeout
 	due := r.ServerWait + c.retryPolicy.RetryDelay()
 	if r.Idempotent && pc.reused {
@@ -108,6 +122,9 @@
 	if err != nil {
 		return Response{}, unknownOutcome(r, c.Address, err) // the first attempt may have been received
 	}
+	if err := c.identify(ctx, pc, r, began.Add(timeout)); err != nil {
+		return Response{}, unknownOutcome(r, c.Address, err)
+	}
 	pc.conn.ExpectResponse(resent.Add(r.ServerWait + c.retryPolicy.RetryDelay()))
 	response, keep, err := pc.do(ctx, c.Address, r, began.Add(timeout))
 	if err != nil {
@@ -122,6 +139,43 @@
 	return response, nil
 }
 
+// maxClosed is how many connections in a row a server may close after the response that identified it. It keeps none open
+// then, and the following requests are sent without that.
+const maxClosed = 10
+
+// identify makes sure that a connection reaches the server process that a request is meant for. Its errors are of the
+// kinds NoTarget if no process has identified itself, and Conflict if another one has.
+func (c *Client) identify(ctx context.Context, pc *persistConn, r Request, until time.Time) error {
+	if r.Peer == 0 || pc.peer == r.Peer || c.closedAfter.Load() >= maxClosed {
+		return nil
+	}
+	began := time.Now()
+	pc.conn.ExpectResponse(began.Add(c.retryPolicy.RetryDelay()))
+	response, keep, err := pc.do(ctx, c.Address, *r.Identify, until)
+	if err != nil {
+		pc.conn.Reset()
+		return errkind.New(errkind.NoTarget, "%s: identifying the server: %v", c.Address, err)
+	}
+	c.retryPolicy.RecordResponse(began, 0)
+	pc.conn.ClearExpected()
+	if keep {
+		c.closedAfter.Store(0)
+	} else {
+		c.closedAfter.Add(1)
+	}
+	if keep && pc.peer == r.Peer {
+		return nil
+	}
+	c.release(pc, keep, false)
+	switch pc.peer {
+	case r.Peer:
+		return errkind.New(errkind.NoTarget, "%s: the server has closed the connection after it identified itself", c.Address)
+	case 0:
+		return errkind.New(errkind.NoTarget, "%s: the server does not identify itself: status %d", c.Address, response.Status)
+	}
+	return errkind.New(errkind.Conflict, "%s: another server process listens there, %d in place of %d", c.Address, pc.peer, r.Peer)
+}
+
 // finish records a response and keeps its connection for the next call.
 func (c *Client) finish(pc *persistConn, keep bool, r Request, began time.Time) {
 	c.retryPolicy.RecordResponse(began, r.ServerWait)
@@ -154,7 +208,7 @@
 // would be unknown.
 func (c *Client) acquire(ctx context.Context, r Request) (*persistConn, error) {
 	for {
-		pc, err := c.popIdle(r.Sticky)
+		pc, err := c.popIdle(r)
 		if err != nil {
 			return nil, err
 		}
@@ -171,24 +225,26 @@
 	}
 }
 
-// popIdle returns an idle connection, nil if there is none: the sticky one for a sticky call, any other one first for
-// other calls.
-func (c *Client) popIdle(sticky bool) (*persistConn, error) {
+// popIdle returns an idle connection that reaches the peer of a call, nil if there is none: the sticky one for a sticky
+// call, any other one first for other calls.
+func (c *Client) popIdle(r Request) (*persistConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, errors.New("the client is closed")
 	}
-	n := len(c.idle)
-	if n == 0 {
-		return nil, nil
-	}
-	at := n - 1
-	for i := range c.idle {
-		if (c.idle[i].id == c.sticky) == sticky {
+	at := -1
+	for i, pc := range c.idle {
+		if r.Peer != 0 && pc.peer != r.Peer {
+			continue
+		}
+		if at < 0 || (pc.id == c.sticky) == r.Sticky || (c.idle[at].id == c.sticky) != r.Sticky {
 			at = i
 		}
 	}
+	if at < 0 {
+		return nil, nil
+	}
 	pc := c.idle[at]
 	c.idle = slices.Delete(c.idle, at, at+1)
 	return pc, nil
--- a/services/port/worker.go
+++ b/services/port/worker.go
@@ -19,21 +19,24 @@
 	Ticket     string
 	Deadline   time.Duration // on the worker's clock: after it the order is refused, and until it the runs there are kept alive
 	Token      uint64
+	StartedAt  int64 // start time of the incarnation that the order is for, which no other one gets; 0 for any
 }
 
 // Stop is an order to stop a run.
 type Stop struct {
-	Task   string
-	Number int
-	Token  uint64
+	Task      string
+	Number    int
+	Token     uint64
+	StartedAt int64 // as in Start
 }
 
 // CPUShare is an order to run at a share of the full CPU speed.
 type CPUShare struct {
-	Task    string
-	Number  int
-	Percent int
-	Token   uint64
+	Task      string
+	Number    int
+	Percent   int
+	Token     uint64
+	StartedAt int64 // as in Start
 }
 
 // Poll queries what a worker runs and which runs have ended there.
@@ -41,7 +44,7 @@
 	Deadline     time.Duration // of all runs there, on the worker's clock; 0 leaves it unchanged
 	Token        uint64
 	Acknowledged int           // ends up to this sequence number may be forgotten
-	Connection   uint64        // over which they were listed: over another one, nothing is acknowledged; 0 for any
+	Connection   uint64        // that carried the newest list: over another one, neither is the deadline extended nor anything acknowledged; 0 for any
 	Wait         time.Duration // maximum time to wait for an end
 }
 
@@ -58,6 +61,7 @@
 	BadTicket        Result = "ticket"    // nothing done: the ticket is not valid
 	Refused          Result = "refused"   // nothing done: the worker is unhealthy or the order is invalid
 	OtherIncarnation Result = "other"     // the worker's incarnation has ended
+	Restarted        Result = "restarted" // nothing done: another incarnation than the order's responds under the worker's ID
 	Unknown          Result = "unknown"   // no response: it may be done, now or later
 	Unreachable      Result = "unreached" // nothing done: no connection was available
 )
--- a/services/scheduler/order.go
+++ b/services/scheduler/order.go
@@ -28,7 +28,7 @@
 	u.sendCount++
 	return port.Start{
 		Task: u.name, Number: u.number, Spec: u.job.sub.Spec, Checkpoint: u.task().checkpoint, Ticket: u.ticket.text,
-		Deadline: u.worker.startDeadline(now, startTransit), Token: p.token(u.worker),
+		Deadline: u.worker.startDeadline(now, startTransit), Token: p.token(u.worker), StartedAt: u.worker.startedAt,
 	}
 }
 
@@ -50,10 +50,10 @@
 
 // StopOrder returns the order to stop the run.
 func (p *Pool) StopOrder(o Order) port.Stop {
-	return port.Stop{Task: o.Run.name, Number: o.Run.number, Token: p.token(o.Run.worker)}
+	return port.Stop{Task: o.Run.name, Number: o.Run.number, Token: p.token(o.Run.worker), StartedAt: o.Run.worker.startedAt}
 }
 
 // CPUShareOrder returns the order to limit the run to its CPU share.
 func (p *Pool) CPUShareOrder(o Order) port.CPUShare {
-	return port.CPUShare{Task: o.Run.name, Number: o.Run.number, Percent: o.Run.cpuShare, Token: p.token(o.Run.worker)}
+	return port.CPUShare{Task: o.Run.name, Number: o.Run.number, Percent: o.Run.cpuShare, Token: p.token(o.Run.worker), StartedAt: o.Run.worker.startedAt}
 }
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -36,9 +36,6 @@
 	if w.acknowledgedEnd < w.persistedEnd && !w.restartSuspected && w.unresponsiveSince.IsZero() {
 		if w.ackWithheld = !w.mayAcknowledge(now); !w.ackWithheld {
 			request.Acknowledged = w.persistedEnd
-			if w.startedAt > 0 && w.lostAcks < maxLostAcks {
-				request.Connection = w.listedOver
-			}
 		}
 	}
 	previous := w.latestDeadline
@@ -47,6 +44,9 @@
 		request.Deadline = w.extendDeadline(now, p.Limits.Lease)
 		w.extendedBy = p.eventSeq
 	}
+	if (request.Acknowledged > 0 || request.Deadline > 0) && w.startedAt > 0 && w.lostPolls < maxLostPolls {
+		request.Connection = w.listedOver
+	}
 	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.hasMoreEnds || w.restartSuspected {
 		request.Wait = 0 // it would respond at once with known ends, or must respond at once
 	}
@@ -114,7 +114,7 @@
 	p.clearCrash(w.incarnation())
 	w.listedAt, w.listedClock, w.listedOver = now, a.Clock, listing.Connection
 	w.respondedUnlisted = !w.listed
-	w.noteAcknowledged(k.request, listing)
+	w.noteDelivered(k.request, listing)
 	if w.hasOtherIncarnations {
 		p.endOtherIncarnations(w, k.sentAt, now)
 	}
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -22,7 +22,7 @@
 	}
 	p.noteContact(w, a, now)
 	overtaken := a.Result == port.TokenTooLow && o.tokenRaises < w.tokenRaises // refused because this owner has sent an order with a higher token
-	if o.isStart() && (a.Result == port.OtherIncarnation || overtaken) && !o.Run.unconfirmed {
+	if o.isStart() && (a.Result == port.OtherIncarnation || a.Result == port.Restarted || overtaken) && !o.Run.unconfirmed {
 		p.clearNeverStarted(o.Run)
 	}
 	if o.Run.phase == finished {
@@ -32,6 +32,10 @@
 		p.queueOrder(w, o)
 		return false
 	}
+	if a.Result == port.Restarted {
+		p.handleRestarted(o, a, now)
+		return false
+	}
 	switch {
 	case o.Stop:
 		return p.handleStopResponse(o.Run, a, now)
@@ -41,6 +45,26 @@
 	return p.handleStartResponse(o.Run, a, now)
 }
 
+// handleRestarted processes an order that was not sent, since another incarnation responds under its worker's ID: a poll
+// shows which one it is. A run that no order was sent for goes elsewhere at once.
+func (p *Pool) handleRestarted(o Order, a port.Response, now time.Time) {
+	u := o.Run
+	p.Logger.Info().Str("event", "worker").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
+		Int64("born", u.worker.startedAt).Err(a.Err).Str("outcome", "not sent").Msg("order is for another incarnation of its worker than the one that responds")
+	p.suspectRestart(u.worker)
+	p.markPending(u.worker)
+	if !o.isStart() {
+		p.queueOrder(u.worker, o)
+		return
+	}
+	u.sent = u.unconfirmed
+	if u.sent {
+		p.queueOrder(u.worker, o)
+		return
+	}
+	p.abandon(u, now, "its worker has restarted")
+}
+
 // clearNeverStarted records that no order for a run reached the incarnation it was meant for: that
 // had ended before, so its exit is not attributed to the run's task.
 func (p *Pool) clearNeverStarted(u *run) {
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -19,11 +19,15 @@
 // list may be late and only causes a poll. Times of day may be set back, so a smaller start time
 // does not mean an older incarnation.
 //
-// Orders sent to an earlier incarnation may still be carried out by the next one. So once a worker
-// may have restarted, the token of its orders is raised, and only polls are sent until a poll with
-// that token gets a response: from then on the responding incarnation refuses all earlier orders,
-// and any run is over that it neither lists as running nor as ended. An order without a response
-// raises the token too, since it may be carried out seconds later.
+// So an order states the incarnation that it is for, and the link sends it over a connection that
+// reaches no other one: the next one would cut its deadline, which is on another clock, to the longest
+// lease, and the owner would take the lease to have ended long before.
+//
+// Where connections show no incarnation, orders sent to an earlier one may still be carried out by the
+// next one. So once a worker may have restarted, the token of its orders is raised, and only polls are
+// sent until a poll with that token gets a response: from then on the responding incarnation refuses
+// all earlier orders, and any run is over that it neither lists as running nor as ended. An order
+// without a response raises the token too, since it may be carried out seconds later.
 
 // tokenRaiseBits is the number of bits of an order's token that count its raises; the bits above
 // are the epoch of the pool's owner.
@@ -244,23 +248,26 @@
 	return w.hasResponded && clock > 0 && clock+clockRestartGap < w.listedClock
 }
 
-// An acknowledgement names no incarnation either. It is sent over the connection that carried the newest list only, which
-// reaches no later incarnation; one that is lost with its connection is repeated after the next list. The checks below
-// remain for a link that does not tell its connections, and for a worker that keeps none.
+// Nor does an acknowledgement or a deadline name an incarnation; a later one would cut a deadline on the clock of an
+// earlier one to the longest lease. Both are sent over the connection that carried the newest list only, which reaches no
+// later incarnation; what is lost with its connection is sent again after the next list. The checks below remain for a
+// link that does not tell its connections, and for a worker that keeps none.
 
-// maxLostAcks is how many acknowledgements in a row may be lost with their connections before they are sent over any
-// connection: the worker keeps none open, and would never learn which ends are persisted.
-const maxLostAcks = 10
+// maxLostPolls is how many polls in a row may lose their deadlines and acknowledgements with their connections before these
+// are sent over any connection: the worker keeps none open, and would never learn which ends are persisted.
+const maxLostPolls = 10
 
-// noteAcknowledged records what a poll has acknowledged to the known incarnation.
-func (w *workerState) noteAcknowledged(request port.Poll, listing worker.PollResult) {
+// noteDelivered records what a poll has acknowledged to the known incarnation. A deadline that was not delivered is sent
+// again at once.
+func (w *workerState) noteDelivered(request port.Poll, listing worker.PollResult) {
 	if request.Connection != 0 && request.Connection != listing.Connection {
-		w.lostAcks++
+		w.lostPolls++
+		w.pollWanted = w.pollWanted || request.Deadline > 0
 		return
 	}
 	w.acknowledgedEnd = max(w.acknowledgedEnd, request.Acknowledged)
 	if request.Connection != 0 {
-		w.lostAcks = 0
+		w.lostPolls = 0
 	}
 }
 
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -147,7 +147,73 @@
 	}
 	assert.Equal(t, poll(6), port.Poll{Acknowledged: 1, Connection: 5}) // that connection is lost
 	assert.Equal(t, poll(6), port.Poll{Acknowledged: 1, Connection: 6})
-	assert.Equal(t, poll(6), port.Poll{})
+	assert.Equal(t, poll(6), port.Poll{Connection: 6}, "a deadline names the connection too")
+}
+
+// TestDeadlineGoesOverTheConnectionOfTheList guards against a run that outlives its lease (TWICE): a deadline on the clock of an
+// earlier incarnation, which a poll carries to the next one, is cut to the longest lease there. A deadline that was not
+// delivered is sent again at once.
+func TestDeadlineGoesOverTheConnectionOfTheList(t *testing.T) {
+	d := newTestPoolWithRun(t)
+	running := worker.PollResult{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}
+	poll := func(over uint64) (uint64, time.Duration) {
+		k, request, _ := d.BeginPoll("w", time.Second, d.now)
+		assert.Assert(t, request.Deadline > 0)
+		listing := running
+		listing.StartedAt, listing.Connection = 1000, over
+		d.EndPoll(k, listing, accepted, d.now)
+		at, _, _ := d.NextPoll("w")
+		return request.Connection, max(at.Sub(d.now), 0)
+	}
+	poll(5)
+	over, pause := poll(5)
+	assert.Equal(t, over, uint64(5))
+	assert.Equal(t, pause, pollGap)
+	over, pause = poll(6)
+	assert.Equal(t, over, uint64(5))
+	assert.Equal(t, pause, time.Duration(0), "the deadline was not delivered")
+	over, _ = poll(6)
+	assert.Equal(t, over, uint64(6))
+}
+
+// TestOrdersAreForOneIncarnation guards against orders that the next incarnation of a worker carries out (TWICE): each order
+// names the incarnation that it is for, and one that another incarnation would have got is not repeated there.
+func TestOrdersAreForOneIncarnation(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 1)
+	d.persist()
+	order, _ := d.NextOrder("w", d.now)
+	assert.Equal(t, d.StartOrder(order, d.now).StartedAt, int64(1000))
+	assert.Equal(t, d.StopOrder(order).StartedAt, int64(1000))
+	assert.Equal(t, d.CPUShareOrder(order).StartedAt, int64(1000))
+	assert.Assert(t, !d.HandleOrderResponse(order, port.Response{Result: port.Restarted}, d.now))
+	assert.Equal(t, len(d.workers["w"].runs), 0, "no order was sent, so the task waits again")
+	d.persist()
+	assert.Assert(t, !d.HasOrder("w"), "only polls are sent until a list shows the incarnation")
+	d.confirmStart(2000)
+	order = d.sendOrder()
+	assert.Equal(t, order.Run.number, 2)
+	assert.Equal(t, d.StartOrder(order, d.now).StartedAt, int64(2000))
+}
+
+// TestUnansweredOrderIsNotRepeatedAtAnotherIncarnation guards against a run that starts on the next incarnation of its worker
+// (TWICE), since its order got no response from the one before and is sent again.
+func TestUnansweredOrderIsNotRepeatedAtAnotherIncarnation(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 1)
+	order := d.sendOrder()
+	assert.Assert(t, d.HandleOrderResponse(order, port.Response{Result: port.Unknown}, d.now))
+	d.Retry(order, d.now)
+	again, has := d.NextOrder("w", d.now)
+	assert.Assert(t, has)
+	d.StartOrder(again, d.now)
+	assert.Assert(t, !d.HandleOrderResponse(again, port.Response{Result: port.Restarted}, d.now))
+	assert.Equal(t, len(d.workers["w"].runs), 1, "it may still run on the earlier incarnation")
+	assert.Assert(t, !d.HasOrder("w"))
+	d.confirmStart(2000)
+	assert.Equal(t, len(d.workers["w"].runs), 0, "that incarnation is over")
 }
 
 // TestWorkerThatKeepsNoConnection guards against ends that are never acknowledged, so that others are never listed: each
@@ -158,7 +224,7 @@
 	d.submit("1", 1)
 	d.startAll("w")
 	end := worker.EndedRun{Sequence: 1, Task: "1.0.0.0", Number: 1, Reason: worker.Done}
-	for n := range maxLostAcks + 2 {
+	for n := range maxLostPolls + 2 {
 		d.poll("w", worker.PollResult{StartedAt: 1000, Connection: uint64(n + 1), Ends: []worker.EndedRun{end}}, accepted)
 		d.persist()
 	}
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -72,7 +72,7 @@
 	foreignAddress   string         // address in its entry at which another worker responded, "" for none
 	listedAt         time.Time      // when it last listed its runs
 	listedOver       uint64         // connection that carried that list, 0 if unknown
-	lostAcks         int            // acknowledgements in a row that were lost with their connections
+	lostPolls        int            // polls in a row of which the deadline and the acknowledgement were lost with their connections
 	listedClock      time.Duration  // its clock in that response, 0 if unknown
 	ackWithheld      bool           // the last poll could have acknowledged ends, but did not
 
@@ -147,7 +147,7 @@
 
 // noteContact records what a response shows of its worker.
 func (p *Pool) noteContact(w *workerState, a port.Response, now time.Time) {
-	if a.Result == port.Unknown || a.Result == port.Unreachable {
+	if a.Result == port.Unknown || a.Result == port.Unreachable || a.Result == port.Restarted {
 		return
 	}
 	if a.Result != port.OtherIncarnation {
--- a/standin/world/link.go
+++ b/standin/world/link.go
@@ -31,8 +31,9 @@
 	return f.WorkersCut || f.HalvesCut[int(id[len(id)-1])%len(f.HalvesCut)] // '0' is even
 }
 
-// order applies an order and returns the response.
-func (l *nodeLink) order(ctx context.Context, token uint64, do func(o *Worker) port.Result) port.Response {
+// order applies an order to the incarnation with a start time, 0 for any, and returns the response.
+func (l *nodeLink) order(ctx context.Context, startedAt int64, token uint64, do func(o *Worker) port.Result) port.Response {
+	sentTo, _ := l.incarnation()
 	select {
 	case <-time.After(orderTime):
 	case <-ctx.Done():
@@ -44,13 +45,24 @@
 		defer l.w.mu.Unlock()
 		return port.Response{Result: port.Unreachable}
 	}
+	if startedAt != 0 && !cut && o.info.StartedAt != startedAt {
+		defer l.w.mu.Unlock()
+		if sentTo.info.StartedAt == startedAt {
+			return port.Response{Result: port.Unknown} // its connection was lost
+		}
+		return port.Response{Result: port.Restarted}
+	}
 	if cut || o.OrderDelay > 0 || o.DefersOrders {
 		switch {
 		case cut:
 		case o.DefersOrders:
-			o.deferred = append(o.deferred, func() { l.w.workers[l.id].apply(token, do) })
+			o.deferred = append(o.deferred, func() {
+				if now := l.w.workers[l.id]; now == o || startedAt == 0 {
+					now.apply(token, do)
+				}
+			})
 		default:
-			time.AfterFunc(o.OrderDelay, func() { l.w.applyLate(o, token, do) })
+			time.AfterFunc(o.OrderDelay, func() { l.w.applyLate(o, startedAt, token, do) })
 		}
 		l.w.mu.Unlock()
 		_ = noResponse(ctx, callTimeout)
@@ -60,15 +72,16 @@
 	return o.apply(token, do)
 }
 
-// applyLate applies a delayed order to the incarnation that the worker's id has by then. If
-// that is another one which has not received any order yet, it knows no token by which to
-// reject the delayed order, so this waits until the first order arrives there.
-func (w *World) applyLate(sentTo *Worker, token uint64, do func(o *Worker) port.Result) {
+// applyLate applies a delayed order to the incarnation that the worker's id has by then, unless the
+// order is for one incarnation: it ends with that one and its connections. If another one has not
+// received any order yet, it knows no token by which to reject the delayed order, so this waits
+// until the first order arrives there.
+func (w *World) applyLate(sentTo *Worker, startedAt int64, token uint64, do func(o *Worker) port.Result) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	o := w.workers[sentTo.info.ID]
 	switch {
-	case o.gone:
+	case o.gone, o != sentTo && startedAt != 0:
 	case o != sentTo && o.token == 0:
 		o.earlyOrders = append(o.earlyOrders, func() { o.apply(token, do) })
 	default:
@@ -93,7 +106,7 @@
 }
 
 func (l *nodeLink) start(ctx context.Context, s port.Start) port.Response {
-	return l.order(ctx, s.Token, func(o *Worker) port.Result { return o.startRun(l.node, s) })
+	return l.order(ctx, s.StartedAt, s.Token, func(o *Worker) port.Result { return o.startRun(l.node, s) })
 }
 
 // startRun starts a run. The caller holds w.mu.
@@ -148,7 +161,7 @@
 }
 
 func (l *nodeLink) stop(ctx context.Context, s port.Stop) port.Response {
-	return l.order(ctx, s.Token, func(o *Worker) port.Result {
+	return l.order(ctx, s.StartedAt, s.Token, func(o *Worker) port.Result {
 		r := o.runs[s.Task]
 		if r == nil || r.number != s.Number {
 			o.lastEnded[s.Task] = max(o.lastEnded[s.Task], s.Number)
@@ -164,7 +177,7 @@
 }
 
 func (l *nodeLink) setCPUShare(ctx context.Context, p port.CPUShare) port.Response {
-	return l.order(ctx, p.Token, func(o *Worker) port.Result {
+	return l.order(ctx, p.StartedAt, p.Token, func(o *Worker) port.Result {
 		if r := o.runs[p.Task]; r != nil && r.number == p.Number {
 			r.cpuShare = p.Percent
 			o.checkHarm()
@@ -178,7 +191,7 @@
 	timeoutAt := time.Now().Add(k.Wait + callTimeout)
 	sentTo, _ := l.incarnation()
 	result, a := l.beginPoll(ctx, k)
-	if a.Result == port.Accepted && len(result.Ends) == 0 && k.Wait > 0 {
+	if a.Result == port.Accepted && len(result.Ends) == 0 && waits(k, result) {
 		_, changed := l.incarnation()
 		select {
 		case <-changed:
@@ -195,11 +208,17 @@
 	return result, a
 }
 
+// waits reports whether the response to a poll waits for an end: one that went over another connection than it names does
+// not.
+func waits(k port.Poll, result worker.PollResult) bool {
+	return k.Wait > 0 && (k.Connection == 0 || k.Connection == result.Connection)
+}
+
 // beginPoll sends a poll and returns what the worker lists then.
 func (l *nodeLink) beginPoll(ctx context.Context, k port.Poll) (worker.PollResult, port.Response) {
 	return l.pollOnce(ctx, k.Token, func(o *Worker) {
-		o.extend(k.Deadline)
 		if k.Connection == 0 || k.Connection == o.connection {
+			o.extend(k.Deadline)
 			o.dropEnds(k.Acknowledged)
 		}
 	})
@@ -208,7 +227,7 @@
 // pollOnce applies an order whose response is a poll result.
 func (l *nodeLink) pollOnce(ctx context.Context, token uint64, do func(o *Worker)) (worker.PollResult, port.Response) {
 	var result worker.PollResult // may be written late, if there was no response
-	a := l.order(ctx, token, func(o *Worker) port.Result {
+	a := l.order(ctx, 0, token, func(o *Worker) port.Result {
 		do(o)
 		result = o.pollResult()
 		return port.Accepted
--- a/standin/world/restart.go
+++ b/standin/world/restart.go
@@ -99,7 +99,7 @@
 	}
 	_ = noResponse(ctx, resend)
 	result, a := l.beginPoll(ctx, k)
-	if left := time.Until(timeoutAt); a.Result == port.Accepted && len(result.Ends) == 0 && k.Wait > left {
+	if left := time.Until(timeoutAt); a.Result == port.Accepted && len(result.Ends) == 0 && waits(k, result) && k.Wait > left {
 		_ = noResponse(ctx, left)
 		return worker.PollResult{}, port.Response{Result: port.Unknown}
 	}
