--- a/standin/world/restart.go
+++ b/standin/world/restart.go
@@ -51,6 +51,20 @@
 	return true
 }
 
+// Incarnation is what tells incarnations of a worker apart.
+type Incarnation struct {
+	StartedAt  int64  // as in worker.Worker
+	Connection uint64 // as in worker.PollResult
+}
+
+// Incarnation returns the incarnation that a worker's id has now, or had last.
+func (w *World) Incarnation(id worker.ID) Incarnation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.workers[id]
+	return Incarnation{o.info.StartedAt, o.connection}
+}
+
 // CrashDark crashes a worker like Crash, but nothing tells the nodes so: calls to it get no response until it is up
 // again, nor do those that wait there.
 func (w *World) CrashDark(id worker.ID, down time.Duration) {
