Orders to unidentified workers: own time, own result, and no way around the identification

- An identification without a response marked a sound worker as unresponsive at once.
The order was not sent, and counts like one without a response, of which it takes two (result unknown-incarnation).
- After ten connections closed by the server, also by an unhealthy one, orders went over any connection for as long as the client lived, and after ten lost polls so did deadlines: the next incarnation would carry them out (TWICE).
A worker that keeps no connection gets no orders and no deadlines now; acknowledgements, as before, go over any connection, one poll in ten.
- A run that a poll had shown was dropped as never started if a later try of its order found another incarnation.

In TestServerThatKeepsNoConnection the way around it is gone; TestRefusedIdentificationIsTheResultOfAnOrder and TestSilentServerGetsNoRequest name the new result.

--- a/cmd/node_clients.go
+++ b/cmd/node_clients.go
@@ -24,7 +24,8 @@
 // to returns a client of an address whose calls are counted under the name of a destination.
 func (c platformClients) to(name, address string) *httpconn.Client {
 	found, repeated := c.meter.Channels(name)
-	return &httpconn.Client{Address: address, OnRetry: repeated, OnUnresponsive: func(n int, after time.Duration) {
+	identified := func() { c.meter.Count("channel." + name + ".identified") }
+	return &httpconn.Client{Address: address, OnRetry: repeated, OnIdentify: identified, OnUnresponsive: func(n int, after time.Duration) {
 		found(n, after)
 		c.logger.Warn().Str("event", "silent").Str("to", name).Str("address", address).Int("channels", n).Dur("after", after).
 			Msg("unresponsive channels are closed: a new channel has responded to what got no response on them")
--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -34,12 +34,12 @@
 	// OnRetry is called for each call that would be retried, with whether the budget
 	// allowed it; it may be nil.
 	OnRetry func(allowed bool)
+	// OnIdentify is called for each connection that was identified for a request; it may be nil.
+	OnIdentify func()
 
 	endpoint    silence.Endpoint
 	retryPolicy silence.RetryPolicy
 
-	closedAfter atomic.Int32 // connections in a row that the server has closed after the response that identified it
-
 	mu     sync.Mutex
 	idle   []*persistConn
 	sticky uint64 // connection of the last response to a sticky call
@@ -90,9 +90,13 @@
 	if err != nil {
 		return Response{}, errkind.New(errkind.NoTarget, "%s: %v", c.Address, err)
 	}
-	if err := c.identify(ctx, pc, r, began.Add(timeout)); err != nil {
+	identified, err := c.identify(ctx, pc, r, began.Add(timeout))
+	if err != nil {
 		return Response{}, err
 	}
+	if identified {
+		began = time.Now()
+	}
 	limit := timeout
 	due := r.ServerWait + c.retryPolicy.RetryDelay()
 	if r.Idempotent && pc.reused {
@@ -122,7 +126,7 @@
 	if err != nil {
 		return Response{}, unknownOutcome(r, c.Address, err) // the first attempt may have been received
 	}
-	if err := c.identify(ctx, pc, r, began.Add(timeout)); err != nil {
+	if _, err := c.identify(ctx, pc, r, began.Add(timeout)); err != nil {
 		return Response{}, unknownOutcome(r, c.Address, err)
 	}
 	pc.conn.ExpectResponse(resent.Add(r.ServerWait + c.retryPolicy.RetryDelay()))
@@ -139,41 +143,36 @@
 	return response, nil
 }
 
-// maxClosed is how many connections in a row a server may close after the response that identified it. It keeps none open
-// then, and the following requests are sent without that.
-const maxClosed = 10
-
-// identify makes sure that a connection reaches the server process that a request is meant for. Its errors are of the
-// kinds NoTarget if no process has identified itself, and Conflict if another one has.
-func (c *Client) identify(ctx context.Context, pc *persistConn, r Request, until time.Time) error {
-	if r.Peer == 0 || pc.peer == r.Peer || c.closedAfter.Load() >= maxClosed {
-		return nil
+// identify makes sure that a connection reaches the server process that a request is meant for, and reports whether a
+// request was sent for that. A connection that has not shown this process is closed. The errors are of the kinds
+// BadResponse if no process has identified itself, and Conflict if another one has.
+func (c *Client) identify(ctx context.Context, pc *persistConn, r Request, until time.Time) (bool, error) {
+	if r.Peer == 0 || pc.peer == r.Peer {
+		return false, nil
 	}
 	began := time.Now()
 	pc.conn.ExpectResponse(began.Add(c.retryPolicy.RetryDelay()))
 	response, keep, err := pc.do(ctx, c.Address, *r.Identify, until)
 	if err != nil {
 		pc.conn.Reset()
-		return errkind.New(errkind.NoTarget, "%s: identifying the server: %v", c.Address, err)
+		return false, errkind.New(errkind.BadResponse, "%s: identifying the server: %v", c.Address, err)
 	}
 	c.retryPolicy.RecordResponse(began, 0)
 	pc.conn.ClearExpected()
-	if keep {
-		c.closedAfter.Store(0)
-	} else {
-		c.closedAfter.Add(1)
-	}
 	if keep && pc.peer == r.Peer {
-		return nil
+		if c.OnIdentify != nil {
+			c.OnIdentify()
+		}
+		return true, nil
 	}
-	c.release(pc, keep, false)
+	_ = pc.conn.Close()
 	switch pc.peer {
 	case r.Peer:
-		return errkind.New(errkind.NoTarget, "%s: the server has closed the connection after it identified itself", c.Address)
+		return false, errkind.New(errkind.BadResponse, "%s: the server has closed the connection over which it identified itself", c.Address)
 	case 0:
-		return errkind.New(errkind.NoTarget, "%s: the server does not identify itself: status %d", c.Address, response.Status)
+		return false, errkind.New(errkind.BadResponse, "%s: the server does not identify itself: status %d", c.Address, response.Status)
 	}
-	return errkind.New(errkind.Conflict, "%s: another server process listens there, %d in place of %d", c.Address, pc.peer, r.Peer)
+	return false, errkind.New(errkind.Conflict, "%s: another server process listens there, %d in place of %d", c.Address, pc.peer, r.Peer)
 }
 
 // finish records a response and keeps its connection for the next call.
@@ -235,10 +234,9 @@
 	}
 	at := -1
 	for i, pc := range c.idle {
-		if r.Peer != 0 && pc.peer != r.Peer {
-			continue
-		}
-		if at < 0 || (pc.id == c.sticky) == r.Sticky || (c.idle[at].id == c.sticky) != r.Sticky {
+		suits := r.Peer == 0 || pc.peer == r.Peer
+		preferred := (pc.id == c.sticky) == r.Sticky
+		if suits && (at < 0 || preferred || (c.idle[at].id == c.sticky) != r.Sticky) {
 			at = i
 		}
 	}
@@ -264,20 +262,37 @@
 // connections counts the connections of the process.
 var connections atomic.Uint64
 
-// release keeps a connection for the next call, or closes it.
+// release keeps a connection for the next call, in place of the one that has been idle for the longest if there are enough,
+// or closes it.
 func (c *Client) release(pc *persistConn, keep, sticky bool) {
+	closing := pc
 	c.mu.Lock()
 	if sticky {
 		c.sticky = pc.id
 	}
-	keep = keep && !c.closed && len(c.idle) < max(c.MaxIdle, 1)
-	if keep {
+	if keep && !c.closed {
 		c.idle = append(c.idle, pc)
+		closing = c.evict()
 	}
 	c.mu.Unlock()
-	if !keep {
-		_ = pc.conn.Close()
+	if closing != nil {
+		_ = closing.conn.Close()
+	}
+}
+
+// evict removes the connection that has been idle for the longest if there are too many, and returns it; the sticky one
+// stays if there is another one. The caller holds the lock.
+func (c *Client) evict() *persistConn {
+	if len(c.idle) <= max(c.MaxIdle, 1) {
+		return nil
+	}
+	at := 0
+	if c.idle[at].id == c.sticky {
+		at = 1
 	}
+	pc := c.idle[at]
+	c.idle = slices.Delete(c.idle, at, at+1)
+	return pc
 }
 
 // Close closes the idle connections; calls in progress are not interrupted.
--- a/modules/httpconn/peer_test.go
+++ b/modules/httpconn/peer_test.go
@@ -103,21 +103,82 @@
 	assert.DeepEqual(t, s.paths, []string{"/poll", "/order"})
 }
 
-// TestServerThatKeepsNoConnection guards against a server that gets no requests at all, since it closes each connection after
-// the response that has identified it.
+// TestServerThatKeepsNoConnection guards against a request that another process carries out, since the server closes each
+// connection after the response that has identified it: no request is sent over another one.
 func TestServerThatKeepsNoConnection(t *testing.T) {
 	s := newPeerServer(t)
 	s.closes = true
 	c := &Client{Address: s.Listener.Addr().String()}
 	defer c.Close()
-	for range maxClosed {
+	for range 20 {
 		_, err := c.Do(t.Context(), order(1, false), longTimeout)
-		assert.Assert(t, errkind.Is(err, errkind.NoTarget), "%v", err)
+		assert.Assert(t, errkind.Is(err, errkind.BadResponse), "%v", err)
 	}
+	for _, path := range s.paths {
+		assert.Equal(t, path, "/identify")
+	}
+	s.mu.Lock()
+	s.closes = false
+	s.mu.Unlock()
 	_, err := c.Do(t.Context(), order(1, false), longTimeout)
 	assert.NilError(t, err)
 }
 
+// TestConnectionsToOthersAreNotKept guards against idle connections that no request may use, so that each sticky call goes
+// over a new one.
+func TestConnectionsToOthersAreNotKept(t *testing.T) {
+	s := newPeerServer(t)
+	c := &Client{Address: s.Listener.Addr().String(), MaxIdle: 4}
+	defer c.Close()
+	for range 4 {
+		_, err := c.Do(t.Context(), order(7, false), longTimeout)
+		assert.Assert(t, errkind.Is(err, errkind.Conflict), "%v", err)
+	}
+	poll := Request{Method: http.MethodPost, Path: "/poll", ReadPeer: readPeer, Sticky: true}
+	first, err := c.Do(t.Context(), poll, longTimeout)
+	assert.NilError(t, err)
+	for range 4 {
+		_, err := c.Do(t.Context(), order(1, false), longTimeout)
+		assert.NilError(t, err)
+		again, err := c.Do(t.Context(), poll, longTimeout)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Conn, first.Conn)
+	}
+}
+
+// TestNewestConnectionsAreKept guards against a list of idle connections that keeps old ones of no use: the one that has been
+// idle for the longest goes, but the sticky one stays.
+func TestNewestConnectionsAreKept(t *testing.T) {
+	_, c := serveBodies(t)
+	c.MaxIdle = 2
+	sticky := call(t, c, 0, true)
+	var others []*persistConn
+	for range 4 {
+		pc, err := c.open(t.Context())
+		assert.NilError(t, err)
+		others = append(others, pc)
+		c.release(pc, true, false)
+	}
+	assert.Equal(t, len(c.idle), 2)
+	assert.Equal(t, c.idle[0].id, sticky.Conn)
+	assert.Equal(t, c.idle[1], others[3])
+}
+
+// TestIdentificationTakesNoTimeFromRequest guards against a slow server that never gets a request, since the request before
+// it, which identifies the server, takes up the time.
+func TestIdentificationTakesNoTimeFromRequest(t *testing.T) {
+	const pause, timeout = 120 * time.Millisecond, 200 * time.Millisecond
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(pause)
+		_, _ = w.Write([]byte("1"))
+	}))
+	defer s.Close()
+	c := &Client{Address: s.Listener.Addr().String()}
+	defer c.Close()
+	_, err := c.Do(t.Context(), order(1, false), timeout)
+	assert.NilError(t, err)
+}
+
 // TestSilentServerGetsNoRequest guards against a request that may be carried out later, though no process has identified
 // itself in time.
 func TestSilentServerGetsNoRequest(t *testing.T) {
@@ -128,5 +189,5 @@
 	assert.NilError(t, err)
 	l.blackhole()
 	_, err = c.Do(t.Context(), order(1, false), 100*time.Millisecond)
-	assert.Assert(t, errkind.Is(err, errkind.NoTarget), "%v", err)
+	assert.Assert(t, errkind.Is(err, errkind.BadResponse), "%v", err)
 }
--- a/services/port/worker.go
+++ b/services/port/worker.go
@@ -53,17 +53,18 @@
 
 // Results of orders.
 const (
-	Accepted         Result = "taken"     // done, now or before
-	TokenTooLow      Result = "too-low"   // nothing done: a higher token has been seen
-	Outdated         Result = "outdated"  // nothing done: this run or a later one has ended there
-	DeadlinePassed   Result = "late"      // nothing done: the deadline has passed
-	NoCapacity       Result = "no-room"   // nothing done: no free capacity
-	BadTicket        Result = "ticket"    // nothing done: the ticket is not valid
-	Refused          Result = "refused"   // nothing done: the worker is unhealthy or the order is invalid
-	OtherIncarnation Result = "other"     // the worker's incarnation has ended
-	Restarted        Result = "restarted" // nothing done: another incarnation than the order's responds under the worker's ID
-	Unknown          Result = "unknown"   // no response: it may be done, now or later
-	Unreachable      Result = "unreached" // nothing done: no connection was available
+	Accepted         Result = "taken"               // done, now or before
+	TokenTooLow      Result = "too-low"             // nothing done: a higher token has been seen
+	Outdated         Result = "outdated"            // nothing done: this run or a later one has ended there
+	DeadlinePassed   Result = "late"                // nothing done: the deadline has passed
+	NoCapacity       Result = "no-room"             // nothing done: no free capacity
+	BadTicket        Result = "ticket"              // nothing done: the ticket is not valid
+	Refused          Result = "refused"             // nothing done: the worker is unhealthy or the order is invalid
+	OtherIncarnation Result = "other"               // nothing done: a worker with another ID has received it
+	Restarted        Result = "restarted"           // not sent: another incarnation than the order's responds under the worker's ID
+	Unidentified     Result = "unknown-incarnation" // not sent: no incarnation of the worker has identified itself in time
+	Unknown          Result = "unknown"             // no response: it may be done, now or later
+	Unreachable      Result = "unreached"           // nothing done: no connection was available
 )
 
 // Response is the response to an order.
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -40,11 +40,15 @@
 	}
 	previous := w.latestDeadline
 	w.extendedBy = 0
-	if w.hasResponded && w.unresponsiveSince.IsZero() && !w.restartSuspected && !w.leaseRecorded && len(w.runs) > 0 && !p.Isolated {
+	ackOverAny := request.Acknowledged > 0 && w.lostPolls >= maxLostPolls
+	if w.hasResponded && w.unresponsiveSince.IsZero() && !w.restartSuspected && !w.leaseRecorded && len(w.runs) > 0 && !p.Isolated && !ackOverAny {
 		request.Deadline = w.extendDeadline(now, p.Limits.Lease)
 		w.extendedBy = p.eventSeq
 	}
-	if (request.Acknowledged > 0 || request.Deadline > 0) && w.startedAt > 0 && w.lostPolls < maxLostPolls {
+	switch {
+	case ackOverAny:
+		w.lostPolls = 0
+	case w.startedAt > 0 && (request.Acknowledged > 0 || request.Deadline > 0):
 		request.Connection = w.listedOver
 	}
 	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.hasMoreEnds || w.restartSuspected {
@@ -123,8 +127,9 @@
 }
 
 // noteFirstResponse processes the first response of a worker. Runs started before may have a lease
-// that was sent just before this poll and refers to the clock of an earlier incarnation; the worker
-// cuts it to the longest lease that it accepts.
+// that was sent just before this poll. It may refer to the clock of an earlier incarnation, if it came
+// from an owner of a version whose deadlines were not kept from others; the worker cuts such a one to
+// the longest lease that it accepts.
 func (p *Pool) noteFirstResponse(w *workerState, startedAt int64) {
 	lease := p.Limits.Lease
 	if w.startedAt > 0 {
--- a/services/scheduler/responses.go
+++ b/services/scheduler/responses.go
@@ -22,7 +22,8 @@
 	}
 	p.noteContact(w, a, now)
 	overtaken := a.Result == port.TokenTooLow && o.tokenRaises < w.tokenRaises // refused because this owner has sent an order with a higher token
-	if o.isStart() && (a.Result == port.OtherIncarnation || a.Result == port.Restarted || overtaken) && !o.Run.unconfirmed {
+	restarted := a.Result == port.Restarted && o.Run.phase != running
+	if o.isStart() && (a.Result == port.OtherIncarnation || restarted || overtaken) && !o.Run.unconfirmed {
 		p.clearNeverStarted(o.Run)
 	}
 	if o.Run.phase == finished {
@@ -40,7 +41,7 @@
 	case o.Stop:
 		return p.handleStopResponse(o.Run, a, now)
 	case o.CPUShare:
-		return a.Result == port.Unknown || a.Result == port.Unreachable
+		return a.Result == port.Unknown || a.Result == port.Unreachable || a.Result == port.Unidentified
 	}
 	return p.handleStartResponse(o.Run, a, now)
 }
@@ -53,16 +54,15 @@
 		Int64("born", u.worker.startedAt).Err(a.Err).Str("outcome", "not sent").Msg("order is for another incarnation of its worker than the one that responds")
 	p.suspectRestart(u.worker)
 	p.markPending(u.worker)
-	if !o.isStart() {
-		p.queueOrder(u.worker, o)
+	switch {
+	case o.isStart() && u.phase == running: // a poll has shown the run, started by an earlier try
 		return
-	}
-	u.sent = u.unconfirmed
-	if u.sent {
-		p.queueOrder(u.worker, o)
+	case o.isStart() && !u.unconfirmed:
+		u.sent = false
+		p.abandon(u, now, "its worker has restarted")
 		return
 	}
-	p.abandon(u, now, "its worker has restarted")
+	p.queueOrder(u.worker, o)
 }
 
 // clearNeverStarted records that no order for a run reached the incarnation it was meant for: that
@@ -98,6 +98,9 @@
 	case port.Unknown:
 		u.unconfirmed = true
 		return true
+	case port.Unidentified:
+		u.sent = u.unconfirmed
+		return true
 	case port.Outdated:
 		// The run is over on its worker, or the worker knows a later one: the next poll shows
 		// which.
@@ -154,7 +157,7 @@
 		u.ackSeq = p.eventSeq
 		u.worker.pollWanted = true
 		return false
-	case port.Unknown, port.Unreachable, port.Refused:
+	case port.Unknown, port.Unreachable, port.Unidentified, port.Refused:
 		return true
 	case port.OtherIncarnation:
 		p.endIncarnation(u.worker, now, exitConfirmed, "another incarnation responds")
--- a/services/scheduler/restart.go
+++ b/services/scheduler/restart.go
@@ -251,10 +251,11 @@
 // Nor does an acknowledgement or a deadline name an incarnation; a later one would cut a deadline on the clock of an
 // earlier one to the longest lease. Both are sent over the connection that carried the newest list only, which reaches no
 // later incarnation; what is lost with its connection is sent again after the next list. The checks below remain for a
-// link that does not tell its connections, and for a worker that keeps none.
+// link that does not tell its connections, and for a worker that keeps none: such a worker gets no orders and no deadlines.
 
-// maxLostPolls is how many polls in a row may lose their deadlines and acknowledgements with their connections before these
-// are sent over any connection: the worker keeps none open, and would never learn which ends are persisted.
+// maxLostPolls is how many polls in a row may lose their deadlines and acknowledgements with their connections before one
+// carries the acknowledgement alone over any connection: the worker keeps none open, and would never learn which ends are
+// persisted.
 const maxLostPolls = 10
 
 // noteDelivered records what a poll has acknowledged to the known incarnation. A deadline that was not delivered is sent
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -197,6 +197,43 @@
 	assert.Equal(t, d.StartOrder(order, d.now).StartedAt, int64(2000))
 }
 
+// TestUnidentifiedWorkerIsTriedAgain guards against a sound worker that counts as unresponsive since one response was late: an
+// order that was not sent counts like one without a response, but its run has not started.
+func TestUnidentifiedWorkerIsTriedAgain(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 1)
+	order := d.sendOrder()
+	late := port.Response{Result: port.Unidentified}
+	assert.Assert(t, d.HandleOrderResponse(order, late, d.now))
+	d.Retry(order, d.now)
+	assert.Assert(t, d.workers["w"].unresponsiveSince.IsZero())
+	again, has := d.NextOrder("w", d.now)
+	assert.Assert(t, has)
+	d.StartOrder(again, d.now)
+	assert.Assert(t, d.HandleOrderResponse(again, late, d.now))
+	d.Retry(again, d.now)
+	assert.Assert(t, !d.workers["w"].unresponsiveSince.IsZero())
+	assert.Equal(t, len(d.workers["w"].runs), 0, "no order was sent, so the task waits again")
+}
+
+// TestRunThatWasSeenIsKeptAtRestart guards against a run that is dropped as never started, with its checkpoint and its crash,
+// though a poll has shown it: a try of its order got no response, and a later one finds another incarnation.
+func TestRunThatWasSeenIsKeptAtRestart(t *testing.T) {
+	d := newTestPool(t, 1)
+	d.registerStart(1000)
+	d.submit("1", 1)
+	order := d.sendOrder()
+	assert.Assert(t, d.HandleOrderResponse(order, port.Response{Result: port.Unknown}, d.now))
+	d.Retry(order, d.now)
+	again, _ := d.NextOrder("w", d.now)
+	d.StartOrder(again, d.now)
+	d.confirmListing(1000, worker.PollResult{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}})
+	assert.Assert(t, !d.HandleOrderResponse(again, port.Response{Result: port.Restarted}, d.now))
+	assert.Equal(t, len(d.workers["w"].runs), 1)
+	assert.Assert(t, d.workers["w"].restartSuspected)
+}
+
 // TestUnansweredOrderIsNotRepeatedAtAnotherIncarnation guards against a run that starts on the next incarnation of its worker
 // (TWICE), since its order got no response from the one before and is sent again.
 func TestUnansweredOrderIsNotRepeatedAtAnotherIncarnation(t *testing.T) {
@@ -231,6 +268,29 @@
 	assert.Equal(t, d.workers["w"].acknowledgedEnd, 1)
 }
 
+// TestDeadlinesStayWithTheirConnection guards against a deadline that reaches another incarnation (TWICE) once many polls have
+// lost their connections: only acknowledgements go over any connection then, and only one poll carries them so.
+func TestDeadlinesStayWithTheirConnection(t *testing.T) {
+	d := newTestPoolWithRun(t)
+	listing := worker.PollResult{StartedAt: 1000, Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}}
+	unbound := 0
+	for n := range 3 * maxLostPolls {
+		if n == maxLostPolls+2 {
+			listing.Ends = []worker.EndedRun{{Sequence: 1, Task: "2.0.0.0", Number: 1, Reason: worker.Done}}
+		}
+		listing.Connection = uint64(n + 1)
+		k, request, _ := d.BeginPoll("w", 0, d.now)
+		if n > 0 && request.Connection == 0 {
+			assert.Equal(t, request.Deadline, time.Duration(0))
+			unbound++
+		}
+		d.EndPoll(k, listing, accepted, d.now)
+		d.persist()
+	}
+	assert.Equal(t, unbound, 1)
+	assert.Equal(t, d.workers["w"].acknowledgedEnd, 1)
+}
+
 // TestIncarnationsOfOneMillisecond guards against a task that is lost or runs twice since its worker has restarted with the
 // same start time: only the clock, which starts anew, shows the restart.
 func TestIncarnationsOfOneMillisecond(t *testing.T) {
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -147,7 +147,8 @@
 
 // noteContact records what a response shows of its worker.
 func (p *Pool) noteContact(w *workerState, a port.Response, now time.Time) {
-	if a.Result == port.Unknown || a.Result == port.Unreachable || a.Result == port.Restarted {
+	switch a.Result {
+	case port.Unknown, port.Unreachable, port.Restarted, port.Unidentified:
 		return
 	}
 	if a.Result != port.OtherIncarnation {
