--- a/models/job/check.go
+++ b/models/job/check.go
@@ -6,14 +6,17 @@
 import (
 	"fmt"
 	"time"
+	"unsafe"
 )
 
+// MaxSteps is the largest number of steps of a job.
+const MaxSteps = 1000
+
 // The bounds of a submission. Those of sizes only prevent sums from overflowing; the maximum length
 // of a specification is the platform's.
 const (
 	idDigits    = 16
-	maxSpec     = 4000 // bytes
-	maxSteps    = 1000
+	maxSpec     = 4000      // bytes
 	maxCount    = 100_000   // tasks of a step
 	maxTasks    = 1_000_000 // of all rounds together
 	maxCPU      = 1 << 30   // thousandths of a core
@@ -41,6 +44,24 @@
 	return size
 }
 
+// CheckSteps returns an error for a number of steps that a job may not have, and nil for another one.
+func CheckSteps(n int) error {
+	if n == 0 || n > MaxSteps {
+		return fmt.Errorf("job has %d steps; 1 to %d are allowed", n, MaxSteps)
+	}
+	return nil
+}
+
+// Memory returns what a submission takes in memory, in bytes.
+func (s *Submission) Memory() int64 {
+	size := int64(unsafe.Sizeof(*s)) + int64(len(s.Spec))
+	for i := range s.Steps {
+		o := &s.Steps[i]
+		size += int64(unsafe.Sizeof(*o)) + int64(cap(o.DependsOn))*int64(unsafe.Sizeof(0)) + int64(len(o.Label)+len(o.Rack)+len(o.Image))
+	}
+	return size
+}
+
 // CheckID returns an error for an invalid job ID, and nil for a valid one.
 func CheckID(id string) error {
 	if len(id) != idDigits {
@@ -63,8 +84,8 @@
 	if len(s.Spec) > maxSpec {
 		return fmt.Errorf("specification has %d bytes; at most %d are allowed", len(s.Spec), maxSpec)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return fmt.Errorf("job has %d steps; 1 to %d are allowed", len(s.Steps), maxSteps)
+	if err := CheckSteps(len(s.Steps)); err != nil {
+		return err
 	}
 	if size := s.encodedSize(); size > maxEncoded {
 		return fmt.Errorf("job takes %d bytes with its steps, their names and the steps that they follow; at most %d are allowed", size, maxEncoded)
