Connections, heads and responses that stall are bounded

A client that did not read its response held it for ever, and one whose body no handler reads held its connection for 5 s.

Now, at the limit, a new connection takes the place of the one that has awaited its first head for the longest, at least 20 ms; without one it is told that there are too many, and beyond an eighth more it is closed at accept. Heads of more than 64 lines count 256 bytes a line against the same budget as bodies: their fields are kept in a map. A write of 64 kB ends after a timeout. The rest of a body that no handler reads has 500 ms. With a budget, receive buffers are 8 kB, and 32 kB while a longer body arrives: what is sent beyond waits in the client.

--- a/modules/httpserve/conn.go
+++ b/modules/httpserve/conn.go
@@ -4,6 +4,8 @@
 package httpserve
 
 import (
+	"bytes"
+	"container/list"
 	stderrors "errors"
 	"net"
 	"net/http"
@@ -20,6 +22,29 @@
 	stopping time.Time // when Accept noticed the shutdown
 }
 
+// The receive buffers of connections that bound what they hold. What a caller sends beyond them waits in the caller.
+const (
+	// readBufferBytes is for heads and short bodies: some kilobytes.
+	readBufferBytes = 8 << 10
+	// bodyBufferBytes is while a longer body arrives, so that it takes few round trips.
+	bodyBufferBytes = 32 << 10
+	// longRequestBytes is what has been read of a request when the larger buffer is set.
+	longRequestBytes = 16 << 10
+)
+
+// What the head of a request holds. Its fields are kept in a map, which takes many times the bytes of short fields.
+const (
+	headLineBytes = 256 // of a line, at most
+	freeHeadLines = 64  // of a head, which are not counted
+)
+
+// excessShare is the part of the limit of connections that may be open beyond it, to be told that there are too many.
+// Any more are closed at once.
+const excessShare = 1.0 / 8
+
+// minExcess is the least number of connections beyond the limit.
+const minExcess = 8
+
 // Time limits for accepting the connections in the kernel's backlog during a shutdown; the
 // kernel would reset them when the listener is closed.
 const (
@@ -31,10 +56,28 @@
 	maxBacklogTime = 100 * time.Millisecond
 )
 
-// Accept accepts the next connection; during a shutdown it accepts those in the backlog.
+// Accept accepts the next connection, and closes those far beyond the limit.
+func (a *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := a.accept()
+		if err != nil {
+			return nil, err
+		}
+		switch excess := a.server.excess(); {
+		case excess < 0, a.server.endOldestHead():
+		case excess >= a.server.mostExcess():
+			a.server.closedAtAccept.Add(1)
+			_ = raw.Close()
+			continue
+		}
+		return a.server.track(raw), nil
+	}
+}
+
+// accept accepts the next connection; during a shutdown it accepts those in the backlog.
 // The listener has a deadline only for this purpose, and the first one has already passed
 // when it is set.
-func (a *listener) Accept() (net.Conn, error) {
+func (a *listener) accept() (*net.TCPConn, error) {
 	raw, err := a.AcceptTCP()
 	if stderrors.Is(err, os.ErrDeadlineExceeded) && a.mayAccept() {
 		// SetDeadline fails only if the listener is closed.
@@ -44,10 +87,7 @@
 	if stderrors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, net.ErrClosed // net/http would retry after a timeout
 	}
-	if err != nil {
-		return nil, err
-	}
-	return a.server.track(raw), nil
+	return raw, err
 }
 
 // mayAccept reports whether the backlog is still being accepted during a shutdown.
@@ -79,20 +119,56 @@
 	idleSince    time.Time // when it became idle
 	readDeadline time.Time // the deadline that net/http has set
 	shortened    bool      // an earlier deadline is in force, since the connection is to end
+	lines        int       // of the head of the request, read so far
+	held         int64     // taken of the server's memory for it
+	bytes        int       // read of the request so far
+	longBody     bool      // the larger receive buffer is set
+	gone         bool      // Close was called
+
+	// Of the connection in Server.heads while its head is awaited; Server.mu guards them.
+	head      *list.Element
+	headSince time.Time
 }
 
+// errNoMemory is the error of a read of a head with more lines than there is memory for.
+var errNoMemory = stderrors.New("too little memory for the head of a request")
+
 // Read reads from the connection and records that a request has started.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.requestStarted()
+	if n > 0 && !c.requestRead(p[:n]) {
+		// Readers of lines may read on after an error.
+		_ = c.TCPConn.SetReadDeadline(time.Now())
+		return 0, errNoMemory
 	}
 	return n, err
 }
 
-// requestStarted records that a part of a request was read. From then on the connection is
-// kept until the response is written.
-func (c *conn) requestStarted() {
+// writePiece is the most that is written within one timeout.
+const writePiece = 64 << 10
+
+// Write writes to the connection, each piece within the server's timeout.
+func (c *conn) Write(p []byte) (int, error) {
+	timeout := c.server.WriteTimeout
+	if timeout == 0 {
+		return c.TCPConn.Write(p)
+	}
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePiece)]
+		// If the deadline can't be set, the write fails as well.
+		_ = c.SetWriteDeadline(time.Now().Add(timeout))
+		n, err := c.TCPConn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// requestRead records that a part of a request was read, and reports whether there is memory for it. From then on the
+// connection is kept until the response is written.
+func (c *conn) requestRead(part []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == awaitingFirst || c.phase == idle {
@@ -103,6 +179,42 @@
 		// If the deadline cannot be set, the next read fails as well.
 		_ = c.TCPConn.SetReadDeadline(c.readDeadline)
 	}
+	if c.server.Memory == nil {
+		return true
+	}
+	c.bytes += len(part)
+	if c.bytes > longRequestBytes && c.phase == serving && !c.longBody {
+		c.longBody = true
+		// The body arrives with any buffer.
+		_ = c.TCPConn.SetReadBuffer(bodyBufferBytes)
+	}
+	return c.phase != readingHeader || c.countLines(part)
+}
+
+// countLines counts the lines of a part of a head, and reports whether there is memory for them. The caller holds c.mu.
+func (c *conn) countLines(part []byte) bool {
+	if end := bytes.Index(part, []byte("\r\n\r\n")); end >= 0 {
+		part = part[:end]
+	}
+	c.lines += bytes.Count(part, []byte{'\n'})
+	if c.gone {
+		return false
+	}
+	more := int64(max(c.lines-freeHeadLines, 0))*headLineBytes - c.held
+	if more <= 0 {
+		return true
+	}
+	if !c.server.Memory.Take(more, 1) {
+		return false
+	}
+	c.held += more
+	return true
+}
+
+// requestEnded gives back what the connection holds for a request. The caller holds c.mu.
+func (c *conn) requestEnded() {
+	c.server.Memory.Add(-c.held)
+	c.lines, c.held, c.bytes = 0, 0, 0
 }
 
 // SetReadDeadline sets the deadline, or an earlier one if the server has a shorter timeout
@@ -116,17 +228,30 @@
 		}
 	}
 	c.readDeadline, c.shortened = t, false
+	if c.longBody && t.IsZero() { // the body has ended
+		c.longBody, c.bytes = false, 0
+		_ = c.TCPConn.SetReadBuffer(readBufferBytes)
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
 // Close closes the connection.
 func (c *conn) Close() error {
-	c.closed.Do(func() { c.server.untrack(c) })
+	c.closed.Do(func() {
+		c.mu.Lock()
+		c.requestEnded()
+		c.gone = true
+		c.mu.Unlock()
+		c.server.untrack(c)
+	})
 	return c.TCPConn.Close()
 }
 
 // setState records the connection state that net/http reports.
 func (c *conn) setState(state http.ConnState) {
+	if state == http.StateActive {
+		c.server.headRead(c)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -134,6 +259,7 @@
 		c.phase = serving
 	case http.StateIdle:
 		c.phase, c.idleSince = idle, time.Now()
+		c.requestEnded()
 	}
 }
 
--- a/modules/httpserve/httpserve.go
+++ b/modules/httpserve/httpserve.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"context"
 	stderrors "errors"
 	"io"
@@ -16,6 +17,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/inflight"
 )
@@ -27,7 +29,11 @@
 	ReadTimeout    time.Duration // for the header and the body of a request
 	IdleTimeout    time.Duration // between requests, 0 for no limit
 	MaxConnections int           // open connections, 0 for no limit
-	IdleGrace      time.Duration // how long Shutdown waits for requests on keep-alive connections, 0 for a second
+	WriteTimeout   time.Duration // for each write of a part of a response, 0 for no limit
+	// Memory is what heads of many lines hold of a memory that others may share, nil for no limit. With a limit the
+	// receive buffers of the connections are bounded too.
+	Memory    *budget.Budget
+	IdleGrace time.Duration // how long Shutdown waits for requests on keep-alive connections, 0 for a second
 	// CurrentTimeouts returns the timeouts for headers and for idle connections that apply
 	// from now on if they are shorter than those above, 0 for none; it may be nil.
 	CurrentTimeouts func() (header, idle time.Duration)
@@ -38,11 +44,13 @@
 	cancelRequests    context.CancelFunc
 	connectionLimit   atomic.Int64 // set by SetMaxConnections, 0 for none
 	disableKeepAlives atomic.Bool
+	closedAtAccept    atomic.Int64
 	openConns         inflight.Counter
 	acceptDone        chan struct{} // closed once no more connections are accepted
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
+	heads    list.List // of the *conn whose first head is awaited, the oldest in front
 	running  bool
 	stopping bool
 }
@@ -57,6 +65,12 @@
 		return "", errors.Trace(err)
 	}
 	s.listener = &listener{TCPListener: l.(*net.TCPListener), server: s}
+	if s.Memory != nil {
+		if err := setReadBuffer(s.listener.TCPListener, readBufferBytes); err != nil {
+			_ = l.Close()
+			return "", errors.Annotate(err, "receive buffers")
+		}
+	}
 	s.acceptDone = make(chan struct{})
 	s.conns = make(map[*conn]bool)
 	s.requestContext, s.cancelRequests = context.WithCancel(context.Background())
@@ -228,11 +242,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = true
+	c.head, c.headSince = s.heads.PushBack(c), time.Now()
 	return c
 }
 
+// headRead records that the first head of a connection has arrived, or that the connection has ended.
+func (s *Server) headRead(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.head != nil {
+		s.heads.Remove(c.head)
+		c.head = nil
+	}
+}
+
+// headTime is the least time for the head of a new connection to arrive while there are too many connections.
+const headTime = 20 * time.Millisecond
+
+// endOldestHead closes the connection whose first head has been awaited for the longest, and reports whether there is one.
+// Connections without a request leave their place to those with one.
+func (s *Server) endOldestHead() bool {
+	s.mu.Lock()
+	front := s.heads.Front()
+	var c *conn
+	if front != nil {
+		c = front.Value.(*conn)
+	}
+	if c == nil || time.Since(c.headSince) < headTime {
+		s.mu.Unlock()
+		return false
+	}
+	s.heads.Remove(front)
+	c.head = nil
+	s.mu.Unlock()
+	s.closedAtAccept.Add(1)
+	_ = c.Close() // nothing can be done about an error here
+	return true
+}
+
 // untrack unregisters a closed connection.
 func (s *Server) untrack(c *conn) {
+	s.headRead(c)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -270,6 +320,25 @@
 	return s.MaxConnections
 }
 
+// ClosedAtAccept returns how many connections were closed since there were far more than the limit.
+func (s *Server) ClosedAtAccept() int64 { return s.closedAtAccept.Load() }
+
+// Connections returns how many connections are open.
+func (s *Server) Connections() int { return s.connectionCount() }
+
+// excess returns how many connections are open beyond the limit, a negative number below it.
+func (s *Server) excess() int {
+	if limit := s.maxConnections(); limit > 0 {
+		return s.connectionCount() - limit
+	}
+	return -1
+}
+
+// mostExcess returns how many connections beyond the limit may be open, to be told that there are too many.
+func (s *Server) mostExcess() int {
+	return max(int(float64(s.maxConnections())*excessShare), minExcess)
+}
+
 // markExcess marks the context of a connection beyond the limit.
 func (s *Server) markExcess(ctx context.Context, _ net.Conn) context.Context {
 	if limit := s.maxConnections(); limit > 0 && s.connectionCount() > limit {
@@ -280,7 +349,7 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 {
-		s.boundBody(w, r)
+		defer s.boundBody(w, r).endUnread()
 	}
 	if r.Context().Value(excessConnection{}) != nil {
 		w.Header().Set("Connection", "close")
@@ -323,12 +392,18 @@
 // Unwrap supports http.ResponseController.
 func (a *responseWriter) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
+// unreadTime is how long the rest of a body that the handler has not read may still arrive, so that the caller reads
+// the response before its connection is reset.
+const unreadTime = 500 * time.Millisecond
+
 // boundBody sets a read deadline, so that reading a slow body fails.
-func (s *Server) boundBody(w http.ResponseWriter, r *http.Request) {
+func (s *Server) boundBody(w http.ResponseWriter, r *http.Request) *boundedBody {
 	control := http.NewResponseController(w)
 	// Only connections in tests have no deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(s.ReadTimeout))
-	r.Body = &boundedBody{ReadCloser: r.Body, control: control}
+	b := &boundedBody{ReadCloser: r.Body, control: control}
+	r.Body = b
+	return b
 }
 
 // boundedBody removes the deadline from the connection at the end of the body, because
@@ -336,13 +411,24 @@
 type boundedBody struct {
 	io.ReadCloser
 	control *http.ResponseController
+	ended   atomic.Bool // by its end or an error
 }
 
 // Read reads from the body.
 func (b *boundedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
 	if stderrors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
+
+// endUnread bounds the time that net/http reads on in a body that the handler has left.
+func (b *boundedBody) endUnread() {
+	if !b.ended.Load() {
+		_ = b.control.SetReadDeadline(time.Now().Add(unreadTime))
+	}
+}
