Messages between nodes are read within a budget of memory

Cause: each of 1,200 connections took 64 kB for a length that it stated and up to 64 MB as it sent, with two minutes between two bytes.

Now a message of more than 4 kB counts against a budget as it arrives and until its call is handled; a connection without room is closed. A message has 10 s to arrive from its first byte.

conn_test.go calls readMessage through the zero limits, which bound nothing, as before.

--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/log"
 	"github.com/yardbridge/yardbridge/modules/rpcconn"
@@ -26,6 +27,9 @@
 	// OpenListener opens a listener at an address; nil opens one over TCP.
 	OpenListener func(address string) (net.Listener, error)
 
+	// Memory is what calls of more than some kilobytes hold while they arrive and are handled; nil has no limit.
+	Memory *budget.Budget
+
 	// OnCall is called after each call with its method and the bytes of its parameters and its result; it may
 	// be nil.
 	OnCall func(method string, received, sent int)
@@ -61,7 +65,7 @@
 // Run accepts connections until the context ends.
 func (s *Server) Run(ctx context.Context) {
 	wrap := func(_ context.Context, raw net.Conn) (net.Conn, error) { return boundedConn{raw}, nil }
-	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger}).Run(ctx, s.listener)
+	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger, Memory: s.Memory}).Run(ctx, s.listener)
 }
 
 // handle handles one call.
--- a/modules/rpcconn/conn.go
+++ b/modules/rpcconn/conn.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -17,6 +16,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/log"
 )
 
@@ -30,6 +30,7 @@
 	stream io.ReadWriteCloser
 	handle Handler // nil rejects all calls of the peer
 	logger *log.Logger
+	limits limits
 
 	sending sync.Mutex // is held during a write
 
@@ -47,11 +48,24 @@
 	Params json.RawMessage `json:"params"`
 	Result json.RawMessage `json:"result"`
 	Error  *jsonrpc2.Error `json:"error"`
+
+	held int64 // of the memory of limits
+}
+
+// limits bounds what a peer may hold; the zero value does not.
+type limits struct {
+	memory       *budget.Budget   // of its messages of more than firstBuffer bytes
+	boundMessage func(begun bool) // is called when a message begins and has ended; nil for none
 }
 
 // newConn returns a connection that reads until it is closed.
 func newConn(ctx context.Context, stream io.ReadWriteCloser, handle Handler, logger *log.Logger) *conn {
-	c := &conn{stream: stream, handle: handle, logger: logger, pending: make(map[uint64]chan *message), disconnected: make(chan struct{})}
+	return newLimitedConn(ctx, stream, handle, logger, limits{})
+}
+
+// newLimitedConn returns a connection like newConn, whose peer is bounded.
+func newLimitedConn(ctx context.Context, stream io.ReadWriteCloser, handle Handler, logger *log.Logger, l limits) *conn {
+	c := &conn{stream: stream, handle: handle, logger: logger, limits: l, pending: make(map[uint64]chan *message), disconnected: make(chan struct{})}
 	go c.run(ctx)
 	return c
 }
@@ -62,14 +76,18 @@
 	defer cancel()
 	reader := bufio.NewReader(c.stream)
 	for {
-		m, err := readMessage(reader)
+		m, err := c.limits.readMessage(reader)
 		if err != nil {
 			_ = c.end(err)
 			return
 		}
 		if m.Method != nil {
-			go c.serve(ctx, m)
+			go func() {
+				defer c.limits.memory.Add(-m.held)
+				c.serve(ctx, m)
+			}()
 		} else {
+			c.limits.memory.Add(-m.held)
 			c.respond(m)
 		}
 	}
@@ -77,14 +95,14 @@
 
 // firstBuffer is the size of the buffer for a message until its content has arrived: a length that
 // is wrong must not take memory.
-const firstBuffer = 64 << 10
+const firstBuffer = 4 << 10
 
 // maxMessage is the largest message, as large as the largest response that is read from the platform: without
 // a bound one connection could use up the memory of the process.
 const maxMessage = 64 << 20
 
 // readMessage reads one message.
-func readMessage(reader *bufio.Reader) (*message, error) {
+func (l limits) readMessage(reader *bufio.Reader) (*message, error) {
 	length, err := binary.ReadUvarint(reader)
 	if err != nil {
 		return nil, err
@@ -92,18 +110,48 @@
 	if length > maxMessage {
 		return nil, fmt.Errorf("message of %d bytes; allowed are %d", length, maxMessage)
 	}
-	var data bytes.Buffer
-	data.Grow(int(min(length, firstBuffer)))
-	if _, err := io.CopyN(&data, reader, int64(length)); err != nil {
-		return nil, err
+	if l.boundMessage != nil {
+		l.boundMessage(true)
+		defer l.boundMessage(false)
+	}
+	data, held, err := l.readContent(reader, int(length))
+	m := &message{held: held}
+	if err == nil {
+		err = json.Unmarshal(data, m)
 	}
-	m := new(message)
-	if err := json.Unmarshal(data.Bytes(), m); err != nil {
+	if err != nil {
+		l.memory.Add(-held)
 		return nil, err
 	}
 	return m, nil
 }
 
+// readContent reads the content of a message, and returns what it holds of the memory, also with an error. The buffer
+// grows with what has arrived; while it is copied, there are two.
+func (l limits) readContent(reader *bufio.Reader, length int) (data []byte, held int64, err error) {
+	data = make([]byte, 0, min(length, firstBuffer))
+	for len(data) < length {
+		if len(data) == cap(data) {
+			size := min(2*cap(data), length)
+			if !l.memory.Take(int64(size), 1) {
+				return nil, held, fmt.Errorf("too little memory for a message of %d bytes", length)
+			}
+			data = append(make([]byte, 0, size), data...)
+			l.memory.Add(-held)
+			held = int64(size)
+		}
+		n, err := reader.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, held, err
+		}
+	}
+	return data, held, nil
+}
+
 // serve handles a call of the peer and sends the response.
 func (c *conn) serve(ctx context.Context, m *message) {
 	r := &jsonrpc2.Request{Method: *m.Method, Notif: len(m.ID) == 0}
--- a/modules/rpcconn/conn_test.go
+++ b/modules/rpcconn/conn_test.go
@@ -101,7 +101,7 @@
 		data := append(binary.AppendUvarint(nil, length), "{}"...)
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		_, err := readMessage(bufio.NewReader(bytes.NewReader(data)))
+		_, err := limits{}.readMessage(bufio.NewReader(bytes.NewReader(data)))
 		runtime.ReadMemStats(&after)
 		assert.Assert(t, err != nil)
 		assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 1<<20, "%d bytes", after.TotalAlloc-before.TotalAlloc)
@@ -123,7 +123,7 @@
 func TestLongMessageIsNotRead(t *testing.T) {
 	var blanks countingReader
 	length := binary.AppendUvarint(nil, 100<<20)
-	_, err := readMessage(bufio.NewReader(io.MultiReader(bytes.NewReader(length), &blanks)))
+	_, err := limits{}.readMessage(bufio.NewReader(io.MultiReader(bytes.NewReader(length), &blanks)))
 	assert.Assert(t, blanks.count < 1<<20, "%d bytes were read", blanks.count)
 	assert.ErrorContains(t, err, "message of 104857600 bytes; allowed are 67108864")
 }
--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/log"
 )
 
@@ -30,6 +31,9 @@
 	IdleTimeout time.Duration
 	// MaxConnections is how many connections may be open, 0 for defaultMaxConnections.
 	MaxConnections int64
+	// Memory is what calls of more than firstBuffer bytes hold while they arrive and are handled, nil for no limit. A
+	// connection with a call for which there is too little is closed.
+	Memory *budget.Budget
 
 	open atomic.Int64
 }
@@ -46,6 +50,9 @@
 	// defaultMaxConnections lets each of 300 processes have two connections here, for calls
 	// and for probes, and as many unresponsive ones that are not closed yet.
 	defaultMaxConnections = 1200
+	// messageTimeout bounds the time in which a message arrives that has begun. A large one takes a second on the slowest
+	// links.
+	messageTimeout = 10 * time.Second
 )
 
 // Run accepts connections until the context ends.
@@ -81,8 +88,8 @@
 		_ = c.raw.Close()
 		return
 	}
-	conn = idleConn{conn, cmp.Or(c.s.IdleTimeout, defaultIdleTimeout)}
-	rpc := newConn(ctx, conn, c.s.handle, c.s.Logger)
+	idle := &idleConn{Conn: conn, timeout: cmp.Or(c.s.IdleTimeout, defaultIdleTimeout)}
+	rpc := newLimitedConn(ctx, idle, c.s.handle, c.s.Logger, limits{c.s.Memory, idle.boundMessage})
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -105,15 +112,29 @@
 	return s.Handle(ctx, r)
 }
 
-// idleConn is a connection whose reads time out when it is idle for too long.
+// idleConn is a connection whose reads time out when it is idle for too long, or a message takes too long. It is used by
+// one goroutine that reads.
 type idleConn struct {
 	net.Conn
 	timeout time.Duration
+	end     time.Time // of the message that has begun, zero for none
+}
+
+// boundMessage bounds the time in which the rest of a message arrives, or ends that bound.
+func (c *idleConn) boundMessage(begun bool) {
+	c.end = time.Time{}
+	if begun {
+		c.end = time.Now().Add(messageTimeout)
+	}
 }
 
 // Read reads from the connection.
-func (c idleConn) Read(p []byte) (int, error) {
+func (c *idleConn) Read(p []byte) (int, error) {
+	end := time.Now().Add(c.timeout)
+	if !c.end.IsZero() && c.end.Before(end) {
+		end = c.end
+	}
 	// Only connections in tests have no deadlines.
-	_ = c.SetReadDeadline(time.Now().Add(c.timeout))
+	_ = c.SetReadDeadline(end)
 	return c.Conn.Read(p)
 }
