What clients may hold follows from a node's memory

What callers saw: clients that nobody controls ended nodes, which ran out of memory: what all of them held at once was bounded by nothing but 2,048 connections at one of four listeners.

Now DivideMemory gives each kind of client a part of the node's memory: 0.12 for requests of callers, 0.05 for calls of other nodes, 0.2 for accepted jobs as before, and callers' connections by memory and descriptors, 2,048 from 200 MB on. The listeners for the readiness probe and for metrics have 256 connections each, and four states or metrics are written at a time. All share the budget for heads, and 5 s for each write.

What the kernel holds wasn't measured.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -14,7 +14,9 @@
 
 	"github.com/juju/errors"
 
+	"github.com/yardbridge/yardbridge/modules/body"
 	"github.com/yardbridge/yardbridge/modules/clock"
+	"github.com/yardbridge/yardbridge/modules/errkind"
 	"github.com/yardbridge/yardbridge/modules/httpconn"
 	"github.com/yardbridge/yardbridge/modules/httpserve"
 	"github.com/yardbridge/yardbridge/modules/log"
@@ -169,19 +171,30 @@
 	readTimeout = 5 * time.Second // for the head of a request to arrive, and for its body
 	idleTimeout = 2 * time.Minute // between the requests of a connection
 	headerBytes = 16 << 10        // of the head of a request, like the operators' limit
-	// callerConnections is the largest number of concurrent connections. Of the 3,900 descriptors
-	// that a process has for sockets, the rest is for workers, other nodes and the store. At about
-	// 30 kB each, 2,048 connections take 60 MB of 284 MB.
-	callerConnections = 2048
+	// writeTimeout is for a part of a response of some kilobytes to be taken over by the caller's system.
+	writeTimeout = 5 * time.Second
+	// probeConnections is the largest number of connections of the readiness probe, and of readers of the metrics. The
+	// platform has one, which it opens anew.
+	probeConnections = 256
+	// stateWriters is how many responses with the metrics or the state are built at a time: each is kept until the reader
+	// has taken it.
+	stateWriters = 4
 )
 
 // open opens the addresses for callers, for the platform's readiness probe and for metrics.
 func (p *nodeProcess) open() error {
+	memory := node.DivideMemory(p.setting)
+	bodies := body.NewReader(memory.Bodies)
 	p.callers = &httpserve.Server{
-		Handler:        &platform.CallerHandler{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter},
-		MaxConnections: callerConnections, CurrentTimeouts: p.callerTimes, IdleGrace: connectionWait,
+		Handler:        &platform.CallerHandler{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter, Bodies: bodies},
+		MaxConnections: memory.Connections, CurrentTimeouts: p.callerTimes, IdleGrace: connectionWait, Memory: bodies.Budget(),
 	}
-	p.ready = &httpserve.Server{Handler: http.HandlerFunc(p.serveReady)}
+	p.ready = &httpserve.Server{Handler: http.HandlerFunc(p.serveReady), MaxConnections: probeConnections, Memory: bodies.Budget()}
+	p.meter.Gauge("bodies.held", bodies.Held)
+	p.meter.Gauge("bodies.refused", bodies.Refused)
+	p.meter.Gauge("callers.connections", func() int64 { return int64(p.callers.Connections()) })
+	p.meter.Gauge("callers.closed", p.callers.ClosedAtAccept)
+	p.meter.Gauge("messages.held", p.node.MessageMemory)
 	listen := p.setting.Listen
 	if err := serveAt(p.callers, listen.Callers); err != nil {
 		return errors.Annotate(err, "address for callers")
@@ -192,7 +205,7 @@
 	if listen.MetricsPort == 0 {
 		return nil
 	}
-	metrics := &httpserve.Server{Handler: p.metricsHandler()}
+	metrics := &httpserve.Server{Handler: few(p.metricsHandler()), MaxConnections: probeConnections, Memory: bodies.Budget()}
 	if err := serveAt(metrics, p.setting.MetricsAddress()); err != nil {
 		// Callers are served even without metrics.
 		p.logger.Error().Str("event", "listen").Str("address", p.setting.MetricsAddress()).Err(err).Msg("the metrics can't be served")
@@ -204,7 +217,7 @@
 
 // serveAt opens the address of a listener.
 func serveAt(s *httpserve.Server, address string) error {
-	s.MaxHeaderBytes, s.ReadTimeout, s.IdleTimeout = headerBytes, readTimeout, idleTimeout
+	s.MaxHeaderBytes, s.ReadTimeout, s.WriteTimeout, s.IdleTimeout = headerBytes, readTimeout, writeTimeout, idleTimeout
 	_, err := s.Listen(address)
 	return err
 }
@@ -230,6 +243,21 @@
 	return paths
 }
 
+// few returns a handler that serves few requests at a time. Others are refused: the response of a reader that takes
+// nothing is kept until its write ends.
+func few(h http.Handler) http.Handler {
+	slots := make(chan struct{}, stateWriters)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			h.ServeHTTP(w, r)
+		default:
+			errkind.Write(w, "", errkind.New(errkind.Overloaded, "%d readers are being served", stateWriters))
+		}
+	})
+}
+
 func (p *nodeProcess) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !p.node.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -44,6 +44,10 @@
 	Ready       string `toml:"ready"`
 	NodePort    int    `toml:"node_port"`    // for other nodes
 	MetricsPort int    `toml:"metrics_port"` // 0 for none
+	// What clients may hold, 0 for the defaults.
+	Connections     int   `toml:"connections"`       // callers at once
+	BodyMemoryMB    int64 `toml:"body_memory_mb"`    // of requests of callers
+	MessageMemoryMB int64 `toml:"message_memory_mb"` // of calls of other nodes
 }
 
 // NodePlatform holds the addresses of the platform and the layout of its store.
@@ -173,6 +177,7 @@
 			c.addProblem("platform", 0, size.key, "%d is not allowed; allowed is 0 for the default, or %d and more", size.value, minStoreBytes)
 		}
 	}
+	n.checkListen(&c)
 	c.checkAddress("listen", "callers", n.Listen.Callers)
 	c.checkAddress("listen", "ready", n.Listen.Ready)
 	c.checkAddress("platform", "store", n.Platform.Store)
@@ -201,6 +206,22 @@
 	return c.problems
 }
 
+// checkListen checks the limits of what clients may hold.
+func (n *Node) checkListen(c *checker) {
+	for _, limit := range []struct {
+		key         string
+		value, most int64
+	}{
+		{"connections", int64(n.Listen.Connections), maxDescriptors},
+		{"body_memory_mb", n.Listen.BodyMemoryMB, maxClientMemoryMB},
+		{"message_memory_mb", n.Listen.MessageMemoryMB, maxClientMemoryMB},
+	} {
+		if limit.value < 0 || limit.value > limit.most {
+			c.addProblem("listen", 0, limit.key, "%d is not allowed; allowed is 0 for the default, to %d", limit.value, limit.most)
+		}
+	}
+}
+
 func (c *checker) checkRange(table, key string, value, high int) {
 	if value < 1 || value > high {
 		c.addProblem(table, 0, key, "%d is not allowed; allowed is 1 to %d", value, high)
@@ -212,6 +233,8 @@
 	maxPartitions = 1 << 16
 	// maxDescriptors is the highest number of descriptors that a process can be given on any system.
 	maxDescriptors = 1 << 30
+	// maxClientMemoryMB is the most memory that clients can be given, in MiB, so that it has a number of bytes.
+	maxClientMemoryMB = 1 << 30
 )
 
 // MaxReadWait returns how long a read of the store may wait for new records: a connection that has
--- a/modules/setting/node_test.go
+++ b/modules/setting/node_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// TestClientLimitSettings guards against limits of clients that are not checked: a negative one would count as none.
+func TestClientLimitSettings(t *testing.T) {
+	with := func(text string) string { return strings.Replace(nodeFile, "[platform]", text+"\n[platform]", 1) }
+	n, err := ParseNode("node.toml", with("connections = 100\nbody_memory_mb = 30\nmessage_memory_mb = 20"))
+	assert.NilError(t, err)
+	assert.Equal(t, n.Listen.Connections, 100)
+	assert.Equal(t, n.Listen.BodyMemoryMB, int64(30))
+	assert.Equal(t, n.Listen.MessageMemoryMB, int64(20))
+	for _, bad := range []string{"connections = -1", "body_memory_mb = -1", "message_memory_mb = -1", "body_memory_mb = 2000000000"} {
+		_, err := ParseNode("node.toml", with(bad))
+		assert.ErrorContains(t, err, "is not allowed; allowed is 0 for the default, to", bad)
+	}
+}
+
 // TestStoreSizeSettings guards against sizes of the store that no record of a job would fit in.
 func TestStoreSizeSettings(t *testing.T) {
 	with := func(text string) string {
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -23,7 +22,6 @@
 	"github.com/yardbridge/yardbridge/modules/budget"
 	"github.com/yardbridge/yardbridge/modules/clock"
 	"github.com/yardbridge/yardbridge/modules/log"
-	"github.com/yardbridge/yardbridge/modules/oslimit"
 	"github.com/yardbridge/yardbridge/modules/setting"
 	"github.com/yardbridge/yardbridge/services/admission"
 	"github.com/yardbridge/yardbridge/services/directory"
@@ -82,7 +80,8 @@
 	catchingUp atomic.Bool                    // a catch-up request to another node is in progress
 	progress   atomic.Pointer[fleet.Progress] // of all pools' instances, while this node holds that role
 
-	jobMemory *budget.Budget // of the jobs of all pools
+	jobMemory     *budget.Budget // of the jobs of all pools
+	messageMemory *budget.Budget // of calls of other nodes
 
 	mu           sync.Mutex
 	newerSetting *setting.Node // settings read since the start, nil for none
@@ -92,23 +91,20 @@
 	stopping     bool
 }
 
-// jobMemoryShare is the part of a node's memory that accepted jobs may take: with as much for the pools of two other
-// nodes that it takes over, it stays below the runtime's memory limit.
-const jobMemoryShare = 0.2
-
-// unknownMemoryMB is the memory of a node that has no limit, in MiB.
-const unknownMemoryMB = 1024
-
 // JobMemory returns what the accepted jobs of all pools take of the node's memory at most, in bytes.
 func (n *Node) JobMemory() int64 { return n.jobMemory.Used() }
 
+// MessageMemory returns what calls of other nodes hold, in bytes.
+func (n *Node) MessageMemory() int64 { return n.messageMemory.Used() }
+
 // New assembles a node; it listens on its address for other nodes, but does nothing else yet.
 func New(s setting.Node, ports Ports, c clock.Clock, logger log.Logger) (*Node, error) {
 	n := &Node{Setting: s, Ports: ports, Clock: c, Logger: logger, workers: make(map[worker.ID]worker.Worker), knownStarts: make(map[worker.ID]bool), owners: make(map[string]*owner.Owner), wakeWorkers: make(chan struct{}, 1)}
-	n.jobMemory = budget.New(int64(float64(cmp.Or(s.Node.MemoryMB, oslimit.MemoryMB(), unknownMemoryMB)<<20) * jobMemoryShare))
+	memory := DivideMemory(s)
+	n.jobMemory, n.messageMemory = budget.New(memory.Jobs), budget.New(memory.Messages)
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
-	n.server = &noderpc.Server{Logger: logger, Methods: n.methods(), OpenListener: ports.Listen, OnCall: n.countCall}
+	n.server = &noderpc.Server{Logger: logger, Memory: n.messageMemory, Methods: n.methods(), OpenListener: ports.Listen, OnCall: n.countCall}
 	if _, err := n.server.Listen(s.PeerAddress()); err != nil {
 		return nil, err
 	}
