A failed accept does not end the listener for other nodes

What callers saw: a node that had no descriptor left for a moment answered no other node any more, for as long as its process lived; its pools could be asked for by nobody else.

Cause: the server of package rpcconn returned at the first error of Accept, whichever it was.

Now it accepts again after 0.2 s, and ends with its context or when the listener is closed.

--- a/modules/rpcconn/limit_test.go
+++ b/modules/rpcconn/limit_test.go
@@ -6,15 +6,20 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
 
 	"github.com/yardbridge/yardbridge/modules/budget"
+	"github.com/yardbridge/yardbridge/modules/log"
 )
 
 // TestLongMessagesTakeMemory guards against peers that each send a part of a long message and wait: what has arrived
@@ -58,3 +63,44 @@
 	}
 	assert.Equal(t, bounded, 0)
 }
+
+// failingListener fails to accept a few times, as it does while the process has no descriptor left.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServerAcceptsAgain guards against a process that is never reached again by others, since a connection could not be
+// accepted once.
+func TestServerAcceptsAgain(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	logger := log.Nop()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &Server{
+		Wrap:   func(_ context.Context, raw net.Conn) (net.Conn, error) { return raw, nil },
+		Handle: func(context.Context, *jsonrpc2.Request) (any, error) { return struct{}{}, nil }, Logger: &logger,
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.Run(ctx, &failingListener{raw, 2})
+		close(ended)
+	}()
+	var dialer net.Dialer
+	c := &Client{Logger: &logger, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}}
+	defer c.Close()
+	var nothing struct{}
+	assert.NilError(t, c.Call(t.Context(), raw.Addr().String(), "work", struct{}{}, &nothing))
+	cancel()
+	<-ended
+}
--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	stderrors "errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -50,18 +51,30 @@
 	// defaultMaxConnections lets each of 300 processes have two connections here, for calls
 	// and for probes, and as many unresponsive ones that are not closed yet.
 	defaultMaxConnections = 1200
+	// acceptRetry is the pause after a connection could not be accepted, mostly since the process has no descriptor left.
+	acceptRetry = 200 * time.Millisecond
 	// messageTimeout bounds the time in which a message arrives that has begun. A large one takes a second on the slowest
 	// links.
 	messageTimeout = 10 * time.Second
 )
 
-// Run accepts connections until the context ends.
+// Run accepts connections until the context ends or the listener is closed.
 func (s *Server) Run(ctx context.Context, l net.Listener) {
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	for {
 		raw, err := l.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+		case ctx.Err() != nil || stderrors.Is(err, net.ErrClosed):
 			return
+		default:
+			s.Logger.Warn().Str("event", "connection").Err(err).Int64("open", s.open.Load()).Str("outcome", "not accepted").
+				Msg("accepting a connection failed; it is tried again")
+			select {
+			case <-time.After(acceptRetry):
+			case <-ctx.Done():
+			}
+			continue
 		}
 		if s.open.Add(1) > cmp.Or(s.MaxConnections, defaultMaxConnections) {
 			s.open.Add(-1)
