Connections to the listeners leave descriptors to the node

What callers saw: connections at all four listeners together may take more descriptors than the machine gives (742 of 600 in TestCrowds): the node then reaches neither the store nor workers.

Cause: each listener had a limit of its own, that of callers with an eighth beyond it, 1,200 for other nodes and 256 each for the readiness probe and the metrics; at 4,100 descriptors they add up to 4,080.

Now they follow from the node's descriptors: half for callers, a quarter for other nodes, a 64th each for the other two, at most what they were. With 4,100 that is 2,048, 1,025 and 64.

--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -29,6 +29,8 @@
 
 	// Memory is what calls of more than some kilobytes hold while they arrive and are handled; nil has no limit.
 	Memory *budget.Budget
+	// MaxConnections is how many connections of other nodes may be open, 0 for the default of package rpcconn.
+	MaxConnections int64
 
 	// OnCall is called after each call with its method and the bytes of its parameters and its result; it may
 	// be nil.
@@ -65,7 +67,7 @@
 // Run accepts connections until the context ends.
 func (s *Server) Run(ctx context.Context) {
 	wrap := func(_ context.Context, raw net.Conn) (net.Conn, error) { return boundedConn{raw}, nil }
-	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger, Memory: s.Memory}).Run(ctx, s.listener)
+	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger, Memory: s.Memory, MaxConnections: s.MaxConnections}).Run(ctx, s.listener)
 }
 
 // handle handles one call.
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -173,9 +173,6 @@
 	headerBytes = 16 << 10        // of the head of a request, like the operators' limit
 	// writeTimeout is for a part of a response of some kilobytes to be taken over by the caller's system.
 	writeTimeout = 5 * time.Second
-	// probeConnections is the largest number of connections of the readiness probe, and of readers of the metrics. The
-	// platform has one, which it opens anew.
-	probeConnections = 256
 	// stateWriters is how many responses with the metrics or the state are built at a time: each is kept until the reader
 	// has taken it.
 	stateWriters = 4
@@ -189,7 +186,7 @@
 		Handler:        &platform.CallerHandler{Gateway: p.node.Gateway, Logger: p.logger, Meter: p.meter, Bodies: bodies},
 		MaxConnections: memory.Connections, CurrentTimeouts: p.callerTimes, IdleGrace: connectionWait, Memory: bodies.Budget(),
 	}
-	p.ready = &httpserve.Server{Handler: http.HandlerFunc(p.serveReady), MaxConnections: probeConnections, Memory: bodies.Budget()}
+	p.ready = &httpserve.Server{Handler: http.HandlerFunc(p.serveReady), MaxConnections: memory.Probes, Memory: bodies.Budget()}
 	p.meter.Gauge("bodies.held", bodies.Held)
 	p.meter.Gauge("bodies.refused", bodies.Refused)
 	p.meter.Gauge("callers.connections", func() int64 { return int64(p.callers.Connections()) })
@@ -205,7 +202,7 @@
 	if listen.MetricsPort == 0 {
 		return nil
 	}
-	metrics := &httpserve.Server{Handler: few(p.metricsHandler()), MaxConnections: probeConnections, Memory: bodies.Budget()}
+	metrics := &httpserve.Server{Handler: few(p.metricsHandler()), MaxConnections: memory.Probes, Memory: bodies.Budget()}
 	if err := serveAt(metrics, p.setting.MetricsAddress()); err != nil {
 		// Callers are served even without metrics.
 		p.logger.Error().Str("event", "listen").Str("address", p.setting.MetricsAddress()).Err(err).Msg("the metrics can't be served")
--- a/node/memory.go
+++ b/node/memory.go
@@ -37,20 +37,34 @@
 	// maxConnections is the largest number of callers at once. Of 4,100 descriptors the rest is for workers, other nodes
 	// and the store.
 	maxConnections = 2048
-	// connectionDescriptors is the part of the descriptors that callers may take.
-	connectionDescriptors = 0.5
 	// minConnections is the least number of callers at once.
 	minConnections = 64
+	// maxNodeConnections lets each of 300 nodes have two connections here, for calls and for probes, and as many
+	// unresponsive ones that are not closed yet.
+	maxNodeConnections = 1200
+	// maxProbeConnections is the largest number of connections of the readiness probe, and of readers of the metrics. The
+	// platform has one, which it opens anew.
+	maxProbeConnections = 256
 	// minBodyMemory lets the longest bodies through on the smallest node.
 	minBodyMemory = 4 << 20
 )
 
+// The parts of a node's descriptors that connections to its listeners may take. The rest, a sixth, is for the store, workers
+// and other nodes, and for files.
+const (
+	callerDescriptors = 0.5
+	nodeDescriptors   = 0.25
+	probeDescriptors  = 1.0 / 64 // each for the readiness probe and for readers of the metrics
+)
+
 // Memory is how much of a node's memory its clients may fill.
 type Memory struct {
 	Jobs        int64 // bytes of accepted jobs
 	Bodies      int64 // bytes of requests of callers
 	Messages    int64 // bytes of calls of other nodes
 	Connections int   // callers at once
+	Nodes       int   // connections of other nodes at once
+	Probes      int   // connections at once, each of the readiness probe and of readers of the metrics
 }
 
 // DivideMemory returns how much of a node's memory its clients may fill, by its settings and the limits of the process.
@@ -58,13 +72,17 @@
 	total := cmp.Or(s.Node.MemoryMB, oslimit.MemoryMB(), unknownMemoryMB) << 20
 	part := func(share float64) int64 { return int64(share * float64(total)) }
 	connections := int64(connectionMemoryShare * float64(max(total-ownMemoryMB<<20, 0)) / connectionBytes)
-	if d := cmp.Or(s.Node.Descriptors, oslimit.Descriptors()); d > 0 {
-		connections = min(connections, int64(connectionDescriptors*float64(d)))
+	nodes, probes := maxNodeConnections, maxProbeConnections
+	if d := float64(cmp.Or(s.Node.Descriptors, oslimit.Descriptors())); d > 0 {
+		connections = min(connections, int64(callerDescriptors*d))
+		nodes, probes = min(nodes, int(nodeDescriptors*d)), min(probes, int(probeDescriptors*d))
 	}
 	return Memory{
 		Jobs:        part(jobMemoryShare),
 		Bodies:      cmp.Or(s.Listen.BodyMemoryMB<<20, max(part(bodyMemoryShare), minBodyMemory)),
 		Messages:    cmp.Or(s.Listen.MessageMemoryMB<<20, max(part(messageMemoryShare), minBodyMemory)),
 		Connections: cmp.Or(s.Listen.Connections, int(max(min(connections, maxConnections), minConnections))),
+		Nodes:       nodes,
+		Probes:      probes,
 	}
 }
--- a/node/memory_test.go
+++ b/node/memory_test.go
@@ -30,6 +30,17 @@
 	}
 }
 
+// TestConnectionsLeaveDescriptors guards against a node whose listeners take up all descriptors, so that it reaches neither the
+// store nor workers.
+func TestConnectionsLeaveDescriptors(t *testing.T) {
+	for _, descriptors := range []int{600, 4100, 8192, 16384} {
+		m := DivideMemory(setting.Node{Node: setting.NodeInfo{MemoryMB: 1048, Descriptors: descriptors}})
+		callers := m.Connections + m.Connections/8
+		probes := 2 * (m.Probes + max(m.Probes/8, 8))
+		assert.Assert(t, callers+m.Nodes+probes <= descriptors*7/8, "%d: %+v", descriptors, m)
+	}
+}
+
 // TestMemorySettingsApply guards against settings that are not used.
 func TestMemorySettingsApply(t *testing.T) {
 	var s setting.Node
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	n.jobMemory, n.messageMemory = budget.New(memory.Jobs), budget.New(memory.Messages)
 	n.client = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
 	n.probes = &noderpc.Client{Logger: logger, Dial: ports.Dial, OnUnresponsive: ports.OnUnresponsive}
-	n.server = &noderpc.Server{Logger: logger, Memory: n.messageMemory, Methods: n.methods(), OpenListener: ports.Listen, OnCall: n.countCall}
+	n.server = &noderpc.Server{Logger: logger, Memory: n.messageMemory, MaxConnections: int64(memory.Nodes), Methods: n.methods(), OpenListener: ports.Listen, OnCall: n.countCall}
 	if _, err := n.server.Listen(s.PeerAddress()); err != nil {
 		return nil, err
 	}
