--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -20,12 +20,15 @@
 )
 
 // minStartWindow is the lower limit of what clock drift leaves of maxStartAge; it applies to a
-// worker that has been idle for a minute.
+// worker whose clock was read maxClockAge ago.
 const minStartWindow = 400 * time.Millisecond
 
 // startWindow returns for how long after the run was persisted its order may be sent. The worker's
-// clock may have fallen behind since the last contact, which delays its refusal.
+// clock may have fallen behind since the last contact, which delays its refusal, unless it is read before.
 func (u *run) startWindow(now time.Time) time.Duration {
+	if u.worker.clockTooOld(now) {
+		return maxStartAge
+	}
 	drift := time.Duration(maxClockDrift * float64(now.Sub(u.worker.clockAt)))
 	return max(maxStartAge-drift, minStartWindow)
 }
--- a/services/scheduler/orders.go
+++ b/services/scheduler/orders.go
@@ -59,7 +59,7 @@
 }
 
 // NextOrder removes the next order to a worker that is still valid from its queue. An unresponsive
-// worker gets none.
+// worker gets none, and one that was idle for long no starts before a poll, which is due as it has runs.
 func (p *Pool) NextOrder(id worker.ID, now time.Time) (Order, bool) {
 	w := p.workers[id]
 	if w == nil || !w.unresponsiveSince.IsZero() || w.restartSuspected {
@@ -73,7 +73,7 @@
 		if !o.Valid() {
 			continue
 		}
-		if o.mustWait(now) {
+		if o.mustWait(now) || o.isStart() && w.clockTooOld(now) {
 			deferred = append(deferred, o)
 			continue
 		}
--- a/services/scheduler/poll.go
+++ b/services/scheduler/poll.go
@@ -51,7 +51,7 @@
 	case w.startedAt > 0 && (request.Acknowledged > 0 || request.Deadline > 0):
 		request.Connection = w.listedOver
 	}
-	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.hasMoreEnds || w.restartSuspected {
+	if max(request.Acknowledged, w.acknowledgedEnd) < w.lastEnd || w.hasMoreEnds || w.restartSuspected || w.clockTooOld(now) {
 		request.Wait = 0 // it would respond at once with known ends, or must respond at once
 	}
 	return Poll{w, p.eventSeq, request, now, previous, w.tokenRaises, w.address()}, request, true
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -83,6 +83,10 @@
 // maxClockDrift is how much slower than this node's clock a worker's clock may run.
 const maxClockDrift = 0.02
 
+// maxClockAge is how old a worker's clock may be for a start order to be sent. By then it may be 1.2 s behind, which
+// leaves minStartWindow of the time until the last start.
+const maxClockAge = time.Minute
+
 // clockTolerance is how far below the expected minimum the worker's clock in a response may be: a
 // response is in transit for a few milliseconds. A response that was delayed for longer would set
 // the clock back, and the worker would refuse orders as late whose deadlines were derived from it.
@@ -106,14 +110,20 @@
 
 // startDeadline returns the deadline after which the worker refuses a start order, and records it
 // as sent. It assumes that the worker's clock runs as fast as this node's, so that the order gets
-// its full time; the leases of runs are extended by polls.
+// its full time; the leases of runs are extended by polls. On a slow clock the run's lease is longer by
+// the drift, which counts up to maxClockAge only, however old the clock is: the next owner waits for no more.
 func (w *workerState) startDeadline(now time.Time, transit time.Duration) time.Duration {
-	deadline := w.clock + now.Sub(w.clockAt) + transit
+	drift := time.Duration(maxClockDrift * float64(min(now.Sub(w.clockAt), maxClockAge)))
+	deadline := w.clockNow(now) + drift + transit
 	w.startDeadlineSent = max(w.startDeadlineSent, deadline)
 	w.latestDeadline = max(w.latestDeadline, deadline)
 	return deadline
 }
 
+// clockTooOld reports whether a start order waits for a poll that reads the worker's clock: without it the
+// worker may refuse the order as late.
+func (w *workerState) clockTooOld(now time.Time) bool { return now.Sub(w.lastContact) > maxClockAge }
+
 // leasesExpireAt returns when all runs on the worker have been ended by their leases, unless these
 // are extended.
 func (w *workerState) leasesExpireAt() time.Time {
