TestCallsToDarkWorker reads the response once the poll has returned

With the race detector the test failed in each run: it read what the goroutine of the poll writes, at a time by which that has returned. It waits for that now; what it checks is unchanged.

--- a/standin/world/restart_test.go
+++ b/standin/world/restart_test.go
@@ -28,7 +28,9 @@
 		began := time.Now()
 		var first port.Response
 		var firstTook time.Duration
+		responded := make(chan struct{})
 		go func() {
+			defer close(responded)
 			_, first = link.Poll(t.Context(), port.Poll{Wait: 500 * time.Millisecond, Deadline: clockStart + 8*time.Second})
 			firstTook = time.Since(began)
 		}()
@@ -42,6 +44,7 @@
 		assert.Equal(t, len(w.Runs("0000000000000001")), 0)
 		assert.Equal(t, link.Start(t.Context(), start).Result, port.Accepted)
 		time.Sleep(time.Until(began.Add(time.Second)))
+		<-responded
 		assert.Equal(t, first.Result, port.Unknown)
 		assert.Equal(t, firstTook, 500*time.Millisecond+callTimeout)
 		time.Sleep(time.Until(began.Add(8 * time.Second))) // the next incarnation is 7.35 s old, so the start's lease has ended
