--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -51,8 +51,10 @@
 	// defaultMaxConnections lets each of 300 processes have two connections here, for calls
 	// and for probes, and as many unresponsive ones that are not closed yet.
 	defaultMaxConnections = 1200
-	// acceptRetry is the pause after a connection could not be accepted, mostly since the process has no descriptor left.
-	acceptRetry = 200 * time.Millisecond
+	// minAcceptRetry and maxAcceptRetry are the first and the longest pause after a connection could not be accepted, mostly
+	// since the process has no descriptor left.
+	minAcceptRetry = 5 * time.Millisecond
+	maxAcceptRetry = 200 * time.Millisecond
 	// messageTimeout bounds the time in which a message arrives that has begun. A large one takes a second on the slowest
 	// links.
 	messageTimeout = 10 * time.Second
@@ -61,17 +63,20 @@
 // Run accepts connections until the context ends or the listener is closed.
 func (s *Server) Run(ctx context.Context, l net.Listener) {
 	context.AfterFunc(ctx, func() { _ = l.Close() })
+	var pause time.Duration // after a failed accept
 	for {
 		raw, err := l.Accept()
 		switch {
 		case err == nil:
+			pause = 0
 		case ctx.Err() != nil || stderrors.Is(err, net.ErrClosed):
 			return
 		default:
 			s.Logger.Warn().Str("event", "connection").Err(err).Int64("open", s.open.Load()).Str("outcome", "not accepted").
 				Msg("accepting a connection failed; it is tried again")
+			pause = min(max(2*pause, minAcceptRetry), maxAcceptRetry)
 			select {
-			case <-time.After(acceptRetry):
+			case <-time.After(pause):
 			case <-ctx.Done():
 			}
 			continue
