The slowest body of any size ends for others

Only bodies of more than 24 kB were listed as arriving. All are listed now, and the one that has been arriving for the longest ends when another is refused, after a second as before.

--- a/modules/body/body.go
+++ b/modules/body/body.go
@@ -24,7 +24,7 @@
 	smallBytes = 24 << 10
 	// largeShare is the part of the budget that large requests may fill, so that they leave room for all others.
 	largeShare = 0.5
-	// slowAfter is how long a large body may take to arrive while others are refused for want of budget.
+	// slowAfter is how long a body may take to arrive while others are refused for want of budget.
 	slowAfter = time.Second
 	// largeDecodes and smallDecodes are how many bodies are decoded at a time: that takes processor time only, and up
 	// to some hundred times the memory of a small body.
@@ -38,8 +38,8 @@
 	decode  [2]chan struct{} // have an element for each small and each large body that is being decoded
 	refused atomic.Int64
 
-	mu    sync.Mutex
-	large list.List // of the *Body that are large and still arrive, the one that began first in front
+	mu       sync.Mutex
+	arriving list.List // of the *Body that still arrive, the one that began first in front
 }
 
 // NewReader returns a reader whose requests hold a number of bytes at most, 0 for no limit.
@@ -68,7 +68,7 @@
 	header  http.Header // of the response
 	held    int64
 	began   time.Time
-	element *list.Element // in Reader.large, nil for none; Reader.mu guards it
+	element *list.Element // in Reader.arriving, nil for none; Reader.mu guards it
 	ended   bool          // its reading was ended for want of budget; Reader.mu guards it
 }
 
@@ -141,9 +141,7 @@
 	copy(data, b.Data)
 	b.Data = data
 	b.give(old)
-	if b.held > smallBytes {
-		b.listAsLarge()
-	}
+	b.list()
 	return nil
 }
 
@@ -178,15 +176,15 @@
 	return errkind.New(errkind.Overloaded, "too little memory for the request now: all together may take %d bytes", b.reader.Limit())
 }
 
-// listAsLarge lists the request among those that may be ended for others.
-func (b *Body) listAsLarge() {
+// list lists the request among those that may be ended for others.
+func (b *Body) list() {
 	if b.reader == nil || !b.began.IsZero() {
 		return
 	}
 	b.began = time.Now()
 	b.reader.mu.Lock()
 	defer b.reader.mu.Unlock()
-	b.element = b.reader.large.PushBack(b)
+	b.element = b.reader.arriving.PushBack(b)
 }
 
 // stopReading ends the reading of the body, and reports whether another request has ended it.
@@ -197,17 +195,17 @@
 	b.reader.mu.Lock()
 	defer b.reader.mu.Unlock()
 	if b.element != nil {
-		b.reader.large.Remove(b.element)
+		b.reader.arriving.Remove(b.element)
 		b.element = nil
 	}
 	return b.ended
 }
 
-// endSlowest ends the reading of the large body that has been arriving for the longest, if that is too long.
+// endSlowest ends the reading of the body that has been arriving for the longest, if that is too long.
 func (r *Reader) endSlowest() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first := r.large.Front()
+	first := r.arriving.Front()
 	if first == nil {
 		return
 	}
@@ -215,7 +213,7 @@
 	if time.Since(b.began) < slowAfter {
 		return
 	}
-	r.large.Remove(first)
+	r.arriving.Remove(first)
 	b.element, b.ended = nil, true
 	// Only connections in tests have no deadlines.
 	_ = b.control.SetReadDeadline(time.Now())
