A call that finds too little memory is refused alone

What callers would see, found by the review: a gateway has one connection to an owner for all its calls; a message for which the owner had too little memory closed it, and every other call on it ended with an unknown outcome, also one that had been taken.

Now the ID and the method are read from the beginning of the message, the rest is discarded, and the call gets overloaded (not run). The connection is closed only where they can't be read.

--- a/adapters/noderpc/server.go
+++ b/adapters/noderpc/server.go
@@ -64,10 +64,13 @@
 	return l.Addr().String(), nil
 }
 
+// noMemory is the response to a call for which there is too little memory.
+var noMemory = codeOf(errkind.New(errkind.Overloaded, "too little memory for the call now"))
+
 // Run accepts connections until the context ends.
 func (s *Server) Run(ctx context.Context) {
 	wrap := func(_ context.Context, raw net.Conn) (net.Conn, error) { return boundedConn{raw}, nil }
-	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger, Memory: s.Memory, MaxConnections: s.MaxConnections}).Run(ctx, s.listener)
+	(&rpcconn.Server{Wrap: wrap, Handle: s.handle, Logger: &s.Logger, Memory: s.Memory, Refusal: noMemory, MaxConnections: s.MaxConnections}).Run(ctx, s.listener)
 }
 
 // handle handles one call.
--- a/modules/rpcconn/server.go
+++ b/modules/rpcconn/server.go
@@ -32,9 +32,10 @@
 	IdleTimeout time.Duration
 	// MaxConnections is how many connections may be open, 0 for defaultMaxConnections.
 	MaxConnections int64
-	// Memory is what calls of more than firstBuffer bytes hold while they arrive and are handled, nil for no limit. A
-	// connection with a call for which there is too little is closed.
-	Memory *budget.Budget
+	// Memory is what calls of more than firstBuffer bytes hold while they arrive and are handled, nil for no limit. A call
+	// for which there is too little gets Refusal as its response; without one its connection is closed.
+	Memory  *budget.Budget
+	Refusal error
 
 	open atomic.Int64
 }
@@ -107,7 +108,7 @@
 		return
 	}
 	idle := &idleConn{Conn: conn, timeout: cmp.Or(c.s.IdleTimeout, defaultIdleTimeout)}
-	rpc := newLimitedConn(ctx, idle, c.s.handle, c.s.Logger, limits{c.s.Memory, idle.boundMessage})
+	rpc := newLimitedConn(ctx, idle, c.s.handle, c.s.Logger, limits{c.s.Memory, idle.boundMessage, c.s.Refusal})
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
