An order's identification is encoded only where it is sent

Found on reading the whole change once more; behaviour is unchanged.

- Each order encoded the poll that goes before it over a new connection, also over one that had shown its incarnation: mostly for nothing, on the path of each start.
Request.Identify is a function now.
No figure was taken.
- Three tests of a start that is sent again set up the same pool in the same way: newTestPoolWithRetry.
Their assertions are kept; TestRunThatWasSeenIsKeptAtRestart now checks also that there is a second order.
- Comments that named a function by its former name, or said less than connections closed at accept are.

--- a/modules/httpconn/httpconn.go
+++ b/modules/httpconn/httpconn.go
@@ -67,9 +67,9 @@
 	// is sent over a connection that has shown to reach this process: a connection ends with its process, while
 	// another one may listen at the address by then.
 	Peer int64
-	// Identify is sent first over a connection that has not shown which process it reaches. If no process or another
-	// one responds, the request itself is not sent.
-	Identify *Request
+	// Identify returns the request that is sent first over a connection that has not shown which process it reaches. If no
+	// process or another one responds, the request itself is not sent.
+	Identify func() Request
 	// ReadPeer returns the server process that a response is from, 0 if it does not tell.
 	ReadPeer func(Response) int64
 }
@@ -152,7 +152,7 @@
 	}
 	began := time.Now()
 	pc.conn.ExpectResponse(began.Add(c.retryPolicy.RetryDelay()))
-	response, keep, err := pc.do(ctx, c.Address, *r.Identify, until)
+	response, keep, err := pc.do(ctx, c.Address, r.Identify(), until)
 	if err != nil {
 		pc.conn.Reset()
 		return false, errkind.New(errkind.BadResponse, "%s: identifying the server: %v", c.Address, err)
--- a/modules/httpconn/peer_test.go
+++ b/modules/httpconn/peer_test.go
@@ -61,7 +61,7 @@
 func order(peer int64, idempotent bool) Request {
 	return Request{
 		Method: http.MethodPost, Path: "/order", Peer: peer, Idempotent: idempotent,
-		Identify: &Request{Method: http.MethodPost, Path: "/identify", ReadPeer: readPeer},
+		Identify: func() Request { return Request{Method: http.MethodPost, Path: "/identify", ReadPeer: readPeer} },
 	}
 }
 
--- a/modules/httpserve/conn.go
+++ b/modules/httpserve/conn.go
@@ -298,7 +298,7 @@
 }
 
 // end makes the connection's read end, after which net/http closes it. Whatever is read
-// before that is served, since requestStarted restores the deadline. The caller holds c.mu.
+// before that is served, since requestRead restores the deadline. The caller holds c.mu.
 func (c *conn) end() {
 	c.shortened = true
 	// SetReadDeadline fails only if the connection is closed.
--- a/modules/httpserve/httpserve.go
+++ b/modules/httpserve/httpserve.go
@@ -334,7 +334,8 @@
 	return s.MaxConnections
 }
 
-// ClosedAtAccept returns how many connections were closed since there were far more than the limit.
+// ClosedAtAccept returns how many connections were closed since there were too many: new ones far beyond the limit, and those
+// whose heads were awaited for the longest.
 func (s *Server) ClosedAtAccept() int64 { return s.closedAtAccept.Load() }
 
 // Connections returns how many connections are open.
--- a/services/scheduler/restart_test.go
+++ b/services/scheduler/restart_test.go
@@ -197,21 +197,28 @@
 	assert.Equal(t, d.StartOrder(order, d.now).StartedAt, int64(2000))
 }
 
-// TestUnidentifiedWorkerIsTriedAgain guards against a sound worker that counts as unresponsive since one response was late: an
-// order that was not sent counts like one without a response, but its run has not started.
-func TestUnidentifiedWorkerIsTriedAgain(t *testing.T) {
+// newTestPoolWithRetry returns a pool in which the start order of the only task of job "1", for the incarnation 1000 of the
+// worker "w", had a result and was sent again, and that second order.
+func newTestPoolWithRetry(t *testing.T, first port.Result) (*testPool, Order) {
+	t.Helper()
 	d := newTestPool(t, 1)
 	d.registerStart(1000)
 	d.submit("1", 1)
 	order := d.sendOrder()
-	late := port.Response{Result: port.Unidentified}
-	assert.Assert(t, d.HandleOrderResponse(order, late, d.now))
+	assert.Assert(t, d.HandleOrderResponse(order, port.Response{Result: first}, d.now))
 	d.Retry(order, d.now)
-	assert.Assert(t, d.workers["w"].unresponsiveSince.IsZero())
 	again, has := d.NextOrder("w", d.now)
 	assert.Assert(t, has)
 	d.StartOrder(again, d.now)
-	assert.Assert(t, d.HandleOrderResponse(again, late, d.now))
+	return d, again
+}
+
+// TestUnidentifiedWorkerIsTriedAgain guards against a sound worker that counts as unresponsive since one response was late: an
+// order that was not sent counts like one without a response, but its run has not started.
+func TestUnidentifiedWorkerIsTriedAgain(t *testing.T) {
+	d, again := newTestPoolWithRetry(t, port.Unidentified)
+	assert.Assert(t, d.workers["w"].unresponsiveSince.IsZero())
+	assert.Assert(t, d.HandleOrderResponse(again, port.Response{Result: port.Unidentified}, d.now))
 	d.Retry(again, d.now)
 	assert.Assert(t, !d.workers["w"].unresponsiveSince.IsZero())
 	assert.Equal(t, len(d.workers["w"].runs), 0, "no order was sent, so the task waits again")
@@ -220,14 +227,7 @@
 // TestRunThatWasSeenIsKeptAtRestart guards against a run that is dropped as never started, with its checkpoint and its crash,
 // though a poll has shown it: a try of its order got no response, and a later one finds another incarnation.
 func TestRunThatWasSeenIsKeptAtRestart(t *testing.T) {
-	d := newTestPool(t, 1)
-	d.registerStart(1000)
-	d.submit("1", 1)
-	order := d.sendOrder()
-	assert.Assert(t, d.HandleOrderResponse(order, port.Response{Result: port.Unknown}, d.now))
-	d.Retry(order, d.now)
-	again, _ := d.NextOrder("w", d.now)
-	d.StartOrder(again, d.now)
+	d, again := newTestPoolWithRetry(t, port.Unknown)
 	d.confirmListing(1000, worker.PollResult{Runs: []worker.Run{{Task: "1.0.0.0", Number: 1}}})
 	assert.Assert(t, !d.HandleOrderResponse(again, port.Response{Result: port.Restarted}, d.now))
 	assert.Equal(t, len(d.workers["w"].runs), 1)
@@ -237,15 +237,7 @@
 // TestUnansweredOrderIsNotRepeatedAtAnotherIncarnation guards against a run that starts on the next incarnation of its worker
 // (TWICE), since its order got no response from the one before and is sent again.
 func TestUnansweredOrderIsNotRepeatedAtAnotherIncarnation(t *testing.T) {
-	d := newTestPool(t, 1)
-	d.registerStart(1000)
-	d.submit("1", 1)
-	order := d.sendOrder()
-	assert.Assert(t, d.HandleOrderResponse(order, port.Response{Result: port.Unknown}, d.now))
-	d.Retry(order, d.now)
-	again, has := d.NextOrder("w", d.now)
-	assert.Assert(t, has)
-	d.StartOrder(again, d.now)
+	d, again := newTestPoolWithRetry(t, port.Unknown)
 	assert.Assert(t, !d.HandleOrderResponse(again, port.Response{Result: port.Restarted}, d.now))
 	assert.Equal(t, len(d.workers["w"].runs), 1, "it may still run on the earlier incarnation")
 	assert.Assert(t, !d.HasOrder("w"))
