--- a/review/.standin-3/caller.go
+++ b/review/.standin-3/caller.go
@@ -24,6 +24,7 @@
 	GangScheduled   bool  `json:"GangScheduled,omitempty"`
 	Checkpointing   bool  `json:"Checkpointing,omitempty"`
 	AllowDuplicates bool  `json:"AllowDuplicates,omitempty"`
+	AntiAffinity    int   `json:"AntiAffinity,omitempty"`
 	LongRunning     bool  `json:"LongRunning,omitempty"`
 
 	takes time.Duration // of a task on a sound worker
@@ -51,6 +52,9 @@
 	state     string      // as shown last
 }
 
+// pool returns the service whose workers run the job.
+func (j *job) pool() string { return strings.TrimPrefix(j.queue, "long-") }
+
 // noteStart notes that a task has begun. The site's lock is held.
 func (j *job) noteStart() { j.started++ }
 
@@ -90,6 +94,9 @@
 		return 0, nil
 	}
 	r.Host = "calls.example"
+	if len(body) > 0 {
+		s.record("%s %s sent to %s: %s", method, j.id, n.name, body)
+	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Yardbridge-Deadline-Ms", strconv.FormatInt(callLimit.Milliseconds(), 10))
 	a, err := client.Do(r)
--- a/review/.standin-3/lost.go
+++ b/review/.standin-3/lost.go
@@ -31,7 +31,7 @@
 	}
 	used, capacity := 0, 0
 	for _, w := range s.workers() {
-		if w.machine.pool != j.queue {
+		if w.machine.pool != j.pool() {
 			continue
 		}
 		used += w.used().Cpu
@@ -58,7 +58,7 @@
 	}
 	if time.Since(j.waiting) >= lostAfter {
 		j.lost = true
-		s.violation("LOST: job %s has had nothing running for 3 s; the turn of step %d has come, %d of %d thousandths of a core of %s are in use", j.id, due, used, capacity, j.queue)
+		s.violation("LOST: job %s has had nothing running for 3 s; the turn of step %d has come, %d of %d thousandths of a core of %s are in use", j.id, due, used, capacity, j.pool())
 	}
 }
 
@@ -89,7 +89,7 @@
 func (s *site) hasRoom(j *job, n int) bool {
 	st, fits := &j.Steps[n], 0
 	for _, w := range s.workers() {
-		if w.machine.pool != j.queue || s.advice != nil && s.advice.pool == j.queue && !s.advice.allows(fmt.Sprintf("%s.0.%d", j.id, n), w.machine.name) {
+		if w.machine.pool != j.pool() || s.advice != nil && s.advice.queue == j.queue && !s.advice.allows(fmt.Sprintf("%s.0.%d", j.id, n), w.machine.name) {
 			continue
 		}
 		u := w.used()
--- a/review/.standin-3/site.go
+++ b/review/.standin-3/site.go
@@ -38,7 +38,8 @@
 
 // advice is the policy of a queue and its service.
 type advice struct {
-	pool         string
+	queue        string
+	onlyOne      bool // allows each step on one machine only
 	decide, each time.Duration
 	valid        time.Duration
 	address      string
@@ -211,6 +212,7 @@
 			s.takeDown(m, "moving", moveTime)
 			reply(w, http.StatusOK, map[string]any{})
 		default:
+			s.record("upkeep of %s", m.name)
 			s.takeDown(m, "upkeep", upkeepTime)
 			reply(w, http.StatusOK, map[string]any{})
 		}
@@ -219,14 +221,19 @@
 	reply(w, http.StatusBadRequest, nil)
 }
 
-// allows reports whether the advice service allows a step on a machine's worker: on two of three, and that does not change.
+// allows reports whether the advice service allows a step on a machine's worker: on two of three, or one of eight machines. That
+// does not change.
 func (a *advice) allows(step, machine string) bool {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(step + " " + machine)) // never fails
-	return h.Sum32()%3 > 0
+	if !a.onlyOne {
+		_, _ = h.Write([]byte(step + " " + machine)) // never fails
+		return h.Sum32()%3 > 0
+	}
+	_, _ = h.Write([]byte(step))
+	return strings.HasSuffix(machine, fmt.Sprintf("-%d", h.Sum32()%8))
 }
 
-// serveAdvice starts the advice service for the queues of a pool.
+// serveAdvice starts the advice service for a queue.
 func (s *site) serveAdvice(a *advice) error {
 	s.advice = a
 	waiting := make(chan struct{}, 32)
@@ -269,24 +276,35 @@
 	return err
 }
 
-// configure has the operator write a manifest with one queue for each pool.
+// configure has the operator write a manifest with one queue for each pool, and a second one of the first pool whose name begins
+// with "long-".
 func (s *site) configure(version int, pools ...string) {
 	routes, services := []map[string]any{}, []map[string]any{}
-	for _, p := range pools {
+	for i, q := range append([]string{"long-" + pools[0]}, pools...) {
+		p := strings.TrimPrefix(q, "long-")
 		route := map[string]any{
-			"Name": p, "Host": "calls.example", "PathPrefix": "/" + p + "/", "Service": p, "Priority": 0, "MaxAttempts": 4, "Stretch": 1.6, "TargetLatencyMs": 600,
+			"Name": q, "Host": "calls.example", "PathPrefix": "/" + q + "/", "Service": p, "Priority": 0, "MaxAttempts": 4, "Stretch": 1.6, "TargetLatencyMs": 600,
 		}
-		if s.advice != nil && s.advice.pool == p {
+		if s.advice != nil && s.advice.queue == q {
 			route["advice"] = map[string]any{"decide_ms": s.advice.decide.Milliseconds(), "each_ms": s.advice.each.Milliseconds(), "valid_ms": s.advice.valid.Milliseconds()}
 		}
 		routes = append(routes, route)
-		services = append(services, map[string]any{"Name": p, "RejectsOverload": false})
+		if i > 0 {
+			services = append(services, map[string]any{"Name": p, "RejectsOverload": false})
+		}
 	}
 	value, _ := json.Marshal(map[string]any{"Version": version, "Routes": routes, "Services": services, "Limits": map[string]any{"MaxBodyBytes": 262144}})
 	s.store.put("keyed.op", "config", value)
 	s.record("manifest %d", version)
 }
 
+// wave has the operator ask for the upkeep of machines.
+func (s *site) wave(number int, lasts time.Duration, atMost int, machines ...string) {
+	value, _ := json.Marshal(map[string]any{"wave": number, "Machines": machines, "DurationS": lasts.Seconds(), "AtMost": atMost})
+	s.store.put("keyed.op", fmt.Sprintf("wave/%d", number), value)
+	s.record("wave %d: %v", number, machines)
+}
+
 // node is one node, on a loopback address of its own.
 type node struct {
 	name, ip     string
--- a/review/.standin-3/worker.go
+++ b/review/.standin-3/worker.go
@@ -352,7 +352,7 @@
 		refuse("old")
 		return
 	}
-	if s.advice != nil && w.machine.pool == s.advice.pool {
+	if s.advice != nil && j.queue == s.advice.queue {
 		if until, issued := w.tickets[ticket]; !issued || time.Now().After(until) || !strings.HasPrefix(ticket, task[:strings.LastIndexByte(task, '.')]+"/") {
 			refuse("ticket")
 			return
