--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.." || exit 2
 work="$(mktemp -d)" || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout --signal=TERM --kill-after=3 112 target/standin-3 advice "$work"
+timeout --signal=TERM --kill-after=3 112 target/standin-3 wave "$work"
 code=$?
 cp "$work/record.txt" "$here/record.txt" 2>/dev/null
 case $code in 0 | 1) exit $code ;; esac
