--- a/review/.standin-3/site.go
+++ b/review/.standin-3/site.go
@@ -61,7 +61,10 @@
 	nodes      []*node
 	violations []string
 	broken     []string // reasons for which the case could not run
-	cloud      string   // address
+	brokenMu   sync.Mutex
+	processMu  sync.Mutex // held while a process is started, and at the end
+	ending     bool       // no process is started any more
+	cloud      string     // address
 	storeAt    string
 	nodePort   int
 }
@@ -81,7 +84,9 @@
 // fail records that the case could not run.
 func (s *site) fail(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
+	s.brokenMu.Lock()
 	s.broken = append(s.broken, text)
+	s.brokenMu.Unlock()
 	s.record("COULD NOT RUN: %s", text)
 }
 
@@ -372,15 +377,21 @@
 
 // start starts a node's process.
 func (s *site) start(n *node) error {
+	s.processMu.Lock()
+	defer s.processMu.Unlock()
+	if s.ending {
+		return fmt.Errorf("the case is ending")
+	}
 	logs, err := os.OpenFile(filepath.Join(s.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	n.command = exec.Command("target/yardbridge", "node", "-settings", s.settings(n))
-	n.command.Stdout, n.command.Stderr = logs, logs
-	if err := n.command.Start(); err != nil {
+	command := exec.Command("target/yardbridge", "node", "-settings", s.settings(n))
+	command.Stdout, command.Stderr = logs, logs
+	if err := command.Start(); err != nil {
 		return err
 	}
+	n.command = command
 	s.record("start of %s", n.name)
 	n.ended = make(chan struct{})
 	go func(c *exec.Cmd, ended chan struct{}) {
@@ -408,11 +419,16 @@
 
 // end ends all processes and returns the exit code of the case.
 func (s *site) end() int {
+	s.processMu.Lock()
+	defer s.processMu.Unlock()
+	s.ending = true
 	for _, n := range s.nodes {
 		n.stop()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.brokenMu.Lock()
+	defer s.brokenMu.Unlock()
 	sort.Strings(s.broken)
 	code := 0
 	switch {
