--- a/node/script_event_test.go
+++ b/node/script_event_test.go
@@ -31,7 +31,7 @@
 //   - for the nodes of a list: cut-together (from all nodes that are not in the list; they reach each other,
 //     and the store and the workers unless other events cut them off); two such events at a time make two
 //     groups, and the nodes in neither are a third one;
-//   - for one node: join (it first starts at that time, and does not run before);
+//   - for one node: join (it first starts at that time, and does not run before), lose (it is killed and does not come back);
 //   - for a worker, by its index among those of the pool that are up, or for Count workers from there on:
 //     crash, crash-dark (without an answer to calls until it is up again), silent, late, hangs, fails, drain,
 //     shrink (to a share of its capacity); crash-rack crashes the workers of a pool in the rack with the
@@ -93,6 +93,10 @@
 		for _, n := range st.nodesOf(e) {
 			st.start(n)
 		}
+	case "lose":
+		for _, n := range st.nodesOf(e) {
+			go st.loseNode(n)
+		}
 	case "cut-together":
 		st.cutTogether(e)
 	case "store-slow":
@@ -307,6 +311,17 @@
 	n.busy = false
 }
 
+// loseNode ends a node for good.
+func (st *scenario) loseNode(n *scenarioNode) {
+	n.mu.Lock()
+	running := n.node != nil && !n.busy
+	n.busy = true
+	n.mu.Unlock()
+	if running {
+		n.stop()
+	}
+}
+
 // wave requests the maintenance of a share of all instances.
 func (st *scenario) wave(e scriptEvent) {
 	list, _ := st.world.Instances().List(context.Background())
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -45,6 +45,8 @@
 	// First is the offset after the entry with which a process of this name registered first, without an interruption
 	// since then; 0 in that entry.
 	First uint64 `cbor:"9,keyasint,omitempty"`
+	// KeepsPeriods reports whether the process keeps when a node was registered as it removes its entry.
+	KeepsPeriods bool `cbor:"10,keyasint,omitempty" json:"KeepsPeriods,omitempty"`
 }
 
 // Limits returns the node's limits.
@@ -79,6 +81,9 @@
 	// Size is how many workers the pool has had at most, or instances for the role that decides on these, as
 	// published when other nodes could carry it; 0 if unknown.
 	Size int `cbor:"6,keyasint,omitempty"`
+	// From and Read are the reading that the owner has stated in its claim; 0 if unknown.
+	From uint64 `cbor:"7,keyasint,omitempty"`
+	Read uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // View is the content of the directory at one time; it is immutable.
@@ -87,6 +92,11 @@
 	Pools  map[string]Ownership
 	Queues map[string][]string // pools that queues have been assigned to, in order, by the queue's key; see queues.go
 	End    uint64              // offset of the partition up to which it was read
+	// Readings are what processes state of their readings of the directory, by node, and Earlier is what was
+	// registered of nodes that were removed, both complete up to the offset Through.
+	Readings map[string]Reading
+	Earlier  map[string]Earlier
+	Through  uint64
 }
 
 // Owner returns the node that owns a pool, and false if there is none or its process is not
@@ -124,7 +134,9 @@
 	view    *View
 	changed chan struct{} // closed at the next change
 	leaving bool
-	removed map[string]removedNode // nodes that were removed within rememberRemoved, by name
+	removed map[string]removedNode // nodes that are remembered though they were removed, by name
+	horizon uint64                 // offset from which on removed nodes are remembered
+	floor   uint64                 // offset from which on all changes were read one by one
 
 	follower follow.Follower
 }
@@ -175,12 +187,16 @@
 	if v.End <= d.view.End {
 		next.Nodes, next.End = d.view.Nodes, d.view.End
 	}
+	next.mergeKnown(d.view, v)
+	if v.End > d.view.End {
+		d.noteSkipped(next)
+	}
 	for _, pools := range []map[string]Ownership{d.view.Pools, v.Pools} {
 		for _, o := range pools {
 			next.update(o)
 		}
 	}
-	d.setView(next)
+	d.setView(next, nil)
 }
 
 // outdatedBy reports whether another view has a newer owner of a pool.
@@ -205,84 +221,49 @@
 }
 
 // apply applies records to a new view.
-func (d *Directory) apply(records []port.Record, _ uint64, complete bool) {
+func (d *Directory) apply(records []port.Record, end uint64, complete bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := &View{Nodes: make(map[string]Node), Pools: make(map[string]Ownership)}
+	var last View
 	if d.view != nil {
-		if !complete {
-			for k, n := range d.view.Nodes {
-				next.Nodes[k] = n
-			}
-		}
-		for k, o := range d.view.Pools {
-			next.Pools[k] = o
-		}
-		next.Queues = d.view.Queues
-		next.End = d.view.End
+		last = *d.view
+	}
+	if !complete {
+		maps.Copy(next.Nodes, last.Nodes)
 	}
+	maps.Copy(next.Pools, last.Pools)
+	next.Queues, next.End = last.Queues, last.End
+	next.mergeKnown(&last, &View{})
 	if slices.ContainsFunc(records, isQueueRecord) {
 		next.Queues = maps.Clone(next.Queues)
 	}
+	removed := make(map[string]Node) // since the newest view
 	for _, r := range records {
 		next.End = max(next.End, r.Offset+1)
+		name, isNode := strings.CutPrefix(r.Key, keyNode)
+		if isNode && !complete && r.Offset < last.End {
+			continue // the nodes of another node's view, which has read further, were merged
+		}
+		if n, registered := next.Nodes[name]; isNode && registered && len(r.Value) == 0 {
+			removed[name] = n
+		}
 		if err := next.applyRecord(r, complete); err != nil {
 			d.Logger.Warn().Str("event", "directory").Str("key", r.Key).Err(err).Msg("directory record can't be read and is skipped")
 		}
 	}
-	d.setView(next)
-}
-
-// rememberRemoved is for how long removed nodes are remembered.
-const rememberRemoved = 2 * time.Minute
-
-// removedNode is a node that is no longer registered.
-type removedNode struct {
-	node Node
-	at   time.Time // when this node learned of it
-}
-
-// Recent returns the other nodes that have been registered at any time since the given one, which lies within
-// rememberRemoved, as far as this node has read.
-func (d *Directory) Recent(since time.Time) []Node {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var list []Node
-	if d.view != nil {
-		list = slices.Collect(maps.Values(d.view.Nodes))
+	next.End, next.Through = max(next.End, end), max(next.Through, end)
+	if complete { // the records after this offset are read again, one by one
+		next.noteInterruptions(records)
+		next.End = end
+		d.noteSkipped(next)
 	}
-	for _, r := range d.removed {
-		if !r.at.Before(since) {
-			list = append(list, r.node)
-		}
-	}
-	return slices.DeleteFunc(list, func(n Node) bool { return n.Name == d.Self.Name })
+	d.setView(next, removed)
 }
 
-// noteRemoved remembers the nodes that the next view lacks. The lock is held.
-func (d *Directory) noteRemoved(next *View) {
-	if d.view == nil {
-		return
-	}
-	now := d.Clock.Now()
-	maps.DeleteFunc(d.removed, func(name string, r removedNode) bool {
-		_, registered := next.Nodes[name]
-		return registered || now.Sub(r.at) > rememberRemoved
-	})
-	for name, n := range d.view.Nodes {
-		if _, registered := next.Nodes[name]; registered {
-			continue
-		}
-		if d.removed == nil {
-			d.removed = make(map[string]removedNode)
-		}
-		d.removed[name] = removedNode{n, now}
-	}
-}
-
-// setView makes a view the newest. The lock is held.
-func (d *Directory) setView(v *View) {
-	d.noteRemoved(v)
+// setView makes a view the newest, before which nodes were registered and removed. The lock is held.
+func (d *Directory) setView(v *View, removed map[string]Node) {
+	d.noteRemoved(v, removed)
 	d.logChanges(v)
 	d.view = v
 	if d.changed != nil {
@@ -363,6 +344,7 @@
 		if n.First == 0 || !complete && !registered { // its earlier entry was removed before this one was written
 			n.First = r.Offset + 1
 		}
+		n.First = max(n.First, last.First) // a late entry may state an offset from before an interruption
 		if n.Incarnation >= last.Incarnation {
 			v.Nodes[name] = n
 		}
@@ -371,6 +353,9 @@
 	if queue, isQueue := strings.CutPrefix(r.Key, keyQueue); isQueue {
 		return v.applyQueue(queue, r.Value)
 	}
+	if known, err := v.applyKnown(r); known {
+		return err
+	}
 	pool, isPool := strings.CutPrefix(r.Key, keyPool)
 	if !isPool || len(r.Value) == 0 {
 		return nil
@@ -423,7 +408,7 @@
 		next.Pools[k] = p
 	}
 	next.update(o)
-	d.setView(&next)
+	d.setView(&next, nil)
 }
 
 // keepRegistered registers this node, and does so again if its entry is gone. If a later
@@ -505,6 +490,7 @@
 func (d *Directory) registration() Node {
 	v, _ := d.View()
 	own := d.Self
+	own.KeepsPeriods = true
 	if v != nil {
 		own.First = v.Nodes[own.Name].First
 	}
@@ -537,9 +523,14 @@
 	return d.Remove(ctx, d.Self.Name)
 }
 
-// Remove removes a node's entry; a running node registers again.
+// Remove removes a node's entry, and keeps when it was registered; a running node registers again.
 func (d *Directory) Remove(ctx context.Context, name string) error {
-	return d.Store.Put(ctx, Partition, []port.Record{{Key: keyNode + name}})
+	v, _ := d.View()
+	records, err := v.removal(name)
+	if err != nil {
+		return err
+	}
+	return d.Store.Put(ctx, Partition, records)
 }
 
 // Publish announces an ownership to all nodes, once this node is registered: an ownership of an
--- a/services/journal/claim.go
+++ b/services/journal/claim.go
@@ -24,6 +24,7 @@
 	Node        string `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint,omitempty"` // of the node's process, 0 if unknown
 	Read        uint64 `cbor:"4,keyasint,omitempty"` // offset up to which the process had read the directory, 0 if unknown
+	From        uint64 `cbor:"5,keyasint,omitempty"` // offset of the directory from which on it remembers nodes, 0 if unknown
 }
 
 // Terms are what a process states in its claim, and the condition under which it claims; the zero value states
@@ -31,6 +32,7 @@
 type Terms struct {
 	Incarnation uint64
 	Read        uint64
+	From        uint64
 	// Check returns an error if the process may not replace the last writer, whose claim has epoch 0 if there is
 	// none. It is called just before the partition is fenced; nil permits any.
 	Check func(last Claim) error
@@ -66,7 +68,7 @@
 			return nil, err
 		}
 	}
-	own := Claim{Epoch: last.Epoch + 1, Node: node, Incarnation: j.Terms.Incarnation, Read: j.Terms.Read}
+	own := Claim{Epoch: last.Epoch + 1, Node: node, Incarnation: j.Terms.Incarnation, Read: j.Terms.Read, From: j.Terms.From}
 	j.mu.Lock()
 	j.epoch = own.Epoch
 	j.mu.Unlock()
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -150,7 +150,7 @@
 		var seen []Claim
 		claim := func(node string, incarnation, replaces uint64) (*Journal, error) {
 			j := newJournal(w, node)
-			j.Terms = Terms{Incarnation: incarnation, Read: 10 * incarnation, Check: func(last Claim) error {
+			j.Terms = Terms{Incarnation: incarnation, Read: 10 * incarnation, From: incarnation, Check: func(last Claim) error {
 				seen = append(seen, last)
 				if last.Epoch != replaces {
 					return errkind.New(errkind.Fenced, "epoch %d", last.Epoch)
@@ -167,6 +167,6 @@
 		_, err = claim("n3", 9, 1)
 		assert.Assert(t, errkind.Is(err, errkind.Fenced), "%v", err)
 		assert.NilError(t, second.Append(ctx, []port.Record{{Key: "k", Value: []byte("1")}}))
-		assert.DeepEqual(t, seen, []Claim{{}, {1, "n1", 7, 70}, {2, "n2", 8, 80}})
+		assert.DeepEqual(t, seen, []Claim{{}, {Epoch: 1, Node: "n1", Incarnation: 7, Read: 70, From: 7}, {Epoch: 2, Node: "n2", Incarnation: 8, Read: 80, From: 8}})
 	})
 }
--- a/services/ownership/acknowledge.go
+++ b/services/ownership/acknowledge.go
@@ -54,7 +54,7 @@
 		return nil
 	case v.Nodes[last.Node].Incarnation > last.Incarnation: // the owner's process has ended
 		return nil
-	case self.First > 0 && self.First <= last.Read: // the owner had read this node's entry when it claimed the pool
+	case v.KnownBy(self.Name, readingOf(last)):
 		return nil
 	}
 	s.mu.Lock()
@@ -66,7 +66,14 @@
 	if a.wanted != nil {
 		a.wanted[owner], a.askedAt = true, time.Time{}
 	}
-	return errkind.New(errkind.Conflict, "node %s, the owner of pool %s at epoch %d, may not know this node", last.Node, pool, last.Epoch)
+	read := v.Reading(readingOf(last))
+	return errkind.New(errkind.Conflict, "node %s, the owner of pool %s at epoch %d, may not know this node, registered from %d on and %v before: it has read from %d to %d",
+		last.Node, pool, last.Epoch, self.First, v.Earlier[self.Name].Periods, read.From, read.Read)
+}
+
+// readingOf returns the reading that a process has stated in its claim.
+func readingOf(c journal.Claim) directory.Reading {
+	return directory.Reading{Node: c.Node, Incarnation: c.Incarnation, From: c.From, Read: c.Read}
 }
 
 // requestAcknowledgements asks each owner of a pool that has not acknowledged this node, until this one has been registered
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -81,6 +81,9 @@
 	if v, _ := t.s.Directory.View(); v != nil {
 		claimed.Size = v.Pools[t.pool].Size
 	}
+	if o.Terms != nil {
+		claimed.From, claimed.Read = o.Terms.From, o.Terms.Read
+	}
 	t.s.Directory.Observe(claimed) // from now on this node states that the pool has a later owner
 	go publication{t.s, claimed, o}.run(ctx)
 	return o, nil
@@ -89,10 +92,8 @@
 // terms returns what the claim of a role states, and its check: an owner that hands its pool over must be the last one,
 // and any other one must know this node or have ended.
 func (t claimTask) terms(o *RoleRunner) journal.Terms {
-	c := journal.Terms{Incarnation: t.s.Directory.Self.Incarnation}
-	if v, _ := t.s.Directory.View(); v != nil {
-		c.Read = v.End
-	}
+	read := t.s.Directory.Reading()
+	c := journal.Terms{Incarnation: read.Incarnation, Read: read.Read, From: read.From}
 	c.Check = func(last journal.Claim) error {
 		if t.from > 0 && last.Epoch != t.from {
 			return errkind.New(errkind.Fenced, "pool %s was to be taken over from epoch %d, and node %s has claimed it at epoch %d", t.pool, t.from, last.Node, last.Epoch)
--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -81,6 +81,8 @@
 	tasks    sync.WaitGroup
 
 	acknowledged acknowledgements
+	readingDue   time.Time            // when the next reading of the directory may be published, zero for not determined
+	publishing   bool                 // a reading is being published
 	putOff       map[string]time.Time // until when a pool is not claimed, since its owner may not know this node
 }
 
@@ -149,11 +151,12 @@
 	}
 	s.endReplaced(v)
 	s.requestAcknowledgements(ctx, v)
+	s.publishReading(ctx, v)
 	s.handOverStuck(ctx, v)
 	s.publishSizes(ctx, v)
 	s.improve(ctx, v)
 	pools := s.unownedPools(c, v)
-	successors := s.rankSuccessors(v, pools)
+	successors := s.rankClaimants(v, pools)
 	for _, pool := range pools {
 		_, known := v.Pools[pool]
 		if !known && !settled {
--- a/services/ownership/rank.go
+++ b/services/ownership/rank.go
@@ -23,6 +23,8 @@
 	// rolesIn counts the roles by the data centre of their owner.
 	rolesIn map[string]int
 	last    string // role with an owner, the last one by name
+	// claims is whether the roles are claimed, not handed over: then nodes that their last owner knows come first.
+	claims bool
 }
 
 // ranking returns the ranking of the nodes of a view.
@@ -111,6 +113,26 @@
 	return s.ranking(v).successors(roles)
 }
 
+// rankClaimants returns the successors of roles whose owner is gone. A node that it may not have known can't claim its
+// role yet, see mayReplace.
+func (s *Manager) rankClaimants(v *directory.View, roles []string) map[string][]string {
+	if len(roles) == 0 {
+		return nil
+	}
+	r := s.ranking(v)
+	r.claims = true
+	return r.successors(roles)
+}
+
+// mayClaim reports whether a node may claim a role as far as the directory shows.
+func (r *ranking) mayClaim(name, role string) bool {
+	o := r.v.Pools[role]
+	if !r.claims || o.Node == "" || o.Node == name || r.v.Nodes[o.Node].Incarnation > o.Incarnation {
+		return true
+	}
+	return r.v.KnownBy(name, directory.Reading{Node: o.Node, Incarnation: o.Incarnation, From: o.From, Read: o.Read})
+}
+
 // successors returns for each role without an owner the nodes that may own it, the best first. Where all
 // other roles are in one data centre, those in others come first if they are not much worse. Of nodes that
 // are equal, one in the data centre with the fewest roles does.
@@ -124,6 +146,9 @@
 			candidates[i] = r.candidate(name, takes)
 		}
 		ranked := r.sorted(candidates, first)
+		slices.SortStableFunc(ranked, func(a, b string) int {
+			return cmp.Compare(btoi(!r.mayClaim(a, role)), btoi(!r.mayClaim(b, role)))
+		})
 		list[role] = ranked
 		if len(ranked) > 0 {
 			r.add(ranked[0], takes)
--- a/services/ownership/statements_test.go
+++ b/services/ownership/statements_test.go
@@ -49,6 +49,7 @@
 		name    string
 		third   func(n string) (Statement, error) // what the third node states
 		removed time.Duration                     // for how long the third node has been removed when the store responds last
+		states  bool                              // whether the owner has stated since then which nodes it remembers
 		epoch   uint64
 		holds   bool
 	}{
@@ -58,7 +59,9 @@
 		{name: "another node responds at its address", third: func(string) (Statement, error) { return Statement{Node: "other"}, nil }, epoch: 4},
 		{name: "the statements are of an earlier ownership", third: clean, epoch: 5},
 		{name: "one was removed just before", third: silent, removed: freshFor / 2, epoch: 4},
-		{name: "one was removed long before", third: silent, removed: 2 * freshFor, epoch: 4, holds: true},
+		{name: "one was removed just before, and the owner has stated what it remembers", third: silent, removed: freshFor / 2, states: true, epoch: 4},
+		{name: "one was removed long before, which the owner has not stated", third: silent, removed: 2 * freshFor, epoch: 4},
+		{name: "one was removed long before", third: silent, removed: 2 * freshFor, states: true, epoch: 4, holds: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -72,6 +75,11 @@
 					assert.NilError(t, own.Remove(t.Context(), "n3"))
 					time.Sleep(c.removed)
 				}
+				if c.states {
+					r, _ := own.DueReading(0)
+					assert.NilError(t, own.PublishReading(t.Context(), r))
+					time.Sleep(100 * time.Millisecond)
+				}
 				confirmed := time.Now()
 				s := &Statements{Directory: own.Directory, Unconfirmed: func(than time.Duration) (map[string]uint64, time.Time) {
 					if time.Since(confirmed) <= than {
