--- a/services/scheduler/advice.go
+++ b/services/scheduler/advice.go
@@ -157,7 +157,7 @@
 // mayAsk reports whether a request of a step may name a worker: it may take a task of the step, if need be once it has
 // rested after its ejection, and the advice service has not excluded it.
 func (p *Pool) mayAsk(s *stepState, w *workerState, now time.Time) bool {
-	return !s.allowedOn(w, now) && !s.excluded[w.info.ID] && s.fitsOn(w) && (w.schedulable(now) || p.fallsBackOn(s, w, now))
+	return !s.allowedOn(w, now) && !s.excluded[w.info.ID] && s.fitsOn(w) && (w.schedulable(now) || p.fallsBackOn(s, w, now) || p.mayUseEmptying(s, w, now))
 }
 
 // fitsOn reports whether a worker that is empty could run a task of a step, whatever the queue's policy.
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -16,7 +16,7 @@
 	"github.com/yardbridge/yardbridge/services/port"
 )
 
-// CordonedWorker is a worker on which nothing may be placed.
+// CordonedWorker is a worker on which nothing may be placed but tasks that may run nowhere else and do not delay it.
 type CordonedWorker struct {
 	ID worker.ID `json:"id"`
 	// MaintenanceRequired means that its instance must be maintained: in the end, long-running
@@ -95,6 +95,9 @@
 		w.cordoned = cordoned
 		w.maintenanceSince = time.Time{}
 		w.cordonBatch = p.batch
+		for _, u := range w.runs {
+			u.generation = beforeCordon
+		}
 	}
 	p.needsPlan = true
 }
@@ -435,7 +438,7 @@
 		if w.info.Draining && !w.cordoned || p.mayDisrupt(s, now) && p.claimPlace(u, now) {
 			p.stopRun(u, now, "its worker is being emptied")
 		}
-	case s.spec.Checkpointing && !s.spec.Gang:
+	case s.spec.Checkpointing && !s.spec.Gang && u.generation == beforeCordon:
 		remaining := p.remainingTime(u, now)
 		if remaining > p.Limits.StopTime+minMoveGain {
 			p.stopRun(u, now, "its worker is being emptied, and it can continue elsewhere")
--- a/services/scheduler/expiry.go
+++ b/services/scheduler/expiry.go
@@ -34,12 +34,12 @@
 }
 
 // withholdReason returns why a run must not be started any more, "" if it may be. A cordoned worker
-// stays until it is empty, so a gang, which starts as a whole, may still start there.
+// stays until it is empty, so a gang, which starts as a whole, may still start there, and what was placed there since.
 func withholdReason(u *run, now time.Time) string {
 	switch {
 	case now.Sub(u.persistedAt) > u.startWindow(now):
 		return "its order has waited too long"
-	case u.worker.info.Draining, u.worker.cordoned && !u.step().spec.Gang:
+	case u.worker.info.Draining, u.worker.cordoned && !u.step().spec.Gang && u.generation == beforeCordon:
 		return "its worker is being emptied"
 	case u.worker.evacuated:
 		return "its data centre is under evacuation"
--- a/services/scheduler/fallback.go
+++ b/services/scheduler/fallback.go
@@ -179,5 +179,5 @@
 
 // takesTasks reports whether tasks of a step may be placed on a worker now, apart from its labels and the queue's policy.
 func (p *Pool) takesTasks(s *stepState, w *workerState, now time.Time) bool {
-	return w.schedulable(now) || len(p.fallbacks) > 0 && p.isFallback(s, w, now)
+	return w.schedulable(now) || len(p.fallbacks) > 0 && p.isFallback(s, w, now) || p.mayUseEmptying(s, w, now)
 }
--- a/services/scheduler/plan.go
+++ b/services/scheduler/plan.go
@@ -246,6 +246,10 @@
 		e = e.Bool("fallback", true)
 		p.increment(placedFallback)
 	}
+	if u.generation != beforeCordon {
+		e = e.Bool("cordoned", true)
+		p.increment(placedEmptying)
+	}
 	e.Str("event", "place").Str("task", u.name).Int("run", u.number).Str("worker", string(u.worker.info.ID)).
 		Uint64("batch", p.batch).Uint8("urgency", uint8(c.urgency)).Dur("slack", c.job.latestStart.Sub(now)).
 		Int("free_cpu", free.CPU).Int("free_memory_mb", free.MemoryMB).Dur("heard", now.Sub(u.worker.clockAt)).Msg("task placed")
@@ -264,6 +268,9 @@
 	if best == nil && len(p.fallbacks) > 0 {
 		best = p.bestOf(slices.Values(p.fallbacks), c, t, now, skip)
 	}
+	if best == nil && len(p.cordons) > 0 {
+		best = p.bestOf(p.emptyingWorkers(now), c, t, now, skip)
+	}
 	return best
 }
 
@@ -401,6 +408,9 @@
 	if chosen == nil {
 		chosen = p.gangWorkers(c, now, "")
 	}
+	if chosen == nil && len(p.cordons) > 0 {
+		chosen = p.gangWorkersEmptying(c, now)
+	}
 	if chosen == nil {
 		p.reserveForGang(c, now)
 		p.noteNoWorker(s)
--- a/services/scheduler/pool.go
+++ b/services/scheduler/pool.go
@@ -101,32 +101,34 @@
 	plannedAt time.Time // when Plan was last called
 	learnedAt time.Time // plannedAt of the batch that last carried the learned values
 
-	dirty          []*jobState
-	leftKeys       []string       // of records that a job which has ended has left in the journal
-	ended          []endedJob     // oldest first, removed once expired
-	pendingStops   []*run         // runs whose stops are not persisted yet
-	plannedRuns    []*run         // planned since the last batch was collected
-	batch          uint64         // number of the batch under construction
-	committed      uint64         // newest batch that is persisted
-	eventSeq       uint64         // sequence number of polls and responses, which gives their order
-	needsPlan      bool           // capacity was freed or work arrived since the last plan
-	overloaded     bool           // the last plan found more demand than the pool can serve
-	placedCPU      int            // CPU in use at the end of the last plan, in thousandths of a core
-	overdueSince   time.Time      // since when much work is overdue although the pool is fully used, zero for not
-	planAt         time.Time      // when to plan even if nothing changes, zero for never
-	fallbacks      []*workerState // ejected workers that take what no other one could
-	reach          reach          // as of the last plan or report
-	mostlyIdle     bool           // isMostlyIdle, as of the last plan
-	untried        []*stepState   // steps of jobs without a run that wait in this plan, while workers are on trial
-	reservation    reservation
-	adviceByPlace  bool               // the next request to the advice service is for the step with the first place
-	adviceRetryAt  time.Time          // when the steps without a worker to ask the advice service about are looked at again
-	waitLogAt      time.Time          // earliest time of the next log line about a waiting step
-	noRoom         []job.Size         // of tasks for which this plan has found no worker with the capacity
-	room           *planRoom          // workers with room in this plan, nil between plans
-	noWorker       map[*job.Step]bool // steps of which this plan has found no worker for a task that has never been started
-	left           bool               // the last plan left out steps that are like others
-	pendingWorkers []worker.ID        // workers marked for processing since PendingWorkers was last called
+	dirty        []*jobState
+	leftKeys     []string       // of records that a job which has ended has left in the journal
+	ended        []endedJob     // oldest first, removed once expired
+	pendingStops []*run         // runs whose stops are not persisted yet
+	plannedRuns  []*run         // planned since the last batch was collected
+	batch        uint64         // number of the batch under construction
+	committed    uint64         // newest batch that is persisted
+	eventSeq     uint64         // sequence number of polls and responses, which gives their order
+	needsPlan    bool           // capacity was freed or work arrived since the last plan
+	overloaded   bool           // the last plan found more demand than the pool can serve
+	placedCPU    int            // CPU in use at the end of the last plan, in thousandths of a core
+	overdueSince time.Time      // since when much work is overdue although the pool is fully used, zero for not
+	planAt       time.Time      // when to plan even if nothing changes, zero for never
+	fallbacks    []*workerState // ejected workers that take what no other one could
+	// gangUsesEmptying is whether a gang is placed that finds no room without cordoned workers.
+	gangUsesEmptying bool
+	reach            reach        // as of the last plan or report
+	mostlyIdle       bool         // isMostlyIdle, as of the last plan
+	untried          []*stepState // steps of jobs without a run that wait in this plan, while workers are on trial
+	reservation      reservation
+	adviceByPlace    bool               // the next request to the advice service is for the step with the first place
+	adviceRetryAt    time.Time          // when the steps without a worker to ask the advice service about are looked at again
+	waitLogAt        time.Time          // earliest time of the next log line about a waiting step
+	noRoom           []job.Size         // of tasks for which this plan has found no worker with the capacity
+	room             *planRoom          // workers with room in this plan, nil between plans
+	noWorker         map[*job.Step]bool // steps of which this plan has found no worker for a task that has never been started
+	left             bool               // the last plan left out steps that are like others
+	pendingWorkers   []worker.ID        // workers marked for processing since PendingWorkers was last called
 }
 
 // endedJob is a finished job and the time at which its state expires.
--- a/services/scheduler/run.go
+++ b/services/scheduler/run.go
@@ -61,6 +61,8 @@
 
 	held      bool      // placed ahead: its order waits until its worker has room
 	heldSince time.Time // when it was placed ahead
+
+	generation generation // whether it was placed on a cordoned worker
 }
 
 // step returns the state of the run's step.
@@ -98,6 +100,9 @@
 		batch: p.batch, cpuShare: fullPercent, progressedAt: now, plannedAt: now, ticket: w.tickets[s.ref], suspected: t.suspected(),
 		held: held, heldSince: now,
 	}
+	if w.cordoned {
+		u.generation = p.generationOn(s, w, now)
+	}
 	p.attach(u)
 	s.adviceInVain = 0
 	p.allowances.noteStart(j.sub.Customer, now)
--- a/services/scheduler/worker.go
+++ b/services/scheduler/worker.go
@@ -46,7 +46,7 @@
 	leaseRecorded     bool          // a record tells the next owner that no lease is extended here
 	restoredRunsEndAt time.Time     // when all runs of an earlier owner have ended, unless it has responded
 	pending           bool          // it is among the pending workers
-	cordoned          bool          // nothing is placed there, and movable runs leave it
+	cordoned          bool          // nothing is placed there but what may run nowhere else, and movable runs leave it
 	cordonBatch       uint64        // batch that carries the newest cordon change
 	evacuated         bool          // its data centre is under evacuation
 	maintenanceSince  time.Time     // since when its instance needs maintenance, zero if it does not
@@ -146,7 +146,12 @@
 
 // reachable reports whether tasks may be placed on the worker unless it is ejected.
 func (w *workerState) reachable() bool {
-	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.leaseRecorded && !w.restartSuspected && !w.leaving() && !w.evacuated
+	return w.responds() && !w.leaving() && !w.evacuated
+}
+
+// responds reports whether the worker is listed and responds to all that is sent to it.
+func (w *workerState) responds() bool {
+	return w.hasResponded && w.listed && w.unresponsiveSince.IsZero() && !w.orderUnanswered && !w.leaseRecorded && !w.restartSuspected
 }
 
 // leaving reports whether the runs on the worker have to move elsewhere.
