--- a/services/fleet/manager.go
+++ b/services/fleet/manager.go
@@ -267,6 +267,7 @@
 	}
 	m.settle()
 	m.collectReports(ctx, c)
+	m.dropMoves()
 	planned := m.Clock.Now()
 	began := m.view.plan()
 	m.view.planTime = m.Clock.Now().Sub(planned)
--- a/services/fleet/plan.go
+++ b/services/fleet/plan.go
@@ -28,6 +28,7 @@
 	maintenanceTime time.Duration         // duration of a maintenance
 	moveWorth       time.Duration         // how long an idle instance is kept, 0 for the default
 	barred          map[barredMove]string // moves that the platform rejects, and an instance whose order it has rejected
+	needed          map[string]time.Time  // until when instances are not moved since their pools can't do without them, by name
 	counts          *counts               // of the current or the newest plan
 
 	ordersPerSecond     float64               // that the platform accepts, 0 for no limit
@@ -214,8 +215,11 @@
 	return max(instances(capacity, v.smallest()), p.report.MinLabelled[label], 1) - v.counts.labelled[poolLabel{pool, label}]
 }
 
-// canSpare reports whether a pool can spare an instance with regard to its labels.
+// canSpare reports whether a pool can spare an instance with regard to its labels and to what may run nowhere else.
 func (v *view) canSpare(pool string, i port.Instance) bool {
+	if v.now.Before(v.needed[i.Name]) {
+		return false
+	}
 	for _, label := range i.Labels {
 		if p := v.pools[pool]; p != nil {
 			if _, needed := p.report.Labels[label]; needed && v.lackLabel(pool, label) >= 0 {
--- a/services/scheduler/cordon.go
+++ b/services/scheduler/cordon.go
@@ -149,6 +149,8 @@
 	// Unsuited means that it is idle and does not suit a step that has waited for some time and fits on no
 	// worker of the pool: another instance in its place may.
 	Unsuited bool `json:"unsuited,omitempty"`
+	// Needed means that it is cordoned, not for maintenance, and that a step which may run nowhere else waits for it.
+	Needed bool `json:"needed,omitempty"`
 }
 
 // Report returns the pool's report, in response to a request, with all workers or those that have changed
@@ -204,6 +206,7 @@
 		r.addMinWorkers(s.spec.Label, p.schedulableWorkers(s.spec.Label, now)+1)
 	}
 	p.markUnsuited(&r, append(stuck, p.stuckWaiting(now)...))
+	p.markNeeded(&r, now)
 	return r
 }
 
--- a/services/scheduler/emptying.go
+++ b/services/scheduler/emptying.go
@@ -129,3 +129,39 @@
 	defer func() { p.gangUsesEmptying = false }()
 	return p.gangWorkers(c, now, "")
 }
+
+// neededAfter is how long a step waits for a cordoned worker until that is reported.
+const neededAfter = 500 * time.Millisecond
+
+// markNeeded marks the cordoned workers that waiting steps can't do without, unless they must be maintained.
+func (p *Pool) markNeeded(r *Report, now time.Time) {
+	if len(p.cordons) == 0 {
+		return
+	}
+	for i := range r.Workers {
+		if w := p.workers[r.Workers[i].ID]; w.isEmptying(now) && w.maintenanceSince.IsZero() {
+			r.Workers[i].Needed = p.isNeeded(w, now)
+		}
+	}
+}
+
+// isNeeded reports whether a step that may run on no other worker has waited for a while for one that has room for it.
+func (p *Pool) isNeeded(w *workerState, now time.Time) bool {
+	for _, j := range p.active {
+		for _, round := range j.openRounds() {
+			for i := range round.steps {
+				s := &round.steps[i]
+				if s.waiting == 0 || s.waitingSince.IsZero() || now.Sub(s.waitingSince) < neededAfter || !round.ready(i) {
+					continue
+				}
+				if !p.mostlyIdle && !s.spec.LongRunning {
+					continue // others wait as well, and another pool may need the instance more
+				}
+				if s.couldRunOn(w) && s.spec.Reservation().FitsIn(w.free()) && !p.hasOtherPlace(s, w) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- a/services/scheduler/emptying_test.go
+++ b/services/scheduler/emptying_test.go
@@ -160,3 +160,30 @@
 	assert.Assert(t, placed > 10, "%d", placed)
 	assert.Assert(t, took <= longTime+2*besideTime, "the worker was empty after %s", took)
 }
+
+// TestNeededWorkerIsReported guards against a job that waits for a worker to be emptied (LOST): it may run nowhere else, and
+// takes longer than what runs there. A worker that is to be maintained is not reported, nor is one that is not waited for.
+func TestNeededWorkerIsReported(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		maintained bool
+		step       job.Step
+		needed     bool
+	}{
+		{name: "it runs nowhere else", step: job.Step{Count: 1, Size: job.Size{CPU: 500}, Estimate: 20 * time.Second, Label: "l"}, needed: true},
+		{name: "the instance is maintained", maintained: true, step: job.Step{Count: 1, Size: job.Size{CPU: 500}, Estimate: 20 * time.Second, Label: "l"}},
+		{name: "there is no room for it", step: job.Step{Count: 1, Size: job.Size{CPU: 3800}, Estimate: 20 * time.Second, Label: "l"}},
+		{name: "it runs elsewhere", step: job.Step{Count: 1, Size: job.Size{CPU: 500}, Estimate: 20 * time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newTestPoolBeforeCordon(t)
+			cordon(d, CordonRequest{Workers: []CordonedWorker{{ID: "a", MaintenanceRequired: c.maintained}}})
+			d.submitStep("1", c.step)
+			d.persist()
+			assert.Assert(t, !d.Report(CordonRequest{}, d.now).reported("a").Needed, "it does not wait yet")
+			d.later(neededAfter)
+			d.later(neededAfter)
+			assert.Equal(t, d.Report(CordonRequest{}, d.now).reported("a").Needed, c.needed)
+		})
+	}
+}
