--- a/services/ownership/manager.go
+++ b/services/ownership/manager.go
@@ -46,7 +46,7 @@
 }
 
 // Manager claims pools that have no owner. Its exported fields are set before Run. Lock order: mu
-// is the only lock, and nothing that blocks is called while it is held.
+// before that of the directory, and nothing that blocks is called while it is held.
 type Manager struct {
 	Directory *directory.Directory
 	Clock     clock.Clock
